--- a/packages/policy/src/core/lookup.ts
+++ b/packages/policy/src/core/lookup.ts
@@ -3,9 +3,9 @@
  * often, the same ones for the same caller as long as little changes.
  * Efficiency: a stale answer costs a redirect, never a promise.
  */
+import {hashText} from '@gatehead/schema/hash-text';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {jitter, type Random} from '../utils/random.js';
-import {hashText} from './rendezvous.js';
 
 /** Most hosts of one answer, so that an answer's cost does not grow with the fleet. */
 export const mostAnswered = 4;
--- a/packages/policy/src/core/rendezvous.ts
+++ b/packages/policy/src/core/rendezvous.ts
@@ -3,21 +3,7 @@
  * losing one name moves only what it had. Efficiency: two hosts that know
  * different members may disagree for a while.
  */
-
-const offset = 2_166_136_261;
-const prime = 16_777_619;
-
-/** 32-bit FNV-1a with a final mix, so that near names spread evenly. */
-export function hashText(text: string): number {
-	let hash = offset;
-	for (let index = 0; index < text.length; index += 1) {
-		hash = Math.imul(hash ^ text.charCodeAt(index), prime); // eslint-disable-line unicorn/prefer-code-point -- the hot path hashes code units
-	}
-
-	hash = Math.imul(hash ^ (hash >>> 16), 2_246_822_507);
-	hash = Math.imul(hash ^ (hash >>> 13), 3_266_489_909);
-	return (hash ^ (hash >>> 16)) >>> 0;
-}
+import {hashText} from '@gatehead/schema/hash-text';
 
 /** Orders candidates by their weight for `key`, heaviest first. */
 export function rank(key: string, candidates: readonly string[]): string[] {
--- /dev/null
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -0,0 +1,330 @@
+/**
+ * Decisions of one cell's keeper: whose turn it is, at which prefill engine,
+ * when, and at which decode engine. Decode first: a prefill starts only when
+ * a decode slot is free or surely will be while its result lives.
+ * Efficiency: a wrong decision costs goodput or waste, never a promise.
+ */
+import {type Engine, type Objective} from '@gatehead/schema/bundle';
+import {type EngineReport} from '@gatehead/schema/engine-protocol';
+import {type LeaseAsk, type LeaseClaim} from '@gatehead/schema/peer-message';
+import {type Random} from '../utils/random.js';
+import {AnswerLengths} from './answer-lengths.js';
+import {DecodePool, leaseKey} from './decode-pool.js';
+import {PrefillPool, type PrefillOffer} from './prefill-pool.js';
+import {Pressure} from './pressure.js';
+import {risks, type Risk} from './risk.js';
+import {WaitingLine, type Waiting} from './waiting-line.js';
+
+/** One decode step and the way of the messages, in milliseconds. */
+const firstStepMs = 35;
+/** A newcomer is refused at once when this much more waits ahead than can be served in its slack. */
+const hopelessFactor = 1.5;
+const comeBackMs = 1000;
+
+/** A lease from its prefill grant to its release. */
+type Lease = {
+	readonly key: string;
+	readonly ask: LeaseAsk;
+	readonly deadline: number;
+	readonly prefillEngine: string;
+	readonly hall: string;
+	stage: 'prefill' | 'ready' | 'decode';
+	readyAt: number;
+	lapsesAt: number;
+	engine: string;
+};
+
+/** What the scheduler decides. */
+export type Decision
+	= | {readonly kind: 'prefill'; readonly request: string; readonly attempt: number; readonly engine: string}
+		| {readonly kind: 'decode'; readonly request: string; readonly attempt: number; readonly engine: string}
+		| {readonly kind: 'refuse'; readonly request: string; readonly attempt: number; readonly code: 'overloaded' | 'shareExceeded' | 'endpointsDown'; readonly retryAfterMs: number};
+
+/** What a scheduler is made from. */
+export type SchedulerParts = {
+	readonly engines: readonly Engine[];
+	readonly kvBytesPerToken: number;
+	readonly objective: Objective;
+	readonly random: Random;
+	readonly shareOf: (caller: string) => number | undefined;
+	/** Most requests in work at once of a caller in this cell; undefined: no limit. */
+	readonly limitOf: (caller: string) => number | undefined;
+};
+
+/** One cell's decisions. */
+export class Scheduler {
+	readonly #decode: DecodePool;
+	readonly #prefill: PrefillPool;
+	readonly #line: WaitingLine;
+	readonly #lengths = new AnswerLengths();
+	readonly #pressure = new Pressure();
+	readonly #risk: Risk;
+	readonly #random: Random;
+	readonly #limitOf: (caller: string) => number | undefined;
+	readonly #leases = new Map<string, Lease>();
+	readonly #inWork = new Map<string, number>();
+	readonly #early: Decision[] = [];
+
+	constructor({engines, kvBytesPerToken, objective, random, shareOf, limitOf}: SchedulerParts) {
+		this.#decode = new DecodePool(engines.filter(each => each.role === 'decode'), this.#lengths);
+		this.#prefill = new PrefillPool(engines.filter(each => each.role === 'prefill'), kvBytesPerToken);
+		this.#line = new WaitingLine(shareOf);
+		this.#risk = risks[objective];
+		this.#random = random;
+		this.#limitOf = limitOf;
+	}
+
+	/** Whether anything waits for a decision. */
+	get isBusy(): boolean {
+		return this.#line.size > 0 || this.#early.length > 0 || this.#countWaitingForSlot() > 0;
+	}
+
+	/** Load from 0 to 1. */
+	get load(): number {
+		return this.#decode.load;
+	}
+
+	/** Numbers for operators. */
+	describe(): {readonly waiting: number; readonly leases: number; readonly slots: number; readonly free: number} {
+		return {
+			waiting: this.#line.size, leases: this.#leases.size, slots: this.#decode.countSlots(), free: this.#decode.countFree(),
+		};
+	}
+
+	/** Takes a request into the line; one that was asked before keeps its place. */
+	ask(ask: LeaseAsk, now: number): void {
+		const key = leaseKey(ask);
+		if (this.#leases.has(key)) {
+			return;
+		}
+
+		this.#line.remove(key);
+		const waiting: Waiting = {
+			ask, key, deadline: now + ask.slackMs, since: now, holdMs: this.#decode.expectHoldMs(ask.priority, ask.maxTokens),
+		};
+		const code = this.#findRefusal(waiting, now);
+		if (code === undefined) {
+			this.#line.add(waiting);
+		} else {
+			this.#refuse(waiting, code, now);
+		}
+	}
+
+	/** Takes a request out of the line. */
+	withdraw(key: string): void {
+		this.#line.remove(key);
+	}
+
+	/** Notes that a result is made and lives for `holdMs`. */
+	prefilled(key: string, holdMs: number, now: number): void {
+		const lease = this.#leases.get(key);
+		if (lease?.stage !== 'prefill') {
+			return;
+		}
+
+		lease.stage = 'ready';
+		lease.readyAt = now;
+		lease.lapsesAt = now + holdMs;
+		this.#prefill.end(lease.prefillEngine, key, lease.ask.blocks, now);
+	}
+
+	/** Notes that an import is whole. */
+	started(key: string, now: number): void {
+		const lease = this.#leases.get(key);
+		if (lease !== undefined) {
+			this.#decode.start(lease.engine, key, now);
+		}
+	}
+
+	/** Notes that an engine did not take the work; `isLost` where it seems to be gone. */
+	bounced(key: string, engine: string, isLost: boolean, now: number): void {
+		const lease = this.#leases.get(key);
+		if (isLost) {
+			this.lose(engine);
+		}
+
+		if (lease?.stage !== 'decode' || lease.engine !== engine) {
+			return;
+		}
+
+		this.#decode.giveBack(engine, key, now);
+		this.#decode.fill(engine);
+		lease.stage = 'ready';
+	}
+
+	/** Ends a lease. `tokens` is 0 where nothing can be learned from its length. */
+	release(key: string, tokens: number, now: number): void {
+		const lease = this.#leases.get(key);
+		if (lease === undefined) {
+			this.#line.remove(key);
+			return;
+		}
+
+		this.#leases.delete(key);
+		this.#count(lease.ask.caller, -1);
+		this.#prefill.giveBack(lease.prefillEngine, key, now);
+		this.#decode.giveBack(lease.engine, key, now);
+		if (lease.stage === 'decode' && tokens > 0) {
+			this.#lengths.learn(lease.ask.priority, tokens, lease.ask.maxTokens);
+		}
+	}
+
+	/** Takes over a lease that another keeper granted. */
+	adopt({request, attempt, stage, engine, prefillEngine, maxTokens, priority, caller}: LeaseClaim, now: number): void {
+		const key = leaseKey({request, attempt});
+		if (this.#leases.has(key)) {
+			return;
+		}
+
+		const ask: LeaseAsk = {
+			request, attempt, caller, priority, promptTokens: 0, maxTokens, blocks: [], slackMs: 0, accepted: true,
+		};
+		this.#line.remove(key);
+		this.#leases.set(key, {
+			key, ask, deadline: now, prefillEngine, hall: '', stage, readyAt: now, lapsesAt: now + comeBackMs, engine,
+		});
+		this.#count(caller, 1);
+		if (stage === 'decode') {
+			this.#decode.take(engine, {
+				key, priority, maxTokens, startedAt: now,
+			});
+		}
+	}
+
+	/** Keys of all leases, for comparison with what their holders claim. */
+	listLeases(): string[] {
+		return [...this.#leases.keys()];
+	}
+
+	/** Takes an engine's report. */
+	report(report: EngineReport, now: number): void {
+		this.#decode.report(report, now);
+		this.#prefill.report(report);
+	}
+
+	/** Notes that an engine does not answer; returns whether that is news. */
+	lose(engine: string): boolean {
+		const isDecodeNews = this.#decode.lose(engine);
+		return this.#prefill.lose(engine) || isDecodeNews;
+	}
+
+	/** Decides all that can be decided now. */
+	decide(now: number): Decision[] {
+		const decisions = this.#early.splice(0);
+		this.#refuseLate(now, decisions);
+		this.#giveSlots(now, decisions);
+		this.#startPrefills(now, decisions);
+		return decisions;
+	}
+
+	#count(caller: string, change: number): void {
+		this.#inWork.set(caller, Math.max(0, (this.#inWork.get(caller) ?? 0) + change));
+	}
+
+	#findRefusal({ask, deadline}: Waiting, now: number): Extract<Decision, {kind: 'refuse'}>['code'] | undefined {
+		if (ask.accepted) {
+			return undefined;
+		}
+
+		const slots = this.#decode.countSlots();
+		const limit = this.#limitOf(ask.caller);
+		if (limit !== undefined && (this.#inWork.get(ask.caller) ?? 0) >= limit) {
+			return 'shareExceeded';
+		}
+
+		if (slots === 0) {
+			return undefined;
+		}
+
+		const waitMs = this.#line.workAhead(ask.priority) / slots;
+		return waitMs > hopelessFactor * Math.max(0, deadline - now) ? 'overloaded' : undefined;
+	}
+
+	#refuse({ask, key}: Waiting, code: Extract<Decision, {kind: 'refuse'}>['code'], now: number): void {
+		this.#line.remove(key);
+		this.#early.push({
+			kind: 'refuse', request: ask.request, attempt: ask.attempt, code, retryAfterMs: this.#pressure.refuse(now, this.#random),
+		});
+	}
+
+	/** Refuses at once what can no longer have its first token in time. */
+	#refuseLate(now: number, decisions: Decision[]): void {
+		const late = this.#line.takeLate(({ask}) => {
+			const offer = this.#prefill.offer(ask, now);
+			return offer === undefined ? now : offer.readyAt + offer.transferMs + firstStepMs;
+		});
+		for (const {ask: {request, attempt}} of late) {
+			decisions.push({
+				kind: 'refuse', request, attempt, code: this.#decode.countSlots() === 0 ? 'endpointsDown' : 'overloaded', retryAfterMs: this.#pressure.refuse(now, this.#random),
+			});
+		}
+	}
+
+	#countWaitingForSlot(): number {
+		let waiting = 0;
+		for (const {stage} of this.#leases.values()) {
+			waiting += Number(stage !== 'decode');
+		}
+
+		return waiting;
+	}
+
+	/** Gives free slots to results, those that were promised and the earliest deadlines first. */
+	#giveSlots(now: number, decisions: Decision[]): void {
+		const ready = [...this.#leases.values()].filter(({stage, lapsesAt}) => stage === 'ready' && lapsesAt > now);
+		ready.sort((left, right) => left.deadline - right.deadline);
+		for (const lease of ready) {
+			const engine = this.#decode.choose(lease.hall, lease.ask.adapter);
+			if (engine === undefined) {
+				return;
+			}
+
+			const {key, ask: {request, attempt, priority, maxTokens}} = lease;
+			lease.stage = 'decode';
+			lease.engine = engine;
+			this.#decode.take(engine, {
+				key, priority, maxTokens, startedAt: now,
+			});
+			decisions.push({
+				kind: 'decode', request, attempt, engine,
+			});
+		}
+	}
+
+	#startPrefills(now: number, decisions: Decision[]): void {
+		for (let waiting = this.#line.peek(now); waiting !== undefined; waiting = this.#line.peek(now)) {
+			const offer = this.#prefill.offer(waiting.ask, now);
+			if (offer === undefined || !offer.isDue || !this.#isSlotSure(offer, now)) {
+				return;
+			}
+
+			this.#line.take(waiting, now);
+			this.#pressure.grant(now);
+			this.#grant(waiting, offer, now);
+			decisions.push({
+				kind: 'prefill', request: waiting.ask.request, attempt: waiting.ask.attempt, engine: offer.engine,
+			});
+		}
+	}
+
+	#grant({key, ask, deadline}: Waiting, offer: PrefillOffer, now: number): void {
+		this.#prefill.take(offer, key, now);
+		this.#leases.set(key, {
+			key, ask, deadline, prefillEngine: offer.engine, hall: offer.hall, stage: 'prefill', readyAt: offer.readyAt, lapsesAt: Number.POSITIVE_INFINITY, engine: '',
+		});
+		this.#count(ask.caller, 1);
+	}
+
+	/** Whether a slot is free, or surely will be while the result lives. */
+	#isSlotSure({engine, readyAt}: PrefillOffer, now: number): boolean {
+		const spoken = this.#countWaitingForSlot();
+		const free = this.#decode.countFree();
+		if (free > spoken) {
+			return true;
+		}
+
+		const patienceMs = this.#risk.patience * this.#prefill.holdMsOf(engine);
+		const {mean, variance} = this.#decode.forecast(now, readyAt - now + patienceMs);
+		return free + mean - (this.#risk.caution * Math.sqrt(variance)) >= spoken + 1;
+	}
+}
--- a/packages/schema/src/prompt-blocks.ts
+++ b/packages/schema/src/prompt-blocks.ts
@@ -2,13 +2,13 @@
  * Prompt length in tokens and the chain of digests by which engines name the
  * leading blocks that they cache. Efficiency: an estimate prices work, no promise rests on it.
  */
-import {createHash} from 'node:crypto';
+import {hashText} from './hash-text.js';
 
 const charactersPerToken = 4;
 /** Tokens of one block of the prefix cache. */
 export const blockTokens = 128;
 const blockCharacters = blockTokens * charactersPerToken;
-const digestCharacters = 12;
+const base36 = 36;
 const mostBlocks = 64;
 
 /** Estimated tokens of a text. */
@@ -21,7 +21,7 @@
 	const blocks: string[] = [];
 	let chain = '';
 	for (let start = 0; start + blockCharacters <= prompt.length && blocks.length < mostBlocks; start += blockCharacters) {
-		chain = createHash('sha256').update(chain).update(prompt.slice(start, start + blockCharacters)).digest('hex').slice(0, digestCharacters);
+		chain = hashText(chain + prompt.slice(start, start + blockCharacters)).toString(base36);
 		blocks.push(chain);
 	}
 
--- a/packages/standin/src/utils/session.ts
+++ b/packages/standin/src/utils/session.ts
@@ -34,7 +34,7 @@
 function judgeModel(call: PlannedCall, reply: Reply, target: Target): Verdict {
 	const text = joinEvents(reply.body);
 	const tokenMs = (reply.lastMs - reply.firstMs) / Math.max(1, countTokensIn(text ?? '') - 1);
-	const isWhole = text === call.expected;
+	const isWhole = text !== undefined && text === call.expected?.();
 	return {
 		call,
 		kind: isWhole ? 'whole' : (text === undefined ? 'broken' : 'crossed'),
--- a/packages/standin/src/utils/traffic.ts
+++ b/packages/standin/src/utils/traffic.ts
@@ -30,7 +30,7 @@
 	readonly path: string;
 	readonly body: Readonly<Record<string, unknown>>;
 	/** The one right answer of a model request. */
-	readonly expected: string | undefined;
+	readonly expected: (() => string) | undefined;
 };
 
 /** Kinds of each example deployment. */
@@ -132,7 +132,7 @@
 		body: {
 			model: model.name, prompt, max_tokens: maxTokens, stream: true,
 		},
-		expected: wholeAnswer(prompt, maxTokens),
+		expected: () => wholeAnswer(prompt, maxTokens),
 	};
 }
 
