--- a/packages/policy/src/scheduler/decode-pool.ts
+++ b/packages/policy/src/scheduler/decode-pool.ts
@@ -10,6 +10,8 @@
 /** How long a stream that was given back may still stand in lagging reports, in milliseconds. */
 const reportEchoMs = 1500;
 const firstTokenMs = 30;
+const forecastStepMs = 50;
+const longestForecastMs = 1000;
 
 /** A decode slot in use. */
 export type SlotLease = {
@@ -88,6 +90,22 @@
 		return {mean, variance};
 	}
 
+	/** Time until `count` slots are expected to be free, in milliseconds; Infinity beyond what is forecast. */
+	expectFree(count: number, now: number): number {
+		const missing = count - this.countFree();
+		if (missing <= 0) {
+			return 0;
+		}
+
+		for (let windowMs = forecastStepMs; windowMs <= longestForecastMs; windowMs += forecastStepMs) {
+			if (this.forecast(now, windowMs).mean >= missing) {
+				return windowMs;
+			}
+		}
+
+		return Number.POSITIVE_INFINITY;
+	}
+
 	/** Mean time that a slot is held by an answer of up to `maxTokens`. */
 	expectHoldMs(priority: number, maxTokens: number): number {
 		let tokenMs = 0;
--- a/packages/policy/src/scheduler/risk.ts
+++ b/packages/policy/src/scheduler/risk.ts
@@ -11,6 +11,6 @@
 
 /** The tour services buy goodput with risk; the consortium refuses waste. */
 export const risks: Record<Objective, Risk> = {
-	goodput: {caution: 0.5, patience: 0.4},
-	wastedPrefill: {caution: 1.2, patience: 0.4},
+	goodput: {caution: 0, patience: 0},
+	wastedPrefill: {caution: 0.5, patience: 0},
 };
--- a/packages/policy/src/scheduler/scheduler.ts
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -17,8 +17,10 @@
 
 /** One decode step and the way of the messages, in milliseconds. */
 const firstStepMs = 35;
-/** A newcomer is refused at once when this much more waits ahead than can be served in its slack. */
-const hopelessFactor = 1.5;
+/** A newcomer is refused at once when the work ahead would take this share of its slack or more. */
+const hopelessFactor = 0.7;
+/** Share of a request's slack that is kept as a margin against a late slot. */
+const edgeShare = 0.02;
 const comeBackMs = 1000;
 
 /** A lease from its prefill grant to its release. */
@@ -221,7 +223,7 @@
 		this.#inWork.set(caller, Math.max(0, (this.#inWork.get(caller) ?? 0) + change));
 	}
 
-	#findRefusal({ask, deadline}: Waiting, now: number): Extract<Decision, {kind: 'refuse'}>['code'] | undefined {
+	#findRefusal({ask, deadline, holdMs}: Waiting, now: number): Extract<Decision, {kind: 'refuse'}>['code'] | undefined {
 		if (ask.accepted) {
 			return undefined;
 		}
@@ -236,7 +238,7 @@
 			return undefined;
 		}
 
-		const waitMs = this.#line.workAhead(ask.priority) / slots;
+		const waitMs = this.#line.workAhead(ask.priority, holdMs) / slots;
 		return waitMs > hopelessFactor * Math.max(0, deadline - now) ? 'overloaded' : undefined;
 	}
 
@@ -253,11 +255,26 @@
 			const offer = this.#prefill.offer(ask, now);
 			return offer === undefined ? now : offer.readyAt + offer.transferMs + firstStepMs;
 		});
-		for (const {ask: {request, attempt}} of late) {
-			decisions.push({
-				kind: 'refuse', request, attempt, code: this.#decode.countSlots() === 0 ? 'endpointsDown' : 'overloaded', retryAfterMs: this.#pressure.refuse(now, this.#random),
-			});
+		for (const waiting of late) {
+			decisions.push(this.#refusalOf(waiting, now));
+		}
+	}
+
+	#refusalOf({ask: {request, attempt}}: Waiting, now: number): Decision {
+		return {
+			kind: 'refuse', request, attempt, code: this.#decode.countSlots() === 0 ? 'endpointsDown' : 'overloaded', retryAfterMs: this.#pressure.refuse(now, this.#random),
+		};
+	}
+
+	/** Whether the slot that this request would get is expected too late for its first token. */
+	#isTooLate({ask, deadline, since}: Waiting, {readyAt, transferMs}: PrefillOffer, now: number): boolean {
+		if (ask.accepted) {
+			return false;
 		}
+
+		const slotAt = now + this.#decode.expectFree(this.#listReadies().filter(each => each <= readyAt).length + 1, now);
+		const margin = edgeShare * (deadline - since);
+		return Math.max(readyAt, slotAt) + transferMs + firstStepMs + margin > deadline;
 	}
 
 	#countWaitingForSlot(): number {
@@ -294,7 +311,17 @@
 	#startPrefills(now: number, decisions: Decision[]): void {
 		for (let waiting = this.#line.peek(now); waiting !== undefined; waiting = this.#line.peek(now)) {
 			const offer = this.#prefill.offer(waiting.ask, now);
-			if (offer === undefined || !offer.isDue || !this.#isSlotSure(offer, now)) {
+			if (!offer?.isDue) {
+				return;
+			}
+
+			if (this.#isTooLate(waiting, offer, now)) {
+				this.#line.remove(waiting.key);
+				decisions.push(this.#refusalOf(waiting, now));
+				continue;
+			}
+
+			if (!this.#isSlotSure(offer, now)) {
 				return;
 			}
 
@@ -315,16 +342,50 @@
 		this.#count(ask.caller, 1);
 	}
 
-	/** Whether a slot is free, or surely will be while the result lives. */
+	/**
+	 * Whether a slot is free, or surely will be while the result lives, for
+	 * this request and still for each that was granted before and is ready later.
+	 */
 	#isSlotSure({engine, readyAt}: PrefillOffer, now: number): boolean {
-		const spoken = this.#countWaitingForSlot();
+		const patienceMs = this.#risk.patience * this.#prefill.holdMsOf(engine);
+		const readies = this.#listReadies();
+		let ahead = 0;
+		while (ahead < readies.length && (readies[ahead] ?? 0) <= readyAt) {
+			ahead += 1;
+		}
+
+		if (!this.#willBeFree(ahead + 1, readyAt + patienceMs, now)) {
+			return false;
+		}
+
+		for (let later = ahead; later < readies.length; later += 1) {
+			if (!this.#willBeFree(later + 2, (readies[later] ?? 0) + patienceMs, now)) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	/** When the results that have no slot yet are or will be ready, in order. */
+	#listReadies(): number[] {
+		const readies: number[] = [];
+		for (const {stage, readyAt} of this.#leases.values()) {
+			if (stage !== 'decode') {
+				readies.push(readyAt);
+			}
+		}
+
+		return readies.toSorted((left, right) => left - right);
+	}
+
+	#willBeFree(count: number, at: number, now: number): boolean {
 		const free = this.#decode.countFree();
-		if (free > spoken) {
+		if (free >= count) {
 			return true;
 		}
 
-		const patienceMs = this.#risk.patience * this.#prefill.holdMsOf(engine);
-		const {mean, variance} = this.#decode.forecast(now, readyAt - now + patienceMs);
-		return free + mean - (this.#risk.caution * Math.sqrt(variance)) >= spoken + 1;
+		const {mean, variance} = this.#decode.forecast(now, Math.max(0, at - now));
+		return free + mean - (this.#risk.caution * Math.sqrt(variance)) >= count;
 	}
 }
--- a/packages/standin/src/measure/main.ts
+++ b/packages/standin/src/measure/main.ts
@@ -43,7 +43,7 @@
 	return rows;
 }
 
-const columns = ['deployment', 'load', 'fault', 'policy', 'offered', 'accepted', 'refused', 'goodput', 'goodputOfBound', 'wastedPrefill', 'ttftP95Ms', 'tokenP95Ms', 'fairness'] as const;
+const columns = ['deployment', 'load', 'fault', 'policy', 'offered', 'accepted', 'refused', 'goodput', 'goodputOfBound', 'wastedPrefill', 'ttftP95Ms', 'tokenP95Ms', 'fairness', 'slotUse'] as const;
 
 function printTable(rows: readonly Row[]): void {
 	const cells = [columns.map(String), ...rows.map(row => columns.map(column => String(row[column])))];
--- a/packages/standin/src/measure/policies.ts
+++ b/packages/standin/src/measure/policies.ts
@@ -13,6 +13,7 @@
 const pollMs = 250;
 const keeperStepMs = 5;
 const mostAttempts = 4;
+const orphanGraceMs = 5000;
 
 /** How one request went. */
 export type Outcome = {
@@ -107,6 +108,8 @@
 		for (const engine of world.engines.values()) {
 			this.#poll(engine);
 		}
+
+		this.#sweep();
 	}
 
 	arrive(outcome: Outcome, host: FakeHost): void {
@@ -117,9 +120,32 @@
 		this.#pausedUntil = until;
 	}
 
+	/** Frees what lost hosts held, as their keeper does once nobody claims it. */
+	#sweep(): void {
+		const {clock, engines} = this.#world;
+		for (const [key, {host, request, attempt}] of this.#flows) {
+			if (host.isLost) {
+				this.#flows.delete(key);
+				this.#scheduler.release(key, 0, clock.now());
+				for (const {decode, prefill} of engines.values()) {
+					decode.cancel(request, attempt);
+					prefill.cancel(request, attempt);
+				}
+			}
+		}
+
+		clock.after(orphanGraceMs, () => {
+			this.#sweep();
+		});
+	}
+
 	/** Carries a message to the keeper, which takes it when it is awake. */
 	#tell(host: FakeHost, message: (now: number) => void): void {
 		const {clock} = this.#world;
+		if (host.isLost) {
+			return;
+		}
+
 		clock.after(delayBetween(this.#world, host.hall, this.#keeperHall), () => {
 			const take = () => {
 				message(clock.now());
@@ -159,6 +185,10 @@
 	#try(flow: Flow): void {
 		const {outcome, host} = flow;
 		const {arrival} = outcome;
+		if (host.isLost) {
+			return;
+		}
+
 		flow.attempt += 1;
 		outcome.attempts = flow.attempt;
 		if (flow.attempt > mostAttempts) {
--- a/packages/standin/src/measure/run.ts
+++ b/packages/standin/src/measure/run.ts
@@ -1,5 +1,6 @@
 /** One row of the measurement: a deployment, a load, a fault and a policy, from one seed. */
 import {type Bundle} from '@gatehead/schema/bundle';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {pick, seedRandom} from '@gatehead/policy/utils/random';
 import {planArrivals, type Arrival, type LoadShape} from './arrivals.js';
 import {boundOf} from './bound.js';
@@ -8,10 +9,18 @@
 
 const hostCounts: Readonly<Record<string, number>> = {tour: 8, buoy: 9};
 /** Time over which requests arrive, and time that the last ones get. */
-const arrivalMs = 60_000;
+const arrivalMs = 66_000;
 const drainMs = 20_000;
+/** Requests that are counted: those that arrive between, so that neither the empty start nor the end without rivals flatters. */
+const countFromMs = 6000;
+const countToMs = 60_000;
+const faultMs = 30_000;
+const sampleMs = 10;
 const hostSeedOffset = 1_000_003;
 
+const stepFromMs = 24_000;
+const stepToMs = 42_000;
+
 /** Loads by name: multiples of the full rate over time. */
 export const loads: Readonly<Record<string, LoadShape>> = {
 	0.5: () => 0.5,
@@ -19,7 +28,7 @@
 	1.5: () => 1.5,
 	'2.0': () => 2,
 	'4.0': () => 4,
-	step: at => (at >= 20_000 && at < 40_000 ? 4 : 0.5),
+	step: at => (at >= stepFromMs && at < stepToMs ? 4 : 0.5),
 };
 
 /** Faults by name: what happens half-way. */
@@ -71,6 +80,8 @@
 	readonly ttftP95Ms: number;
 	readonly tokenP95Ms: number;
 	readonly fairness: number;
+	/** Mean share of decode slots in use. */
+	readonly slotUse: number;
 	/** TTFT and time per token of answered requests by priority: p50, p95, p99. */
 	readonly byPriority: Readonly<Record<string, {readonly answered: number; readonly ttftMs: readonly number[]; readonly tokenMs: readonly number[]}>>;
 };
@@ -142,7 +153,53 @@
 	}));
 }
 
-function describe({bundle, load, fault, policy}: RunPlan, world: World, arrivals: readonly Arrival[], outcomes: readonly Outcome[]): Row {
+/** Phases of steady load within the counted time; the bound is taken for each. */
+function phasesOf(load: string): ReadonlyArray<readonly [number, number]> {
+	return load === 'step' ? [[countFromMs, stepFromMs], [stepFromMs, stepToMs], [stepToMs, countToMs]] : [[countFromMs, countToMs]];
+}
+
+/** Sum of the phases' bounds; a phase that a quieter one follows may end its work in that one's time. */
+function boundOfPhases(bundle: Bundle, load: string, arrivals: readonly Arrival[]): number {
+	const longest = Math.max(...bundle.rules.targets.map(each => each.ttftMs));
+	let bound = 0;
+	for (const [from, to] of phasesOf(load)) {
+		const spill = load === 'step' && to === stepToMs ? longest : 0;
+		bound += boundOf(bundle, arrivals.filter(({at}) => at >= from && at < to), to - from + spill);
+	}
+
+	return bound;
+}
+
+/** Samples how many decode slots are in use. */
+class SlotMeter {
+	#sum = 0;
+	#count = 0;
+
+	constructor({clock, engines}: World) {
+		const sample = () => {
+			if (clock.now() >= countFromMs && clock.now() < countToMs) {
+				for (const {decode, traits, isLost} of engines.values()) {
+					if (traits.role === 'decode' && !isLost) {
+						this.#sum += decode.size / traits.slots;
+						this.#count += 1;
+					}
+				}
+			}
+
+			clock.after(sampleMs, sample);
+		};
+
+		sample();
+	}
+
+	get use(): number {
+		return this.#count === 0 ? 0 : this.#sum / this.#count;
+	}
+}
+
+function describe({bundle, load, fault, policy}: RunPlan, world: World, meter: SlotMeter, all: readonly Outcome[]): Row {
+	const outcomes = all.filter(({arrival: {at}}) => at >= countFromMs && at < countToMs);
+	const arrivals = outcomes.map(each => each.arrival);
 	const whole = outcomes.filter(each => each.state === 'whole');
 	const good = outcomes.filter(each => isGood(each)).length;
 	const refused = outcomes.filter(each => each.state === 'refused').length;
@@ -157,12 +214,13 @@
 		offered: outcomes.length,
 		accepted: outcomes.length - refused,
 		refused,
-		goodput: round(good / (arrivalMs / 1000)),
-		goodputOfBound: round(good / Math.max(1, boundOf(bundle, arrivals, arrivalMs))),
+		goodput: round(good / ((countToMs - countFromMs) / 1000)),
+		goodputOfBound: round(good / Math.max(1, boundOfPhases(bundle, load, arrivals))),
 		wastedPrefill: round(done === 0 ? 0 : (done - used) / done),
 		ttftP95Ms: percentileOf(whole.map(({firstAt, arrival}) => firstAt - arrival.at), 0.95),
 		tokenP95Ms: percentileOf(whole.map(each => tokenMsOf(each)), 0.95),
 		fairness: round(fairnessOf(outcomes)),
+		slotUse: round(meter.use),
 		byPriority: describePriorities(whole),
 	};
 }
@@ -174,6 +232,7 @@
 	const policy = makePolicy(name, world);
 	const arrivals = planArrivals(bundle, loads[load] ?? (() => Number(load)), arrivalMs, seed);
 	const hostRandom = seedRandom(seed + hostSeedOffset);
+	const meter = new SlotMeter(world);
 	const outcomes: Outcome[] = [];
 	for (const arrival of arrivals) {
 		const outcome: Outcome = {
@@ -188,9 +247,9 @@
 		});
 	}
 
-	world.clock.after(arrivalMs / 2, () => {
+	world.clock.after(faultMs, () => {
 		faults[fault]?.(world, policy);
 	});
 	world.clock.advance(arrivalMs + drainMs);
-	return describe(plan, world, arrivals, outcomes);
+	return describe(plan, world, meter, outcomes);
 }
