Keepers, leases, membership, bundle spread, orders, planned stop and administration in the host

Cause: the host still decided alone, with the thin placement. Change: one keeper a cell by rendezvous hashing; asks, grants, claims and releases over long-lived gRPC streams; a ring of heartbeats with suspicion and refutation; bundles from neighbours; fenced orders with read-back; orphan search; planned stop; a reading administration interface.

--- a/packages/host/src/front/caller-front.ts
+++ b/packages/host/src/front/caller-front.ts
@@ -151,7 +151,7 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const {context: {clock, settings}, bundles} = this.#parts;
+		const {context: {clock, settings}, bundles, isReady} = this.#parts;
 		const url = parseUrl(request);
 		const handler = this.#findHandler(request.method ?? 'GET', url.pathname);
 		if (this.#isRefusing) {
@@ -162,7 +162,11 @@
 			fail('tooManyConnections', {retryAfterMs: 1000});
 		}
 
-		const inForce = bundles.inForce ?? fail('notReady', {retryAfterMs: 1000});
+		const inForce = isReady() ? bundles.inForce : undefined;
+		if (inForce === undefined) {
+			fail('notReady', {retryAfterMs: 1000});
+		}
+
 		const caller = identify(request, this.#callers);
 		await handler({
 			request, response, url, caller, inForce, arrivedAt: clock.now(),
--- a/packages/host/src/front/parts.ts
+++ b/packages/host/src/front/parts.ts
@@ -27,6 +27,8 @@
 	readonly fleet: Fleet;
 	readonly ledger: Ledger<Job>;
 	readonly attempts: AttemptParts;
+	/** Whether this process knows enough to serve. */
+	readonly isReady: () => boolean;
 };
 
 /** One call as a handler gets it. */
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,62 +1,179 @@
-/** One host process put together: its tasks, started and stopped in order. */
+/** One host process put together: its tasks, how they hear of each other, started and stopped in order. */
 import {type Agent} from 'node:http';
 import {Ledger} from '@gatehead/policy/core/ledger';
 import {type Bundle} from '@gatehead/schema/bundle';
+import {type Owner} from '@gatehead/schema/engine-protocol';
 import {fail} from '@gatehead/schema/failure';
-import {type AttemptParts} from './core/attempt.js';
+import {type MemberRecord, type PeerMessage} from '@gatehead/schema/peer-message';
+import {AdminFront} from './admin/admin-front.js';
 import {BundleStore} from './core/bundle-store.js';
 import {BundleWatch} from './core/bundle-watch.js';
 import {Canceller} from './core/canceller.js';
 import {makeContext, type Context, type ContextParts} from './core/context.js';
 import {EngineClient} from './core/engine-client.js';
 import {makeAgent} from './core/http-call.js';
+import {stopAsPlanned} from './core/planned-stop.js';
 import {PlatformClient} from './core/platform-client.js';
-import {ThinDesk} from './core/thin-desk.js';
+import {StartCheck} from './core/start-check.js';
 import {CallerFront} from './front/caller-front.js';
 import {type FrontParts, type Job} from './front/parts.js';
+import {Keeper} from './keeper/keeper.js';
+import {LeaseClient} from './keeper/lease-client.js';
+import {BundleSpread} from './peer/bundle-spread.js';
+import {Membership} from './peer/membership.js';
+import {PeerLinks} from './peer/peer-links.js';
+
+const defaultTtlMs = 20_000;
+
+/** Addresses at which a process listens. */
+export type BoundAddresses = {
+	readonly caller: string;
+	readonly peer: string;
+	readonly admin: string;
+};
 
 /** A host process. */
 export class Host {
 	readonly context: Context;
 	readonly bundles: BundleStore;
+	readonly links: PeerLinks;
+	readonly membership: Membership;
+	readonly keeper: Keeper;
 	readonly #agent: Agent = makeAgent();
 	readonly #client = new EngineClient();
 	readonly #canceller: Canceller;
 	readonly #platform: PlatformClient;
 	readonly #watch: BundleWatch;
+	readonly #spread: BundleSpread;
+	readonly #leases: LeaseClient;
+	readonly #check: StartCheck;
 	readonly #front: CallerFront;
-	#callerAddress = '';
+	readonly #admin: AdminFront;
+	readonly #parts: FrontParts;
 
-	constructor(parts: ContextParts) {
-		const context = makeContext(parts);
+	constructor(contextParts: ContextParts) {
+		const context = makeContext(contextParts);
+		const send = (host: string, message: PeerMessage) => {
+			this.links.send(host, message);
+		};
+
+		const candidates = () => this.#listKeeperCandidates();
+		const isLeaving = (endpoint: string) => this.membership.leavingEndpoints.has(endpoint);
 		this.context = context;
 		this.bundles = new BundleStore(context);
 		this.#platform = new PlatformClient(context);
 		this.#canceller = new Canceller(context, this.#client);
+		this.#check = new StartCheck(context, this.bundles, this.#client);
+		this.links = new PeerLinks(context, {
+			onMessage: (from, message) => {
+				this.#hear(from, message);
+			},
+			onLost: (host, isRefused) => {
+				this.membership.lost(host, isRefused);
+			},
+			ownRecord: () => this.membership.members.self,
+			addressOf: host => this.membership.members.find(host)?.peerAddress,
+		});
+		this.keeper = new Keeper({
+			context,
+			client: this.#client,
+			canceller: this.#canceller,
+			bundles: this.bundles,
+			candidates,
+			send,
+			isLeaving,
+			onHigherFence: fence => {
+				this.#fetchNewer(fence);
+			},
+		});
+		this.membership = new Membership({
+			context,
+			bundles: this.bundles,
+			platform: this.#platform,
+			measureLoad: () => this.#measureLoad(),
+			onChange: () => {
+				this.#membersChanged();
+			},
+			onLateWake: () => {
+				this.keeper.wakeLate();
+				this.#leases.renew();
+			},
+		}, makeOwnRecord(context), () => this.links);
+		this.#spread = new BundleSpread({
+			context, bundles: this.bundles, send, candidates,
+		});
 		this.#watch = new BundleWatch({
-			context, bundles: this.bundles, platform: this.#platform, isWatcher: () => true,
+			context, bundles: this.bundles, platform: this.#platform, isWatcher: () => this.#spread.isWatcher(),
 		});
-		const attempts: AttemptParts = {
-			context, client: this.#client, canceller: this.#canceller, desk: new ThinDesk(() => this.#bundle(), context.random), findEngine: name => this.#bundle().engines.find(each => each.name === name),
-		};
-		const frontParts: FrontParts = {
-			context, bundles: this.bundles, fleet: {list: () => [this.#ownRecord()]}, ledger: new Ledger<Job>(context.settings.limits.ledgerEntries), attempts,
+		this.#leases = new LeaseClient({
+			context, links: () => this.links, cells: () => this.keeper.cells, candidates,
+		});
+		this.#parts = {
+			context,
+			bundles: this.bundles,
+			fleet: {list: () => this.membership.members.list()},
+			ledger: new Ledger<Job>(context.settings.limits.ledgerEntries),
+			isReady: () => this.#check.isReady,
+			attempts: {
+				context, client: this.#client, canceller: this.#canceller, desk: this.#leases, findEngine: name => this.#bundle().engines.find(each => each.name === name),
+			},
 		};
-		this.#front = new CallerFront(frontParts, {context, agent: this.#agent, takesWork: () => true});
+		this.#front = new CallerFront(this.#parts, {context, agent: this.#agent, takesWork: (_service, replica) => !isLeaving(replica)});
+		this.#admin = new AdminFront({
+			context, bundles: this.bundles, membership: this.membership, keeper: this.keeper, isReady: () => this.#check.isReady, countOpen: () => this.#countOpen(), isConfigurationDown: () => this.#watch.isDown,
+		});
+		this.bundles.onAdopted(() => {
+			this.#leases.keepersChanged();
+			this.membership.announceNow();
+		});
 	}
 
-	/** Starts all tasks. */
-	async start(): Promise<void> {
+	/** Starts all tasks; resolves once all addresses are bound. */
+	async start(): Promise<BoundAddresses> {
+		const {settings, log, timeline} = this.context;
+		const peer = await this.links.listen();
+		const caller = await this.#front.listen();
+		const admin = await this.#admin.listen();
+		this.membership.members.updateSelf({callerAddress: caller, peerAddress: peer, adminAddress: admin});
+		this.membership.start();
+		for (const seed of settings.seeds) {
+			this.links.greet(seed);
+		}
+
 		this.#watch.start();
-		this.#callerAddress = await this.#front.listen();
-		this.context.log('started', {caller: this.#callerAddress});
-		this.context.timeline.note({kind: 'started'});
+		this.#leases.start();
+		log('started', {caller, peer, admin});
+		timeline.note({kind: 'started'});
+		return {caller, peer, admin};
 	}
 
-	/** Stops at once; a planned stop waits before it calls this. */
+	/** Carries out a planned stop. */
 	async stop(): Promise<void> {
+		await stopAsPlanned({
+			context: this.context,
+			lookupTtlMs: () => this.bundles.inForce?.bundle.rules.lookupTtlMs ?? defaultTtlMs,
+			leave: () => {
+				this.membership.leave();
+				this.#membersChanged();
+			},
+			refuseNew: () => {
+				this.#front.refuseNew();
+			},
+			countOpen: () => this.#countOpen(),
+		});
+		this.context.log('stopped');
+		await this.close();
+	}
+
+	/** Ends at once; what is in work is cut. */
+	async close(): Promise<void> {
 		this.#watch.stop();
+		this.membership.stop();
+		this.#leases.stop();
+		this.keeper.stop();
 		await this.#front.close();
+		await this.#admin.close();
+		this.links.close();
 		this.#canceller.close();
 		this.#client.close();
 		this.#platform.close();
@@ -68,10 +185,79 @@
 		return this.bundles.inForce?.bundle ?? fail('notReady');
 	}
 
-	#ownRecord() {
-		const {settings, self} = this.context;
-		return {
-			host: self.host, hall: settings.hall, region: settings.region, incarnation: self.incarnation, counter: 0, state: 'alive' as const, callerAddress: this.#callerAddress, peerAddress: settings.listen.peer, adminAddress: settings.listen.admin, bundleVersion: this.bundles.version, load: 0,
-		};
+	#countOpen(): number {
+		return this.#front.open + this.#canceller.size;
+	}
+
+	#measureLoad(): number {
+		return Math.min(1, this.#front.open / this.context.settings.limits.requests);
+	}
+
+	/** Hosts that may keep cells: those alive; where only leaving ones are left, these. */
+	#listKeeperCandidates(): MemberRecord[] {
+		const reachable = this.membership.members.listReachable();
+		const alive = reachable.filter(({state, incarnation}) => state === 'alive' && incarnation > 0);
+		return alive.length > 0 ? alive : reachable;
+	}
+
+	#membersChanged(): void {
+		this.keeper.review();
+		this.#leases.keepersChanged();
 	}
+
+	/** An endpoint has obeyed a newer bundle: somebody must have it. */
+	#fetchNewer(fence: number): void {
+		if (!this.#check.noteFence(fence)) {
+			return;
+		}
+
+		for (const host of this.membership.members.neighbours()) {
+			this.#spread.ask(host);
+		}
+	}
+
+	#hear(from: Owner, message: PeerMessage): void {
+		switch (message.kind) {
+			case 'hello': {
+				this.membership.hello(message.record);
+				return;
+			}
+
+			case 'heartbeat': {
+				this.context.hybrid.receive(message.clock);
+				this.membership.heartbeat(from, message);
+				this.#spread.heartbeat(from.host, message);
+				return;
+			}
+
+			case 'bundleWanted': {
+				this.#spread.give(from.host, message);
+				return;
+			}
+
+			case 'bundle': {
+				this.#spread.take(message);
+				return;
+			}
+
+			case 'prefillGrant':
+			case 'decodeGrant':
+			case 'refusal':
+			case 'notKeeper': {
+				this.#leases.hear(message);
+				return;
+			}
+
+			default: {
+				this.keeper.hear(from.host, message);
+			}
+		}
+	}
+}
+
+function makeOwnRecord({settings, self}: Context): MemberRecord {
+	const {listen} = settings;
+	return {
+		host: self.host, hall: settings.hall, region: settings.region, incarnation: self.incarnation, counter: 0, state: 'alive', callerAddress: listen.caller, peerAddress: listen.peer, adminAddress: listen.admin, load: 0,
+	};
 }
--- /dev/null
+++ b/packages/host/src/peer/membership.ts
@@ -0,0 +1,347 @@
+/**
+ * Membership of one host: heartbeats with a few neighbours, suspicion before
+ * death, the platform's lagging list as a roster, and notice of own late
+ * wake-ups. Efficiency: nobody's promise rests on who is thought to be alive.
+ */
+import {Members} from '@gatehead/policy/core/members';
+import {type Timer} from '@gatehead/policy/utils/clock';
+import {jitter, pick} from '@gatehead/policy/utils/random';
+import {type Code} from '@gatehead/schema/codes';
+import {type Owner} from '@gatehead/schema/engine-protocol';
+import {type MemberRecord, type MemberState, type PeerMessageOf} from '@gatehead/schema/peer-message';
+import {type BundleStore} from '../core/bundle-store.js';
+import {type Context} from '../core/context.js';
+import {type PlatformClient} from '../core/platform-client.js';
+import {type PeerLinks} from './peer-links.js';
+
+const tickSpread = 0.1;
+const loadStep = 0.25;
+/** Least time between two changes of the own load, for each host of the fleet, so that all hosts' news stay within a fixed rate. */
+const loadNewsMsPerHost = 100;
+const leastLoadNewsMs = 2000;
+/** Ticks between tries to reach a host that is thought to be gone. */
+const healTicks = 3;
+
+const stateCodes: Record<MemberState, Code> = {
+	alive: 'memberAlive', leaving: 'memberLeaving', suspect: 'memberSuspect', dead: 'memberDead',
+};
+
+/** What membership works with. */
+export type MembershipParts = {
+	readonly context: Context;
+	readonly bundles: BundleStore;
+	readonly platform: PlatformClient;
+	/** Own load from 0 to 1. */
+	readonly measureLoad: () => number;
+	/** Called at each change of what is known of any host. */
+	readonly onChange: () => void;
+	/** Called when this process finds that it was paused. */
+	readonly onLateWake: () => void;
+};
+
+type Neighbour = {
+	/** Own clock's instant of the last heartbeat heard. */
+	heardAt: number;
+	/** Sequence of the newest record sent. */
+	sent: number;
+};
+
+/** The membership task. */
+export class Membership {
+	readonly members: Members;
+	/** Endpoints that the platform's list calls leaving. */
+	leavingEndpoints: ReadonlySet<string> = new Set();
+	readonly #parts: MembershipParts;
+	readonly #links: () => PeerLinks;
+	/** Neighbours chosen here: heartbeats go out to them and are expected back. */
+	readonly #chosen = new Map<string, Neighbour>();
+	/** Hosts that chose this one: their heartbeats are answered. */
+	readonly #answered = new Map<string, Neighbour>();
+	/** State of each host as last told to operators. */
+	readonly #noted = new Map<string, MemberState>();
+	readonly #suspectedAt = new Map<string, number>();
+	readonly #abort = new AbortController();
+	#timers: Timer[] = [];
+	#tickAt = 0;
+	#ticks = 0;
+	#loadAt = 0;
+
+	constructor(parts: MembershipParts, self: MemberRecord, links: () => PeerLinks) {
+		this.#parts = parts;
+		this.#links = links;
+		this.members = new Members(self);
+	}
+
+	/** Starts ticks and reads of the roster. */
+	start(): void {
+		this.#tickAt = this.#parts.context.clock.now();
+		this.#scheduleTick();
+		void this.#readRoster();
+	}
+
+	/** Stops. */
+	stop(): void {
+		this.#abort.abort();
+		for (const timer of this.#timers) {
+			timer.stop();
+		}
+	}
+
+	/** Tells all that this host is leaving. */
+	leave(): void {
+		this.members.updateSelf({state: 'leaving'});
+		this.#announce();
+	}
+
+	/** Sends what is new to all neighbours at once, as after the adoption of a bundle. */
+	announceNow(): void {
+		this.#announce();
+	}
+
+	/** Takes a peer's first words. */
+	hello(record: MemberRecord): void {
+		this.#merge([record]);
+	}
+
+	/** Takes a heartbeat and answers it where the sender chose this host. */
+	heartbeat(from: Owner, {news}: PeerMessageOf<'heartbeat'>): void {
+		const now = this.#parts.context.clock.now();
+		this.#merge(news);
+		this.#vouch(from);
+		const chosen = this.#chosen.get(from.host);
+		if (chosen !== undefined) {
+			chosen.heardAt = now;
+			return;
+		}
+
+		const known = this.#answered.get(from.host);
+		const neighbour = known ?? {heardAt: now, sent: 0};
+		neighbour.heardAt = now;
+		this.#answered.set(from.host, neighbour);
+		this.#send(from.host, neighbour);
+	}
+
+	/** Takes note of a broken link; a refused connection means that the process is not there. */
+	lost(host: string, isRefused: boolean): void {
+		this.#answered.delete(host);
+		const neighbour = this.#chosen.get(host);
+		if (neighbour !== undefined) {
+			neighbour.sent = 0;
+		}
+
+		if (isRefused) {
+			this.#judge(host, 'dead');
+			return;
+		}
+
+		// One more word tells a broken link from a process that is gone
+		if (neighbour !== undefined && !this.#abort.signal.aborted) {
+			this.#send(host, neighbour);
+		}
+	}
+
+	#scheduleTick(): void {
+		const {clock, settings: {timing: {tickMs}}, random} = this.#parts.context;
+		this.#after(jitter(random, tickMs, tickSpread), () => {
+			this.#tick(clock.now());
+			this.#scheduleTick();
+		});
+	}
+
+	#after(delayMs: number, run: () => void): void {
+		if (this.#abort.signal.aborted) {
+			return;
+		}
+
+		const timer: Timer = this.#parts.context.clock.after(delayMs, () => {
+			this.#timers = this.#timers.filter(each => each !== timer);
+			run();
+		});
+		this.#timers.push(timer);
+	}
+
+	#tick(now: number): void {
+		this.#ticks += 1;
+		this.#noticePause(now);
+		this.#updateLoad(now);
+		this.#chooseNeighbours(now);
+		this.#suspect(now);
+		this.#heal();
+		this.#announce();
+	}
+
+	/** A process that slept knows nothing of the meantime: it may suspect nobody and must learn anew. */
+	#noticePause(now: number): void {
+		const {context, onLateWake} = this.#parts;
+		const {tickMs, lateWakeMs} = context.settings.timing;
+		const late = now - this.#tickAt - tickMs;
+		this.#tickAt = now;
+		if (late < lateWakeMs) {
+			return;
+		}
+
+		for (const neighbour of this.#chosen.values()) {
+			neighbour.heardAt = now;
+		}
+
+		this.#suspectedAt.clear();
+		this.members.updateSelf({});
+		context.log('lateWake', {lateMs: Math.round(late)});
+		context.counters.count('lateWakes');
+		context.timeline.note({kind: 'lateWake', detail: `${Math.round(late)} ms`});
+		onLateWake();
+	}
+
+	#updateLoad(now: number): void {
+		const load = Math.round(this.#parts.measureLoad() / loadStep) * loadStep;
+		const pauseMs = Math.max(leastLoadNewsMs, this.members.list().length * loadNewsMsPerHost);
+		if (load !== this.members.self.load && now - this.#loadAt >= pauseMs) {
+			this.#loadAt = now;
+			this.members.updateSelf({load});
+		}
+	}
+
+	#chooseNeighbours(now: number): void {
+		const wanted = new Set(this.members.neighbours());
+		for (const host of this.#chosen.keys()) {
+			if (!wanted.has(host)) {
+				this.#chosen.delete(host);
+			}
+		}
+
+		for (const host of wanted) {
+			if (!this.#chosen.has(host)) {
+				this.#chosen.set(host, this.#answered.get(host) ?? {heardAt: now, sent: 0});
+				this.#answered.delete(host);
+			}
+		}
+	}
+
+	#suspect(now: number): void {
+		const {suspectMs} = this.#parts.context.settings.timing;
+		for (const [host, {heardAt}] of this.#chosen) {
+			if (now - heardAt > suspectMs) {
+				this.#judge(host, 'suspect');
+			}
+		}
+
+		for (const [host, at] of this.#suspectedAt) {
+			if (now - at > suspectMs) {
+				this.#suspectedAt.delete(host);
+				this.#judge(host, 'dead');
+			}
+		}
+
+		for (const [host, {heardAt}] of this.#answered) {
+			if (now - heardAt > 2 * suspectMs) {
+				this.#answered.delete(host);
+			}
+		}
+	}
+
+	/** Now and then one host that is thought to be gone is spoken to, so that a split heals by itself. */
+	#heal(): void {
+		if (this.#ticks % healTicks !== 0) {
+			return;
+		}
+
+		const {random} = this.#parts.context;
+		const gone = this.members.list().filter(({state}) => state === 'dead' || state === 'suspect');
+		const host = pick(random, gone)?.host;
+		if (host !== undefined) {
+			this.#send(host, {heardAt: 0, sent: 0});
+		}
+	}
+
+	#announce(): void {
+		for (const [host, neighbour] of [...this.#chosen, ...this.#answered]) {
+			this.#send(host, neighbour);
+		}
+	}
+
+	#send(host: string, neighbour: Neighbour): void {
+		const {bundles, context: {hybrid}} = this.#parts;
+		const news = this.members.listChangedAfter(neighbour.sent);
+		neighbour.sent = this.members.sequence;
+		this.#links().send(host, {
+			kind: 'heartbeat', news, bundleVersion: bundles.version, manifestDigest: bundles.inForce?.manifestDigest ?? '', clock: hybrid.stamp(),
+		});
+	}
+
+	/** Whoever speaks is there: a host thought to be gone is told so and refutes it. */
+	#vouch({host}: Owner): void {
+		const known = this.members.find(host);
+		if (known !== undefined && (known.state === 'dead' || known.state === 'suspect')) {
+			this.#links().send(host, {
+				kind: 'heartbeat', news: [known], bundleVersion: 0, manifestDigest: '', clock: this.#parts.context.hybrid.stamp(),
+			});
+		}
+	}
+
+	#merge(news: readonly MemberRecord[]): void {
+		const sequence = this.members.self.counter;
+		let isChanged = false;
+		for (const record of news) {
+			const changed = this.members.merge(record);
+			if (changed !== undefined) {
+				isChanged = true;
+				this.#note(changed);
+			}
+		}
+
+		if (this.members.self.counter !== sequence) {
+			this.#announce();
+		}
+
+		if (isChanged) {
+			this.#parts.onChange();
+		}
+	}
+
+	#judge(host: string, state: 'suspect' | 'dead'): void {
+		const judged = this.members.judge(host, state);
+		if (judged === undefined) {
+			return;
+		}
+
+		if (state === 'suspect') {
+			this.#suspectedAt.set(host, this.#parts.context.clock.now());
+		}
+
+		this.#note(judged);
+		this.#announce();
+		this.#parts.onChange();
+	}
+
+	#note({host, state, load}: MemberRecord): void {
+		const {log, timeline} = this.#parts.context;
+		if (state !== 'suspect' && state !== 'dead') {
+			this.#suspectedAt.delete(host);
+		}
+
+		const previous = this.#noted.get(host);
+		if (previous !== state) {
+			this.#noted.set(host, state);
+			log(stateCodes[state], {peer: host, load});
+			timeline.note({kind: 'memberChanged', peer: host, detail: state});
+		}
+	}
+
+	/** Learns of hosts from the platform's list; hosts that it calls leaving or leaves out are judged by their heartbeats alone. */
+	async #readRoster(): Promise<void> {
+		const {context: {settings: {timing: {rosterMs}}, random}, platform} = this.#parts;
+		try {
+			const {hosts, leavingEndpoints} = await platform.listHosts(this.#abort.signal);
+			this.leavingEndpoints = new Set(leavingEndpoints);
+			this.#merge(hosts.filter(({host}) => this.members.find(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
+				host, hall, region, incarnation: 0, counter: 0, state: 'alive', callerAddress, peerAddress, adminAddress, load: 0,
+			})));
+		} catch {
+			// The list may be down; heartbeats go on without it
+		}
+
+		this.#after(jitter(random, rosterMs, tickSpread), () => {
+			void this.#readRoster();
+		});
+	}
+}
--- /dev/null
+++ b/packages/host/src/peer/peer-links.ts
@@ -0,0 +1,282 @@
+/**
+ * Links between hosts: one long-lived gRPC stream a pair, opened by whoever
+ * has something to say first. All that is said in one turn goes as one
+ * message. Efficiency: a link may break and lose messages at any time.
+ */
+import {readFileSync} from 'node:fs';
+import {
+	Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
+} from '@grpc/grpc-js';
+import {pack, unpack} from 'msgpackr';
+import {splitAddress, joinAddress} from '@gatehead/schema/address';
+import {type Owner} from '@gatehead/schema/engine-protocol';
+import {fail} from '@gatehead/schema/failure';
+import {peerBatch, type MemberRecord, type PeerMessage} from '@gatehead/schema/peer-message';
+import {type Context} from '../core/context.js';
+
+const keepaliveMs = 10_000;
+const linkPath = '/gatehead.Peer/Link';
+
+type Batch = readonly PeerMessage[];
+type Duplex = ClientDuplexStream<Batch, unknown> | ServerDuplexStream<unknown, Batch>;
+
+const service = {
+	link: {
+		path: linkPath,
+		requestStream: true,
+		responseStream: true,
+		requestSerialize: (batch: Batch) => pack(batch),
+		requestDeserialize: (bytes: Uint8Array): unknown => unpack(bytes),
+		responseSerialize: (batch: Batch) => pack(batch),
+		responseDeserialize: (bytes: Uint8Array): unknown => unpack(bytes),
+	},
+} satisfies ServiceDefinition;
+
+/** Who hears of what happens on the links. */
+export type LinkListener = {
+	onMessage(from: Owner, message: PeerMessage): void;
+	/** A link broke; `isRefused` where the peer's process is not there any more. */
+	onLost(host: string, isRefused: boolean): void;
+	/** This host's own record, said first on every link. */
+	ownRecord(): MemberRecord;
+	/** Where a host listens for peers. */
+	addressOf(host: string): string | undefined;
+};
+
+type Link = {
+	readonly host: string;
+	readonly stream: Duplex;
+	readonly close: () => void;
+	pending: PeerMessage[];
+	isFlushing: boolean;
+};
+
+/** All links of one process. */
+export class PeerLinks {
+	/** Hosts to which nothing gets through, for tests of splits. */
+	readonly blocked = new Set<string>();
+	readonly #context: Context;
+	readonly #listener: LinkListener;
+	readonly #links = new Map<string, Link>();
+	readonly #server: Server;
+	readonly #clients = new Map<string, Client>();
+	#isClosed = false;
+
+	constructor(context: Context, listener: LinkListener) {
+		this.#context = context;
+		this.#listener = listener;
+		this.#server = new Server({'grpc.max_receive_message_length': context.settings.limits.peerMessageBytes});
+		this.#server.addService(service, {
+			link: (stream: ServerDuplexStream<unknown, Batch>) => {
+				this.#accept(stream);
+			},
+		});
+	}
+
+	/** Starts to listen; resolves with the bound address. */
+	async listen(): Promise<string> {
+		const {listen: {peer}} = this.#context.settings;
+		const port = await new Promise<number>((resolve, reject) => {
+			this.#server.bindAsync(peer, this.#serverCredentials(), (error, bound) => {
+				if (error === null) {
+					resolve(bound);
+				} else {
+					reject(error);
+				}
+			});
+		});
+		return joinAddress({ip: splitAddress(peer).ip, port});
+	}
+
+	/** Says something to a host, or to this process itself. Whether it arrives is not known. */
+	send(host: string, message: PeerMessage): void {
+		if (this.#isClosed || this.blocked.has(host)) {
+			return;
+		}
+
+		const {self} = this.#context;
+		if (host === self.host) {
+			setImmediate(() => {
+				if (!this.#isClosed) {
+					this.#listener.onMessage(self, message);
+				}
+			});
+			return;
+		}
+
+		const link = this.#links.get(host) ?? this.#dial(host);
+		if (link === undefined) {
+			return;
+		}
+
+		link.pending.push(message);
+		if (!link.isFlushing) {
+			link.isFlushing = true;
+			setImmediate(() => {
+				this.#flush(link);
+			});
+		}
+	}
+
+	/** Speaks to an address before the host's name is known, as to the seeds of the settings. */
+	greet(address: string): void {
+		const link = this.#open('', address);
+		this.#flush(link);
+	}
+
+	/** Closes everything. */
+	close(): void {
+		this.#isClosed = true;
+		for (const {close} of this.#links.values()) {
+			close();
+		}
+
+		for (const client of this.#clients.values()) {
+			client.close();
+		}
+
+		this.#server.forceShutdown();
+	}
+
+	#flush(link: Link): void {
+		link.isFlushing = false;
+		const batch = link.pending;
+		link.pending = [];
+		if (this.#isClosed || batch.length === 0) {
+			return;
+		}
+
+		this.#context.counters.count('peerMessages', undefined, batch.length);
+		link.stream.write(batch);
+	}
+
+	#dial(host: string): Link | undefined {
+		const address = this.#listener.addressOf(host);
+		return address === undefined || address === '' ? undefined : this.#open(host, address);
+	}
+
+	#open(host: string, address: string): Link {
+		const client = this.#clientOf(address);
+		const stream = client.makeBidiStreamRequest(linkPath, service.link.requestSerialize, service.link.responseDeserialize);
+		const link: Link = {
+			host, stream, close: () => {
+				stream.cancel();
+			}, pending: [this.#hello()], isFlushing: false,
+		};
+		if (host !== '') {
+			this.#links.set(host, link);
+		}
+
+		this.#hear(link, stream);
+		return link;
+	}
+
+	#accept(stream: ServerDuplexStream<unknown, Batch>): void {
+		const link: Link = {
+			host: '', stream, close() {
+				stream.end();
+			}, pending: [], isFlushing: false,
+		};
+		this.#hear(link, stream);
+	}
+
+	#hello(): PeerMessage {
+		return {kind: 'hello', from: this.#context.self, record: this.#listener.ownRecord()};
+	}
+
+	/** Reads batches; the first message says who speaks. */
+	#hear(dialed: Link, stream: Duplex): void {
+		let from: Owner | undefined;
+		let link = dialed;
+		stream.on('data', (data: unknown) => {
+			const parsed = peerBatch.safeParse(data);
+			if (!parsed.success) {
+				this.#context.log('peerRefused', {detail: 'a message that does not fit the schema'});
+				link.close();
+				return;
+			}
+
+			for (const message of parsed.data) {
+				if (message.kind === 'hello') {
+					from = message.from;
+					link = this.#register(link, from.host);
+				}
+
+				if (from !== undefined && !this.blocked.has(from.host) && !this.#isClosed) {
+					this.#listener.onMessage(from, message);
+				}
+			}
+		});
+		const lose = (isRefused: boolean) => {
+			if (this.#links.get(link.host)?.stream === stream) {
+				this.#links.delete(link.host);
+				if (!this.#isClosed) {
+					this.#listener.onLost(link.host, isRefused);
+				}
+			}
+		};
+
+		stream.on('error', (error: Error) => {
+			lose(error.message.includes('ECONNREFUSED'));
+		});
+		stream.on('end', () => {
+			stream.end();
+			lose(false);
+		});
+		stream.on('cancelled', () => {
+			lose(false);
+		});
+	}
+
+	/** A link that a peer opened serves for answers too; the dialing side hears a hello back. */
+	#register(link: Link, host: string): Link {
+		if (link.host !== '') {
+			return link;
+		}
+
+		const named: Link = {...link, host};
+		this.#links.set(host, named);
+		named.stream.write([this.#hello()]);
+		return named;
+	}
+
+	#clientOf(address: string): Client {
+		let client = this.#clients.get(address);
+		if (client === undefined) {
+			const Generic = makeGenericClientConstructor(service, 'Peer');
+			client = new Generic(address, this.#clientCredentials(), {
+				'grpc.max_receive_message_length': this.#context.settings.limits.peerMessageBytes,
+				'grpc.keepalive_time_ms': keepaliveMs,
+				'grpc.initial_reconnect_backoff_ms': 100,
+				'grpc.max_reconnect_backoff_ms': 1000,
+				'grpc.enable_retries': 0,
+			});
+			this.#clients.set(address, client);
+		}
+
+		return client;
+	}
+
+	#readTls() {
+		const {tls} = this.#context.settings.keys;
+		if (tls === undefined) {
+			return undefined;
+		}
+
+		try {
+			return {ca: readFileSync(tls.ca), certificate: readFileSync(tls.certificate), key: readFileSync(tls.key)};
+		} catch (error) {
+			return fail('fileUnreadable', {cause: error, detail: 'keys.tls'});
+		}
+	}
+
+	#serverCredentials(): ServerCredentials {
+		const tls = this.#readTls();
+		return tls === undefined ? ServerCredentials.createInsecure() : ServerCredentials.createSsl(tls.ca, [{private_key: tls.key, cert_chain: tls.certificate}], true);
+	}
+
+	#clientCredentials() {
+		const tls = this.#readTls();
+		return tls === undefined ? credentials.createInsecure() : credentials.createSsl(tls.ca, tls.key, tls.certificate);
+	}
+}
--- a/packages/policy/src/core/lookup.ts
+++ b/packages/policy/src/core/lookup.ts
@@ -35,8 +35,10 @@
 
 /** Hosts in the order to try. Leaving, suspect and dead ones are left out, unless only suspects remain. */
 export function orderHosts(lookup: Lookup, members: readonly MemberRecord[]): MemberRecord[] {
-	const alive = members.filter(each => each.state === 'alive');
-	const usable = alive.length > 0 ? alive : members.filter(each => each.state === 'suspect');
+	// A host that only the platform's list names has no incarnation to give a ticket of
+	const known = members.filter(each => each.incarnation > 0);
+	const alive = known.filter(each => each.state === 'alive');
+	const usable = alive.length > 0 ? alive : known.filter(each => each.state === 'suspect');
 	const ordered = usable.map(member => ({member, isFar: lookup.hall !== undefined && member.hall !== lookup.hall, cost: costOf(lookup, member)}));
 	ordered.sort((left, right) => Number(left.isFar) - Number(right.isFar) || left.cost - right.cost);
 	return ordered.slice(0, mostAnswered).map(each => each.member);
--- a/packages/policy/src/scheduler/decode-pool.ts
+++ b/packages/policy/src/scheduler/decode-pool.ts
@@ -39,10 +39,12 @@
 
 /** Decode engines of a cell. */
 export class DecodePool {
+	readonly #isLeaving: (engine: Engine) => boolean;
 	readonly #engines = new Map<string, DecodeEngine>();
 	readonly #lengths: AnswerLengths;
 
-	constructor(engines: readonly Engine[], lengths: AnswerLengths) {
+	constructor(engines: readonly Engine[], isLeaving: (engine: Engine) => boolean, lengths: AnswerLengths) {
+		this.#isLeaving = isLeaving;
 		this.#lengths = lengths;
 		for (const engine of engines) {
 			this.#engines.set(engine.name, {
@@ -55,7 +57,7 @@
 	countFree(): number {
 		let free = 0;
 		for (const engine of this.#engines.values()) {
-			free += freeOf(engine);
+			free += this.#freeOf(engine);
 		}
 
 		return free;
@@ -65,7 +67,7 @@
 	countSlots(): number {
 		let slots = 0;
 		for (const {engine, isHealthy} of this.#engines.values()) {
-			slots += isHealthy && !engine.leaving ? engine.slots : 0;
+			slots += isHealthy && !this.#isLeaving(engine) ? engine.slots : 0;
 		}
 
 		return slots;
@@ -76,7 +78,7 @@
 		let mean = 0;
 		let variance = 0;
 		for (const {engine, leases, tokenMs, isHealthy} of this.#engines.values()) {
-			if (!isHealthy || engine.leaving) {
+			if (!isHealthy || this.#isLeaving(engine)) {
 				continue;
 			}
 
@@ -122,11 +124,11 @@
 		let bestRoom = 0;
 		for (const each of this.#engines.values()) {
 			const {engine} = each;
-			if (freeOf(each) < 1 || (adapter !== undefined && !engine.adapters.includes(adapter))) {
+			if (this.#freeOf(each) < 1 || (adapter !== undefined && !engine.adapters.includes(adapter))) {
 				continue;
 			}
 
-			const room = (freeOf(each) / engine.slots) + (engine.hall === hall ? 1 / (2 * engine.slots) : 0);
+			const room = (this.#freeOf(each) / engine.slots) + (engine.hall === hall ? 1 / (2 * engine.slots) : 0);
 			if (room > bestRoom) {
 				best = each;
 				bestRoom = room;
@@ -199,8 +201,8 @@
 		const slots = this.countSlots();
 		return slots === 0 ? 1 : 1 - (Math.max(0, this.countFree()) / slots);
 	}
-}
 
-function freeOf({engine, leases, foreign, isHealthy}: DecodeEngine): number {
-	return isHealthy && !engine.leaving ? engine.slots - leases.size - foreign : 0;
+	#freeOf({engine, leases, foreign, isHealthy}: DecodeEngine): number {
+		return isHealthy && !this.#isLeaving(engine) ? engine.slots - leases.size - foreign : 0;
+	}
 }
--- a/packages/policy/src/scheduler/prefill-pool.ts
+++ b/packages/policy/src/scheduler/prefill-pool.ts
@@ -41,10 +41,12 @@
 
 /** Prefill engines of a cell. */
 export class PrefillPool {
+	readonly #isLeaving: (engine: Engine) => boolean;
 	readonly #engines = new Map<string, PrefillEngine>();
 	readonly #kvBytesPerToken: number;
 
-	constructor(engines: readonly Engine[], kvBytesPerToken: number) {
+	constructor(engines: readonly Engine[], isLeaving: (engine: Engine) => boolean, kvBytesPerToken: number) {
+		this.#isLeaving = isLeaving;
 		this.#kvBytesPerToken = kvBytesPerToken;
 		for (const engine of engines) {
 			this.#engines.set(engine.name, {
@@ -57,7 +59,7 @@
 	offer(ask: LeaseAsk, now: number): PrefillOffer | undefined {
 		let best: PrefillOffer | undefined;
 		for (const each of this.#engines.values()) {
-			if (!each.isHealthy || each.engine.leaving || (ask.adapter !== undefined && !each.engine.adapters.includes(ask.adapter))) {
+			if (!each.isHealthy || this.#isLeaving(each.engine) || (ask.adapter !== undefined && !each.engine.adapters.includes(ask.adapter))) {
 				continue;
 			}
 
--- a/packages/policy/src/scheduler/scheduler.ts
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -51,6 +51,8 @@
 	readonly shareOf: (caller: string) => number | undefined;
 	/** Most requests in work at once of a caller in this cell; undefined: no limit. */
 	readonly limitOf: (caller: string) => number | undefined;
+	/** Whether an engine is leaving: it gets no new work. */
+	readonly isLeaving: (engine: Engine) => boolean;
 };
 
 /** One cell's decisions. */
@@ -67,9 +69,9 @@
 	readonly #inWork = new Map<string, number>();
 	readonly #early: Decision[] = [];
 
-	constructor({engines, kvBytesPerToken, objective, random, shareOf, limitOf}: SchedulerParts) {
-		this.#decode = new DecodePool(engines.filter(each => each.role === 'decode'), this.#lengths);
-		this.#prefill = new PrefillPool(engines.filter(each => each.role === 'prefill'), kvBytesPerToken);
+	constructor({engines, kvBytesPerToken, objective, random, shareOf, limitOf, isLeaving}: SchedulerParts) {
+		this.#decode = new DecodePool(engines.filter(each => each.role === 'decode'), isLeaving, this.#lengths);
+		this.#prefill = new PrefillPool(engines.filter(each => each.role === 'prefill'), isLeaving, kvBytesPerToken);
 		this.#line = new WaitingLine(shareOf);
 		this.#risk = risks[objective];
 		this.#random = random;
@@ -193,6 +195,21 @@
 		}
 	}
 
+	/** The grant that a lease stands for, to be said again where it got lost; undefined where there is none yet. */
+	findGrant(key: string): Decision | undefined {
+		const lease = this.#leases.get(key);
+		if (lease === undefined || lease.stage === 'ready') {
+			return undefined;
+		}
+
+		const {ask: {request, attempt}, stage, engine, prefillEngine} = lease;
+		return stage === 'decode' ? {
+			kind: 'decode', request, attempt, engine,
+		} : {
+			kind: 'prefill', request, attempt, engine: prefillEngine,
+		};
+	}
+
 	/** Keys of all leases, for comparison with what their holders claim. */
 	listLeases(): string[] {
 		return [...this.#leases.keys()];
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -4,7 +4,7 @@
  * messages say about who lives carries a promise.
  */
 import {z} from 'zod';
-import {cacheEvent, owner} from './engine-protocol.js';
+import {owner} from './engine-protocol.js';
 import {signedManifest} from './signed-bundle.js';
 
 /** What is known of a host: `alive`, `suspect`, `dead`, and `leaving` by a planned stop. */
@@ -21,7 +21,6 @@
 	callerAddress: z.string(),
 	peerAddress: z.string(),
 	adminAddress: z.string(),
-	bundleVersion: z.number().int(),
 	load: z.number(),
 });
 
@@ -51,10 +50,8 @@
 export const peerMessage = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('hello'), from: owner, record: memberRecord}),
 	z.object({
-		kind: z.literal('heartbeat'), counter: z.number().int(), news: z.array(memberRecord).max(2000), digest: z.number(), bundleVersion: z.number().int(), manifestDigest: z.string(), clock: z.string(),
+		kind: z.literal('heartbeat'), news: z.array(memberRecord).max(10_000), bundleVersion: z.number().int(), manifestDigest: z.string(), clock: z.string(),
 	}),
-	z.object({kind: z.literal('membersWanted')}),
-	z.object({kind: z.literal('members'), records: z.array(memberRecord).max(10_000)}),
 	z.object({kind: z.literal('bundleWanted'), have: z.array(z.string()).max(100)}),
 	z.object({kind: z.literal('bundle'), signed: signedManifest, sections: z.record(z.string(), z.string())}),
 	z.object({kind: z.literal('ask'), cell: z.string(), ask: leaseAsk}),
@@ -88,9 +85,11 @@
 	z.object({
 		kind: z.literal('claims'), cell: z.string(), claims: z.array(leaseClaim).max(10_000),
 	}),
-	z.object({kind: z.literal('cacheNews'), engine: z.string(), events: z.array(cacheEvent).max(2000)}),
 ]);
 
+/** What travels in one gRPC message: all that was said to a peer in one turn. */
+export const peerBatch = z.array(peerMessage).max(10_000);
+
 /** A member's state. */
 export type MemberState = z.infer<typeof memberState>;
 /** A host as its peers know it. */
--- a/packages/schema/src/platform-protocol.ts
+++ b/packages/schema/src/platform-protocol.ts
@@ -25,7 +25,11 @@
 });
 
 /** The lagging list. */
-export const hostList = z.object({hosts: z.array(listedHost).max(10_000)});
+export const hostList = z.object({
+	hosts: z.array(listedHost).max(10_000),
+	/** Endpoints that are leaving, by the names that the bundle gives them. */
+	leavingEndpoints: z.array(z.string()).max(10_000).default([]),
+});
 
 /** A published value. */
 export type PublishedValue = z.infer<typeof publishedValue>;
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -15,9 +15,9 @@
 /** Times that shape how fast news spreads and faults are noticed. */
 export const timing = z.strictObject({
 	/** Interval of heartbeats and of lease renewal. */
-	tickMs: milliseconds.default(500),
+	tickMs: milliseconds.default(1000),
 	/** Silence after which a host is suspect, and again until it is held to be gone. */
-	suspectMs: milliseconds.default(2500),
+	suspectMs: milliseconds.default(3000),
 	/** Interval at which a keeper asks its endpoints for their report. */
 	reportMs: milliseconds.default(250),
 	/** How long a stream may go unclaimed before its keeper cancels it. */
@@ -25,7 +25,7 @@
 	/** Longest wait of one watch at the configuration service. */
 	watchMs: milliseconds.default(10_000),
 	/** Interval at which the host list is read. */
-	rosterMs: milliseconds.default(10_000),
+	rosterMs: milliseconds.default(3000),
 	/** A wake-up later than this lapses all leases held. */
 	lateWakeMs: milliseconds.default(2000),
 	/** How long a caller may leave its answer unread before it counts as gone. */
--- a/packages/standin/src/measure/policies.ts
+++ b/packages/standin/src/measure/policies.ts
@@ -103,7 +103,7 @@
 		const {bundle: {engines, models, rules, callers}, random} = world;
 		this.#keeperHall = world.hosts[0]?.hall ?? '';
 		this.#scheduler = new Scheduler({
-			engines, kvBytesPerToken: models[0]?.kvBytesPerToken ?? 1, objective: rules.objective, random, shareOf: name => callers.find(each => each.name === name)?.share, limitOf: () => undefined,
+			engines, kvBytesPerToken: models[0]?.kvBytesPerToken ?? 1, objective: rules.objective, random, shareOf: name => callers.find(each => each.name === name)?.share, limitOf: () => undefined, isLeaving: ({leaving}) => leaving,
 		});
 		for (const engine of world.engines.values()) {
 			this.#poll(engine);
--- a/packages/standin/src/platform/platform-server.ts
+++ b/packages/standin/src/platform/platform-server.ts
@@ -24,6 +24,8 @@
 	/** What the operators do with a signed bundle. */
 	publish(key: string, value: string): void;
 	list(hosts: readonly ListedHost[]): void;
+	/** Names the endpoints that are leaving. */
+	listLeaving(endpoints: readonly string[]): void;
 	kill(): Promise<void>;
 };
 
@@ -32,6 +34,7 @@
 	readonly faults: PlatformFaults;
 	readonly values: Map<string, PublishedValue>;
 	hosts: readonly ListedHost[];
+	leavingEndpoints: readonly string[];
 	reads: number;
 };
 
@@ -56,7 +59,7 @@
 /** Starts the platform's stand-in. */
 export async function startPlatform(clock: Clock, address: string): Promise<StandinPlatform> {
 	const state: PlatformState = {
-		clock, faults: {isDown: false, staleValue: undefined, listLagMs: 0}, values: new Map(), hosts: [], reads: 0,
+		clock, faults: {isDown: false, staleValue: undefined, listLagMs: 0}, values: new Map(), hosts: [], leavingEndpoints: [], reads: 0,
 	};
 	const {faults, values} = state;
 	const server = await startServer({
@@ -80,7 +83,7 @@
 				return;
 			}
 
-			sendJson(response, 200, {hosts: state.hosts});
+			sendJson(response, 200, {hosts: state.hosts, leavingEndpoints: state.leavingEndpoints});
 		},
 	}, address);
 	return {
@@ -95,6 +98,11 @@
 				state.hosts = hosts;
 			});
 		},
+		listLeaving(endpoints) {
+			clock.after(faults.listLagMs, () => {
+				state.leavingEndpoints = endpoints;
+			});
+		},
 		kill: server.kill,
 	};
 }
