--- a/packages/host/src/admin/admin-front.ts
+++ b/packages/host/src/admin/admin-front.ts
@@ -5,7 +5,9 @@
 import {timingSafeEqual} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import {readFileSync} from 'node:fs';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
 import {type AddressInfo} from 'node:net';
 import {joinAddress, splitAddress} from '@gatehead/schema/address';
@@ -39,7 +41,9 @@
 function describeBundle({bundles, context}: AdminParts): unknown {
 	const {inForce} = bundles;
 	if (inForce === undefined) {
-		return {version: 0, digest: '', since: null, forMs: 0};
+		return {
+			version: 0, digest: '', since: null, forMs: 0,
+		};
 	}
 
 	const {bundle: {version, deployment}, manifestDigest, sinceWall, since} = inForce;
@@ -109,9 +113,11 @@
 		};
 
 		const {tls} = parts.context.settings.keys;
-		this.#server = tls === undefined ? createServer(answer) : createTlsServer({
-			ca: readFileSync(tls.ca), cert: readFileSync(tls.certificate), key: readFileSync(tls.key), requestCert: true, rejectUnauthorized: true,
-		}, answer);
+		this.#server = tls === undefined
+			? createServer(answer)
+			: createTlsServer({
+				ca: readFileSync(tls.ca), cert: readFileSync(tls.certificate), key: readFileSync(tls.key), requestCert: true, rejectUnauthorized: true,
+			}, answer);
 	}
 
 	/** Starts to listen; resolves with the bound address. */
--- a/packages/host/src/core/bundle-watch.ts
+++ b/packages/host/src/core/bundle-watch.ts
@@ -111,11 +111,17 @@
 	async #pause(milliseconds: number): Promise<void> {
 		const {clock} = this.#parts.context;
 		await new Promise<void>(resolve => {
-			const timer = clock.after(milliseconds, resolve);
-			this.#abort.signal.addEventListener('abort', () => {
+			const {signal} = this.#abort;
+			const leave = () => {
 				timer.stop();
 				resolve();
-			}, {once: true});
+			};
+
+			const timer = clock.after(milliseconds, () => {
+				signal.removeEventListener('abort', leave);
+				resolve();
+			});
+			signal.addEventListener('abort', leave, {once: true});
 		});
 	}
 }
--- a/packages/host/src/core/engine-client.ts
+++ b/packages/host/src/core/engine-client.ts
@@ -12,7 +12,9 @@
 } from '@gatehead/schema/engine-protocol';
 import {check} from '@gatehead/schema/check';
 import {fail} from '@gatehead/schema/failure';
-import {makeAgent, readText, sendCall} from './http-call.js';
+import {
+	CallError, makeAgent, readText, sendCall,
+} from './http-call.js';
 
 const mostAnswerBytes = 4_000_000;
 const refusedStatus = 409;
@@ -26,6 +28,7 @@
 /** Calls to engines over kept connections. */
 export class EngineClient {
 	readonly #agent: Agent = makeAgent();
+	#isClosed = false;
 
 	/** Builds a prompt's KV cache. */
 	async prefill(address: string, order: PrefillOrder, signal: AbortSignal): Promise<Answered<PrefillResult>> {
@@ -62,12 +65,17 @@
 		return check(engineReport, JSON.parse(await readText(response, mostAnswerBytes)), 'endpointFault');
 	}
 
-	/** Closes kept connections. */
+	/** Closes kept connections; nothing is sent any more. */
 	close(): void {
+		this.#isClosed = true;
 		this.#agent.destroy();
 	}
 
 	async #post(address: string, path: string, order: unknown, signal: AbortSignal): Promise<IncomingMessage> {
+		if (this.#isClosed) {
+			throw new CallError(false, new Error('this process is ending'));
+		}
+
 		return sendCall({
 			address, method: 'POST', path, headers: {'content-type': 'application/json'}, body: JSON.stringify(order), signal,
 		}, this.#agent);
--- a/packages/host/src/front/completions.ts
+++ b/packages/host/src/front/completions.ts
@@ -122,7 +122,8 @@
 		fail('streamGone');
 	}
 
-	const work = makeWork(call, wish, isHere ? key.id : makeId());
+	// A failed request may be tried again under its key while engines still hold its first run, so each run has a name of its own
+	const work = makeWork(call, wish, isHere ? `${key.id}.${makeId()}` : makeId());
 	const answer = isHere
 		? guard(parts, work, raw, key, bundle.rules.attempts)
 		: begin(parts, work, bundle.rules.attempts, ignore);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -50,6 +50,7 @@
 	readonly #front: CallerFront;
 	readonly #admin: AdminFront;
 	readonly #parts: FrontParts;
+	#isClosed = false;
 
 	constructor(contextParts: ContextParts) {
 		const context = makeContext(contextParts);
@@ -72,7 +73,7 @@
 				this.membership.lost(host, isRefused);
 			},
 			ownRecord: () => this.membership.members.self,
-			addressOf: host => this.membership.members.find(host)?.peerAddress,
+			addressOf: host => this.membership.members.recordOf(host)?.peerAddress,
 		});
 		this.keeper = new Keeper({
 			context,
@@ -118,7 +119,7 @@
 				context, client: this.#client, canceller: this.#canceller, desk: this.#leases, findEngine: name => this.#bundle().engines.find(each => each.name === name),
 			},
 		};
-		this.#front = new CallerFront(this.#parts, {context, agent: this.#agent, takesWork: (_service, replica) => !isLeaving(replica)});
+		this.#front = new CallerFront(this.#parts, {context, agent: this.#agent, takesWork: (_service, replica) => !this.#isClosed && !isLeaving(replica)});
 		this.#admin = new AdminFront({
 			context, bundles: this.bundles, membership: this.membership, keeper: this.keeper, isReady: () => this.#check.isReady, countOpen: () => this.#countOpen(), isConfigurationDown: () => this.#watch.isDown,
 		});
@@ -128,6 +129,11 @@
 		});
 	}
 
+	/** Whether this process knows enough to serve. */
+	get isReady(): boolean {
+		return this.#check.isReady;
+	}
+
 	/** Starts all tasks; resolves once all addresses are bound. */
 	async start(): Promise<BoundAddresses> {
 		const {settings, log, timeline} = this.context;
@@ -165,17 +171,18 @@
 		await this.close();
 	}
 
-	/** Ends at once; what is in work is cut. */
+	/** Ends at once; what is in work is cut, and nobody is told. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
+		this.links.close();
+		this.#client.close();
 		this.#watch.stop();
 		this.membership.stop();
 		this.#leases.stop();
 		this.keeper.stop();
 		await this.#front.close();
 		await this.#admin.close();
-		this.links.close();
 		this.#canceller.close();
-		this.#client.close();
 		this.#platform.close();
 		this.#agent.destroy();
 		this.context.counters.close();
@@ -248,7 +255,13 @@
 				return;
 			}
 
-			default: {
+			case 'ask':
+			case 'withdraw':
+			case 'prefilled':
+			case 'started':
+			case 'bounced':
+			case 'release':
+			case 'claims': {
 				this.keeper.hear(from.host, message);
 			}
 		}
--- a/packages/host/src/keeper/kept-cell.ts
+++ b/packages/host/src/keeper/kept-cell.ts
@@ -6,12 +6,13 @@
  */
 import {type Cell} from '@gatehead/policy/core/cell';
 import {leaseKey} from '@gatehead/policy/scheduler/decode-pool';
+import {match} from 'ts-pattern';
 import {Scheduler, type Decision} from '@gatehead/policy/scheduler/scheduler';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Bundle, type Caller, type Engine} from '@gatehead/schema/bundle';
 import {type EngineReport} from '@gatehead/schema/engine-protocol';
-import {type PeerMessage, type PeerMessageOf} from '@gatehead/schema/peer-message';
+import {type LeaseClaim, type PeerMessage, type PeerMessageOf} from '@gatehead/schema/peer-message';
 import {type Canceller} from '../core/canceller.js';
 import {type Context} from '../core/context.js';
 import {type EngineClient} from '../core/engine-client.js';
@@ -121,54 +122,54 @@
 	/** Takes what a holder says. */
 	hear(from: string, message: HolderMessage): void {
 		const now = this.#parts.context.clock.now();
-		this.#handlers[message.kind](from, message, now);
+		this.#take(from, message, now);
 		this.#step();
 	}
 
-	readonly #handlers: Record<HolderMessage['kind'], (from: string, message: HolderMessage, now: number) => void> = {
-		ask: (from, message, now) => {
-			if (message.kind === 'ask') {
-				this.#ask(from, message, now);
-			}
-		},
-		withdraw: (_from, message) => {
-			if (message.kind === 'withdraw') {
-				this.#scheduler.release(leaseKey(message), 0, this.#parts.context.clock.now());
-				this.#holders.delete(leaseKey(message));
-			}
-		},
-		prefilled: (from, message, now) => {
-			if (message.kind === 'prefilled') {
-				this.#claimOne(from, leaseKey(message), now);
-				this.#scheduler.prefilled(leaseKey(message), message.holdMs, now);
-				this.#sayAgain(from, leaseKey(message), 'decode');
-			}
-		},
-		started: (_from, message, now) => {
-			if (message.kind === 'started') {
-				this.#scheduler.started(leaseKey(message), now);
-			}
-		},
-		bounced: (_from, message, now) => {
-			if (message.kind === 'bounced') {
-				this.#scheduler.bounced(leaseKey(message), message.engine, message.lost, now);
-			}
-		},
-		release: (_from, message, now) => {
-			if (message.kind === 'release') {
-				this.#scheduler.release(leaseKey(message), message.goodput ? message.tokens : 0, now);
-				this.#holders.delete(leaseKey(message));
-			}
-		},
-		claims: (from, message, now) => {
-			if (message.kind === 'claims') {
-				for (const claim of message.claims) {
-					this.#claimOne(from, leaseKey(claim), now);
-					this.#scheduler.adopt(claim, now);
-				}
-			}
-		},
-	};
+	#take(from: string, message: HolderMessage, now: number): void {
+		match(message)
+			.with({kind: 'ask'}, ask => {
+				this.#ask(from, ask, now);
+			})
+			.with({kind: 'prefilled'}, prefilled => {
+				this.#prefilled(from, prefilled, now);
+			})
+			.with({kind: 'claims'}, ({claims}) => {
+				this.#adopt(from, claims, now);
+			})
+			.with({kind: 'started'}, lease => {
+				this.#scheduler.started(leaseKey(lease), now);
+			})
+			.with({kind: 'bounced'}, ({engine, lost, ...lease}) => {
+				this.#scheduler.bounced(leaseKey(lease), engine, lost, now);
+			})
+			.with({kind: 'withdraw'}, lease => {
+				this.#release(leaseKey(lease), 0, now);
+			})
+			.with({kind: 'release'}, ({tokens, goodput, ...lease}) => {
+				this.#release(leaseKey(lease), goodput ? tokens : 0, now);
+			})
+			.exhaustive();
+	}
+
+	#release(key: string, tokens: number, now: number): void {
+		this.#scheduler.release(key, tokens, now);
+		this.#holders.delete(key);
+	}
+
+	#prefilled(from: string, {holdMs, ...lease}: PeerMessageOf<'prefilled'>, now: number): void {
+		const key = leaseKey(lease);
+		this.#claimOne(from, key, now);
+		this.#scheduler.prefilled(key, holdMs, now);
+		this.#sayAgain(from, key, 'decode');
+	}
+
+	#adopt(from: string, claims: readonly LeaseClaim[], now: number): void {
+		for (const claim of claims) {
+			this.#claimOne(from, leaseKey(claim), now);
+			this.#scheduler.adopt(claim, now);
+		}
+	}
 
 	#ask(from: string, {ask}: PeerMessageOf<'ask'>, now: number): void {
 		const key = leaseKey(ask);
--- a/packages/host/src/keeper/lease-client.ts
+++ b/packages/host/src/keeper/lease-client.ts
@@ -3,6 +3,7 @@
  * asks again where a message or a keeper was lost, and claims each tick what
  * is in use. Efficiency: a lease that is wrongly held or lost costs goodput.
  */
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {keeperOf, type Cell} from '@gatehead/policy/core/cell';
 import {rank} from '@gatehead/policy/core/rendezvous';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -42,6 +43,8 @@
 	message: (() => PeerMessage) | undefined;
 	resolve: (engine: string) => void;
 	reject: (failure: Failure) => void;
+	/** Stops listening for the caller's leaving. */
+	unlisten: () => void;
 	sentAt: number;
 };
 
@@ -81,10 +84,10 @@
 	}
 
 	async askPrefill(model: string, ask: LeaseAsk, signal: AbortSignal): Promise<string> {
-		const {clock, self} = {clock: this.#parts.context.clock, self: this.#parts.context.self};
+		const {clock, self} = this.#parts.context;
 		const cell = this.#chooseCell(model, self.host);
 		const holding: Holding = {
-			key: leaseKey(ask), cell, ask, askedAt: clock.now(), stage: 'prefill', prefillEngine: '', engine: '', message: undefined, resolve() {}, reject() {}, sentAt: 0,
+			key: leaseKey(ask), cell, ask, askedAt: clock.now(), stage: 'prefill', prefillEngine: '', engine: '', message: undefined, resolve: ignore, reject: ignore, unlisten: ignore, sentAt: 0,
 		};
 		this.#holdings.set(holding.key, holding);
 		return this.#wait(holding, signal, () => ({
@@ -236,6 +239,10 @@
 			}
 
 			signal.addEventListener('abort', leave, {once: true});
+			holding.unlisten = () => {
+				signal.removeEventListener('abort', leave);
+			};
+
 			this.#send(holding);
 		});
 	}
@@ -258,6 +265,7 @@
 
 	#settle(holding: Holding): void {
 		holding.message = undefined;
+		holding.unlisten();
 	}
 
 	#askAgain(holding: Holding): void {
--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -49,8 +49,6 @@
 /** The membership task. */
 export class Membership {
 	readonly members: Members;
-	/** Endpoints that the platform's list calls leaving. */
-	leavingEndpoints: ReadonlySet<string> = new Set();
 	readonly #parts: MembershipParts;
 	readonly #links: () => PeerLinks;
 	/** Neighbours chosen here: heartbeats go out to them and are expected back. */
@@ -61,6 +59,7 @@
 	readonly #noted = new Map<string, MemberState>();
 	readonly #suspectedAt = new Map<string, number>();
 	readonly #abort = new AbortController();
+	#leavingEndpoints: ReadonlySet<string> = new Set();
 	#timers: Timer[] = [];
 	#tickAt = 0;
 	#ticks = 0;
@@ -72,6 +71,11 @@
 		this.members = new Members(self);
 	}
 
+	/** Endpoints that the platform's list calls leaving. */
+	get leavingEndpoints(): ReadonlySet<string> {
+		return this.#leavingEndpoints;
+	}
+
 	/** Starts ticks and reads of the roster. */
 	start(): void {
 		this.#tickAt = this.#parts.context.clock.now();
@@ -270,7 +274,7 @@
 
 	/** Whoever speaks is there: a host thought to be gone is told so and refutes it. */
 	#vouch({host}: Owner): void {
-		const known = this.members.find(host);
+		const known = this.members.recordOf(host);
 		if (known !== undefined && (known.state === 'dead' || known.state === 'suspect')) {
 			this.#links().send(host, {
 				kind: 'heartbeat', news: [known], bundleVersion: 0, manifestDigest: '', clock: this.#parts.context.hybrid.stamp(),
@@ -332,8 +336,8 @@
 		const {context: {settings: {timing: {rosterMs}}, random}, platform} = this.#parts;
 		try {
 			const {hosts, leavingEndpoints} = await platform.listHosts(this.#abort.signal);
-			this.leavingEndpoints = new Set(leavingEndpoints);
-			this.#merge(hosts.filter(({host}) => this.members.find(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
+			this.#leavingEndpoints = new Set(leavingEndpoints);
+			this.#merge(hosts.filter(({host}) => this.members.recordOf(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
 				host, hall, region, incarnation: 0, counter: 0, state: 'alive', callerAddress, peerAddress, adminAddress, load: 0,
 			})));
 		} catch {
--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -5,7 +5,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {
-	Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
+	type Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {pack, unpack} from 'msgpackr';
 import {splitAddress, joinAddress} from '@gatehead/schema/address';
@@ -159,7 +159,7 @@
 		const client = this.#clientOf(address);
 		const stream = client.makeBidiStreamRequest(linkPath, service.link.requestSerialize, service.link.responseDeserialize);
 		const link: Link = {
-			host, stream, close: () => {
+			host, stream, close() {
 				stream.cancel();
 			}, pending: [this.#hello()], isFlushing: false,
 		};
--- a/packages/policy/src/core/members.ts
+++ b/packages/policy/src/core/members.ts
@@ -59,10 +59,12 @@
 		return this.#sequence;
 	}
 
-	find(host: string): MemberRecord | undefined {
+	/** What is known of a host. */
+	recordOf(host: string): MemberRecord | undefined {
 		return this.#entries.get(host)?.record;
 	}
 
+	/** All known hosts. */
 	list(): MemberRecord[] {
 		return [...this.#entries.values()].map(each => each.record);
 	}
@@ -110,7 +112,7 @@
 
 	/** Changes what is thought of a host; returns the record where that is news. */
 	judge(host: string, state: 'suspect' | 'dead'): MemberRecord | undefined {
-		const known = this.find(host);
+		const known = this.recordOf(host);
 		if (known === undefined || host === this.#selfName || severity[known.state] >= severity[state]) {
 			return undefined;
 		}
--- a/packages/policy/src/scheduler/scheduler.ts
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -22,6 +22,8 @@
 /** Share of a request's slack that is kept as a margin against a late slot. */
 const edgeShare = 0.02;
 const comeBackMs = 1000;
+/** How long a request waits for any engine at all, as while a new keeper has no reports yet. */
+const downMs = 1500;
 
 /** A lease from its prefill grant to its release. */
 type Lease = {
@@ -102,11 +104,11 @@
 			return;
 		}
 
-		this.#line.remove(key);
+		const known = this.#line.remove(key);
 		const waiting: Waiting = {
-			ask, key, deadline: now + ask.slackMs, since: now, holdMs: this.#decode.expectHoldMs(ask.priority, ask.maxTokens),
+			ask, key, deadline: known?.deadline ?? now + ask.slackMs, since: known?.since ?? now, holdMs: this.#decode.expectHoldMs(ask.priority, ask.maxTokens),
 		};
-		const code = this.#findRefusal(waiting, now);
+		const code = known === undefined ? this.#findRefusal(waiting, now) : undefined;
 		if (code === undefined) {
 			this.#line.add(waiting);
 		} else {
@@ -203,11 +205,13 @@
 		}
 
 		const {ask: {request, attempt}, stage, engine, prefillEngine} = lease;
-		return stage === 'decode' ? {
-			kind: 'decode', request, attempt, engine,
-		} : {
-			kind: 'prefill', request, attempt, engine: prefillEngine,
-		};
+		return stage === 'decode'
+			? {
+				kind: 'decode', request, attempt, engine,
+			}
+			: {
+				kind: 'prefill', request, attempt, engine: prefillEngine,
+			};
 	}
 
 	/** Keys of all leases, for comparison with what their holders claim. */
@@ -268,15 +272,22 @@
 
 	/** Refuses at once what can no longer have its first token in time. */
 	#refuseLate(now: number, decisions: Decision[]): void {
-		const late = this.#line.takeLate(({ask}) => {
-			const offer = this.#prefill.offer(ask, now);
-			return offer === undefined ? now : offer.readyAt + offer.transferMs + firstStepMs;
-		});
+		const late = this.#line.takeLate(waiting => this.#isHopeless(waiting, now));
 		for (const waiting of late) {
 			decisions.push(this.#refusalOf(waiting, now));
 		}
 	}
 
+	/** Whether a request can have no first token in time, or no engine has been there for it for a while. */
+	#isHopeless({ask, deadline, since}: Waiting, now: number): boolean {
+		const offer = this.#prefill.offer(ask, now);
+		if (offer === undefined || this.#decode.countSlots() === 0) {
+			return now - since > downMs;
+		}
+
+		return !ask.accepted && offer.readyAt + offer.transferMs + firstStepMs > deadline;
+	}
+
 	#refusalOf({ask: {request, attempt}}: Waiting, now: number): Decision {
 		return {
 			kind: 'refuse', request, attempt, code: this.#decode.countSlots() === 0 ? 'endpointsDown' : 'overloaded', retryAfterMs: this.#pressure.refuse(now, this.#random),
--- a/packages/policy/src/scheduler/waiting-line.ts
+++ b/packages/policy/src/scheduler/waiting-line.ts
@@ -99,13 +99,13 @@
 		return undefined;
 	}
 
-	/** Takes out all whose deadline is before what `earliest` says they could reach. */
-	takeLate(earliest: (waiting: Waiting) => number): Waiting[] {
+	/** Takes out all that are too late. */
+	takeLate(isLate: (waiting: Waiting) => boolean): Waiting[] {
 		const late: Waiting[] = [];
 		for (const {entries} of this.#queues.values()) {
 			for (let index = entries.length - 1; index >= 0; index -= 1) {
 				const waiting = entries[index];
-				if (waiting !== undefined && !waiting.ask.accepted && earliest(waiting) > waiting.deadline) {
+				if (waiting !== undefined && isLate(waiting)) {
 					entries.splice(index, 1);
 					late.push(waiting);
 				}
--- a/packages/schema/src/failure.ts
+++ b/packages/schema/src/failure.ts
@@ -17,20 +17,25 @@
 /** A numbered error. */
 export class Failure extends VError {
 	readonly code: Code;
-	readonly ran: Ran;
 	readonly retryAfterMs: number | undefined;
 	readonly detail: string | undefined;
+	readonly #ran: Ran;
 
 	constructor(code: Code, {detail, retryAfterMs, ran, cause}: FailureDetail = {}) {
 		const row = codes[code];
 		const text = `${row.number} ${code}: ${row.advice}${detail === undefined ? '' : ` (${detail})`}`;
 		super({name: 'Failure', cause: cause instanceof Error ? cause : undefined}, '%s', text);
 		this.code = code;
-		this.ran = ran ?? row.ran;
+		this.#ran = ran ?? row.ran;
 		this.retryAfterMs = retryAfterMs;
 		this.detail = detail;
 	}
 
+	/** What the caller is told about the run. */
+	get ran(): Ran {
+		return this.#ran;
+	}
+
 	/** HTTP status for this failure. */
 	get status(): number {
 		return codes[this.code].status || 500;
--- a/packages/standin/src/engine/decode-core.ts
+++ b/packages/standin/src/engine/decode-core.ts
@@ -102,7 +102,7 @@
 
 		stream.owner = owner;
 		stream.sink = sink;
-		for (let n = from; n < stream.next; n += 1) {
+		for (let n = Math.max(stream.order.given.length, from - this.#faults.repeatedOnResume); n < stream.next; n += 1) {
 			sink({
 				kind: 'token', request, attempt, n, text: answerToken(stream.digest, n),
 			});
--- a/packages/standin/src/engine/engine-server.ts
+++ b/packages/standin/src/engine/engine-server.ts
@@ -99,7 +99,8 @@
 	response.write(`${JSON.stringify(line)}\n`);
 	if (line.kind === 'end') {
 		response.end();
-	} else if (line.kind === 'token' && line.n + 1 >= state.faults.resetAfterTokens) {
+	} else if (line.kind === 'token' && line.n + 1 >= state.faults.resetAfterTokens && state.faults.resetsLeft > 0) {
+		state.faults.resetsLeft -= 1;
 		response.socket?.resetAndDestroy();
 	}
 }
--- a/packages/standin/src/engine/prefill-core.ts
+++ b/packages/standin/src/engine/prefill-core.ts
@@ -50,6 +50,8 @@
 /** Prompts waiting, in work, and results kept. */
 export class PrefillCore {
 	readonly cache: PrefixCache;
+	/** Prefills taken, by request: the count that tests judge by. */
+	readonly starts = new Map<string, number>();
 	readonly #traits: EngineTraits;
 	readonly #faults: EngineFaults;
 	readonly #clock: Clock;
@@ -88,6 +90,7 @@
 		}
 
 		this.#jobs += 1;
+		this.starts.set(order.request, (this.starts.get(order.request) ?? 0) + 1);
 		this.#queue.push({
 			order, done, arrivedAt: this.#clock.now(), number: this.#jobs,
 		});
--- a/packages/standin/src/engine/traits.ts
+++ b/packages/standin/src/engine/traits.ts
@@ -36,7 +36,11 @@
 	resetAfterTokens: number;
 	/** Share of cache events that get lost. */
 	cacheEventLoss: number;
+	/** Streams that are still reset so. */
+	resetsLeft: number;
 	reportsStopped: boolean;
+	/** Tokens that a resumed stream gives once more. */
+	repeatedOnResume: number;
 	/** Cancels that are answered with an error before one is obeyed. */
 	cancelsLost: number;
 };
@@ -44,7 +48,7 @@
 /** An engine without faults. */
 export function noFaults(): EngineFaults {
 	return {
-		linkShare: 1, prefillStallMs: 0, transferStallMs: 0, silentAfterTokens: Number.POSITIVE_INFINITY, resetAfterTokens: Number.POSITIVE_INFINITY, cacheEventLoss: 0, reportsStopped: false, cancelsLost: 0,
+		linkShare: 1, prefillStallMs: 0, transferStallMs: 0, silentAfterTokens: Number.POSITIVE_INFINITY, resetAfterTokens: Number.POSITIVE_INFINITY, resetsLeft: 0, cacheEventLoss: 0, reportsStopped: false, repeatedOnResume: 0, cancelsLost: 0,
 	};
 }
 
--- a/packages/standin/src/measure/run.ts
+++ b/packages/standin/src/measure/run.ts
@@ -33,8 +33,7 @@
 
 /** Faults by name: what happens half-way. */
 export const faults: Readonly<Record<string, (world: World, policy: {pauseKeeper(until: number): void}) => void>> = {
-	none() {
-},
+	none: ignore,
 	decodeLost({engines}) {
 		const lost = [...engines.values()].find(each => each.traits.role === 'decode');
 		if (lost !== undefined) {
--- a/packages/standin/src/platform/platform-server.ts
+++ b/packages/standin/src/platform/platform-server.ts
@@ -36,6 +36,7 @@
 	hosts: readonly ListedHost[];
 	leavingEndpoints: readonly string[];
 	reads: number;
+	isKilled: boolean;
 };
 
 function lookUp({faults, values}: PlatformState, key: string): PublishedValue {
@@ -46,7 +47,7 @@
 /** Answers a watch once the value is newer than `after` or `deadline` has come. */
 function watch(state: PlatformState, key: string, after: number, deadline: number, answer: (value: PublishedValue) => void): void {
 	const value = lookUp(state, key);
-	if (value.revision > after || state.clock.now() >= deadline) {
+	if (value.revision > after || state.isKilled || state.clock.now() >= deadline) {
 		answer(value);
 		return;
 	}
@@ -59,7 +60,7 @@
 /** Starts the platform's stand-in. */
 export async function startPlatform(clock: Clock, address: string): Promise<StandinPlatform> {
 	const state: PlatformState = {
-		clock, faults: {isDown: false, staleValue: undefined, listLagMs: 0}, values: new Map(), hosts: [], leavingEndpoints: [], reads: 0,
+		clock, faults: {isDown: false, staleValue: undefined, listLagMs: 0}, values: new Map(), hosts: [], leavingEndpoints: [], reads: 0, isKilled: false,
 	};
 	const {faults, values} = state;
 	const server = await startServer({
@@ -103,6 +104,9 @@
 				state.leavingEndpoints = endpoints;
 			});
 		},
-		kill: server.kill,
+		async kill() {
+			state.isKilled = true;
+			await server.kill();
+		},
 	};
 }
--- a/packages/standin/src/utils/http.ts
+++ b/packages/standin/src/utils/http.ts
@@ -83,18 +83,26 @@
 	return {
 		address: bound,
 		async kill() {
+			if (!server.listening) {
+				return;
+			}
+
 			const closed = new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
 				});
 			});
 			for (const socket of sockets) {
-				socket.resetAndDestroy();
+				socket.destroy();
 			}
 
 			await closed;
 		},
 		async revive() {
+			if (server.listening) {
+				return;
+			}
+
 			await listen(server, bound);
 		},
 	};
