--- a/packages/host/src/front/services.ts
+++ b/packages/host/src/front/services.ts
@@ -7,7 +7,7 @@
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {callerHeaders, callerPaths} from '@gatehead/schema/caller-protocol';
 import {type Service} from '@gatehead/schema/bundle';
-import {fail, Failure} from '@gatehead/schema/failure';
+import {fail} from '@gatehead/schema/failure';
 import {readKey, type RequestKey} from '../core/ticket.js';
 import {enterLedger, failCustody, findCustody} from './custody.js';
 import {forward, isForwarded} from './forward.js';
@@ -86,20 +86,11 @@
 		return outcome;
 	}
 
-	settle(ledger, id, outcome);
+	// Also "not run" is final for this key: a late copy of the call must not run after its caller was told so
+	ledger.end(id);
 	if (outcome.kind === 'failed' && outcome.failure.ran === 'unknown') {
 		context.counters.count('unknown', call.service.name);
 	}
 
 	return outcome;
 }
-
-/** A call that provably did not run may be tried again under its key; any other stays. */
-function settle(ledger: FrontParts['ledger'], id: string, outcome: CallOutcome): void {
-	if (outcome.kind === 'failed' && outcome.failure instanceof Failure && outcome.failure.ran === 'no') {
-		ledger.withdraw(id);
-		return;
-	}
-
-	ledger.end(id);
-}
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -98,13 +98,13 @@
 		number: 3006, status: 503, ran: 'no', advice: 'This host guards as many requests that may not be repeated as it can. Ask for a ticket of another host.',
 	},
 	endpointsDown: {
-		number: 4001, status: 503, ran: 'no', advice: 'No endpoint could be reached; the request was put on no socket. Come back after Retry-After.',
+		number: 4001, status: 503, ran: 'no', advice: 'No endpoint could be reached; the request was put on no socket. Come back after Retry-After, with a new name after the ticket.',
 	},
 	attemptsSpent: {
 		number: 4002, status: 502, ran: 'unknown', advice: 'The request failed at several endpoints and is not tried further.',
 	},
 	endpointRefused: {
-		number: 4003, status: 503, ran: 'no', advice: 'The endpoint itself said that it did not run the request. Come back after Retry-After.',
+		number: 4003, status: 503, ran: 'no', advice: 'The endpoint itself said that it did not run the request. Come back after Retry-After, with a new name after the ticket.',
 	},
 	resultLapsed: {
 		number: 4004, status: 0, ran: 'no', advice: 'A prefill result lapsed before a decode engine took it.',
