Membership: no answer to an answer; slopes from real processes

Cause: npm run slopes showed 333 messages and 134 ms of processor time a second a host while one of 8 hosts was replaced again and again. Two hosts neither of which had chosen the other answered each other's heartbeats without end; a host's doubt about another was itself a heartbeat and was answered too. Ruled out: redials of a dead address (limited to one a tick; 230 messages left). Change: answers carry a flag and are not answered; doubt is a message of its own, refuted by one record; a broken link is retried once a tick; reports are read once a second, four times less often from a cell without leases.

--- a/packages/control/src/commands/explain.ts
+++ b/packages/control/src/commands/explain.ts
@@ -5,7 +5,7 @@
 
 /** Prints a code's row. */
 export function explainCode(wanted: string, isJson: boolean): number {
-	const name = codeNames.find(each => each === wanted) ?? findCode(Number(wanted)) ?? fail('argumentInvalid', {detail: `no result code ${wanted}; docs/CODES.md lists them`});
+	const name = codeNames.find(each => each === wanted) ?? findCode(Number(wanted)) ?? fail('argumentInvalid', {detail: `no result code ${wanted}, docs/CODES.md lists them`});
 	const {number, status, ran, advice} = codes[name];
 	if (isJson) {
 		printJson({
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -29,6 +29,13 @@
 	}
 }
 
+// A reader such as `head` that has seen enough is no fault
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+	if (error.code !== 'EPIPE') {
+		throw error;
+	}
+});
+
 await yargs(hideBin(process.argv))
 	.scriptName('gateheadctl')
 	.command('bundle', 'check, sign, compare and follow bundles', bundle => bundle
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -33,26 +33,17 @@
 	const options: RequestOptions = {
 		host: ip, port, path, agent: false, signal: AbortSignal.timeout(answerMs), headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
 	};
-	return new Promise((resolve, reject) => {
-		const take = async (response: IncomingMessage) => {
-			try {
-				resolve({status: response.statusCode ?? 0, text: await readAll(response)});
-			} catch (error) {
-				reject(error);
-			}
-		};
-
+	const response = await new Promise<IncomingMessage>((resolve, reject) => {
 		const call = tls === undefined
 			? httpRequest(options)
 			: httpsRequest({
 				...options, ca: readFileSync(tls.ca), cert: readFileSync(tls.certificate), key: readFileSync(tls.key),
 			});
-		call.once('response', response => {
-			void take(response);
-		});
+		call.once('response', resolve);
 		call.once('error', reject);
 		call.end();
 	});
+	return {status: response.statusCode ?? 0, text: await readAll(response)};
 }
 
 /** Asks one host. */
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -230,6 +230,11 @@
 				return;
 			}
 
+			case 'doubt': {
+				this.membership.doubt(from, message.record);
+				return;
+			}
+
 			case 'heartbeat': {
 				this.context.hybrid.receive(message.clock);
 				this.membership.heartbeat(from, message);
--- a/packages/host/src/keeper/kept-cell.ts
+++ b/packages/host/src/keeper/kept-cell.ts
@@ -21,6 +21,8 @@
 
 const stepMs = 10;
 const pollSpread = 0.1;
+/** A cell without any lease is asked this much less often. */
+const idleFactor = 4;
 /** Ticks without a claim after which a lease lapses. */
 const claimTicks = 4;
 /** Reports missed in a row after which an engine gets no new work. */
@@ -242,7 +244,8 @@
 	#poll(engine: Engine): void {
 		const {context: {settings: {timing: {reportMs}}, random}} = this.#parts;
 		void this.#readReport(engine);
-		this.#after(`poll ${engine.name}`, jitter(random, reportMs, pollSpread), () => {
+		const isIdle = this.#missed.get(engine.name) === 0 && this.#scheduler.describe().leases === 0;
+		this.#after(`poll ${engine.name}`, jitter(random, reportMs * (isIdle ? idleFactor : 1), pollSpread), () => {
 			this.#poll(engine);
 		});
 	}
--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -44,6 +44,8 @@
 	heardAt: number;
 	/** Sequence of the newest record sent. */
 	sent: number;
+	/** When a broken link was last tried again. */
+	retriedAt?: number;
 };
 
 /** The membership task. */
@@ -107,14 +109,24 @@
 		this.#merge([record]);
 	}
 
+	/** Takes a peer's doubt about this host and answers it with the own record, which refutes it. */
+	doubt(from: Owner, record: MemberRecord): void {
+		this.members.merge(record);
+		this.#links().send(from.host, {kind: 'hello', from: this.#parts.context.self, record: this.members.self});
+	}
+
 	/** Takes a heartbeat and answers it where the sender chose this host. */
-	heartbeat(from: Owner, {news}: PeerMessageOf<'heartbeat'>): void {
+	heartbeat(from: Owner, {news, isAnswer}: PeerMessageOf<'heartbeat'>): void {
 		const now = this.#parts.context.clock.now();
 		this.#merge(news);
 		this.#vouch(from);
 		const chosen = this.#chosen.get(from.host);
 		if (chosen !== undefined) {
 			chosen.heardAt = now;
+		}
+
+		// Two hosts that answered each other's answers would never stop
+		if (chosen !== undefined || isAnswer) {
 			return;
 		}
 
@@ -122,7 +134,7 @@
 		const neighbour = known ?? {heardAt: now, sent: 0};
 		neighbour.heardAt = now;
 		this.#answered.set(from.host, neighbour);
-		this.#send(from.host, neighbour);
+		this.#send(from.host, neighbour, true);
 	}
 
 	/** Takes note of a broken link; a refused connection means that the process is not there. */
@@ -138,10 +150,19 @@
 			return;
 		}
 
-		// One more word tells a broken link from a process that is gone
-		if (neighbour !== undefined && !this.#abort.signal.aborted) {
-			this.#send(host, neighbour);
+		this.#retry(host, neighbour);
+	}
+
+	/** One more word tells a broken link from a process that is gone; once a tick, so that a dead address costs little. */
+	#retry(host: string, neighbour: Neighbour | undefined): void {
+		const {clock, settings: {timing: {tickMs}}} = this.#parts.context;
+		const now = clock.now();
+		if (neighbour === undefined || this.#abort.signal.aborted || now - (neighbour.retriedAt ?? Number.NEGATIVE_INFINITY) < tickMs) {
+			return;
 		}
+
+		neighbour.retriedAt = now;
+		this.#send(host, neighbour);
 	}
 
 	#scheduleTick(): void {
@@ -171,7 +192,7 @@
 		this.#chooseNeighbours(now);
 		this.#suspect(now);
 		this.#heal();
-		this.#announce();
+		this.#beat();
 	}
 
 	/** A process that slept knows nothing of the meantime: it may suspect nobody and must learn anew. */
@@ -259,16 +280,23 @@
 
 	#announce(): void {
 		for (const [host, neighbour] of [...this.#chosen, ...this.#answered]) {
+			this.#send(host, neighbour, true);
+		}
+	}
+
+	/** The heartbeat proper, which the chosen neighbours answer. */
+	#beat(): void {
+		for (const [host, neighbour] of this.#chosen) {
 			this.#send(host, neighbour);
 		}
 	}
 
-	#send(host: string, neighbour: Neighbour): void {
+	#send(host: string, neighbour: Neighbour, isAnswer = false): void {
 		const {bundles, context: {hybrid}} = this.#parts;
 		const news = this.members.listChangedAfter(neighbour.sent);
 		neighbour.sent = this.members.sequence;
 		this.#links().send(host, {
-			kind: 'heartbeat', news, bundleVersion: bundles.version, manifestDigest: bundles.inForce?.manifestDigest ?? '', clock: hybrid.stamp(),
+			kind: 'heartbeat', isAnswer, news, bundleVersion: bundles.version, manifestDigest: bundles.inForce?.manifestDigest ?? '', clock: hybrid.stamp(),
 		});
 	}
 
@@ -276,9 +304,7 @@
 	#vouch({host}: Owner): void {
 		const known = this.members.recordOf(host);
 		if (known !== undefined && (known.state === 'dead' || known.state === 'suspect')) {
-			this.#links().send(host, {
-				kind: 'heartbeat', news: [known], bundleVersion: 0, manifestDigest: '', clock: this.#parts.context.hybrid.stamp(),
-			});
+			this.#links().send(host, {kind: 'doubt', record: known});
 		}
 	}
 
--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -3,6 +3,7 @@
  * has something to say first. All that is said in one turn goes as one
  * message. Efficiency: a link may break and lose messages at any time.
  */
+import {Buffer} from 'node:buffer';
 import {readFileSync} from 'node:fs';
 import {
 	type Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
@@ -17,17 +18,18 @@
 const keepaliveMs = 10_000;
 const linkPath = '/gatehead.Peer/Link';
 
-type Batch = readonly PeerMessage[];
-type Duplex = ClientDuplexStream<Batch, unknown> | ServerDuplexStream<unknown, Batch>;
+/** A packed list of messages; packed once, so that its size can be counted. */
+type Packed = Uint8Array;
+type Duplex = ClientDuplexStream<Packed, unknown> | ServerDuplexStream<unknown, Packed>;
 
 const service = {
 	link: {
 		path: linkPath,
 		requestStream: true,
 		responseStream: true,
-		requestSerialize: (batch: Batch) => pack(batch),
+		requestSerialize: (packed: Packed) => Buffer.from(packed),
 		requestDeserialize: (bytes: Uint8Array): unknown => unpack(bytes),
-		responseSerialize: (batch: Batch) => pack(batch),
+		responseSerialize: (packed: Packed) => Buffer.from(packed),
 		responseDeserialize: (bytes: Uint8Array): unknown => unpack(bytes),
 	},
 } satisfies ServiceDefinition;
@@ -67,7 +69,7 @@
 		this.#listener = listener;
 		this.#server = new Server({'grpc.max_receive_message_length': context.settings.limits.peerMessageBytes});
 		this.#server.addService(service, {
-			link: (stream: ServerDuplexStream<unknown, Batch>) => {
+			link: (stream: ServerDuplexStream<unknown, Packed>) => {
 				this.#accept(stream);
 			},
 		});
@@ -146,8 +148,10 @@
 			return;
 		}
 
+		const packed = pack(batch);
 		this.#context.counters.count('peerMessages', undefined, batch.length);
-		link.stream.write(batch);
+		this.#context.counters.count('peerBytes', undefined, packed.length);
+		link.stream.write(packed);
 	}
 
 	#dial(host: string): Link | undefined {
@@ -171,7 +175,7 @@
 		return link;
 	}
 
-	#accept(stream: ServerDuplexStream<unknown, Batch>): void {
+	#accept(stream: ServerDuplexStream<unknown, Packed>): void {
 		const link: Link = {
 			host: '', stream, close() {
 				stream.end();
@@ -236,7 +240,7 @@
 
 		const named: Link = {...link, host};
 		this.#links.set(host, named);
-		named.stream.write([this.#hello()]);
+		named.stream.write(pack([this.#hello()]));
 		return named;
 	}
 
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -50,8 +50,9 @@
 export const peerMessage = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('hello'), from: owner, record: memberRecord}),
 	z.object({
-		kind: z.literal('heartbeat'), news: z.array(memberRecord).max(10_000), bundleVersion: z.number().int(), manifestDigest: z.string(), clock: z.string(),
+		kind: z.literal('heartbeat'), isAnswer: z.boolean(), news: z.array(memberRecord).max(10_000), bundleVersion: z.number().int(), manifestDigest: z.string(), clock: z.string(),
 	}),
+	z.object({kind: z.literal('doubt'), record: memberRecord}),
 	z.object({kind: z.literal('bundleWanted'), have: z.array(z.string()).max(100)}),
 	z.object({kind: z.literal('bundle'), signed: signedManifest, sections: z.record(z.string(), z.string())}),
 	z.object({kind: z.literal('ask'), cell: z.string(), ask: leaseAsk}),
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -19,7 +19,7 @@
 	/** Silence after which a host is suspect, and again until it is held to be gone. */
 	suspectMs: milliseconds.default(3000),
 	/** Interval at which a keeper asks its endpoints for their report. */
-	reportMs: milliseconds.default(250),
+	reportMs: milliseconds.default(1000),
 	/** How long a stream may go unclaimed before its keeper cancels it. */
 	orphanGraceMs: milliseconds.default(5000),
 	/** Longest wait of one watch at the configuration service. */
--- a/packages/standin/src/demo/deployment.ts
+++ b/packages/standin/src/demo/deployment.ts
@@ -135,6 +135,11 @@
 	readonly timing?: SettingsDraft['timing'];
 };
 
+/** Writes the list of hosts that gateheadctl reads. */
+export function writeFleet(hosts: readonly HostProcess[], path: string): void {
+	writeFileSync(path, JSON.stringify({hosts: hosts.map(({name, adminAddress}) => ({host: name, adminAddress}))}, null, '\t'));
+}
+
 type Keys = {
 	readonly privateKey: KeyObject;
 	readonly publicPem: string;
--- a/packages/standin/src/measure/policies.ts
+++ b/packages/standin/src/measure/policies.ts
@@ -10,7 +10,7 @@
 	delayBetween, importAndDecode, reportOf, type FakeEngine, type FakeHost, type World,
 } from './world.js';
 
-const pollMs = 250;
+const pollMs = 1000;
 const keeperStepMs = 5;
 const mostAttempts = 4;
 const orphanGraceMs = 5000;
--- a/scripts/check-spec.mjs
+++ b/scripts/check-spec.mjs
@@ -2,7 +2,7 @@
 import {execFileSync} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {join, resolve} from 'node:path';
+import path from 'node:path';
 import process from 'node:process';
 
 const models = ['tickets', 'memory', 'bundles'];
@@ -10,9 +10,9 @@
 
 /** Runs the checker; returns states and errors. */
 function check(model, mistake) {
-	const folder = mkdtempSync(join(tmpdir(), 'gatehead-spec-'));
+	const folder = mkdtempSync(path.join(tmpdir(), 'gatehead-spec-'));
 	try {
-		const file = resolve('specification', `${model}.pml`);
+		const file = path.resolve('specification', `${model}.pml`);
 		const defines = mistake === undefined ? [] : [`-D${mistake}`];
 		execFileSync('spin', [...defines, '-a', file], {cwd: folder, stdio: ['ignore', 'pipe', 'pipe']});
 		execFileSync('cc', ['-O1', '-w', '-DSAFETY', '-o', 'pan', 'pan.c'], {cwd: folder});
