--- /dev/null
+++ b/packages/policy/src/core/generated.test.ts
@@ -0,0 +1,194 @@
+/** Generated inputs: what must hold of the decisions whatever comes. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {type Engine} from '@gatehead/schema/bundle';
+import {type LeaseAsk, type MemberRecord} from '@gatehead/schema/peer-message';
+import {leaseKey} from '../scheduler/decode-pool.js';
+import {Scheduler} from '../scheduler/scheduler.js';
+import {seedRandom} from '../utils/random.js';
+import {cellsOf, keeperOf, mostCellEngines} from './cell.js';
+import {orderHosts, mostAnswered} from './lookup.js';
+import {Members} from './members.js';
+
+const seed = 20_261_202;
+const options = {seed, numRuns: 200};
+
+const record = fc.record<MemberRecord>({
+	host: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+	hall: fc.constantFrom('north', 'south'),
+	region: fc.constant('region'),
+	incarnation: fc.integer({min: 1, max: 3}),
+	counter: fc.integer({min: 0, max: 3}),
+	state: fc.constantFrom('alive', 'leaving', 'suspect', 'dead'),
+	callerAddress: fc.constant('127.0.0.1:1'),
+	peerAddress: fc.constant('127.0.0.1:2'),
+	adminAddress: fc.constant('127.0.0.1:3'),
+	load: fc.constantFrom(0, 0.5, 1),
+});
+
+const self: MemberRecord = {
+	host: 'self', hall: 'north', region: 'region', incarnation: 2, counter: 0, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0,
+};
+
+function stateOf(members: Members): unknown {
+	return members.list().map(({host, incarnation, counter, state}) => `${host} ${incarnation} ${counter} ${state}`).toSorted();
+}
+
+describe('membership news', () => {
+	it('ends in the same table whatever the order and however often it comes', () => {
+		fc.assert(fc.property(fc.array(record, {maxLength: 30}), fc.integer(), (news, shift) => {
+			const ordered = new Members(self);
+			const mixed = new Members(self);
+			for (const each of news) {
+				ordered.merge(each);
+			}
+
+			const turned = news.length === 0 ? [] : news.map((_, index) => news[(index + Math.abs(shift)) % news.length]);
+			for (const each of [...turned, ...turned.toReversed()]) {
+				if (each !== undefined) {
+					mixed.merge(each);
+				}
+			}
+
+			expect(stateOf(mixed)).toEqual(stateOf(ordered));
+		}), options);
+	});
+
+	it('never makes a host believe that it is itself gone', () => {
+		fc.assert(fc.property(fc.array(record, {maxLength: 30}), news => {
+			const members = new Members(self);
+			for (const each of news) {
+				members.merge({...each, host: 'self', incarnation: Math.min(each.incarnation, 2)});
+			}
+
+			expect(members.self.state).toEqual('alive');
+		}), options);
+	});
+
+	it('keeps the number of neighbours fixed', () => {
+		fc.assert(fc.property(fc.uniqueArray(fc.string({minLength: 1, maxLength: 8}), {maxLength: 60}), hosts => {
+			const members = new Members(self);
+			for (const host of hosts) {
+				members.merge({...self, host});
+			}
+
+			expect(members.neighbours().length <= 3).toEqual(true);
+		}), options);
+	});
+});
+
+describe('lookups', () => {
+	it('name at most four hosts, none that is leaving or gone', () => {
+		fc.assert(fc.property(fc.array(record, {maxLength: 40}), members => {
+			const ordered = orderHosts({caller: 'c', client: '127.0.0.1', hall: 'north'}, members);
+			expect(ordered.length <= mostAnswered).toEqual(true);
+			expect(ordered.filter(({state}) => state === 'dead' || state === 'leaving')).toEqual([]);
+		}), options);
+	});
+});
+
+function makeEngines(count: number): Engine[] {
+	return Array.from({length: count}, (_, index) => ({
+		name: `e${index}`, hall: 'north', address: '127.0.0.1:1', pool: 'p', role: index % 3 === 0 ? 'prefill' : 'decode', model: 'm', adapters: [], slots: index % 3 === 0 ? 1 : 2, prefillTokensPerSecond: 20_000, linkBytesPerSecond: 1e10, resultHoldMs: 800, checksSender: false, leaving: false,
+	}));
+}
+
+describe('cells', () => {
+	it('hold every engine once, both roles, and stay small', () => {
+		fc.assert(fc.property(fc.integer({min: 2, max: 200}), count => {
+			const cells = cellsOf({
+				deployment: 'd', version: 1, models: [{
+					name: 'm', version: 'v', windowTokens: 1, kvBytesPerToken: 1, adapters: [],
+				}], engines: makeEngines(count), services: [], callers: [], rules: {
+					objective: 'goodput', targets: [], lookupTtlMs: 1, attempts: 1,
+				},
+			});
+			expect(cells.flatMap(each => each.engines.map(engine => engine.name)).toSorted()).toEqual(makeEngines(count).map(each => each.name).toSorted());
+			for (const {engines} of cells) {
+				expect(new Set(engines.map(each => each.role)).size).toEqual(2);
+				expect(engines.length <= mostCellEngines + 2).toEqual(true);
+			}
+		}), options);
+	});
+
+	it('keep their keeper when another host goes', () => {
+		fc.assert(fc.property(fc.uniqueArray(fc.string({minLength: 1, maxLength: 6}), {minLength: 2, maxLength: 20}), fc.nat(), (hosts, nth) => {
+			const cell = {
+				name: 'm/0', model: 'm', engines: [], halls: ['north'],
+			};
+			const candidates = hosts.map(host => ({host, hall: 'north'}));
+			const keeper = keeperOf(cell, candidates);
+			const gone = hosts[nth % hosts.length];
+			if (gone !== keeper) {
+				expect(keeperOf(cell, candidates.filter(each => each.host !== gone))).toEqual(keeper);
+			}
+		}), options);
+	});
+});
+
+type Act = {readonly kind: 'ask' | 'prefilled' | 'release' | 'bounced' | 'withdraw' | 'wait'; readonly nth: number};
+
+const act = fc.record<Act>({kind: fc.constantFrom('ask', 'prefilled', 'release', 'bounced', 'withdraw', 'wait'), nth: fc.integer({min: 0, max: 11})});
+
+function makeAsk(nth: number): LeaseAsk {
+	return {
+		request: `r${nth}`, attempt: 1, caller: `c${nth % 3}`, priority: nth % 2, promptTokens: 100 + (nth * 50), maxTokens: 20 + nth, blocks: [], slackMs: 2000, accepted: false,
+	};
+}
+
+describe('scheduler', () => {
+	it('never grants more decode slots than there are, and never one request twice', () => {
+		fc.assert(fc.property(fc.array(act, {maxLength: 80}), acts => {
+			const engines = makeEngines(6);
+			const scheduler = new Scheduler({
+				engines, kvBytesPerToken: 1, objective: 'goodput', random: seedRandom(seed), shareOf: () => 1, limitOf: () => undefined, isLeaving: () => false,
+			});
+			for (const {name, role, slots} of engines) {
+				scheduler.report({
+					name, role, fence: 0, models: [], slots, streams: [], results: [], queued: 0, tokenMs: 20, lagMs: 0, cacheEvents: [],
+				}, 0);
+			}
+
+			const held = new Map<string, string>();
+			let now = 0;
+			for (const {kind, nth} of acts) {
+				const key = leaseKey(makeAsk(nth));
+				now += 20;
+				const handlers: Record<Act['kind'], () => void> = {
+					ask() {
+						scheduler.ask(makeAsk(nth), now);
+					},
+					prefilled() {
+						scheduler.prefilled(key, 800, now);
+					},
+					release() {
+						scheduler.release(key, 10, now);
+						held.delete(key);
+					},
+					bounced() {
+						scheduler.bounced(key, held.get(key) ?? '', false, now);
+						held.delete(key);
+					},
+					withdraw() {
+						scheduler.withdraw(key);
+					},
+					wait() {
+						now += 200;
+					},
+				};
+				handlers[kind]();
+				for (const decision of scheduler.decide(now)) {
+					if (decision.kind === 'decode') {
+						expect(held.has(leaseKey(decision))).toEqual(false);
+						held.set(leaseKey(decision), decision.engine);
+					}
+				}
+
+				for (const {name, slots} of engines) {
+					expect([...held.values()].filter(each => each === name).length <= slots).toEqual(true);
+				}
+			}
+		}), options);
+	});
+});
--- a/packages/standin/src/matrix/membership.test.ts
+++ b/packages/standin/src/matrix/membership.test.ts
@@ -16,7 +16,9 @@
 
 const changes: readonly Change[] = [
 	{
-		name: 'nothing happens', strike: Promise.resolve.bind(Promise) as () => Promise<void>
+		name: 'nothing happens', async strike(stage) {
+			await stage.step();
+		},
 	},
 	{
 		name: 'a host dies', async strike(stage, victim) {
--- a/packages/standin/src/slopes/main.ts
+++ b/packages/standin/src/slopes/main.ts
@@ -14,7 +14,8 @@
 	rateOf, readAdmin, takeSample, type Rate, type Sample,
 } from './sample.js';
 
-const settleMs = 3000;
+/** Time in which a process compiles its hot paths; before it, idle costs twice as much. */
+const settleMs = 10_000;
 const changePauseMs = 500;
 const pollMs = 20;
 const longestMs = 20_000;
@@ -78,8 +79,12 @@
 /** Replaces the last host again and again. */
 async function replace({hosts}: Deployment, windowMs: number): Promise<number> {
 	const last = hosts.at(-1);
+	if (last === undefined) {
+		return 0;
+	}
+
 	const end = performance.now() + windowMs;
-	while (last !== undefined && performance.now() < end) {
+	while (performance.now() < end) {
 		last.child.kill('SIGKILL');
 		await pause(changePauseMs);
 		last.child = spawnHost(last.settingsFile, last.logFile);
@@ -89,14 +94,14 @@
 	return 0;
 }
 
-async function measureSize(hosts: number, enginesPerHost: number, windowMs: number): Promise<Row[]> {
+async function measureSize(hosts: number, enginesPerHost: number, windowMs: number, quick: boolean): Promise<Row[]> {
 	const engines = Math.max(6, Math.round(hosts * enginesPerHost));
 	const deployment = await startDeployment({
 		example: synthesizeBundle({engines, models: Math.max(1, Math.min(11, Math.floor(engines / 6))), callers: 690}), hostCount: hosts, folder: join(mkdtempSync(join(tmpdir(), 'gatehead-slopes-')), String(hosts)),
 	});
 	try {
 		await waitUntilServing({...deployment, bundle: {...deployment.bundle, callers: deployment.bundle.callers.slice(0, 1)}});
-		await pause(settleMs);
+		await pause(quick ? settleMs / 2 : settleMs);
 		const rows: Row[] = [];
 		const idle = await measureWindow(deployment, windowMs, async () => 0);
 		rows.push({
@@ -133,7 +138,7 @@
 	const chosen = quick ? [4, 8] : sizes.split(',').map(Number);
 	process.stdout.write(`${['hosts', 'engines', 'state', 'cpu ms/s', 'most cpu ms/s', 'memory MB', 'messages/s', 'bytes/s', 'reads/s', 'in force ms'].map(each => each.padStart(14)).join('')}\n`);
 	for (const size of chosen) {
-		for (const row of await measureSize(size, enginesPerHost, (quick ? 4 : seconds) * 1000)) {
+		for (const row of await measureSize(size, enginesPerHost, (quick ? 4 : seconds) * 1000, quick)) {
 			print(row);
 		}
 	}
