--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -17,9 +17,9 @@
 const control = join(root, 'packages/control/dist/main.js');
 const host = join(root, 'packages/host/dist/main.js');
 
-function run(binary: string, ...words: string[]): {readonly status: number | null; readonly out: string; readonly error: string} {
+function run(binary: string, ...words: string[]): {readonly status: number; readonly out: string; readonly error: string} {
 	const {status, stdout, stderr} = spawnSync(process.execPath, [binary, ...words], {cwd: root, encoding: 'utf8'});
-	return {status, out: stdout, error: stderr};
+	return {status: status ?? -1, out: stdout, error: stderr};
 }
 
 type Refused = {
@@ -108,16 +108,20 @@
 const disagreements: ReadonlyArray<{readonly name: string; readonly hosts: readonly HostStatus[]; readonly found: number}> = [
 	{name: 'nothing where all agree', hosts: [statusOf('a', {cells: [cell]}), statusOf('b')], found: 0},
 	{
-		name: 'two bundles in force', hosts: [statusOf('a'), statusOf('b', {bundle: {
-			version: 2, digest: 'e', since: null, forMs: 0,
-		}})], found: 1,
+		name: 'two bundles in force', hosts: [statusOf('a'), statusOf('b', {
+			bundle: {
+				version: 2, digest: 'e', since: null, forMs: 0,
+			},
+		})], found: 1,
 	},
 	{name: 'a cell kept twice', hosts: [statusOf('a', {cells: [cell]}), statusOf('b', {cells: [cell]})], found: 1},
 	{name: 'a host that is not ready and cannot read the service', hosts: [statusOf('a', {isReady: false, isConfigurationDown: true})], found: 2},
 	{
-		name: 'a host held to be dead that answers', hosts: [statusOf('a', {members: [{
-			host: 'b', state: 'dead', hall: 'a', incarnation: 1, load: 0,
-		}]}), statusOf('b')], found: 1,
+		name: 'a host held to be dead that answers', hosts: [statusOf('a', {
+			members: [{
+				host: 'b', state: 'dead', hall: 'a', incarnation: 1, load: 0,
+			}],
+		}), statusOf('b')], found: 1,
 	},
 ];
 
--- a/packages/host/src/core/answer.ts
+++ b/packages/host/src/core/answer.ts
@@ -25,9 +25,10 @@
 	readonly #onUnread: () => void;
 	#end: AnswerEnd | undefined;
 
-	/** `onUnread` is called when the last reader leaves before the end. */
-	constructor(onUnread: () => void) {
+	/** `onUnread` is called when the last reader leaves before the end; the first `known` tokens are at the caller already. */
+	constructor(onUnread: () => void, known = 0) {
 		this.#onUnread = onUnread;
+		this.tokens.push(...Array.from<string>({length: known}).fill(''));
 	}
 
 	get end(): AnswerEnd | undefined {
--- a/packages/host/src/core/lease-desk.ts
+++ b/packages/host/src/core/lease-desk.ts
@@ -1,5 +1,6 @@
 /** Where a request gets its leases from: the one interface between carrying out a request and deciding on it. */
 import {type LeaseAsk} from '@gatehead/schema/peer-message';
+import {type Work} from './work.js';
 
 /** A lease's name. */
 export type LeaseName = {
@@ -20,6 +21,8 @@
 	askPrefill(model: string, ask: LeaseAsk, signal: AbortSignal): Promise<string>;
 	/** Says that the result is made and waits for a decode slot. Returns the engine's name. */
 	askDecode(lease: LeaseName, cachedTokens: number, holdMs: number, signal: AbortSignal): Promise<string>;
+	/** Claims the decode slot of a stream whose owner is gone. */
+	takeOver(work: Work, lease: LeaseName, engine: string): void;
 	/** Says that the import is whole and tokens come. */
 	started(lease: LeaseName): void;
 	/** Says that an engine did not take the work; `lost` where the engine seems to be gone. */
--- a/packages/host/src/front/answer-writer.ts
+++ b/packages/host/src/front/answer-writer.ts
@@ -18,6 +18,8 @@
 	readonly model: string;
 	readonly dialect: Dialect;
 	readonly isStream: boolean;
+	/** What event ids carry besides engine, attempt and number: which run under the key this is. */
+	readonly run: string;
 	/** Number of the first token that the caller lacks. */
 	readonly from: number;
 };
@@ -71,7 +73,7 @@
 			openEvents(this.#response);
 		}
 
-		if (!writeEvent(this.#response, JSON.stringify(this.#body(text, undefined, true)), `${position}/${n}`)) {
+		if (!writeEvent(this.#response, JSON.stringify(this.#body(text, undefined, true)), `${position}/${n}${this.#writing.run === '' ? '' : `/${this.#writing.run}`}`)) {
 			this.#startStall();
 		}
 	}
--- a/packages/host/src/front/completions.ts
+++ b/packages/host/src/front/completions.ts
@@ -16,6 +16,7 @@
 import {dispatch} from '../core/dispatch.js';
 import {readKey, type RequestKey} from '../core/ticket.js';
 import {type Work} from '../core/work.js';
+import {takeOver} from './take-over.js';
 import {AnswerWriter, type Dialect} from './answer-writer.js';
 import {enterLedger, findCustody} from './custody.js';
 import {forward, isForwarded} from './forward.js';
@@ -118,18 +119,25 @@
 	}
 
 	const isHere = key !== undefined && custody?.kind === 'here';
-	if (!isHere && position !== undefined) {
-		fail('streamGone');
-	}
-
-	// A failed request may be tried again under its key while engines still hold its first run, so each run has a name of its own
-	const work = makeWork(call, wish, isHere ? `${key.id}.${makeId()}` : makeId());
-	const answer = isHere
-		? guard(parts, work, raw, key, bundle.rules.attempts)
-		: begin(parts, work, bundle.rules.attempts, ignore);
+	const run = makeId();
+	const work = makeWork(call, wish, key === undefined ? run : `${key.id}.${run}`);
+	const mostAttempts = bundle.rules.attempts;
+	const answer = answerOf();
 	new AnswerWriter(response, {
-		request: work.id, model: work.model.name, dialect, isStream: wish.body.stream, from: position === undefined ? 0 : position.last + 1,
+		request: work.id, model: work.model.name, dialect, isStream: wish.body.stream, run: key === undefined ? '' : run, from: position === undefined ? 0 : position.last + 1,
 	}, answer, clock, settings.timing.readerStallMs).start();
+
+	function answerOf(): Answer {
+		if (isHere) {
+			return guard(parts, work, raw, key, mostAttempts);
+		}
+
+		if (position === undefined) {
+			return begin(parts, work, mostAttempts, ignore);
+		}
+
+		return key === undefined ? fail('streamGone') : takeOver(parts, work, key, position);
+	}
 }
 
 function readOptionalKey({request}: Call, caller: Caller, keys: readonly string[]): RequestKey | undefined {
--- a/packages/host/src/front/intake.ts
+++ b/packages/host/src/front/intake.ts
@@ -71,9 +71,11 @@
 	readonly attempt: number;
 	/** Number of the last token that the caller has. */
 	readonly last: number;
+	/** Which run under the key it was; empty for a request without a key. */
+	readonly run: string;
 };
 
-const positionPattern = /^(?<engine>[a-z0-9.\-]{1,64})\/(?<attempt>\d{1,4})\/(?<last>\d{1,9})$/v;
+const positionPattern = /^(?<engine>[a-z0-9.\-]{1,64})\/(?<attempt>\d{1,4})\/(?<last>\d{1,9})(?:\/(?<run>[a-z0-9.\-]{1,100}))?$/v;
 
 /** Reads `Last-Event-ID`, or undefined where there is none. */
 export function readPosition(request: IncomingMessage): StreamPosition | undefined {
@@ -82,12 +84,14 @@
 		return undefined;
 	}
 
-	const {engine, attempt, last} = positionPattern.exec(header)?.groups ?? {};
+	const {engine, attempt, last, run} = positionPattern.exec(header)?.groups ?? {};
 	if (engine === undefined) {
 		fail('headerInvalid', {detail: 'Last-Event-ID: the id of the last event of the stream'});
 	}
 
-	return {engine, attempt: Number(attempt), last: Number(last)};
+	return {
+		engine, attempt: Number(attempt), last: Number(last), run: run ?? '',
+	};
 }
 
 function toBytes(chunk: unknown): Uint8Array {
--- a/packages/host/src/front/lookups.ts
+++ b/packages/host/src/front/lookups.ts
@@ -1,6 +1,6 @@
 /** `GET /v1/hosts`: which hosts a caller should use, for how long, with a ticket of each. */
 import {type HostsAnswer} from '@gatehead/schema/caller-protocol';
-import {orderHosts, timeToLive} from '@gatehead/policy/core/lookup';
+import {timeToLive} from '@gatehead/policy/core/lookup';
 import {writeTicket} from '../core/ticket.js';
 import {type Call, type FrontParts} from './parts.js';
 import {sendJson} from './reply.js';
@@ -14,7 +14,7 @@
 	const ttlMs = timeToLive(rules.lookupTtlMs, random);
 	const expires = Math.floor(wall()) + (rules.lookupTtlMs * ticketLives);
 	const lookup = {caller: caller.name, client: request.socket.remoteAddress ?? '', hall: url.searchParams.get('hall') ?? undefined};
-	const hosts = orderHosts(lookup, fleet.list()).map(({host, incarnation, hall, callerAddress}) => ({
+	const hosts = fleet.rings().order(lookup).map(({host, incarnation, hall, callerAddress}) => ({
 		host,
 		address: callerAddress,
 		hall,
--- a/packages/host/src/front/parts.ts
+++ b/packages/host/src/front/parts.ts
@@ -1,5 +1,6 @@
 /** What the caller front's handlers share, passed down in one object. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type HostRings} from '@gatehead/policy/core/lookup';
 import {type Ledger} from '@gatehead/policy/core/ledger';
 import {type Caller} from '@gatehead/schema/bundle';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
@@ -13,6 +14,8 @@
 export type Fleet = {
 	/** All known hosts, this one among them. */
 	list(): readonly MemberRecord[];
+	/** The same, laid out for lookups. */
+	rings(): HostRings;
 };
 
 /** What the ledger guards: a growing answer, a plain call, or one whose answer was let go. */
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,5 +1,6 @@
 /** One host process put together: its tasks, how they hear of each other, started and stopped in order. */
 import {type Agent} from 'node:http';
+import {HostRings} from '@gatehead/policy/core/lookup';
 import {Ledger} from '@gatehead/policy/core/ledger';
 import {type Bundle} from '@gatehead/schema/bundle';
 import {type Owner} from '@gatehead/schema/engine-protocol';
@@ -50,6 +51,7 @@
 	readonly #front: CallerFront;
 	readonly #admin: AdminFront;
 	readonly #parts: FrontParts;
+	#rings: {readonly sequence: number; readonly rings: HostRings} | undefined;
 	#isClosed = false;
 
 	constructor(contextParts: ContextParts) {
@@ -112,7 +114,7 @@
 		this.#parts = {
 			context,
 			bundles: this.bundles,
-			fleet: {list: () => this.membership.members.list()},
+			fleet: {list: () => this.membership.members.list(), rings: () => this.#findRings()},
 			ledger: new Ledger<Job>(context.settings.limits.ledgerEntries),
 			isReady: () => this.#check.isReady,
 			attempts: {
@@ -192,6 +194,16 @@
 		return this.bundles.inForce?.bundle ?? fail('notReady');
 	}
 
+	/** Lays the hosts out anew only when something about them changed. */
+	#findRings(): HostRings {
+		const {members} = this.membership;
+		if (this.#rings?.sequence !== members.sequence) {
+			this.#rings = {sequence: members.sequence, rings: new HostRings(members.list())};
+		}
+
+		return this.#rings.rings;
+	}
+
 	#countOpen(): number {
 		return this.#front.open + this.#canceller.size;
 	}
--- a/packages/host/src/keeper/lease-client.ts
+++ b/packages/host/src/keeper/lease-client.ts
@@ -14,6 +14,7 @@
 import {leaseKey} from '@gatehead/policy/scheduler/decode-pool';
 import {type Context} from '../core/context.js';
 import {type LeaseDesk, type LeaseEnd, type LeaseName} from '../core/lease-desk.js';
+import {type Work} from '../core/work.js';
 import {type PeerLinks} from '../peer/peer-links.js';
 
 const comeBackMs = 1000;
@@ -104,6 +105,18 @@
 		}));
 	}
 
+	takeOver({model, caller, promptTokens, maxTokens}: Work, {request, attempt}: LeaseName, engine: string): void {
+		const ask: LeaseAsk = {
+			request, attempt, caller: caller.name, priority: caller.priority, promptTokens, maxTokens, blocks: [], slackMs: 0, accepted: true,
+		};
+		const cell = this.#parts.cells().find(({engines}) => engines.some(each => each.name === engine)) ?? this.#chooseCell(model.name, this.#parts.context.self.host);
+		const holding: Holding = {
+			key: leaseKey(ask), cell, ask, askedAt: 0, stage: 'decode', prefillEngine: engine, engine, message: undefined, resolve: ignore, reject: ignore, unlisten: ignore, sentAt: 0,
+		};
+		this.#holdings.set(holding.key, holding);
+		this.#claim(cell, [claimOf(holding)]);
+	}
+
 	started(lease: LeaseName): void {
 		this.#tell(lease, cell => ({kind: 'started', cell, ...lease}));
 	}
--- a/packages/policy/src/core/generated.test.ts
+++ b/packages/policy/src/core/generated.test.ts
@@ -6,12 +6,15 @@
 import {type LeaseAsk, type MemberRecord} from '@gatehead/schema/peer-message';
 import {leaseKey} from '../scheduler/decode-pool.js';
 import {Scheduler} from '../scheduler/scheduler.js';
+import {ignore} from '../utils/ignore.js';
 import {seedRandom} from '../utils/random.js';
 import {cellsOf, keeperOf, mostCellEngines} from './cell.js';
-import {orderHosts, mostAnswered} from './lookup.js';
+import {HostRings, mostAnswered} from './lookup.js';
 import {Members} from './members.js';
 
 const seed = 20_261_202;
+const stepMs = 20;
+const waitMs = 200;
 const options = {seed, numRuns: 200};
 
 const record = fc.record<MemberRecord>({
@@ -81,7 +84,7 @@
 describe('lookups', () => {
 	it('name at most four hosts, none that is leaving or gone', () => {
 		fc.assert(fc.property(fc.array(record, {maxLength: 40}), members => {
-			const ordered = orderHosts({caller: 'c', client: '127.0.0.1', hall: 'north'}, members);
+			const ordered = new HostRings(members).order({caller: 'c', client: '127.0.0.1', hall: 'north'});
 			expect(ordered.length <= mostAnswered).toEqual(true);
 			expect(ordered.filter(({state}) => state === 'dead' || state === 'leaving')).toEqual([]);
 		}), options);
@@ -151,33 +154,30 @@
 			}
 
 			const held = new Map<string, string>();
+			const handlers: Record<Act['kind'], (nth: number, key: string, now: number) => void> = {
+				ask(nth, _key, now) {
+					scheduler.ask(makeAsk(nth), now);
+				},
+				prefilled(_nth, key, now) {
+					scheduler.prefilled(key, 800, now);
+				},
+				release(_nth, key, now) {
+					scheduler.release(key, 10, now);
+					held.delete(key);
+				},
+				bounced(_nth, key, now) {
+					scheduler.bounced(key, held.get(key) ?? '', false, now);
+					held.delete(key);
+				},
+				withdraw(_nth, key) {
+					scheduler.withdraw(key);
+				},
+				wait: ignore,
+			};
 			let now = 0;
 			for (const {kind, nth} of acts) {
-				const key = leaseKey(makeAsk(nth));
-				now += 20;
-				const handlers: Record<Act['kind'], () => void> = {
-					ask() {
-						scheduler.ask(makeAsk(nth), now);
-					},
-					prefilled() {
-						scheduler.prefilled(key, 800, now);
-					},
-					release() {
-						scheduler.release(key, 10, now);
-						held.delete(key);
-					},
-					bounced() {
-						scheduler.bounced(key, held.get(key) ?? '', false, now);
-						held.delete(key);
-					},
-					withdraw() {
-						scheduler.withdraw(key);
-					},
-					wait() {
-						now += 200;
-					},
-				};
-				handlers[kind]();
+				now += kind === 'wait' ? waitMs : stepMs;
+				handlers[kind](nth, leaseKey(makeAsk(nth)), now);
 				for (const decision of scheduler.decide(now)) {
 					if (decision.kind === 'decode') {
 						expect(held.has(leaseKey(decision))).toEqual(false);
--- a/packages/policy/src/core/lookup.ts
+++ b/packages/policy/src/core/lookup.ts
@@ -9,6 +9,8 @@
 
 /** Most hosts of one answer, so that an answer's cost does not grow with the fleet. */
 export const mostAnswered = 4;
+/** Places on the ring that a lookup looks at. */
+const probes = 12;
 const idleWeight = 0.25;
 const twoTo32 = 4_294_967_296;
 const ttlSpread = 0.25;
@@ -33,15 +35,63 @@
 	return -Math.log(share) * (idleWeight + stepOf(load));
 }
 
-/** Hosts in the order to try. Leaving, suspect and dead ones are left out, unless only suspects remain. */
-export function orderHosts(lookup: Lookup, members: readonly MemberRecord[]): MemberRecord[] {
-	// A host that only the platform's list names has no incarnation to give a ticket of
-	const known = members.filter(each => each.incarnation > 0);
-	const alive = known.filter(each => each.state === 'alive');
-	const usable = alive.length > 0 ? alive : known.filter(each => each.state === 'suspect');
-	const ordered = usable.map(member => ({member, isFar: lookup.hall !== undefined && member.hall !== lookup.hall, cost: costOf(lookup, member)}));
-	ordered.sort((left, right) => Number(left.isFar) - Number(right.isFar) || left.cost - right.cost);
-	return ordered.slice(0, mostAnswered).map(each => each.member);
+type Ring = ReadonlyArray<{readonly place: number; readonly member: MemberRecord}>;
+
+function makeRing(members: readonly MemberRecord[]): Ring {
+	return members.map(member => ({place: hashText(member.host), member})).toSorted((left, right) => left.place - right.place);
+}
+
+/** The first host at or after a place on the ring. */
+function successorOf(ring: Ring, place: number): MemberRecord | undefined {
+	let low = 0;
+	let high = ring.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if ((ring[middle]?.place ?? 0) < place) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+
+	return (ring[low] ?? ring[0])?.member;
+}
+
+/** Hosts laid out once for many lookups; made anew when what is known of the hosts changes. */
+export class HostRings {
+	readonly #all: Ring;
+	readonly #byHall = new Map<string, Ring>();
+
+	/** Leaving, suspect and dead hosts are left out, unless only suspects remain. */
+	constructor(members: readonly MemberRecord[]) {
+		// A host that only the platform's list names has no incarnation to give a ticket of
+		const known = members.filter(each => each.incarnation > 0);
+		const alive = known.filter(each => each.state === 'alive');
+		const usable = alive.length > 0 ? alive : known.filter(each => each.state === 'suspect');
+		this.#all = makeRing(usable);
+		for (const hall of new Set(usable.map(each => each.hall))) {
+			this.#byHall.set(hall, makeRing(usable.filter(each => each.hall === hall)));
+		}
+	}
+
+	/** Hosts in the order to try: a fixed number of probes, whatever the fleet's size. */
+	order(lookup: Lookup): MemberRecord[] {
+		const near = this.#probe(lookup, this.#byHall.get(lookup.hall ?? '') ?? []);
+		const chosen = near.length >= mostAnswered ? near : [...near, ...this.#probe(lookup, this.#all).filter(each => !near.includes(each))];
+		return chosen.slice(0, mostAnswered);
+	}
+
+	#probe(lookup: Lookup, ring: Ring): MemberRecord[] {
+		const found = new Set<MemberRecord>();
+		for (let probe = 0; probe < probes && found.size < ring.length; probe += 1) {
+			const member = successorOf(ring, hashText(`${lookup.caller}\n${lookup.client}\n${probe}`));
+			if (member !== undefined) {
+				found.add(member);
+			}
+		}
+
+		return [...found].map(member => ({member, cost: costOf(lookup, member)})).toSorted((left, right) => left.cost - right.cost).map(each => each.member);
+	}
 }
 
 /** Time to live of an answer, spread so that callers do not come back together. */
--- a/packages/standin/src/demo/burst.ts
+++ b/packages/standin/src/demo/burst.ts
@@ -12,6 +12,8 @@
 	/** Calls a second over time: each step holds for its seconds. */
 	readonly steps: ReadonlyArray<{readonly rate: number; readonly seconds: number}>;
 	readonly random: Random;
+	/** Time that engines get to be free of all memory after the last answer, in milliseconds. */
+	readonly settleMs?: number;
 };
 
 /** One line of the summary. */
@@ -43,6 +45,8 @@
 	readonly held: number;
 };
 
+const defaultSettleMs = 3000;
+
 async function pause(milliseconds: number): Promise<void> {
 	await new Promise<void>(resolve => {
 		setTimeout(resolve, milliseconds);
@@ -54,8 +58,23 @@
 	return new Map(bundle.callers.map(({name, priority}) => [name, new Session(`demo-${name}`, entry, targetOf(bundle.rules, priority))]));
 }
 
-/** Sends the burst; arrivals do not wait for answers. */
-export async function sendBurst(deployment: Deployment, {steps, random}: BurstPlan): Promise<BurstSummary> {
+/** Sends the burst and sums up. */
+export async function sendBurst(deployment: Deployment, plan: BurstPlan): Promise<BurstSummary> {
+	const verdicts = await callAll(deployment, plan);
+	// Results that nobody took lapse by themselves within a second
+	await untilReleased(deployment, plan.settleMs ?? defaultSettleMs);
+	return summarize(deployment, trafficKinds[deployment.name] ?? [], verdicts);
+}
+
+async function untilReleased(deployment: Deployment, settleMs: number): Promise<void> {
+	const end = performance.now() + settleMs;
+	while (countHeld(deployment) > 0 && performance.now() < end) {
+		await pause(100);
+	}
+}
+
+/** Sends all calls; arrivals do not wait for answers. */
+export async function callAll(deployment: Deployment, {steps, random}: BurstPlan): Promise<Verdict[]> {
 	const kinds = trafficKinds[deployment.name] ?? [];
 	const sessions = openSessions(deployment);
 	const open: Array<Promise<Verdict>> = [];
@@ -78,7 +97,7 @@
 		session.close();
 	}
 
-	return summarize(deployment, kinds, verdicts);
+	return verdicts;
 }
 
 function percentile(values: readonly number[], share: number): number {
@@ -125,11 +144,9 @@
 	return engines.reduce((sum, {prefill, decode}) => sum + prefill.listHeld().length + decode.listHeld().length, 0);
 }
 
-async function summarize(deployment: Deployment, kinds: readonly RequestKind[], verdicts: readonly Verdict[]): Promise<BurstSummary> {
+function summarize(deployment: Deployment, kinds: readonly RequestKind[], verdicts: readonly Verdict[]): BurstSummary {
 	const model = verdicts.filter(each => each.call.expected !== undefined);
 	const accepted = verdicts.filter(each => each.kind !== 'refused');
-	// Results that nobody took lapse by themselves within a second
-	await pause(1500);
 	const works = deployment.engines.map(each => each.prefill.work);
 	return {
 		deployment: deployment.name,
--- a/packages/standin/src/demo/main.ts
+++ b/packages/standin/src/demo/main.ts
@@ -1,18 +1,22 @@
 /** `npm run demo`: both deployments on loopback under a mixed burst, with every answer checked. */
-import {mkdtempSync} from 'node:fs';
+import {spawnSync} from 'node:child_process';
+import {mkdtempSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
+import {fileURLToPath} from 'node:url';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {seedRandom} from '@gatehead/policy/utils/random';
 import {sendBurst, type BurstSummary} from './burst.js';
 import {
-	adminToken, readExample, startDeployment, type Deployment,
+	adminToken, readExample, startDeployment, writeFleet, type Deployment,
 } from './deployment.js';
 import {waitUntilServing} from './readiness.js';
 
 const hostsPerDeployment = 4;
+const mostPageBytes = 64_000_000;
+const control = fileURLToPath(new URL('../../../control/dist/main.js', import.meta.url));
 const steps = [{rate: 12, seconds: 4}, {rate: 45, seconds: 8}, {rate: 12, seconds: 3}];
 
 function percent(part: number, whole: number): string {
@@ -60,6 +64,18 @@
 	process.stdout.write('\nCtrl-C ends everything.\n');
 }
 
+/** Collects the time line of a deployment into a page, as an operator would. */
+function writeTimeline({name, hosts}: Deployment, folder: string): void {
+	const fleet = join(folder, `${name}-fleet.json`);
+	const page = join(folder, `${name}-timeline.html`);
+	writeFleet(hosts, fleet);
+	const {stdout} = spawnSync(process.execPath, [control, 'timeline', '--fleet', fleet, '--form', 'html'], {
+		encoding: 'utf8', env: {...process.env, GATEHEAD_TOKEN: adminToken}, maxBuffer: mostPageBytes,
+	});
+	writeFileSync(page, stdout);
+	process.stdout.write(`time line: ${page}\n`);
+}
+
 async function stayUntilInterrupted(deployments: readonly Deployment[]): Promise<void> {
 	printCommands(deployments);
 	await new Promise<void>(resolve => {
@@ -84,6 +100,10 @@
 
 		await Promise.all(deployments.map(async each => waitUntilServing(each)));
 		if (stay) {
+			for (const each of deployments) {
+				writeFleet(each.hosts, join(folder, `${each.name}-fleet.json`));
+			}
+
 			await stayUntilInterrupted(deployments);
 			return;
 		}
@@ -93,6 +113,10 @@
 			printSummary(summary);
 		}
 
+		for (const deployment of deployments) {
+			writeTimeline(deployment, folder);
+		}
+
 		process.exitCode = printVerdict(summaries) ? 0 : 1;
 	} finally {
 		await Promise.all(deployments.map(async each => each.stop()));
--- a/packages/standin/src/matrix/bad-input.test.ts
+++ b/packages/standin/src/matrix/bad-input.test.ts
@@ -5,8 +5,8 @@
 import {codes, type Code} from '@gatehead/schema/codes';
 import {splitAddress} from '@gatehead/schema/address';
 import {hostsAnswer} from '@gatehead/schema/caller-protocol';
-import {CallerClient, type Wish} from '../utils/caller.js';
 import {writeTicket} from '@gatehead/host/core/ticket';
+import {CallerClient, type Wish} from '../utils/caller.js';
 import {Stage} from './stage.js';
 
 const ticketKeys = ['ab'.repeat(32)];
@@ -53,9 +53,11 @@
 	{name: 'an unknown service', code: 'serviceUnknown', wish: () => post({}, '/services/nothing/x')},
 	{name: 'no ticket for a call that may not be repeated', code: 'ticketMissing', wish: () => post({}, '/services/labels/print')},
 	{name: 'a key without a name', code: 'headerInvalid', wish: stage => labelWish(ticketOf(stage, {}))},
-	{name: 'a forged ticket', code: 'ticketWrong', wish: () => labelWish(`${writeTicket({
-		host: 'host-0', incarnation: 1, caller: 'caller', expires: 1,
-	}, ['cd'.repeat(32)])}~a`)},
+	{
+		name: 'a forged ticket', code: 'ticketWrong', wish: () => labelWish(`${writeTicket({
+			host: 'host-0', incarnation: 1, caller: 'caller', expires: 1,
+		}, ['cd'.repeat(32)])}~a`),
+	},
 	{name: 'a ticket of another caller', code: 'ticketWrong', wish: stage => labelWish(`${ticketOf(stage, {caller: 'other'})}~a`)},
 	{name: 'a lapsed ticket', code: 'ticketLapsed', wish: stage => labelWish(`${ticketOf(stage, {expires: 1})}~a`)},
 	{name: 'a ticket of an earlier incarnation', code: 'ownerReplaced', wish: stage => labelWish(`${ticketOf(stage, {incarnation: 1})}~a`)},
@@ -128,7 +130,8 @@
 
 	it('a key that was used with another body: 1013 keyReused', async () => {
 		const client = new CallerClient('token');
-		const {hosts} = hostsAnswer.parse(JSON.parse((await client.send(address, {method: 'GET', path: '/v1/hosts'})).body));
+		const lookup = await client.send(address, {method: 'GET', path: '/v1/hosts'});
+		const {hosts} = hostsAnswer.parse(JSON.parse(lookup.body));
 		const key = `${hosts[0]?.ticket}~same`;
 		const first = await sendWhileStepping(stage, client, {...labelWish(key), body: {label: 'one'}});
 		const second = await sendWhileStepping(stage, client, {...labelWish(key), body: {label: 'two'}});
--- a/packages/standin/src/matrix/stage.ts
+++ b/packages/standin/src/matrix/stage.ts
@@ -130,6 +130,8 @@
 	readonly hosts: StagedHost[] = [];
 	readonly engines: StandinEngine[] = [];
 	readonly services: StandinService[] = [];
+	/** Keys of mutual TLS between the hosts; undefined: without. */
+	tls: NonNullable<SettingsDraft['keys']['tls']> | undefined;
 	platform!: StandinPlatform;
 	/** Versions seen going back, which must stay empty. */
 	readonly reverted: string[] = [];
@@ -182,7 +184,9 @@
 			deployment: 'stage',
 			listen: {caller: anyPort, peer: anyPort, admin: anyPort},
 			platform: {configuration: this.platform.address, hosts: this.platform.address},
-			keys: {tickets: ['ab'.repeat(32)], operators: [{name: 'operator', publicKey: this.#keys.publicKey.export({type: 'spki', format: 'pem'}).toString()}], adminTokenDigest: digestOf('operator')},
+			keys: {
+				tickets: ['ab'.repeat(32)], operators: [{name: 'operator', publicKey: this.#keys.publicKey.export({type: 'spki', format: 'pem'}).toString()}], adminTokenDigest: digestOf('operator'), tls: this.tls,
+			},
 			timing,
 		} satisfies SettingsDraft);
 		const host = new Host({
--- a/packages/standin/src/utils/caller.ts
+++ b/packages/standin/src/utils/caller.ts
@@ -5,7 +5,7 @@
 	callerHeaders, callerPaths, hostsAnswer, type HostsAnswer,
 } from '@gatehead/schema/caller-protocol';
 
-/** One HTTP exchange's outcome; `status` 0 where no whole answer came. */
+/** One HTTP exchange's outcome; `status` 0 where no whole answer came, with the part that did. */
 export type Reply = {
 	readonly status: number;
 	readonly body: string;
@@ -52,9 +52,9 @@
 		}
 
 		return new Promise(resolve => {
-			const failed = () => {
+			const failed = (body = '') => {
 				resolve({
-					status: 0, body: '', firstMs: 0, lastMs: performance.now() - start,
+					status: 0, body, firstMs: 0, lastMs: performance.now() - start,
 				});
 			};
 
@@ -63,7 +63,9 @@
 			}, response => {
 				void collect(response, start, resolve, failed);
 			});
-			call.once('error', failed);
+			call.once('error', () => {
+				failed();
+			});
 			call.end(wish.body === undefined ? undefined : JSON.stringify(wish.body));
 		});
 	}
@@ -74,7 +76,7 @@
 	}
 }
 
-async function collect(response: IncomingMessage, start: number, resolve: (reply: Reply) => void, failed: () => void): Promise<void> {
+async function collect(response: IncomingMessage, start: number, resolve: (reply: Reply) => void, failed: (body?: string) => void): Promise<void> {
 	let body = '';
 	let firstMs = 0;
 	response.setEncoding('utf8');
@@ -84,12 +86,12 @@
 			body += String(chunk);
 		}
 	} catch {
-		failed();
+		failed(body);
 		return;
 	}
 
 	if (!response.complete) {
-		failed();
+		failed(body);
 		return;
 	}
 
--- a/scripts/write-docs.mjs
+++ b/scripts/write-docs.mjs
@@ -1,11 +1,11 @@
 /** Writes the tables of docs/ that come from the code; `--check` only says whether they are up to date. */
 import {readFileSync, writeFileSync} from 'node:fs';
 import process from 'node:process';
+import {z} from 'zod';
 import {codeNames, codes} from '../packages/schema/dist/codes.js';
 import {bundle} from '../packages/schema/dist/bundle.js';
 import {settings} from '../packages/schema/dist/settings.js';
 import {metricNames} from '../packages/host/dist/utils/counters.js';
-import {z} from 'zod';
 
 const meanings = JSON.parse(readFileSync('docs/meanings.json', 'utf8'));
 
