--- a/packages/control/src/commands/timeline-page.ts
+++ b/packages/control/src/commands/timeline-page.ts
@@ -51,7 +51,8 @@
 function drawAxis(first: number, span: number, height: number): string {
 	return Array.from({length: 11}, (_, index) => {
 		const x = leftMargin + ((pageWidth - leftMargin - 20) * index / 10);
-		return `<line class="tick" x1="${x}" y1="18" x2="${x}" y2="${height}"/><text class="time" x="${x}" y="14">${index === 0 ? new Date(first).toISOString().slice(11, 23) : `+${Math.round(span * index / 10)} ms`}</text>`;
+		const anchor = index === 10 ? 'end' : 'start';
+		return `<line class="tick" x1="${x}" y1="18" x2="${x}" y2="${height}"/><text class="time" text-anchor="${anchor}" x="${x}" y="14">${index === 0 ? new Date(first).toISOString().slice(11, 23) : `+${Math.round(span * index / 10)} ms`}</text>`;
 	}).join('');
 }
 
@@ -71,7 +72,7 @@
 body { font: 13px/1.4 system-ui, sans-serif; margin: 16px; color: #223; }
 .scroll { overflow-x: auto; border: 1px solid #ccd; }
 svg { width: 100%; min-width: 900px; background: #fff; }
-text { font-size: 11px; fill: #334; } .time { fill: #778; text-anchor: start; }
+text { font-size: 11px; fill: #334; } .time { fill: #778; }
 .lane { stroke: #dde; } .tick { stroke: #eef; } .arrow { stroke-width: 0.7; opacity: 0.5; }
 .silent { color: #c33; } button, input { font: inherit; margin-right: 6px; }`;
 
--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -12,6 +12,7 @@
 import {type BundleStore} from '../core/bundle-store.js';
 import {type Context} from '../core/context.js';
 import {type PlatformClient} from '../core/platform-client.js';
+import {makeNeighbour, Neighbourhood, type Neighbour} from './neighbourhood.js';
 import {type PeerLinks} from './peer-links.js';
 
 const tickSpread = 0.1;
@@ -39,24 +40,12 @@
 	readonly onLateWake: () => void;
 };
 
-type Neighbour = {
-	/** Own clock's instant of the last heartbeat heard. */
-	heardAt: number;
-	/** Sequence of the newest record sent. */
-	sent: number;
-	/** When a broken link was last tried again. */
-	retriedAt?: number;
-};
-
 /** The membership task. */
 export class Membership {
 	readonly members: Members;
 	readonly #parts: MembershipParts;
 	readonly #links: () => PeerLinks;
-	/** Neighbours chosen here: heartbeats go out to them and are expected back. */
-	readonly #chosen = new Map<string, Neighbour>();
-	/** Hosts that chose this one: their heartbeats are answered. */
-	readonly #answered = new Map<string, Neighbour>();
+	readonly #neighbourhood = new Neighbourhood();
 	/** State of each host as last told to operators. */
 	readonly #noted = new Map<string, MemberState>();
 	readonly #suspectedAt = new Map<string, number>();
@@ -120,31 +109,21 @@
 		const now = this.#parts.context.clock.now();
 		this.#merge(news);
 		this.#vouch(from);
-		const chosen = this.#chosen.get(from.host);
+		const chosen = this.#neighbourhood.chosen.get(from.host);
 		if (chosen !== undefined) {
 			chosen.heardAt = now;
+			return;
 		}
 
 		// Two hosts that answered each other's answers would never stop
-		if (chosen !== undefined || isAnswer) {
-			return;
+		if (!isAnswer) {
+			this.#send(from.host, this.#neighbourhood.answer(from.host, now), true);
 		}
-
-		const known = this.#answered.get(from.host);
-		const neighbour = known ?? {heardAt: now, sent: 0};
-		neighbour.heardAt = now;
-		this.#answered.set(from.host, neighbour);
-		this.#send(from.host, neighbour, true);
 	}
 
 	/** Takes note of a broken link; a refused connection means that the process is not there. */
 	lost(host: string, isRefused: boolean): void {
-		this.#answered.delete(host);
-		const neighbour = this.#chosen.get(host);
-		if (neighbour !== undefined) {
-			neighbour.sent = 0;
-		}
-
+		const neighbour = this.#neighbourhood.lose(host);
 		if (isRefused) {
 			this.#judge(host, 'dead');
 			return;
@@ -157,7 +136,7 @@
 	#retry(host: string, neighbour: Neighbour | undefined): void {
 		const {clock, settings: {timing: {tickMs}}} = this.#parts.context;
 		const now = clock.now();
-		if (neighbour === undefined || this.#abort.signal.aborted || now - (neighbour.retriedAt ?? Number.NEGATIVE_INFINITY) < tickMs) {
+		if (neighbour === undefined || this.#abort.signal.aborted || now - neighbour.retriedAt < tickMs) {
 			return;
 		}
 
@@ -189,7 +168,7 @@
 		this.#ticks += 1;
 		this.#noticePause(now);
 		this.#updateLoad(now);
-		this.#chooseNeighbours(now);
+		this.#neighbourhood.choose(this.members.neighbours(), now);
 		this.#suspect(now);
 		this.#heal();
 		this.#beat();
@@ -205,9 +184,7 @@
 			return;
 		}
 
-		for (const neighbour of this.#chosen.values()) {
-			neighbour.heardAt = now;
-		}
+		this.#neighbourhood.hearAll(now);
 
 		this.#suspectedAt.clear();
 		this.members.updateSelf({});
@@ -226,28 +203,10 @@
 		}
 	}
 
-	#chooseNeighbours(now: number): void {
-		const wanted = new Set(this.members.neighbours());
-		for (const host of this.#chosen.keys()) {
-			if (!wanted.has(host)) {
-				this.#chosen.delete(host);
-			}
-		}
-
-		for (const host of wanted) {
-			if (!this.#chosen.has(host)) {
-				this.#chosen.set(host, this.#answered.get(host) ?? {heardAt: now, sent: 0});
-				this.#answered.delete(host);
-			}
-		}
-	}
-
 	#suspect(now: number): void {
 		const {suspectMs} = this.#parts.context.settings.timing;
-		for (const [host, {heardAt}] of this.#chosen) {
-			if (now - heardAt > suspectMs) {
-				this.#judge(host, 'suspect');
-			}
+		for (const host of this.#neighbourhood.listSilent(now, suspectMs)) {
+			this.#judge(host, 'suspect');
 		}
 
 		for (const [host, at] of this.#suspectedAt) {
@@ -257,11 +216,7 @@
 			}
 		}
 
-		for (const [host, {heardAt}] of this.#answered) {
-			if (now - heardAt > 2 * suspectMs) {
-				this.#answered.delete(host);
-			}
-		}
+		this.#neighbourhood.forget(now, 2 * suspectMs);
 	}
 
 	/** Now and then one host that is thought to be gone is spoken to, so that a split heals by itself. */
@@ -274,19 +229,19 @@
 		const gone = this.members.list().filter(({state}) => state === 'dead' || state === 'suspect');
 		const host = pick(random, gone)?.host;
 		if (host !== undefined) {
-			this.#send(host, {heardAt: 0, sent: 0});
+			this.#send(host, makeNeighbour(0));
 		}
 	}
 
 	#announce(): void {
-		for (const [host, neighbour] of [...this.#chosen, ...this.#answered]) {
+		for (const [host, neighbour] of [...this.#neighbourhood.chosen, ...this.#neighbourhood.answered]) {
 			this.#send(host, neighbour, true);
 		}
 	}
 
 	/** The heartbeat proper, which the chosen neighbours answer. */
 	#beat(): void {
-		for (const [host, neighbour] of this.#chosen) {
+		for (const [host, neighbour] of this.#neighbourhood.chosen) {
 			this.#send(host, neighbour);
 		}
 	}
--- a/packages/policy/src/core/cell.ts
+++ b/packages/policy/src/core/cell.ts
@@ -1,7 +1,7 @@
 /**
- * A cell: the engines of one model in one region that one keeper looks after
- * together, so that prefill and decode are chosen in one place. A large
- * model is split into cells of bounded size. Efficiency: two keepers of one
+ * A cell: engines of one model that one keeper looks after together, so that
+ * prefill and decode are chosen in one place. A large model is split into
+ * cells of bounded size, hall by hall. Efficiency: two keepers of one
  * cell may overcommit for a while; the engines then refuse.
  */
 import {type Bundle, type Engine} from '@gatehead/schema/bundle';
--- a/packages/policy/src/scheduler/scheduler.ts
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -13,6 +13,7 @@
 import {PrefillPool, type PrefillOffer} from './prefill-pool.js';
 import {Pressure} from './pressure.js';
 import {risks, type Risk} from './risk.js';
+import {SlotOutlook} from './slot-outlook.js';
 import {WaitingLine, type Waiting} from './waiting-line.js';
 
 /** One decode step and the way of the messages, in milliseconds. */
@@ -300,11 +301,23 @@
 			return false;
 		}
 
-		const slotAt = now + this.#decode.expectFree(this.#listReadies().filter(each => each <= readyAt).length + 1, now);
+		const slotAt = this.#look(now).expectSlotAt(readyAt);
 		const margin = edgeShare * (deadline - since);
 		return Math.max(readyAt, slotAt) + transferMs + firstStepMs + margin > deadline;
 	}
 
+	/** The slots to come, with all results that have none yet. */
+	#look(now: number): SlotOutlook {
+		const readies: number[] = [];
+		for (const {stage, readyAt} of this.#leases.values()) {
+			if (stage !== 'decode') {
+				readies.push(readyAt);
+			}
+		}
+
+		return new SlotOutlook(this.#decode, this.#risk, readies, now);
+	}
+
 	#countWaitingForSlot(): number {
 		let waiting = 0;
 		for (const {stage} of this.#leases.values()) {
@@ -349,7 +362,7 @@
 				continue;
 			}
 
-			if (!this.#isSlotSure(offer, now)) {
+			if (!this.#look(now).isSlotSure(offer.readyAt, this.#prefill.holdMsOf(offer.engine))) {
 				return;
 			}
 
@@ -369,51 +382,4 @@
 		});
 		this.#count(ask.caller, 1);
 	}
-
-	/**
-	 * Whether a slot is free, or surely will be while the result lives, for
-	 * this request and still for each that was granted before and is ready later.
-	 */
-	#isSlotSure({engine, readyAt}: PrefillOffer, now: number): boolean {
-		const patienceMs = this.#risk.patience * this.#prefill.holdMsOf(engine);
-		const readies = this.#listReadies();
-		let ahead = 0;
-		while (ahead < readies.length && (readies[ahead] ?? 0) <= readyAt) {
-			ahead += 1;
-		}
-
-		if (!this.#willBeFree(ahead + 1, readyAt + patienceMs, now)) {
-			return false;
-		}
-
-		for (let later = ahead; later < readies.length; later += 1) {
-			if (!this.#willBeFree(later + 2, (readies[later] ?? 0) + patienceMs, now)) {
-				return false;
-			}
-		}
-
-		return true;
-	}
-
-	/** When the results that have no slot yet are or will be ready, in order. */
-	#listReadies(): number[] {
-		const readies: number[] = [];
-		for (const {stage, readyAt} of this.#leases.values()) {
-			if (stage !== 'decode') {
-				readies.push(readyAt);
-			}
-		}
-
-		return readies.toSorted((left, right) => left - right);
-	}
-
-	#willBeFree(count: number, at: number, now: number): boolean {
-		const free = this.#decode.countFree();
-		if (free >= count) {
-			return true;
-		}
-
-		const {mean, variance} = this.#decode.forecast(now, Math.max(0, at - now));
-		return free + mean - (this.#risk.caution * Math.sqrt(variance)) >= count;
-	}
 }
--- a/packages/standin/src/measure/run.ts
+++ b/packages/standin/src/measure/run.ts
@@ -4,7 +4,8 @@
 import {pick, seedRandom} from '@gatehead/policy/utils/random';
 import {planArrivals, type Arrival, type LoadShape} from './arrivals.js';
 import {boundOf} from './bound.js';
-import {makePolicy, type Outcome, type PolicyName} from './policies.js';
+import {type Outcome} from './flow.js';
+import {makePolicy, type PolicyName} from './policies.js';
 import {loseEngine, makeWorld, type World} from './world.js';
 
 const hostCounts: Readonly<Record<string, number>> = {tour: 8, buoy: 9};
--- a/packages/standin/src/slopes/main.ts
+++ b/packages/standin/src/slopes/main.ts
@@ -14,7 +14,7 @@
 	rateOf, readAdmin, takeSample, type Rate, type Sample,
 } from './sample.js';
 
-/** Time in which a process compiles its hot paths; before it, idle costs twice as much. */
+/** Time for a process to settle; idle is measured last, when the code that it runs has long been compiled. */
 const settleMs = 10_000;
 const changePauseMs = 500;
 const pollMs = 20;
@@ -103,10 +103,6 @@
 		await waitUntilServing({...deployment, bundle: {...deployment.bundle, callers: deployment.bundle.callers.slice(0, 1)}});
 		await pause(quick ? settleMs / 2 : settleMs);
 		const rows: Row[] = [];
-		const idle = await measureWindow(deployment, windowMs, async () => 0);
-		rows.push({
-			hosts, engines, state: 'idle', ...idle,
-		});
 		const changes = await measureWindow(deployment, windowMs, async () => roll(deployment, windowMs));
 		rows.push({
 			hosts, engines, state: 'bundle changes', ...changes,
@@ -116,6 +112,11 @@
 		rows.push({
 			hosts, engines, state: 'member changes', ...members,
 		});
+		await pause(quick ? settleMs / 2 : settleMs);
+		const idle = await measureWindow(deployment, windowMs, async () => 0);
+		rows.push({
+			hosts, engines, state: 'idle', ...idle,
+		});
 		return rows;
 	} finally {
 		await deployment.stop();
