--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -1,6 +1,8 @@
 /** Catalogue: what the two binaries say of good and bad files, and what operators see where hosts disagree. */
 import {spawnSync} from 'node:child_process';
-import {mkdtempSync, readdirSync, statSync} from 'node:fs';
+import {
+	mkdtempSync, readdirSync, statSync, writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import process from 'node:process';
@@ -85,6 +87,17 @@
 		expect(run(control, 'bundle', 'diff', 'examples/tour/bundle.json', 'examples/buoy/bundle.json').status).toEqual(1);
 	});
 
+	it('names each host that lacks a version, and why', () => {
+		const fleet = join(mkdtempSync(join(tmpdir(), 'gatehead-fleet-')), 'fleet.json');
+		writeFileSync(fleet, JSON.stringify({hosts: [{host: 'silent-entry-1', adminAddress: '127.0.0.1:9'}]}));
+		const {status, out} = run(control, 'bundle', 'in-force', '3', '--fleet', fleet, '--wait-ms', '1');
+		expect(status).toEqual(1);
+		expect(['0 of 1 hosts have version 3', 'silent-entry-1', '6005'].filter(each => !out.includes(each))).toEqual([]);
+		expect(run(control, 'status', '--fleet', fleet).status).toEqual(1);
+		expect(run(control, 'usage', '--fleet', fleet).error.includes('silent-entry-1')).toEqual(true);
+		expect(run(control, 'status', '--fleet', 'examples/tour/bundle.json').error.startsWith('6006')).toEqual(true);
+	});
+
 	it('refuses a missing file, a wrong command and an unknown code with a number', () => {
 		expect(run(control, 'bundle', 'check', 'no-such-file').error.startsWith('6002')).toEqual(true);
 		expect(run(control, 'steer').status).toEqual(1);
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -54,11 +54,11 @@
 		.command('show <file>', 'show a bundle in short', command => command
 			.positional('file', {type: 'string', demandOption: true})
 			.option('json', jsonOption), async ({file, json}) => run(() => showBundle(file, json)))
-		.command('in-force <version>', 'wait until a version is in force everywhere; name who lacks it', command => command
-			.positional('version', {type: 'number', demandOption: true})
+		.command('in-force <wanted>', 'wait until a version is in force everywhere; name who lacks it', command => command
+			.positional('wanted', {type: 'number', demandOption: true, describe: 'version that must be in force'})
 			.option('fleet', fleetOption)
 			.option('wait-ms', {type: 'number', default: defaultWaitMs})
-			.option('json', jsonOption), async ({version: wanted, fleet, waitMs, json}) => run(async () => waitInForce(readFleet(fleet), wanted, waitMs, json)))
+			.option('json', jsonOption), async ({wanted, fleet, waitMs, json}) => run(async () => waitInForce(readFleet(fleet), wanted, waitMs, json)))
 		.demandCommand(1))
 	.command('status', 'all hosts side by side, disagreements first', command => command
 		.option('fleet', fleetOption)
--- a/packages/standin/src/slopes/main.ts
+++ b/packages/standin/src/slopes/main.ts
@@ -16,6 +16,8 @@
 
 /** Time for a process to settle; idle is measured last, when the code that it runs has long been compiled. */
 const settleMs = 10_000;
+/** Idle is measured longer, so that one collection of garbage does not weigh too much. */
+const idleWindows = 5;
 const changePauseMs = 500;
 const pollMs = 20;
 const longestMs = 20_000;
@@ -113,7 +115,7 @@
 			hosts, engines, state: 'member changes', ...members,
 		});
 		await pause(quick ? settleMs / 2 : settleMs);
-		const idle = await measureWindow(deployment, windowMs, async () => 0);
+		const idle = await measureWindow(deployment, quick ? windowMs : windowMs * idleWindows, async () => 0);
 		rows.push({
 			hosts, engines, state: 'idle', ...idle,
 		});
