A second try of a call that ran is never told "not run"

Cause: found by reading the fronts as a newcomer. Refusals that a host gives before the guard's ledger is asked (stopping, not ready, full, service or caller taken out of the bundle) said ran: no, also for the second try of a call that had run. Besides: lapsed ledger entries were forgotten only when the ledger was full, a planned stop waited for cancels at engines that never answer, dead hosts of replaced names piled up, and without a StatsD address hot-shots kept every metric in its mock's buffer. Change: such refusals of keyed calls say unknown; a stopping host still answers for what it guards; the ledger is swept every 5 s; stops wait 10 s for cancels, which end with their engine's place in the bundle; hosts dead for 10 minutes and off the list are forgotten; no mock client.

--- a/packages/host/src/core/canceller.ts
+++ b/packages/host/src/core/canceller.ts
@@ -9,6 +9,7 @@
 const firstRetryMs = 100;
 const longestRetryMs = 5000;
 const answerMs = 2000;
+const freshMs = 10_000;
 
 /** What to cancel, and where. */
 export type Cancellation = {
@@ -25,28 +26,33 @@
 export class Canceller {
 	readonly #context: Context;
 	readonly #client: EngineClient;
-	readonly #pending = new Set<Cancellation>();
+	readonly #isKnown: (engine: string) => boolean;
+	/** Cancels not yet confirmed, with the instant of their first sending. */
+	readonly #pending = new Map<Cancellation, number>();
 	#isClosed = false;
 
-	constructor(context: Context, client: EngineClient) {
+	/** `isKnown` says whether an engine is still in the bundle; one that is not cannot be asked any more. */
+	constructor(context: Context, client: EngineClient, isKnown: (engine: string) => boolean) {
 		this.#context = context;
 		this.#client = client;
+		this.#isKnown = isKnown;
 	}
 
-	/** Cancels not yet confirmed. */
-	get size(): number {
-		return this.#pending.size;
+	/** Cancels that a planned stop waits for; older ones are at engines that do not answer, and are left to the keepers' orphan search. */
+	countFresh(): number {
+		const now = this.#context.clock.now();
+		return [...this.#pending.values()].filter(since => now - since < freshMs).length;
 	}
 
 	/** Cancels until it is confirmed. */
 	cancel(cancellation: Cancellation): void {
-		for (const {engine, request, attempt} of this.#pending) {
+		for (const {engine, request, attempt} of this.#pending.keys()) {
 			if (engine === cancellation.engine && request === cancellation.request && attempt === cancellation.attempt) {
 				return;
 			}
 		}
 
-		this.#pending.add(cancellation);
+		this.#pending.set(cancellation, this.#context.clock.now());
 		this.#context.counters.count('cancelsSent');
 		void this.#send(cancellation, firstRetryMs);
 	}
@@ -62,7 +68,7 @@
 		timeline.note({
 			kind: 'cancelSent', request, attempt, endpoint: engine,
 		});
-		if (await this.#isReleased(cancellation)) {
+		if (!this.#isKnown(engine) || await this.#isReleased(cancellation)) {
 			this.#pending.delete(cancellation);
 			counters.count('cancelsConfirmed');
 			timeline.note({
--- a/packages/host/src/front/caller-front.ts
+++ b/packages/host/src/front/caller-front.ts
@@ -3,7 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {callerPaths} from '@gatehead/schema/caller-protocol';
+import {callerHeaders, callerPaths} from '@gatehead/schema/caller-protocol';
 import {type Caller} from '@gatehead/schema/bundle';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
@@ -31,7 +31,7 @@
 	#callers: ReadonlyMap<string, Caller> = new Map();
 	#made = 0;
 	#open = 0;
-	#isRefusing = false;
+	#isStopping = false;
 
 	constructor(parts: FrontParts, calls: CallParts) {
 		this.#parts = parts;
@@ -68,9 +68,14 @@
 		return listenAt(this.#server, this.#parts.context.settings.listen.caller);
 	}
 
+	/** Whether new requests are told to go to another host. */
+	get isStopping(): boolean {
+		return this.#isStopping;
+	}
+
 	/** From now on new requests are told to go to another host. */
 	refuseNew(): void {
-		this.#isRefusing = true;
+		this.#isStopping = true;
 	}
 
 	/** Stops listening and cuts what is still connected. */
@@ -126,7 +131,7 @@
 		try {
 			await this.#handle(request, response);
 		} catch (error) {
-			const failure = toFailure(error);
+			const failure = beTrue(toFailure(error), request);
 			this.#parts.context.counters.count('refused', failure.code);
 			if (failure.code === 'internal') {
 				this.#parts.context.log('internal', {detail: failure.message});
@@ -146,7 +151,7 @@
 		const {context: {clock, settings}, bundles, isReady} = this.#parts;
 		const url = parseUrl(request);
 		const handler = this.#findHandler(request.method ?? 'GET', url.pathname);
-		if (this.#isRefusing) {
+		if (this.#isStopping && !hasKey(request)) {
 			fail('hostStopping', {retryAfterMs: 0});
 		}
 
@@ -166,6 +171,24 @@
 	}
 }
 
+/** Refusals that say nothing about an earlier try under the same key. */
+const blind: ReadonlySet<Code> = new Set(['notReady', 'tooManyConnections', 'serviceUnknown', 'callerUnknown']);
+
+function hasKey({headers}: IncomingMessage): boolean {
+	return headers[callerHeaders.key] !== undefined;
+}
+
+/** A refusal that was given before the guard was asked cannot say "not run" of a request with a key: an earlier try may have run. */
+function beTrue(failure: Failure, request: IncomingMessage): Failure {
+	if (!blind.has(failure.code) || !hasKey(request)) {
+		return failure;
+	}
+
+	return new Failure(failure.code, {
+		detail: failure.detail, retryAfterMs: failure.retryAfterMs, ran: 'unknown', cause: failure,
+	});
+}
+
 function parseUrl({url}: IncomingMessage): URL {
 	try {
 		return new URL(url ?? '/', 'http://host');
@@ -185,3 +208,4 @@
 	const body = JSON.stringify(errorBodyOf(new Failure(name)));
 	socket.end(`HTTP/1.1 ${codes[name].status} Refused\r\ncontent-type: application/json\r\ncontent-length: ${new TextEncoder().encode(body).length}\r\nconnection: close\r\n\r\n${body}`);
 }
+
--- a/packages/host/src/front/completions.ts
+++ b/packages/host/src/front/completions.ts
@@ -132,6 +132,10 @@
 			return guard(parts, work, raw, key, mostAttempts);
 		}
 
+		if (parts.isStopping()) {
+			fail('hostStopping', {retryAfterMs: 0});
+		}
+
 		if (position === undefined) {
 			return begin(parts, work, mostAttempts, ignore);
 		}
--- a/packages/host/src/front/custody.ts
+++ b/packages/host/src/front/custody.ts
@@ -41,7 +41,11 @@
 }
 
 /** Enters a keyed request into the ledger: a first call begins, a repeated one finds the first. Raises the truth about any other. */
-export function enterLedger({ledger, context}: FrontParts, call: LedgerCall<Job>): {readonly entry: LedgerEntry<Job>; readonly isRepeat: boolean} {
+export function enterLedger({ledger, context, isStopping}: FrontParts, call: LedgerCall<Job>): {readonly entry: LedgerEntry<Job>; readonly isRepeat: boolean} {
+	if (isStopping() && !ledger.has(call.id)) {
+		fail('hostStopping', {retryAfterMs: 0});
+	}
+
 	const verdict = ledger.enter(call, context.clock.now());
 	switch (verdict.kind) {
 		case 'lapsed': {
--- a/packages/host/src/front/parts.ts
+++ b/packages/host/src/front/parts.ts
@@ -30,6 +30,8 @@
 	readonly fleet: Fleet;
 	readonly ledger: Ledger<Job>;
 	readonly attempts: AttemptParts;
+	/** Whether a planned stop has come so far that nothing new is begun; what is known stays answerable. */
+	readonly isStopping: () => boolean;
 	/** Whether this process knows enough to serve. */
 	readonly isReady: () => boolean;
 };
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -2,6 +2,7 @@
 import {type Agent} from 'node:http';
 import {HostRings} from '@gatehead/policy/core/lookup';
 import {Ledger} from '@gatehead/policy/core/ledger';
+import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Bundle} from '@gatehead/schema/bundle';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {fail} from '@gatehead/schema/failure';
@@ -25,6 +26,7 @@
 import {PeerLinks} from './peer/peer-links.js';
 
 const defaultTtlMs = 20_000;
+const sweepMs = 5000;
 
 /** Addresses at which a process listens. */
 export type BoundAddresses = {
@@ -52,6 +54,7 @@
 	readonly #admin: AdminFront;
 	readonly #parts: FrontParts;
 	#rings: {readonly sequence: number; readonly rings: HostRings} | undefined;
+	#sweepTimer: Timer | undefined;
 	#isClosed = false;
 
 	constructor(contextParts: ContextParts) {
@@ -65,7 +68,7 @@
 		this.context = context;
 		this.bundles = new BundleStore(context);
 		this.#platform = new PlatformClient(context);
-		this.#canceller = new Canceller(context, this.#client);
+		this.#canceller = new Canceller(context, this.#client, engine => this.bundles.inForce?.bundle.engines.some(each => each.name === engine) ?? true);
 		this.#check = new StartCheck(context, this.bundles, this.#client);
 		this.links = new PeerLinks(context, {
 			onMessage: (from, message) => {
@@ -117,6 +120,7 @@
 			fleet: {list: () => this.membership.members.list(), rings: () => this.#findRings()},
 			ledger: new Ledger<Job>(context.settings.limits.ledgerEntries),
 			isReady: () => this.#check.isReady,
+			isStopping: () => this.#front.isStopping,
 			attempts: {
 				context, client: this.#client, canceller: this.#canceller, desk: this.#leases, findEngine: name => this.#bundle().engines.find(each => each.name === name),
 			},
@@ -136,6 +140,11 @@
 		return this.#check.isReady;
 	}
 
+	/** Whether a planned stop has come so far that new requests are refused. */
+	get isStopping(): boolean {
+		return this.#front.isStopping;
+	}
+
 	/** Starts all tasks; resolves once all addresses are bound. */
 	async start(): Promise<BoundAddresses> {
 		const {settings, log, timeline} = this.context;
@@ -150,6 +159,7 @@
 
 		this.#watch.start();
 		this.#leases.start();
+		this.#sweepLedger();
 		log('started', {caller, peer, admin});
 		timeline.note({kind: 'started'});
 		return {caller, peer, admin};
@@ -176,6 +186,7 @@
 	/** Ends at once; what is in work is cut, and nobody is told. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
+		this.#sweepTimer?.stop();
 		this.links.close();
 		this.#client.close();
 		this.#watch.stop();
@@ -194,6 +205,15 @@
 		return this.bundles.inForce?.bundle ?? fail('notReady');
 	}
 
+	/** Forgets now and then what has ended and lapsed. */
+	#sweepLedger(): void {
+		const {clock} = this.context;
+		this.#parts.ledger.sweep(clock.now());
+		this.#sweepTimer = clock.after(sweepMs, () => {
+			this.#sweepLedger();
+		});
+	}
+
 	/** Lays the hosts out anew only when something about them changed. */
 	#findRings(): HostRings {
 		const {members} = this.membership;
@@ -205,7 +225,7 @@
 	}
 
 	#countOpen(): number {
-		return this.#front.open + this.#canceller.size;
+		return this.#front.open + this.#canceller.countFresh();
 	}
 
 	#measureLoad(): number {
--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -22,6 +22,8 @@
 const leastLoadNewsMs = 2000;
 /** Ticks between tries to reach a host that is thought to be gone. */
 const healTicks = 3;
+/** Time after which a dead host that the list no longer names is forgotten. */
+const forgetMs = 600_000;
 
 const stateCodes: Record<MemberState, Code> = {
 	alive: 'memberAlive', leaving: 'memberLeaving', suspect: 'memberSuspect', dead: 'memberDead',
@@ -48,6 +50,7 @@
 	readonly #neighbourhood = new Neighbourhood();
 	/** State of each host as last told to operators. */
 	readonly #noted = new Map<string, MemberState>();
+	readonly #deadSince = new Map<string, number>();
 	readonly #suspectedAt = new Map<string, number>();
 	readonly #abort = new AbortController();
 	#leavingEndpoints: ReadonlySet<string> = new Set();
@@ -307,17 +310,36 @@
 		const previous = this.#noted.get(host);
 		if (previous !== state) {
 			this.#noted.set(host, state);
+			if (state === 'dead') {
+				this.#deadSince.set(host, this.#parts.context.clock.now());
+			} else {
+				this.#deadSince.delete(host);
+			}
+
 			log(stateCodes[state], {peer: host, load});
 			timeline.note({kind: 'memberChanged', peer: host, detail: state});
 		}
 	}
 
+	/** Hosts that have been gone for long and that the list no longer names are forgotten, so that replaced names do not pile up. */
+	#forgetGone(listed: ReadonlySet<string>): void {
+		const now = this.#parts.context.clock.now();
+		for (const [host, at] of this.#deadSince) {
+			if (now - at > forgetMs && !listed.has(host)) {
+				this.#deadSince.delete(host);
+				this.#noted.delete(host);
+				this.members.forget(host);
+			}
+		}
+	}
+
 	/** Learns of hosts from the platform's list; hosts that it calls leaving or leaves out are judged by their heartbeats alone. */
 	async #readRoster(): Promise<void> {
 		const {context: {settings: {timing: {rosterMs}}, random}, platform} = this.#parts;
 		try {
 			const {hosts, leavingEndpoints} = await platform.listHosts(this.#abort.signal);
 			this.#leavingEndpoints = new Set(leavingEndpoints);
+			this.#forgetGone(new Set(hosts.map(each => each.host)));
 			this.#merge(hosts.filter(({host}) => this.members.recordOf(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
 				host, hall, region, incarnation: 0, counter: 0, state: 'alive', callerAddress, peerAddress, adminAddress, load: 0,
 			})));
--- a/packages/host/src/utils/counters.ts
+++ b/packages/host/src/utils/counters.ts
@@ -40,13 +40,17 @@
 
 /** Counters of one process. */
 export class Counters {
-	readonly #client: StatsD;
+	readonly #client: StatsD | undefined;
 	readonly #counts = new Map<string, number>();
 
 	constructor(address: string | undefined, tags: Readonly<Record<string, string>>) {
-		const target = address === undefined ? {mock: true} : {host: splitAddress(address).ip, port: splitAddress(address).port};
+		if (address === undefined) {
+			return;
+		}
+
+		const {ip, port} = splitAddress(address);
 		this.#client = new StatsD({
-			...target, prefix: 'gatehead.', globalTags: {...tags}, errorHandler: ignore, // A lost datagram is lost
+			host: ip, port, prefix: 'gatehead.', globalTags: {...tags}, errorHandler: ignore,
 		});
 	}
 
@@ -55,12 +59,12 @@
 		const name = metricNames[metric];
 		const key = tag === undefined ? name : `${name}{${tag}}`;
 		this.#counts.set(key, (this.#counts.get(key) ?? 0) + amount);
-		this.#client.increment(name, amount, tag === undefined ? [] : [`by:${tag}`]);
+		this.#client?.increment(name, amount, tag === undefined ? [] : [`by:${tag}`]);
 	}
 
 	/** Records a duration in milliseconds. */
 	time(metric: Metric, milliseconds: number): void {
-		this.#client.timing(metricNames[metric], milliseconds);
+		this.#client?.timing(metricNames[metric], milliseconds);
 	}
 
 	/** All counters by name. */
@@ -70,6 +74,6 @@
 
 	/** Closes the socket. */
 	close(): void {
-		this.#client.close(ignore);
+		this.#client?.close(ignore);
 	}
 }
--- a/packages/policy/src/core/ledger.ts
+++ b/packages/policy/src/core/ledger.ts
@@ -47,6 +47,11 @@
 		return this.#entries.size;
 	}
 
+	/** Whether a request is known here. */
+	has(id: string): boolean {
+		return this.#entries.has(id);
+	}
+
 	/** Enters a first call, or finds the earlier one. */
 	enter({id, bodyDigest, lapsesAt, begin}: LedgerCall<Job>, now: number): LedgerVerdict<Job> {
 		const known = this.#entries.get(id);
--- a/packages/policy/src/core/members.ts
+++ b/packages/policy/src/core/members.ts
@@ -110,6 +110,14 @@
 		return news;
 	}
 
+	/** Forgets a host that is gone for good. */
+	forget(host: string): void {
+		if (host !== this.#selfName) {
+			this.#entries.delete(host);
+			this.#sequence += 1;
+		}
+	}
+
 	/** Changes what is thought of a host; returns the record where that is news. */
 	judge(host: string, state: 'suspect' | 'dead'): MemberRecord | undefined {
 		const known = this.recordOf(host);
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -39,7 +39,7 @@
 	bodyBytes: count.default(8_000_000),
 	connections: count.default(4096),
 	requests: count.default(2048),
-	ledgerEntries: count.default(100_000),
+	ledgerEntries: count.default(20_000),
 	headerMs: milliseconds.default(10_000),
 	peerMessageBytes: count.default(2_000_000),
 	timelineEvents: count.default(4096),
--- a/packages/standin/src/matrix/bundle.test.ts
+++ b/packages/standin/src/matrix/bundle.test.ts
@@ -99,7 +99,7 @@
 			stage.publish(2);
 			await stage.until(() => stage.engines.every(({orders}) => orders.some(each => each.fence === 2)), longMs);
 			stage.platform.faults.staleValue = stage.staleValue;
-			for (const each of [...stage.living]) {
+			for (const each of stage.living) {
 				await stage.kill(each);
 			}
 
