A chord across the ring: news reach 350 hosts in 6 steps instead of 53

Cause: a host's third neighbour was the next one of another hall on the ring, so the links were a plain ring: 53 steps across 350 hosts (11 across 64), a minute at one step a tick. Found while docs/CAPACITY.md was worked out. Change: the third neighbour is chosen by hash among the hosts of other halls. slopes takes the hosts' tick and report intervals. Conclusion: logarithmic, as the design asks; generated.test.ts holds it.

--- a/packages/policy/src/core/generated.test.ts
+++ b/packages/policy/src/core/generated.test.ts
@@ -81,6 +81,43 @@
 	});
 });
 
+/** Most steps that news takes from any of some hosts to all others, over links that carry both ways. */
+function countSteps(size: number): number {
+	const halls = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'];
+	const records = Array.from({length: size}, (_, index) => ({...self, host: `host-${index}`, hall: halls[index % halls.length] ?? ''}));
+	const links = new Map(records.map(each => [each.host, new Set<string>()]));
+	for (const own of records) {
+		const members = new Members(own);
+		for (const each of records) {
+			members.merge(each);
+		}
+
+		for (const other of members.neighbours()) {
+			links.get(own.host)?.add(other);
+			links.get(other)?.add(own.host);
+		}
+	}
+
+	let reached = new Set(['host-0']);
+	for (let steps = 0; steps < size; steps += 1) {
+		if (reached.size === size) {
+			return steps;
+		}
+
+		reached = new Set([...reached, ...[...reached].flatMap(each => [...links.get(each) ?? []])]);
+	}
+
+	return size;
+}
+
+describe('spreading', () => {
+	for (const {size, most} of [{size: 8, most: 3}, {size: 64, most: 5}, {size: 350, most: 7}]) {
+		it(`news reach ${size} hosts in at most ${most} steps`, () => {
+			expect(countSteps(size) <= most).toEqual(true);
+		});
+	}
+});
+
 describe('lookups', () => {
 	it('name at most four hosts, none that is leaving or gone', () => {
 		fc.assert(fc.property(fc.array(record, {maxLength: 40}), members => {
--- a/packages/policy/src/core/members.ts
+++ b/packages/policy/src/core/members.ts
@@ -5,8 +5,9 @@
  */
 import {hashText} from '@gatehead/schema/hash-text';
 import {type MemberRecord, type MemberState} from '@gatehead/schema/peer-message';
+import {rankFirst} from './rendezvous.js';
 
-/** Neighbours after oneself on the ring, and one more in another hall. */
+/** Neighbours after oneself on the ring; a chord across it is added. */
 const successors = 2;
 
 const severity: Record<MemberState, number> = {
@@ -130,14 +131,16 @@
 		return judged;
 	}
 
-	/** Hosts to exchange heartbeats with: the next two on the ring and one in another hall. */
+	/** Hosts to exchange heartbeats with: the next two on the ring, and one in another hall by hash, which lets news cross the ring. */
 	neighbours(): string[] {
 		const others = this.listReachable().filter(each => each.host !== this.#selfName);
 		const own = this.#placeOf(this.#selfName);
 		const ordered = others.toSorted((left, right) => this.#distance(own, left.host) - this.#distance(own, right.host));
 		const chosen = ordered.slice(0, successors);
-		const far = ordered.slice(successors).find(each => each.hall !== this.self.hall);
-		return [...chosen, ...(far === undefined ? [] : [far])].map(each => each.host);
+		const rest = ordered.slice(successors).map(each => ({host: each.host, isFar: each.hall !== this.self.hall}));
+		const far = rest.filter(each => each.isFar);
+		const chord = rankFirst(this.#selfName, (far.length > 0 ? far : rest).map(each => each.host));
+		return [...chosen.map(each => each.host), ...(chord === undefined ? [] : [chord])];
 	}
 
 	#refute(news: MemberRecord): void {
--- a/packages/standin/src/slopes/main.ts
+++ b/packages/standin/src/slopes/main.ts
@@ -6,6 +6,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {type SettingsDraft} from '@gatehead/schema/settings';
 import {bundleStatus} from '@gatehead/schema/admin-protocol';
 import {spawnHost, startDeployment, type Deployment} from '../demo/deployment.js';
 import {waitUntilServing} from '../demo/readiness.js';
@@ -96,10 +97,18 @@
 	return 0;
 }
 
-async function measureSize(hosts: number, enginesPerHost: number, windowMs: number, quick: boolean): Promise<Row[]> {
+type SizePlan = {
+	readonly hosts: number;
+	readonly enginesPerHost: number;
+	readonly windowMs: number;
+	readonly quick: boolean;
+	readonly timing: SettingsDraft['timing'];
+};
+
+async function measureSize({hosts, enginesPerHost, windowMs, quick, timing}: SizePlan): Promise<Row[]> {
 	const engines = Math.max(6, Math.round(hosts * enginesPerHost));
 	const deployment = await startDeployment({
-		example: synthesizeBundle({engines, models: Math.max(1, Math.min(11, Math.floor(engines / 6))), callers: 690}), hostCount: hosts, folder: join(mkdtempSync(join(tmpdir(), 'gatehead-slopes-')), String(hosts)),
+		example: synthesizeBundle({engines, models: Math.max(1, Math.min(11, Math.floor(engines / 6))), callers: 690}), hostCount: hosts, folder: join(mkdtempSync(join(tmpdir(), 'gatehead-slopes-')), String(hosts)), timing,
 	});
 	try {
 		await waitUntilServing({...deployment, bundle: {...deployment.bundle, callers: deployment.bundle.callers.slice(0, 1)}});
@@ -131,17 +140,21 @@
 }
 
 async function main(): Promise<void> {
-	const {quick, sizes, enginesPerHost, seconds} = await yargs(hideBin(process.argv))
+	const {quick, sizes, enginesPerHost, seconds, tickMs, reportMs} = await yargs(hideBin(process.argv))
 		.option('quick', {type: 'boolean', default: false, describe: 'two small sizes, in under a minute'})
 		.option('sizes', {type: 'string', default: '4,8,16,32,64', describe: 'numbers of hosts'})
 		.option('engines-per-host', {type: 'number', default: 4.6, describe: 'replicas for each host'})
+		.option('tick-ms', {type: 'number', default: 1000, describe: 'timing.tickMs of the hosts; suspicion after three'})
+		.option('report-ms', {type: 'number', default: 1000, describe: 'timing.reportMs of the hosts'})
 		.option('seconds', {type: 'number', default: 8, describe: 'length of each window'})
 		.strict()
 		.parse();
 	const chosen = quick ? [4, 8] : sizes.split(',').map(Number);
 	process.stdout.write(`${['hosts', 'engines', 'state', 'cpu ms/s', 'most cpu ms/s', 'memory MB', 'messages/s', 'bytes/s', 'reads/s', 'in force ms'].map(each => each.padStart(14)).join('')}\n`);
 	for (const size of chosen) {
-		for (const row of await measureSize(size, enginesPerHost, (quick ? 4 : seconds) * 1000, quick)) {
+		for (const row of await measureSize({
+			hosts: size, enginesPerHost, windowMs: (quick ? 4 : seconds) * 1000, quick, timing: {tickMs, suspectMs: tickMs * 3, reportMs},
+		})) {
 			print(row);
 		}
 	}
