--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -11,7 +11,7 @@
 import {pack, unpack} from 'msgpackr';
 import {splitAddress, joinAddress} from '@gatehead/schema/address';
 import {type Owner} from '@gatehead/schema/engine-protocol';
-import {fail} from '@gatehead/schema/failure';
+import {fail, Failure} from '@gatehead/schema/failure';
 import {peerBatch, type MemberRecord, type PeerMessage} from '@gatehead/schema/peer-message';
 import {type Context} from '../core/context.js';
 
@@ -83,7 +83,7 @@
 				if (error === null) {
 					resolve(bound);
 				} else {
-					reject(error);
+					reject(new Failure('addressInUse', {cause: error, detail: peer}));
 				}
 			});
 		});
--- a/packages/standin/src/matrix/bad-input.test.ts
+++ b/packages/standin/src/matrix/bad-input.test.ts
@@ -2,9 +2,10 @@
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {codes, type Code} from '@gatehead/schema/codes';
+import fc from 'fast-check';
+import {codes, findCode, type Code} from '@gatehead/schema/codes';
 import {splitAddress} from '@gatehead/schema/address';
-import {hostsAnswer} from '@gatehead/schema/caller-protocol';
+import {errorBody, hostsAnswer} from '@gatehead/schema/caller-protocol';
 import {writeTicket} from '@gatehead/host/core/ticket';
 import {CallerClient, type Wish} from '../utils/caller.js';
 import {Stage} from './stage.js';
@@ -128,6 +129,21 @@
 		});
 	}
 
+	it('any JSON body is refused with a number, and any header value too', async () => {
+		const client = new CallerClient('token');
+		const route = fc.constantFrom('/v1/completions', '/v1/chat/completions');
+		const headerText = fc.string({unit: 'grapheme-ascii', minLength: 1, maxLength: 80});
+		await fc.assert(fc.asyncProperty(route, fc.jsonValue(), headerText, async (path, body, header) => {
+			for (const wish of [post(body, path), {...post(completion, path), key: header}, {...post(completion, path), lastEvent: header}]) {
+				const reply = await client.send(address, wish);
+				expect(reply.status >= 400 && reply.status < 500).toEqual(true);
+				expect(findCode(errorBody.parse(JSON.parse(reply.body)).error.code) === undefined).toEqual(false);
+			}
+		}), {seed: 20_261_202, numRuns: 100});
+		client.close();
+		expect(countWork(stage)).toEqual(0);
+	});
+
 	it('a key that was used with another body: 1013 keyReused', async () => {
 		const client = new CallerClient('token');
 		const lookup = await client.send(address, {method: 'GET', path: '/v1/hosts'});
