--- a/packages/host/src/front/lookups.ts
+++ b/packages/host/src/front/lookups.ts
@@ -13,7 +13,9 @@
 	const {settings: {keys}, random, wall, counters} = context;
 	const ttlMs = timeToLive(rules.lookupTtlMs, random);
 	const expires = Math.floor(wall()) + (rules.lookupTtlMs * ticketLives);
-	const lookup = {caller: caller.name, client: request.socket.remoteAddress ?? '', hall: url.searchParams.get('hall') ?? undefined};
+	const lookup = {
+		caller: caller.name, client: request.socket.remoteAddress ?? '', hall: url.searchParams.get('hall') ?? undefined, keepers: fleet.keepersOf(url.searchParams.get('model') ?? undefined),
+	};
 	const hosts = fleet.rings().order(lookup).map(({host, incarnation, hall, callerAddress}) => ({
 		host,
 		address: callerAddress,
--- a/packages/host/src/front/parts.ts
+++ b/packages/host/src/front/parts.ts
@@ -16,6 +16,8 @@
 	list(): readonly MemberRecord[];
 	/** The same, laid out for lookups. */
 	rings(): HostRings;
+	/** Hosts that keep cells of a model; empty for a model that is not known. */
+	keepersOf(model: string | undefined): ReadonlySet<string>;
 };
 
 /** What the ledger guards: a growing answer, a plain call, or one whose answer was let go. */
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -117,7 +117,7 @@
 		this.#parts = {
 			context,
 			bundles: this.bundles,
-			fleet: {list: () => this.membership.members.list(), rings: () => this.#findRings()},
+			fleet: {list: () => this.membership.members.list(), rings: () => this.#findRings(), keepersOf: model => this.keeper.keepersOf(model, this.membership.members.sequence)},
 			ledger: new Ledger<Job>(context.settings.limits.ledgerEntries),
 			isReady: () => this.#check.isReady,
 			isStopping: () => this.#front.isStopping,
--- a/packages/host/src/keeper/keeper.ts
+++ b/packages/host/src/keeper/keeper.ts
@@ -25,6 +25,8 @@
 	readonly isLeaving: (endpoint: string) => boolean;
 };
 
+const none: ReadonlySet<string> = new Set();
+
 /** Cells that this host keeps. */
 export class Keeper {
 	/** Cells of the bundle in force. */
@@ -32,6 +34,8 @@
 	readonly #parts: KeeperParts;
 	readonly #kept = new Map<string, KeptCell>();
 	readonly #orders: Orders;
+	readonly #keepersByModel = new Map<string, ReadonlySet<string>>();
+	#keepersStamp = '';
 	/** Content from which each kept cell was made; a changed cell starts anew. */
 	readonly #contents = new Map<string, string>();
 
@@ -62,6 +66,28 @@
 		return [...this.#kept.values()].map(each => each.describe());
 	}
 
+	/** Hosts that keep cells of a model, worked out once for each change of bundle or members. */
+	keepersOf(model: string | undefined, membersSequence: number): ReadonlySet<string> {
+		if (model === undefined) {
+			return none;
+		}
+
+		const stamp = `${membersSequence} ${this.#parts.bundles.version}`;
+		if (this.#keepersStamp !== stamp) {
+			this.#keepersStamp = stamp;
+			this.#keepersByModel.clear();
+		}
+
+		let keepers = this.#keepersByModel.get(model);
+		if (keepers === undefined) {
+			const candidates = this.#parts.candidates();
+			keepers = new Set(this.cells.filter(each => each.model === model).flatMap(each => keeperOf(each, candidates) ?? []));
+			this.#keepersByModel.set(model, keepers);
+		}
+
+		return keepers;
+	}
+
 	/** Takes up cells that fell to this host, lays down those that went elsewhere. */
 	review(): void {
 		const {inForce} = this.#parts.bundles;
--- a/packages/host/src/keeper/lease-client.ts
+++ b/packages/host/src/keeper/lease-client.ts
@@ -226,6 +226,12 @@
 	#chooseCell(model: string, host: string): Cell {
 		const cells = this.#parts.cells().filter(each => each.model === model);
 		const {hall} = this.#parts.context.settings;
+		// Leases of a cell that this host keeps itself cost no message
+		const own = cells.find(each => this.#keeperOf(each) === host);
+		if (own !== undefined) {
+			return own;
+		}
+
 		const near = cells.filter(each => each.halls.includes(hall));
 		const usable = near.length > 0 ? near : cells;
 		const [name] = rank(host, usable.map(each => each.name));
--- a/packages/policy/src/core/generated.test.ts
+++ b/packages/policy/src/core/generated.test.ts
@@ -121,7 +121,9 @@
 describe('lookups', () => {
 	it('name at most four hosts, none that is leaving or gone', () => {
 		fc.assert(fc.property(fc.array(record, {maxLength: 40}), members => {
-			const ordered = new HostRings(members).order({caller: 'c', client: '127.0.0.1', hall: 'north'});
+			const ordered = new HostRings(members).order({
+				caller: 'c', client: '127.0.0.1', hall: 'north', keepers: new Set(),
+			});
 			expect(ordered.length <= mostAnswered).toEqual(true);
 			expect(ordered.filter(({state}) => state === 'dead' || state === 'leaving')).toEqual([]);
 		}), options);
@@ -134,6 +136,24 @@
 	}));
 }
 
+describe('lookups for a model', () => {
+	const cases = [
+		{name: 'lead to its keepers where there are many', keepers: 8, isLed: true},
+		{name: 'spread as ever where one keeper would bear all', keepers: 1, isLed: false},
+	];
+	for (const {name, keepers, isLed} of cases) {
+		it(name, () => {
+			const members = Array.from({length: 40}, (_, index) => ({...self, host: `host-${index}`}));
+			const kept = new Set(members.slice(0, keepers).map(each => each.host));
+			const first = Array.from({length: 60}, (_, client) => new HostRings(members).order({
+				caller: 'c', client: String(client), hall: 'north', keepers: kept,
+			})[0]?.host ?? '');
+			expect(first.every(each => kept.has(each))).toEqual(isLed);
+			expect(new Set(first).size >= Math.min(keepers, 6)).toEqual(true);
+		});
+	}
+});
+
 describe('cells', () => {
 	it('hold every engine once, both roles, and stay small', () => {
 		fc.assert(fc.property(fc.integer({min: 2, max: 200}), count => {
--- a/packages/policy/src/core/lookup.ts
+++ b/packages/policy/src/core/lookup.ts
@@ -11,6 +11,8 @@
 export const mostAnswered = 4;
 /** Places on the ring that a lookup looks at. */
 const probes = 12;
+/** Keepers of one model from which on its callers are led to them. */
+const leastKeepers = 6;
 const idleWeight = 0.25;
 const twoTo32 = 4_294_967_296;
 const ttlSpread = 0.25;
@@ -18,6 +20,8 @@
 /** Who asks. */
 export type Lookup = {
 	readonly caller: string;
+	/** Hosts that keep cells of the model that the caller means to use, where it said so. */
+	readonly keepers: ReadonlySet<string>;
 	/** The caller's own address, so that clients of one caller spread. */
 	readonly client: string;
 	/** The hall that the caller is near to, if it said so. */
@@ -76,11 +80,32 @@
 
 	/** Hosts in the order to try: a fixed number of probes, whatever the fleet's size. */
 	order(lookup: Lookup): MemberRecord[] {
+		const kept = this.#orderKeepers(lookup);
+		if (kept.length >= mostAnswered) {
+			return kept.slice(0, mostAnswered);
+		}
+
 		const near = this.#probe(lookup, this.#byHall.get(lookup.hall ?? '') ?? []);
 		const chosen = near.length >= mostAnswered ? near : [...near, ...this.#probe(lookup, this.#all).filter(each => !near.includes(each))];
 		return chosen.slice(0, mostAnswered);
 	}
 
+	/**
+	 * Keepers of the wanted model's cells: a request that comes in there needs
+	 * no message for its leases. Only where there are enough of them to bear
+	 * the model's callers; a small deployment's one keeper must not bear all.
+	 */
+	#orderKeepers(lookup: Lookup): MemberRecord[] {
+		if (lookup.keepers.size < leastKeepers) {
+			return [];
+		}
+
+		const kept = this.#all.map(each => each.member).filter(each => lookup.keepers.has(each.host));
+		const keyed = kept.map(member => ({member, isFar: lookup.hall !== undefined && member.hall !== lookup.hall, cost: costOf(lookup, member)}));
+		keyed.sort((left, right) => Number(left.isFar) - Number(right.isFar) || left.cost - right.cost);
+		return keyed.map(each => each.member);
+	}
+
 	#probe(lookup: Lookup, ring: Ring): MemberRecord[] {
 		const found = new Set<MemberRecord>();
 		for (let probe = 0; probe < probes && found.size < ring.length; probe += 1) {
--- a/packages/policy/src/performance/bench.ts
+++ b/packages/policy/src/performance/bench.ts
@@ -110,12 +110,15 @@
 	}
 
 	const rings = new HostRings(members);
+	const keepers = new Set(cells.filter(each => each.model === cell.model).map(each => keeperOf(each, members) ?? ''));
 	let number = 0;
 	const costs = [
 		time(makeDecision(cell)),
 		time(() => {
 			number += 1;
-			rings.order({caller: `c${number}`, client: '127.0.0.1', hall: 'h1'});
+			rings.order({
+				caller: `c${number}`, client: '127.0.0.1', hall: 'h1', keepers,
+			});
 		}),
 		time(() => {
 			keeperOf(cell, members);
--- a/packages/standin/src/slopes/main.ts
+++ b/packages/standin/src/slopes/main.ts
@@ -11,6 +11,7 @@
 import {spawnHost, startDeployment, type Deployment} from '../demo/deployment.js';
 import {waitUntilServing} from '../demo/readiness.js';
 import {synthesizeBundle} from './fleet.js';
+import {measureMessages} from './messages.js';
 import {
 	rateOf, readAdmin, takeSample, type Rate, type Sample,
 } from './sample.js';
@@ -140,8 +141,9 @@
 }
 
 async function main(): Promise<void> {
-	const {quick, sizes, enginesPerHost, seconds, tickMs, reportMs} = await yargs(hideBin(process.argv))
+	const {quick, messages, sizes, enginesPerHost, seconds, tickMs, reportMs} = await yargs(hideBin(process.argv))
 		.option('quick', {type: 'boolean', default: false, describe: 'two small sizes, in under a minute'})
+		.option('messages', {type: 'boolean', default: false, describe: 'only what one message between hosts costs'})
 		.option('sizes', {type: 'string', default: '4,8,16,32,64', describe: 'numbers of hosts'})
 		.option('engines-per-host', {type: 'number', default: 4.6, describe: 'replicas for each host'})
 		.option('tick-ms', {type: 'number', default: 1000, describe: 'timing.tickMs of the hosts; suspicion after three'})
@@ -149,6 +151,11 @@
 		.option('seconds', {type: 'number', default: 8, describe: 'length of each window'})
 		.strict()
 		.parse();
+	if (messages) {
+		await measureMessages();
+		return;
+	}
+
 	const chosen = quick ? [4, 8] : sizes.split(',').map(Number);
 	process.stdout.write(`${['hosts', 'engines', 'state', 'cpu ms/s', 'most cpu ms/s', 'memory MB', 'messages/s', 'bytes/s', 'reads/s', 'in force ms'].map(each => each.padStart(14)).join('')}\n`);
 	for (const size of chosen) {
