--- a/packages/standin/src/matrix/stage.ts
+++ b/packages/standin/src/matrix/stage.ts
@@ -2,7 +2,7 @@
  * The stage of a failure test: real hosts, sockets and small fakes in one
  * process, under a clock that stands still until it is moved.
  */
-import {generateKeyPairSync} from 'node:crypto';
+import {generateKeyPairSync, randomInt} from 'node:crypto';
 import {setImmediate as turn} from 'node:timers/promises';
 import {Host} from '@gatehead/host/host';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
@@ -124,6 +124,11 @@
 	{name: 'p0', role: 'prefill', checksSender: true}, {name: 'p1', role: 'prefill', checksSender: false}, {name: 'd0', role: 'decode', checksSender: true}, {name: 'd1', role: 'decode', checksSender: false},
 ] as const;
 
+/** An IP number of the loopback range that no other stage uses, so that an endpoint that comes back finds its port free. */
+function pickLoopback(): string {
+	return `127.${[1, 2, 3].map(() => randomInt(1, 255)).join('.')}`;
+}
+
 /** Everything on the stage. */
 export class Stage {
 	readonly clock = new ManualClock();
@@ -135,6 +140,8 @@
 	platform!: StandinPlatform;
 	/** Versions seen going back, which must stay empty. */
 	readonly reverted: string[] = [];
+	/** Where the stand-ins listen; the system chooses the ports. */
+	readonly #standinPort = `${pickLoopback()}:0`;
 	readonly #keys = generateKeyPairSync('ed25519');
 	readonly #versions = new Map<string, number>();
 	#published = 0;
@@ -152,18 +159,18 @@
 
 	/** Starts all; returns once every host is ready. */
 	async start(hostCount: number): Promise<void> {
-		this.platform = await startPlatform(this.clock, anyPort);
+		this.platform = await startPlatform(this.clock, this.#standinPort);
 		for (const {name, role, checksSender} of engineShapes) {
 			const traits = {
 				...traitsOf({
 					name, role, hall: 'north', address: anyPort, pool: 'pool', model: 'model', adapters: [], slots: role === 'prefill' ? 1 : 4, prefillTokensPerSecond: 20_000, linkBytesPerSecond: 10_000_000, resultHoldMs: 800, checksSender, leaving: false,
 				}, 1000, 'one'), reportLagMs: 20,
 			};
-			this.engines.push(await startEngine(traits, this.clock, anyPort));
+			this.engines.push(await startEngine(traits, this.clock, this.#standinPort));
 		}
 
 		for (const _ of halls) {
-			this.services.push(await startService(this.clock, anyPort));
+			this.services.push(await startService(this.clock, this.#standinPort));
 		}
 
 		this.publish(1);
