Binaries that npx finds

Cause: in a fresh clone npx gateheadctl, as the README says, was not found: npm links a binary only if its file is there at install, and dist/ is not. Change: packages/host/bin and packages/control/bin hold the two binaries; the commands' tests run them and their links. Conclusion: README's commands are now tried as they stand.

--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -16,8 +16,8 @@
 import {mergeEvents} from './timeline.js';
 
 const root = fileURLToPath(new URL('../../../../', import.meta.url));
-const control = join(root, 'packages/control/dist/main.js');
-const host = join(root, 'packages/host/dist/main.js');
+const control = join(root, 'packages/control/bin/gateheadctl.js');
+const host = join(root, 'packages/host/bin/gatehead.js');
 
 function run(binary: string, ...words: string[]): {readonly status: number; readonly out: string; readonly error: string} {
 	const {status, stdout, stderr} = spawnSync(process.execPath, [binary, ...words], {cwd: root, encoding: 'utf8'});
@@ -68,6 +68,14 @@
 		});
 	}
 
+	it('stands linked under its name for npx', () => {
+		for (const name of ['gatehead', 'gateheadctl']) {
+			const {status, stdout} = spawnSync(join(root, 'node_modules/.bin', name), ['--version'], {cwd: root, encoding: 'utf8'});
+			expect(status).toEqual(0);
+			expect(stdout.trim()).toEqual('0.1.0');
+		}
+	});
+
 	it('has a case for every invalid example', () => {
 		const covered = [...refusedBundles, ...refusedSettings].map(each => each.file);
 		expect(readdirSync(join(root, 'examples/invalid')).toSorted()).toEqual(covered.toSorted());
--- a/xo.config.js
+++ b/xo.config.js
@@ -16,6 +16,13 @@
 			'no-void': ['error', {allowAsStatement: true}],
 		},
 	},
+	{
+		files: ['packages/*/bin/*.js'],
+		rules: {
+			// A binary runs what it imports.
+			'import-x/no-unassigned-import': 'off',
+		},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
