Every module of host and policy says what rests on it

Cause: twelve modules did not say whether safety or only efficiency rests on them. Change: comments only. Conclusion: nothing else changed.

--- a/packages/host/src/core/context.ts
+++ b/packages/host/src/core/context.ts
@@ -1,4 +1,7 @@
-/** What one process knows of itself, in one object that is passed down; there are no module globals. */
+/**
+ * What one process knows of itself, in one object that is passed down; there are no module globals.
+ * Safety: the incarnation and the one reading of the wall clock are what tickets rest on.
+ */
 import {randomBytes} from 'node:crypto';
 import {type Clock} from '@gatehead/policy/utils/clock';
 import {type Random} from '@gatehead/policy/utils/random';
--- a/packages/host/src/core/lease-desk.ts
+++ b/packages/host/src/core/lease-desk.ts
@@ -1,4 +1,7 @@
-/** Where a request gets its leases from: the one interface between carrying out a request and deciding on it. */
+/**
+ * Where a request gets its leases from: the one interface between carrying out a request and deciding on it.
+ * Efficiency: a lease that is lost or given twice costs goodput; the engines refuse what does not fit.
+ */
 import {type LeaseAsk} from '@gatehead/schema/peer-message';
 import {type Work} from './work.js';
 
--- a/packages/host/src/core/platform-client.ts
+++ b/packages/host/src/core/platform-client.ts
@@ -1,4 +1,7 @@
-/** Reads of the platform: values, watches and the host list. Every call is counted; nothing is ever written. */
+/**
+ * Reads of the platform: values, watches and the host list. Every call is counted; nothing is ever written.
+ * Efficiency: what is read is a hint, but for a bundle, which its signature guards elsewhere.
+ */
 import {type Agent} from 'node:http';
 import {type z} from 'zod';
 import {check} from '@gatehead/schema/check';
--- a/packages/host/src/core/stall.ts
+++ b/packages/host/src/core/stall.ts
@@ -1,4 +1,7 @@
-/** Ends a step that makes no progress: a timer on the injected clock that aborts the step's calls unless it is put back. */
+/**
+ * Ends a step that makes no progress: a timer on the injected clock that aborts the step's calls unless it is put back.
+ * Efficiency: a watch that ends a step too early costs an attempt; what the step may hold is cancelled by its owner.
+ */
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 
 /** Watches one step. */
--- a/packages/host/src/core/work.ts
+++ b/packages/host/src/core/work.ts
@@ -1,4 +1,7 @@
-/** A model request as it is carried out, and the books of one run of it. */
+/**
+ * A model request as it is carried out, and the books of one run of it.
+ * Safety: `hasLeft` decides whether a refusal may say "not run".
+ */
 import {type Caller, type Model, type Target} from '@gatehead/schema/bundle';
 
 /** A checked request. */
--- a/packages/host/src/front/answer-writer.ts
+++ b/packages/host/src/front/answer-writer.ts
@@ -1,6 +1,7 @@
 /**
  * Writes one growing answer to one caller's connection, as events or as one
  * JSON body. A caller that closes, resets or stops reading counts as gone.
+ * Safety: "no memory held for a caller who is gone" begins with noticing that it is gone.
  */
 import {type ServerResponse} from 'node:http';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
--- a/packages/host/src/front/caller-front.ts
+++ b/packages/host/src/front/caller-front.ts
@@ -1,4 +1,7 @@
-/** The HTTP server towards callers: limits, authentication, the table of routes, and numbered errors for all that goes wrong. */
+/**
+ * The HTTP server towards callers: limits, authentication, the table of routes, and numbered errors for all that goes wrong.
+ * Safety: a refusal given before the guard was asked never says "not run" of a keyed request.
+ */
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
--- a/packages/host/src/front/intake.ts
+++ b/packages/host/src/front/intake.ts
@@ -1,4 +1,7 @@
-/** Takes in a call: who it is from, its body within the limits, its request key. Raises numbered errors; nothing has left by then. */
+/**
+ * Takes in a call: who it is from, its body within the limits, its request key. Raises numbered errors; nothing has left by then.
+ * Safety: who a caller is comes from its token alone.
+ */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Bundle, type Caller} from '@gatehead/schema/bundle';
--- a/packages/host/src/front/lookups.ts
+++ b/packages/host/src/front/lookups.ts
@@ -1,4 +1,7 @@
-/** `GET /v1/hosts`: which hosts a caller should use, for how long, with a ticket of each. */
+/**
+ * `GET /v1/hosts`: which hosts a caller should use, for how long, with a ticket of each.
+ * Safety: a ticket names an incarnation that its host itself announced. Which hosts are named is efficiency only.
+ */
 import {type HostsAnswer} from '@gatehead/schema/caller-protocol';
 import {timeToLive} from '@gatehead/policy/core/lookup';
 import {writeTicket} from '../core/ticket.js';
--- a/packages/host/src/front/parts.ts
+++ b/packages/host/src/front/parts.ts
@@ -1,4 +1,7 @@
-/** What the caller front's handlers share, passed down in one object. */
+/**
+ * What the caller front's handlers share, passed down in one object.
+ * Neither safety nor efficiency rests on it.
+ */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type HostRings} from '@gatehead/policy/core/lookup';
 import {type Ledger} from '@gatehead/policy/core/ledger';
--- a/packages/host/src/front/reply.ts
+++ b/packages/host/src/front/reply.ts
@@ -1,4 +1,7 @@
-/** Answers towards callers: JSON, errors with numbered code and `ran`, server-sent events. */
+/**
+ * Answers towards callers: JSON, errors with numbered code and `ran`, server-sent events.
+ * Safety: `ran` is passed on as the failure says it.
+ */
 import {type ServerResponse} from 'node:http';
 import {codes} from '@gatehead/schema/codes';
 import {type ErrorBody} from '@gatehead/schema/caller-protocol';
--- a/packages/policy/src/scheduler/risk.ts
+++ b/packages/policy/src/scheduler/risk.ts
@@ -1,4 +1,7 @@
-/** The one risk knob: how sure a slot must be before a prefill starts for it. Set by the bundle's objective, by measurement. */
+/**
+ * The one risk knob: how sure a slot must be before a prefill starts for it. Set by the bundle's objective, by measurement.
+ * Efficiency only.
+ */
 import {type Objective} from '@gatehead/schema/bundle';
 
 /** How early to start. */
