--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -9,11 +9,13 @@
 import {type Code} from '@gatehead/schema/codes';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type MemberRecord, type MemberState, type PeerMessageOf} from '@gatehead/schema/peer-message';
+import {type ListedHost} from '@gatehead/schema/platform-protocol';
 import {type BundleStore} from '../core/bundle-store.js';
 import {type Context} from '../core/context.js';
 import {type PlatformClient} from '../core/platform-client.js';
 import {makeNeighbour, Neighbourhood, type Neighbour} from './neighbourhood.js';
 import {type PeerLinks} from './peer-links.js';
+import {Roster} from './roster.js';
 
 const tickSpread = 0.1;
 const loadStep = 0.25;
@@ -47,13 +49,13 @@
 	readonly members: Members;
 	readonly #parts: MembershipParts;
 	readonly #links: () => PeerLinks;
+	readonly #roster: Roster;
 	readonly #neighbourhood = new Neighbourhood();
 	/** State of each host as last told to operators. */
 	readonly #noted = new Map<string, MemberState>();
 	readonly #deadSince = new Map<string, number>();
 	readonly #suspectedAt = new Map<string, number>();
 	readonly #abort = new AbortController();
-	#leavingEndpoints: ReadonlySet<string> = new Set();
 	#timers: Timer[] = [];
 	#tickAt = 0;
 	#ticks = 0;
@@ -63,23 +65,27 @@
 		this.#parts = parts;
 		this.#links = links;
 		this.members = new Members(self);
+		this.#roster = new Roster(parts.context, parts.platform, hosts => {
+			this.#takeRoster(hosts);
+		});
 	}
 
 	/** Endpoints that the platform's list calls leaving. */
 	get leavingEndpoints(): ReadonlySet<string> {
-		return this.#leavingEndpoints;
+		return this.#roster.leavingEndpoints;
 	}
 
 	/** Starts ticks and reads of the roster. */
 	start(): void {
 		this.#tickAt = this.#parts.context.clock.now();
 		this.#scheduleTick();
-		void this.#readRoster();
+		this.#roster.start();
 	}
 
 	/** Stops. */
 	stop(): void {
 		this.#abort.abort();
+		this.#roster.stop();
 		for (const timer of this.#timers) {
 			timer.stop();
 		}
@@ -334,21 +340,10 @@
 	}
 
 	/** Learns of hosts from the platform's list; hosts that it calls leaving or leaves out are judged by their heartbeats alone. */
-	async #readRoster(): Promise<void> {
-		const {context: {settings: {timing: {rosterMs}}, random}, platform} = this.#parts;
-		try {
-			const {hosts, leavingEndpoints} = await platform.listHosts(this.#abort.signal);
-			this.#leavingEndpoints = new Set(leavingEndpoints);
-			this.#forgetGone(new Set(hosts.map(each => each.host)));
-			this.#merge(hosts.filter(({host}) => this.members.recordOf(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
-				host, hall, region, incarnation: 0, counter: 0, state: 'alive', callerAddress, peerAddress, adminAddress, load: 0,
-			})));
-		} catch {
-			// The list may be down; heartbeats go on without it
-		}
-
-		this.#after(jitter(random, rosterMs, tickSpread), () => {
-			void this.#readRoster();
-		});
+	#takeRoster(hosts: readonly ListedHost[]): void {
+		this.#forgetGone(new Set(hosts.map(each => each.host)));
+		this.#merge(hosts.filter(({host}) => this.members.recordOf(host) === undefined).map(({host, hall, region, callerAddress, peerAddress, adminAddress}) => ({
+			host, hall, region, incarnation: 0, counter: 0, state: 'alive', callerAddress, peerAddress, adminAddress, load: 0,
+		})));
 	}
 }
