An answer without a length that is reset is not whole

Cause: when a connection without a length is reset, Node's client ends its parser, and the answer counts as complete. Ruled out: a FIN by the replica (the same code with a FIN passes a whole answer, which is a case of the test). Change: an error behind an answer's head marks the answer as cut; bodies and streams ask for that mark.

--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -37,6 +37,14 @@
 	}
 }
 
+/** Answers whose connection failed behind their head: Node calls one without a length complete even then. */
+const cutAnswers = new WeakSet<IncomingMessage>();
+
+/** Whether an answer that has ended lacks a part. */
+export function isCut(response: IncomingMessage): boolean {
+	return !response.complete || cutAnswers.has(response);
+}
+
 /** How long an exchange may take until its head is there, and what ends it. */
 export type ExchangeLimits = {
 	readonly clock: Clock;
@@ -111,6 +119,9 @@
 		});
 		call.once('response', response => {
 			state.timer?.stop();
+			call.once('error', () => {
+				cutAnswers.add(response);
+			});
 			response.once('close', () => {
 				limits.signal.removeEventListener('abort', abort);
 			});
@@ -142,7 +153,7 @@
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 	}
 
-	if (!response.complete) {
+	if (isCut(response)) {
 		throw new ExchangeError('reset', true, new Error('the answer was cut'));
 	}
 
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -12,7 +12,7 @@
 import {type Code} from '@gatehead/schema/codes';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {ExchangeError, readBody} from '../upstream/exchange.js';
+import {ExchangeError, isCut, readBody} from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
 import {timeLeft, type Job} from './job.js';
 import {type WorkParts} from './parts.js';
@@ -277,7 +277,7 @@
 				this.#passEvents(response, chunk);
 			}
 
-			if (!response.complete) {
+			if (isCut(response)) {
 				throw new ExchangeError('reset', true, new Error('the stream was cut'));
 			}
 
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -3,10 +3,9 @@
 import {readdirSync} from 'node:fs';
 import process from 'node:process';
 
-const files = readdirSync('packages', {recursive: true})
-	.map(String)
-	.filter(file => /^[a-z]+\/dist\/.*\.test\.js$/v.test(file.replaceAll('\\', '/')))
-	.toSorted()
-	.map(file => `packages/${file}`);
+const files = ['packages', 'platform']
+	.flatMap(root => readdirSync(root, {recursive: true}).map(file => `${root}/${file}`))
+	.filter(file => /^(?:packages\/[a-z]+|platform)\/dist\/.*\.test\.js$/v.test(file.replaceAll('\\', '/')))
+	.toSorted();
 const result = spawnSync(process.execPath, ['--test', '--test-reporter=spec', '--test-concurrency=4', ...files], {stdio: 'inherit'});
 process.exitCode = result.status ?? 1;
