Hosts of a small fleet tell each other of prompts on their way and of waiting requests

Cause: each host chose prefill replicas by its own sends alone and refused or kept waiting requests by its own line alone. Change: a message a prompt and a message a change of the line's length to all hosts, in fleets of up to 12; a queue model a prefill replica; the wait is judged by all lines and by the rate at which memory comes free. A stream that continues begins its wait anew (it was refused because it had arrived long ago).

--- /dev/null
+++ b/packages/policy/src/relay/release-rate.ts
@@ -0,0 +1,35 @@
+/**
+ * How often decode memory for one more request comes free at a service, from
+ * what this host's own requests took and how long they held it. Efficiency.
+ */
+
+/** Weight of a new observation. */
+const weight = 0.08;
+/** What is supposed until requests have ended: a request of the users' sheets. */
+const firstTokens = 3800;
+const firstHoldMs = 3300;
+const firstCapacity = 35_000;
+const millisecondsPerSecond = 1000;
+
+/** The rate of one service. */
+export class ReleaseRate {
+	#tokens = firstTokens;
+	#holdMs = firstHoldMs;
+	#capacity = firstCapacity;
+
+	/** Notes a request that ended. */
+	note(tokens: number, heldMs: number): void {
+		this.#tokens += weight * (tokens - this.#tokens);
+		this.#holdMs += weight * (heldMs - this.#holdMs);
+	}
+
+	/** Takes over the memory of one replica, in tokens. */
+	setCapacity(capacity: number): void {
+		this.#capacity = capacity > 0 ? capacity : this.#capacity;
+	}
+
+	/** Places that come free a second at so many full replicas. */
+	perSecond(replicas: number): number {
+		return Math.max(1, replicas) * (this.#capacity / this.#tokens) * millisecondsPerSecond / this.#holdMs;
+	}
+}
--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -12,10 +12,8 @@
 const workShare = 0.4;
 /** Time after its target for which a late request is still worth serving, as a multiple of the target: callers leave after four times it. */
 const lateTargets = 2.4;
-/** Grants a second at one host until any were seen: about one replica's releases shared by a few hosts. */
-const firstRate = 1.5;
-/** Time over which grants are counted, in milliseconds. */
-const rateMs = 2500;
+/** Part of the requests waiting at other hosts that are supposed to go first. */
+const elsewhereShare = 0.7;
 /** Shortest and longest time after which a caller should come back, in milliseconds: a burst's length. */
 const leastComeBackMs = 1200;
 const mostComeBackMs = 4000;
@@ -39,12 +37,19 @@
 	readonly detail: string;
 };
 
+/** What is known of the other hosts' lines and of the replicas. */
+export type Outlook = {
+	/** Requests that wait at other hosts. */
+	readonly elsewhere: number;
+	/** Places that come free a second, for all hosts together. */
+	readonly releasesPerS: number;
+};
+
 /** The line of one service at one host. */
 export class WaitLine<Each extends Waiter> {
 	readonly #waiters = new Set<Each>();
 	/** Requests for which it was decided to wait. */
 	readonly #committed = new WeakSet<Each>();
-	#grants: number[] = [];
 
 	/** Requests in line. */
 	get size(): number {
@@ -71,20 +76,13 @@
 		return [...this.#waiters].sort((left, right) => Number(isLate(left, now)) - Number(isLate(right, now)) || left.arrivedAt - right.arrivedAt);
 	}
 
-	/** Notes that a waiting request got room. */
-	noteGrant(now: number): void {
-		this.#forget(now);
-		this.#grants.push(now);
-	}
-
 	/** Requests to refuse now. */
-	findHopeless(now: number): Array<Hopeless<Each>> {
-		const rate = this.#rate(now);
+	findHopeless(now: number, {elsewhere, releasesPerS}: Outlook): Array<Hopeless<Each>> {
 		const hopeless: Array<Hopeless<Each>> = [];
 		let ahead = 0;
 		for (const waiter of this.order(now)) {
 			const waitedMs = now - waiter.arrivedAt;
-			const expectedMs = (ahead + 1) * millisecondsPerSecond / rate;
+			const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
 			if (now - waiter.arrivedAt > lateTargets * waiter.targetMs || now >= waiter.deadlineAt) {
 				hopeless.push({waiter, detail: `waited ${Math.round(waitedMs)} ms`});
 				continue;
@@ -92,7 +90,7 @@
 
 			if (this.#isDue(waiter, now)) {
 				if (waitedMs + expectedMs > (1 - workShare) * waiter.targetMs) {
-					hopeless.push({waiter, detail: `${ahead} ahead, ${rate.toFixed(1)} grants a second`});
+					hopeless.push({waiter, detail: `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second`});
 					continue;
 				}
 
@@ -106,8 +104,8 @@
 	}
 
 	/** When a refused caller should come back. */
-	comeBackMs(now: number, random: Random): number {
-		const drainMs = this.size * millisecondsPerSecond / this.#rate(now);
+	comeBackMs({elsewhere, releasesPerS}: Outlook, random: Random): number {
+		const drainMs = (this.size + elsewhere) * millisecondsPerSecond / releasesPerS;
 		return jitter(random, Math.min(mostComeBackMs, Math.max(leastComeBackMs, leastComeBackMs + drainMs)), comeBackSpread);
 	}
 
@@ -115,16 +113,6 @@
 	#isDue(waiter: Each, now: number): boolean {
 		return !waiter.isKept && !this.#committed.has(waiter) && now - waiter.arrivedAt >= (earlyShare * waiter.targetMs / 2);
 	}
-
-	#rate(now: number): number {
-		this.#forget(now);
-		const seen = this.#grants.length * millisecondsPerSecond / rateMs;
-		return Math.max(firstRate, seen);
-	}
-
-	#forget(now: number): void {
-		this.#grants = this.#grants.filter(at => now - at < rateMs);
-	}
 }
 
 function isLate({arrivedAt, targetMs}: Waiter, now: number): boolean {
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -22,8 +22,10 @@
 const greetAgainMs = 10_000;
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
-/** Fleet size up to which every host reads the directory itself. */
+/** Fleet size up to which every host reads the directory itself, and tells all others of each prompt: a message costs half a millisecond. */
 const smallFleet = 12;
+/** Time for which another host's count of waiting requests is believed, in milliseconds. */
+const waitingNewsMs = 2500;
 /** Hosts of a hall that read it in larger fleets. */
 const watchersPerHall = 2;
 
@@ -50,6 +52,8 @@
 	#passTimer: Timer | undefined;
 	#askedAt = Number.NEGATIVE_INFINITY;
 	#known = '';
+	/** Requests that wait, by service and host. */
+	readonly #waiting = new Map<string, {readonly count: number; readonly at: number}>();
 
 	constructor(parts: FleetParts) {
 		const {context} = parts;
@@ -138,11 +142,32 @@
 
 	/** Tells all hosts that can be reached of an endpoint that fails. */
 	tellPause(pause: Pause): void {
-		for (const {host} of this.membership.members.listReachable()) {
-			if (host !== this.#parts.context.self.host) {
-				this.#links.send(host, {kind: 'paused', pause});
-			}
+		this.#tellAll({kind: 'paused', pause});
+	}
+
+	/** Tells all of a prompt on its way, in a small fleet. */
+	tellReading(endpoint: string, tokens: number): void {
+		this.#tellSmallFleet({kind: 'reading', endpoint, tokens});
+	}
+
+	/** Tells all how many requests wait here, in a small fleet. */
+	tellWaiting(service: string, count: number): void {
+		this.#tellSmallFleet({kind: 'waiting', service, count});
+	}
+
+	/** Requests that wait for a service at other hosts; in a large fleet as many as here are supposed at each. */
+	waitingElsewhere(service: string, own: number): number {
+		if (this.#isLarge()) {
+			return own * (this.countHosts() - 1);
+		}
+
+		const now = this.#parts.context.clock.now();
+		let waiting = 0;
+		for (const [key, {count, at}] of this.#waiting) {
+			waiting += key.startsWith(`${service} `) && now - at < waitingNewsMs ? count : 0;
 		}
+
+		return waiting;
 	}
 
 	/** Closes all links. */
@@ -170,6 +195,25 @@
 		});
 	}
 
+	#isLarge(): boolean {
+		return this.countHosts() > smallFleet;
+	}
+
+	/** A message to every host for every request is affordable only among few. */
+	#tellSmallFleet(message: RelayMessage): void {
+		if (!this.#isLarge()) {
+			this.#tellAll(message);
+		}
+	}
+
+	#tellAll(message: RelayMessage): void {
+		for (const {host} of this.membership.members.listReachable()) {
+			if (host !== this.#parts.context.self.host) {
+				this.#links.send(host, message);
+			}
+		}
+	}
+
 	#keepGreeting(): void {
 		this.#greet();
 		const isAlone = this.membership.members.listReachable().length < 2;
@@ -242,6 +286,16 @@
 
 			case 'paused': {
 				this.#parts.endpoints.hearPause(message.pause, from.host);
+				return;
+			}
+
+			case 'reading': {
+				this.#parts.endpoints.queueOf(message.endpoint).add(message.tokens, this.#parts.context.clock.now());
+				return;
+			}
+
+			case 'waiting': {
+				this.#waiting.set(`${message.service} ${from.host}`, {count: message.count, at: this.#parts.context.clock.now()});
 			}
 		}
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,7 +12,7 @@
 import {Budgets} from './work/budgets.js';
 import {workGeneration} from './work/generation.js';
 import {type Job} from './work/job.js';
-import {type WorkParts} from './work/parts.js';
+import {type LoadNews, type WorkParts} from './work/parts.js';
 import {workPlain, type JobEnd} from './work/plain.js';
 import {ReservationDesk} from './work/reservation-desk.js';
 import {StageOrders} from './work/stage-orders.js';
@@ -67,8 +67,19 @@
 		this.#orders = new StageOrders({
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls,
 		});
+		const news: LoadNews = {
+			tellReading: (endpoint, tokens) => {
+				this.fleet.tellReading(endpoint, tokens);
+			},
+			tellWaiting: (service, count) => {
+				this.fleet.tellWaiting(service, count);
+			},
+			waitingElsewhere: service => this.fleet.waitingElsewhere(service, this.#work.desk.waiting),
+		};
 		this.#work = {
-			context, endpoints: this.endpoints, sender: new Sender(context, this.endpoints), budgets, desk: new ReservationDesk(context, this.endpoints, ownCalls), ownCalls, orders: this.#orders,
+			context, endpoints: this.endpoints, sender: new Sender(context, this.endpoints), budgets, desk: new ReservationDesk({
+				context, endpoints: this.endpoints, calls: ownCalls, news,
+			}), ownCalls, orders: this.#orders, news,
 		};
 		this.#front = new CallerFront({
 			context, routing: this.routing, budgets, work: async job => this.#workOn(job),
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -6,6 +6,7 @@
 import {EndpointBook, type BookChange} from '@gatehead/policy/relay/endpoint-book';
 import {EndpointHealth, type Outcome, type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
+import {ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -15,10 +16,8 @@
 const sweepMs = 250;
 /** Time for which an endpoint that had no room is passed over for requests of that size, in milliseconds: about the time in which one of its answers ends. */
 const fullMs = 90;
-/** Time in which the news of a prefill replica's queue loses half its weight, in milliseconds: a few prompts' reading. */
-const readHalfLifeMs = 400;
-/** Time for a prompt's token until any was read, in milliseconds: the users' sheets. */
-const firstReadMs = 0.03;
+/** A prefill replica's queue that weighs as one whole load, in milliseconds: a few prompts. */
+const wholeQueueMs = 300;
 /** Connections to one endpoint where its service names no bound. */
 const mostConnections = 64;
 
@@ -30,10 +29,6 @@
 	tokens: number;
 	fullAt: number;
 	fullTokens: number;
-	/** Time for a prompt's token, in milliseconds: the least seen, the last one, and when that was. */
-	bestReadMs: number;
-	readMs: number;
-	readAt: number;
 };
 
 /** Who hears of changes. */
@@ -51,6 +46,7 @@
 	readonly #context: RelayContext;
 	readonly #listener: EndpointListener;
 	readonly #uses = new Map<string, Use>();
+	readonly #queues = new Map<string, ReadingQueue>();
 	#sweep: Timer | undefined;
 
 	constructor(context: RelayContext, listener: EndpointListener) {
@@ -140,27 +136,15 @@
 		};
 	}
 
-	/** Notes how long an endpoint took to read a prompt, queue and all. */
-	noteReading({id}: Endpoint, tokens: number, tookMs: number): void {
-		const use = this.#uses.get(id);
-		if (use !== undefined && tokens > 0) {
-			const now = this.#context.clock.now();
-			const rate = tookMs / tokens;
-			use.bestReadMs = Math.min(use.bestReadMs, rate);
-			use.readMs = rate;
-			use.readAt = now;
-		}
-	}
-
-	/** How long an endpoint is expected to take to read so many tokens, in milliseconds: what is in work there from here, and the queue that the last prompt met, less with time. */
-	expectReading({id}: Endpoint, tokens: number): number {
-		const use = this.#uses.get(id);
-		if (use === undefined || use.readAt === 0) {
-			return (tokens + (use?.tokens ?? 0)) * firstReadMs;
+	/** What is on its way to a prefill replica. */
+	queueOf(id: string): ReadingQueue {
+		let queue = this.#queues.get(id);
+		if (queue === undefined) {
+			queue = new ReadingQueue();
+			this.#queues.set(id, queue);
 		}
 
-		const fresh = 2 ** ((use.readAt - this.#context.clock.now()) / readHalfLifeMs);
-		return ((tokens + use.tokens) * use.bestReadMs) + (tokens * fresh * (use.readMs - use.bestReadMs));
+		return queue;
 	}
 
 	/** Notes what became of a send. */
@@ -188,9 +172,8 @@
 
 	#standingOf(endpoint: Endpoint, tokens: number, bearable: number, now: number): Standing {
 		const use = this.#uses.get(endpoint.id);
-		const taken = use === undefined ? 0 : (bearable > 0 && tokens > 0 ? use.tokens / bearable : use.open / Math.max(1, endpoint.slots));
 		return {
-			load: taken,
+			load: this.#loadOf(endpoint, use, bearable, now),
 			isUsable: this.health.isUsable(endpoint.id, now),
 			badness: this.health.badness(endpoint.id, now),
 			hasConnection: use?.connections.hasFree ?? false,
@@ -198,11 +181,20 @@
 		};
 	}
 
+	/** A prefill replica's load is its queue, a decode replica's the memory taken from here, another's the requests from here. */
+	#loadOf({id, stage, slots}: Endpoint, use: Use | undefined, bearable: number, now: number): number {
+		if (stage === 'prefill') {
+			return this.queueOf(id).expect(0, now) / wholeQueueMs;
+		}
+
+		return (bearable > 0 ? (use?.tokens ?? 0) / bearable : (use?.open ?? 0) / Math.max(1, slots));
+	}
+
 	#useOf({id}: Endpoint): Use {
 		let use = this.#uses.get(id);
 		if (use === undefined) {
 			use = {
-				connections: new Connections(mostConnections), open: 0, tokens: 0, fullAt: Number.NEGATIVE_INFINITY, fullTokens: 0, bestReadMs: Number.POSITIVE_INFINITY, readMs: 0, readAt: 0,
+				connections: new Connections(mostConnections), open: 0, tokens: 0, fullAt: Number.NEGATIVE_INFINITY, fullTokens: 0,
 			};
 			this.#uses.set(id, use);
 		}
@@ -214,6 +206,7 @@
 	#forget(id: string): void {
 		const use = this.#uses.get(id);
 		this.health.forget(id);
+		this.#queues.delete(id);
 		if (use !== undefined && use.open === 0) {
 			use.connections.destroy();
 			this.#uses.delete(id);
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -20,7 +20,7 @@
 import {type Reservation} from './reservation-desk.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
-const answerFactor = 0.7;
+const answerFactor = 0.9;
 /** Memory goes by blocks of so many tokens. */
 const blockTokens = 16;
 /** Times that a request is started anew, whatever the cause. */
@@ -31,8 +31,6 @@
 const prefillMs = 2500;
 /** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others. */
 const mostReadingShare = 0.5;
-/** Tokens at a prefill replica that weigh as one whole load: a third of a second's reading. */
-const prefillBearable = 10_000;
 /** Time until the head of a stream, and until its next event, after which a stream that may continue elsewhere does, in milliseconds: callers leave after 3.6 s. */
 const silentMs = 1400;
 /** When a caller may come back after a failure on the way, in milliseconds. */
@@ -52,7 +50,6 @@
 type Source = {
 	readonly endpoint: Endpoint;
 	readonly result: string;
-	readonly madeAt: number;
 };
 
 /** What came of one decode: the end, or what to do next. */
@@ -72,6 +69,7 @@
 	/** Decode replicas that had it. */
 	readonly #avoid = new Set<string>();
 	#prefills = 0;
+	#grantedAt = 0;
 	#rounds = 0;
 	#lastEventAt = 0;
 	#longestGapMs = 0;
@@ -98,6 +96,7 @@
 				return this.#stop();
 			}
 
+			this.#grantedAt = clock.now();
 			const decoded = await this.#runAt(answer.reservation);
 			if (decoded.kind === 'ended') {
 				return decoded.end;
@@ -128,32 +127,37 @@
 
 	/** Has the prompt read; undefined where no prefill replica did, so that the decode replica reads it. */
 	async #prefill({endpoint: {hall}}: Reservation): Promise<Source | undefined> {
-		const {endpoints, budgets, context: {clock, log, metrics}} = this.#parts;
+		const {endpoints, budgets, news, orders, context: {clock, log, metrics}} = this.#parts;
 		const job = this.#job;
+		const tokens = job.facts.promptTokens;
 		const candidates = endpoints.order(job.service.name, {
-			stage: 'prefill', hall, tokens: job.facts.promptTokens, weights: prefillWeights, bearable: prefillBearable,
+			stage: 'prefill', hall, weights: prefillWeights, bearable: 0,
 		});
 		for (const endpoint of candidates.slice(0, mostPrefills)) {
 			if (job.signal.aborted || (this.#prefills > 0 && !budgets.take(job, 'prefill'))) {
 				return undefined;
 			}
 
-			const expectedMs = endpoints.expectReading(endpoint, job.facts.promptTokens);
+			const queue = endpoints.queueOf(endpoint.id);
+			const startedAt = clock.now();
+			const expectedMs = queue.expect(tokens, startedAt);
 			if (expectedMs > mostReadingShare * job.route.targetMs) {
 				log('prefilled', {request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs)});
 				return undefined;
 			}
 
-			const startedAt = clock.now();
+			queue.add(tokens, startedAt);
+			news.tellReading(endpoint.id, tokens);
 			const result = await this.#readAt(endpoint);
 			if (result !== undefined) {
-				metrics.time('prefill', clock.now() - startedAt);
-				this.#parts.orders.splitOf(job.service.name).notePrefill((clock.now() - startedAt) / job.route.targetMs);
-				endpoints.noteReading(endpoint, job.facts.promptTokens, clock.now() - startedAt);
+				const tookMs = clock.now() - startedAt;
+				queue.learn(tokens, expectedMs, tookMs, clock.now());
+				metrics.time('prefill', tookMs);
+				orders.splitOf(job.service.name).notePrefill(tookMs / job.route.targetMs);
 				log('prefilled', {
-					request: job.id, endpoint: endpoint.id, outcome: 'read', tokens: job.facts.promptTokens, tookMs: Math.round(clock.now() - startedAt),
+					request: job.id, endpoint: endpoint.id, outcome: 'read', tokens, expectedMs: Math.round(expectedMs), tookMs: Math.round(tookMs),
 				});
-				return {endpoint, result, madeAt: clock.now()};
+				return {endpoint, result};
 			}
 		}
 
@@ -294,6 +298,7 @@
 			}
 
 			sent.end('good');
+			this.#parts.desk.noteHold(this.#job.service.name, this.#countTokens(), this.#parts.context.clock.now() - this.#grantedAt);
 			return {kind: 'ended', end: this.#finish(response, endpoint)};
 		} catch (error) {
 			return this.#breakOff(sent, endpoint, watch.isSilent ? 'silent' : String(error));
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -7,6 +7,14 @@
 import {type ReservationDesk} from './reservation-desk.js';
 import {type StageOrders} from './stage-orders.js';
 
+/** What other hosts are told of this one's load. */
+export type LoadNews = {
+	tellReading(endpoint: string, tokens: number): void;
+	tellWaiting(service: string, count: number): void;
+	/** Requests that wait for a service at other hosts, as far as known. */
+	waitingElsewhere(service: string): number;
+};
+
 /** What work is done with. */
 export type WorkParts = {
 	readonly context: RelayContext;
@@ -16,4 +24,5 @@
 	readonly desk: ReservationDesk;
 	readonly ownCalls: OwnCalls;
 	readonly orders: StageOrders;
+	readonly news: LoadNews;
 };
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -5,6 +5,7 @@
  * chance is told early, so that its next try counts. Efficiency only.
  */
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
+import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
 import {WaitLine, type Waiter} from '@gatehead/policy/relay/wait-line';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -13,6 +14,7 @@
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
 import {type Job} from './job.js';
+import {type LoadNews} from './parts.js';
 
 /** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
 const pollMs = 60;
@@ -57,20 +59,33 @@
 	readonly resolve: (answer: DeskAnswer) => void;
 };
 
+/** What a desk works with. */
+export type DeskParts = {
+	readonly context: RelayContext;
+	readonly endpoints: Endpoints;
+	readonly calls: OwnCalls;
+	readonly news: LoadNews;
+};
+
 /** One host's desk, for all services. */
 export class ReservationDesk {
 	readonly #context: RelayContext;
 	readonly #endpoints: Endpoints;
 	readonly #calls: OwnCalls;
+	readonly #news: LoadNews;
 	readonly #lines = new Map<string, WaitLine<Waiting>>();
+	readonly #releases = new Map<string, ReleaseRate>();
+	/** Counts of waiting requests as last told. */
+	readonly #told = new Map<string, number>();
 	#timer: Timer | undefined;
 	#isAsking = false;
 	#isAgain = false;
 
-	constructor(context: RelayContext, endpoints: Endpoints, calls: OwnCalls) {
+	constructor({context, endpoints, calls, news}: DeskParts) {
 		this.#context = context;
 		this.#endpoints = endpoints;
 		this.#calls = calls;
+		this.#news = news;
 	}
 
 	/** Requests that wait. */
@@ -103,6 +118,11 @@
 		return job.signal.aborted ? {kind: 'gone'} : this.#wait(wish, line);
 	}
 
+	/** Notes how long a request has held its memory, to know how fast memory comes free. */
+	noteHold(service: string, tokens: number, heldMs: number): void {
+		this.#rateOf(service).note(tokens, heldMs);
+	}
+
 	/** Room may have come free. */
 	roomAt(service: string): void {
 		if ((this.#lines.get(service)?.size ?? 0) > 0) {
@@ -117,7 +137,8 @@
 			const waiter: Waiting = {
 				wish,
 				since: clock.now(),
-				arrivedAt: job.arrivedAt,
+				// A stream that continues begins its wait anew
+				arrivedAt: wish.isStarted ? clock.now() : job.arrivedAt,
 				targetMs: job.route.targetMs,
 				deadlineAt: job.deadlineAt,
 				isKept: wish.isStarted || job.isSecondTry,
@@ -138,7 +159,18 @@
 		});
 	}
 
+	/** Tells other hosts how many wait here, where that has changed. */
+	#tell(): void {
+		for (const [service, line] of this.#lines) {
+			if (line.size !== (this.#told.get(service) ?? 0)) {
+				this.#told.set(service, line.size);
+				this.#news.tellWaiting(service, line.size);
+			}
+		}
+	}
+
 	#schedule(): void {
+		this.#tell();
 		if (this.#timer !== undefined || this.waiting === 0) {
 			return;
 		}
@@ -186,7 +218,6 @@
 				refused += 1;
 			} else if (line.has(waiter)) {
 				const now = this.#context.clock.now();
-				line.noteGrant(now);
 				this.#log(waiter.wish, reservation, now - waiter.since);
 				waiter.resolve({kind: 'granted', reservation});
 			} else {
@@ -198,10 +229,12 @@
 	#refuseHopeless(service: string, line: WaitLine<Waiting>): void {
 		const {clock, random} = this.#context;
 		const now = clock.now();
-		const hasEndpoints = this.#endpoints.book.listReady(service).some(({stage}) => stage === 'decode');
-		for (const {waiter, detail} of line.findHopeless(now)) {
+		const replicas = this.#endpoints.book.listReady(service).filter(({id, stage}) => stage === 'decode' && this.#endpoints.health.isUsable(id, now)).length;
+		const hasEndpoints = replicas > 0;
+		const outlook = {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.#rateOf(service).perSecond(replicas)};
+		for (const {waiter, detail} of line.findHopeless(now, outlook)) {
 			waiter.resolve({
-				kind: 'refused', code: hasEndpoints ? 'overloaded' : 'endpointsDown', retryAfterMs: line.comeBackMs(now, random), detail,
+				kind: 'refused', code: hasEndpoints ? 'overloaded' : 'endpointsDown', retryAfterMs: line.comeBackMs(outlook, random), detail,
 			});
 		}
 	}
@@ -241,6 +274,16 @@
 		return fresh.length > 0 ? fresh : candidates;
 	}
 
+	#rateOf(service: string): ReleaseRate {
+		let rate = this.#releases.get(service);
+		if (rate === undefined) {
+			rate = new ReleaseRate();
+			this.#releases.set(service, rate);
+		}
+
+		return rate;
+	}
+
 	#lineOf(service: string): WaitLine<Waiting> {
 		let line = this.#lines.get(service);
 		if (line === undefined) {
@@ -251,7 +294,8 @@
 		return line;
 	}
 
-	#log({job, tokens}: Wish, {endpoint}: Reservation, waitedMs: number): void {
+	#log({job, tokens, bearable}: Wish, {endpoint}: Reservation, waitedMs: number): void {
+		this.#rateOf(job.service.name).setCapacity(bearable);
 		this.#context.log('reserved', {
 			request: job.id, endpoint: endpoint.id, tokens, waitedMs: Math.round(waitedMs), waiting: this.waiting,
 		});
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -20,6 +20,10 @@
 		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
+	/** A prompt of so many tokens goes to an endpoint now; said in small fleets only. */
+	z.object({kind: z.literal('reading'), endpoint: z.string(), tokens: z.number()}),
+	/** So many requests wait for memory at a service; said in small fleets only. */
+	z.object({kind: z.literal('waiting'), service: z.string(), count: z.number()}),
 ]);
 
 /** What travels in one gRPC message. */
