A queue model of prefill replicas that sees overdue prompts

Change: fixed time and queue apart; a prompt that is overdue lengthens the queue that the next one is judged by. Orders are judged by all replicas, not by those that answer now; plain replicas that fail go before full ones; a hedge leaves budget for retries. Ruled out: counting a prompt's whole time as the replica's (prompts left to decode in calm seconds, 19 of 48 at second 16).

--- a/packages/policy/src/relay/placement.ts
+++ b/packages/policy/src/relay/placement.ts
@@ -30,7 +30,8 @@
 	readonly noise: number;
 };
 
-const unusable = 100;
+/** What counts more than any load: an endpoint that fails, and one that has just said that it has no room. */
+const unusable = 5;
 const full = 10;
 
 /** Candidates in the order to try them; those set aside come last. */
--- a/packages/policy/src/relay/reading-queue.ts
+++ b/packages/policy/src/relay/reading-queue.ts
@@ -1,42 +1,90 @@
 /**
  * When a prefill replica will have read what is on its way to it: prompts are
  * read one after the other, so the sum of what all hosts sent is its queue.
+ * Prompts of this host that are overdue show a queue that was not heard of.
  * Efficiency: news of other hosts' prompts may be late or lost.
  */
 
-/** Time for a prompt's token until any was read, in milliseconds: the users' sheets. */
-const firstTokenMs = 0.03;
-/** Time that each prompt takes besides, in milliseconds: messages and the start of its reading. */
-const promptMs = 5;
-/** Weight of a new observation of the time for a token. */
+/** Time for a prompt's token, in milliseconds: 33 tokens a millisecond on the users' sheets, some replicas slower by a third. */
+const tokenMs = 0.035;
+/** Time that a prompt takes besides its reading, until any was seen, in milliseconds: the users' sheets. */
+const firstOffsetMs = 65;
+const mostOffsetMs = 300;
+/** Queue up to which an observation says something about that time, in milliseconds. */
+const emptyMs = 20;
+/** Weight of a new observation. */
 const weight = 0.1;
-/** Bounds of what is believed of the time for a token, as multiples of the first guess. */
-const least = 0.4;
-const most = 4;
+/** Part of a delay that nobody announced and that is supposed to meet the next prompt too. */
+const delayShare = 0.8;
+/** Queue that is supposed at a replica that refused a prompt, in milliseconds: about ten prompts fill its memory. */
+const refusedMs = 500;
+
+/** A prompt of this host on its way. */
+export type Reading = {
+	readonly tokens: number;
+	readonly sentAt: number;
+	readonly queuedMs: number;
+	readonly expectedMs: number;
+};
 
 /** The queue of one replica. */
 export class ReadingQueue {
-	#tokenMs = firstTokenMs;
+	readonly #own = new Set<Reading>();
+	#offsetMs = firstOffsetMs;
 	#idleAt = 0;
 
-	/** Notes a prompt that goes there. */
+	/** Notes a prompt that another host sends there. */
 	add(tokens: number, now: number): void {
-		this.#idleAt = Math.max(now, this.#idleAt) + promptMs + (tokens * this.#tokenMs);
+		this.#idleAt = Math.max(now, this.#idleAt) + (tokens * tokenMs);
 	}
 
 	/** Time until a further prompt would be read, in milliseconds. */
 	expect(tokens: number, now: number): number {
-		return Math.max(0, this.#idleAt - now) + promptMs + (tokens * this.#tokenMs);
+		return this.#queued(now) + (tokens * tokenMs) + this.#offsetMs;
+	}
+
+	/** Notes a prompt of this host that goes there. */
+	begin(tokens: number, now: number): Reading {
+		const reading = {
+			tokens, sentAt: now, queuedMs: this.#queued(now), expectedMs: this.expect(tokens, now),
+		};
+		this.#own.add(reading);
+		this.add(tokens, now);
+		return reading;
 	}
 
-	/** Learns from a prompt that was read: `expectedMs` is what `expect` said when it went out. */
-	learn(tokens: number, expectedMs: number, tookMs: number, now: number): void {
-		const ratio = Math.min(2, Math.max(0.5, tookMs / Math.max(1, expectedMs)));
-		const wanted = this.#tokenMs * ratio;
-		this.#tokenMs = Math.min(most * firstTokenMs, Math.max(least * firstTokenMs, this.#tokenMs + (weight * (wanted - this.#tokenMs))));
-		// A prompt that took longer than its whole expected queue met others that were not heard of
-		if (tookMs > 2 * expectedMs && tokens > 0) {
-			this.#idleAt = Math.max(this.#idleAt, now + ((tookMs - expectedMs) / 2));
+	/** Notes that a prompt was read. */
+	finish(reading: Reading, now: number): void {
+		const {tokens, sentAt, queuedMs, expectedMs} = reading;
+		this.#own.delete(reading);
+		const tookMs = now - sentAt;
+		if (queuedMs < emptyMs) {
+			const offsetMs = Math.min(mostOffsetMs, Math.max(0, tookMs - (tokens * tokenMs)));
+			this.#offsetMs += weight * (offsetMs - this.#offsetMs);
 		}
+
+		const unforeseenMs = tookMs - expectedMs - (tokens * tokenMs);
+		if (unforeseenMs > 0) {
+			this.#idleAt = Math.max(this.#idleAt, now + (delayShare * unforeseenMs));
+		}
+	}
+
+	/** Notes that a prompt came to nothing. */
+	abandon(reading: Reading): void {
+		this.#own.delete(reading);
+	}
+
+	/** Notes that the replica had no room for a further prompt. */
+	refuse(now: number): void {
+		this.#idleAt = Math.max(this.#idleAt, now + refusedMs);
+	}
+
+	#queued(now: number): number {
+		let overdueMs = 0;
+		for (const {sentAt, expectedMs} of this.#own) {
+			overdueMs = Math.max(overdueMs, now - sentAt - expectedMs);
+		}
+
+		return Math.max(0, this.#idleAt - now) + overdueMs;
 	}
 }
--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -59,19 +59,19 @@
 		observe(this.#prefill, share);
 	}
 
-	/** Forgets what was seen under another split. */
+	/** Forgets what was seen under another split; that requests have come is not forgotten. */
 	reset(): void {
-		this.#reserve.seen = 0;
+		this.#reserve.seen = Math.min(1, this.#reserve.seen);
 		this.#prefill.seen = 0;
 	}
 
 	/** Changes to order now: all at once while nothing has come yet, a few at a time later on. */
-	choose(replicas: readonly Endpoint[]): StageChange[] {
+	choose(replicas: readonly Endpoint[], isUsable: (endpoint: Endpoint) => boolean): StageChange[] {
 		const most = this.#reserve.seen === 0 ? replicas.length : Math.max(1, Math.floor(replicas.length / replicasPerChange));
 		const changes: StageChange[] = [];
 		let left = replicas;
 		while (changes.length < most) {
-			const next = this.#chooseOne(left);
+			const next = this.#chooseOne(left, isUsable);
 			if (next === undefined) {
 				break;
 			}
@@ -83,17 +83,17 @@
 		return changes;
 	}
 
-	#chooseOne(replicas: readonly Endpoint[]): StageChange | undefined {
+	#chooseOne(replicas: readonly Endpoint[], isUsable: (endpoint: Endpoint) => boolean): StageChange | undefined {
 		const prefill = replicas.filter(({stage}) => stage === 'prefill');
 		const decode = replicas.filter(({stage}) => stage === 'decode');
 		const least = Math.min(leastPrefill, Math.max(1, replicas.length - 1));
 		const wanted = Math.max(least, Math.round(this.#share * replicas.length));
 		if (prefill.length > least && this.#isDecodeShort(prefill.length > wanted)) {
-			return change(prefill, decode, 'decode', this.#describe(prefill.length, wanted));
+			return change(prefill.filter(each => isUsable(each)), decode, 'decode', this.#describe(prefill.length, wanted));
 		}
 
 		if (prefill.length < wanted && decode.length > 1 && this.#isPrefillShort()) {
-			return change(decode, prefill, 'prefill', this.#describe(prefill.length, wanted));
+			return change(decode.filter(each => isUsable(each)), prefill, 'prefill', this.#describe(prefill.length, wanted));
 		}
 
 		return undefined;
@@ -101,12 +101,13 @@
 
 	/** Beyond the wanted share requests must have waited; up to it, it is enough that prompts do not. */
 	#isDecodeShort(isBeyondShare: boolean): boolean {
-		const isPrefillIdle = this.#prefill.seen < leastSeen || this.#prefill.value < prefillRoom;
+		const hasBegun = this.#reserve.seen > 0;
+		const isPrefillIdle = hasBegun ? this.#prefill.seen >= leastSeen && this.#prefill.value < prefillRoom : true;
 		if (isBeyondShare) {
 			return isPrefillIdle;
 		}
 
-		return isPrefillIdle && this.#prefill.seen >= leastSeen && this.#reserve.seen >= leastSeen && this.#reserve.value > decodeShort;
+		return isPrefillIdle && this.#reserve.seen >= leastSeen && this.#reserve.value > decodeShort;
 	}
 
 	#isPrefillShort(): boolean {
--- a/packages/relay/src/work/budgets.ts
+++ b/packages/relay/src/work/budgets.ts
@@ -6,6 +6,9 @@
 /** Why a request is sent once more. */
 export type ExtraCause = 'refused' | 'connect' | 'error' | 'broken' | 'slow' | 'prefill' | 'continue';
 
+/** Budget that must be left for a cause, so that what can wait leaves the rest to what cannot. */
+const leastLeft: Readonly<Partial<Record<ExtraCause, number>>> = {slow: 6, error: 3};
+
 /** Budgets by service. */
 export class Budgets {
 	readonly #context: RelayContext;
@@ -27,7 +30,7 @@
 		const {clock, log, metrics} = this.#context;
 		const budget = this.#of(service.name);
 		const left = Math.floor(budget.left(clock.now()));
-		const isGranted = budget.take(clock.now());
+		const isGranted = left >= (leastLeft[cause] ?? 0) && budget.take(clock.now());
 		log('sentAgain', {
 			request: id, service: service.name, cause, budgetLeft: left, hosts: this.#countHosts(), outcome: isGranted ? 'sent' : 'no budget',
 		});
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -130,10 +130,8 @@
 		const {endpoints, budgets, news, orders, context: {clock, log, metrics}} = this.#parts;
 		const job = this.#job;
 		const tokens = job.facts.promptTokens;
-		const candidates = endpoints.order(job.service.name, {
-			stage: 'prefill', hall, weights: prefillWeights, bearable: 0,
-		});
-		for (const endpoint of candidates.slice(0, mostPrefills)) {
+		const candidates = this.#prefillCandidates(hall);
+		for (const endpoint of candidates) {
 			if (job.signal.aborted || (this.#prefills > 0 && !budgets.take(job, 'prefill'))) {
 				return undefined;
 			}
@@ -146,12 +144,14 @@
 				return undefined;
 			}
 
-			queue.add(tokens, startedAt);
+			const reading = queue.begin(tokens, startedAt);
 			news.tellReading(endpoint.id, tokens);
 			const result = await this.#readAt(endpoint);
-			if (result !== undefined) {
+			if (result === undefined) {
+				queue.abandon(reading);
+			} else {
+				queue.finish(reading, clock.now());
 				const tookMs = clock.now() - startedAt;
-				queue.learn(tokens, expectedMs, tookMs, clock.now());
 				metrics.time('prefill', tookMs);
 				orders.splitOf(job.service.name).notePrefill(tookMs / job.route.targetMs);
 				log('prefilled', {
@@ -164,6 +164,16 @@
 		return undefined;
 	}
 
+	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
+	#prefillCandidates(hall: string): Endpoint[] {
+		const {endpoints, context: {clock}} = this.#parts;
+		const ordered = endpoints.order(this.#job.service.name, {
+			stage: 'prefill', hall, weights: prefillWeights, bearable: 0,
+		});
+		const usable = ordered.filter(({id}) => endpoints.health.isUsable(id, clock.now()));
+		return usable.slice(0, mostPrefills);
+	}
+
 	async #readAt(endpoint: Endpoint): Promise<string | undefined> {
 		const {sender, context: {dialect}} = this.#parts;
 		const sent = await sender.send({
@@ -172,6 +182,10 @@
 		if (sent.kind !== 'answer') {
 			// A connection that never came brought nothing there
 			this.#prefills += sent.reason === 'connect' ? 0 : 1;
+			if (sent.reason === 'refused') {
+				this.#parts.endpoints.queueOf(endpoint.id).refuse(this.#parts.context.clock.now());
+			}
+
 			return undefined;
 		}
 
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -194,6 +194,10 @@
 			job: this.#job, step: 'plain', endpoint, facts: {}, tokens: 0, headMs: timeLeft(this.#job, clock.now()) + 1, signal,
 		});
 		if (sent.kind !== 'answer') {
+			if (sent.reason === 'refused') {
+				this.#parts.endpoints.noteFull(endpoint.id, 0);
+			}
+
 			return sent;
 		}
 
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -8,6 +8,7 @@
  */
 import {StageSplit, type StageChange} from '@gatehead/policy/relay/stage-split';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {type Endpoint} from '@gatehead/schema/routing';
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type RelayContext} from '../core/context.js';
 import {type RoutingState} from '../core/routing-state.js';
@@ -83,8 +84,8 @@
 				continue;
 			}
 
-			const usable = endpoints.book.listReady(name).filter(({id}) => endpoints.health.isUsable(id, clock.now()));
-			for (const change of this.splitOf(name).choose(usable)) {
+			const isUsable = ({id}: Endpoint) => endpoints.health.isUsable(id, clock.now());
+			for (const change of this.splitOf(name).choose(endpoints.book.listReady(name), isUsable)) {
 				this.#orderedAt.set(name, clock.now());
 				this.splitOf(name).reset();
 				void this.#order(change);
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -71,7 +71,7 @@
 	/** Where counters go besides as StatsD datagrams. */
 	statsd: address.optional(),
 	/** Share of a model's replicas that read prompts, until requests say otherwise: on both users' sheets a request takes 0.1 s of a prefill replica and 0.36 s of a decode replica's memory. */
-	prefillShare: z.number().min(0.05).max(0.95).default(0.22),
+	prefillShare: z.number().min(0.05).max(0.95).default(0.25),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 	timing: timing.prefault({}),
 	limits: limits.prefault({}),
