A reset that comes with an answer's last bytes is seen; tests of the relay's decisions

Cause: libuv reports a plain end where POLLHUP comes with a partial read, and the reset's error is lost; Node calls an answer without a length complete. Seen on plain Linux sockets as well (exchange.test.ts, 'whose reset comes with its last bytes': failed before). Change: at the end of such an answer two bytes are written to the closed connection; their error tells a reset from a close.

--- /dev/null
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -0,0 +1,115 @@
+/** Catalogue: what is believed of endpoints while the directory tells, is away, or tells old news. */
+import {describe, it} from 'node:test';
+import {type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
+import {expect} from 'earl';
+import {EndpointBook, returnGraceMs} from './endpoint-book.js';
+
+function listed(id: string, revision: number, state: Endpoint['state'] = 'ready', stage?: Endpoint['stage']): ListedEndpoint {
+	return {
+		revision, endpoint: {
+			id, service: 'model', address: '10.0.0.1:80', hall: 'a', state, stage, slots: 4,
+		},
+	};
+}
+
+type Step
+	= | {readonly put: ListedEndpoint}
+		| {readonly remove: string; readonly revision: number}
+		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number}
+		| {readonly wait: number}
+		| {readonly directory: 'lost' | 'back'};
+
+type Case = {
+	readonly name: string;
+	readonly steps: readonly Step[];
+	/** Endpoints that take work at the end. */
+	readonly ready: readonly string[];
+};
+
+const five = ['a', 'b', 'c', 'd', 'e'];
+
+const cases: readonly Case[] = [
+	{name: 'a listed endpoint takes work', steps: [{put: listed('a', 1)}], ready: ['a']},
+	{name: 'a leaving one does not', steps: [{put: listed('a', 1)}, {put: listed('a', 2, 'leaving')}], ready: []},
+	{name: 'an older entry does not bring it back', steps: [{put: listed('a', 2, 'leaving')}, {put: listed('a', 1)}], ready: []},
+	{name: 'an entry older than its end does not bring it back', steps: [{put: listed('a', 1)}, {remove: 'a', revision: 5}, {put: listed('a', 4)}], ready: []},
+	{name: 'an end older than the entry is passed over', steps: [{put: listed('a', 4)}, {remove: 'a', revision: 3}], ready: ['a']},
+	{name: 'an entry that goes while the directory answers is gone at once', steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {remove: 'a', revision: 3}], ready: ['b']},
+	{name: 'an entry that goes while the directory is away is kept', steps: [{put: listed('a', 1)}, {directory: 'lost'}, {remove: 'a', revision: 3}, {wait: 60_000}], ready: ['a']},
+	{
+		name: 'it is gone when the grace after the return is over',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {wait: 5000}, {directory: 'back'}, {remove: 'a', revision: 3}, {wait: returnGraceMs + 1}],
+		ready: [],
+	},
+	{
+		name: 'it is kept within the grace',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {wait: 5000}, {directory: 'back'}, {remove: 'a', revision: 3}, {wait: returnGraceMs - 100}],
+		ready: ['a'],
+	},
+	{
+		name: 'an entry that is written again within the grace stays',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {directory: 'back'}, {remove: 'a', revision: 3}, {wait: 1000}, {put: listed('a', 4)}, {wait: 60_000}],
+		ready: ['a'],
+	},
+	{
+		name: 'a leaving endpoint is not kept by an outage',
+		steps: [{put: listed('a', 1)}, {put: listed('a', 2, 'leaving')}, {directory: 'lost'}, {remove: 'a', revision: 3}],
+		ready: [],
+	},
+	{
+		name: 'when most of a service vanishes at once an outage is supposed',
+		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index}))],
+		ready: five,
+	},
+	{
+		name: 'and what stays away is gone after the grace',
+		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index})), {wait: returnGraceMs + 1}],
+		ready: [],
+	},
+	{
+		name: 'a list lacks what has gone',
+		steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {replace: [listed('b', 2)], revision: 5}],
+		ready: ['b'],
+	},
+	{
+		name: 'a list that is older than an entry does not remove it',
+		steps: [{put: listed('a', 8)}, {replace: [], revision: 5}],
+		ready: ['a'],
+	},
+];
+
+function play(steps: readonly Step[]): EndpointBook {
+	const book = new EndpointBook();
+	let now = 0;
+	for (const step of steps) {
+		if ('put' in step) {
+			book.put(step.put);
+		} else if ('remove' in step) {
+			book.remove(step.remove, step.revision, now);
+		} else if ('replace' in step) {
+			book.replace(step.replace, new Set(step.replace.map(each => each.endpoint.id)), step.revision, now);
+		} else if ('wait' in step) {
+			now += step.wait;
+			book.sweep(now);
+		} else if (step.directory === 'lost') {
+			book.directoryLost();
+		} else {
+			book.directoryBack(now);
+		}
+	}
+
+	return book;
+}
+
+describe('endpoint book', () => {
+	for (const {name, steps, ready} of cases) {
+		it(name, () => {
+			expect(play(steps).listReady('model').map(({id}) => id).toSorted()).toEqual([...ready].toSorted());
+		});
+	}
+
+	it('a change of part is told apart from other changes', () => {
+		const book = play([{put: listed('a', 1, 'ready', 'prefill')}]);
+		expect(book.put(listed('a', 2, 'ready', 'decode')).map(({change}) => change)).toEqual(['restaged']);
+	});
+});
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -119,7 +119,7 @@
 			changes.push(...this.put(each));
 		}
 
-		for (const known of [...this.#entries.values()]) {
+		for (const known of this.#entries.values()) {
 			if (!ids.has(known.endpoint.id) && known.revision <= revision && known.vanishedAt === undefined) {
 				changes.push(...this.#vanish(known, revision, now));
 			}
@@ -137,7 +137,7 @@
 	/** Drops vanished entries whose grace is over. */
 	sweep(now: number): BookChange[] {
 		const changes: BookChange[] = [];
-		for (const known of [...this.#entries.values()]) {
+		for (const known of this.#entries.values()) {
 			if (known.vanishedAt !== undefined && !this.#isAway && now - Math.max(known.vanishedAt, this.#backAt) > returnGraceMs) {
 				changes.push(...this.#erase(known, known.revision));
 			}
@@ -147,7 +147,7 @@
 	}
 
 	#vanish(known: Entry, revision: number, now: number): BookChange[] {
-		const mayReturn = known.endpoint.state === 'ready' && (this.#isAway || now - this.#backAt <= returnGraceMs);
+		const mayReturn = known.endpoint.state === 'ready' && (this.#isAway || now - this.#backAt <= returnGraceMs || this.#isVanishing(known.endpoint.service));
 		if (mayReturn) {
 			known.vanishedAt ??= now;
 			return [{endpoint: known.endpoint, change: 'vanished'}];
@@ -162,6 +162,17 @@
 		return changes;
 	}
 
+	/** Whether others of a service have vanished in what was taken for an outage. */
+	#isVanishing(service: string): boolean {
+		for (const {endpoint, vanishedAt} of this.#entries.values()) {
+			if (vanishedAt !== undefined && endpoint.service === service) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** When most of a service vanishes at once, its directory was away and nobody told: the entries are taken back for a grace. */
 	#restoreMass(service: string, now: number): BookChange[] | undefined {
 		this.#removed = this.#removed.filter(({at}) => now - at <= returnGraceMs);
--- a/packages/policy/src/relay/event-splitter.ts
+++ b/packages/policy/src/relay/event-splitter.ts
@@ -7,18 +7,18 @@
 
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
-const none = Buffer.alloc(0);
+const none = new Uint8Array();
 
 /** Whole events and the id of the last one that had any. */
 export type WholeEvents = {
-	readonly bytes: Buffer;
+	readonly bytes: Uint8Array;
 	readonly count: number;
 };
 
 /** The last `id:` field of whole events. */
-function findLastId(bytes: Buffer): string | undefined {
+function findLastId(bytes: Uint8Array): string | undefined {
 	let found: string | undefined;
-	for (const [, id] of bytes.toString('latin1').matchAll(/^id: ?(?<id>[^\r\n]*)/gmv)) {
+	for (const [, id] of Buffer.from(bytes).toString('latin1').matchAll(/^id: ?(?<id>[^\r\n]*)/gmv)) {
 		found = id;
 	}
 
@@ -26,7 +26,7 @@
 }
 
 /** Where the event that holds `from` ends: behind an empty line; -1 where it is not whole. */
-function findEnd(bytes: Buffer, from: number): number {
+function findEnd(bytes: Uint8Array, from: number): number {
 	for (let index = bytes.indexOf(lineFeed, from); index !== -1; index = bytes.indexOf(lineFeed, index + 1)) {
 		if (bytes[index + 1] === lineFeed) {
 			return index + 2;
@@ -44,10 +44,10 @@
 export class EventSplitter {
 	/** Id of the last whole event, to continue after. */
 	lastId: string | undefined;
-	#rest: Buffer = none;
+	#rest: Uint8Array = none;
 
 	/** Takes bytes as they come and returns the events that are now whole. */
-	push(chunk: Buffer): WholeEvents {
+	push(chunk: Uint8Array): WholeEvents {
 		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
 		let end = 0;
 		let count = 0;
@@ -63,7 +63,7 @@
 	}
 
 	/** What follows the last whole event, as at the end of a whole stream. */
-	takeRest(): Buffer {
+	takeRest(): Uint8Array {
 		const rest = this.#rest;
 		this.#rest = none;
 		return rest;
--- a/packages/policy/src/relay/route-table.ts
+++ b/packages/policy/src/relay/route-table.ts
@@ -34,7 +34,7 @@
 	}
 
 	/** The route of a request, or undefined where none matches. `target` may carry a query. */
-	find(authority: string, target: string): Route | undefined {
+	match(authority: string, target: string): Route | undefined {
 		const path = target.split('?', 1)[0] ?? target;
 		return this.#routes.get(normalize(authority))?.find(({pathPrefix}) => path.startsWith(pathPrefix));
 	}
--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -16,9 +16,9 @@
 const leastSeen = 12;
 /** Time for memory from which on the decode side is short, and up to which it has room, as shares of the target. */
 const decodeShort = 0.15;
-const decodeRoom = 0.03;
+const decodeRoom = 0.08;
 /** The same for the prompt's reading, queue and all. */
-const prefillShort = 0.55;
+const prefillShort = 0.42;
 const prefillRoom = 0.25;
 
 /** A change of part that would help. */
@@ -92,7 +92,7 @@
 			return change(prefill.filter(each => isUsable(each)), decode, 'decode', this.#describe(prefill.length, wanted));
 		}
 
-		if (prefill.length < wanted && decode.length > 1 && this.#isPrefillShort()) {
+		if (prefill.length < wanted && decode.length > 1 && this.#isPrefillShort(prefill.length < least)) {
 			return change(decode.filter(each => isUsable(each)), prefill, 'prefill', this.#describe(prefill.length, wanted));
 		}
 
@@ -110,8 +110,10 @@
 		return isPrefillIdle && this.#reserve.seen >= leastSeen && this.#reserve.value > decodeShort;
 	}
 
-	#isPrefillShort(): boolean {
-		return this.#prefill.seen >= leastSeen && this.#prefill.value > prefillShort && this.#reserve.value < decodeRoom;
+	/** Below the least number of prefill replicas decoding suffers too, since decode replicas then read prompts. */
+	#isPrefillShort(isBelowLeast: boolean): boolean {
+		const isShort = this.#prefill.seen >= leastSeen && this.#prefill.value > prefillShort;
+		return isShort && (isBelowLeast || this.#reserve.value < decodeRoom);
 	}
 
 	#describe(prefill: number, wanted: number): string {
@@ -122,7 +124,7 @@
 /** Takes the replica from the hall that has most of its kind, by id among equals, so that every host would choose alike. */
 function change(from: readonly Endpoint[], to: readonly Endpoint[], stage: StageChange['stage'], reason: string): StageChange | undefined {
 	const surplus = (hall: string) => from.filter(each => each.hall === hall).length - to.filter(each => each.hall === hall).length;
-	const ordered = [...from].sort((left, right) => surplus(right.hall) - surplus(left.hall) || (left.id < right.id ? -1 : 1));
+	const ordered = from.toSorted((left, right) => surplus(right.hall) - surplus(left.hall) || (left.id < right.id ? -1 : 1));
 	const [endpoint] = ordered;
 	return endpoint === undefined ? undefined : {endpoint, stage, reason};
 }
--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -73,7 +73,7 @@
 
 	/** All that wait, in the order of their turns. */
 	order(now: number): Each[] {
-		return [...this.#waiters].sort((left, right) => Number(isLate(left, now)) - Number(isLate(right, now)) || left.arrivedAt - right.arrivedAt);
+		return [...this.#waiters].toSorted((left, right) => Number(isLate(left, now)) - Number(isLate(right, now)) || left.arrivedAt - right.arrivedAt);
 	}
 
 	/** Requests to refuse now. */
--- a/packages/relay/src/core/context.ts
+++ b/packages/relay/src/core/context.ts
@@ -11,9 +11,9 @@
 import {type Random} from '@gatehead/policy/utils/random';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
+import {type Metrics} from '../utils/metrics.js';
 import {type Dialect} from './dialect.js';
 import {type Directory} from './directory.js';
-import {type Metrics} from '../utils/metrics.js';
 
 /** The process's settings, clocks and books. */
 export type RelayContext = {
--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -61,6 +61,10 @@
 
 /** The words of callers and endpoints. */
 export type Dialect = {
+	/** The path of checks of readiness. */
+	readonly readyPath: string;
+	/** The path of lookups. */
+	readonly lookupPath: string;
 	readRequest(headers: IncomingHttpHeaders): RequestFacts;
 	/** Whether a caller's header, by its name in small letters, is passed on. */
 	isPassed(header: string): boolean;
@@ -77,10 +81,6 @@
 	freeResult(result: string): EndpointCall;
 	/** Orders an engine to change its part, under a fencing token. */
 	orderStage(endpoint: Endpoint, stage: 'prefill' | 'decode', holder: string, fence: number): EndpointCall;
-	/** The path of checks of readiness. */
-	readonly readyPath: string;
-	/** The path of lookups. */
-	readonly lookupPath: string;
 	readLookup(query: URLSearchParams): LookupFacts;
 	writeLookup(addresses: readonly string[], ttlMs: number): string;
 };
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -134,7 +134,9 @@
 		if (!this.#isDown) {
 			this.#isDown = true;
 			endpoints.book.directoryLost();
-			log('directoryLost', {read, revision: this.revision, detail: String(error), at: Math.round(clock.now())});
+			log('directoryLost', {
+				read, revision: this.revision, detail: String(error), at: Math.round(clock.now()),
+			});
 			metrics.set('directory', 0);
 		}
 
@@ -172,7 +174,6 @@
 		if (changes.length > 0) {
 			onNews();
 		}
-
 	}
 
 	#apply(change: Change, now: number): void {
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -168,7 +168,7 @@
 		const body = await readRequest(request, limits.bodyBytes);
 		const table = routing.table ?? fail('notReady', {retryAfterMs: notReadyMs});
 		const target = request.url ?? '/';
-		const route = table.find(request.headers.host ?? '', target) ?? fail('routeUnknown', {detail: `configuration ${routing.version}`});
+		const route = table.match(request.headers.host ?? '', target) ?? fail('routeUnknown', {detail: `configuration ${routing.version}`});
 		const service = table.draw(route, random) ?? fail('serviceUnknown');
 		const facts = dialect.readRequest(request.headers);
 		const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -20,7 +20,7 @@
 		return true;
 	}
 
-	return connection !== undefined && connection.toLowerCase().split(',').some(each => each.trim() === name);
+	return (connection ?? '').toLowerCase().split(',').some(each => each.trim() === name);
 }
 
 /** What the relay says itself. */
@@ -132,7 +132,11 @@
 
 		const {status} = codes[code];
 		const {message} = new Failure(code, {detail});
-		const body = JSON.stringify({error: {code: codes[code].number, type: code, message, ran: mayHaveRun ? 'unknown' : codes[code].ran}});
+		const body = JSON.stringify({
+			error: {
+				code: codes[code].number, type: code, message, ran: mayHaveRun ? 'unknown' : codes[code].ran,
+			},
+		});
 		const headers = ['Content-Type', 'application/json', 'Content-Length', String(new TextEncoder().encode(body).length)];
 		if (retryAfterMs !== undefined && promises.has(status)) {
 			headers.push('Retry-After', (retryAfterMs / millisecondsPerSecond).toFixed(2));
--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -4,7 +4,7 @@
  * came before the whole request was written, is never used again.
  */
 import {Agent} from 'node:http';
-import {type Socket} from 'node:net';
+import {Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 
 /** Rest allowed where the endpoint names no time: it closes within a second, in milliseconds. */
@@ -65,7 +65,7 @@
 
 	/** Whether a connection rests here that can be used at once. */
 	get hasFree(): boolean {
-		return Object.values(this.freeSockets).some(sockets => (sockets?.length ?? 0) > 0);
+		return Object.values(this.freeSockets).some(sockets => sockets !== undefined && sockets.length > 0);
 	}
 
 	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
@@ -81,22 +81,22 @@
 	/** Called by Node when a request is done: says whether the connection may rest here. */
 	override keepSocketAlive(socket: Duplex): boolean {
 		const {restMs, isSpoilt} = noteOf(socket);
-		if (isSpoilt || restMs <= 0 || socket.readableLength > 0 || !('setTimeout' in socket)) {
+		if (isSpoilt || restMs <= 0 || socket.readableLength > 0 || !(socket instanceof Socket)) {
 			return false;
 		}
 
-		const resting = socket as Socket;
-		resting.setTimeout(restMs);
+		socket.setTimeout(restMs);
 		// Bytes on a resting connection belong to no request
-		resting.on('data', destroyOnData);
+		socket.on('data', destroyOnData);
 		return true;
 	}
 
 	/** Called by Node when a resting connection is used again. */
 	override reuseSocket(socket: Duplex): void {
 		noteOf(socket).uses += 1;
-		const resting = socket as Socket;
-		resting.off('data', destroyOnData);
-		resting.setTimeout(0);
+		socket.off('data', destroyOnData);
+		if (socket instanceof Socket) {
+			socket.setTimeout(0);
+		}
 	}
 }
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -8,6 +8,7 @@
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
 import {ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
 import {Connections} from './connections.js';
@@ -45,6 +46,26 @@
 	readonly health = new EndpointHealth();
 	readonly #context: RelayContext;
 	readonly #listener: EndpointListener;
+	/** What follows from each change. */
+	readonly #follow: Readonly<Record<BookChange['change'], (endpoint: Endpoint) => void>> = {
+		added: ({service}) => {
+			this.#listener.onRoom(service);
+		},
+		changed: ({service}) => {
+			this.#listener.onRoom(service);
+		},
+		restaged: ({id, service}) => {
+			// What it failed in was its other part
+			this.health.forget(id);
+			this.#listener.onRoom(service);
+		},
+		leaving: ignore,
+		vanished: ignore,
+		gone: ({id}) => {
+			this.#forget(id);
+		},
+	};
+
 	readonly #uses = new Map<string, Use>();
 	readonly #queues = new Map<string, ReadingQueue>();
 	#sweep: Timer | undefined;
@@ -78,15 +99,7 @@
 			this.#context.log('endpointChanged', {
 				endpoint: id, service, address, stage, endpointHall: hall, change, source,
 			});
-			if (change === 'gone') {
-				this.#forget(id);
-			} else if (change === 'restaged') {
-				// What it failed in was its other part
-				this.health.forget(id);
-				this.#listener.onRoom(service);
-			} else if (change === 'added' || change === 'changed') {
-				this.#listener.onRoom(service);
-			}
+			this.#follow[change](endpoint);
 		}
 	}
 
@@ -207,7 +220,7 @@
 		const use = this.#uses.get(id);
 		this.health.forget(id);
 		this.#queues.delete(id);
-		if (use !== undefined && use.open === 0) {
+		if (use?.open === 0) {
 			use.connections.destroy();
 			this.#uses.delete(id);
 		}
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -1,18 +1,22 @@
 /** What an exchange says of answers that are whole, cut or doubled, against raw sockets. */
 import {Buffer} from 'node:buffer';
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {describe, it} from 'node:test';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {expect} from 'earl';
 import {Connections, noteRest} from './connections.js';
-import {exchange, ExchangeError, readBody} from './exchange.js';
+import {
+	exchange, ExchangeError, readBody, type ExchangeFault,
+} from './exchange.js';
 
 type Case = {
 	readonly name: string;
 	/** What the endpoint does once a request has come. */
 	readonly answer: (socket: Socket) => void;
 	readonly body?: string;
-	readonly error?: {readonly left: boolean; readonly fault: string};
+	readonly error?: {readonly left: boolean; readonly fault: ExchangeFault};
 };
 
 const head = 'HTTP/1.1 200 OK\r\n';
@@ -36,6 +40,12 @@
 			}, 20);
 		},
 	},
+	{
+		name: 'an answer without a length whose reset comes with its last bytes is cut', error: {left: true, fault: 'reset'}, answer(socket) {
+			socket.write(`${head}\r\nhel`);
+			socket.resetAndDestroy();
+		},
+	},
 	{
 		name: 'an answer shorter than its length is cut', error: {left: true, fault: 'reset'}, answer(socket) {
 			socket.end(`${head}Content-Length: 9\r\n\r\nhello`);
@@ -65,8 +75,8 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const {port} = server.address() as AddressInfo;
-	return {server, address: `127.0.0.1:${port}`};
+	const bound = server.address();
+	return {server, address: `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`};
 }
 
 function order(address: string) {
@@ -92,11 +102,11 @@
 			const {server, address} = await listen(answer);
 			const connections = new Connections(2);
 			try {
-				const result = await play(address, connections).catch((thrown: unknown) => thrown);
+				const result = await play(address, connections).catch((error_: unknown) => error_);
 				if (error === undefined) {
 					expect(result).toEqual(body);
 				} else {
-					expect(result instanceof ExchangeError && {left: result.left, fault: result.fault as string}).toEqual(error);
+					expect(result instanceof ExchangeError && {left: result.left, fault: result.fault}).toEqual(error);
 				}
 			} finally {
 				connections.destroy();
@@ -114,7 +124,7 @@
 				resolve();
 			});
 		});
-		const result = await play(address, new Connections(2)).catch((thrown: unknown) => thrown);
+		const result = await play(address, new Connections(2)).catch((error: unknown) => error);
 		expect(result instanceof ExchangeError && result.left).toEqual(false);
 	});
 
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -7,6 +7,7 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {spoil, type Connections} from './connections.js';
@@ -45,6 +46,37 @@
 	return !response.complete || cutAnswers.has(response);
 }
 
+/** Whether an answer ends with its connection alone. */
+function isUnframed({headers}: IncomingMessage): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
+/**
+ * Tells a closed connection from a reset one. libuv reports a plain end where
+ * a reset comes together with the last bytes, and the error is lost; a write
+ * brings it out. The other side has closed and reads no more.
+ */
+function probeEnd(response: IncomingMessage): void {
+	const {socket} = response;
+	socket.prependOnceListener('end', () => {
+		if (socket.writable) {
+			socket.write('\r\n', error => {
+				if (error) {
+					cutAnswers.add(response);
+				}
+			});
+		}
+	});
+}
+
+/** Waits until a reset that came with an answer's last bytes has shown itself. */
+export async function settleEnd(response: IncomingMessage): Promise<void> {
+	if (isUnframed(response)) {
+		await setImmediate();
+		await setImmediate();
+	}
+}
+
 /** How long an exchange may take until its head is there, and what ends it. */
 export type ExchangeLimits = {
 	readonly clock: Clock;
@@ -122,6 +154,10 @@
 			call.once('error', () => {
 				cutAnswers.add(response);
 			});
+			if (isUnframed(response)) {
+				probeEnd(response);
+			}
+
 			response.once('close', () => {
 				limits.signal.removeEventListener('abort', abort);
 			});
@@ -153,6 +189,7 @@
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 	}
 
+	await settleEnd(response);
 	if (isCut(response)) {
 		throw new ExchangeError('reset', true, new Error('the answer was cut'));
 	}
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -5,14 +5,15 @@
  * its route allows a stream to continue, and then after the last whole event
  * that the caller has; a stream that cannot continue is broken off.
  */
-import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {EventSplitter} from '@gatehead/policy/relay/event-splitter';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Code} from '@gatehead/schema/codes';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {ExchangeError, isCut, readBody} from '../upstream/exchange.js';
+import {
+	ExchangeError, isCut, readBody, settleEnd,
+} from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
 import {timeLeft, type Job} from './job.js';
 import {type WorkParts} from './parts.js';
@@ -140,7 +141,9 @@
 			const startedAt = clock.now();
 			const expectedMs = queue.expect(tokens, startedAt);
 			if (expectedMs > mostReadingShare * job.route.targetMs) {
-				log('prefilled', {request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs)});
+				log('prefilled', {
+					request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs),
+				});
 				return undefined;
 			}
 
@@ -302,11 +305,12 @@
 		const {response} = sent;
 		const watch = this.#watchSilence(response);
 		try {
-			for await (const chunk of response as AsyncIterable<Buffer>) {
+			for await (const chunk of response as AsyncIterable<Uint8Array>) {
 				watch.touch();
 				this.#passEvents(response, chunk);
 			}
 
+			await settleEnd(response);
 			if (isCut(response)) {
 				throw new ExchangeError('reset', true, new Error('the stream was cut'));
 			}
@@ -332,7 +336,7 @@
 		return this.#continue(endpoint, reason);
 	}
 
-	#passEvents(response: IncomingMessage, chunk: Buffer): void {
+	#passEvents(response: IncomingMessage, chunk: Uint8Array): void {
 		const {reply} = this.#job;
 		const {bytes, count} = this.#splitter.push(chunk);
 		if (count === 0) {
@@ -368,7 +372,7 @@
 	}
 
 	/** Ends a silent stream that may continue elsewhere; another's silence is its replica's business. */
-	#watchSilence(response: IncomingMessage): {touch(): void; stop(): void; readonly isSilent: boolean} {
+	#watchSilence(response: IncomingMessage): {readonly isSilent: boolean; touch(): void; stop(): void} {
 		const {clock} = this.#parts.context;
 		let timer: Timer | undefined;
 		let isSilent = false;
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -3,7 +3,6 @@
  * again only where it provably did not run. One that may be repeated is sent
  * to a second endpoint when the first fails or is slow, within the budget.
  */
-import {setImmediate} from 'node:timers/promises';
 import {type IncomingMessage} from 'node:http';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -203,8 +202,6 @@
 
 		try {
 			const body = await readBody(sent.response, mostBytes);
-			// The connection's next bytes show whether more came than one answer
-			await setImmediate();
 			sent.end('good');
 			return {kind: 'whole', answer: {endpoint, response: sent.response, body}};
 		} catch (error) {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,13 +2,25 @@
 import path from 'node:path';
 import {build} from 'esbuild';
 
+/** Some of the bundled packages are written for `require`. */
+const banner = [
+	'import {createRequire as makeRequire} from "node:module";',
+	'import {fileURLToPath as toPath} from "node:url";',
+	'import {dirname as dirOf} from "node:path";',
+	'const require = makeRequire(import.meta.url);',
+	'const __filename = toPath(import.meta.url);',
+	'const __dirname = dirOf(__filename);',
+].join(' ');
+
 const sourceRoots = {platform: 'platform/src'};
 
 /** The workspace's own packages come from their sources: no build before the bundle. */
 const workspaceSources = {
 	name: 'workspace-sources',
 	setup(builder) {
-		builder.onResolve({filter: /^@gatehead/}, ({path: wanted}) => {
+		// The bundler's own expressions know no flags
+		const filter = /^@gatehead/; // eslint-disable-line require-unicode-regexp
+		builder.onResolve({filter}, ({path: wanted}) => {
 			const [, name, ...rest] = wanted.split('/');
 			const root = sourceRoots[name] ?? `packages/${name}/src`;
 			return {path: path.resolve(root, `${rest.join('/')}.ts`)};
@@ -28,6 +40,6 @@
 	sourcemap: false,
 	legalComments: 'none',
 	logLevel: 'warning',
-	banner: {js: 'import {createRequire as makeRequire} from "node:module"; const require = makeRequire(import.meta.url); import {fileURLToPath as toPath} from "node:url"; import {dirname as dirOf} from "node:path"; const __filename = toPath(import.meta.url); const __dirname = dirOf(__filename);'},
+	banner: {js: banner},
 	plugins: [workspaceSources],
 });
