--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -79,7 +79,7 @@
 	}
 
 	/** Called by Node when a request is done: says whether the connection may rest here. */
-	override keepSocketAlive(socket: Duplex): boolean {
+	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node reads the value, its types do not say so
 		const {restMs, isSpoilt} = noteOf(socket);
 		if (isSpoilt || restMs <= 0 || socket.readableLength > 0 || !(socket instanceof Socket)) {
 			return false;
--- a/packages/standin/src/demo/deployment.ts
+++ b/packages/standin/src/demo/deployment.ts
@@ -5,7 +5,6 @@
 import {
 	mkdirSync, openSync, readFileSync, writeFileSync,
 } from 'node:fs';
-import {createServer} from 'node:net';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -19,6 +18,7 @@
 import {traitsOf} from '../engine/traits.js';
 import {startPlatform, type StandinPlatform} from '../platform/platform-server.js';
 import {startService, type StandinService} from '../service/service-server.js';
+import {findPorts} from '../utils/ports.js';
 
 const anyPort = '127.0.0.1:0';
 const ticketKeyBytes = 32;
@@ -53,25 +53,6 @@
 	stop(): Promise<void>;
 };
 
-/** Reserves free ports by binding and closing them. */
-async function findPorts(count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports: number[] = [];
-	for (const server of servers) {
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const address = server.address();
-		ports.push(typeof address === 'object' && address !== null ? address.port : 0);
-	}
-
-	for (const server of servers) {
-		server.close();
-		await once(server, 'close');
-	}
-
-	return ports;
-}
-
 /** Reads an example bundle. */
 export function readExample(name: string): Bundle {
 	return bundleSchema.parse(JSON.parse(readFileSync(join(examples, name, 'bundle.json'), 'utf8')));
--- /dev/null
+++ b/packages/standin/src/wire/replica-server.ts
@@ -0,0 +1,289 @@
+/** A replica of the platform as a stand-in: plain, prefill or decode, with faults. Written from the platform's pages. */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	readBody, sendJson, startServer, type RunningServer,
+} from '../utils/http.js';
+
+const streamEvents = 6;
+const eventGapMs = 2;
+const hexadecimal = 16;
+
+/** How a replica misbehaves with the requests that it is sent. */
+export type ReplicaFault = 'none' | 'full' | 'reset' | 'silent' | 'error' | 'foreign' | 'unmarked' | 'cut' | 'doubled' | 'emptyPromise' | 'unframedReset';
+
+/** One run of a request. */
+export type Run = {
+	readonly request: string;
+	readonly replica: string;
+	readonly target: string;
+	readonly body: string;
+	readonly lastEventId: string | undefined;
+};
+
+/** What all replicas of one test share. */
+export type ReplicaLog = {
+	readonly runs: Run[];
+	/** Prefill results by `ADDRESS/HANDLE` that nobody has taken or freed. */
+	readonly results: Map<string, string>;
+	/** Requests whose connection closed before their answer was whole. */
+	readonly closed: string[];
+	readonly orders: Array<{readonly replica: string; readonly holder: string; readonly fence: number}>;
+};
+
+/** What a replica is made from. */
+export type ReplicaParts = {
+	readonly id: string;
+	readonly stage?: 'prefill' | 'decode';
+	readonly slots: number;
+	readonly log: ReplicaLog;
+};
+
+/** A running replica. */
+export type StandinReplica = ReplicaParts & {
+	readonly address: string;
+	fault: ReplicaFault;
+	/** Ends the server; `revive` starts it on the same address. */
+	kill(): Promise<void>;
+	revive(): Promise<void>;
+};
+
+type Exchange = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly id: string;
+	readonly body: string;
+};
+
+function headerOf({headers}: IncomingMessage, name: string): string | undefined {
+	const value = headers[name];
+	return Array.isArray(value) ? value[0] : value;
+}
+
+class Replica {
+	readonly parts: ReplicaParts;
+	fault: ReplicaFault = 'none';
+	address = '';
+	#taken = 0;
+	#made = 0;
+	readonly #holds = new Set<string>();
+
+	constructor(parts: ReplicaParts) {
+		this.parts = parts;
+	}
+
+	reserve(response: ServerResponse): void {
+		if (this.fault === 'full' || this.#taken + this.#holds.size >= this.parts.slots) {
+			sendJson(response, 503, {});
+			return;
+		}
+
+		this.#made += 1;
+		const hold = `hold${this.#made}`;
+		this.#holds.add(hold);
+		sendJson(response, 200, {hold});
+	}
+
+	drop(hold: string): void {
+		this.#holds.delete(hold);
+	}
+
+	/** Takes an order to change its part. */
+	order(body: string, response: ServerResponse): void {
+		const {holder, fence} = JSON.parse(body) as {holder: string; fence: number}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the test's own words
+		this.parts.log.orders.push({replica: this.parts.id, holder, fence});
+		sendJson(response, 202, {});
+	}
+
+	/** Answers a caller's request that the relay sent here. */
+	serve(exchange: Exchange): void {
+		const {request, response, id} = exchange;
+		if (headerOf(request, 'expect-instance') !== this.parts.id) {
+			response.setHeader('Replica-Id', this.parts.id);
+			sendJson(response, 421, {});
+			return;
+		}
+
+		if (this.fault === 'full') {
+			response.setHeader('Not-Executed', '1');
+			sendJson(response, 503, {});
+			return;
+		}
+
+		if (headerOf(request, 'stage') === 'prefill') {
+			this.#prefill(exchange);
+			return;
+		}
+
+		const hold = headerOf(request, 'kv-hold');
+		this.#holds.delete(hold ?? '');
+		if (!this.#takeResult(exchange)) {
+			response.setHeader('Not-Executed', '1');
+			sendJson(response, 503, {});
+			return;
+		}
+
+		this.parts.log.runs.push({
+			request: id, replica: this.parts.id, target: request.url ?? '', body: exchange.body, lastEventId: headerOf(request, 'last-event-id'),
+		});
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				this.parts.log.closed.push(id);
+			}
+		});
+		this.#answer(exchange);
+	}
+
+	#prefill({response, id}: Exchange): void {
+		const faults: Partial<Record<ReplicaFault, () => void>> = {
+			reset() {
+				response.socket?.resetAndDestroy();
+			},
+			silent() {
+				// The caller hears nothing
+			},
+			error() {
+				sendJson(response, 500, {});
+			},
+		};
+		const fault = faults[this.fault];
+		if (fault !== undefined) {
+			fault();
+			return;
+		}
+
+		this.#made += 1;
+		const handle = `result${this.#made}`;
+		this.parts.log.results.set(`${this.address}/${handle}`, id);
+		response.setHeader('Request-Id', id);
+		sendJson(response, 200, {prefillHandle: handle, tokens: 1, version: 1});
+	}
+
+	/** A result serves once, and only the request that it was made for. */
+	#takeResult({request, id}: Exchange): boolean {
+		const source = headerOf(request, 'kv-source');
+		if (source === undefined) {
+			return true;
+		}
+
+		const {results} = this.parts.log;
+		const isOwn = results.get(source) === id;
+		results.delete(source);
+		return isOwn;
+	}
+
+	#answer(exchange: Exchange): void {
+		const {response, id, request} = exchange;
+		const {socket} = request;
+		const body = `whole answer to ${id}`;
+		const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\n`;
+		const faults: Readonly<Record<ReplicaFault, () => void>> = {
+			none: () => {
+				this.#answerWhole(exchange, body);
+			},
+			full() {
+				// Refused before
+			},
+			reset() {
+				socket.resetAndDestroy();
+			},
+			silent() {
+				// The caller hears nothing
+			},
+			error() {
+				response.writeHead(500, {'Request-Id': id, 'Server-Seal': 'seal'}).end('own failure');
+			},
+			foreign() {
+				response.writeHead(200, {'Request-Id': 'another', 'Server-Seal': 'seal'}).end('for another');
+			},
+			unmarked() {
+				response.writeHead(200, {'Request-Id': id}).end(body);
+			},
+			cut() {
+				const next = Number(headerOf(request, 'last-event-id') ?? 0) + 1;
+				const piece = `id: ${next}\ndata: x\n\nid: ${next + 1}\nd`;
+				socket.write(`${head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${piece.length.toString(hexadecimal)}\r\n${piece}\r\n`);
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, eventGapMs);
+			},
+			doubled() {
+				socket.write(`${head}Content-Length: ${body.length}\r\n\r\n${body}${head}Content-Length: 5\r\n\r\nwrong`);
+			},
+			emptyPromise() {
+				response.writeHead(503, {'Request-Id': id}).end();
+			},
+			unframedReset() {
+				socket.write(`${head}\r\n${body.slice(0, 5)}`);
+				socket.resetAndDestroy();
+			},
+		};
+		faults[this.fault]();
+	}
+
+	#answerWhole({response, id, request}: Exchange, body: string): void {
+		if (this.parts.stage === undefined) {
+			response.writeHead(200, {'Request-Id': id, 'Server-Seal': 'seal', 'Keep-Alive': 'timeout=5'}).end(body);
+			return;
+		}
+
+		this.#taken += 1;
+		response.once('close', () => {
+			this.#taken -= 1;
+		});
+		response.writeHead(200, {'Request-Id': id, 'Server-Seal': 'seal', 'Content-Type': 'text/event-stream'});
+		this.#writeEvents(response, Number(headerOf(request, 'last-event-id') ?? 0));
+	}
+
+	#writeEvents(response: ServerResponse, after: number): void {
+		if (after >= streamEvents || response.destroyed) {
+			response.end();
+			return;
+		}
+
+		response.write(`id: ${after + 1}\ndata: piece ${after + 1}\n\n`);
+		setTimeout(() => {
+			this.#writeEvents(response, after + 1);
+		}, eventGapMs);
+	}
+}
+
+/** Starts a replica. */
+export async function startReplica(parts: ReplicaParts, address: string): Promise<StandinReplica> {
+	const replica = new Replica(parts);
+	const server: RunningServer = await startServer({
+		async 'POST /api/hold-take'(request, response) {
+			await readBody(request);
+			replica.reserve(response);
+		},
+		async 'POST /api/order'(request, response) {
+			replica.order(await readBody(request), response);
+		},
+	}, address, async (request, response, url) => {
+		const [call, name] = url.pathname.split('/').slice(2);
+		if (call === 'hold-drop' || call === 'kv-handle') {
+			replica.drop(name ?? '');
+			parts.log.results.delete(`${replica.address}/${name}`);
+			sendJson(response, 200, {});
+			return;
+		}
+
+		const body = await readBody(request);
+		replica.serve({
+			request, response, id: headerOf(request, 'request-id') ?? '', body: Buffer.from(body).toString('utf8'),
+		});
+	});
+	replica.address = server.address;
+	return {
+		...parts,
+		address: server.address,
+		get fault() {
+			return replica.fault;
+		},
+		set fault(fault) {
+			replica.fault = fault;
+		},
+		kill: server.kill,
+		revive: server.revive,
+	};
+}
--- /dev/null
+++ b/packages/standin/src/wire/store-server.ts
@@ -0,0 +1,165 @@
+/** The platform's store as a stand-in: lists, watches, forgotten history, silence, refusals. Written from the platform's pages. */
+import {Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {sendJson, startServer} from '../utils/http.js';
+
+/** An item or its end. */
+export type StoreEvent = {
+	readonly key: string;
+	readonly value?: string;
+	readonly revision: number;
+	readonly tombstone?: boolean;
+};
+
+/** How the store misbehaves. */
+export type StoreFault = 'none' | 'silent' | 'busy' | 'reset';
+
+/** A running store. */
+export type StandinStore = {
+	readonly address: string;
+	/** What the store does with calls from now on. */
+	setFault(fault: StoreFault): void;
+	put(key: string, value: unknown): void;
+	remove(key: string): void;
+	/** Forgets the history: watches from before get 410. */
+	compact(): void;
+	/** Calls so far. */
+	countCalls(): number;
+	kill(): Promise<void>;
+};
+
+type Watch = {
+	readonly prefix: string;
+	readonly after: number;
+	readonly response: ServerResponse;
+};
+
+class Store {
+	fault: StoreFault = 'none';
+	calls = 0;
+	readonly #items = new Map<string, StoreEvent>();
+	#history: StoreEvent[] = [];
+	readonly #watches = new Set<Watch>();
+	#revision = 0;
+	#compactedAt = 0;
+
+	write(key: string, value: unknown): void {
+		this.#revision += 1;
+		const item = {key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision: this.#revision};
+		this.#items.set(key, item);
+		this.#publish(item);
+	}
+
+	remove(key: string): void {
+		this.#revision += 1;
+		this.#items.delete(key);
+		this.#publish({key, revision: this.#revision, tombstone: true});
+	}
+
+	compact(): void {
+		this.#history = [];
+		this.#compactedAt = this.#revision;
+		for (const watch of this.#watches) {
+			watch.response.destroy();
+		}
+
+		this.#watches.clear();
+	}
+
+	list(prefix: string): unknown {
+		const items = [...this.#items.values()].filter(({key}) => key.startsWith(prefix));
+		return {items, hasMore: false, asOf: this.#revision};
+	}
+
+	watch(watch: Watch, waitMs: number): void {
+		if (watch.after < this.#compactedAt) {
+			sendJson(watch.response, 410, {});
+			return;
+		}
+
+		if (this.#answer(watch)) {
+			return;
+		}
+
+		this.#watches.add(watch);
+		const timer = setTimeout(() => {
+			this.#watches.delete(watch);
+			sendJson(watch.response, 200, {events: [], asOf: this.#revision});
+		}, waitMs);
+		watch.response.once('close', () => {
+			clearTimeout(timer);
+			this.#watches.delete(watch);
+		});
+	}
+
+	#publish(event: StoreEvent): void {
+		this.#history.push(event);
+		if (this.fault !== 'none') {
+			return;
+		}
+
+		for (const watch of this.#watches) {
+			if (this.#answer(watch)) {
+				this.#watches.delete(watch);
+			}
+		}
+	}
+
+	#answer({prefix, after, response}: Watch): boolean {
+		const events = this.#history.filter(({key, revision}) => revision > after && key.startsWith(prefix));
+		if (events.length > 0) {
+			sendJson(response, 200, {events, asOf: this.#revision});
+		}
+
+		return events.length > 0;
+	}
+}
+
+/** Starts a store. */
+export async function startStore(address: string): Promise<StandinStore> {
+	const store = new Store();
+	const guarded = (run: (url: URL, response: ServerResponse) => void) => (request: {socket: {resetAndDestroy(): unknown}}, response: ServerResponse, url: URL) => {
+		store.calls += 1;
+		const faults: Readonly<Record<StoreFault, () => void>> = {
+			none() {
+				run(url, response);
+			},
+			silent() {
+				// The caller hears nothing
+			},
+			busy() {
+				sendJson(response, 503, {});
+			},
+			reset() {
+				request.socket.resetAndDestroy();
+			},
+		};
+		faults[store.fault]();
+	};
+
+	const server = await startServer({
+		'GET /api/kv-range': guarded((url, response) => {
+			sendJson(response, 200, store.list(url.searchParams.get('pathPrefix') ?? ''));
+		}),
+		'GET /api/kv-watch': guarded((url, response) => {
+			store.watch({prefix: url.searchParams.get('pathPrefix') ?? '', after: Number(url.searchParams.get('after')), response}, Number(url.searchParams.get('waitMs')));
+		}),
+	}, address);
+	return {
+		address: server.address,
+		setFault(fault) {
+			store.fault = fault;
+		},
+		put(key, value) {
+			store.write(key, value);
+		},
+		remove(key) {
+			store.remove(key);
+		},
+		compact() {
+			store.compact();
+		},
+		countCalls: () => store.calls,
+		kill: server.kill,
+	};
+}
--- /dev/null
+++ b/packages/standin/src/wire/world.ts
@@ -0,0 +1,187 @@
+/** A whole deployment on the platform's stand-ins: a store, replicas, and relays in this process. */
+import {setTimeout as pause} from 'node:timers/promises';
+import {readBoot} from '@gatehead/platform/boot-settings';
+import {Store} from '@gatehead/platform/store';
+import {wireDialect} from '@gatehead/platform/wire-dialect';
+import {systemClock} from '@gatehead/policy/utils/clock';
+import {seedRandom} from '@gatehead/policy/utils/random';
+import {Relay} from '@gatehead/relay/relay';
+import {Metrics} from '@gatehead/relay/utils/metrics';
+import {type LogFacts} from '@gatehead/host/utils/log';
+import {type Code} from '@gatehead/schema/codes';
+import {findPorts} from '../utils/ports.js';
+import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
+import {startStore, type StandinStore} from './store-server.js';
+
+const loopback = '127.0.0.1';
+const anyPort = '127.0.0.1:0';
+const readyPollMs = 10;
+
+/** A line of a relay's log. */
+export type LoggedLine = {
+	readonly host: string;
+	readonly code: Code;
+	readonly facts: LogFacts;
+};
+
+/** A running relay and its addresses. */
+export type RunningRelay = {
+	readonly relay: Relay;
+	readonly name: string;
+	readonly caller: string;
+	readonly ready: string;
+	readonly lookup: string;
+};
+
+/** What a deployment is made from. */
+export type WorldParts = {
+	readonly hosts: number;
+	readonly plain: number;
+	readonly prefill: number;
+	readonly decode: number;
+	readonly slots: number;
+};
+
+/** A running deployment. */
+export type World = {
+	readonly store: StandinStore;
+	readonly replicas: readonly StandinReplica[];
+	readonly relays: readonly RunningRelay[];
+	readonly log: ReplicaLog;
+	readonly lines: LoggedLine[];
+	publish(replica: StandinReplica, state: 'ready' | 'draining'): void;
+	stop(): Promise<void>;
+};
+
+/** The settings file as the platform writes it. */
+export function makeBoot({name, ip, ports, seeds, store}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string}): unknown {
+	const [front, ready, control, directory] = ports.map(port => `${ip}:${port}`);
+	return {
+		nodeName: name,
+		role: 'gatehead',
+		ip,
+		zone: 'a',
+		region: 'r',
+		listen: {
+			front, ready, control, directory,
+		},
+		seeds,
+		limits: {maxFds: 4100},
+		bounds: {
+			graceS: 8, retryBudgetRatio: 0.2, budgetSlack: 58, budgetWindowS: 10, ttl_max_s: 5,
+		},
+		platform: {address: store},
+		unknownField: {passed: 'over'},
+	};
+}
+
+/** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls. */
+export function makeConfig(version: number): unknown {
+	const route = {
+		host: 'calls.example', timeoutMs: 3000, targetLatencyMs: 900, priority: 1, sticky: false,
+	};
+	return {
+		version,
+		routes: [
+			{
+				...route, name: 'resumable', pathPrefix: '/resumable/', kind: 'streaming', service: 'model', maxAttempts: 2, resumable: true,
+			},
+			{
+				...route, name: 'stream', pathPrefix: '/stream/', kind: 'streaming', service: 'model', maxAttempts: 1, resumable: false,
+			},
+			{
+				...route, name: 'once', pathPrefix: '/once/', kind: 'non_idempotent', service: 'plain', maxAttempts: 1,
+			},
+			{
+				...route, name: 'repeatable', pathPrefix: '/repeatable/', kind: 'idempotent', trafficSplit: [{service: 'plain', weight: 1}], maxAttempts: 2,
+			},
+		],
+		services: [
+			{
+				name: 'model', healthPath: '/health', maxConns: 100, engine: {kvCapacityTokens: 10_000, handleTtlS: 0.5, holdMs: 2000},
+			},
+			{name: 'plain', healthPath: '/health', maxConns: 100},
+		],
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+	};
+}
+
+/** What a replica writes under its id. */
+export function makeEntry({address, stage, slots}: StandinReplica, state: 'ready' | 'draining'): unknown {
+	return {
+		service: stage === undefined ? 'plain' : 'model', address, zone: 'a', version: 'v1', slots, state, coldRemainingMs: 0, callSeq: 0, ...(stage === undefined ? {} : {stage}),
+	};
+}
+
+async function startRelay(index: number, store: string, ports: readonly number[], seeds: readonly string[], lines: LoggedLine[]): Promise<RunningRelay> {
+	const name = `host-${index}`;
+	const {settings} = readBoot(makeBoot({
+		name, ip: loopback, ports, seeds, store,
+	}));
+	const relay = new Relay({
+		settings: {...settings, listen: {...settings.listen, metrics: undefined}},
+		clock: systemClock,
+		random: seedRandom(index),
+		wall: () => Date.now(),
+		log(code, facts = {}) {
+			lines.push({host: name, code, facts});
+		},
+		metrics: new Metrics(undefined, {}),
+		dialect: wireDialect,
+		directory: new Store(store),
+	});
+	await relay.start();
+	const {caller, ready, lookup} = settings.listen;
+	return {
+		relay, name, caller, ready, lookup,
+	};
+}
+
+/** Waits until something is so; the caller's own time limit ends a test that waits for ever. */
+export async function until(isSo: () => boolean): Promise<void> {
+	while (!isSo()) {
+		await pause(readyPollMs);
+	}
+}
+
+/** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
+export async function startWorld({hosts, plain, prefill, decode, slots}: WorldParts): Promise<World> {
+	const log: ReplicaLog = {
+		runs: [], results: new Map(), closed: [], orders: [],
+	};
+	const lines: LoggedLine[] = [];
+	const store = await startStore(anyPort);
+	const stages = [...Array.from({length: plain}, () => undefined), ...Array.from({length: prefill}, () => 'prefill' as const), ...Array.from({length: decode}, () => 'decode' as const)];
+	const replicas = await Promise.all(stages.map(async (stage, index) => startReplica({
+		id: `${stage ?? 'plain'}-${index}`, stage, slots, log,
+	}, anyPort)));
+	const publish = (replica: StandinReplica, state: 'ready' | 'draining') => {
+		store.put(`servers/${replica.id}`, makeEntry(replica, state));
+	};
+
+	store.put('op/config', makeConfig(1));
+	for (const replica of replicas) {
+		publish(replica, 'ready');
+	}
+
+	const ports = await findPorts(4 * hosts);
+	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
+	const seeds = [`${loopback}:${portsOf(0)[2]}`];
+	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay(index, store.address, portsOf(index), seeds, lines)));
+	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
+	return {
+		store,
+		replicas,
+		relays,
+		log,
+		lines,
+		publish,
+		async stop() {
+			await Promise.all(relays.map(async ({relay}) => relay.close()));
+			await Promise.all(replicas.map(async each => each.kill()));
+			await store.kill();
+		},
+	};
+}
