A fault soak: real processes, a faulty loopback proxy, signals, and the promises checked from outside

Checked: at most one run, no refusal of what ran, no foreign, cut or doubled answer, every host serving after the last fault.

--- /dev/null
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -0,0 +1,88 @@
+/** A loopback proxy that delays, resets, silences or cuts one way what passes between a host and what it calls. */
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
+import {splitAddress} from '@gatehead/schema/address';
+
+/** What the proxy does with what passes. */
+export type ProxyMode = 'pass' | 'delay' | 'silence' | 'dropAnswers';
+
+const delayMs = 120;
+
+/** A running proxy. */
+export type FaultyProxy = {
+	readonly address: string;
+	mode: ProxyMode;
+	/** Resets all open connections. */
+	reset(): void;
+	close(): void;
+};
+
+/** Starts a proxy before an address. */
+export async function startProxy(target: string): Promise<FaultyProxy> {
+	const {ip, port} = splitAddress(target);
+	const sockets = new Set<Socket>();
+	const proxy: {mode: ProxyMode} = {mode: 'pass'};
+	const forward = (from: Socket, to: Socket, isAnswer: boolean) => {
+		const dropped: Readonly<Record<ProxyMode, boolean>> = {
+			pass: false, delay: false, silence: true, dropAnswers: isAnswer,
+		};
+		from.on('data', chunk => {
+			if (dropped[proxy.mode]) {
+				return;
+			}
+
+			if (proxy.mode === 'delay') {
+				setTimeout(() => {
+					to.write(chunk);
+				}, delayMs);
+			} else {
+				to.write(chunk);
+			}
+		});
+		from.on('end', () => {
+			setTimeout(() => {
+				to.end();
+			}, proxy.mode === 'delay' ? delayMs : 0);
+		});
+		from.on('error', () => {
+			to.resetAndDestroy();
+		});
+		from.once('close', () => {
+			sockets.delete(from);
+		});
+	};
+
+	const server = createServer({allowHalfOpen: true}, incoming => {
+		const outgoing = connect({host: ip, port, allowHalfOpen: true});
+		sockets.add(incoming);
+		sockets.add(outgoing);
+		forward(incoming, outgoing, false);
+		forward(outgoing, incoming, true);
+		incoming.once('close', () => {
+			outgoing.destroy();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const bound = server.address();
+	return {
+		address: `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`,
+		get mode() {
+			return proxy.mode;
+		},
+		set mode(mode) {
+			proxy.mode = mode;
+		},
+		reset() {
+			for (const socket of sockets) {
+				socket.resetAndDestroy();
+			}
+		},
+		close() {
+			server.close();
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/standin/src/soak/host-process.ts
@@ -0,0 +1,63 @@
+/** One real host process on the platform's stand-ins: started, paused, stopped and killed by its own id. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {openSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {makeBoot} from '../wire/world.js';
+
+const binary = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
+
+/** Where a process listens and keeps its files. */
+export type HostParts = {
+	readonly name: string;
+	/** An address of its own in the loopback range. */
+	readonly ip: string;
+	/** Ports for callers, readiness, peers and lookups. */
+	readonly ports: readonly number[];
+	readonly seeds: readonly string[];
+	readonly store: string;
+	readonly folder: string;
+};
+
+/** A host process that comes and goes. */
+export class HostProcess {
+	readonly name: string;
+	readonly caller: string;
+	readonly #settingsFile: string;
+	readonly #logFile: number;
+	#child: ChildProcess | undefined;
+
+	constructor(parts: HostParts) {
+		this.name = parts.name;
+		this.caller = `${parts.ip}:${parts.ports[0]}`;
+		this.#settingsFile = join(parts.folder, `${parts.name}.json`);
+		this.#logFile = openSync(join(parts.folder, `${parts.name}.log`), 'a');
+		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot(parts)));
+	}
+
+	/** Whether the process is there. */
+	get isRunning(): boolean {
+		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
+	}
+
+	/** Starts the process. */
+	start(): void {
+		this.#child = spawn(process.execPath, [binary], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
+	}
+
+	/** Sends a signal to this process alone. */
+	signal(signal: NodeJS.Signals): void {
+		if (this.isRunning) {
+			this.#child?.kill(signal);
+		}
+	}
+
+	/** Resolves when the process has ended. */
+	async ended(): Promise<void> {
+		if (this.isRunning && this.#child !== undefined) {
+			await once(this.#child, 'exit');
+		}
+	}
+}
--- /dev/null
+++ b/packages/standin/src/soak/main.ts
@@ -0,0 +1,26 @@
+/** `npm run soak`: plays seeds of the fault soak one after the other and prints a line a seed. */
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {playSoak} from './soak.js';
+
+const {seeds, first, seconds, hosts} = await yargs(hideBin(process.argv))
+	.option('seeds', {type: 'number', default: 5, describe: 'how many seeds'})
+	.option('first', {type: 'number', default: 1, describe: 'the first of them'})
+	.option('seconds', {type: 'number', default: 5, describe: 'how long faults are injected, a seed'})
+	.option('hosts', {type: 'number', default: 3, describe: 'host processes'})
+	.strict()
+	.parse();
+let failed = 0;
+for (let seed = first; seed < first + seeds; seed += 1) {
+	const {requests, served, faults, folder, broken} = await playSoak(seed, seconds, hosts);
+	process.stdout.write(`seed ${seed}: ${served} of ${requests} served, ${faults} faults, ${broken.length} promises broken, logs in ${folder}\n`);
+	for (const text of broken) {
+		process.stdout.write(`  ${text}\n`);
+	}
+
+	failed += Number(broken.length > 0);
+}
+
+process.stdout.write(`soak: ${seeds - failed} of ${seeds} seeds kept every promise\n`);
+process.exitCode = failed === 0 ? 0 : 1;
