--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -10,6 +10,7 @@
 import {explainCode} from './commands/explain.js';
 import {showStatus, showUsage} from './commands/status.js';
 import {collectTimeline} from './commands/timeline.js';
+import {filterLines, traceRequest} from './commands/trace.js';
 import {readFleet, readSettings, writeKeyPair} from './utils/files.js';
 import {exitCodes, print, printFailure} from './utils/output.js';
 
@@ -75,6 +76,21 @@
 		.option('since', {type: 'string', describe: 'only events after this stamp or ISO time'})
 		.option('form', {choices: ['text', 'json', 'html'] as const, default: 'text' as const})
 		.option('follow', {type: 'boolean', default: false, describe: 'go on until interrupted (text and json)'}), async ({fleet, ...wish}) => run(async () => collectTimeline(readFleet(fleet), wish)))
+	.command('trace <request> [files..]', 'one request\'s life in the hosts\' logs, and why it ended so', command => command
+		.positional('request', {type: 'string', demandOption: true, describe: 'the request\'s id'})
+		.positional('files', {
+			type: 'string', array: true, default: ['-'], describe: 'log files; - for standard input',
+		})
+		.option('json', jsonOption), async ({request, files, json}) => run(() => traceRequest(request, files, json)))
+	.command('logs [files..]', 'log lines by what they concern', command => command
+		.positional('files', {
+			type: 'string', array: true, default: ['-'], describe: 'log files; - for standard input',
+		})
+		.option('code', {type: 'string', describe: 'number or name of a code'})
+		.option('host', {type: 'string'})
+		.option('endpoint', {type: 'string'})
+		.option('workspace', {type: 'string', describe: 'service or caller'})
+		.option('json', jsonOption), async ({files, json, ...wish}) => run(() => filterLines(files, wish, json)))
 	.command('explain <code>', 'explain a result code', command => command
 		.positional('code', {type: 'string', demandOption: true})
 		.option('json', jsonOption), async ({code, json}) => run(() => explainCode(code, json)))
--- a/packages/standin/src/soak/faulty-proxy.ts
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -17,6 +17,22 @@
 	close(): void;
 };
 
+/** A reset that comes with the last bytes looks like an end; a write to the closed side tells them apart, so that a reset is passed on as one. */
+function passEnd(from: Socket, to: Socket, isAnswer: boolean): void {
+	if (!isAnswer || !from.writable) {
+		to.end();
+		return;
+	}
+
+	from.write('\r\n', error => {
+		if (error) {
+			to.resetAndDestroy();
+		} else {
+			to.end();
+		}
+	});
+}
+
 /** Starts a proxy before an address. */
 export async function startProxy(target: string): Promise<FaultyProxy> {
 	const {ip, port} = splitAddress(target);
@@ -41,7 +57,7 @@
 		});
 		from.on('end', () => {
 			setTimeout(() => {
-				to.end();
+				passEnd(from, to, isAnswer);
 			}, proxy.mode === 'delay' ? delayMs : 0);
 		});
 		from.on('error', () => {
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -7,10 +7,14 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
-import {jitter, pick, seedRandom, type Random} from '@gatehead/policy/utils/random';
+import {
+	jitter, pick, seedRandom, type Random,
+} from '@gatehead/policy/utils/random';
 import {findPorts} from '../utils/ports.js';
 import {sendRequest, type CallerAnswer} from '../wire/client.js';
-import {startReplica, type ReplicaFault, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
+import {
+	startReplica, type ReplicaFault, type ReplicaLog, type StandinReplica,
+} from '../wire/replica-server.js';
 import {startStore, type StandinStore, type StoreFault} from '../wire/store-server.js';
 import {makeConfig, makeEntry, until} from '../wire/world.js';
 import {startProxy, type FaultyProxy, type ProxyMode} from './faulty-proxy.js';
@@ -202,7 +206,7 @@
 
 /** Whether a whole stream has each event once, in order. */
 function isInOrder(body: string): boolean {
-	const ids = [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(({groups}) => Number(groups?.['id']));
+	const ids = [...body.matchAll(/^id: (?<id>\d+)$/gmv)].map(({groups}) => Number(groups?.id));
 	return ids.length === 6 && ids.every((id, index) => id === index + 1);
 }
 
