--- a/packages/control/src/utils/log-lines.ts
+++ b/packages/control/src/utils/log-lines.ts
@@ -51,5 +51,5 @@
 /** A field as text; empty where the line has none. */
 export function textOf(line: LogLine, field: string): string {
 	const value = line[field];
-	return typeof value === 'object' || value === undefined ? '' : String(value);
+	return typeof value === 'string' || typeof value === 'number' || typeof value === 'boolean' ? String(value) : '';
 }
--- a/packages/standin/src/demo/main.ts
+++ b/packages/standin/src/demo/main.ts
@@ -12,6 +12,7 @@
 import {
 	adminToken, readExample, startDeployment, writeFleet, type Deployment,
 } from './deployment.js';
+import {showPlatform} from './platform-demo.js';
 import {waitUntilServing} from './readiness.js';
 
 const hostsPerDeployment = 4;
@@ -85,11 +86,17 @@
 }
 
 async function main(): Promise<void> {
-	const {stay, seed} = await yargs(hideBin(process.argv))
+	const {stay, seed, platform} = await yargs(hideBin(process.argv))
 		.option('stay', {type: 'boolean', default: false, describe: 'stay up and print commands to try'})
 		.option('seed', {type: 'number', default: 1, describe: 'seed of the burst'})
+		.option('platform', {type: 'boolean', default: false, describe: 'show the relay on the platform\'s stand-ins instead'})
 		.strict()
 		.parse();
+	if (platform) {
+		process.exitCode = await showPlatform(seed) ? 0 : 1;
+		return;
+	}
+
 	const folder = mkdtempSync(join(tmpdir(), 'gatehead-demo-'));
 	process.stdout.write(`settings and logs: ${folder}\n`);
 	const deployments: Deployment[] = [];
--- /dev/null
+++ b/packages/standin/src/soak/bed.ts
@@ -0,0 +1,100 @@
+/** A deployment of real host processes on the platform's stand-ins, each replica and the store behind a proxy. */
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {setTimeout as pause} from 'node:timers/promises';
+import {seedRandom, type Random} from '@gatehead/policy/utils/random';
+import {findPorts} from '../utils/ports.js';
+import {sendRequest} from '../wire/client.js';
+import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
+import {startStore, type StandinStore} from '../wire/store-server.js';
+import {makeConfig, makeEntry} from '../wire/world.js';
+import {startProxy, type FaultyProxy} from './faulty-proxy.js';
+import {HostProcess} from './host-process.js';
+
+const anyPort = '127.0.0.1:0';
+/** Loopback addresses of this process alone: all hosts serve their figures at one port. */
+const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
+const firstIp = 11;
+const readyPollMs = 200;
+const stages = [undefined, undefined, undefined, 'prefill', 'prefill', 'decode', 'decode', 'decode'] as const;
+
+/** A running deployment. */
+export type Bed = {
+	readonly random: Random;
+	readonly store: StandinStore;
+	readonly storeProxy: FaultyProxy;
+	readonly replicas: readonly StandinReplica[];
+	readonly proxies: readonly FaultyProxy[];
+	readonly hosts: readonly HostProcess[];
+	readonly log: ReplicaLog;
+	readonly folder: string;
+	version: number;
+};
+
+/** Starts a deployment; its hosts may not serve yet. */
+export async function makeBed(seed: number, hostCount: number): Promise<Bed> {
+	const folder = mkdtempSync(join(tmpdir(), `gatehead-soak-${seed}-`));
+	const log: ReplicaLog = {
+		runs: [], results: new Map(), closed: [], orders: [],
+	};
+	const store = await startStore(anyPort);
+	const storeProxy = await startProxy(store.address);
+	const replicas = await Promise.all(stages.map(async (stage, index) => startReplica({
+		id: `${stage ?? 'plain'}-${index}`, stage, slots: 16, log,
+	}, anyPort)));
+	const proxies = await Promise.all(replicas.map(async ({address}) => startProxy(address)));
+	const ports = await findPorts(4 * hostCount);
+	const seedAddress = `${network}.${firstIp}:${ports[2]}`;
+	const hosts = Array.from({length: hostCount}, (_, index) => new HostProcess({
+		name: `host-${index}`, ip: `${network}.${firstIp + index}`, ports: ports.slice(4 * index, (4 * index) + 4), seeds: [seedAddress], store: storeProxy.address, folder,
+	}));
+	const bed = {
+		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, log, folder, version: 1,
+	};
+	store.put('op/config', makeConfig(bed.version));
+	for (const [index] of replicas.entries()) {
+		publish(bed, index, 'ready');
+	}
+
+	for (const host of hosts) {
+		host.start();
+	}
+
+	return bed;
+}
+
+/** Hosts reach a replica through its proxy. */
+export function publish({store, replicas, proxies}: Bed, index: number, state: 'ready' | 'draining'): void {
+	const replica = replicas[index];
+	const proxy = proxies[index];
+	if (replica !== undefined && proxy !== undefined) {
+		const entry = makeEntry(replica, state);
+		store.put(`servers/${replica.id}`, {...(typeof entry === 'object' ? entry : {}), address: proxy.address});
+	}
+}
+
+/** Waits until every host serves. */
+export async function waitUntilServing({hosts}: Bed): Promise<void> {
+	for (let isReady = false; !isReady;) {
+		const answers = await Promise.all(hosts.map(async ({caller}) => sendRequest({address: caller, id: 'ready', path: '/repeatable/1'})));
+		isReady = answers.every(({status}) => status === 200);
+		await pause(readyPollMs);
+	}
+}
+
+/** Ends all that was started. */
+export async function endBed({hosts, replicas, proxies, storeProxy, store}: Bed): Promise<void> {
+	for (const host of hosts) {
+		host.signal('SIGKILL');
+		await host.ended();
+	}
+
+	for (const proxy of [...proxies, storeProxy]) {
+		proxy.close();
+	}
+
+	await Promise.all(replicas.map(async each => each.kill()));
+	await store.kill();
+}
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -42,8 +42,12 @@
 		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
 	}
 
-	/** Starts the process. */
+	/** Starts the process, unless another fault that overlaps has done so. */
 	start(): void {
+		if (this.isRunning) {
+			return;
+		}
+
 		this.#child = spawn(process.execPath, [binary], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
 	}
 
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -24,7 +24,7 @@
 /** What all replicas of one test share. */
 export type ReplicaLog = {
 	readonly runs: Run[];
-	/** Prefill results by `ADDRESS/HANDLE` that nobody has taken or freed. */
+	/** Prefill results by handle that nobody has taken or freed; handles are unlike those of other replicas, since a proxy may stand before each. */
 	readonly results: Map<string, string>;
 	/** Requests whose connection closed before their answer was whole. */
 	readonly closed: string[];
@@ -63,7 +63,6 @@
 class Replica {
 	readonly parts: ReplicaParts;
 	fault: ReplicaFault = 'none';
-	address = '';
 	#taken = 0;
 	#made = 0;
 	readonly #holds = new Set<string>();
@@ -153,8 +152,8 @@
 		}
 
 		this.#made += 1;
-		const handle = `result${this.#made}`;
-		this.parts.log.results.set(`${this.address}/${handle}`, id);
+		const handle = `${this.parts.id}-${this.#made}`;
+		this.parts.log.results.set(handle, id);
 		response.setHeader('Request-Id', id);
 		sendJson(response, 200, {prefillHandle: handle, tokens: 1, version: 1});
 	}
@@ -167,8 +166,9 @@
 		}
 
 		const {results} = this.parts.log;
-		const isOwn = results.get(source) === id;
-		results.delete(source);
+		const handle = source.split('/')[1] ?? '';
+		const isOwn = results.get(handle) === id;
+		results.delete(handle);
 		return isOwn;
 	}
 
@@ -263,7 +263,7 @@
 		const [call, name] = url.pathname.split('/').slice(2);
 		if (call === 'hold-drop' || call === 'kv-handle') {
 			replica.drop(name ?? '');
-			parts.log.results.delete(`${replica.address}/${name}`);
+			parts.log.results.delete(name ?? '');
 			sendJson(response, 200, {});
 			return;
 		}
@@ -273,7 +273,6 @@
 			request, response, id: headerOf(request, 'request-id') ?? '', body: Buffer.from(body).toString('utf8'),
 		});
 	});
-	replica.address = server.address;
 	return {
 		...parts,
 		address: server.address,
--- a/scripts/write-docs.mjs
+++ b/scripts/write-docs.mjs
@@ -5,7 +5,9 @@
 import {codeNames, codes} from '../packages/schema/dist/codes.js';
 import {bundle} from '../packages/schema/dist/bundle.js';
 import {settings} from '../packages/schema/dist/settings.js';
+import {relaySettings} from '../packages/schema/dist/relay-settings.js';
 import {metricNames} from '../packages/host/dist/utils/counters.js';
+import {counterRows, gaugeRows, histogramRows} from '../packages/relay/dist/utils/metrics.js';
 
 const meanings = JSON.parse(readFileSync('docs/meanings.json', 'utf8'));
 
@@ -22,6 +24,12 @@
 	return ['| metric | kind | meaning |', '|---|---|---|', ...rows].join('\n');
 }
 
+function relayMetricsTable() {
+	const kinds = [['counter', counterRows], ['gauge', gaugeRows], ['histogram, ms', histogramRows]];
+	const rows = kinds.flatMap(([kind, table]) => Object.values(table).map(({name, help, labels = []}) => `| ${name} | ${kind} | ${labels.join(', ') || '–'} | ${help} |`));
+	return ['| metric | kind | labels | meaning |', '|---|---|---|---|', ...rows].join('\n');
+}
+
 function meaningOf(path) {
 	const meaning = meanings[path];
 	if (meaning === undefined) {
@@ -62,6 +70,8 @@
 const tables = [
 	['docs/CODES.md', 'codes', codesTable()],
 	['docs/METRICS.md', 'metrics', metricsTable()],
+	['docs/METRICS.md', 'relay metrics', relayMetricsTable()],
+	['docs/CONFIGURATION.md', 'relay settings', fieldsTable(relaySettings, 'relay')],
 	['docs/CONFIGURATION.md', 'settings', fieldsTable(settings, 'settings')],
 	['docs/CONFIGURATION.md', 'bundle', fieldsTable(bundle, 'bundle')],
 ];
