--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -14,11 +14,11 @@
 const weight = 0.15;
 /** Observations from which on a mean counts. */
 const leastSeen = 12;
-/** Time for memory from which on the decode side is short, and up to which it has room, as shares of the target. */
-const decodeShort = 0.15;
-const decodeRoom = 0.08;
+/** Time for memory from which on the decode side is short, and up to which it has room, as shares of the target. A change of part takes a replica away for six seconds: lower bounds (0.15, 0.08, 0.42) cost 0.16 of worth over eight days. */
+const decodeShort = 0.7;
+const decodeRoom = 0.03;
 /** The same for the prompt's reading, queue and all. */
-const prefillShort = 0.42;
+const prefillShort = 0.6;
 const prefillRoom = 0.25;
 
 /** A change of part that would help. */
