Overdue answers and a request's own errors no longer set plain replicas aside at once

Change: an overdue answer has an outcome of its own that weighs as an error does; what sets an endpoint aside needs more of both. One silence or two broken answers still do. Test: endpoint-health.test.ts, 'many overdue ones are not', 'a request that fails at each of its tries says little': failed before.

--- a/packages/policy/src/relay/endpoint-health.test.ts
+++ b/packages/policy/src/relay/endpoint-health.test.ts
@@ -19,6 +19,9 @@
 	{name: 'an error now and then is the request\'s own', outcomes: [...good, 'error', ...good, 'error'], isUsable: true},
 	{name: 'errors in half of all answers are not', outcomes: ['good', 'error', 'good', 'error', 'error', 'good', 'error', 'error'], isUsable: false},
 	{name: 'a full endpoint is not a failing one', outcomes: ['refused', 'refused', 'refused', 'refused', 'good'], isUsable: true},
+	{name: 'an overdue answer or two may be the requests\' own', outcomes: ['good', 'good', 'overdue', 'overdue', 'overdue'], isUsable: true},
+	{name: 'many overdue ones are not', outcomes: ['good', 'overdue', 'overdue', 'overdue', 'overdue', 'overdue'], isUsable: false},
+	{name: 'a request that fails at each of its tries says little', outcomes: ['good', 'good', 'good', 'error', 'error', 'error'], isUsable: true},
 	{name: 'an answer that nobody waits for says nothing', outcomes: ['cancelled', 'cancelled', 'cancelled'], isUsable: true},
 ];
 
--- a/packages/policy/src/relay/endpoint-health.ts
+++ b/packages/policy/src/relay/endpoint-health.ts
@@ -5,18 +5,18 @@
  */
 
 /** What became of a send. */
-export type Outcome = 'good' | 'error' | 'broken' | 'silent' | 'refused' | 'cancelled';
+export type Outcome = 'good' | 'error' | 'broken' | 'silent' | 'overdue' | 'refused' | 'cancelled';
 
-/** How much an outcome speaks against an endpoint; an endpoint's own error may be the request's fault. */
+/** How much an outcome speaks against an endpoint; its own error, and an answer that is overdue, may be the request's fault. */
 const weights: Readonly<Record<Exclude<Outcome, 'cancelled'>, number>> = {
-	good: 0, error: 0.6, broken: 1, silent: 1.5, refused: 0.1,
+	good: 0, error: 0.5, broken: 1, silent: 2, overdue: 0.5, refused: 0.1,
 };
 /** Time in which an outcome's weight halves, in milliseconds. */
 const halfLifeMs = 4000;
 /** Weight of bad outcomes from which on an endpoint may be set aside. */
-const leastBad = 1.4;
+const leastBad = 1.9;
 /** Share of bad outcomes from which on it is. */
-const badShare = 0.34;
+const badShare = 0.3;
 /** First time that it is set aside, in milliseconds; it doubles with each following one. */
 const firstPauseMs = 1500;
 const longestPauseMs = 12_000;
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -172,9 +172,9 @@
 
 	#fail(send: Send, error: unknown, tookMs: number): Exclude<Sent, {kind: 'answer'}> {
 		const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
-		// Who is given up on after its answer was due has been silent
+		// Who is given up on after its answer was due may have been silent, or the request long
 		const isOverdue = fault.left && tookMs > send.job.route.targetMs;
-		const outcome = faultOutcomes[fault.fault] ?? (isOverdue ? 'silent' : undefined);
+		const outcome = faultOutcomes[fault.fault] ?? (isOverdue ? 'overdue' : undefined);
 		if (outcome === undefined) {
 			this.#endpoints.health.abandon(send.endpoint.id);
 		} else {
