Leftovers in the relay's connections: the count of uses, isUsed and cameOverKept

Cause: nothing called `cameOverKept`, which alone called `isUsed`, for which alone uses were counted. Change: the three are gone. `opened` of `Connections` stays though nothing reads it: the metric `connections` (gatehead_endpoint_connections_total) is declared and never written, and this count is what it lacks. Ruled out: writing the metric here, which would change what the process shows. Behaviour is the same.

--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -18,7 +18,6 @@
 type ConnectionNote = {
 	restMs: number;
 	isSpoilt: boolean;
-	uses: number;
 };
 
 const notes = new WeakMap<Duplex, ConnectionNote>();
@@ -26,7 +25,7 @@
 function noteOf(socket: Duplex): ConnectionNote {
 	let note = notes.get(socket);
 	if (note === undefined) {
-		note = {restMs: unnamedRestMs, isSpoilt: false, uses: 0};
+		note = {restMs: unnamedRestMs, isSpoilt: false};
 		notes.set(socket, note);
 	}
 
@@ -43,11 +42,6 @@
 	noteOf(socket).isSpoilt = true;
 }
 
-/** Whether a connection has carried a request before. */
-export function isUsed(socket: Duplex): boolean {
-	return noteOf(socket).uses > 1;
-}
-
 function destroyOnData(this: Socket): void {
 	this.destroy();
 }
@@ -70,12 +64,7 @@
 
 	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
 		this.opened += 1;
-		const socket = super.createConnection(...parameters);
-		if (socket !== null && socket !== undefined) {
-			noteOf(socket).uses = 1;
-		}
-
-		return socket;
+		return super.createConnection(...parameters);
 	}
 
 	/** Called by Node when a request is done: says whether the connection may rest here. */
@@ -93,7 +82,6 @@
 
 	/** Called by Node when a resting connection is used again. */
 	override reuseSocket(socket: Duplex): void {
-		noteOf(socket).uses += 1;
 		socket.off('data', destroyOnData);
 		if (socket instanceof Socket) {
 			socket.setTimeout(0);
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -10,7 +10,7 @@
 import {type RelayContext} from '../core/context.js';
 import {promises} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
-import {isUsed, noteRest, spoil} from './connections.js';
+import {noteRest, spoil} from './connections.js';
 import {type Endpoints} from './endpoints.js';
 import {exchange, ExchangeError, type ExchangeFault} from './exchange.js';
 
@@ -199,8 +199,3 @@
 function isUnmarkedSuccess(step: Step, status: number, {isMarked, id}: AnswerFacts): boolean {
 	return step !== 'prefill' && status >= leastSuccess && status < leastRedirect && (!isMarked || id === undefined);
 }
-
-/** Whether an answer came over a connection that had carried another request before. */
-export function cameOverKept({socket}: IncomingMessage): boolean {
-	return isUsed(socket);
-}
