One reader of whole bodies: relay/utils/read-bytes.ts

Change: `readBytes` holds it; its two callers keep their own errors (`ExchangeError`, `Failure`) and `readBody` its look at whether the answer was cut. Ruled out: the platform's store (text, another bound) and the stand-ins, which must not share code with what they test. Behaviour is the same: both loops left the message by an error, which destroys it, as now. A request body of one chunk is no longer copied; nobody writes into it.

--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -16,6 +16,7 @@
 import {type RoutingState} from '../core/routing-state.js';
 import {type Budgets} from '../work/budgets.js';
 import {type Job} from '../work/job.js';
+import {readBytes} from '../utils/read-bytes.js';
 import {type JobEnd} from '../work/plain.js';
 import {isHopHeader, Reply} from './reply.js';
 
@@ -280,28 +281,7 @@
 		return undefined;
 	}
 
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of request as AsyncIterable<Uint8Array>) {
-			size += chunk.length;
-			if (size > most) {
-				fail('bodyTooLarge');
-			}
-
-			chunks.push(chunk);
-		}
-	} catch (error) {
+	return readBytes(request, most, () => new Failure('bodyTooLarge')).catch((error: unknown) => {
 		throw error instanceof Failure ? error : new Failure('callerGone', {cause: error});
-	}
-
-	const body = new Uint8Array(size);
-	let offset = 0;
-	for (const chunk of chunks) {
-		body.set(chunk, offset);
-		offset += chunk.length;
-	}
-
-	return body;
+	});
 }
-
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -10,6 +10,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
+import {readBytes} from '../utils/read-bytes.js';
 import {spoil, type Connections} from './connections.js';
 
 /** What is sent. */
@@ -174,41 +175,13 @@
 
 /** Reads a whole body of at most `most` bytes; raises an `ExchangeError` where it is cut or too large. */
 export async function readBody(response: IncomingMessage, most: number): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of response as AsyncIterable<Uint8Array>) {
-			size += chunk.length;
-			if (size > most) {
-				throw new ExchangeError('tooLarge', true);
-			}
-
-			chunks.push(chunk);
-		}
-	} catch (error) {
+	const body = await readBytes(response, most, () => new ExchangeError('tooLarge', true)).catch((error: unknown) => {
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
-	}
-
+	});
 	await settleEnd(response);
 	if (isCut(response)) {
 		throw new ExchangeError('reset', true, new Error('the answer was cut'));
 	}
 
-	return joinChunks(chunks, size);
-}
-
-function joinChunks(chunks: readonly Uint8Array[], size: number): Uint8Array {
-	const [first] = chunks;
-	if (chunks.length === 1 && first !== undefined) {
-		return first;
-	}
-
-	const body = new Uint8Array(size);
-	let offset = 0;
-	for (const chunk of chunks) {
-		body.set(chunk, offset);
-		offset += chunk.length;
-	}
-
 	return body;
 }
