--- a/scripts/check-spec.mjs
+++ b/scripts/check-spec.mjs
@@ -5,9 +5,24 @@
 import path from 'node:path';
 import process from 'node:process';
 
-const models = ['tickets', 'memory', 'bundles'];
+const models = ['tickets', 'memory', 'bundles', 'attempts'];
 const depth = '-m200000';
 
+/** Says what to install where a program is missing, in place of a stack trace. */
+function requireProgram(name, advice) {
+	try {
+		execFileSync(name, [name === 'spin' ? '-V' : '--version'], {stdio: 'ignore'});
+	} catch (error) {
+		if (error.code === 'ENOENT') {
+			console.error(`6006 argumentInvalid: ${name} is not installed. ${advice}`);
+			process.exit(2); // eslint-disable-line unicorn/no-process-exit -- nothing can be checked without it
+		}
+	}
+}
+
+requireProgram('spin', 'On Debian: apt-get install spin.');
+requireProgram('cc', 'On Debian: apt-get install gcc.');
+
 /** Runs the checker; returns states and errors. */
 function check(model, mistake) {
 	const folder = mkdtempSync(path.join(tmpdir(), 'gatehead-spec-'));
