The ends of a job by themselves: work/job-end.ts and work/generation-end.ts

Cause: generation.ts (439 lines) and the front took the type `JobEnd` from plain.ts, a sibling that does other work; the refusals of a generation stood at the end of a class that is about its stream. Change: `JobEnd` has a module; `refuseJob`, `stopJob` and `loseJob` are functions of the job in generation-end.ts. Ruled out: sharing them with plain.ts, whose refusal depends on the sends too and has another time to come back. Behaviour is the same: code was moved, not rewritten.

--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -17,7 +17,7 @@
 import {type Budgets} from '../work/budgets.js';
 import {type Job} from '../work/job.js';
 import {readBytes} from '../utils/read-bytes.js';
-import {type JobEnd} from '../work/plain.js';
+import {type JobEnd} from '../work/job-end.js';
 import {isHopHeader, Reply} from './reply.js';
 
 /** Rest that callers' connections are allowed beyond what the configuration says, and at least, in milliseconds. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -12,8 +12,9 @@
 import {Budgets} from './work/budgets.js';
 import {workGeneration} from './work/generation.js';
 import {type Job} from './work/job.js';
+import {type JobEnd} from './work/job-end.js';
 import {type LoadNews, type WorkParts} from './work/parts.js';
-import {workPlain, type JobEnd} from './work/plain.js';
+import {workPlain} from './work/plain.js';
 import {ReservationDesk} from './work/reservation-desk.js';
 import {StageOrders} from './work/stage-orders.js';
 
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -8,16 +8,18 @@
 import {type IncomingMessage} from 'node:http';
 import {EventSplitter} from '@gatehead/policy/relay/event-splitter';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
-import {type Code} from '@gatehead/schema/codes';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {
 	ExchangeError, isCut, readBody, settleEnd,
 } from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
+import {
+	comeBackMs, loseJob, refuseJob, stopJob,
+} from './generation-end.js';
 import {timeLeft, type Job} from './job.js';
 import {type WorkParts} from './parts.js';
-import {type JobEnd} from './plain.js';
+import {type JobEnd} from './job-end.js';
 import {type Reservation} from './reservation-desk.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
@@ -34,8 +36,6 @@
 const mostReadingShare = 0.5;
 /** Time until the head of a stream, and until its next event, after which a stream that may continue elsewhere does, in milliseconds: callers leave after 3.6 s. */
 const silentMs = 1400;
-/** When a caller may come back after a failure on the way, in milliseconds. */
-const comeBackMs = 800;
 /** Longest answer that is no stream. */
 const mostBytes = 1_048_576;
 /** Rest of a reservation's life from which on it is not relied on, in milliseconds. */
@@ -90,11 +90,11 @@
 			});
 			orders.splitOf(this.#job.service.name).noteReserve((clock.now() - askedAt) / this.#job.route.targetMs);
 			if (answer.kind === 'refused') {
-				return this.#refuse(answer.code, answer.retryAfterMs, answer.detail);
+				return refuseJob(this.#job, answer);
 			}
 
 			if (answer.kind === 'gone') {
-				return this.#stop();
+				return stopJob(this.#job);
 			}
 
 			this.#grantedAt = clock.now();
@@ -120,7 +120,7 @@
 		if (this.#job.signal.aborted) {
 			this.#free(source);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
-			return {kind: 'ended', end: this.#stop()};
+			return {kind: 'ended', end: stopJob(this.#job)};
 		}
 
 		return this.#decode(reservation, source);
@@ -241,7 +241,7 @@
 	#notAnswered(sent: Exclude<Sent, {kind: 'answer'}>, endpoint: Endpoint, source: Source | undefined, reservation: string): Decoded {
 		this.#free(source);
 		if (this.#job.signal.aborted) {
-			return {kind: 'ended', end: this.#stop(endpoint)};
+			return {kind: 'ended', end: stopJob(this.#job, endpoint)};
 		}
 
 		this.#avoid.add(endpoint.id);
@@ -255,7 +255,7 @@
 		}
 
 		const mayRepeat = this.#rounds < mostRounds && (!hasArrived || this.#parts.budgets.take(this.#job, 'refused'));
-		return mayRepeat ? {kind: 'again'} : {kind: 'ended', end: this.#refuse('overloaded', comeBackMs, sent.reason, endpoint)};
+		return mayRepeat ? {kind: 'again'} : {kind: 'ended', end: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: comeBackMs, detail: sent.reason}, endpoint)};
 	}
 
 	/** Goes on at another replica where the route allows it; otherwise this is the end. */
@@ -272,7 +272,7 @@
 			return {kind: 'again'};
 		}
 
-		return {kind: 'ended', end: this.#lose(endpoint, reason)};
+		return {kind: 'ended', end: loseJob(this.#job, endpoint, reason)};
 	}
 
 	async #passFailure(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint, status: number): Promise<Decoded> {
@@ -288,7 +288,7 @@
 			}
 
 			if (job.reply.hasBegun) {
-				return {kind: 'ended', end: this.#lose(endpoint, `status ${status}`)};
+				return {kind: 'ended', end: loseJob(this.#job, endpoint, `status ${status}`)};
 			}
 
 			job.reply.begin(sent.response, body.length);
@@ -329,7 +329,7 @@
 		sent.response.destroy();
 		if (this.#job.signal.aborted) {
 			sent.end('cancelled');
-			return {kind: 'ended', end: this.#stop(endpoint)};
+			return {kind: 'ended', end: stopJob(this.#job, endpoint)};
 		}
 
 		sent.end('broken');
@@ -404,36 +404,4 @@
 			this.#parts.ownCalls.freeResult(source.endpoint, source.result);
 		}
 	}
-
-	/** The caller left or time is up. */
-	#stop(endpoint?: Endpoint): JobEnd {
-		const {signal, mayHaveRun} = this.#job;
-		if (signal.reason === 'callerLeft') {
-			return {outcome: 'callerLeft', endpoint: endpoint?.id};
-		}
-
-		return this.#refuse(mayHaveRun ? 'timeoutSpent' : 'overloaded', comeBackMs, 'time is up', endpoint);
-	}
-
-	/** The replica's run is lost and may not be had elsewhere. */
-	#lose(endpoint: Endpoint, reason: string): JobEnd {
-		if (this.#job.reply.hasBegun) {
-			this.#job.reply.breakOff();
-			return {
-				outcome: 'brokenOff', code: 'streamBroken', endpoint: endpoint.id, detail: reason,
-			};
-		}
-
-		return this.#refuse('answerLost', comeBackMs, reason, endpoint);
-	}
-
-	#refuse(wanted: Code, retryAfterMs: number, detail: string, endpoint?: Endpoint): JobEnd {
-		const {reply, mayHaveRun, route} = this.#job;
-		const code = reply.refuse(wanted, {
-			retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
-		});
-		return {
-			outcome: 'refused', code, endpoint: endpoint?.id, detail,
-		};
-	}
 }
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -6,11 +6,11 @@
 import {type IncomingMessage} from 'node:http';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type Code} from '@gatehead/schema/codes';
 import {readBody} from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
 import {type ExtraCause} from './budgets.js';
 import {timeLeft, type Job} from './job.js';
+import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
 
 /** Longest answer that is read whole before it is passed on, so that a cut one is never begun. */
@@ -31,14 +31,6 @@
 	farHall: 0.12, newConnection: 0.1, badness: 2, noise: 0.05,
 };
 
-/** How a job ended, for the log. */
-export type JobEnd = {
-	readonly outcome: 'answered' | 'refused' | 'callerLeft' | 'brokenOff';
-	readonly code?: Code;
-	readonly endpoint?: string;
-	readonly detail?: string;
-};
-
 /** An answer, read whole. */
 type WholeAnswer = {
 	readonly endpoint: Endpoint;
