The reading of a generation's prompt by itself: work/prefill.ts

Cause: generation.ts held both halves of a generation; the prefill shares only the job and its budget with the stream. Change: `Prefill` reads the prompt, gives a result back and counts its tokens; its settings and the type `Source` went with it. The bound on a prefill's answer is named there with the same value. Ruled out: splitting the loop over candidates further: its early ends are its rules. Behaviour is the same: code was moved; `#prefills` is `#sends` there.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -7,7 +7,6 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {EventSplitter} from '@gatehead/policy/relay/event-splitter';
-import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {
@@ -20,6 +19,7 @@
 import {timeLeft, type Job} from './job.js';
 import {type WorkParts} from './parts.js';
 import {type JobEnd} from './job-end.js';
+import {Prefill, type Source} from './prefill.js';
 import {type Reservation} from './reservation-desk.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
@@ -28,12 +28,6 @@
 const blockTokens = 16;
 /** Times that a request is started anew, whatever the cause. */
 const mostRounds = 4;
-/** Prefill replicas tried in one round. */
-const mostPrefills = 3;
-/** Time that a prefill may take before its replica counts as silent, in milliseconds: a prompt that is read twice costs nearly as much as its answer is worth, so a queue is waited for. */
-const prefillMs = 2500;
-/** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others. */
-const mostReadingShare = 0.5;
 /** Time until the head of a stream, and until its next event, after which a stream that may continue elsewhere does, in milliseconds: callers leave after 3.6 s. */
 const silentMs = 1400;
 /** Longest answer that is no stream. */
@@ -43,16 +37,6 @@
 const okStatus = 200;
 const leastErrorStatus = 500;
 
-const prefillWeights: PlacementWeights = {
-	farHall: 0.25, newConnection: 0.1, badness: 1, noise: 0.1,
-};
-
-/** A prefill's result. */
-type Source = {
-	readonly endpoint: Endpoint;
-	readonly result: string;
-};
-
 /** What came of one decode: the end, or what to do next. */
 type Decoded
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
@@ -66,10 +50,10 @@
 class Generation {
 	readonly #parts: WorkParts;
 	readonly #job: Job;
+	readonly #prefill: Prefill;
 	readonly #splitter = new EventSplitter();
 	/** Decode replicas that had it. */
 	readonly #avoid = new Set<string>();
-	#prefills = 0;
 	#grantedAt = 0;
 	#rounds = 0;
 	#lastEventAt = 0;
@@ -78,6 +62,7 @@
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
 		this.#job = job;
+		this.#prefill = new Prefill(parts, job);
 	}
 
 	async work(): Promise<JobEnd> {
@@ -116,9 +101,9 @@
 	}
 
 	async #runAt(reservation: Reservation): Promise<Decoded> {
-		const source = await this.#prefill(reservation);
+		const source = await this.#prefill.read(reservation.endpoint.hall);
 		if (this.#job.signal.aborted) {
-			this.#free(source);
+			this.#prefill.free(source);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
 			return {kind: 'ended', end: stopJob(this.#job)};
 		}
@@ -126,87 +111,6 @@
 		return this.#decode(reservation, source);
 	}
 
-	/** Has the prompt read; undefined where no prefill replica did, so that the decode replica reads it. */
-	async #prefill({endpoint: {hall}}: Reservation): Promise<Source | undefined> {
-		const {endpoints, budgets, news, orders, context: {clock, log, metrics}} = this.#parts;
-		const job = this.#job;
-		const tokens = job.facts.promptTokens;
-		const candidates = this.#prefillCandidates(hall);
-		for (const endpoint of candidates) {
-			if (job.signal.aborted || (this.#prefills > 0 && !budgets.take(job, 'prefill'))) {
-				return undefined;
-			}
-
-			const queue = endpoints.queueOf(endpoint.id);
-			const startedAt = clock.now();
-			const expectedMs = queue.expect(tokens, startedAt);
-			if (expectedMs > mostReadingShare * job.route.targetMs) {
-				log('prefilled', {
-					request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs),
-				});
-				return undefined;
-			}
-
-			const reading = queue.begin(tokens, startedAt);
-			news.tellReading(endpoint.id, tokens);
-			const result = await this.#readAt(endpoint);
-			if (result === undefined) {
-				queue.abandon(reading);
-			} else {
-				queue.finish(reading, clock.now());
-				const tookMs = clock.now() - startedAt;
-				metrics.time('prefill', tookMs);
-				orders.splitOf(job.service.name).notePrefill(tookMs / job.route.targetMs);
-				log('prefilled', {
-					request: job.id, endpoint: endpoint.id, outcome: 'read', tokens, expectedMs: Math.round(expectedMs), tookMs: Math.round(tookMs),
-				});
-				return {endpoint, result};
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
-	#prefillCandidates(hall: string): Endpoint[] {
-		const {endpoints, context: {clock}} = this.#parts;
-		const ordered = endpoints.order(this.#job.service.name, {
-			stage: 'prefill', hall, weights: prefillWeights, bearable: 0,
-		});
-		const usable = ordered.filter(({id}) => endpoints.health.isUsable(id, clock.now()));
-		return usable.slice(0, mostPrefills);
-	}
-
-	async #readAt(endpoint: Endpoint): Promise<string | undefined> {
-		const {sender, context: {dialect}} = this.#parts;
-		const sent = await sender.send({
-			job: this.#job, step: 'prefill', endpoint, facts: {isPrefill: true}, tokens: this.#job.facts.promptTokens, headMs: prefillMs, signal: this.#job.signal,
-		});
-		if (sent.kind !== 'answer') {
-			// A connection that never came brought nothing there
-			this.#prefills += sent.reason === 'connect' ? 0 : 1;
-			if (sent.reason === 'refused') {
-				this.#parts.endpoints.queueOf(endpoint.id).refuse(this.#parts.context.clock.now());
-			}
-
-			return undefined;
-		}
-
-		this.#prefills += 1;
-		try {
-			const body = new TextDecoder().decode(await readBody(sent.response, mostBytes));
-			const result = sent.response.statusCode === okStatus ? dialect.readPrefill(body) : undefined;
-			sent.end(result === undefined ? 'error' : 'good');
-			return result;
-		} catch (error) {
-			sent.end('broken');
-			this.#parts.context.log('sendFailed', {
-				request: this.#job.id, step: 'prefill', endpoint: endpoint.id, outcome: 'unknown', reason: 'cut', detail: String(error),
-			});
-			return undefined;
-		}
-	}
-
 	async #decode({endpoint, name, lapsesAt}: Reservation, source: Source | undefined): Promise<Decoded> {
 		const {sender, context: {clock}} = this.#parts;
 		const isHeld = lapsesAt - clock.now() > lapseMarginMs;
@@ -223,7 +127,7 @@
 			headMs: this.#job.route.isResumable ? silentMs : timeLeft(this.#job, clock.now()) + 1,
 			signal: this.#job.signal,
 		});
-		this.#countPrefill(sent, source);
+		this.#prefill.count(source, sent.kind === 'answer');
 		if (sent.kind !== 'answer') {
 			return this.#notAnswered(sent, endpoint, source, name);
 		}
@@ -232,14 +136,8 @@
 		return status === okStatus ? this.#stream(sent, endpoint) : this.#passFailure(sent, endpoint, status);
 	}
 
-	#countPrefill(sent: Sent, source: Source | undefined): void {
-		if (source !== undefined) {
-			this.#parts.context.metrics.add('prefillTokens', {use: sent.kind === 'answer' ? 'used' : 'wasted'}, this.#job.facts.promptTokens);
-		}
-	}
-
 	#notAnswered(sent: Exclude<Sent, {kind: 'answer'}>, endpoint: Endpoint, source: Source | undefined, reservation: string): Decoded {
-		this.#free(source);
+		this.#prefill.free(source);
 		if (this.#job.signal.aborted) {
 			return {kind: 'ended', end: stopJob(this.#job, endpoint)};
 		}
@@ -398,10 +296,4 @@
 			},
 		};
 	}
-
-	#free(source: Source | undefined): void {
-		if (source !== undefined) {
-			this.#parts.ownCalls.freeResult(source.endpoint, source.result);
-		}
-	}
 }
