The fleet's talk about the directory by itself; a table for each kind of message

Change: peer/directory-news.ts compares, asks, gives and takes; peer/waiting-counts.ts keeps other hosts' counts; the switch is a table of handlers, whose type names every kind. The least time between two questions, half of `greetMs` before, has its own name and the same value (250 ms). Behaviour is the same: messages that are no known kind are refused on arrival by `relayBatch`, as before. Run: tsc, xo, 128 tests of policy/relay, relay/upstream, platform and standin/wire/relay, all passed.

--- /dev/null
+++ b/packages/relay/src/peer/directory-news.ts
@@ -0,0 +1,73 @@
+/**
+ * What hosts tell each other of the configuration and of endpoints, so that a
+ * host which does not read the directory, or cannot, knows them as well.
+ * Efficiency: versions and revisions decide what is believed, not who said it.
+ */
+import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {type FleetParts} from './fleet.js';
+
+/** Least time between two questions, in milliseconds. */
+const askAgainMs = 250;
+
+/** What the news are made from, and where they go. */
+export type DirectoryNewsParts = Omit<FleetParts, 'measureLoad'> & {
+	/** Whether this host reads the directory itself. */
+	readonly isWatcher: () => boolean;
+	readonly send: (host: string, message: RelayMessage) => void;
+	/** Tells the neighbours at once that there is something new. */
+	readonly announce: () => void;
+};
+
+/** Compares with other hosts, asks them and answers them. */
+export class DirectoryNews {
+	readonly #parts: DirectoryNewsParts;
+	#askedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(parts: DirectoryNewsParts) {
+		this.#parts = parts;
+	}
+
+	/** Asks a peer for what it knows and this host does not: what the directory would say itself in a moment is not asked for. */
+	compare(host: string, {routingVersion, directoryRevision, pauses}: RelayMessageOf<'heartbeat'>): void {
+		const {routing, endpoints, watch, isWatcher, context: {clock}} = this.#parts;
+		for (const pause of pauses) {
+			endpoints.hearPause(pause, host);
+		}
+
+		const own = watch();
+		const hearsItself = isWatcher() && !own.isDown;
+		const isBehind = routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself);
+		if (isBehind && clock.now() - this.#askedAt > askAgainMs) {
+			this.#askedAt = clock.now();
+			this.#parts.send(host, {kind: 'directoryWanted', routingVersion: routing.version, revision: own.revision});
+		}
+	}
+
+	/** Tells a host that asked what it lacks. */
+	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
+		const {routing, endpoints, watch} = this.#parts;
+		const listed = endpoints.book.list();
+		this.#parts.send(host, {
+			kind: 'directory',
+			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
+			revision: watch().revision,
+			endpoints: listed.filter(each => each.revision > revision),
+			ids: listed.map(each => each.endpoint.id),
+		});
+	}
+
+	/** Takes over what a host has told. */
+	take(host: string, {routing: offered, revision, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
+		const {routing, endpoints, watch, context: {clock}} = this.#parts;
+		if (offered !== undefined) {
+			routing.offer(offered, host);
+		}
+
+		const own = watch();
+		if (revision > own.revision) {
+			endpoints.note(endpoints.book.replace(listed, new Set(ids), revision, clock.now()), host);
+			own.hear(revision);
+			this.#parts.announce();
+		}
+	}
+}
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -15,6 +15,8 @@
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Endpoints} from '../upstream/endpoints.js';
+import {DirectoryNews} from './directory-news.js';
+import {WaitingCounts} from './waiting-counts.js';
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds. */
 const greetMs = 500;
@@ -24,8 +26,6 @@
 const passOnMs = 100;
 /** Fleet size up to which every host reads the directory itself, and tells all others of each prompt: a message costs half a millisecond. */
 const smallFleet = 12;
-/** Time for which another host's count of waiting requests is believed, in milliseconds. */
-const waitingNewsMs = 2500;
 /** Hosts of a hall that read it in larger fleets. */
 const watchersPerHall = 2;
 
@@ -38,6 +38,9 @@
 	readonly measureLoad: () => number;
 };
 
+type Hearer<Kind extends RelayMessage['kind']> = (from: Owner, message: RelayMessageOf<Kind>) => void;
+type Hearers = {readonly [Kind in RelayMessage['kind']]: Hearer<Kind>};
+
 /** The fleet as one host knows it. */
 export class Fleet {
 	readonly membership: Membership;
@@ -50,10 +53,38 @@
 	#seeds: readonly string[];
 	#timer: Timer | undefined;
 	#passTimer: Timer | undefined;
-	#askedAt = Number.NEGATIVE_INFINITY;
 	#known = '';
-	/** Requests that wait, by service and host. */
-	readonly #waiting = new Map<string, {readonly count: number; readonly at: number}>();
+	readonly #waiting = new WaitingCounts();
+	readonly #news: DirectoryNews;
+	/** What is done with each kind of message. */
+	readonly #hearers: Hearers = {
+		hello: (_from, {record}) => {
+			this.membership.hello(record);
+		},
+		doubt: (from, {record}) => {
+			this.membership.doubt(from, record);
+		},
+		heartbeat: (from, message) => {
+			this.#parts.context.hybrid.receive(message.clock);
+			this.membership.heartbeat(from, message);
+			this.#news.compare(from.host, message);
+		},
+		directoryWanted: (from, message) => {
+			this.#news.give(from.host, message);
+		},
+		directory: (from, message) => {
+			this.#news.take(from.host, message);
+		},
+		paused: (from, {pause}) => {
+			this.#parts.endpoints.hearPause(pause, from.host);
+		},
+		reading: (_from, {endpoint, tokens}) => {
+			this.#parts.endpoints.queueOf(endpoint).add(tokens, this.#parts.context.clock.now());
+		},
+		waiting: (from, {service, count}) => {
+			this.#waiting.hear(service, from.host, count, this.#parts.context.clock.now());
+		},
+	};
 
 	constructor(parts: FleetParts) {
 		const {context} = parts;
@@ -70,6 +101,16 @@
 			ownRecord: () => this.membership.members.self,
 			addressOf: host => this.membership.members.recordOf(host)?.peerAddress,
 		});
+		this.#news = new DirectoryNews({
+			...parts,
+			isWatcher: () => this.isWatcher(),
+			send: (host, message) => {
+				this.#links.send(host, message);
+			},
+			announce: () => {
+				this.announce();
+			},
+		});
 		this.membership = new Membership({
 			context,
 			voice: this.#makeVoice(),
@@ -161,13 +202,7 @@
 			return own * (this.countHosts() - 1);
 		}
 
-		const now = this.#parts.context.clock.now();
-		let waiting = 0;
-		for (const [key, {count, at}] of this.#waiting) {
-			waiting += key.startsWith(`${service} `) && now - at < waitingNewsMs ? count : 0;
-		}
-
-		return waiting;
+		return this.#waiting.sum(service, this.#parts.context.clock.now());
 	}
 
 	/** Closes all links. */
@@ -255,91 +290,9 @@
 		};
 	}
 
-	#hear(from: Owner, message: RelayMessage): void {
-		switch (message.kind) {
-			case 'hello': {
-				this.membership.hello(message.record);
-				return;
-			}
-
-			case 'doubt': {
-				this.membership.doubt(from, message.record);
-				return;
-			}
-
-			case 'heartbeat': {
-				this.#parts.context.hybrid.receive(message.clock);
-				this.membership.heartbeat(from, message);
-				this.#compare(from.host, message);
-				return;
-			}
-
-			case 'directoryWanted': {
-				this.#give(from.host, message);
-				return;
-			}
-
-			case 'directory': {
-				this.#take(from.host, message);
-				return;
-			}
-
-			case 'paused': {
-				this.#parts.endpoints.hearPause(message.pause, from.host);
-				return;
-			}
-
-			case 'reading': {
-				this.#parts.endpoints.queueOf(message.endpoint).add(message.tokens, this.#parts.context.clock.now());
-				return;
-			}
-
-			case 'waiting': {
-				this.#waiting.set(`${message.service} ${from.host}`, {count: message.count, at: this.#parts.context.clock.now()});
-			}
-		}
-	}
-
-	/** Asks a peer for what it knows and this host does not: what the directory would say itself in a moment is not asked for. */
-	#compare(host: string, {routingVersion, directoryRevision, pauses}: RelayMessageOf<'heartbeat'>): void {
-		const {routing, endpoints, watch, context: {clock}} = this.#parts;
-		for (const pause of pauses) {
-			endpoints.hearPause(pause, host);
-		}
-
-		const own = watch();
-		const hearsItself = this.isWatcher() && !own.isDown;
-		const isBehind = routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself);
-		if (isBehind && clock.now() - this.#askedAt > greetMs / 2) {
-			this.#askedAt = clock.now();
-			this.#links.send(host, {kind: 'directoryWanted', routingVersion: routing.version, revision: own.revision});
-		}
-	}
-
-	#give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
-		const {routing, endpoints, watch} = this.#parts;
-		const listed = endpoints.book.list();
-		this.#links.send(host, {
-			kind: 'directory',
-			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
-			revision: watch().revision,
-			endpoints: listed.filter(each => each.revision > revision),
-			ids: listed.map(each => each.endpoint.id),
-		});
-	}
-
-	#take(host: string, {routing: offered, revision, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
-		const {routing, endpoints, watch, context: {clock}} = this.#parts;
-		if (offered !== undefined) {
-			routing.offer(offered, host);
-		}
-
-		const own = watch();
-		if (revision > own.revision) {
-			endpoints.note(endpoints.book.replace(listed, new Set(ids), revision, clock.now()), host);
-			own.hear(revision);
-			this.announce();
-		}
+	#hear<Kind extends RelayMessage['kind']>(from: Owner, message: RelayMessageOf<Kind> & {readonly kind: Kind}): void {
+		const hear: Hearer<Kind> = this.#hearers[message.kind];
+		hear(from, message);
 	}
 }
 
