Leftover in the endpoint book: its sequence

Cause: `EndpointBook.sequence` was counted and read by nothing, tests included. Change: it is gone. Behaviour is the same.

--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -35,12 +35,6 @@
 	#removed: Array<{readonly at: number; readonly revision: number; readonly endpoint: Endpoint}> = [];
 	#isAway = false;
 	#backAt = Number.NEGATIVE_INFINITY;
-	#sequence = 0;
-
-	/** Rises with each change. */
-	get sequence(): number {
-		return this.#sequence;
-	}
 
 	/** Endpoints that take new work. */
 	listReady(service: string): Endpoint[] {
@@ -90,7 +84,6 @@
 		}
 
 		this.#entries.set(endpoint.id, {revision, endpoint, vanishedAt: undefined});
-		this.#sequence += 1;
 		if (endpoint.state === 'leaving') {
 			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, change: 'leaving'}];
 		}
@@ -187,14 +180,12 @@
 			this.#entries.set(endpoint.id, {revision, endpoint, vanishedAt: now});
 		}
 
-		this.#sequence += 1;
 		return lost.map(({endpoint}) => ({endpoint, change: 'vanished'}));
 	}
 
 	#erase({endpoint}: Entry, revision: number): BookChange[] {
 		this.#entries.delete(endpoint.id);
 		this.#tombstones.set(endpoint.id, revision);
-		this.#sequence += 1;
 		return [{endpoint, change: 'gone'}];
 	}
 }
