One filter of passed headers: front/headers.ts

Cause: the walk over raw headers stood twice, in the caller's front and in reply.ts, which lent `isHopHeader` to it. Change: `passHeaders` walks once and asks its caller about what is left; each side keeps its own rule (content-length, expect, the dialect; content-length where the body is framed anew). Ruled out: one rule for both ways: what a dialect keeps back from endpoints is not what answers lack. Behaviour is the same: same headers in the same order.

--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -18,7 +18,8 @@
 import {type Job} from '../work/job.js';
 import {readBytes} from '../utils/read-bytes.js';
 import {type JobEnd} from '../work/job-end.js';
-import {isHopHeader, Reply} from './reply.js';
+import {passHeaders} from './headers.js';
+import {Reply} from './reply.js';
 
 /** Rest that callers' connections are allowed beyond what the configuration says, and at least, in milliseconds. */
 const restMarginMs = 1500;
@@ -210,18 +211,9 @@
 		return patienceMs < longest - patienceStep;
 	}
 
-	#passedHeaders({rawHeaders, headers: {connection}}: IncomingMessage): string[] {
+	#passedHeaders(request: IncomingMessage): string[] {
 		const {dialect} = this.#parts.context;
-		const headers: string[] = [];
-		for (let index = 0; index < rawHeaders.length; index += 2) {
-			const name = rawHeaders[index] ?? '';
-			const small = name.toLowerCase();
-			if (!isHopHeader(small, connection) && small !== 'content-length' && small !== 'expect' && dialect.isPassed(small)) {
-				headers.push(name, rawHeaders[index + 1] ?? '');
-			}
-		}
-
-		return headers;
+		return passHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isPassed(name));
 	}
 
 	/** Names a request that came without a name, for the log. */
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -6,22 +6,12 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {Failure} from '@gatehead/schema/failure';
+import {passHeaders} from './headers.js';
 
 const millisecondsPerSecond = 1000;
 const badGateway = 502;
 /** Statuses that promise that a request has not run. */
 export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Headers that concern one connection alone. */
-const hopHeaders: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade']);
-
-/** Whether a header concerns one connection alone; `connection` lists further ones. */
-export function isHopHeader(name: string, connection: string | undefined): boolean {
-	if (hopHeaders.has(name)) {
-		return true;
-	}
-
-	return (connection ?? '').toLowerCase().split(',').some(each => each.trim() === name);
-}
 
 /** What the relay says itself. */
 export type OwnAnswer = {
@@ -32,17 +22,8 @@
 };
 
 /** An endpoint's headers, but for those of its connection. */
-function passedHeaders({rawHeaders, headers: {connection}}: IncomingMessage, isFramedAnew: boolean): string[] {
-	const headers: string[] = [];
-	for (let index = 0; index < rawHeaders.length; index += 2) {
-		const name = rawHeaders[index] ?? '';
-		const small = name.toLowerCase();
-		if (!isHopHeader(small, connection) && !(isFramedAnew && small === 'content-length')) {
-			headers.push(name, rawHeaders[index + 1] ?? '');
-		}
-	}
-
-	return headers;
+function passedHeaders(answer: IncomingMessage, isFramedAnew: boolean): string[] {
+	return passHeaders(answer, name => !(isFramedAnew && name === 'content-length'));
 }
 
 /** One caller's answer. */
