Names for the sends that run side by side in work/plain.ts

Cause: the same nested type was written out twice in PlainWork. Change: `Rival` and `RivalResult`. Ruled out: a module of its own for the race: it reads the same budget, attempts and tried endpoints as the rest of the class. Behaviour is the same: types only.

--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -43,6 +43,18 @@
 	= | {readonly kind: 'whole'; readonly answer: WholeAnswer}
 		| Exclude<Sent, {kind: 'answer'}>;
 
+/** What came of one of the sends that run side by side. */
+type RivalResult = {
+	readonly rival: AbortController;
+	readonly tried: Tried;
+};
+
+/** A send that may run beside another; its controller ends it. */
+type Rival = {
+	readonly controller: AbortController;
+	readonly result: Promise<RivalResult>;
+};
+
 /** Works on a request to a plain service until it has its final answer. */
 export async function workPlain(parts: WorkParts, job: Job): Promise<JobEnd> {
 	const plain = new PlainWork(parts, job);
@@ -85,7 +97,7 @@
 
 	/** A second endpoint is asked when the first fails or is slow; the first good answer counts. */
 	async workRepeatable(): Promise<JobEnd> {
-		const rivals = new Map<AbortController, Promise<{readonly rival: AbortController; readonly tried: Tried}>>();
+		const rivals = new Map<AbortController, Promise<RivalResult>>();
 		let failed: WholeAnswer | undefined;
 		let cause: ExtraCause | undefined;
 		let tries = 0;
@@ -132,7 +144,7 @@
 	}
 
 	/** Starts one more send, where an endpoint, an attempt and the budget are left. */
-	#start(cause: ExtraCause | undefined): {readonly controller: AbortController; readonly result: Promise<{readonly rival: AbortController; readonly tried: Tried}>} | undefined {
+	#start(cause: ExtraCause | undefined): Rival | undefined {
 		const endpoint = this.#choose();
 		if (endpoint === undefined || this.#job.runs >= this.#job.route.maxAttempts || (cause !== undefined && !this.#mayRepeat(cause))) {
 			return undefined;
