Module headers say whether safety or efficiency rests on the module

Change: comments only; the stand-ins and the soak, which serve nobody, are left as they are. Behaviour is the same.

--- a/packages/control/src/commands/trace.ts
+++ b/packages/control/src/commands/trace.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl trace ID` and `gateheadctl logs`: a request's life over all hosts' log lines, with its cause in a sentence, and lines by what they concern. */
+/** `gateheadctl trace ID` and `gateheadctl logs`: a request's life over all hosts' log lines, with its cause in a sentence, and lines by what they concern. Neither safety nor efficiency rests here. */
 import {
 	exitCodes, print, printJson, printTable,
 } from '../utils/output.js';
--- a/packages/control/src/utils/log-lines.ts
+++ b/packages/control/src/utils/log-lines.ts
@@ -1,4 +1,4 @@
-/** Reads log lines of many processes from files or standard input. A line may stand behind other words, as where a collector puts a time and a name before it. */
+/** Reads log lines of many processes from files or standard input. A line may stand behind other words, as where a collector puts a time and a name before it. Neither safety nor efficiency rests here. */
 import {readFileSync} from 'node:fs';
 import {z} from 'zod';
 import {fail} from '@gatehead/schema/failure';
--- a/packages/relay/src/core/directory.ts
+++ b/packages/relay/src/core/directory.ts
@@ -1,6 +1,7 @@
 /**
  * Reading what the platform publishes: lists and watches, already translated.
  * Whoever implements this only reads; what to believe is decided elsewhere.
+ * Neither safety nor efficiency rests here.
  */
 import {type ListedEndpoint, type Routing} from '@gatehead/schema/routing';
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,4 +1,8 @@
-/** One relay process put together: its tasks, how they hear of each other, started and stopped in order. */
+/**
+ * One relay process put together: its tasks, how they hear of each other,
+ * started and stopped in order. Efficiency: a planned stop serves on until no
+ * lookup can name this host. Safety rests on the tasks, not here.
+ */
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -1,7 +1,8 @@
 /**
  * Counters, gauges and latency histograms in the usual text exposition, by
  * prom-client; the same counts go out as StatsD datagrams where settings ask
- * for it. Labels take values from small fixed sets only.
+ * for it. Labels take values from small fixed sets only. Neither safety nor
+ * efficiency rests here.
  */
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {splitAddress} from '@gatehead/schema/address';
--- a/packages/relay/src/utils/relay-log.ts
+++ b/packages/relay/src/utils/relay-log.ts
@@ -3,7 +3,7 @@
  * decision that touches a request or changes what the process believes.
  * Each code has a rate; lines beyond it are left out and counted in a line
  * of their own, codes of failures with a rate of their own, so that a storm
- * of good news never hides bad news.
+ * of good news never hides bad news. Neither safety nor efficiency rests here.
  */
 import {type Writable} from 'node:stream';
 import {type Clock} from '@gatehead/policy/utils/clock';
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -1,4 +1,4 @@
-/** What the ways of work share, in one object that is passed down. */
+/** What the ways of work share, in one object that is passed down. Neither safety nor efficiency rests here. */
 import {type RelayContext} from '../core/context.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -1,4 +1,4 @@
-/** Settings of one relay process. Its addresses and data hall come from whoever starts it. */
+/** Settings of one relay process. Its addresses and data hall come from whoever starts it. Neither safety nor efficiency rests here: each bound is kept where it is read. */
 import {z} from 'zod';
 import {address} from './address.js';
 import {tls} from './settings.js';
