The search for room by itself: work/room-search.ts

Change: `RoomSearch` asks replicas for one wish, with its weights and the types `Wish` and `Reservation`; the desk keeps the line, the rounds and the refusals. Ruled out: moving the rounds too: they share the line and the flags against overlap. Behaviour is the same: code was moved; `#ask` is `find`.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -18,7 +18,7 @@
 import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
 import {Prefill, type Source} from './prefill.js';
-import {type Reservation} from './reservation-desk.js';
+import {type Reservation} from './room-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -1,59 +1,31 @@
 /**
- * Gets decode memory for a host's requests before their prompts are read: it
- * asks the replicas themselves, which know their room now. Requests that
- * find none wait in line, those that can still be in time first; who has no
- * chance is told early, so that its next try counts. Efficiency only.
+ * Gets decode memory for a host's requests before their prompts are read, by
+ * asking the replicas (room-search.ts). Requests that find none wait in line,
+ * those that can still be in time first; who has no chance is told early, so
+ * that its next try counts. Efficiency only.
  */
-import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
 import {WaitLine, type Waiter} from '@gatehead/policy/relay/wait-line';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
-import {type Job} from './job.js';
 import {type LoadNews} from './parts.js';
+import {RoomSearch, type Reservation, type Wish} from './room-search.js';
 
 /** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
 const pollMs = 60;
 const pollSpread = 0.3;
-/** Replicas asked in one round for one request. */
-const mostAsked = 4;
 /** Waiting requests that ask in one round: a large one at the head must not hold up all others. */
 const askersPerRound = 2;
 
-/** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a twentieth of one. */
-const weights: PlacementWeights = {
-	farHall: 0.03, newConnection: 0.02, badness: 1, noise: 0.08,
-};
-
-/** A reservation that a request holds. */
-export type Reservation = {
-	readonly endpoint: Endpoint;
-	readonly name: string;
-	readonly lapsesAt: number;
-};
-
 /** What came of asking. */
 export type DeskAnswer
 	= | {readonly kind: 'granted'; readonly reservation: Reservation}
 		| {readonly kind: 'refused'; readonly code: 'overloaded' | 'endpointsDown'; readonly retryAfterMs: number; readonly detail: string}
 		| {readonly kind: 'gone'};
 
-/** What is asked for. */
-export type Wish = {
-	readonly job: Job;
-	readonly tokens: number;
-	readonly lifeMs: number;
-	readonly bearable: number;
-	/** Replicas that have had the request before. */
-	readonly avoid: ReadonlySet<string>;
-	/** The caller has a part of its answer: it is not refused while its time lasts. */
-	readonly isStarted: boolean;
-};
-
 type Waiting = Waiter & {
 	readonly wish: Wish;
 	readonly resolve: (answer: DeskAnswer) => void;
@@ -72,6 +44,7 @@
 	readonly #context: RelayContext;
 	readonly #endpoints: Endpoints;
 	readonly #calls: OwnCalls;
+	readonly #search: RoomSearch;
 	readonly #news: LoadNews;
 	readonly #lines = new Map<string, WaitLine<Waiting>>();
 	readonly #releases = new Map<string, ReleaseRate>();
@@ -85,6 +58,7 @@
 		this.#context = context;
 		this.#endpoints = endpoints;
 		this.#calls = calls;
+		this.#search = new RoomSearch(context, endpoints, calls);
 		this.#news = news;
 	}
 
@@ -108,7 +82,7 @@
 		const {job} = wish;
 		const line = this.#lineOf(job.service.name);
 		if (line.size === 0) {
-			const reservation = await this.#ask(wish);
+			const reservation = await this.#search.find(wish);
 			if (reservation !== undefined) {
 				this.#log(wish, reservation, 0);
 				return {kind: 'granted', reservation};
@@ -213,7 +187,7 @@
 				continue;
 			}
 
-			const reservation = await this.#ask(waiter.wish);
+			const reservation = await this.#search.find(waiter.wish);
 			if (reservation === undefined) {
 				refused += 1;
 			} else if (line.has(waiter)) {
@@ -239,41 +213,6 @@
 		}
 	}
 
-	/** Asks replicas one after the other. */
-	async #ask({job, tokens, lifeMs, bearable, avoid}: Wish): Promise<Reservation | undefined> {
-		const {clock, settings: {hall}} = this.#context;
-		const ordered = this.#endpoints.order(job.service.name, {
-			stage: 'decode', hall, tokens, weights, bearable,
-		});
-		let asked = 0;
-		for (const endpoint of this.#narrow(ordered, avoid)) {
-			if (asked >= mostAsked || job.signal.aborted) {
-				return undefined;
-			}
-
-			if (this.#endpoints.isFull(endpoint.id, tokens) || !this.#endpoints.book.isReady(endpoint.id)) {
-				continue;
-			}
-
-			asked += 1;
-			const answer = await this.#calls.reserve(endpoint, tokens, lifeMs, job.signal);
-			if (answer.kind === 'granted') {
-				return {endpoint, name: answer.reservation, lapsesAt: clock.now() + lifeMs};
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Leaves out replicas that fail, and those that had the request before, unless there are no others. */
-	#narrow(ordered: readonly Endpoint[], avoid: ReadonlySet<string>): readonly Endpoint[] {
-		const now = this.#context.clock.now();
-		const usable = ordered.filter(({id}) => this.#endpoints.health.isUsable(id, now));
-		const candidates = usable.length > 0 ? usable : ordered;
-		const fresh = candidates.filter(({id}) => !avoid.has(id));
-		return fresh.length > 0 ? fresh : candidates;
-	}
-
 	#rateOf(service: string): ReleaseRate {
 		let rate = this.#releases.get(service);
 		if (rate === undefined) {
--- /dev/null
+++ b/packages/relay/src/work/room-search.ts
@@ -0,0 +1,86 @@
+/**
+ * Finds a decode replica with room for one request: replicas are asked one
+ * after the other, since they know their room now. Efficiency only: a
+ * reservation that comes to nothing lapses at the replica.
+ */
+import {type PlacementWeights} from '@gatehead/policy/relay/placement';
+import {type Endpoint} from '@gatehead/schema/routing';
+import {type RelayContext} from '../core/context.js';
+import {type Endpoints} from '../upstream/endpoints.js';
+import {type OwnCalls} from '../upstream/own-calls.js';
+import {type Job} from './job.js';
+
+/** Replicas asked in one round for one request. */
+const mostAsked = 4;
+
+/** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a twentieth of one. */
+const weights: PlacementWeights = {
+	farHall: 0.03, newConnection: 0.02, badness: 1, noise: 0.08,
+};
+
+/** A reservation that a request holds. */
+export type Reservation = {
+	readonly endpoint: Endpoint;
+	readonly name: string;
+	readonly lapsesAt: number;
+};
+
+/** What is asked for. */
+export type Wish = {
+	readonly job: Job;
+	readonly tokens: number;
+	readonly lifeMs: number;
+	readonly bearable: number;
+	/** Replicas that have had the request before. */
+	readonly avoid: ReadonlySet<string>;
+	/** The caller has a part of its answer: it is not refused while its time lasts. */
+	readonly isStarted: boolean;
+};
+
+/** Asks the replicas of all services. */
+export class RoomSearch {
+	readonly #context: RelayContext;
+	readonly #endpoints: Endpoints;
+	readonly #calls: OwnCalls;
+
+	constructor(context: RelayContext, endpoints: Endpoints, calls: OwnCalls) {
+		this.#context = context;
+		this.#endpoints = endpoints;
+		this.#calls = calls;
+	}
+
+	/** Asks replicas one after the other. */
+	async find({job, tokens, lifeMs, bearable, avoid}: Wish): Promise<Reservation | undefined> {
+		const {clock, settings: {hall}} = this.#context;
+		const ordered = this.#endpoints.order(job.service.name, {
+			stage: 'decode', hall, tokens, weights, bearable,
+		});
+		let asked = 0;
+		for (const endpoint of this.#narrow(ordered, avoid)) {
+			if (asked >= mostAsked || job.signal.aborted) {
+				return undefined;
+			}
+
+			if (this.#endpoints.isFull(endpoint.id, tokens) || !this.#endpoints.book.isReady(endpoint.id)) {
+				continue;
+			}
+
+			asked += 1;
+			const answer = await this.#calls.reserve(endpoint, tokens, lifeMs, job.signal);
+			if (answer.kind === 'granted') {
+				return {endpoint, name: answer.reservation, lapsesAt: clock.now() + lifeMs};
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Leaves out replicas that fail, and those that had the request before, unless there are no others. */
+	#narrow(ordered: readonly Endpoint[], avoid: ReadonlySet<string>): readonly Endpoint[] {
+		const now = this.#context.clock.now();
+		const usable = ordered.filter(({id}) => this.#endpoints.health.isUsable(id, now));
+		const candidates = usable.length > 0 ? usable : ordered;
+		const fresh = candidates.filter(({id}) => !avoid.has(id));
+		return fresh.length > 0 ? fresh : candidates;
+	}
+}
