--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,4 +1,8 @@
-/** One relay process put together: its tasks, how they hear of each other, started and stopped in order. */
+/**
+ * One relay process put together: its tasks, how they hear of each other,
+ * started and stopped in order. Efficiency: a planned stop serves on until no
+ * lookup can name this host. Safety rests on the tasks, not here.
+ */
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
@@ -12,8 +16,9 @@
 import {Budgets} from './work/budgets.js';
 import {workGeneration} from './work/generation.js';
 import {type Job} from './work/job.js';
+import {type JobEnd} from './work/job-end.js';
 import {type LoadNews, type WorkParts} from './work/parts.js';
-import {workPlain, type JobEnd} from './work/plain.js';
+import {workPlain} from './work/plain.js';
 import {ReservationDesk} from './work/reservation-desk.js';
 import {StageOrders} from './work/stage-orders.js';
 
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -5,20 +5,21 @@
  * its route allows a stream to continue, and then after the last whole event
  * that the caller has; a stream that cannot continue is broken off.
  */
-import {type IncomingMessage} from 'node:http';
-import {EventSplitter} from '@gatehead/policy/relay/event-splitter';
-import {type PlacementWeights} from '@gatehead/policy/relay/placement';
-import {type Code} from '@gatehead/schema/codes';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type Timer} from '@gatehead/policy/utils/clock';
 import {
 	ExchangeError, isCut, readBody, settleEnd,
 } from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
+import {
+	comeBackMs, loseJob, refuseJob, stopJob,
+} from './generation-end.js';
+import {EventPassage} from './event-passage.js';
 import {timeLeft, type Job} from './job.js';
+import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
-import {type JobEnd} from './plain.js';
-import {type Reservation} from './reservation-desk.js';
+import {Prefill, type Source} from './prefill.js';
+import {type Reservation} from './room-search.js';
+import {SilenceWatch} from './silence-watch.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
 const answerFactor = 0.9;
@@ -26,16 +27,8 @@
 const blockTokens = 16;
 /** Times that a request is started anew, whatever the cause. */
 const mostRounds = 4;
-/** Prefill replicas tried in one round. */
-const mostPrefills = 3;
-/** Time that a prefill may take before its replica counts as silent, in milliseconds: a prompt that is read twice costs nearly as much as its answer is worth, so a queue is waited for. */
-const prefillMs = 2500;
-/** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others. */
-const mostReadingShare = 0.5;
 /** Time until the head of a stream, and until its next event, after which a stream that may continue elsewhere does, in milliseconds: callers leave after 3.6 s. */
 const silentMs = 1400;
-/** When a caller may come back after a failure on the way, in milliseconds. */
-const comeBackMs = 800;
 /** Longest answer that is no stream. */
 const mostBytes = 1_048_576;
 /** Rest of a reservation's life from which on it is not relied on, in milliseconds. */
@@ -43,16 +36,6 @@
 const okStatus = 200;
 const leastErrorStatus = 500;
 
-const prefillWeights: PlacementWeights = {
-	farHall: 0.25, newConnection: 0.1, badness: 1, noise: 0.1,
-};
-
-/** A prefill's result. */
-type Source = {
-	readonly endpoint: Endpoint;
-	readonly result: string;
-};
-
 /** What came of one decode: the end, or what to do next. */
 type Decoded
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
@@ -66,18 +49,18 @@
 class Generation {
 	readonly #parts: WorkParts;
 	readonly #job: Job;
-	readonly #splitter = new EventSplitter();
+	readonly #prefill: Prefill;
+	readonly #events: EventPassage;
 	/** Decode replicas that had it. */
 	readonly #avoid = new Set<string>();
-	#prefills = 0;
 	#grantedAt = 0;
 	#rounds = 0;
-	#lastEventAt = 0;
-	#longestGapMs = 0;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
 		this.#job = job;
+		this.#prefill = new Prefill(parts, job);
+		this.#events = new EventPassage(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
 	async work(): Promise<JobEnd> {
@@ -90,11 +73,11 @@
 			});
 			orders.splitOf(this.#job.service.name).noteReserve((clock.now() - askedAt) / this.#job.route.targetMs);
 			if (answer.kind === 'refused') {
-				return this.#refuse(answer.code, answer.retryAfterMs, answer.detail);
+				return refuseJob(this.#job, answer);
 			}
 
 			if (answer.kind === 'gone') {
-				return this.#stop();
+				return stopJob(this.#job);
 			}
 
 			this.#grantedAt = clock.now();
@@ -106,7 +89,7 @@
 	}
 
 	get #engine() {
-		return this.#job.service.engine ?? {capacityTokens: 0, resultLifeMs: 0, reservationMs: 0};
+		return this.#job.service.engine ?? {capacityTokens: 0, reservationMs: 0};
 	}
 
 	#countTokens(): number {
@@ -116,97 +99,16 @@
 	}
 
 	async #runAt(reservation: Reservation): Promise<Decoded> {
-		const source = await this.#prefill(reservation);
+		const source = await this.#prefill.read(reservation.endpoint.hall);
 		if (this.#job.signal.aborted) {
-			this.#free(source);
+			this.#prefill.free(source);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
-			return {kind: 'ended', end: this.#stop()};
+			return {kind: 'ended', end: stopJob(this.#job)};
 		}
 
 		return this.#decode(reservation, source);
 	}
 
-	/** Has the prompt read; undefined where no prefill replica did, so that the decode replica reads it. */
-	async #prefill({endpoint: {hall}}: Reservation): Promise<Source | undefined> {
-		const {endpoints, budgets, news, orders, context: {clock, log, metrics}} = this.#parts;
-		const job = this.#job;
-		const tokens = job.facts.promptTokens;
-		const candidates = this.#prefillCandidates(hall);
-		for (const endpoint of candidates) {
-			if (job.signal.aborted || (this.#prefills > 0 && !budgets.take(job, 'prefill'))) {
-				return undefined;
-			}
-
-			const queue = endpoints.queueOf(endpoint.id);
-			const startedAt = clock.now();
-			const expectedMs = queue.expect(tokens, startedAt);
-			if (expectedMs > mostReadingShare * job.route.targetMs) {
-				log('prefilled', {
-					request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs),
-				});
-				return undefined;
-			}
-
-			const reading = queue.begin(tokens, startedAt);
-			news.tellReading(endpoint.id, tokens);
-			const result = await this.#readAt(endpoint);
-			if (result === undefined) {
-				queue.abandon(reading);
-			} else {
-				queue.finish(reading, clock.now());
-				const tookMs = clock.now() - startedAt;
-				metrics.time('prefill', tookMs);
-				orders.splitOf(job.service.name).notePrefill(tookMs / job.route.targetMs);
-				log('prefilled', {
-					request: job.id, endpoint: endpoint.id, outcome: 'read', tokens, expectedMs: Math.round(expectedMs), tookMs: Math.round(tookMs),
-				});
-				return {endpoint, result};
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
-	#prefillCandidates(hall: string): Endpoint[] {
-		const {endpoints, context: {clock}} = this.#parts;
-		const ordered = endpoints.order(this.#job.service.name, {
-			stage: 'prefill', hall, weights: prefillWeights, bearable: 0,
-		});
-		const usable = ordered.filter(({id}) => endpoints.health.isUsable(id, clock.now()));
-		return usable.slice(0, mostPrefills);
-	}
-
-	async #readAt(endpoint: Endpoint): Promise<string | undefined> {
-		const {sender, context: {dialect}} = this.#parts;
-		const sent = await sender.send({
-			job: this.#job, step: 'prefill', endpoint, facts: {isPrefill: true}, tokens: this.#job.facts.promptTokens, headMs: prefillMs, signal: this.#job.signal,
-		});
-		if (sent.kind !== 'answer') {
-			// A connection that never came brought nothing there
-			this.#prefills += sent.reason === 'connect' ? 0 : 1;
-			if (sent.reason === 'refused') {
-				this.#parts.endpoints.queueOf(endpoint.id).refuse(this.#parts.context.clock.now());
-			}
-
-			return undefined;
-		}
-
-		this.#prefills += 1;
-		try {
-			const body = new TextDecoder().decode(await readBody(sent.response, mostBytes));
-			const result = sent.response.statusCode === okStatus ? dialect.readPrefill(body) : undefined;
-			sent.end(result === undefined ? 'error' : 'good');
-			return result;
-		} catch (error) {
-			sent.end('broken');
-			this.#parts.context.log('sendFailed', {
-				request: this.#job.id, step: 'prefill', endpoint: endpoint.id, outcome: 'unknown', reason: 'cut', detail: String(error),
-			});
-			return undefined;
-		}
-	}
-
 	async #decode({endpoint, name, lapsesAt}: Reservation, source: Source | undefined): Promise<Decoded> {
 		const {sender, context: {clock}} = this.#parts;
 		const isHeld = lapsesAt - clock.now() > lapseMarginMs;
@@ -217,13 +119,13 @@
 			facts: {
 				...(source === undefined ? {} : {source: {address: source.endpoint.address, result: source.result}}),
 				...(isHeld ? {reservation: name} : {}),
-				lastEventId: this.#splitter.lastId ?? this.#job.facts.lastEventId,
+				lastEventId: this.#events.lastId ?? this.#job.facts.lastEventId,
 			},
 			tokens: this.#countTokens(),
 			headMs: this.#job.route.isResumable ? silentMs : timeLeft(this.#job, clock.now()) + 1,
 			signal: this.#job.signal,
 		});
-		this.#countPrefill(sent, source);
+		this.#prefill.count(source, sent.kind === 'answer');
 		if (sent.kind !== 'answer') {
 			return this.#notAnswered(sent, endpoint, source, name);
 		}
@@ -232,16 +134,10 @@
 		return status === okStatus ? this.#stream(sent, endpoint) : this.#passFailure(sent, endpoint, status);
 	}
 
-	#countPrefill(sent: Sent, source: Source | undefined): void {
-		if (source !== undefined) {
-			this.#parts.context.metrics.add('prefillTokens', {use: sent.kind === 'answer' ? 'used' : 'wasted'}, this.#job.facts.promptTokens);
-		}
-	}
-
 	#notAnswered(sent: Exclude<Sent, {kind: 'answer'}>, endpoint: Endpoint, source: Source | undefined, reservation: string): Decoded {
-		this.#free(source);
+		this.#prefill.free(source);
 		if (this.#job.signal.aborted) {
-			return {kind: 'ended', end: this.#stop(endpoint)};
+			return {kind: 'ended', end: stopJob(this.#job, endpoint)};
 		}
 
 		this.#avoid.add(endpoint.id);
@@ -255,7 +151,7 @@
 		}
 
 		const mayRepeat = this.#rounds < mostRounds && (!hasArrived || this.#parts.budgets.take(this.#job, 'refused'));
-		return mayRepeat ? {kind: 'again'} : {kind: 'ended', end: this.#refuse('overloaded', comeBackMs, sent.reason, endpoint)};
+		return mayRepeat ? {kind: 'again'} : {kind: 'ended', end: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: comeBackMs, detail: sent.reason}, endpoint)};
 	}
 
 	/** Goes on at another replica where the route allows it; otherwise this is the end. */
@@ -265,14 +161,14 @@
 		const mayContinue = job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < mostRounds;
 		if (mayContinue && budgets.take(job, 'continue')) {
 			this.#avoid.add(endpoint.id);
-			this.#splitter.reset();
+			this.#events.restart();
 			log('continued', {
-				request: job.id, endpoint: endpoint.id, reason, lastEventId: this.#splitter.lastId ?? '', begun: job.reply.hasBegun,
+				request: job.id, endpoint: endpoint.id, reason, lastEventId: this.#events.lastId ?? '', begun: job.reply.hasBegun,
 			});
 			return {kind: 'again'};
 		}
 
-		return {kind: 'ended', end: this.#lose(endpoint, reason)};
+		return {kind: 'ended', end: loseJob(this.#job, endpoint, reason)};
 	}
 
 	async #passFailure(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint, status: number): Promise<Decoded> {
@@ -288,7 +184,7 @@
 			}
 
 			if (job.reply.hasBegun) {
-				return {kind: 'ended', end: this.#lose(endpoint, `status ${status}`)};
+				return {kind: 'ended', end: loseJob(this.#job, endpoint, `status ${status}`)};
 			}
 
 			job.reply.begin(sent.response, body.length);
@@ -302,12 +198,14 @@
 
 	/** Passes events on as they come. */
 	async #stream(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint): Promise<Decoded> {
+		const {desk, context: {clock, metrics}} = this.#parts;
 		const {response} = sent;
-		const watch = this.#watchSilence(response);
+		// A silent stream that may not continue elsewhere is its replica's business
+		const watch = new SilenceWatch(response, clock, this.#job.route.isResumable ? silentMs : undefined);
 		try {
 			for await (const chunk of response as AsyncIterable<Uint8Array>) {
 				watch.touch();
-				this.#passEvents(response, chunk);
+				this.#events.pass(response, chunk);
 			}
 
 			await settleEnd(response);
@@ -316,8 +214,11 @@
 			}
 
 			sent.end('good');
-			this.#parts.desk.noteHold(this.#job.service.name, this.#countTokens(), this.#parts.context.clock.now() - this.#grantedAt);
-			return {kind: 'ended', end: this.#finish(response, endpoint)};
+			desk.noteHold(this.#job.service.name, this.#countTokens(), clock.now() - this.#grantedAt);
+			this.#events.finish(response);
+			const {longestGapMs} = this.#events;
+			metrics.time('gap', longestGapMs);
+			return {kind: 'ended', end: {outcome: 'answered', endpoint: endpoint.id, detail: `longest gap ${Math.round(longestGapMs)} ms`}};
 		} catch (error) {
 			return this.#breakOff(sent, endpoint, watch.isSilent ? 'silent' : String(error));
 		} finally {
@@ -329,111 +230,10 @@
 		sent.response.destroy();
 		if (this.#job.signal.aborted) {
 			sent.end('cancelled');
-			return {kind: 'ended', end: this.#stop(endpoint)};
+			return {kind: 'ended', end: stopJob(this.#job, endpoint)};
 		}
 
 		sent.end('broken');
 		return this.#continue(endpoint, reason);
 	}
-
-	#passEvents(response: IncomingMessage, chunk: Uint8Array): void {
-		const {reply} = this.#job;
-		const {bytes, count} = this.#splitter.push(chunk);
-		if (count === 0) {
-			return;
-		}
-
-		const now = this.#parts.context.clock.now();
-		if (this.#lastEventAt > 0) {
-			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAt);
-		}
-
-		this.#lastEventAt = now;
-		if (!reply.hasBegun) {
-			reply.beginStream(response);
-		}
-
-		reply.write(bytes);
-		if (reply.unreadBytes > this.#parts.context.settings.limits.unreadBytes) {
-			response.destroy(new Error('the caller does not read'));
-		}
-	}
-
-	/** The stream is whole: what follows its last event, if anything, belongs to it. */
-	#finish(response: IncomingMessage, endpoint: Endpoint): JobEnd {
-		const {reply} = this.#job;
-		if (!reply.hasBegun) {
-			reply.beginStream(response);
-		}
-
-		reply.end(this.#splitter.takeRest());
-		this.#parts.context.metrics.time('gap', this.#longestGapMs);
-		return {outcome: 'answered', endpoint: endpoint.id, detail: `longest gap ${Math.round(this.#longestGapMs)} ms`};
-	}
-
-	/** Ends a silent stream that may continue elsewhere; another's silence is its replica's business. */
-	#watchSilence(response: IncomingMessage): {readonly isSilent: boolean; touch(): void; stop(): void} {
-		const {clock} = this.#parts.context;
-		let timer: Timer | undefined;
-		let isSilent = false;
-		const {isResumable} = this.#job.route;
-		const touch = () => {
-			timer?.stop();
-			timer = isResumable
-				? clock.after(silentMs, () => {
-					isSilent = true;
-					response.destroy(new Error('silent'));
-				})
-				: undefined;
-		};
-
-		touch();
-		return {
-			touch,
-			stop() {
-				timer?.stop();
-			},
-			get isSilent() {
-				return isSilent;
-			},
-		};
-	}
-
-	#free(source: Source | undefined): void {
-		if (source !== undefined) {
-			this.#parts.ownCalls.freeResult(source.endpoint, source.result);
-		}
-	}
-
-	/** The caller left or time is up. */
-	#stop(endpoint?: Endpoint): JobEnd {
-		const {signal, mayHaveRun} = this.#job;
-		if (signal.reason === 'callerLeft') {
-			return {outcome: 'callerLeft', endpoint: endpoint?.id};
-		}
-
-		return this.#refuse(mayHaveRun ? 'timeoutSpent' : 'overloaded', comeBackMs, 'time is up', endpoint);
-	}
-
-	/** The replica's run is lost and may not be had elsewhere. */
-	#lose(endpoint: Endpoint, reason: string): JobEnd {
-		if (this.#job.reply.hasBegun) {
-			this.#job.reply.breakOff();
-			return {
-				outcome: 'brokenOff', code: 'streamBroken', endpoint: endpoint.id, detail: reason,
-			};
-		}
-
-		return this.#refuse('answerLost', comeBackMs, reason, endpoint);
-	}
-
-	#refuse(wanted: Code, retryAfterMs: number, detail: string, endpoint?: Endpoint): JobEnd {
-		const {reply, mayHaveRun, route} = this.#job;
-		const code = reply.refuse(wanted, {
-			retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
-		});
-		return {
-			outcome: 'refused', code, endpoint: endpoint?.id, detail,
-		};
-	}
 }
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -6,11 +6,11 @@
 import {type IncomingMessage} from 'node:http';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type Code} from '@gatehead/schema/codes';
 import {readBody} from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
 import {type ExtraCause} from './budgets.js';
 import {timeLeft, type Job} from './job.js';
+import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
 
 /** Longest answer that is read whole before it is passed on, so that a cut one is never begun. */
@@ -31,14 +31,6 @@
 	farHall: 0.12, newConnection: 0.1, badness: 2, noise: 0.05,
 };
 
-/** How a job ended, for the log. */
-export type JobEnd = {
-	readonly outcome: 'answered' | 'refused' | 'callerLeft' | 'brokenOff';
-	readonly code?: Code;
-	readonly endpoint?: string;
-	readonly detail?: string;
-};
-
 /** An answer, read whole. */
 type WholeAnswer = {
 	readonly endpoint: Endpoint;
@@ -51,6 +43,18 @@
 	= | {readonly kind: 'whole'; readonly answer: WholeAnswer}
 		| Exclude<Sent, {kind: 'answer'}>;
 
+/** What came of one of the sends that run side by side. */
+type RivalResult = {
+	readonly rival: AbortController;
+	readonly tried: Tried;
+};
+
+/** A send that may run beside another; its controller ends it. */
+type Rival = {
+	readonly controller: AbortController;
+	readonly result: Promise<RivalResult>;
+};
+
 /** Works on a request to a plain service until it has its final answer. */
 export async function workPlain(parts: WorkParts, job: Job): Promise<JobEnd> {
 	const plain = new PlainWork(parts, job);
@@ -93,7 +97,7 @@
 
 	/** A second endpoint is asked when the first fails or is slow; the first good answer counts. */
 	async workRepeatable(): Promise<JobEnd> {
-		const rivals = new Map<AbortController, Promise<{readonly rival: AbortController; readonly tried: Tried}>>();
+		const rivals = new Map<AbortController, Promise<RivalResult>>();
 		let failed: WholeAnswer | undefined;
 		let cause: ExtraCause | undefined;
 		let tries = 0;
@@ -140,7 +144,7 @@
 	}
 
 	/** Starts one more send, where an endpoint, an attempt and the budget are left. */
-	#start(cause: ExtraCause | undefined): {readonly controller: AbortController; readonly result: Promise<{readonly rival: AbortController; readonly tried: Tried}>} | undefined {
+	#start(cause: ExtraCause | undefined): Rival | undefined {
 		const endpoint = this.#choose();
 		if (endpoint === undefined || this.#job.runs >= this.#job.route.maxAttempts || (cause !== undefined && !this.#mayRepeat(cause))) {
 			return undefined;
