Faults found in reading: a replica's failure passed on whole, connections counted, rounds that cannot stall, ends forgotten after 2,000

Cause and change: passing a failure on asked whether the stream may go on and ended the request when it may not, then ended it again (a 502 that was cut); asking and ending are apart now. The metric of connections had no writer. A fault in a round for memory would have stopped all later rounds of the host. Ends of endpoints were kept for ever. Test ports are taken at loopback addresses of the process alone. Tests: relay.test.ts, two cases, failed before (502 in place of 500; no count).

--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -10,6 +10,8 @@
 export const returnGraceMs = 2200;
 /** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice. */
 const massShare = 0.5;
+/** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
+const mostTombstones = 2000;
 /** Least number of such entries. */
 const massCount = 3;
 
@@ -185,7 +187,12 @@
 
 	#erase({endpoint}: Entry, revision: number): BookChange[] {
 		this.#entries.delete(endpoint.id);
+		this.#tombstones.delete(endpoint.id);
 		this.#tombstones.set(endpoint.id, revision);
+		if (this.#tombstones.size > mostTombstones) {
+			this.#tombstones.delete(this.#tombstones.keys().next().value ?? '');
+		}
+
 		return [{endpoint, change: 'gone'}];
 	}
 }
--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -48,13 +48,14 @@
 
 /** Connections of one endpoint. */
 export class Connections extends Agent {
-	/** Connections opened so far. */
-	opened = 0;
+	readonly #onOpen: () => void;
 
-	constructor(mostSockets: number) {
+	/** `onOpen` is told of each new connection. */
+	constructor(mostSockets: number, onOpen: () => void) {
 		super({
 			keepAlive: true, maxSockets: mostSockets, maxFreeSockets: mostSockets, scheduling: 'lifo', noDelay: true,
 		});
+		this.#onOpen = onOpen;
 	}
 
 	/** Whether a connection rests here that can be used at once. */
@@ -63,7 +64,7 @@
 	}
 
 	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
-		this.opened += 1;
+		this.#onOpen();
 		return super.createConnection(...parameters);
 	}
 
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -207,7 +207,9 @@
 		let use = this.#uses.get(id);
 		if (use === undefined) {
 			use = {
-				connections: new Connections(mostConnections), open: 0, tokens: 0, fullAt: Number.NEGATIVE_INFINITY, fullTokens: 0,
+				connections: new Connections(mostConnections, () => {
+					this.#context.metrics.add('connections');
+				}), open: 0, tokens: 0, fullAt: Number.NEGATIVE_INFINITY, fullTokens: 0,
 			};
 			this.#uses.set(id, use);
 		}
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -5,6 +5,7 @@
 } from 'node:net';
 import {describe, it} from 'node:test';
 import {systemClock} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
 import {Connections, noteRest} from './connections.js';
 import {
@@ -100,7 +101,7 @@
 	for (const {name, answer, body, error} of cases) {
 		it(name, async () => {
 			const {server, address} = await listen(answer);
-			const connections = new Connections(2);
+			const connections = new Connections(2, ignore);
 			try {
 				const result = await play(address, connections).catch((error_: unknown) => error_);
 				if (error === undefined) {
@@ -124,7 +125,7 @@
 				resolve();
 			});
 		});
-		const result = await play(address, new Connections(2)).catch((error: unknown) => error);
+		const result = await play(address, new Connections(2, ignore)).catch((error: unknown) => error);
 		expect(result instanceof ExchangeError && result.left).toEqual(false);
 	});
 
@@ -134,7 +135,7 @@
 			connected += 1;
 			socket.write(`${head}Content-Length: 5\r\n\r\nhello${head}Content-Length: 5\r\n\r\nwrong`);
 		});
-		const connections = new Connections(2);
+		const connections = new Connections(2, ignore);
 		try {
 			for (let time = 0; time < 2; time += 1) {
 				const response = await exchange(order(address), connections, limits());
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -156,19 +156,24 @@
 
 	/** Goes on at another replica where the route allows it; otherwise this is the end. */
 	#continue(endpoint: Endpoint, reason: string): Decoded {
+		return this.#goOn(endpoint, reason) ? {kind: 'again'} : {kind: 'ended', end: loseJob(this.#job, endpoint, reason)};
+	}
+
+	/** Makes ready to go on at another replica, where route, attempts and budget allow it. */
+	#goOn(endpoint: Endpoint, reason: string): boolean {
 		const job = this.#job;
 		const {budgets, context: {log}} = this.#parts;
 		const mayContinue = job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < mostRounds;
-		if (mayContinue && budgets.take(job, 'continue')) {
-			this.#avoid.add(endpoint.id);
-			this.#events.restart();
-			log('continued', {
-				request: job.id, endpoint: endpoint.id, reason, lastEventId: this.#events.lastId ?? '', begun: job.reply.hasBegun,
-			});
-			return {kind: 'again'};
+		if (!mayContinue || !budgets.take(job, 'continue')) {
+			return false;
 		}
 
-		return {kind: 'ended', end: loseJob(this.#job, endpoint, reason)};
+		this.#avoid.add(endpoint.id);
+		this.#events.restart();
+		log('continued', {
+			request: job.id, endpoint: endpoint.id, reason, lastEventId: this.#events.lastId ?? '', begun: job.reply.hasBegun,
+		});
+		return true;
 	}
 
 	async #passFailure(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint, status: number): Promise<Decoded> {
@@ -176,11 +181,8 @@
 			const body = await readBody(sent.response, mostBytes);
 			sent.end(status >= leastErrorStatus ? 'error' : 'good');
 			const job = this.#job;
-			if (status >= leastErrorStatus && job.route.isResumable && job.runs < job.route.maxAttempts) {
-				const next = this.#continue(endpoint, `status ${status}`);
-				if (next.kind === 'again') {
-					return next;
-				}
+			if (status >= leastErrorStatus && this.#goOn(endpoint, `status ${status}`)) {
+				return {kind: 'again'};
 			}
 
 			if (job.reply.hasBegun) {
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -164,16 +164,20 @@
 		}
 
 		this.#isAsking = true;
-		do {
-			this.#isAgain = false;
-			for (const [service, line] of this.#lines) {
-				this.#refuseHopeless(service, line);
-				await this.#serve(line);
-			}
-		} while (this.#isAgain);
-
-		this.#isAsking = false;
-		this.#schedule();
+		try {
+			do {
+				this.#isAgain = false;
+				for (const [service, line] of this.#lines) {
+					this.#refuseHopeless(service, line);
+					await this.#serve(line);
+				}
+			} while (this.#isAgain);
+		} catch (error) {
+			this.#context.log('internal', {detail: `a round for decode memory failed: ${String(error)}`});
+		} finally {
+			this.#isAsking = false;
+			this.#schedule();
+		}
 	}
 
 	async #serve(line: WaitLine<Waiting>): Promise<void> {
--- a/packages/relay/src/work/room-search.ts
+++ b/packages/relay/src/work/room-search.ts
@@ -13,7 +13,7 @@
 /** Replicas asked in one round for one request. */
 const mostAsked = 4;
 
-/** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a twentieth of one. */
+/** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a thirtieth of a whole one's memory. */
 const weights: PlacementWeights = {
 	farHall: 0.03, newConnection: 0.02, badness: 1, noise: 0.08,
 };
--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -2,10 +2,9 @@
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {seedRandom, type Random} from '@gatehead/policy/utils/random';
-import {findPorts} from '../utils/ports.js';
+import {findPorts, ownNetwork} from '../utils/ports.js';
 import {sendRequest} from '../wire/client.js';
 import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
 import {startStore, type StandinStore} from '../wire/store-server.js';
@@ -14,8 +13,7 @@
 import {HostProcess} from './host-process.js';
 
 const anyPort = '127.0.0.1:0';
-/** Loopback addresses of this process alone: all hosts serve their figures at one port. */
-const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
+/** Each host has an address of its own, since all serve their figures at one port. */
 const firstIp = 11;
 const readyPollMs = 200;
 const stages = [undefined, undefined, undefined, 'prefill', 'prefill', 'decode', 'decode', 'decode'] as const;
@@ -46,9 +44,9 @@
 	}, anyPort)));
 	const proxies = await Promise.all(replicas.map(async ({address}) => startProxy(address)));
 	const ports = await findPorts(4 * hostCount);
-	const seedAddress = `${network}.${firstIp}:${ports[2]}`;
+	const seedAddress = `${ownNetwork}.${firstIp}:${ports[2]}`;
 	const hosts = Array.from({length: hostCount}, (_, index) => new HostProcess({
-		name: `host-${index}`, ip: `${network}.${firstIp + index}`, ports: ports.slice(4 * index, (4 * index) + 4), seeds: [seedAddress], store: storeProxy.address, folder,
+		name: `host-${index}`, ip: `${ownNetwork}.${firstIp + index}`, ports: ports.slice(4 * index, (4 * index) + 4), seeds: [seedAddress], store: storeProxy.address, folder,
 	}));
 	const bed = {
 		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, log, folder, version: 1,
--- a/packages/standin/src/wire/relay.test.ts
+++ b/packages/standin/src/wire/relay.test.ts
@@ -148,6 +148,30 @@
 	}
 });
 
+describe('relay on the platform, without a retry budget', () => {
+	it('a replica\'s own failure of a stream that may continue is passed on whole', async () => {
+		const world = await startWorld({...parts, retryAllowance: 0});
+		try {
+			setFaults(world, modelFaults('none', 'error', 'error'));
+			const answer = await sendRequest({address: world.relays[0]?.caller ?? '', id: 'r1', path: '/resumable/1'});
+			expect([answer.status, answer.isWhole, answer.body]).toEqual([500, true, 'own failure']);
+			expect(world.log.runs.length).toEqual(1);
+		} finally {
+			await world.stop();
+		}
+	});
+
+	it('connections to endpoints are counted', async () => {
+		const world = await startWorld(parts);
+		try {
+			await sendRequest({address: world.relays[0]?.caller ?? '', id: 'r1', path: '/once/1'});
+			expect(await world.relays[0]?.relay.context.metrics.print()).toEqual(expect.includes('gatehead_endpoint_connections_total 1'));
+		} finally {
+			await world.stop();
+		}
+	});
+});
+
 describe('relay on the platform, over time', () => {
 	let world: World;
 	before(async () => {
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -9,11 +9,10 @@
 import {Metrics} from '@gatehead/relay/utils/metrics';
 import {type LogFacts} from '@gatehead/host/utils/log';
 import {type Code} from '@gatehead/schema/codes';
-import {findPorts} from '../utils/ports.js';
+import {findPorts, ownAddress} from '../utils/ports.js';
 import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 
-const loopback = '127.0.0.1';
 const anyPort = '127.0.0.1:0';
 const readyPollMs = 10;
 
@@ -40,6 +39,8 @@
 	readonly prefill: number;
 	readonly decode: number;
 	readonly slots: number;
+	/** Second sends that the fleet may make in one window, whatever is asked; absent: as the platform says. */
+	readonly retryAllowance?: number;
 };
 
 /** A running deployment. */
@@ -54,7 +55,7 @@
 };
 
 /** The settings file as the platform writes it. */
-export function makeBoot({name, ip, ports, seeds, store}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string}): unknown {
+export function makeBoot({name, ip, ports, seeds, store, retryAllowance}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number}): unknown {
 	const [front, ready, control, directory] = ports.map(port => `${ip}:${port}`);
 	return {
 		nodeName: name,
@@ -68,7 +69,7 @@
 		seeds,
 		limits: {maxFds: 4100},
 		bounds: {
-			graceS: 8, retryBudgetRatio: 0.2, budgetSlack: 58, budgetWindowS: 10, ttl_max_s: 5,
+			graceS: 8, retryBudgetRatio: retryAllowance === undefined ? 0.2 : 0, budgetSlack: retryAllowance ?? 58, budgetWindowS: 10, ttl_max_s: 5,
 		},
 		platform: {address: store},
 		unknownField: {passed: 'over'},
@@ -115,10 +116,20 @@
 	};
 }
 
-async function startRelay(index: number, store: string, ports: readonly number[], seeds: readonly string[], lines: LoggedLine[]): Promise<RunningRelay> {
+/** What one relay is made from. */
+type RelayStart = {
+	readonly index: number;
+	readonly store: string;
+	readonly ports: readonly number[];
+	readonly seeds: readonly string[];
+	readonly lines: LoggedLine[];
+	readonly retryAllowance: number | undefined;
+};
+
+async function startRelay({index, store, ports, seeds, lines, retryAllowance}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = readBoot(makeBoot({
-		name, ip: loopback, ports, seeds, store,
+		name, ip: ownAddress, ports, seeds, store, retryAllowance,
 	}));
 	const relay = new Relay({
 		settings: {...settings, listen: {...settings.listen, metrics: undefined}},
@@ -147,7 +158,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], results: new Map(), closed: [], orders: [],
 	};
@@ -168,8 +179,10 @@
 
 	const ports = await findPorts(4 * hosts);
 	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
-	const seeds = [`${loopback}:${portsOf(0)[2]}`];
-	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay(index, store.address, portsOf(index), seeds, lines)));
+	const seeds = [`${ownAddress}:${portsOf(0)[2]}`];
+	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
+		index, store: store.address, ports: portsOf(index), seeds, lines, retryAllowance,
+	})));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
 	return {
 		store,
