The soak's judge knows the text of a replica that doubles its answers

Cause: the stand-in's decode replica with the fault 'doubled' answers a stream with that text; the relay passes an endpoint's whole body on as it came. Ruled out: the relay (the bodies are the replica's own, each under its own id). Change: the judge takes just that text, under the request's own id, and no longer any body with a piece of a cut stream: as strict as before for the one, stricter for the other.

--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -51,7 +51,8 @@
 		[isOnce && runs > 0 && promises.has(status), `ran and was answered ${status}`],
 		[isServed && headers['request-id'] !== id, 'has the answer of another request'],
 		[isServed && isPlain && body !== `whole answer to ${id}`, `has a wrong body: ${body}`],
-		[isServed && !isPlain && !isInOrder(body) && !body.includes('data: x'), `has lost or doubled events: ${body}`],
+		// A replica that doubles its answers gives a stream's caller the whole text in place of events
+		[isServed && !isPlain && !isInOrder(body) && body !== `whole answer to ${id}`, `has lost or doubled events: ${body}`],
 		[status >= 300 && status < 500 && !promises.has(status), `was answered ${status}`],
 	];
 	for (const [isBroken, text] of rules) {
