A host whose watch is silent hears from its peers what the directory said

Cause: the host was cut from the store in silence from 16.2 to 20.3 s; its watch went on over the dead connection until it timed out, and a host that reads the directory itself did not ask its peers, who knew. Ruled out: a late send (the request came 5 ms before it was passed on). Change: when a heartbeat tells of a higher revision and the own watch does not bring it within 0.4 s, the peer is asked; if it knew something, the own watch is ended and begun anew on another connection. Test: relay.test.ts, 'a host whose watch says nothing hears of a leaving replica from its peers': failed before (heard only after the watch had failed).

--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -34,6 +34,8 @@
 	revision = -1;
 	readonly #parts: WatchParts;
 	readonly #abort = new AbortController();
+	/** Ends the read in work. */
+	#call: AbortController | undefined;
 	#timer: Timer | undefined;
 	#isDown = false;
 	#failures = 0;
@@ -59,6 +61,13 @@
 		this.#timer?.stop();
 	}
 
+	/** Ends a watch that has not brought what others know; the next read goes over another connection. */
+	doubt(): void {
+		if (!this.#isDown) {
+			this.#call?.abort();
+		}
+	}
+
 	/** Takes over what another host has read. */
 	hear(revision: number): void {
 		this.revision = Math.max(this.revision, revision);
@@ -110,6 +119,7 @@
 	async #limit<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
 		const {clock} = this.#parts.context;
 		const controller = new AbortController();
+		this.#call = controller;
 		const timer = clock.after(limitMs, () => {
 			controller.abort();
 		});
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -3,9 +3,12 @@
  * host which does not read the directory, or cannot, knows them as well.
  * Efficiency: versions and revisions decide what is believed, not who said it.
  */
+import {type Timer} from '@gatehead/policy/utils/clock';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
 import {type FleetParts} from './fleet.js';
 
+/** Time that the own watch gets to bring what a peer knows already, in milliseconds: a hundred times the way to the directory, and a fifth of the shortest bound on leaving endpoints. */
+const ownNewsMs = 400;
 /** Least time between two questions, in milliseconds. */
 const askAgainMs = 250;
 
@@ -22,6 +25,8 @@
 export class DirectoryNews {
 	readonly #parts: DirectoryNewsParts;
 	#askedAt = Number.NEGATIVE_INFINITY;
+	/** Waits for the own watch to bring what a peer knows already. */
+	#late: Timer | undefined;
 
 	constructor(parts: DirectoryNewsParts) {
 		this.#parts = parts;
@@ -36,13 +41,23 @@
 
 		const own = watch();
 		const hearsItself = isWatcher() && !own.isDown;
-		const isBehind = routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself);
-		if (isBehind && clock.now() - this.#askedAt > askAgainMs) {
-			this.#askedAt = clock.now();
-			this.#parts.send(host, {kind: 'directoryWanted', routingVersion: routing.version, revision: own.revision});
+		if (routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself)) {
+			this.#ask(host);
+		} else if (directoryRevision > own.revision) {
+			this.#late ??= clock.after(ownNewsMs, () => {
+				this.#late = undefined;
+				if (directoryRevision > own.revision) {
+					this.#ask(host);
+				}
+			});
 		}
 	}
 
+	/** Stops waiting for the own watch. */
+	close(): void {
+		this.#late?.stop();
+	}
+
 	/** Tells a host that asked what it lacks. */
 	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
 		const {routing, endpoints, watch} = this.#parts;
@@ -65,9 +80,23 @@
 
 		const own = watch();
 		if (revision > own.revision) {
-			endpoints.note(endpoints.book.replace(listed, new Set(ids), revision, clock.now()), host);
+			const changes = endpoints.book.replace(listed, new Set(ids), revision, clock.now());
+			endpoints.note(changes, host);
 			own.hear(revision);
+			if (changes.length > 0) {
+				// The own watch should have said so: its connection may be cut in silence
+				own.doubt();
+			}
+
 			this.#parts.announce();
 		}
 	}
+
+	#ask(host: string): void {
+		const {routing, watch, context: {clock}} = this.#parts;
+		if (clock.now() - this.#askedAt > askAgainMs) {
+			this.#askedAt = clock.now();
+			this.#parts.send(host, {kind: 'directoryWanted', routingVersion: routing.version, revision: watch().revision});
+		}
+	}
 }
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -208,6 +208,7 @@
 	/** Closes all links. */
 	close(): void {
 		this.#timer?.stop();
+		this.#news.close();
 		this.#passTimer?.stop();
 		this.membership.stop();
 		this.#links.close();
--- a/packages/standin/src/wire/relay.test.ts
+++ b/packages/standin/src/wire/relay.test.ts
@@ -3,6 +3,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {expect} from 'earl';
+import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
 import {sendRequest, type CallerAnswer} from './client.js';
 import {type ReplicaFault, type Run} from './replica-server.js';
 import {
@@ -172,6 +173,34 @@
 	});
 });
 
+describe('relay on the platform, cut off from the store in silence', () => {
+	it('a host whose watch says nothing hears of a leaving replica from its peers', {timeout: 20_000}, async () => {
+		let path: FaultyProxy | undefined;
+		const world = await startWorld({
+			...parts, hosts: 2, watchMs: 600_000, async storePath(store) {
+				path = await startProxy(store);
+				return path.address;
+			},
+		});
+		const [leaving] = world.replicas;
+		try {
+			if (path !== undefined && leaving !== undefined) {
+				path.mode = 'silence';
+				world.publish(leaving, 'draining');
+				await until(() => world.relays.every(({relay}) => !relay.endpoints.book.isReady(leaving.id)));
+			}
+
+			const own = world.lines.filter(({host}) => host === 'host-0');
+			const heard = own.findIndex(({facts: {change, source}}) => change === 'leaving' && source === 'host-1');
+			const lost = own.findIndex(({code}) => code === 'directoryLost');
+			expect(heard !== -1 && (lost === -1 || heard < lost)).toEqual(true);
+		} finally {
+			path?.close();
+			await world.stop();
+		}
+	});
+});
+
 describe('relay on the platform, over time', () => {
 	let world: World;
 	before(async () => {
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -41,6 +41,10 @@
 	readonly slots: number;
 	/** Second sends that the fleet may make in one window, whatever is asked; absent: as the platform says. */
 	readonly retryAllowance?: number;
+	/** Longest wait of a watch, in milliseconds; absent: as in production. */
+	readonly watchMs?: number;
+	/** Where the first host reaches the store, given the store's own address; absent: there. */
+	readonly storePath?: (store: string) => Promise<string>;
 };
 
 /** A running deployment. */
@@ -124,15 +128,16 @@
 	readonly seeds: readonly string[];
 	readonly lines: LoggedLine[];
 	readonly retryAllowance: number | undefined;
+	readonly watchMs: number | undefined;
 };
 
-async function startRelay({index, store, ports, seeds, lines, retryAllowance}: RelayStart): Promise<RunningRelay> {
+async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = readBoot(makeBoot({
 		name, ip: ownAddress, ports, seeds, store, retryAllowance,
 	}));
 	const relay = new Relay({
-		settings: {...settings, listen: {...settings.listen, metrics: undefined}},
+		settings: {...settings, listen: {...settings.listen, metrics: undefined}, timing: {...settings.timing, watchMs: watchMs ?? settings.timing.watchMs}},
 		clock: systemClock,
 		random: seedRandom(index),
 		wall: () => Date.now(),
@@ -158,7 +163,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, storePath}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], results: new Map(), closed: [], orders: [],
 	};
@@ -179,9 +184,10 @@
 
 	const ports = await findPorts(4 * hosts);
 	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
+	const firstStore = await storePath?.(store.address) ?? store.address;
 	const seeds = [`${ownAddress}:${portsOf(0)[2]}`];
 	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
-		index, store: store.address, ports: portsOf(index), seeds, lines, retryAllowance,
+		index, store: index === 0 ? firstStore : store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs,
 	})));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
 	return {
