Kept connections gather no listeners

Ruled out: listeners of exchange.ts itself; they sit on the call and the answer, which end with each request. Change: the override calls Node's own. Conclusion: a leak, mended.

--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -3,7 +3,7 @@
  * connection on which anything came that was not asked for, or whose answer
  * came before the whole request was written, is never used again.
  */
-import {Agent} from 'node:http';
+import {Agent, type ClientRequest} from 'node:http';
 import {Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 
@@ -82,7 +82,9 @@
 	}
 
 	/** Called by Node when a resting connection is used again. */
-	override reuseSocket(socket: Duplex): void {
+	override reuseSocket(socket: Duplex, request: ClientRequest): void {
+		// Takes away the listener that Node's agent puts on a resting connection
+		super.reuseSocket(socket, request);
 		socket.off('data', destroyOnData);
 		if (socket instanceof Socket) {
 			socket.setTimeout(0);
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -152,4 +152,29 @@
 			server.close();
 		}
 	});
+
+	it('a connection that is used often gathers no listeners', async () => {
+		const {server, address} = await listen(socket => {
+			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
+		});
+		const connections = new Connections(1, ignore);
+		const counts: number[] = [];
+		try {
+			for (let time = 0; time < 4; time += 1) {
+				const response = await exchange(order(address), connections, limits());
+				const {socket} = response;
+				noteRest(socket, 5000);
+				await readBody(response, 1000);
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+				counts.push(socket.listenerCount('error'));
+			}
+
+			expect(new Set(counts).size).toEqual(1);
+		} finally {
+			connections.destroy();
+			server.close();
+		}
+	});
 });
