Subsets: hosts that share endpoints tell each other of every request

Cause: above 12 hosts nothing was said of prompts on their way, of decode memory taken, and of waiting requests; each host of the grown sites knew its own 0.7 requests a second alone, placed by chance, and took its own line times the number of hosts for the fleet's. Change: deterministic subsetting (policy/relay/subsets.ts): from 32 hosts on, hosts and a model's replicas are dealt into 2, 4, 8 ... subsets; a host prefers its own subset's replicas and tells its subset's hosts. Decode memory is told too, with the time that it will be held, so that no second message is needed (peer-use.ts), also in small fleets. The messages a second are bounded; beyond that they are gathered (news-pace.ts, setting limits.loadMessages).

--- /dev/null
+++ b/packages/policy/src/relay/peer-use.ts
@@ -0,0 +1,44 @@
+/**
+ * Decode memory that other hosts said they take at endpoints, each for the
+ * time that they expect to hold it. Efficiency: news may be late or lost, and
+ * lapses by itself, so that no second message is needed.
+ */
+
+/** Longest time that is believed, in milliseconds: an answer of the largest size on the users' sheets takes about ten seconds. */
+const longestMs = 10_000;
+
+type Taken = {
+	readonly tokens: number;
+	readonly until: number;
+};
+
+/** What is taken at each endpoint. */
+export class PeerUse {
+	readonly #taken = new Map<string, Taken[]>();
+
+	/** Notes that a host takes so many tokens at an endpoint for so long. */
+	add(endpoint: string, tokens: number, heldMs: number, now: number): void {
+		const left = this.#listLeft(endpoint, now);
+		left.push({tokens, until: now + Math.min(heldMs, longestMs)});
+		this.#taken.set(endpoint, left);
+	}
+
+	/** Tokens now taken at an endpoint. */
+	sum(endpoint: string, now: number): number {
+		let tokens = 0;
+		for (const taken of this.#taken.get(endpoint) ?? []) {
+			tokens += taken.until > now ? taken.tokens : 0;
+		}
+
+		return tokens;
+	}
+
+	/** Forgets an endpoint that is gone. */
+	forget(endpoint: string): void {
+		this.#taken.delete(endpoint);
+	}
+
+	#listLeft(endpoint: string, now: number): Taken[] {
+		return (this.#taken.get(endpoint) ?? []).filter(({until}) => until > now);
+	}
+}
--- a/packages/policy/src/relay/placement.ts
+++ b/packages/policy/src/relay/placement.ts
@@ -17,6 +17,8 @@
 	readonly hasConnection: boolean;
 	/** It refused work of this size a moment ago. */
 	readonly isFull: boolean;
+	/** Other hosts than this one's peers send there, unheard. */
+	readonly isOfOtherSubset: boolean;
 };
 
 /** How endpoints are weighed, each in units of a whole endpoint's load. */
@@ -26,6 +28,8 @@
 	/** A connection would have to be opened. */
 	readonly newConnection: number;
 	readonly badness: number;
+	/** An endpoint of another subset, in a large fleet. */
+	readonly otherSubset: number;
 	/** Chance, so that hosts that know the same do not all choose alike. */
 	readonly noise: number;
 };
@@ -37,11 +41,12 @@
 /** Candidates in the order to try them; those set aside come last. */
 export function orderEndpoints(candidates: readonly Endpoint[], standingOf: (endpoint: Endpoint) => Standing, hall: string, weights: PlacementWeights, random: Random): Endpoint[] {
 	const weighed = candidates.map(endpoint => {
-		const {load, isUsable, badness, hasConnection, isFull} = standingOf(endpoint);
+		const {load, isUsable, badness, hasConnection, isFull, isOfOtherSubset} = standingOf(endpoint);
 		const cost = load
 			+ (endpoint.hall === hall ? 0 : weights.farHall)
 			+ (hasConnection ? 0 : weights.newConnection)
 			+ (weights.badness * badness)
+			+ (isOfOtherSubset ? weights.otherSubset : 0)
 			+ (weights.noise * random.next())
 			+ (isFull ? full : 0)
 			+ (isUsable ? 0 : unusable);
--- a/packages/policy/src/relay/release-rate.ts
+++ b/packages/policy/src/relay/release-rate.ts
@@ -23,6 +23,11 @@
 		this.#holdMs += weight * (heldMs - this.#holdMs);
 	}
 
+	/** Time for which a request holds its memory, in milliseconds. */
+	get holdMs(): number {
+		return this.#holdMs;
+	}
+
 	/** Takes over the memory of one replica, in tokens. */
 	setCapacity(capacity: number): void {
 		this.#capacity = capacity > 0 ? capacity : this.#capacity;
--- /dev/null
+++ b/packages/policy/src/relay/subsets.test.ts
@@ -0,0 +1,65 @@
+/** How hosts and endpoints are dealt in large fleets. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {countSubsets, dealSubsets, listSubset} from './subsets.js';
+
+function makeNames(prefix: string, count: number): string[] {
+	return Array.from({length: count}, (_, index) => `${prefix}-${index}`);
+}
+
+function countMoved(before: ReadonlyMap<string, number>, after: ReadonlyMap<string, number>): number {
+	let moved = 0;
+	for (const [name, subset] of after) {
+		moved += Number(before.get(name) !== subset);
+	}
+
+	return moved;
+}
+
+const counts: ReadonlyArray<readonly [hosts: number, subsets: number]> = [
+	[0, 1], [1, 1], [9, 1], [31, 1], [32, 2], [63, 2], [73, 4], [86, 4], [350, 16],
+];
+
+describe('subsets', () => {
+	for (const [hosts, subsets] of counts) {
+		it(`${hosts} hosts form ${subsets}`, () => {
+			expect(countSubsets(hosts)).toEqual(subsets);
+		});
+	}
+
+	it('are even', () => {
+		const dealt = dealSubsets(makeNames('host', 86), 4);
+		const sizes = Array.from({length: 4}, (_, subset) => [...dealt.values()].filter(each => each === subset).length);
+		expect(dealt.size).toEqual(86);
+		expect(Math.max(...sizes)).toEqual(22);
+		expect(Math.min(...sizes) >= 20).toEqual(true);
+	});
+
+	it('do not depend on the order in which names are known', () => {
+		const names = makeNames('replica', 63);
+		const forwards = dealSubsets(names, 4);
+		const backwards = dealSubsets(names.toReversed(), 4);
+		expect(names.map(name => backwards.get(name))).toEqual(names.map(name => forwards.get(name)));
+	});
+
+	it('keep most names where they are when one is lost', () => {
+		const names = makeNames('host', 86);
+		const before = dealSubsets(names, 4);
+		for (const lost of [0, 20, 85]) {
+			const after = dealSubsets(names.filter((_, index) => index !== lost), 4);
+			expect(countMoved(before, after) <= 10).toEqual(true);
+		}
+	});
+
+	it('hold each endpoint once', () => {
+		const names = makeNames('replica', 47);
+		const all = Array.from({length: 4}, (_, own) => [...listSubset(names, {count: 4, own}) ?? []]).flat();
+		expect(all.length).toEqual(names.length);
+		expect(new Set(all)).toEqual(new Set(names));
+	});
+
+	it('are not formed of few endpoints', () => {
+		expect(listSubset(makeNames('replica', 7), {count: 4, own: 0})).toEqual(undefined);
+		expect(listSubset(makeNames('replica', 60), {count: 1, own: 0})).toEqual(undefined);
+	});
+});
--- a/packages/relay/src/core/context.ts
+++ b/packages/relay/src/core/context.ts
@@ -31,6 +31,9 @@
 	readonly self: Owner;
 };
 
+/** What most tasks need: time, chance, and where to write down what happens. */
+export type Bookkeeping = Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'random'>;
+
 /** What a process is made from. */
 export type RelayParts = Pick<RelayContext, 'settings' | 'clock' | 'random' | 'log' | 'metrics' | 'dialect' | 'directory'> & {
 	/** Wall time in milliseconds, for the incarnation's number and the time line only. */
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -16,7 +16,7 @@
 import {type RoutingState} from '../core/routing-state.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {DirectoryNews} from './directory-news.js';
-import {WaitingCounts} from './waiting-counts.js';
+import {LoadNews} from './load-news.js';
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds. */
 const greetMs = 500;
@@ -24,7 +24,7 @@
 const greetAgainMs = 10_000;
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
-/** Fleet size up to which every host reads the directory itself, and tells all others of each prompt: a message costs half a millisecond. */
+/** Fleet size up to which every host reads the directory itself: a read costs the directory as much as a call. */
 const smallFleet = 12;
 /** Hosts of a hall that read it in larger fleets. */
 const watchersPerHall = 2;
@@ -44,6 +44,8 @@
 /** The fleet as one host knows it. */
 export class Fleet {
 	readonly membership: Membership;
+	/** What is said of each request among hosts that share endpoints. */
+	readonly load: LoadNews;
 	/** When a host came, went, or was suspected last. */
 	changedAt: number;
 	/** Whether another host was the first by rank in this process's life. */
@@ -54,7 +56,6 @@
 	#timer: Timer | undefined;
 	#passTimer: Timer | undefined;
 	#known = '';
-	readonly #waiting = new WaitingCounts();
 	readonly #news: DirectoryNews;
 	/** What is done with each kind of message. */
 	readonly #hearers: Hearers = {
@@ -78,11 +79,14 @@
 		paused: (from, {pause}) => {
 			this.#parts.endpoints.hearPause(pause, from.host);
 		},
-		reading: (_from, {endpoint, tokens}) => {
-			this.#parts.endpoints.queueOf(endpoint).add(tokens, this.#parts.context.clock.now());
+		reading: (_from, message) => {
+			this.load.hearReading(message);
 		},
-		waiting: (from, {service, count}) => {
-			this.#waiting.hear(service, from.host, count, this.#parts.context.clock.now());
+		placed: (_from, message) => {
+			this.load.hearPlaced(message);
+		},
+		waiting: (from, message) => {
+			this.load.hearWaiting(from.host, message);
 		},
 	};
 
@@ -101,12 +105,15 @@
 			ownRecord: () => this.membership.members.self,
 			addressOf: host => this.membership.members.recordOf(host)?.peerAddress,
 		});
+		const send = (host: string, message: RelayMessage) => {
+			this.#links.send(host, message);
+		};
+
+		this.load = new LoadNews({context, endpoints: parts.endpoints, send});
 		this.#news = new DirectoryNews({
 			...parts,
 			isWatcher: () => this.isWatcher(),
-			send: (host, message) => {
-				this.#links.send(host, message);
-			},
+			send,
 			announce: () => {
 				this.announce();
 			},
@@ -186,29 +193,11 @@
 		this.#tellAll({kind: 'paused', pause});
 	}
 
-	/** Tells all of a prompt on its way, in a small fleet. */
-	tellReading(endpoint: string, tokens: number): void {
-		this.#tellSmallFleet({kind: 'reading', endpoint, tokens});
-	}
-
-	/** Tells all how many requests wait here, in a small fleet. */
-	tellWaiting(service: string, count: number): void {
-		this.#tellSmallFleet({kind: 'waiting', service, count});
-	}
-
-	/** Requests that wait for a service at other hosts; in a large fleet as many as here are supposed at each. */
-	waitingElsewhere(service: string, own: number): number {
-		if (this.#isLarge()) {
-			return own * (this.countHosts() - 1);
-		}
-
-		return this.#waiting.sum(service, this.#parts.context.clock.now());
-	}
-
 	/** Closes all links. */
 	close(): void {
 		this.#timer?.stop();
 		this.#news.close();
+		this.load.close();
 		this.#passTimer?.stop();
 		this.membership.stop();
 		this.#links.close();
@@ -220,6 +209,7 @@
 			this.#known = known;
 			this.changedAt = this.#parts.context.clock.now();
 			this.hasFollowed ||= !this.isFirst();
+			this.load.setMembers(this.membership.members.list());
 		}
 	}
 
@@ -231,17 +221,6 @@
 		});
 	}
 
-	#isLarge(): boolean {
-		return this.countHosts() > smallFleet;
-	}
-
-	/** A message to every host for every request is affordable only among few. */
-	#tellSmallFleet(message: RelayMessage): void {
-		if (!this.#isLarge()) {
-			this.#tellAll(message);
-		}
-	}
-
 	#tellAll(message: RelayMessage): void {
 		for (const {host} of this.membership.members.listReachable()) {
 			if (host !== this.#parts.context.self.host) {
--- /dev/null
+++ b/packages/relay/src/peer/load-news.ts
@@ -0,0 +1,129 @@
+/**
+ * What hosts that share endpoints tell each other of every request: prompts
+ * on their way, decode memory taken, requests that wait. In a large fleet
+ * those are the hosts of one subset. Efficiency: news may be late or lost.
+ */
+import {NewsPace} from '@gatehead/policy/relay/news-pace';
+import {countSubsets, dealSubsets, type Subset} from '@gatehead/policy/relay/subsets';
+import {type Timer} from '@gatehead/policy/utils/clock';
+import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {type RelayContext} from '../core/context.js';
+import {type Endpoints} from '../upstream/endpoints.js';
+import {WaitingCounts} from './waiting-counts.js';
+
+/** What the news are made from, and where they go. */
+export type LoadNewsParts = {
+	readonly context: RelayContext;
+	readonly endpoints: Endpoints;
+	readonly send: (host: string, message: RelayMessage) => void;
+};
+
+/** Tells the peers of this host's subset, and hears them. */
+export class LoadNews {
+	/** The subset that this host belongs to. */
+	subset: Subset = {count: 1, own: 0};
+	readonly #parts: LoadNewsParts;
+	readonly #pace: NewsPace;
+	readonly #waiting = new WaitingCounts();
+	/** Said with the next message. */
+	#pending: RelayMessage[] = [];
+	/** Counts of waiting requests to be said, by service: only the last one matters. */
+	readonly #pendingCounts = new Map<string, number>();
+	#peers: readonly string[] = [];
+	#timer: Timer | undefined;
+
+	constructor(parts: LoadNewsParts) {
+		const {clock, settings} = parts.context;
+		this.#parts = parts;
+		this.#pace = new NewsPace(settings.limits.loadMessages, clock.now());
+	}
+
+	/** Takes over which hosts there are. */
+	setMembers(members: readonly MemberRecord[]): void {
+		const {self, log} = this.#parts.context;
+		const alive = members.filter(({state}) => state === 'alive').map(({host}) => host);
+		const count = countSubsets(alive.length);
+		const dealt = dealSubsets(alive, count);
+		const own = dealt.get(self.host) ?? 0;
+		this.#peers = alive.filter(host => host !== self.host && dealt.get(host) === own);
+		if (count !== this.subset.count || own !== this.subset.own) {
+			this.subset = {count, own};
+			log('subsetChanged', {subsets: count, subset: own, hosts: this.#peers.length + 1});
+		}
+	}
+
+	/** A prompt goes to a prefill replica now. */
+	tellReading(endpoint: string, tokens: number): void {
+		this.#tell({kind: 'reading', endpoint, tokens});
+	}
+
+	/** Memory was reserved at a decode replica, to be held for about so long. */
+	tellPlaced(endpoint: string, tokens: number, heldMs: number): void {
+		this.#tell({
+			kind: 'placed', endpoint, tokens, heldMs,
+		});
+	}
+
+	/** So many requests wait for a service here. */
+	tellWaiting(service: string, count: number): void {
+		this.#pendingCounts.set(service, count);
+		this.#schedule();
+	}
+
+	/** Requests that wait for a service at the peers. */
+	waitingElsewhere(service: string): number {
+		return this.#waiting.sum(service, this.#parts.context.clock.now());
+	}
+
+	/** A peer's prompt. */
+	hearReading({endpoint, tokens}: RelayMessageOf<'reading'>): void {
+		const {endpoints, context: {clock}} = this.#parts;
+		endpoints.queueOf(endpoint).add(tokens, clock.now());
+	}
+
+	/** Memory that a peer has taken. */
+	hearPlaced({endpoint, tokens, heldMs}: RelayMessageOf<'placed'>): void {
+		this.#parts.endpoints.notePeerUse(endpoint, tokens, heldMs);
+	}
+
+	/** A peer's waiting requests. */
+	hearWaiting(host: string, {service, count}: RelayMessageOf<'waiting'>): void {
+		this.#waiting.hear(service, host, count, this.#parts.context.clock.now());
+	}
+
+	/** Says nothing more. */
+	close(): void {
+		this.#timer?.stop();
+	}
+
+	#tell(message: RelayMessage): void {
+		this.#pending.push(message);
+		this.#schedule();
+	}
+
+	#schedule(): void {
+		const {clock} = this.#parts.context;
+		this.#timer ??= clock.after(this.#pace.waitMs(clock.now()), () => {
+			this.#timer = undefined;
+			this.#flush();
+		});
+	}
+
+	#flush(): void {
+		const messages = [...this.#pending];
+		this.#pending = [];
+		for (const [service, count] of this.#pendingCounts) {
+			messages.push({kind: 'waiting', service, count});
+		}
+
+		this.#pendingCounts.clear();
+		for (const host of this.#peers) {
+			for (const message of messages) {
+				this.#parts.send(host, message);
+			}
+		}
+
+		this.#pace.spend(this.#peers.length, this.#parts.context.clock.now());
+	}
+}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -17,7 +17,7 @@
 import {workGeneration} from './work/generation.js';
 import {type Job} from './work/job.js';
 import {type JobEnd} from './work/job-end.js';
-import {type LoadNews, type WorkParts} from './work/parts.js';
+import {type WorkParts} from './work/parts.js';
 import {workPlain} from './work/plain.js';
 import {ReservationDesk} from './work/reservation-desk.js';
 import {StageOrders} from './work/stage-orders.js';
@@ -51,6 +51,7 @@
 			onRoom: service => {
 				this.#work.desk.roomAt(service);
 			},
+			subset: () => this.fleet.load.subset,
 		});
 		this.routing = new RoutingState(context, routing => {
 			this.#front.limit(routing.callerLimits);
@@ -72,15 +73,7 @@
 		this.#orders = new StageOrders({
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls,
 		});
-		const news: LoadNews = {
-			tellReading: (endpoint, tokens) => {
-				this.fleet.tellReading(endpoint, tokens);
-			},
-			tellWaiting: (service, count) => {
-				this.fleet.tellWaiting(service, count);
-			},
-			waitingElsewhere: service => this.fleet.waitingElsewhere(service, this.#work.desk.waiting),
-		};
+		const news = this.fleet.load;
 		this.#work = {
 			context, endpoints: this.endpoints, sender: new Sender(context, this.endpoints), budgets, desk: new ReservationDesk({
 				context, endpoints: this.endpoints, calls: ownCalls, news,
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -5,13 +5,16 @@
  */
 import {EndpointBook, type BookChange} from '@gatehead/policy/relay/endpoint-book';
 import {EndpointHealth, type Outcome, type Pause} from '@gatehead/policy/relay/endpoint-health';
+import {PeerUse} from '@gatehead/policy/relay/peer-use';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
 import {ReadingQueue} from '@gatehead/policy/relay/reading-queue';
+import {type Subset} from '@gatehead/policy/relay/subsets';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type RelayContext} from '../core/context.js';
+import {type Bookkeeping} from '../core/context.js';
 import {Connections} from './connections.js';
+import {NearEndpoints} from './near-endpoints.js';
 
 /** How often vanished entries are looked at, in milliseconds. */
 const sweepMs = 250;
@@ -38,13 +41,15 @@
 	onPause(pause: Pause): void;
 	/** Room may have come free at a service. */
 	onRoom(service: string): void;
+	/** This host's subset among the fleet's. */
+	subset(): Subset;
 };
 
 /** The endpoints of one host. */
 export class Endpoints {
 	readonly book = new EndpointBook();
 	readonly health = new EndpointHealth();
-	readonly #context: RelayContext;
+	readonly #context: Bookkeeping;
 	readonly #listener: EndpointListener;
 	/** What follows from each change. */
 	readonly #follow: Readonly<Record<BookChange['change'], (endpoint: Endpoint) => void>> = {
@@ -68,9 +73,11 @@
 
 	readonly #uses = new Map<string, Use>();
 	readonly #queues = new Map<string, ReadingQueue>();
+	readonly #peerUse = new PeerUse();
+	readonly #near = new NearEndpoints();
 	#sweep: Timer | undefined;
 
-	constructor(context: RelayContext, listener: EndpointListener) {
+	constructor(context: Bookkeeping, listener: EndpointListener) {
 		this.#context = context;
 		this.#listener = listener;
 	}
@@ -107,7 +114,21 @@
 	order(service: string, {stage, hall, tokens = 0, weights, bearable}: OrderWish): Endpoint[] {
 		const now = this.#context.clock.now();
 		const candidates = this.book.listReady(service).filter(each => each.stage === stage);
-		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, tokens, bearable, now), hall, weights, this.#context.random);
+		const near = this.#near.list(candidates, this.#listener.subset());
+		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, {tokens, bearable, near}, now), hall, weights, this.#context.random);
+	}
+
+	/** Usable decode replicas of a service in this host's subset. */
+	countDecode(service: string): number {
+		const now = this.#context.clock.now();
+		const candidates = this.book.listReady(service).filter(({stage}) => stage === 'decode');
+		const near = this.#near.list(candidates, this.#listener.subset());
+		return candidates.filter(({id}) => (near?.has(id) ?? true) && this.health.isUsable(id, now)).length;
+	}
+
+	/** Notes memory that is taken at a decode replica without a send of this host in work there. */
+	notePeerUse(id: string, tokens: number, heldMs: number): void {
+		this.#peerUse.add(id, tokens, heldMs, this.#context.clock.now());
 	}
 
 	/** Whether an endpoint said a moment ago that it had no room for as much. */
@@ -183,7 +204,7 @@
 		}
 	}
 
-	#standingOf(endpoint: Endpoint, tokens: number, bearable: number, now: number): Standing {
+	#standingOf(endpoint: Endpoint, {tokens, bearable, near}: Weighing, now: number): Standing {
 		const use = this.#uses.get(endpoint.id);
 		return {
 			load: this.#loadOf(endpoint, use, bearable, now),
@@ -191,16 +212,21 @@
 			badness: this.health.badness(endpoint.id, now),
 			hasConnection: use?.connections.hasFree ?? false,
 			isFull: this.isFull(endpoint.id, tokens),
+			isOfOtherSubset: near !== undefined && !near.has(endpoint.id),
 		};
 	}
 
-	/** A prefill replica's load is its queue, a decode replica's the memory taken from here, another's the requests from here. */
+	/** A prefill replica's load is its queue, a decode replica's the memory taken from here and by the hosts that say so, another's the requests from here. */
 	#loadOf({id, stage, slots}: Endpoint, use: Use | undefined, bearable: number, now: number): number {
 		if (stage === 'prefill') {
 			return this.queueOf(id).expect(0, now) / wholeQueueMs;
 		}
 
-		return (bearable > 0 ? (use?.tokens ?? 0) / bearable : (use?.open ?? 0) / Math.max(1, slots));
+		if (bearable > 0) {
+			return ((use?.tokens ?? 0) + this.#peerUse.sum(id, now)) / bearable;
+		}
+
+		return (use?.open ?? 0) / Math.max(1, slots);
 	}
 
 	#useOf({id}: Endpoint): Use {
@@ -222,6 +248,7 @@
 		const use = this.#uses.get(id);
 		this.health.forget(id);
 		this.#queues.delete(id);
+		this.#peerUse.forget(id);
 		if (use?.open === 0) {
 			use.connections.destroy();
 			this.#uses.delete(id);
@@ -229,6 +256,14 @@
 	}
 }
 
+/** What endpoints are weighed for. */
+type Weighing = {
+	readonly tokens: number;
+	readonly bearable: number;
+	/** Endpoints of this host's subset; undefined: all are. */
+	readonly near: ReadonlySet<string> | undefined;
+};
+
 /** What a send looks for. */
 export type OrderWish = {
 	readonly stage: 'prefill' | 'decode' | undefined;
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -1,5 +1,6 @@
 /** What the ways of work share, in one object that is passed down. Neither safety nor efficiency rests here. */
 import {type RelayContext} from '../core/context.js';
+import {type LoadNews} from '../peer/load-news.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
 import {type Sender} from '../upstream/sender.js';
@@ -7,14 +8,6 @@
 import {type ReservationDesk} from './reservation-desk.js';
 import {type StageOrders} from './stage-orders.js';
 
-/** What other hosts are told of this one's load. */
-export type LoadNews = {
-	tellReading(endpoint: string, tokens: number): void;
-	tellWaiting(service: string, count: number): void;
-	/** Requests that wait for a service at other hosts, as far as known. */
-	waitingElsewhere(service: string): number;
-};
-
 /** What work is done with. */
 export type WorkParts = {
 	readonly context: RelayContext;
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -28,7 +28,7 @@
 
 /** How endpoints of plain services are weighed: the near one until it has work in hand, so that its connections stay in use. */
 const weights: PlacementWeights = {
-	farHall: 0.12, newConnection: 0.1, badness: 2, noise: 0.05,
+	farHall: 0.12, newConnection: 0.1, badness: 2, otherSubset: 0, noise: 0.05,
 };
 
 /** An answer, read whole. */
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -20,7 +20,7 @@
 const okStatus = 200;
 
 const weights: PlacementWeights = {
-	farHall: 0.25, newConnection: 0.1, badness: 1, noise: 0.1,
+	farHall: 0.25, newConnection: 0.1, badness: 1, otherSubset: 0.6, noise: 0.1,
 };
 
 /** A prefill's result, and where it lies. */
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -9,9 +9,9 @@
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type RelayContext} from '../core/context.js';
+import {type LoadNews} from '../peer/load-news.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
-import {type LoadNews} from './parts.js';
 import {RoomSearch, type Reservation, type Wish} from './room-search.js';
 
 /** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
@@ -19,6 +19,8 @@
 const pollSpread = 0.3;
 /** Waiting requests that ask in one round: a large one at the head must not hold up all others. */
 const askersPerRound = 2;
+/** Time between a reservation and its use, while the prompt is read, in milliseconds. */
+const readingMs = 300;
 
 /** What came of asking. */
 export type DeskAnswer
@@ -84,7 +86,7 @@
 		if (line.size === 0) {
 			const reservation = await this.#search.find(wish);
 			if (reservation !== undefined) {
-				this.#log(wish, reservation, 0);
+				this.#noteGrant(wish, reservation, 0);
 				return {kind: 'granted', reservation};
 			}
 		}
@@ -196,7 +198,7 @@
 				refused += 1;
 			} else if (line.has(waiter)) {
 				const now = this.#context.clock.now();
-				this.#log(waiter.wish, reservation, now - waiter.since);
+				this.#noteGrant(waiter.wish, reservation, now - waiter.since);
 				waiter.resolve({kind: 'granted', reservation});
 			} else {
 				this.#calls.cancelReservation(reservation.endpoint, reservation.name);
@@ -207,7 +209,7 @@
 	#refuseHopeless(service: string, line: WaitLine<Waiting>): void {
 		const {clock, random} = this.#context;
 		const now = clock.now();
-		const replicas = this.#endpoints.book.listReady(service).filter(({id, stage}) => stage === 'decode' && this.#endpoints.health.isUsable(id, now)).length;
+		const replicas = this.#endpoints.countDecode(service);
 		const hasEndpoints = replicas > 0;
 		const outlook = {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.#rateOf(service).perSecond(replicas)};
 		for (const {waiter, detail} of line.findHopeless(now, outlook)) {
@@ -237,8 +239,11 @@
 		return line;
 	}
 
-	#log({job, tokens, bearable}: Wish, {endpoint}: Reservation, waitedMs: number): void {
-		this.#rateOf(job.service.name).setCapacity(bearable);
+	#noteGrant({job, tokens, bearable}: Wish, {endpoint}: Reservation, waitedMs: number): void {
+		const rate = this.#rateOf(job.service.name);
+		rate.setCapacity(bearable);
+		this.#endpoints.notePeerUse(endpoint.id, tokens, readingMs);
+		this.#news.tellPlaced(endpoint.id, tokens, readingMs + rate.holdMs);
 		this.#context.log('reserved', {
 			request: job.id, endpoint: endpoint.id, tokens, waitedMs: Math.round(waitedMs), waiting: this.waiting,
 		});
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -217,6 +217,9 @@
 	stageOrdered: {
 		number: 5029, status: 0, ran: 'no', advice: 'An engine was ordered to change its part.',
 	},
+	subsetChanged: {
+		number: 5030, status: 0, ran: 'no', advice: 'This host shares endpoints with other hosts than before. Efficiency only.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -20,9 +20,13 @@
 		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
-	/** A prompt of so many tokens goes to an endpoint now; said in small fleets only. */
+	/** A prompt of so many tokens goes to an endpoint now; said to the hosts that share it. */
 	z.object({kind: z.literal('reading'), endpoint: z.string(), tokens: z.number()}),
-	/** So many requests wait for memory at a service; said in small fleets only. */
+	/** So many tokens of memory were reserved at an endpoint, to be held for about so long; said to the hosts that share it. */
+	z.object({
+		kind: z.literal('placed'), endpoint: z.string(), tokens: z.number(), heldMs: z.number(),
+	}),
+	/** So many requests wait for memory at a service; said to the hosts that share its endpoints. */
 	z.object({kind: z.literal('waiting'), service: z.string(), count: z.number()}),
 ]);
 
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -45,6 +45,8 @@
 	/** Unread bytes of one answer from which on its caller counts as gone. */
 	unreadBytes: count.default(1_048_576),
 	peerMessageBytes: count.default(8_000_000),
+	/** Messages about its load that a host sends its peers a second, besides three seconds' worth saved up: 0.5 ms of processor time each (docs/CAPACITY.md); beyond that they are gathered. */
+	loadMessages: count.default(48),
 	timelineEvents: count.default(1024),
 	/** Log lines a second of one kind, successes and failures; beyond that they are counted. */
 	logLines: count.default(40),
