A cut or doubted watch is no outage of the directory

Entries kept when most of a service vanishes were kept for 2.2 s as well, beyond the bound of 2 s. Ruled out: a slow watch (the host that broke the rule adopted configurations every 0.2 s meanwhile); the path to the store. Change: what is ended from here says nothing about the directory; away is after two failed reads, with a short probe between; the grace ends 2.2 s after the return for all entries; a mass of vanished entries is kept for 1.5 s.

--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
 import {expect} from 'earl';
-import {EndpointBook, returnGraceMs} from './endpoint-book.js';
+import {EndpointBook, massGraceMs, returnGraceMs} from './endpoint-book.js';
 
 function listed(id: string, revision: number, state: Endpoint['state'] = 'ready', stage?: Endpoint['stage']): ListedEndpoint {
 	return {
@@ -62,10 +62,20 @@
 		ready: five,
 	},
 	{
-		name: 'and what stays away is gone after the grace',
-		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index})), {wait: returnGraceMs + 1}],
+		name: 'and what stays away is gone before the bound on leaving endpoints is',
+		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index})), {wait: massGraceMs + 1}],
 		ready: [],
 	},
+	{
+		name: 'the grace after a return ends for late departures too',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {directory: 'back'}, {wait: 2000}, {remove: 'a', revision: 3}, {wait: 201}],
+		ready: [],
+	},
+	{
+		name: 'a return that comes late begins the grace anew',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {remove: 'a', revision: 3}, {wait: 60_000}, {directory: 'back'}, {wait: returnGraceMs - 100}],
+		ready: ['a'],
+	},
 	{
 		name: 'a list lacks what has gone',
 		steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {replace: [listed('b', 2)], revision: 5}],
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -8,6 +8,8 @@
 
 /** How long after the directory's return a vanished entry may still come back, in milliseconds: the directory's own bound, and a heartbeat's jitter. */
 export const returnGraceMs = 2200;
+/** How long entries are kept that vanish together while the directory seems to answer, in milliseconds: below the shortest bound on new work for leaving endpoints (2,000 on the users' sheets), by two sweeps. */
+export const massGraceMs = 1500;
 /** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice. */
 const massShare = 0.5;
 /** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
@@ -18,8 +20,8 @@
 type Entry = {
 	readonly revision: number;
 	readonly endpoint: Endpoint;
-	/** When it vanished although it may still serve; undefined: it is listed. */
-	vanishedAt: number | undefined;
+	/** Until when it may still serve although it has vanished; undefined: it is listed. While the directory is away the time does not run. */
+	keptUntil: number | undefined;
 };
 
 /** What changed for one endpoint. */
@@ -70,6 +72,11 @@
 		if (this.#isAway) {
 			this.#isAway = false;
 			this.#backAt = now;
+			for (const entry of this.#entries.values()) {
+				if (entry.keptUntil !== undefined) {
+					entry.keptUntil = now + returnGraceMs;
+				}
+			}
 		}
 	}
 
@@ -80,12 +87,12 @@
 			return [];
 		}
 
-		const isSame = known !== undefined && known.vanishedAt === undefined && known.revision === revision;
+		const isSame = known !== undefined && known.keptUntil === undefined && known.revision === revision;
 		if (isSame) {
 			return [];
 		}
 
-		this.#entries.set(endpoint.id, {revision, endpoint, vanishedAt: undefined});
+		this.#entries.set(endpoint.id, {revision, endpoint, keptUntil: undefined});
 		if (endpoint.state === 'leaving') {
 			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, change: 'leaving'}];
 		}
@@ -115,7 +122,7 @@
 		}
 
 		for (const known of this.#entries.values()) {
-			if (!ids.has(known.endpoint.id) && known.revision <= revision && known.vanishedAt === undefined) {
+			if (!ids.has(known.endpoint.id) && known.revision <= revision && known.keptUntil === undefined) {
 				changes.push(...this.#vanish(known, revision, now));
 			}
 		}
@@ -133,7 +140,7 @@
 	sweep(now: number): BookChange[] {
 		const changes: BookChange[] = [];
 		for (const known of this.#entries.values()) {
-			if (known.vanishedAt !== undefined && !this.#isAway && now - Math.max(known.vanishedAt, this.#backAt) > returnGraceMs) {
+			if (known.keptUntil !== undefined && !this.#isAway && now > known.keptUntil) {
 				changes.push(...this.#erase(known, known.revision));
 			}
 		}
@@ -142,14 +149,16 @@
 	}
 
 	#vanish(known: Entry, revision: number, now: number): BookChange[] {
-		const mayReturn = known.endpoint.state === 'ready' && (this.#isAway || now - this.#backAt <= returnGraceMs || this.#isVanishing(known.endpoint.service));
-		if (mayReturn) {
-			known.vanishedAt ??= now;
+		const isReady = known.endpoint.state === 'ready';
+		const returnUntil = this.#isAway ? Number.POSITIVE_INFINITY : this.#backAt + returnGraceMs;
+		const keptUntil = now <= returnUntil ? returnUntil : now + massGraceMs;
+		if (isReady && (now <= returnUntil || this.#isVanishing(known.endpoint.service))) {
+			known.keptUntil ??= keptUntil;
 			return [{endpoint: known.endpoint, change: 'vanished'}];
 		}
 
 		const changes = this.#erase(known, revision);
-		if (known.endpoint.state === 'ready') {
+		if (isReady) {
 			this.#removed.push({at: now, revision, endpoint: known.endpoint});
 			return this.#restoreMass(known.endpoint.service, now) ?? changes;
 		}
@@ -159,8 +168,8 @@
 
 	/** Whether others of a service have vanished in what was taken for an outage. */
 	#isVanishing(service: string): boolean {
-		for (const {endpoint, vanishedAt} of this.#entries.values()) {
-			if (vanishedAt !== undefined && endpoint.service === service) {
+		for (const {endpoint, keptUntil} of this.#entries.values()) {
+			if (keptUntil !== undefined && endpoint.service === service) {
 				return true;
 			}
 		}
@@ -179,7 +188,7 @@
 
 		this.#removed = this.#removed.filter(({endpoint}) => endpoint.service !== service);
 		for (const {revision, endpoint} of lost) {
-			this.#entries.set(endpoint.id, {revision, endpoint, vanishedAt: now});
+			this.#entries.set(endpoint.id, {revision, endpoint, keptUntil: now + massGraceMs});
 		}
 
 		return lost.map(({endpoint}) => ({endpoint, change: 'vanished'}));
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -7,7 +7,7 @@
 import {jitter} from '@gatehead/policy/utils/random';
 import {type ListedEndpoint} from '@gatehead/schema/routing';
 import {type Endpoints} from '../upstream/endpoints.js';
-import {type RelayContext} from './context.js';
+import {type Bookkeeping, type RelayContext} from './context.js';
 import {DirectoryError, type Change, type Changes} from './directory.js';
 import {type RoutingState} from './routing-state.js';
 
@@ -16,10 +16,12 @@
 const probeMs = 1;
 /** Interval at which a host that need not watch looks whether that has changed, in milliseconds. */
 const idleMs = 500;
+/** Reads that must fail one after the other before the directory counts as away: it may cut a watch while it waits, and entries lapse only in outages of two heartbeats (2.4 s) or more. */
+const awayFailures = 2;
 
 /** What the watch works with. */
 export type WatchParts = {
-	readonly context: RelayContext;
+	readonly context: Bookkeeping & Pick<RelayContext, 'directory' | 'settings'>;
 	readonly endpoints: Endpoints;
 	readonly routing: RoutingState;
 	/** Whether this host reads the directory itself, or hears of it from others. */
@@ -39,13 +41,15 @@
 	#timer: Timer | undefined;
 	#isDown = false;
 	#failures = 0;
+	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
+	#isDoubted = false;
 	#mustList = true;
 
 	constructor(parts: WatchParts) {
 		this.#parts = parts;
 	}
 
-	/** Whether the last read failed. */
+	/** Whether the directory is held to be away. */
 	get isDown(): boolean {
 		return this.#isDown;
 	}
@@ -63,7 +67,8 @@
 
 	/** Ends a watch that has not brought what others know; the next read goes over another connection. */
 	doubt(): void {
-		if (!this.#isDown) {
+		if (!this.#isDown && !this.#isDoubted) {
+			this.#isDoubted = true;
 			this.#call?.abort();
 		}
 	}
@@ -89,6 +94,7 @@
 	/** One read; returns the pause before the next. */
 	async #read(): Promise<number> {
 		const {context: {metrics}} = this.#parts;
+		const wasDoubted = this.#isDoubted;
 		const read = this.#mustList || this.revision < 0 ? 'list' : 'watch';
 		try {
 			const changes = read === 'list' ? await this.#list() : await this.#watch();
@@ -97,7 +103,8 @@
 			this.#take(changes, read);
 			return 0;
 		} catch (error) {
-			if (this.#abort.signal.aborted) {
+			if (this.#abort.signal.aborted || this.#isDoubted !== wasDoubted) {
+				// Ended from here: that says nothing about the directory
 				return 0;
 			}
 
@@ -112,7 +119,7 @@
 
 	async #watch(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
-		const waitMs = this.#isDown ? probeMs : timing.watchMs;
+		const waitMs = this.#failures > 0 || this.#isDoubted ? probeMs : timing.watchMs;
 		return this.#limit(waitMs + timing.directoryAnswerMs, async signal => directory.watch(this.revision, waitMs, signal));
 	}
 
@@ -141,7 +148,7 @@
 		}
 
 		this.#failures += 1;
-		if (!this.#isDown) {
+		if (!this.#isDown && this.#failures >= awayFailures) {
 			this.#isDown = true;
 			endpoints.book.directoryLost();
 			log('directoryLost', {
@@ -164,6 +171,7 @@
 		}
 
 		this.#failures = 0;
+		this.#isDoubted = false;
 	}
 
 	#take({changes, revision}: Changes, read: string): void {
--- a/packages/relay/src/core/routing-state.ts
+++ b/packages/relay/src/core/routing-state.ts
@@ -4,15 +4,15 @@
  */
 import {RouteTable} from '@gatehead/policy/relay/route-table';
 import {type Routing} from '@gatehead/schema/routing';
-import {type RelayContext} from './context.js';
+import {type Bookkeeping} from './context.js';
 
 /** Decides what is in force. */
 export class RoutingState {
-	readonly #context: RelayContext;
+	readonly #context: Bookkeeping;
 	readonly #onAdopted: (routing: Routing) => void;
 	#table: RouteTable | undefined;
 
-	constructor(context: RelayContext, onAdopted: (routing: Routing) => void) {
+	constructor(context: Bookkeeping, onAdopted: (routing: Routing) => void) {
 		this.#context = context;
 		this.#onAdopted = onAdopted;
 	}
