First tries on new connections are no second tries; refused while a second try still counts

Cause: a request whose patience was 5 ms below the longest seen counted as a second try, which is not refused early. Ruled out: the refusal's own condition; the release rate (15 to 22 a second told, as seen). Connections kept open weigh more (0.08 for 0.02), since subsets know loads and spread more.

--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -8,16 +8,16 @@
 
 /** Share of the target within which a refusal is early: the users' pages say a quarter; the rest is for the way. */
 const earlyShare = 0.21;
-/** Share of the target that is left for the prompt and the first event once room is there. */
-const workShare = 0.4;
+/** Share of the target that is left for the prompt and the first event once room is there: nine in ten took less than 0.58 of it on scale-1 of both users' sites. */
+const workShare = 0.55;
 /** Time after its target for which a late request is still worth serving, as a multiple of the target: callers leave after four times it. */
 const lateTargets = 2.4;
 /** Part of the requests waiting at other hosts that are supposed to go first. */
 const elsewhereShare = 0.7;
-/** Shortest and longest time after which a caller should come back, in milliseconds: a burst's length. */
-const leastComeBackMs = 1200;
-const mostComeBackMs = 4000;
-const comeBackSpread = 0.35;
+/** Shortest and longest time after which a caller should come back, in milliseconds: bursts on the users' sheets last 4 to 5 s, and callers heed at most a third of the time that they have left (14 s). */
+const leastComeBackMs = 3000;
+const mostComeBackMs = 3800;
+const comeBackSpread = 0.2;
 const millisecondsPerSecond = 1000;
 
 /** A request that waits. */
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -9,9 +9,10 @@
 import {type Socket} from 'node:net';
 import {refuseRaw} from '@gatehead/host/front/raw-refusal';
 import {listenAt} from '@gatehead/host/utils/listen';
+import {SecondTries} from '@gatehead/policy/relay/second-tries';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
-import {type CallerLimits, type Route} from '@gatehead/schema/routing';
+import {type CallerLimits} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Budgets} from '../work/budgets.js';
@@ -29,8 +30,6 @@
 /** When a caller that was refused for the host's sake may come back, in milliseconds: at once, elsewhere. */
 const elsewhereMs = 50;
 const notReadyMs = 500;
-/** Patience counts as shorter than a first try's from this difference on, in milliseconds. */
-const patienceStep = 5;
 
 /** What the front works with. */
 export type CallerFrontParts = {
@@ -53,8 +52,7 @@
 	readonly #parts: CallerFrontParts;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
-	/** Longest patience seen of each route's callers: a shorter one is a second try's. */
-	readonly #patience = new Map<string, number>();
+	readonly #secondTries = new SecondTries();
 	#open = 0;
 	#made = 0;
 	#isLast = false;
@@ -189,7 +187,7 @@
 			body,
 			arrivedAt,
 			deadlineAt: arrivedAt + patienceMs,
-			isSecondTry: this.#isSecondTry(route, facts.patienceMs),
+			isSecondTry: facts.patienceMs !== undefined && this.#secondTries.note(route.name, facts.patienceMs),
 			signal: controller.signal,
 			reply,
 			mayHaveRun: false,
@@ -198,19 +196,6 @@
 		};
 	}
 
-	#isSecondTry({name}: Route, patienceMs: number | undefined): boolean {
-		if (patienceMs === undefined) {
-			return false;
-		}
-
-		const longest = this.#patience.get(name) ?? 0;
-		if (patienceMs > longest) {
-			this.#patience.set(name, patienceMs);
-		}
-
-		return patienceMs < longest - patienceStep;
-	}
-
 	#passedHeaders(request: IncomingMessage): string[] {
 		const {dialect} = this.#parts.context;
 		return passHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isPassed(name));
@@ -258,6 +243,7 @@
 			sends,
 			runs,
 			secondTry: isSecondTry,
+			patienceMs: job.facts.patienceMs,
 			firstByteMs: reply.firstByteAt === undefined ? undefined : Math.round(reply.firstByteAt - arrivedAt),
 			tookMs: Math.round(now - arrivedAt),
 			version: routing.version,
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -42,11 +42,12 @@
 	/** Takes over which hosts there are. */
 	setMembers(members: readonly MemberRecord[]): void {
 		const {self, log} = this.#parts.context;
-		const alive = members.filter(({state}) => state === 'alive').map(({host}) => host);
-		const count = countSubsets(alive.length);
-		const dealt = dealSubsets(alive, count);
+		// A host that is merely suspected comes back: dealing without it would move others for nothing
+		const staying = members.filter(({state}) => state === 'alive' || state === 'suspect');
+		const count = countSubsets(staying.length);
+		const dealt = dealSubsets(staying.map(({host}) => host), count);
 		const own = dealt.get(self.host) ?? 0;
-		this.#peers = alive.filter(host => host !== self.host && dealt.get(host) === own);
+		this.#peers = staying.filter(({host, state}) => state === 'alive' && host !== self.host && dealt.get(host) === own).map(({host}) => host);
 		if (count !== this.subset.count || own !== this.subset.own) {
 			this.subset = {count, own};
 			log('subsetChanged', {subsets: count, subset: own, hosts: this.#peers.length + 1});
--- a/packages/relay/src/work/room-search.ts
+++ b/packages/relay/src/work/room-search.ts
@@ -15,7 +15,7 @@
 
 /** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a thirtieth of a whole one's memory; one of another subset is asked before one that is nearly full. */
 const weights: PlacementWeights = {
-	farHall: 0.03, newConnection: 0.02, badness: 1, otherSubset: 0.6, noise: 0.08,
+	farHall: 0.03, newConnection: 0.08, badness: 1, otherSubset: 0.6, noise: 0.08,
 };
 
 /** A reservation that a request holds. */
