A host that the directory turns away believes a peer that reads it

Cause: an open finding of reading: while a host could not read the directory it kept all entries that vanished, also those that its peers, who read it, called gone. Change: the answer among peers says whether its sender reads the directory now; what such a peer calls gone is gone here too.

--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -15,7 +15,7 @@
 type Step
 	= | {readonly put: ListedEndpoint}
 		| {readonly remove: string; readonly revision: number}
-		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number}
+		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number; readonly isWitnessed?: boolean}
 		| {readonly wait: number}
 		| {readonly directory: 'lost' | 'back'};
 
@@ -81,6 +81,21 @@
 		steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {replace: [listed('b', 2)], revision: 5}],
 		ready: ['b'],
 	},
+	{
+		name: 'what a host that reads the directory calls gone is gone, also where the directory turns this one away',
+		steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {directory: 'lost'}, {replace: [listed('b', 2)], revision: 5, isWitnessed: true}, {wait: 60_000}],
+		ready: ['b'],
+	},
+	{
+		name: 'also when it was kept until then',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {remove: 'a', revision: 3}, {replace: [], revision: 5, isWitnessed: true}],
+		ready: [],
+	},
+	{
+		name: 'a host that cannot read it either is not believed',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {replace: [], revision: 5}],
+		ready: ['a'],
+	},
 	{
 		name: 'a list that is older than an entry does not remove it',
 		steps: [{put: listed('a', 8)}, {replace: [], revision: 5}],
@@ -97,7 +112,7 @@
 		} else if ('remove' in step) {
 			book.remove(step.remove, step.revision, now);
 		} else if ('replace' in step) {
-			book.replace(step.replace, new Set(step.replace.map(each => each.endpoint.id)), step.revision, now);
+			book.replace({...step, listed: step.replace, ids: new Set(step.replace.map(each => each.endpoint.id))}, now);
 		} else if ('wait' in step) {
 			now += step.wait;
 			book.sweep(now);
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -30,6 +30,16 @@
 	readonly change: 'added' | 'changed' | 'restaged' | 'leaving' | 'vanished' | 'gone';
 };
 
+/** All entries of the directory, as one host knows them. */
+export type BookList = {
+	/** Entries in full: all, or those written lately. */
+	readonly listed: readonly ListedEndpoint[];
+	/** Ids of all entries. */
+	readonly ids: ReadonlySet<string>;
+	readonly revision: number;
+	readonly isWitnessed?: boolean;
+};
+
 /** All endpoints now known. */
 export class EndpointBook {
 	readonly #entries = new Map<string, Entry>();
@@ -114,15 +124,25 @@
 		return this.#vanish(known, revision, now);
 	}
 
-	/** Takes a whole list as of `revision`, or what changed in it and the ids of all: what these lack has gone. */
-	replace(listed: readonly ListedEndpoint[], ids: ReadonlySet<string>, revision: number, now: number): BookChange[] {
+	/**
+	 * Takes a whole list as of `revision`, or what changed in it and the ids of
+	 * all: what these lack has gone. `isWitnessed`: it comes from a host that
+	 * reads the directory now, so that an own outage says nothing against it.
+	 */
+	replace({listed, ids, revision, isWitnessed = false}: BookList, now: number): BookChange[] {
 		const changes: BookChange[] = [];
 		for (const each of listed) {
 			changes.push(...this.put(each));
 		}
 
 		for (const known of this.#entries.values()) {
-			if (!ids.has(known.endpoint.id) && known.revision <= revision && known.keptUntil === undefined) {
+			if (ids.has(known.endpoint.id) || known.revision > revision) {
+				continue;
+			}
+
+			if (isWitnessed && this.#isAway) {
+				changes.push(...this.#erase(known, revision));
+			} else if (known.keptUntil === undefined) {
 				changes.push(...this.#vanish(known, revision, now));
 			}
 		}
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -181,7 +181,7 @@
 			this.#mustList = false;
 			const listed = changes.filter((change): change is Extract<Change, {kind: 'endpoint'}> => change.kind === 'endpoint');
 			const ids = new Set(listed.map(each => each.endpoint.id));
-			endpoints.note(endpoints.book.replace(listed, ids, revision, now), 'list');
+			endpoints.note(endpoints.book.replace({listed, ids, revision}, now), 'list');
 		}
 
 		for (const change of changes) {
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -60,19 +60,20 @@
 
 	/** Tells a host that asked what it lacks. */
 	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
-		const {routing, endpoints, watch} = this.#parts;
+		const {routing, endpoints, watch, isWatcher} = this.#parts;
 		const listed = endpoints.book.list();
 		this.#parts.send(host, {
 			kind: 'directory',
 			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
 			revision: watch().revision,
+			isCurrent: isWatcher() && !watch().isDown,
 			endpoints: listed.filter(each => each.revision > revision),
 			ids: listed.map(each => each.endpoint.id),
 		});
 	}
 
 	/** Takes over what a host has told. */
-	take(host: string, {routing: offered, revision, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
+	take(host: string, {routing: offered, revision, isCurrent, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
 			routing.offer(offered, host);
@@ -80,7 +81,9 @@
 
 		const own = watch();
 		if (revision > own.revision) {
-			const changes = endpoints.book.replace(listed, new Set(ids), revision, clock.now());
+			const changes = endpoints.book.replace({
+				listed, ids: new Set(ids), revision, isWitnessed: isCurrent,
+			}, clock.now());
 			endpoints.note(changes, host);
 			own.hear(revision);
 			if (changes.length > 0) {
