--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -10,7 +10,9 @@
 import {fileURLToPath} from 'node:url';
 import {expect} from 'earl';
 import {type HostStatus} from '@gatehead/schema/admin-protocol';
+import {type RelayStatus} from '@gatehead/schema/relay-status';
 import {type Event} from '@gatehead/schema/event';
+import {findRelayDisagreements} from './relay-status.js';
 import {findDisagreements, addUsage} from './status.js';
 import {drawTimeline} from './timeline-page.js';
 import {mergeEvents} from './timeline.js';
@@ -167,6 +169,36 @@
 	});
 });
 
+function relayOf(name: string, change: Partial<RelayStatus> = {}): RelayStatus {
+	return {
+		host: name, incarnation: 1, hall: 'a', isReady: true, routingVersion: 7, directoryRevision: 40, isDirectoryDown: false, open: 0, waiting: 0, retryLeft: 3, subset: {own: 0, count: 1}, members: [], services: [{service: 'm', ready: 2, paused: 0}], ...change,
+	};
+}
+
+const relayDisagreements: ReadonlyArray<{readonly name: string; readonly relays: readonly RelayStatus[]; readonly found: readonly string[]}> = [
+	{name: 'nothing where all agree', relays: [relayOf('a'), relayOf('b')], found: []},
+	{name: 'two configurations in force', relays: [relayOf('a'), relayOf('b', {routingVersion: 8})], found: ['configurations in force differ: 7, 8']},
+	{name: 'a relay that is not ready and cannot read the directory', relays: [relayOf('a', {isReady: false, isDirectoryDown: true})], found: ['a is not ready', 'a cannot read the directory']},
+	{name: 'a service without an endpoint', relays: [relayOf('a', {services: [{service: 'm', ready: 2, paused: 2}]})], found: ['a has no endpoint for m: 2 of 2 set aside']},
+	{name: 'a relay held to be dead that answers', relays: [relayOf('a', {members: [{host: 'b', state: 'dead'}]}), relayOf('b')], found: ['a holds b to be dead, and it answers']},
+];
+
+describe('status of relays', () => {
+	for (const {name, relays, found} of relayDisagreements) {
+		it(`finds ${name}`, () => {
+			expect(findRelayDisagreements(relays.map(answer => ({host: answer.host, ok: true, answer})))).toEqual([...found]);
+		});
+	}
+
+	it('a relay that does not answer is named, with exit code 1', () => {
+		const fleet = join(mkdtempSync(join(tmpdir(), 'gatehead-fleet-')), 'fleet.json');
+		writeFileSync(fleet, JSON.stringify({hosts: [{host: 'silent-relay-1', metricsAddress: '127.0.0.1:9'}]}));
+		const {status, out} = run(control, 'status', '--fleet', fleet);
+		expect(status).toEqual(1);
+		expect(out.includes('silent-relay-1 does not answer: 6005')).toEqual(true);
+	});
+});
+
 const events: readonly Event[] = [
 	{
 		clock: '00000000001000.000000.b', host: 'b', kind: 'firstToken', request: 'r<1>', endpoint: 'd',
--- /dev/null
+++ b/packages/control/src/commands/relay-status.ts
@@ -0,0 +1,60 @@
+/** `gateheadctl status` for relays: all side by side, what they disagree about first. */
+import {relayStatus, type RelayStatus} from '@gatehead/schema/relay-status';
+import {type FleetFile} from '../utils/files.js';
+import {askFleet, type Answered} from '../utils/fleet.js';
+import {
+	exitCodes, print, printJson, printTable,
+} from '../utils/output.js';
+import {findMemberDisagreements, findSilent} from './status.js';
+
+/** Finds what relays disagree about, in words. */
+export function findRelayDisagreements(answers: ReadonlyArray<Answered<RelayStatus>>): string[] {
+	const known = answers.flatMap(each => (each.ok ? [each.answer] : []));
+	const found = findSilent(answers);
+	const versions = new Set(known.map(({routingVersion}) => routingVersion));
+	if (versions.size > 1) {
+		found.push(`configurations in force differ: ${[...versions].join(', ')}`);
+	}
+
+	for (const {host, isReady, isDirectoryDown, services} of known) {
+		if (!isReady) {
+			found.push(`${host} is not ready`);
+		}
+
+		if (isDirectoryDown) {
+			found.push(`${host} cannot read the directory`);
+		}
+
+		for (const {service, ready, paused} of services) {
+			if (ready === paused) {
+				found.push(`${host} has no endpoint for ${service}: ${paused} of ${ready} set aside`);
+			}
+		}
+	}
+
+	return [...found, ...findMemberDisagreements(known)];
+}
+
+function rowOf({host, hall, isReady, routingVersion, directoryRevision, open, waiting, retryLeft, subset, members, services}: RelayStatus): string[] {
+	const alive = members.filter(each => each.state === 'alive').length;
+	const endpoints = services.map(({service, ready, paused}) => `${service} ${ready - paused}/${ready}`).join(', ');
+	return [host, hall, isReady ? 'yes' : 'no', String(routingVersion), String(directoryRevision), `${open} (${waiting} wait)`, String(retryLeft), `${subset.own + 1}/${subset.count}`, `${alive}/${members.length}`, endpoints];
+}
+
+/** Prints all relays; exit code 1 where they disagree. */
+export async function showRelayStatus(fleet: FleetFile, isJson: boolean): Promise<number> {
+	const answers = await askFleet(fleet, '/status', data => relayStatus.parse(data));
+	const disagreements = findRelayDisagreements(answers);
+	const exitCode = disagreements.length === 0 ? exitCodes.well : exitCodes.no;
+	if (isJson) {
+		printJson({disagreements, hosts: answers});
+		return exitCode;
+	}
+
+	for (const line of disagreements) {
+		print(`! ${line}`);
+	}
+
+	printTable(['host', 'hall', 'ready', 'version', 'revision', 'open', 'retries left', 'subset', 'members', 'endpoints'], answers.map(each => (each.ok ? rowOf(each.answer) : [each.host, '', 'no answer'])));
+	return exitCode;
+}
--- a/packages/control/src/commands/status.ts
+++ b/packages/control/src/commands/status.ts
@@ -9,15 +9,15 @@
 	exitCodes, print, printJson, printTable,
 } from '../utils/output.js';
 
+/** Names the hosts that do not answer. */
+export function findSilent(answers: ReadonlyArray<Answered<unknown>>): string[] {
+	return answers.flatMap(each => (each.ok ? [] : [`${each.host} does not answer: ${each.code} ${each.reason}`]));
+}
+
 /** Finds what hosts disagree about, in words. */
 export function findDisagreements(answers: ReadonlyArray<Answered<HostStatus>>): string[] {
-	const found: string[] = [];
+	const found = findSilent(answers);
 	const known = answers.flatMap(each => (each.ok ? [each.answer] : []));
-	for (const each of answers) {
-		if (!each.ok) {
-			found.push(`${each.host} does not answer: ${each.code} ${each.reason}`);
-		}
-	}
 
 	const bundles = new Set(known.map(({bundle: {version, digest}}) => `${version} ${digest.slice(0, 12)}`));
 	if (bundles.size > 1) {
@@ -45,7 +45,7 @@
 }
 
 /** Who is held to be gone by some host although it answers here. */
-function findMemberDisagreements(known: readonly HostStatus[]): string[] {
+export function findMemberDisagreements(known: ReadonlyArray<Pick<HostStatus, 'host'> & {readonly members: ReadonlyArray<Pick<HostStatus['members'][number], 'host' | 'state'>>}>): string[] {
 	const answering = new Set(known.map(each => each.host));
 	const found: string[] = [];
 	for (const {host, members} of known) {
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -8,6 +8,7 @@
 	checkBundle, diffBundles, showBundle, signFile, waitInForce,
 } from './commands/bundle.js';
 import {explainCode} from './commands/explain.js';
+import {showRelayStatus} from './commands/relay-status.js';
 import {showStatus, showUsage} from './commands/status.js';
 import {collectTimeline} from './commands/timeline.js';
 import {filterLines, traceRequest} from './commands/trace.js';
@@ -63,7 +64,10 @@
 		.demandCommand(1))
 	.command('status', 'all hosts side by side, disagreements first', command => command
 		.option('fleet', fleetOption)
-		.option('json', jsonOption), async ({fleet, json}) => run(async () => showStatus(readFleet(fleet), json)))
+		.option('json', jsonOption), async ({fleet, json}) => run(async () => {
+		const file = readFleet(fleet);
+		return file.hosts.some(each => 'metricsAddress' in each) ? showRelayStatus(file, json) : showStatus(file, json);
+	}))
 	.command('usage', 'use by member and caller, for audit', command => command
 		.option('fleet', fleetOption)
 		.option('form', {choices: ['text', 'json', 'csv'] as const, default: 'text' as const}), async ({fleet, form}) => run(async () => showUsage(readFleet(fleet), form)))
--- a/packages/control/src/utils/files.ts
+++ b/packages/control/src/utils/files.ts
@@ -97,7 +97,11 @@
 	/** Environment variable that holds the operator's token. */
 	tokenVariable: z.string().default('GATEHEAD_TOKEN'),
 	tls: z.strictObject({ca: z.string(), certificate: z.string(), key: z.string()}).optional(),
-	hosts: z.array(z.strictObject({host: z.string(), adminAddress: address})).min(1),
+	/** Own hosts by their administration address, relays by the address of their figures. */
+	hosts: z.array(z.union([
+		z.strictObject({host: z.string(), adminAddress: address}),
+		z.strictObject({host: z.string(), metricsAddress: address}),
+	])).min(1),
 });
 
 /** Hosts that a command asks. */
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -47,9 +47,10 @@
 }
 
 /** Asks one host. */
-export async function askHost<Answer>(fleet: FleetFile, {host, adminAddress}: FleetFile['hosts'][number], path: string, check: Check<Answer>): Promise<Answered<Answer>> {
+export async function askHost<Answer>(fleet: FleetFile, asked: FleetFile['hosts'][number], path: string, check: Check<Answer>): Promise<Answered<Answer>> {
+	const {host} = asked;
 	try {
-		const {status, text} = await get(fleet, adminAddress, path);
+		const {status, text} = await get(fleet, 'adminAddress' in asked ? asked.adminAddress : asked.metricsAddress, path);
 		if (status !== 200) {
 			return {
 				host, ok: false, code: status === 403 ? codes.peerRefused.number : codes.hostUnreachable.number, reason: `status ${status}: ${text.slice(0, 200)}`,
--- a/packages/relay/src/front/side-front.ts
+++ b/packages/relay/src/front/side-front.ts
@@ -9,6 +9,7 @@
 import {answerLookup} from '@gatehead/policy/relay/lookup-answer';
 import {timeToLive} from '@gatehead/policy/core/lookup';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {type RelayStatus} from '@gatehead/schema/relay-status';
 import {type RelayContext} from '../core/context.js';
 
 /** Most addresses of one answer: what callers take. */
@@ -26,6 +27,7 @@
 	readonly listMembers: () => readonly MemberRecord[];
 	/** Brings gauges up to date before they are read. */
 	readonly refresh: () => void;
+	readonly describe: () => RelayStatus;
 };
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
@@ -47,16 +49,25 @@
 	/** Starts to listen at all addresses of the settings. */
 	async listen(): Promise<void> {
 		const {settings: {listen}, dialect} = this.#parts.context;
-		await this.#serve(listen.ready, dialect.readyPath, (_request, response) => {
-			send(response, this.#parts.isReady() ? okStatus : unavailableStatus, '{}');
+		await this.#serve(listen.ready, {
+			[dialect.readyPath]: (_request, response) => {
+				send(response, this.#parts.isReady() ? okStatus : unavailableStatus, '{}');
+			},
 		});
-		await this.#serve(listen.lookup, dialect.lookupPath, (request, response) => {
-			this.#lookUp(request, response);
+		await this.#serve(listen.lookup, {
+			[dialect.lookupPath]: (request, response) => {
+				this.#lookUp(request, response);
+			},
 		});
 		if (listen.metrics !== undefined) {
-			await this.#serve(listen.metrics, '/metrics', async (_request, response) => {
-				this.#parts.refresh();
-				send(response, okStatus, await this.#parts.context.metrics.print(), 'text/plain; version=0.0.4');
+			await this.#serve(listen.metrics, {
+				'/metrics': async (_request, response) => {
+					this.#parts.refresh();
+					send(response, okStatus, await this.#parts.context.metrics.print(), 'text/plain; version=0.0.4');
+				},
+				'/status': (_request, response) => {
+					send(response, okStatus, JSON.stringify(this.#parts.describe()));
+				},
 			});
 		}
 	}
@@ -82,12 +93,14 @@
 		send(response, okStatus, dialect.writeLookup(addresses, Math.min(timing.lookupTtlMs, timeToLive(timing.lookupTtlMs, random))));
 	}
 
-	async #serve(address: string, path: string, handler: Handler): Promise<void> {
+	async #serve(address: string, handlers: Readonly<Record<string, Handler>>): Promise<void> {
 		const server = createServer({keepAliveTimeout: restMs}, (request, response) => {
-			if ((request.url ?? '').split('?', 1)[0] === path) {
-				void handler(request, response);
-			} else {
+			const path = (request.url ?? '').split('?', 1)[0] ?? '';
+			const handler = Object.hasOwn(handlers, path) ? handlers[path] : undefined;
+			if (handler === undefined) {
 				send(response, notFoundStatus, '{}');
+			} else {
+				void handler(request, response);
 			}
 		});
 		this.#servers.push(server);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
  * lookup can name this host. Safety rests on the tasks, not here.
  */
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
+import {type RelayStatus} from '@gatehead/schema/relay-status';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
 import {RoutingState} from './core/routing-state.js';
@@ -83,12 +84,42 @@
 			context, routing: this.routing, budgets, work: async job => this.#workOn(job),
 		});
 		this.#side = new SideFront({
-			context, isReady: () => !this.#isStopping && this.routing.table !== undefined, listMembers: () => this.fleet.membership.members.list(), refresh: () => {
+			context, isReady: () => this.isReady, listMembers: () => this.fleet.membership.members.list(), refresh: () => {
 				this.#refresh();
-			},
+			}, describe: () => this.describe(),
 		});
 	}
 
+	/** Whether callers should come here. */
+	get isReady(): boolean {
+		return !this.#isStopping && this.routing.table !== undefined;
+	}
+
+	/** What operators see of this process. */
+	describe(): RelayStatus {
+		const {self, settings, clock} = this.context;
+		const {book, health} = this.endpoints;
+		const now = clock.now();
+		const services = this.routing.table?.routing.services ?? [];
+		return {
+			...self,
+			hall: settings.hall,
+			isReady: this.isReady,
+			routingVersion: this.routing.version,
+			directoryRevision: this.#watch.revision,
+			isDirectoryDown: this.#watch.isDown,
+			open: this.#front.open,
+			waiting: this.#work.desk.waiting,
+			retryLeft: Math.floor(this.#work.budgets.leastLeft()),
+			subset: this.fleet.load.subset,
+			members: this.fleet.membership.members.list().map(({host, state}) => ({host, state})),
+			services: services.map(({name}) => {
+				const ready = book.listReady(name);
+				return {service: name, ready: ready.length, paused: ready.filter(({id}) => !health.isUsable(id, now)).length};
+			}),
+		};
+	}
+
 	/** Starts all tasks. */
 	async start(): Promise<void> {
 		const {log, settings: {listen, seeds}} = this.context;
--- /dev/null
+++ b/packages/schema/src/relay-status.ts
@@ -0,0 +1,29 @@
+/** What a relay tells operators of itself, beside its figures. Reads only; neither safety nor efficiency rests here. */
+import {z} from 'zod';
+import {memberState} from './peer-message.js';
+
+/** A relay's view of itself, the others and the endpoints. */
+export const relayStatus = z.object({
+	host: z.string(),
+	incarnation: z.number(),
+	hall: z.string(),
+	isReady: z.boolean(),
+	/** Version of the configuration in force; 0: none. */
+	routingVersion: z.number(),
+	/** Revision up to which the directory is known here; -1: not at all. */
+	directoryRevision: z.number(),
+	isDirectoryDown: z.boolean(),
+	/** Requests in work, and those of them that wait for decode memory. */
+	open: z.number(),
+	waiting: z.number(),
+	/** Second sends left to this host, least of all services. */
+	retryLeft: z.number(),
+	/** Subset of the fleet, as its number and how many there are. */
+	subset: z.object({own: z.number(), count: z.number()}),
+	members: z.array(z.object({host: z.string(), state: memberState})),
+	/** Endpoints that take new work, and those of them that are set aside. */
+	services: z.array(z.object({service: z.string(), ready: z.number(), paused: z.number()})),
+});
+
+/** A relay's view. */
+export type RelayStatus = z.infer<typeof relayStatus>;
--- a/packages/standin/src/wire/relay.test.ts
+++ b/packages/standin/src/wire/relay.test.ts
@@ -2,6 +2,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {relayStatus} from '@gatehead/schema/relay-status';
 import {expect} from 'earl';
 import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
 import {sendRequest, type CallerAnswer} from './client.js';
@@ -272,6 +273,13 @@
 		world.store.setFault('none');
 	});
 
+	it('operators see each relay, the others and the endpoints', () => {
+		const {members, services, routingVersion} = relayStatus.parse(world.relays[1]?.relay.describe());
+		expect(members.map(({state}) => state)).toEqual(['alive', 'alive', 'alive']);
+		expect(services.map(({ready, paused}) => ready - paused)).toEqual([parts.prefill + parts.decode, parts.plain]);
+		expect(routingVersion).toEqual(7);
+	});
+
 	it('an older configuration changes nothing', async () => {
 		world.store.put('op/config', makeConfig(5));
 		await until(() => world.lines.some(({code, facts}) => code === 'routingOlder' && facts.offered === 5));
