--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -21,7 +21,7 @@
 import {type Reservation} from './room-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
-/** Tokens reserved for the answer, as a multiple of its expected length. */
+/** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. */
 const answerFactor = 0.9;
 /** Memory goes by blocks of so many tokens. */
 const blockTokens = 16;
@@ -46,12 +46,6 @@
 	return new Generation(parts, job).work();
 }
 
-/** Memory for a prompt and the part of its answer that is reserved, in whole blocks. */
-function countTokens(promptTokens: number, answerTokens: number): number {
-	const tokens = promptTokens + (answerFactor * answerTokens);
-	return Math.max(blockTokens, Math.ceil(tokens / blockTokens) * blockTokens);
-}
-
 class Generation {
 	readonly #parts: WorkParts;
 	readonly #job: Job;
@@ -59,8 +53,6 @@
 	readonly #events: EventPassage;
 	/** Decode replicas that had it. */
 	readonly #avoid = new Set<string>();
-	/** Memory that is reserved, in tokens. */
-	readonly #tokens: number;
 	#grantedAt = 0;
 	#rounds = 0;
 
@@ -68,7 +60,6 @@
 		this.#parts = parts;
 		this.#job = job;
 		this.#prefill = new Prefill(parts, job);
-		this.#tokens = countTokens(job.facts.promptTokens, parts.desk.predictAnswer(job));
 		this.#events = new EventPassage(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
@@ -78,7 +69,7 @@
 			const {desk, orders, context: {clock}} = this.#parts;
 			const askedAt = clock.now();
 			const answer = await desk.reserve({
-				job: this.#job, tokens: this.#tokens, lifeMs: this.#engine.reservationMs, bearable: this.#engine.capacityTokens, avoid: this.#avoid, isStarted: this.#job.reply.hasBegun,
+				job: this.#job, tokens: this.#countTokens(), lifeMs: this.#engine.reservationMs, bearable: this.#engine.capacityTokens, avoid: this.#avoid, isStarted: this.#job.reply.hasBegun,
 			});
 			orders.splitOf(this.#job.service.name).noteReserve((clock.now() - askedAt) / this.#job.route.targetMs);
 			if (answer.kind === 'refused') {
@@ -101,6 +92,12 @@
 		return this.#job.service.engine ?? {capacityTokens: 0, reservationMs: 0};
 	}
 
+	#countTokens(): number {
+		const {promptTokens, answerTokens} = this.#job.facts;
+		const tokens = promptTokens + (answerFactor * answerTokens);
+		return Math.max(blockTokens, Math.ceil(tokens / blockTokens) * blockTokens);
+	}
+
 	async #runAt(reservation: Reservation): Promise<Decoded> {
 		const source = await this.#prefill.read(reservation.endpoint.hall);
 		if (this.#job.signal.aborted) {
@@ -124,7 +121,7 @@
 				...(isHeld ? {reservation: name} : {}),
 				lastEventId: this.#events.lastId ?? this.#job.facts.lastEventId,
 			},
-			tokens: this.#tokens,
+			tokens: this.#countTokens(),
 			headMs: this.#job.route.isResumable ? silentMs : timeLeft(this.#job, clock.now()) + 1,
 			signal: this.#job.signal,
 		});
@@ -219,7 +216,7 @@
 			}
 
 			sent.end('good');
-			desk.noteHold(this.#job, this.#tokens, clock.now() - this.#grantedAt);
+			desk.noteHold(this.#job.service.name, this.#countTokens(), clock.now() - this.#grantedAt);
 			this.#events.finish(response);
 			const {longestGapMs} = this.#events;
 			metrics.time('gap', longestGapMs);
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -4,7 +4,6 @@
  * those that can still be in time first; who has no chance is told early, so
  * that its next try counts. Efficiency only.
  */
-import {AnswerGuess} from '@gatehead/policy/relay/answer-guess';
 import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
 import {WaitLine, type Waiter} from '@gatehead/policy/relay/wait-line';
 import {jitter} from '@gatehead/policy/utils/random';
@@ -13,7 +12,6 @@
 import {type LoadNews} from '../peer/load-news.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
-import {type Job} from './job.js';
 import {RoomSearch, type Reservation, type Wish} from './room-search.js';
 
 /** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
@@ -52,7 +50,6 @@
 	readonly #news: LoadNews;
 	readonly #lines = new Map<string, WaitLine<Waiting>>();
 	readonly #releases = new Map<string, ReleaseRate>();
-	readonly #guesses = new Map<string, AnswerGuess>();
 	/** Counts of waiting requests as last told. */
 	readonly #told = new Map<string, number>();
 	#timer: Timer | undefined;
@@ -97,15 +94,9 @@
 		return job.signal.aborted ? {kind: 'gone'} : this.#wait(wish, line);
 	}
 
-	/** Expected tokens of a request's answer. */
-	predictAnswer({service, facts}: Job): number {
-		return this.#guessOf(service.name).predict(facts.answerTokens);
-	}
-
-	/** Notes how long a request has held its memory, to know how fast memory comes free and what guesses say. */
-	noteHold({service, facts}: Job, tokens: number, heldMs: number): void {
-		this.#rateOf(service.name).note(tokens, heldMs);
-		this.#guessOf(service.name).learn(facts.answerTokens, heldMs);
+	/** Notes how long a request has held its memory, to know how fast memory comes free. */
+	noteHold(service: string, tokens: number, heldMs: number): void {
+		this.#rateOf(service).note(tokens, heldMs);
 	}
 
 	/** Room may have come free. */
@@ -238,16 +229,6 @@
 		return rate;
 	}
 
-	#guessOf(service: string): AnswerGuess {
-		let guess = this.#guesses.get(service);
-		if (guess === undefined) {
-			guess = new AnswerGuess();
-			this.#guesses.set(service, guess);
-		}
-
-		return guess;
-	}
-
 	#lineOf(service: string): WaitLine<Waiting> {
 		let line = this.#lines.get(service);
 		if (line === undefined) {
