What was noted of each host in a module of its own

Ruled out: moving suspicion too (it is the judging itself); timing, codes and order of events stay. Conclusion: no change of behaviour.

--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -6,11 +6,11 @@
 import {Members} from '@gatehead/policy/core/members';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {jitter, pick} from '@gatehead/policy/utils/random';
-import {type Code} from '@gatehead/schema/codes';
 import {type Owner} from '@gatehead/schema/engine-protocol';
-import {type MemberRecord, type MemberState} from '@gatehead/schema/peer-message';
+import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type ListedHost} from '@gatehead/schema/platform-protocol';
 import {makeNeighbour, Neighbourhood, type Neighbour} from './neighbourhood.js';
+import {NotedHosts} from './noted-hosts.js';
 import {type PeerContext} from './peer-context.js';
 import {type Roster} from './roster.js';
 
@@ -21,14 +21,8 @@
 const leastLoadNewsMs = 2000;
 /** Ticks between tries to reach a host that is thought to be gone. */
 const healTicks = 3;
-/** Time after which a dead host that the list no longer names is forgotten. */
-const forgetMs = 600_000;
 const none: ReadonlySet<string> = new Set();
 
-const stateCodes: Record<MemberState, Code> = {
-	alive: 'memberAlive', leaving: 'memberLeaving', suspect: 'memberSuspect', dead: 'memberDead',
-};
-
 /** What a heartbeat says of hosts; what else it carries is its sender's own. */
 export type Heartbeat = {
 	readonly isAnswer: boolean;
@@ -63,9 +57,7 @@
 	readonly #parts: MembershipParts;
 	readonly #roster: Roster | undefined;
 	readonly #neighbourhood = new Neighbourhood();
-	/** State of each host as last told to operators. */
-	readonly #noted = new Map<string, MemberState>();
-	readonly #deadSince = new Map<string, number>();
+	readonly #noted: NotedHosts;
 	readonly #suspectedAt = new Map<string, number>();
 	readonly #abort = new AbortController();
 	#timers: Timer[] = [];
@@ -75,6 +67,7 @@
 
 	constructor(parts: MembershipParts, self: MemberRecord) {
 		this.#parts = parts;
+		this.#noted = new NotedHosts(parts.context);
 		this.members = new Members(self);
 		this.#roster = parts.makeRoster?.(hosts => {
 			this.#takeRoster(hosts);
@@ -205,7 +198,6 @@
 		}
 
 		this.#neighbourhood.hearAll(now);
-
 		this.#suspectedAt.clear();
 		this.members.updateSelf({});
 		context.log('lateWake', {lateMs: Math.round(late)});
@@ -315,35 +307,18 @@
 		this.#parts.onChange();
 	}
 
-	#note({host, state, load}: MemberRecord): void {
-		const {log, timeline} = this.#parts.context;
-		if (state !== 'suspect' && state !== 'dead') {
-			this.#suspectedAt.delete(host);
+	#note(record: MemberRecord): void {
+		if (record.state !== 'suspect' && record.state !== 'dead') {
+			this.#suspectedAt.delete(record.host);
 		}
 
-		const previous = this.#noted.get(host);
-		if (previous !== state) {
-			this.#noted.set(host, state);
-			if (state === 'dead') {
-				this.#deadSince.set(host, this.#parts.context.clock.now());
-			} else {
-				this.#deadSince.delete(host);
-			}
-
-			log(stateCodes[state], {peer: host, load});
-			timeline.note({kind: 'memberChanged', peer: host, detail: state});
-		}
+		this.#noted.note(record);
 	}
 
 	/** Hosts that have been gone for long and that the list no longer names are forgotten, so that replaced names do not pile up. */
 	#forgetGone(listed: ReadonlySet<string>): void {
-		const now = this.#parts.context.clock.now();
-		for (const [host, at] of this.#deadSince) {
-			if (now - at > forgetMs && !listed.has(host)) {
-				this.#deadSince.delete(host);
-				this.#noted.delete(host);
-				this.members.forget(host);
-			}
+		for (const host of this.#noted.forgetGone(listed)) {
+			this.members.forget(host);
 		}
 	}
 
