A cell's leases in a module of their own

Ruled out: moving the refusals (they need the line, both pools, the pressure and the leases, so that nothing would come apart); the bookkeeping stays in step by add and remove, which count as they go. Conclusion: no change of behaviour.

--- a/packages/policy/src/scheduler/lease-book.ts
+++ b/packages/policy/src/scheduler/lease-book.ts
@@ -38,9 +38,15 @@
 		return this.#leases.size;
 	}
 
-	/** Leases whose requests have no decode slot yet. */
-	get countWithoutSlot(): number {
-		return this.listReadyTimes().length;
+	/** Whether any lease has no decode slot yet. */
+	get hasWaiting(): boolean {
+		for (const {stage} of this.#leases.values()) {
+			if (stage !== 'decode') {
+				return true;
+			}
+		}
+
+		return false;
 	}
 
 	/** Whether a lease is held. */
@@ -79,4 +85,26 @@
 	countInWork(caller: string): number {
 		return this.#inWork.get(caller) ?? 0;
 	}
+
+	/** When the results that have no slot yet are or will be ready. */
+	listReadyTimes(): number[] {
+		const times: number[] = [];
+		for (const {stage, readyAt} of this.#leases.values()) {
+			if (stage !== 'decode') {
+				times.push(readyAt);
+			}
+		}
+
+		return times;
+	}
+
+	/** Leases whose results are ready and live, those of the earliest deadlines first. */
+	listReady(now: number): Lease[] {
+		const ready = [...this.#leases.values()].filter(({stage, lapsesAt}) => stage === 'ready' && lapsesAt > now);
+		return ready.toSorted((left, right) => left.deadline - right.deadline);
+	}
+
+	#count(caller: string, change: number): void {
+		this.#inWork.set(caller, Math.max(0, this.countInWork(caller) + change));
+	}
 }
--- a/packages/policy/src/scheduler/scheduler.ts
+++ b/packages/policy/src/scheduler/scheduler.ts
@@ -10,6 +10,7 @@
 import {type Random} from '../utils/random.js';
 import {AnswerLengths} from './answer-lengths.js';
 import {DecodePool, leaseKey} from './decode-pool.js';
+import {LeaseBook, makeClaimed} from './lease-book.js';
 import {PrefillPool, type PrefillOffer} from './prefill-pool.js';
 import {Pressure} from './pressure.js';
 import {risks, type Risk} from './risk.js';
@@ -26,19 +27,6 @@
 /** How long a request waits for any engine at all, as while a new keeper has no reports yet. */
 const downMs = 1500;
 
-/** A lease from its prefill grant to its release. */
-type Lease = {
-	readonly key: string;
-	readonly ask: LeaseAsk;
-	readonly deadline: number;
-	readonly prefillEngine: string;
-	readonly hall: string;
-	stage: 'prefill' | 'ready' | 'decode';
-	readyAt: number;
-	lapsesAt: number;
-	engine: string;
-};
-
 /** What the scheduler decides. */
 export type Decision
 	= | {readonly kind: 'prefill'; readonly request: string; readonly attempt: number; readonly engine: string}
@@ -68,8 +56,7 @@
 	readonly #risk: Risk;
 	readonly #random: Random;
 	readonly #limitOf: (caller: string) => number | undefined;
-	readonly #leases = new Map<string, Lease>();
-	readonly #inWork = new Map<string, number>();
+	readonly #leases = new LeaseBook();
 	readonly #early: Decision[] = [];
 
 	constructor({engines, kvBytesPerToken, objective, random, shareOf, limitOf, isLeaving}: SchedulerParts) {
@@ -83,7 +70,7 @@
 
 	/** Whether anything waits for a decision. */
 	get isBusy(): boolean {
-		return this.#line.size > 0 || this.#early.length > 0 || this.#countWaitingForSlot() > 0;
+		return this.#line.size > 0 || this.#early.length > 0 || this.#leases.hasWaiting;
 	}
 
 	/** Load from 0 to 1. */
@@ -161,14 +148,12 @@
 
 	/** Ends a lease. `tokens` is 0 where nothing can be learned from its length. */
 	release(key: string, tokens: number, now: number): void {
-		const lease = this.#leases.get(key);
+		const lease = this.#leases.remove(key);
 		if (lease === undefined) {
 			this.#line.remove(key);
 			return;
 		}
 
-		this.#leases.delete(key);
-		this.#count(lease.ask.caller, -1);
 		this.#prefill.giveBack(lease.prefillEngine, key, now);
 		this.#decode.giveBack(lease.engine, key, now);
 		if (lease.stage === 'decode' && tokens > 0) {
@@ -177,20 +162,15 @@
 	}
 
 	/** Takes over a lease that another keeper granted. */
-	adopt({request, attempt, stage, engine, prefillEngine, maxTokens, priority, caller}: LeaseClaim, now: number): void {
-		const key = leaseKey({request, attempt});
+	adopt(claim: LeaseClaim, now: number): void {
+		const key = leaseKey(claim);
 		if (this.#leases.has(key)) {
 			return;
 		}
 
-		const ask: LeaseAsk = {
-			request, attempt, caller, priority, promptTokens: 0, maxTokens, blocks: [], slackMs: 0, accepted: true,
-		};
+		const {stage, engine, maxTokens, priority} = claim;
 		this.#line.remove(key);
-		this.#leases.set(key, {
-			key, ask, deadline: now, prefillEngine, hall: '', stage, readyAt: now, lapsesAt: now + comeBackMs, engine,
-		});
-		this.#count(caller, 1);
+		this.#leases.add(makeClaimed(claim, now, now + comeBackMs));
 		if (stage === 'decode') {
 			this.#decode.take(engine, {
 				key, priority, maxTokens, startedAt: now,
@@ -217,7 +197,7 @@
 
 	/** Keys of all leases, for comparison with what their holders claim. */
 	listLeases(): string[] {
-		return [...this.#leases.keys()];
+		return this.#leases.listKeys();
 	}
 
 	/** Takes an engine's report. */
@@ -241,10 +221,6 @@
 		return decisions;
 	}
 
-	#count(caller: string, change: number): void {
-		this.#inWork.set(caller, Math.max(0, (this.#inWork.get(caller) ?? 0) + change));
-	}
-
 	#findRefusal({ask, deadline, holdMs}: Waiting, now: number): Extract<Decision, {kind: 'refuse'}>['code'] | undefined {
 		if (ask.accepted) {
 			return undefined;
@@ -252,7 +228,7 @@
 
 		const slots = this.#decode.countSlots();
 		const limit = this.#limitOf(ask.caller);
-		if (limit !== undefined && (this.#inWork.get(ask.caller) ?? 0) >= limit) {
+		if (limit !== undefined && this.#leases.countInWork(ask.caller) >= limit) {
 			return 'shareExceeded';
 		}
 
@@ -308,30 +284,12 @@
 
 	/** The slots to come, with all results that have none yet. */
 	#look(now: number): SlotOutlook {
-		const readies: number[] = [];
-		for (const {stage, readyAt} of this.#leases.values()) {
-			if (stage !== 'decode') {
-				readies.push(readyAt);
-			}
-		}
-
-		return new SlotOutlook(this.#decode, this.#risk, readies, now);
-	}
-
-	#countWaitingForSlot(): number {
-		let waiting = 0;
-		for (const {stage} of this.#leases.values()) {
-			waiting += Number(stage !== 'decode');
-		}
-
-		return waiting;
+		return new SlotOutlook(this.#decode, this.#risk, this.#leases.listReadyTimes(), now);
 	}
 
 	/** Gives free slots to results, those that were promised and the earliest deadlines first. */
 	#giveSlots(now: number, decisions: Decision[]): void {
-		const ready = [...this.#leases.values()].filter(({stage, lapsesAt}) => stage === 'ready' && lapsesAt > now);
-		ready.sort((left, right) => left.deadline - right.deadline);
-		for (const lease of ready) {
+		for (const lease of this.#leases.listReady(now)) {
 			const engine = this.#decode.choose(lease.hall, lease.ask.adapter);
 			if (engine === undefined) {
 				return;
@@ -377,9 +335,8 @@
 
 	#grant({key, ask, deadline}: Waiting, offer: PrefillOffer, now: number): void {
 		this.#prefill.take(offer, key, now);
-		this.#leases.set(key, {
+		this.#leases.add({
 			key, ask, deadline, prefillEngine: offer.engine, hall: offer.hall, stage: 'prefill', readyAt: offer.readyAt, lapsesAt: Number.POSITIVE_INFINITY, engine: '',
 		});
-		this.#count(ask.caller, 1);
 	}
 }
