The book and the line of waiting requests read from top to bottom

Cause: a constant's comment spoke of the one two lines above; #vanish computed a bound before it said whether that was used; findHopeless refused, decided and counted in one loop. Ruled out: other names for the book's graces (docs speak of them); any change of a bound. Change: endpoint-book.ts: constants in order, early exit for entries that are not ready, one name for "in an outage or its grace"; wait-line.ts: the two reasons to refuse in functions of their own, a bound that could never bind left out of comeBackMs (the drain is never negative). Conclusion: no change of behaviour.

--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -12,10 +12,10 @@
 export const massGraceMs = 1500;
 /** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice. */
 const massShare = 0.5;
-/** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
-const mostTombstones = 2000;
 /** Least number of such entries. */
 const massCount = 3;
+/** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
+const mostTombstones = 2000;
 
 type Entry = {
 	readonly revision: number;
@@ -37,6 +37,7 @@
 	/** Ids of all entries. */
 	readonly ids: ReadonlySet<string>;
 	readonly revision: number;
+	/** The list comes from a host that reads the directory now. */
 	readonly isWitnessed?: boolean;
 };
 
@@ -126,8 +127,8 @@
 
 	/**
 	 * Takes a whole list as of `revision`, or what changed in it and the ids of
-	 * all: what these lack has gone. `isWitnessed`: it comes from a host that
-	 * reads the directory now, so that an own outage says nothing against it.
+	 * all: what these lack has gone. An own outage says nothing against a list
+	 * that is witnessed.
 	 */
 	replace({listed, ids, revision, isWitnessed = false}: BookList, now: number): BookChange[] {
 		const changes: BookChange[] = [];
@@ -169,21 +170,21 @@
 	}
 
 	#vanish(known: Entry, revision: number, now: number): BookChange[] {
-		const isReady = known.endpoint.state === 'ready';
-		const returnUntil = this.#isAway ? Number.POSITIVE_INFINITY : this.#backAt + returnGraceMs;
-		const keptUntil = now <= returnUntil ? returnUntil : now + massGraceMs;
-		if (isReady && (now <= returnUntil || this.#isVanishing(known.endpoint.service))) {
-			known.keptUntil ??= keptUntil;
-			return [{endpoint: known.endpoint, change: 'vanished'}];
+		const {endpoint} = known;
+		if (endpoint.state !== 'ready') {
+			return this.#erase(known, revision);
 		}
 
-		const changes = this.#erase(known, revision);
-		if (isReady) {
-			this.#removed.push({at: now, revision, endpoint: known.endpoint});
-			return this.#restoreMass(known.endpoint.service, now) ?? changes;
+		const returnUntil = this.#isAway ? Number.POSITIVE_INFINITY : this.#backAt + returnGraceMs;
+		const isInOutage = now <= returnUntil;
+		if (isInOutage || this.#isVanishing(endpoint.service)) {
+			known.keptUntil ??= isInOutage ? returnUntil : now + massGraceMs;
+			return [{endpoint, change: 'vanished'}];
 		}
 
-		return changes;
+		const changes = this.#erase(known, revision);
+		this.#removed.push({at: now, revision, endpoint});
+		return this.#restoreMass(endpoint.service, now) ?? changes;
 	}
 
 	/** Whether others of a service have vanished in what was taken for an outage. */
@@ -216,6 +217,7 @@
 
 	#erase({endpoint}: Entry, revision: number): BookChange[] {
 		this.#entries.delete(endpoint.id);
+		// Taken out first, so that the oldest ends stand in front
 		this.#tombstones.delete(endpoint.id);
 		this.#tombstones.set(endpoint.id, revision);
 		if (this.#tombstones.size > mostTombstones) {
--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -77,27 +77,16 @@
 	}
 
 	/** Requests to refuse now. */
-	findHopeless(now: number, {elsewhere, releasesPerS}: Outlook): Array<Hopeless<Each>> {
+	findHopeless(now: number, outlook: Outlook): Array<Hopeless<Each>> {
 		const hopeless: Array<Hopeless<Each>> = [];
 		let ahead = 0;
 		for (const waiter of this.order(now)) {
-			const waitedMs = now - waiter.arrivedAt;
-			const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
-			if (now - waiter.arrivedAt > lateTargets * waiter.targetMs || now >= waiter.deadlineAt) {
-				hopeless.push({waiter, detail: `waited ${Math.round(waitedMs)} ms`});
-				continue;
+			const detail = findLapse(waiter, now) ?? this.#decide(waiter, ahead, now, outlook);
+			if (detail === undefined) {
+				ahead += 1;
+			} else {
+				hopeless.push({waiter, detail});
 			}
-
-			if (this.#isDue(waiter, now)) {
-				if (waitedMs + expectedMs > (1 - workShare) * waiter.targetMs) {
-					hopeless.push({waiter, detail: `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second`});
-					continue;
-				}
-
-				this.#committed.add(waiter);
-			}
-
-			ahead += 1;
 		}
 
 		return hopeless;
@@ -106,7 +95,22 @@
 	/** When a refused caller should come back. */
 	comeBackMs({elsewhere, releasesPerS}: Outlook, random: Random): number {
 		const drainMs = (this.size + elsewhere) * millisecondsPerSecond / releasesPerS;
-		return jitter(random, Math.min(mostComeBackMs, Math.max(leastComeBackMs, leastComeBackMs + drainMs)), comeBackSpread);
+		return jitter(random, Math.min(mostComeBackMs, leastComeBackMs + drainMs), comeBackSpread);
+	}
+
+	/** Decides once between refusing early and waiting; returns why it is refused. */
+	#decide(waiter: Each, ahead: number, now: number, {elsewhere, releasesPerS}: Outlook): string | undefined {
+		if (!this.#isDue(waiter, now)) {
+			return undefined;
+		}
+
+		const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
+		if (now - waiter.arrivedAt + expectedMs > (1 - workShare) * waiter.targetMs) {
+			return `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second`;
+		}
+
+		this.#committed.add(waiter);
+		return undefined;
 	}
 
 	/** Whether now is the moment to decide between refusing early and waiting. */
@@ -115,6 +119,12 @@
 	}
 }
 
+/** Says how long a request has waited that is no longer worth serving. */
+function findLapse({arrivedAt, targetMs, deadlineAt}: Waiter, now: number): string | undefined {
+	const waitedMs = now - arrivedAt;
+	return waitedMs > lateTargets * targetMs || now >= deadlineAt ? `waited ${Math.round(waitedMs)} ms` : undefined;
+}
+
 function isLate({arrivedAt, targetMs}: Waiter, now: number): boolean {
 	return now - arrivedAt > (1 - workShare) * targetMs;
 }
