Subsets at the endpoints: one place each for what is near and what is told

Cause: the candidates of a service and the near ones among them were found twice; peer use also holds what this host reserved and does not use yet, which its name and header did not say; the subset could be set from anywhere. Change: endpoints.ts: #listCandidates and isNear; notePeerUse is noteTaken; load-news.ts: the subset is read only, #setSubset and #takePending apart; near-endpoints.ts: plain services leave at once; header of peer-use.ts. Conclusion: no change of behaviour.

--- a/packages/policy/src/relay/peer-use.ts
+++ b/packages/policy/src/relay/peer-use.ts
@@ -1,7 +1,8 @@
 /**
- * Decode memory that other hosts said they take at endpoints, each for the
- * time that they expect to hold it. Efficiency: news may be late or lost, and
- * lapses by itself, so that no second message is needed.
+ * Decode memory taken at endpoints without a send of this host in work there:
+ * what other hosts said they take, and what was reserved here and is not used
+ * yet, each for the time that it is expected to be held. Efficiency: news may
+ * be late or lost, and lapses by itself, so that no second message is needed.
  */
 
 /** Longest time that is believed, in milliseconds: an answer of the largest size on the users' sheets takes about ten seconds. */
@@ -16,7 +17,7 @@
 export class PeerUse {
 	readonly #taken = new Map<string, Taken[]>();
 
-	/** Notes that a host takes so many tokens at an endpoint for so long. */
+	/** Notes that so many tokens are taken at an endpoint for so long. */
 	add(endpoint: string, tokens: number, heldMs: number, now: number): void {
 		const left = this.#listLeft(endpoint, now);
 		left.push({tokens, until: now + Math.min(heldMs, longestMs)});
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -21,8 +21,6 @@
 
 /** Tells the peers of this host's subset, and hears them. */
 export class LoadNews {
-	/** The subset that this host belongs to. */
-	subset: Subset = {count: 1, own: 0};
 	readonly #parts: LoadNewsParts;
 	readonly #pace: NewsPace;
 	readonly #waiting = new WaitingCounts();
@@ -30,6 +28,7 @@
 	#pending: RelayMessage[] = [];
 	/** Counts of waiting requests to be said, by service: only the last one matters. */
 	readonly #pendingCounts = new Map<string, number>();
+	#subset: Subset = {count: 1, own: 0};
 	#peers: readonly string[] = [];
 	#timer: Timer | undefined;
 
@@ -39,19 +38,21 @@
 		this.#pace = new NewsPace(settings.limits.loadMessages, clock.now());
 	}
 
+	/** The subset that this host belongs to. */
+	get subset(): Subset {
+		return this.#subset;
+	}
+
 	/** Takes over which hosts there are. */
 	setMembers(members: readonly MemberRecord[]): void {
-		const {self, log} = this.#parts.context;
+		const {self} = this.#parts.context;
 		// A host that is merely suspected comes back: dealing without it would move others for nothing
 		const staying = members.filter(({state}) => state === 'alive' || state === 'suspect');
 		const count = countSubsets(staying.length);
 		const dealt = dealSubsets(staying.map(({host}) => host), count);
 		const own = dealt.get(self.host) ?? 0;
 		this.#peers = staying.filter(({host, state}) => state === 'alive' && host !== self.host && dealt.get(host) === own).map(({host}) => host);
-		if (count !== this.subset.count || own !== this.subset.own) {
-			this.subset = {count, own};
-			log('subsetChanged', {subsets: count, subset: own, hosts: this.#peers.length + 1});
-		}
+		this.#setSubset({count, own});
 	}
 
 	/** A prompt goes to a prefill replica now. */
@@ -85,7 +86,7 @@
 
 	/** Memory that a peer has taken. */
 	hearPlaced({endpoint, tokens, heldMs}: RelayMessageOf<'placed'>): void {
-		this.#parts.endpoints.notePeerUse(endpoint, tokens, heldMs);
+		this.#parts.endpoints.noteTaken(endpoint, tokens, heldMs);
 	}
 
 	/** A peer's waiting requests. */
@@ -98,6 +99,15 @@
 		this.#timer?.stop();
 	}
 
+	#setSubset({count, own}: Subset): void {
+		if (count === this.#subset.count && own === this.#subset.own) {
+			return;
+		}
+
+		this.#subset = {count, own};
+		this.#parts.context.log('subsetChanged', {subsets: count, subset: own, hosts: this.#peers.length + 1});
+	}
+
 	#tell(message: RelayMessage): void {
 		this.#pending.push(message);
 		this.#schedule();
@@ -111,14 +121,20 @@
 		});
 	}
 
-	#flush(): void {
-		const messages = [...this.#pending];
+	/** Takes what is to be said, the counts last. */
+	#takePending(): RelayMessage[] {
+		const messages = this.#pending;
 		this.#pending = [];
 		for (const [service, count] of this.#pendingCounts) {
 			messages.push({kind: 'waiting', service, count});
 		}
 
 		this.#pendingCounts.clear();
+		return messages;
+	}
+
+	#flush(): void {
+		const messages = this.#takePending();
 		for (const host of this.#peers) {
 			for (const message of messages) {
 				this.#parts.send(host, message);
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -35,7 +35,7 @@
 	fullTokens: number;
 };
 
-/** Who hears of changes. */
+/** Who hears of changes, and knows which subset this host belongs to. */
 export type EndpointListener = {
 	/** This host has set an endpoint aside. */
 	onPause(pause: Pause): void;
@@ -113,21 +113,19 @@
 	/** Endpoints of a service that take new work, in the order to try them. */
 	order(service: string, {stage, hall, tokens = 0, weights, bearable}: OrderWish): Endpoint[] {
 		const now = this.#context.clock.now();
-		const candidates = this.book.listReady(service).filter(each => each.stage === stage);
-		const near = this.#near.list(candidates, this.#listener.subset());
+		const {candidates, near} = this.#listCandidates(service, stage);
 		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, {tokens, bearable, near}, now), hall, weights, this.#context.random);
 	}
 
 	/** Usable decode replicas of a service in this host's subset. */
 	countDecode(service: string): number {
 		const now = this.#context.clock.now();
-		const candidates = this.book.listReady(service).filter(({stage}) => stage === 'decode');
-		const near = this.#near.list(candidates, this.#listener.subset());
-		return candidates.filter(({id}) => (near?.has(id) ?? true) && this.health.isUsable(id, now)).length;
+		const {candidates, near} = this.#listCandidates(service, 'decode');
+		return candidates.filter(({id}) => isNear(id, near) && this.health.isUsable(id, now)).length;
 	}
 
 	/** Notes memory that is taken at a decode replica without a send of this host in work there. */
-	notePeerUse(id: string, tokens: number, heldMs: number): void {
+	noteTaken(id: string, tokens: number, heldMs: number): void {
 		this.#peerUse.add(id, tokens, heldMs, this.#context.clock.now());
 	}
 
@@ -204,6 +202,12 @@
 		}
 	}
 
+	/** Endpoints of one part of a service that take new work, and those of this host's subset among them. */
+	#listCandidates(service: string, stage: Endpoint['stage']): Candidates {
+		const candidates = this.book.listReady(service).filter(each => each.stage === stage);
+		return {candidates, near: this.#near.list(candidates, this.#listener.subset())};
+	}
+
 	#standingOf(endpoint: Endpoint, {tokens, bearable, near}: Weighing, now: number): Standing {
 		const use = this.#uses.get(endpoint.id);
 		return {
@@ -212,7 +216,7 @@
 			badness: this.health.badness(endpoint.id, now),
 			hasConnection: use?.connections.hasFree ?? false,
 			isFull: this.isFull(endpoint.id, tokens),
-			isOfOtherSubset: near !== undefined && !near.has(endpoint.id),
+			isOfOtherSubset: !isNear(endpoint.id, near),
 		};
 	}
 
@@ -235,7 +239,11 @@
 			use = {
 				connections: new Connections(mostConnections, () => {
 					this.#context.metrics.add('connections');
-				}), open: 0, tokens: 0, fullAt: Number.NEGATIVE_INFINITY, fullTokens: 0,
+				}),
+				open: 0,
+				tokens: 0,
+				fullAt: Number.NEGATIVE_INFINITY,
+				fullTokens: 0,
 			};
 			this.#uses.set(id, use);
 		}
@@ -256,12 +264,21 @@
 	}
 }
 
+function isNear(id: string, near: Candidates['near']): boolean {
+	return near?.has(id) ?? true;
+}
+
+/** Endpoints that may be sent to. */
+type Candidates = {
+	readonly candidates: readonly Endpoint[];
+	/** Those of this host's subset; undefined: all are. */
+	readonly near: ReadonlySet<string> | undefined;
+};
+
 /** What endpoints are weighed for. */
-type Weighing = {
+type Weighing = Pick<Candidates, 'near'> & {
 	readonly tokens: number;
 	readonly bearable: number;
-	/** Endpoints of this host's subset; undefined: all are. */
-	readonly near: ReadonlySet<string> | undefined;
 };
 
 /** What a send looks for. */
--- a/packages/relay/src/upstream/near-endpoints.ts
+++ b/packages/relay/src/upstream/near-endpoints.ts
@@ -14,11 +14,12 @@
 	/** Those of the subset among endpoints of one service and stage; undefined: all of them. */
 	list(endpoints: readonly Endpoint[], subset: Subset): ReadonlySet<string> | undefined {
 		const [first] = endpoints;
-		if (subset.count < 2 || first === undefined) {
+		// Endpoints of plain services are few and their requests short: all hosts share them
+		if (subset.count < 2 || first?.stage === undefined) {
 			return undefined;
 		}
 
-		const kind = `${first.service} ${first.stage ?? ''}`;
+		const kind = `${first.service} ${first.stage}`;
 		const ids = endpoints.map(({id}) => id);
 		const key = `${subset.count} ${subset.own} ${ids.join(' ')}`;
 		const known = this.#dealt.get(kind);
@@ -26,8 +27,7 @@
 			return known.near;
 		}
 
-		// Endpoints of plain services are few and their requests short: all hosts share them
-		const near = first.stage === undefined ? undefined : listSubset(ids, subset);
+		const near = listSubset(ids, subset);
 		this.#dealt.set(kind, {key, near});
 		return near;
 	}
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -242,7 +242,7 @@
 	#noteGrant({job, tokens, bearable}: Wish, {endpoint}: Reservation, waitedMs: number): void {
 		const rate = this.#rateOf(job.service.name);
 		rate.setCapacity(bearable);
-		this.#endpoints.notePeerUse(endpoint.id, tokens, readingMs);
+		this.#endpoints.noteTaken(endpoint.id, tokens, readingMs);
 		this.#news.tellPlaced(endpoint.id, tokens, readingMs + rate.holdMs);
 		this.#context.log('reserved', {
 			request: job.id, endpoint: endpoint.id, tokens, waitedMs: Math.round(waitedMs), waiting: this.waiting,
