The directory watch: the outage noted apart from the failed read

Cause: #fail counted, wrote down an outage and found the pause; #take read a part that it does not use; two numbers had no name. Change: directory-watch.ts: #lose beside #back; mostDoublings and gapPauseMs named (8 and 1 ms as before); the leftover gone. Conclusion: no change of behaviour.

--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -12,6 +12,10 @@
 import {type RoutingState} from './routing-state.js';
 
 const retrySpread = 0.3;
+/** Failures in a row beyond which the pause between reads grows no further. */
+const mostDoublings = 8;
+/** Pause before the list that follows a gap, in milliseconds. */
+const gapPauseMs = 1;
 /** Wait of the watch that only asks whether the directory is back, in milliseconds. */
 const probeMs = 1;
 /** Interval at which a host that need not watch looks whether that has changed, in milliseconds. */
@@ -93,7 +97,7 @@
 
 	/** One read; returns the pause before the next. */
 	async #read(): Promise<number> {
-		const {context: {metrics}} = this.#parts;
+		const {metrics} = this.#parts.context;
 		const wasDoubted = this.#isDoubted;
 		const read = this.#mustList || this.revision < 0 ? 'list' : 'watch';
 		try {
@@ -138,29 +142,34 @@
 	}
 
 	#fail(error: unknown, read: string): number {
-		const {context: {clock, log, metrics, random, settings: {timing}}, endpoints} = this.#parts;
+		const {log, metrics, random, settings: {timing}} = this.#parts.context;
 		const isGap = error instanceof DirectoryError && error.isGap;
 		metrics.add('directoryReads', {read, outcome: isGap ? 'gap' : 'failed'});
 		if (isGap) {
 			log('directoryLost', {read, revision: this.revision, detail: 'the history since this revision is gone; it is listed anew'});
 			this.#mustList = true;
-			return 1;
+			return gapPauseMs;
 		}
 
 		this.#failures += 1;
 		if (!this.#isDown && this.#failures >= awayFailures) {
-			this.#isDown = true;
-			endpoints.book.directoryLost();
-			log('directoryLost', {
-				read, revision: this.revision, detail: String(error), at: Math.round(clock.now()),
-			});
-			metrics.set('directory', 0);
+			this.#lose(error, read);
 		}
 
-		const pauseMs = Math.min(timing.directoryRetryMostMs, timing.directoryRetryMs * (2 ** Math.min(this.#failures, 8)));
+		const pauseMs = Math.min(timing.directoryRetryMostMs, timing.directoryRetryMs * (2 ** Math.min(this.#failures, mostDoublings)));
 		return jitter(random, pauseMs, retrySpread);
 	}
 
+	#lose(error: unknown, read: string): void {
+		const {context: {clock, log, metrics}, endpoints} = this.#parts;
+		this.#isDown = true;
+		endpoints.book.directoryLost();
+		log('directoryLost', {
+			read, revision: this.revision, detail: String(error), at: Math.round(clock.now()),
+		});
+		metrics.set('directory', 0);
+	}
+
 	#back(): void {
 		const {context: {clock, log, metrics}, endpoints} = this.#parts;
 		metrics.set('directory', 1);
@@ -175,7 +184,7 @@
 	}
 
 	#take({changes, revision}: Changes, read: string): void {
-		const {context: {clock}, endpoints, routing, onNews} = this.#parts;
+		const {context: {clock}, endpoints, onNews} = this.#parts;
 		const now = clock.now();
 		if (read === 'list') {
 			this.#mustList = false;
