The two fleet-wide views share how hosts are shown side by side

Cause: the status of own hosts and of relays printed alike in two places, and one imported from the other. Ruled out: one command for both (the rows and the disagreements differ). Change: commands/side-by-side.ts: silent hosts, members wrongly held to be gone, the print; utils/fleet.ts: hasRelay and addressOf in place of conditions at the callers. Conclusion: same words, order and exit codes.

--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -2,10 +2,7 @@
 import {relayStatus, type RelayStatus} from '@gatehead/schema/relay-status';
 import {type FleetFile} from '../utils/files.js';
 import {askFleet, type Answered} from '../utils/fleet.js';
-import {
-	exitCodes, print, printJson, printTable,
-} from '../utils/output.js';
-import {findMemberDisagreements, findSilent} from './status.js';
+import {findMemberDisagreements, findSilent, showSideBySide} from './side-by-side.js';
 
 /** Finds what relays disagree about, in words. */
 export function findRelayDisagreements(answers: ReadonlyArray<Answered<RelayStatus>>): string[] {
@@ -35,26 +32,28 @@
 	return [...found, ...findMemberDisagreements(known)];
 }
 
-function rowOf({host, hall, isReady, routingVersion, directoryRevision, open, waiting, retryLeft, subset, members, services}: RelayStatus): string[] {
+function rowOf(status: RelayStatus): string[] {
+	const {host, hall, isReady, routingVersion, directoryRevision, open, waiting, retryLeft, subset, members, services} = status;
 	const alive = members.filter(each => each.state === 'alive').length;
 	const endpoints = services.map(({service, ready, paused}) => `${service} ${ready - paused}/${ready}`).join(', ');
-	return [host, hall, isReady ? 'yes' : 'no', String(routingVersion), String(directoryRevision), `${open} (${waiting} wait)`, String(retryLeft), `${subset.own + 1}/${subset.count}`, `${alive}/${members.length}`, endpoints];
+	return [
+		host,
+		hall,
+		isReady ? 'yes' : 'no',
+		String(routingVersion),
+		String(directoryRevision),
+		`${open} (${waiting} wait)`,
+		String(retryLeft),
+		`${subset.own + 1}/${subset.count}`,
+		`${alive}/${members.length}`,
+		endpoints,
+	];
 }
 
 /** Prints all relays; exit code 1 where they disagree. */
 export async function showRelayStatus(fleet: FleetFile, isJson: boolean): Promise<number> {
 	const answers = await askFleet(fleet, '/status', data => relayStatus.parse(data));
-	const disagreements = findRelayDisagreements(answers);
-	const exitCode = disagreements.length === 0 ? exitCodes.well : exitCodes.no;
-	if (isJson) {
-		printJson({disagreements, hosts: answers});
-		return exitCode;
-	}
-
-	for (const line of disagreements) {
-		print(`! ${line}`);
-	}
-
-	printTable(['host', 'hall', 'ready', 'version', 'revision', 'open', 'retries left', 'subset', 'members', 'endpoints'], answers.map(each => (each.ok ? rowOf(each.answer) : [each.host, '', 'no answer'])));
-	return exitCode;
+	return showSideBySide({
+		answers, disagreements: findRelayDisagreements(answers), headings: ['host', 'hall', 'ready', 'version', 'revision', 'open', 'retries left', 'subset', 'members', 'endpoints'], rowOf,
+	}, isJson);
 }
--- a/packages/control/src/commands/status.ts
+++ b/packages/control/src/commands/status.ts
@@ -8,17 +8,12 @@
 import {
 	exitCodes, print, printJson, printTable,
 } from '../utils/output.js';
-
-/** Names the hosts that do not answer. */
-export function findSilent(answers: ReadonlyArray<Answered<unknown>>): string[] {
-	return answers.flatMap(each => (each.ok ? [] : [`${each.host} does not answer: ${each.code} ${each.reason}`]));
-}
+import {findMemberDisagreements, findSilent, showSideBySide} from './side-by-side.js';
 
 /** Finds what hosts disagree about, in words. */
 export function findDisagreements(answers: ReadonlyArray<Answered<HostStatus>>): string[] {
 	const found = findSilent(answers);
 	const known = answers.flatMap(each => (each.ok ? [each.answer] : []));
-
 	const bundles = new Set(known.map(({bundle: {version, digest}}) => `${version} ${digest.slice(0, 12)}`));
 	if (bundles.size > 1) {
 		found.push(`bundles in force differ: ${[...bundles].join(', ')}`);
@@ -44,36 +39,12 @@
 	return [...found, ...findMemberDisagreements(known)];
 }
 
-/** Who is held to be gone by some host although it answers here. */
-export function findMemberDisagreements(known: ReadonlyArray<Pick<HostStatus, 'host'> & {readonly members: ReadonlyArray<Pick<HostStatus['members'][number], 'host' | 'state'>>}>): string[] {
-	const answering = new Set(known.map(each => each.host));
-	const found: string[] = [];
-	for (const {host, members} of known) {
-		for (const member of members) {
-			if (answering.has(member.host) && (member.state === 'dead' || member.state === 'suspect')) {
-				found.push(`${host} holds ${member.host} to be ${member.state}, and it answers`);
-			}
-		}
-	}
-
-	return found;
-}
-
 /** Prints all hosts; exit code 1 where they disagree. */
 export async function showStatus(fleet: FleetFile, isJson: boolean): Promise<number> {
 	const answers = await askFleet(fleet, '/v1/status', data => hostStatus.parse(data));
-	const disagreements = findDisagreements(answers);
-	if (isJson) {
-		printJson({disagreements, hosts: answers});
-		return disagreements.length === 0 ? exitCodes.well : exitCodes.no;
-	}
-
-	for (const line of disagreements) {
-		print(`! ${line}`);
-	}
-
-	printTable(['host', 'hall', 'state', 'ready', 'bundle', 'open', 'members', 'keeps'], answers.map(each => (each.ok ? rowOf(each.answer) : [each.host, '', 'no answer'])));
-	return disagreements.length === 0 ? exitCodes.well : exitCodes.no;
+	return showSideBySide({
+		answers, disagreements: findDisagreements(answers), headings: ['host', 'hall', 'state', 'ready', 'bundle', 'open', 'members', 'keeps'], rowOf,
+	}, isJson);
 }
 
 function rowOf({host, hall, state, isReady, bundle, open, members, cells}: HostStatus): string[] {
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -13,6 +13,7 @@
 import {collectTimeline} from './commands/timeline.js';
 import {filterLines, traceRequest} from './commands/trace.js';
 import {readFleet, readSettings, writeKeyPair} from './utils/files.js';
+import {hasRelay} from './utils/fleet.js';
 import {exitCodes, print, printFailure} from './utils/output.js';
 
 const version = '0.1.0';
@@ -66,7 +67,7 @@
 		.option('fleet', fleetOption)
 		.option('json', jsonOption), async ({fleet, json}) => run(async () => {
 		const file = readFleet(fleet);
-		return file.hosts.some(each => 'metricsAddress' in each) ? showRelayStatus(file, json) : showStatus(file, json);
+		return hasRelay(file) ? showRelayStatus(file, json) : showStatus(file, json);
 	}))
 	.command('usage', 'use by member and caller, for audit', command => command
 		.option('fleet', fleetOption)
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -46,11 +46,20 @@
 	return {status: response.statusCode ?? 0, text: await readAll(response)};
 }
 
+/** Whether any of the hosts is a relay. */
+export function hasRelay({hosts}: FleetFile): boolean {
+	return hosts.some(each => 'metricsAddress' in each);
+}
+
+function addressOf(asked: FleetFile['hosts'][number]): string {
+	return 'adminAddress' in asked ? asked.adminAddress : asked.metricsAddress;
+}
+
 /** Asks one host. */
 export async function askHost<Answer>(fleet: FleetFile, asked: FleetFile['hosts'][number], path: string, check: Check<Answer>): Promise<Answered<Answer>> {
 	const {host} = asked;
 	try {
-		const {status, text} = await get(fleet, 'adminAddress' in asked ? asked.adminAddress : asked.metricsAddress, path);
+		const {status, text} = await get(fleet, addressOf(asked), path);
 		if (status !== 200) {
 			return {
 				host, ok: false, code: status === 403 ? codes.peerRefused.number : codes.hostUnreachable.number, reason: `status ${status}: ${text.slice(0, 200)}`,
