Both caller fronts keep their connections in one module

Cause: the watch over connections, the refusal of what is no request and the cut at the end stood word for word in both fronts. Ruled out: one error path for both: the host's front waits for its answer's end before it cuts an unread body and weighs keys, the relay's writes its line and cuts at once; a shared one would need a switch for each difference. Change: packages/host/src/front/caller-connections.ts; both fronts use it. Conclusion: no change of behaviour.

--- a/packages/host/src/front/caller-front.ts
+++ b/packages/host/src/front/caller-front.ts
@@ -5,19 +5,18 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Socket} from 'node:net';
 import {callerHeaders, callerPaths} from '@gatehead/schema/caller-protocol';
 import {type Caller} from '@gatehead/schema/bundle';
 import {type Code} from '@gatehead/schema/codes';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {listenAt} from '../utils/listen.js';
+import {CallerConnections} from './caller-connections.js';
 import {answerCompletion} from './completions.js';
 import {identify, indexCallers} from './intake.js';
 import {answerLookup} from './lookups.js';
 import {type Call, type FrontParts} from './parts.js';
 import {sendFailure} from './reply.js';
 import {type CallParts} from './service-call.js';
-import {refuseRaw} from './raw-refusal.js';
 import {answerService} from './services.js';
 
 const base36 = 36;
@@ -30,7 +29,7 @@
 	readonly #parts: FrontParts;
 	readonly #calls: CallParts;
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #connections: CallerConnections;
 	readonly #routes: Readonly<Record<string, Handler>>;
 	#callers: ReadonlyMap<string, Caller> = new Map();
 	#made = 0;
@@ -48,15 +47,7 @@
 			void this.#answer(request, response);
 		});
 		this.#server.maxConnections = connections;
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			refuseRaw(error, socket);
-		});
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
-		});
+		this.#connections = new CallerConnections(this.#server);
 		parts.bundles.onAdopted(({bundle}) => {
 			this.#callers = indexCallers(bundle);
 		});
@@ -84,16 +75,7 @@
 
 	/** Stops listening and cuts what is still connected. */
 	async close(): Promise<void> {
-		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
-			});
-		});
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
-
-		await closed;
+		await this.#connections.close();
 	}
 
 	#makeRoutes(): Readonly<Record<string, Handler>> {
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -6,8 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Socket} from 'node:net';
-import {refuseRaw} from '@gatehead/host/front/raw-refusal';
+import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {listenAt} from '@gatehead/host/utils/listen';
 import {SecondTries} from '@gatehead/policy/relay/second-tries';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -51,7 +50,7 @@
 export class CallerFront {
 	readonly #parts: CallerFrontParts;
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #connections: CallerConnections;
 	readonly #secondTries = new SecondTries();
 	#open = 0;
 	#made = 0;
@@ -67,15 +66,7 @@
 			void this.#answer(request, response);
 		});
 		this.#server.maxConnections = limits.connections;
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			refuseRaw(error, socket);
-		});
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
-		});
+		this.#connections = new CallerConnections(this.#server);
 	}
 
 	/** Requests in work. */
@@ -107,16 +98,7 @@
 
 	/** Stops listening and cuts what is still connected. */
 	async close(): Promise<void> {
-		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
-			});
-		});
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
-
-		await closed;
+		await this.#connections.close();
 	}
 
 	async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
