The relay's front: one patience a request, room checked apart

Cause: a list of timers was handed down to carry one timer back; #takeIn checked, read, matched and timed in one go. Ruled out: moving the making of the job away (it is one table of values). Change: relay/src/front/caller-front.ts: the intake holds its abort and its patience; #checkRoom; the outcome of a refusal found once. Conclusion: no change of behaviour, log fields as before.

--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -42,8 +42,10 @@
 type Intake = {
 	readonly request: IncomingMessage;
 	readonly reply: Reply;
-	readonly signal: AbortSignal;
+	readonly controller: AbortController;
 	readonly arrivedAt: number;
+	/** Ends the work when the caller's patience does. */
+	patience: Timer | undefined;
 };
 
 /** Serves callers. */
@@ -118,35 +120,35 @@
 		response.on('error', () => {
 			// The caller is gone; `close` follows and ends the work
 		});
-		const intake = {
-			request, reply, signal: controller.signal, arrivedAt,
+		const intake: Intake = {
+			request, reply, controller, arrivedAt, patience: undefined,
 		};
-		const timers: Timer[] = [];
 		try {
-			const job = await this.#takeIn(intake, controller, timers);
+			const job = await this.#takeIn(intake);
 			const end = await this.#parts.work(job);
 			this.#note(job, end);
 		} catch (error) {
 			this.#refuse(intake, error);
 		} finally {
-			for (const timer of timers) {
-				timer.stop();
-			}
+			intake.patience?.stop();
 		}
 	}
 
-	/** Reads the request and finds its route. */
-	async #takeIn(intake: Intake, controller: AbortController, timers: Timer[]): Promise<Job> {
-		const {request, reply, arrivedAt} = intake;
-		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets} = this.#parts;
+	#checkRoom(): void {
 		if (this.#isRefusing) {
 			fail('hostStopping', {retryAfterMs: elsewhereMs});
 		}
 
-		if (this.#open > limits.requests) {
+		if (this.#open > this.#parts.context.settings.limits.requests) {
 			fail('tooManyRequests', {retryAfterMs: notReadyMs});
 		}
+	}
 
+	/** Reads the request and finds its route. */
+	async #takeIn(intake: Intake): Promise<Job> {
+		const {request, reply, controller, arrivedAt} = intake;
+		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets} = this.#parts;
+		this.#checkRoom();
 		const body = await readRequest(request, limits.bodyBytes);
 		const table = routing.table ?? fail('notReady', {retryAfterMs: notReadyMs});
 		const target = request.url ?? '/';
@@ -155,9 +157,9 @@
 		const facts = dialect.readRequest(request.headers);
 		const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
 		budgets.arrive(service.name);
-		timers.push(clock.after(arrivedAt + patienceMs - clock.now(), () => {
+		intake.patience = clock.after(arrivedAt + patienceMs - clock.now(), () => {
 			controller.abort('timeUp');
-		}));
+		});
 		return {
 			id: facts.id ?? this.#makeId(),
 			facts,
@@ -189,14 +191,14 @@
 		return `${this.#parts.context.self.host}-${this.#made}`;
 	}
 
-	#refuse({request, reply, signal, arrivedAt}: Intake, error: unknown): void {
+	#refuse({request, reply, controller: {signal}, arrivedAt}: Intake, error: unknown): void {
 		const {context: {clock, log, metrics, dialect}, routing} = this.#parts;
 		const {code, message, retryAfterMs} = toFailure(error);
 		reply.refuse(code, {retryAfterMs, mayHaveRun: false, isRepeatable: false});
-		const isGone = signal.aborted && code === 'callerGone';
-		metrics.add('requests', {kind: 'none', outcome: isGone ? 'callerLeft' : 'refused'});
+		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
+		metrics.add('requests', {kind: 'none', outcome});
 		log(code === 'internal' ? 'internal' : 'requestEnded', {
-			request: dialect.readRequest(request.headers).id, outcome: isGone ? 'callerLeft' : 'refused', reason: code, detail: message, version: routing.version, tookMs: Math.round(clock.now() - arrivedAt),
+			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, tookMs: Math.round(clock.now() - arrivedAt),
 		});
 		// A body that was not read to its end would block the connection
 		if (!request.complete) {
