Endpoints model: one seeded mistake stands in one place

Cause: MISTAKE_NO_GRACE stood in two branches of miss(), once as its opposite. Change: one ifdef with its else in specification/endpoints.pml.

--- a/specification/endpoints.pml
+++ b/specification/endpoints.pml
@@ -88,7 +88,9 @@
 inline miss() {
 	if
 	:: !isReady || isKept
-#ifndef MISTAKE_NO_GRACE
+#ifdef MISTAKE_NO_GRACE
+	:: isReady && !isKept && backFor < grace -> isReady = false; knowsEnd = true
+#else
 	:: isReady && !isKept && backFor < grace ->
 		isKept = true;
 #ifdef MISTAKE_LATE_GRACE
@@ -109,9 +111,6 @@
 #endif
 		:: true -> isReady = false; knowsEnd = true
 		fi
-#ifdef MISTAKE_NO_GRACE
-	:: isReady && !isKept && backFor < grace -> isReady = false; knowsEnd = true
-#endif
 	fi
 }
 
