--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -282,6 +282,15 @@
 function makeOwnRecord({settings, self}: RelayContext): MemberRecord {
 	const {listen} = settings;
 	return {
-		host: self.host, hall: settings.hall, region: settings.region, incarnation: self.incarnation, counter: 0, state: 'alive', callerAddress: listen.caller, peerAddress: listen.peer, adminAddress: listen.metrics ?? '', load: 0,
+		host: self.host,
+		hall: settings.hall,
+		region: settings.region,
+		incarnation: self.incarnation,
+		counter: 0,
+		state: 'alive',
+		callerAddress: listen.caller,
+		peerAddress: listen.peer,
+		adminAddress: listen.metrics ?? '',
+		load: 0,
 	};
 }
