The longest patience is forgotten; commands for own hosts refuse a list of relays

Ruled out: the value capped by the route's time-out, since a configuration that lowers it would do the same. Change: the longest of the latest 200 to 400 requests of a route counts; readHosts refuses with 6006. Conclusion: mended.

--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -196,6 +196,8 @@
 		const {status, out} = run(control, 'status', '--fleet', fleet);
 		expect(status).toEqual(1);
 		expect(out.includes('silent-relay-1 does not answer: 6005')).toEqual(true);
+		expect(run(control, 'usage', '--fleet', fleet).error.startsWith('6006')).toEqual(true);
+		expect(run(control, 'timeline', '--fleet', fleet).error.startsWith('6006')).toEqual(true);
 	});
 });
 
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -13,7 +13,7 @@
 import {collectTimeline} from './commands/timeline.js';
 import {filterLines, traceRequest} from './commands/trace.js';
 import {readFleet, readSettings, writeKeyPair} from './utils/files.js';
-import {hasRelay} from './utils/fleet.js';
+import {hasRelay, readHosts} from './utils/fleet.js';
 import {exitCodes, print, printFailure} from './utils/output.js';
 
 const version = '0.1.0';
@@ -61,7 +61,7 @@
 			.positional('wanted', {type: 'number', demandOption: true, describe: 'version that must be in force'})
 			.option('fleet', fleetOption)
 			.option('wait-ms', {type: 'number', default: defaultWaitMs})
-			.option('json', jsonOption), async ({wanted, fleet, waitMs, json}) => run(async () => waitInForce(readFleet(fleet), wanted, waitMs, json)))
+			.option('json', jsonOption), async ({wanted, fleet, waitMs, json}) => run(async () => waitInForce(readHosts(fleet), wanted, waitMs, json)))
 		.demandCommand(1))
 	.command('status', 'all hosts side by side, disagreements first', command => command
 		.option('fleet', fleetOption)
@@ -71,7 +71,7 @@
 	}))
 	.command('usage', 'use by member and caller, for audit', command => command
 		.option('fleet', fleetOption)
-		.option('form', {choices: ['text', 'json', 'csv'] as const, default: 'text' as const}), async ({fleet, form}) => run(async () => showUsage(readFleet(fleet), form)))
+		.option('form', {choices: ['text', 'json', 'csv'] as const, default: 'text' as const}), async ({fleet, form}) => run(async () => showUsage(readHosts(fleet), form)))
 	.command('timeline', 'collect the time line of all hosts', command => command
 		.option('fleet', fleetOption)
 		.option('request', {type: 'string', describe: 'only this request (a part of its id)'})
@@ -80,7 +80,7 @@
 		.option('kind', {type: 'string', describe: 'only this kind of event'})
 		.option('since', {type: 'string', describe: 'only events after this stamp or ISO time'})
 		.option('form', {choices: ['text', 'json', 'html'] as const, default: 'text' as const})
-		.option('follow', {type: 'boolean', default: false, describe: 'go on until interrupted (text and json)'}), async ({fleet, ...wish}) => run(async () => collectTimeline(readFleet(fleet), wish)))
+		.option('follow', {type: 'boolean', default: false, describe: 'go on until interrupted (text and json)'}), async ({fleet, ...wish}) => run(async () => collectTimeline(readHosts(fleet), wish)))
 	.command('trace <request> [files..]', 'one request\'s life in the hosts\' logs, and why it ended so', command => command
 		.positional('request', {type: 'string', demandOption: true, describe: 'the request\'s id'})
 		.positional('files', {
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -5,7 +5,8 @@
 import process from 'node:process';
 import {splitAddress} from '@gatehead/schema/address';
 import {codes} from '@gatehead/schema/codes';
-import {type FleetFile} from './files.js';
+import {fail} from '@gatehead/schema/failure';
+import {readFleet, type FleetFile} from './files.js';
 
 const answerMs = 3000;
 
@@ -51,6 +52,12 @@
 	return hosts.some(each => 'metricsAddress' in each);
 }
 
+/** Reads a list of own hosts; relays answer `status` alone. */
+export function readHosts(path: string): FleetFile {
+	const fleet = readFleet(path);
+	return hasRelay(fleet) ? fail('argumentInvalid', {detail: `${path}: relays, which know the command status alone; name own hosts by their adminAddress`}) : fleet;
+}
+
 function addressOf(asked: FleetFile['hosts'][number]): string {
 	return 'adminAddress' in asked ? asked.adminAddress : asked.metricsAddress;
 }
--- a/packages/policy/src/relay/second-tries.test.ts
+++ b/packages/policy/src/relay/second-tries.test.ts
@@ -16,6 +16,8 @@
 	{name: 'a new connection to another hall', patience: [14_000, 13_977], isSecond: false},
 	{name: 'a caller that was refused and came back', patience: [13_986, 14_000, 12_459], isSecond: true},
 	{name: 'one that came back at once', patience: [2500, 2299], isSecond: true},
+	{name: 'one caller with much more patience is forgotten', patience: [60_000, ...Array.from({length: 400}, () => 14_000)], isSecond: false},
+	{name: 'a first try\'s patience is not', patience: [...Array.from({length: 399}, () => 14_000), 12_459], isSecond: true},
 	{name: 'a first try behind a second one', patience: [12_459, 13_986], isSecond: false},
 ];
 
--- a/packages/policy/src/relay/second-tries.ts
+++ b/packages/policy/src/relay/second-tries.ts
@@ -10,16 +10,29 @@
  * another hall most; a refused caller comes back after 200 ms and more.
  */
 const connectAllowanceMs = 100;
+/** Requests of a route after which the longest patience among those before them is forgotten, so that one unusually patient caller does not turn all others into second tries for good. */
+const rememberedRequests = 200;
+
+/** The longest patience of a route's latest requests. */
+type Patience = {
+	/** Among the requests of the present stretch, and of the one before. */
+	longest: number;
+	before: number;
+	/** Requests of the present stretch. */
+	seen: number;
+};
 
 /** What was seen of each route's callers. */
 export class SecondTries {
-	/** Longest patience seen, by route: a first try's. */
-	readonly #longest = new Map<string, number>();
+	/** By route: the longest is a first try's. */
+	readonly #routes = new Map<string, Patience>();
 
 	/** Notes a request's patience; returns whether it is a second try. */
 	note(route: string, patienceMs: number): boolean {
-		const longest = Math.max(patienceMs, this.#longest.get(route) ?? 0);
-		this.#longest.set(route, longest);
-		return patienceMs < longest - connectAllowanceMs;
+		const known = this.#routes.get(route) ?? {longest: 0, before: 0, seen: 0};
+		const {longest, before, seen} = known.seen < rememberedRequests ? known : {longest: 0, before: known.longest, seen: 0};
+		const noted = {longest: Math.max(patienceMs, longest), before, seen: seen + 1};
+		this.#routes.set(route, noted);
+		return patienceMs < Math.max(noted.longest, before) - connectAllowanceMs;
 	}
 }
