Counts of waiting requests are gathered among many peers

Among 20 peers each change of a line's length went to all of them at once: up to 48 messages a second a host. Change: above 12 peers a count waits up to 200 ms for another message to go with; only the last one is said. Small fleets tell as before.

--- /dev/null
+++ b/packages/relay/src/peer/load-news.test.ts
@@ -0,0 +1,83 @@
+/** When a host tells its peers of its load, on a clock that the test moves. */
+import {describe, it} from 'node:test';
+import {ManualClock} from '@gatehead/policy/utils/manual-clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {seedRandom} from '@gatehead/policy/utils/random';
+import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {relaySettings} from '@gatehead/schema/relay-settings';
+import {expect} from 'earl';
+import {Endpoints} from '../upstream/endpoints.js';
+import {Metrics} from '../utils/metrics.js';
+import {LoadNews} from './load-news.js';
+
+const settings = relaySettings.parse({
+	host: 'host-0', hall: 'one', region: 'r', listen: {
+		caller: '127.0.0.1:1', ready: '127.0.0.1:2', lookup: '127.0.0.1:3', peer: '127.0.0.1:4',
+	},
+});
+
+function makeMembers(count: number): MemberRecord[] {
+	return Array.from({length: count}, (_, index) => ({
+		host: `host-${index}`, hall: 'one', region: 'r', incarnation: 1, counter: 0, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0,
+	}));
+}
+
+type Step = 'reading' | 'waiting' | {readonly wait: number};
+
+type Case = {
+	readonly name: string;
+	readonly hosts: number;
+	readonly steps: readonly Step[];
+	/** Messages that one peer was told, by kind. */
+	readonly told: readonly string[];
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'few peers hear of a waiting request at once', hosts: 9, steps: ['waiting', {wait: 1}], told: ['waiting'],
+	},
+	{
+		name: 'many hear of it after a while', hosts: 25, steps: ['waiting', {wait: 150}], told: [],
+	},
+	{
+		name: 'and then once, however often it changed', hosts: 25, steps: ['waiting', {wait: 50}, 'waiting', {wait: 160}], told: ['waiting'],
+	},
+	{
+		name: 'a prompt goes at once and takes the count along', hosts: 25, steps: ['waiting', {wait: 50}, 'reading', {wait: 1}], told: ['reading', 'waiting'],
+	},
+	{
+		name: 'hosts of another subset are told nothing', hosts: 86, steps: ['reading', {wait: 1}], told: ['reading'],
+	},
+];
+
+describe('news of load', () => {
+	for (const {
+		name, hosts, steps, told,
+	} of cases) {
+		it(name, () => {
+			const clock = new ManualClock();
+			const context = {
+				clock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, self: {host: 'host-0', incarnation: 1},
+			};
+			const heard = new Map<string, string[]>();
+			const news = new LoadNews({
+				context, endpoints: new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => ({count: 1, own: 0})}), send(host, {kind}) {
+					heard.set(host, [...heard.get(host) ?? [], kind]);
+				},
+			});
+			news.setMembers(makeMembers(hosts));
+			for (const step of steps) {
+				if (step === 'reading') {
+					news.tellReading('e', 100);
+				} else if (step === 'waiting') {
+					news.tellWaiting('s', 1);
+				} else {
+					clock.advance(step.wait);
+				}
+			}
+
+			expect([...heard.values()][0] ?? []).toEqual([...told]);
+			expect(heard.size).toEqual(told.length === 0 ? 0 : Math.ceil(hosts / news.subset.count) - 1);
+		});
+	}
+});
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -12,9 +12,14 @@
 import {type Endpoints} from '../upstream/endpoints.js';
 import {WaitingCounts} from './waiting-counts.js';
 
+/** Peers up to which counts of waiting requests are told at once; a line's length changes twice a request that waits. */
+const fewPeers = 12;
+/** Time for which counts wait for another message to go with, among more peers, in milliseconds: about as long as a request waits before it is decided upon. */
+const countsMs = 200;
+
 /** What the news are made from, and where they go. */
 export type LoadNewsParts = {
-	readonly context: RelayContext;
+	readonly context: Pick<RelayContext, 'clock' | 'log' | 'self' | 'settings'>;
 	readonly endpoints: Endpoints;
 	readonly send: (host: string, message: RelayMessage) => void;
 };
@@ -31,6 +36,8 @@
 	#subset: Subset = {count: 1, own: 0};
 	#peers: readonly string[] = [];
 	#timer: Timer | undefined;
+	/** When the timer fires. */
+	#dueAt = 0;
 
 	constructor(parts: LoadNewsParts) {
 		const {clock, settings} = parts.context;
@@ -70,7 +77,7 @@
 	/** So many requests wait for a service here. */
 	tellWaiting(service: string, count: number): void {
 		this.#pendingCounts.set(service, count);
-		this.#schedule();
+		this.#schedule(this.#peers.length > fewPeers ? countsMs : 0);
 	}
 
 	/** Requests that wait for a service at the peers. */
@@ -110,12 +117,21 @@
 
 	#tell(message: RelayMessage): void {
 		this.#pending.push(message);
-		this.#schedule();
+		this.#schedule(0);
 	}
 
-	#schedule(): void {
+	/** Flushes after a delay, or when the pace allows it; what is due sooner takes the rest along. */
+	#schedule(delayMs: number): void {
 		const {clock} = this.#parts.context;
-		this.#timer ??= clock.after(this.#pace.waitMs(clock.now()), () => {
+		const now = clock.now();
+		const dueAt = now + Math.max(delayMs, this.#pace.waitMs(now));
+		if (this.#timer !== undefined && this.#dueAt <= dueAt) {
+			return;
+		}
+
+		this.#timer?.stop();
+		this.#dueAt = dueAt;
+		this.#timer = clock.after(dueAt - now, () => {
 			this.#timer = undefined;
 			this.#flush();
 		});
