A waiting request is refused when it cannot be in time any more, not at a fixed share of its target

The early window followed a credit for second tries that no longer holds. Change: the time from reservation to first event is observed (the value that four in five stay below); a first try waits as long as that still fits, and is refused at once when the queue ahead says that no place can come in time.

--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -1,15 +1,13 @@
 /**
- * Requests that wait for room at one service: those whose first event can
+ * Requests that wait for memory at one service: those whose first event can
  * still be in time go first, in the order of their arrival; the late ones
- * after them. Who has no chance is refused early, while a refusal still
- * leaves the caller's next try its worth. Efficiency only.
+ * after them. Who has no chance to be in time any more is refused, at once
+ * where the queue ahead says so. Efficiency only.
  */
 import {jitter, type Random} from '../utils/random.js';
 
-/** Share of the target within which a refusal is early: the users' pages say a quarter; the rest is for the way. */
-const earlyShare = 0.21;
-/** Share of the target that is left for the prompt and the first event once room is there: nine in ten took less than 0.58 of it on scale-1 of both users' sites, and 0.68 and 0.8 served alike in paired plays, better than 0.55 and 0.4. */
-const workShare = 0.7;
+/** Part of the expected wait that must fit into what is left of the target: places come free at random, and waiting for one that does not come costs the caller little against losing a timely answer. */
+const hopeShare = 0.6;
 /** Time after its target for which a late request is still worth serving, as a multiple of the target: callers leave after four times it. */
 const lateTargets = 2.4;
 /** Part of the requests waiting at other hosts that are supposed to go first. */
@@ -43,13 +41,13 @@
 	readonly elsewhere: number;
 	/** Places that come free a second, for all hosts together. */
 	readonly releasesPerS: number;
+	/** Time from a place to the first event, in milliseconds. */
+	readonly startMs: number;
 };
 
 /** The line of one service at one host. */
 export class WaitLine<Each extends Waiter> {
 	readonly #waiters = new Set<Each>();
-	/** Requests for which it was decided to wait. */
-	readonly #committed = new WeakSet<Each>();
 
 	/** Requests in line. */
 	get size(): number {
@@ -72,16 +70,16 @@
 	}
 
 	/** All that wait, in the order of their turns. */
-	order(now: number): Each[] {
-		return [...this.#waiters].toSorted((left, right) => Number(isLate(left, now)) - Number(isLate(right, now)) || left.arrivedAt - right.arrivedAt);
+	order(now: number, startMs: number): Each[] {
+		return [...this.#waiters].toSorted((left, right) => Number(slackMs(left, now, startMs) < 0) - Number(slackMs(right, now, startMs) < 0) || left.arrivedAt - right.arrivedAt);
 	}
 
 	/** Requests to refuse now. */
 	findHopeless(now: number, outlook: Outlook): Array<Hopeless<Each>> {
 		const hopeless: Array<Hopeless<Each>> = [];
 		let ahead = 0;
-		for (const waiter of this.order(now)) {
-			const detail = findLapse(waiter, now) ?? this.#decide(waiter, ahead, now, outlook);
+		for (const waiter of this.order(now, outlook.startMs)) {
+			const detail = findLapse(waiter, now) ?? findDelay(waiter, ahead, now, outlook);
 			if (detail === undefined) {
 				ahead += 1;
 			} else {
@@ -97,26 +95,6 @@
 		const drainMs = (this.size + elsewhere) * millisecondsPerSecond / releasesPerS;
 		return jitter(random, Math.min(mostComeBackMs, leastComeBackMs + drainMs), comeBackSpread);
 	}
-
-	/** Decides once between refusing early and waiting; returns why it is refused. */
-	#decide(waiter: Each, ahead: number, now: number, {elsewhere, releasesPerS}: Outlook): string | undefined {
-		if (!this.#isDue(waiter, now)) {
-			return undefined;
-		}
-
-		const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
-		if (now - waiter.arrivedAt + expectedMs > (1 - workShare) * waiter.targetMs) {
-			return `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second`;
-		}
-
-		this.#committed.add(waiter);
-		return undefined;
-	}
-
-	/** Whether now is the moment to decide between refusing early and waiting. */
-	#isDue(waiter: Each, now: number): boolean {
-		return !waiter.isKept && !this.#committed.has(waiter) && now - waiter.arrivedAt >= (earlyShare * waiter.targetMs / 2);
-	}
 }
 
 /** Says how long a request has waited that is no longer worth serving. */
@@ -125,6 +103,17 @@
 	return waitedMs > lateTargets * targetMs || now >= deadlineAt ? `waited ${Math.round(waitedMs)} ms` : undefined;
 }
 
-function isLate({arrivedAt, targetMs}: Waiter, now: number): boolean {
-	return now - arrivedAt > (1 - workShare) * targetMs;
+/** Says why a first try cannot be in time any more. */
+function findDelay(waiter: Waiter, ahead: number, now: number, {elsewhere, releasesPerS, startMs}: Outlook): string | undefined {
+	const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
+	if (waiter.isKept || hopeShare * expectedMs <= slackMs(waiter, now, startMs)) {
+		return undefined;
+	}
+
+	return `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second, first event ${Math.round(startMs)} ms after`;
+}
+
+/** Time for which a request can wait and still be in time, in milliseconds; below zero: it is late. */
+function slackMs({arrivedAt, targetMs}: Waiter, now: number, startMs: number): number {
+	return arrivedAt + targetMs - startMs - now;
 }
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -55,6 +55,7 @@
 	readonly #avoid = new Set<string>();
 	#grantedAt = 0;
 	#rounds = 0;
+	#isStartNoted = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
@@ -208,6 +209,7 @@
 			for await (const chunk of response as AsyncIterable<Uint8Array>) {
 				watch.touch();
 				this.#events.pass(response, chunk);
+				this.#noteStart();
 			}
 
 			await settleEnd(response);
@@ -228,6 +230,18 @@
 		}
 	}
 
+	/** Notes the time to the first event, once, of a request that did not begin elsewhere. */
+	#noteStart(): void {
+		if (this.#isStartNoted || !this.#job.reply.hasBegun) {
+			return;
+		}
+
+		this.#isStartNoted = true;
+		if (this.#rounds === 1) {
+			this.#parts.desk.noteStart(this.#job.service.name, this.#parts.context.clock.now() - this.#grantedAt);
+		}
+	}
+
 	#breakOff(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint, reason: string): Decoded {
 		sent.response.destroy();
 		if (this.#job.signal.aborted) {
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -5,6 +5,7 @@
  * that its next try counts. Efficiency only.
  */
 import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
+import {StartTime} from '@gatehead/policy/relay/start-time';
 import {WaitLine, type Waiter} from '@gatehead/policy/relay/wait-line';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -50,6 +51,7 @@
 	readonly #news: LoadNews;
 	readonly #lines = new Map<string, WaitLine<Waiting>>();
 	readonly #releases = new Map<string, ReleaseRate>();
+	readonly #starts = new Map<string, StartTime>();
 	/** Counts of waiting requests as last told. */
 	readonly #told = new Map<string, number>();
 	#timer: Timer | undefined;
@@ -99,6 +101,11 @@
 		this.#rateOf(service).note(tokens, heldMs);
 	}
 
+	/** Notes how long after its reservation a request's first event came, to know who can still be in time. */
+	noteStart(service: string, startMs: number): void {
+		this.#startOf(service).note(startMs);
+	}
+
 	/** Room may have come free. */
 	roomAt(service: string): void {
 		if ((this.#lines.get(service)?.size ?? 0) > 0) {
@@ -171,7 +178,7 @@
 				this.#isAgain = false;
 				for (const [service, line] of this.#lines) {
 					this.#refuseHopeless(service, line);
-					await this.#serve(line);
+					await this.#serve(service, line);
 				}
 			} while (this.#isAgain);
 		} catch (error) {
@@ -182,9 +189,9 @@
 		}
 	}
 
-	async #serve(line: WaitLine<Waiting>): Promise<void> {
+	async #serve(service: string, line: WaitLine<Waiting>): Promise<void> {
 		let refused = 0;
-		for (const waiter of line.order(this.#context.clock.now())) {
+		for (const waiter of line.order(this.#context.clock.now(), this.#startOf(service).valueMs)) {
 			if (refused >= askersPerRound) {
 				return;
 			}
@@ -211,7 +218,7 @@
 		const now = clock.now();
 		const replicas = this.#endpoints.countDecode(service);
 		const hasEndpoints = replicas > 0;
-		const outlook = {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.#rateOf(service).perSecond(replicas)};
+		const outlook = {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.#rateOf(service).perSecond(replicas), startMs: this.#startOf(service).valueMs};
 		for (const {waiter, detail} of line.findHopeless(now, outlook)) {
 			waiter.resolve({
 				kind: 'refused', code: hasEndpoints ? 'overloaded' : 'endpointsDown', retryAfterMs: line.comeBackMs(outlook, random), detail,
@@ -229,6 +236,16 @@
 		return rate;
 	}
 
+	#startOf(service: string): StartTime {
+		let start = this.#starts.get(service);
+		if (start === undefined) {
+			start = new StartTime();
+			this.#starts.set(service, start);
+		}
+
+		return start;
+	}
+
 	#lineOf(service: string): WaitLine<Waiting> {
 		let line = this.#lines.get(service);
 		if (line === undefined) {
