gateheadctl losses: requests not served in time, by moment, service and cause

Change: a command that reads the hosts' logs and counts, for each service and span, every request not in time under one cause (refused at once or after a wait, memory late, prompt late, pause, endpoint lost, caller came back, host lost, ...). The end line names the request's target, the bound on pauses and the longest pause; the configuration's bound on pauses is read.

--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -8,6 +8,7 @@
 	checkBundle, diffBundles, showBundle, signFile, waitInForce,
 } from './commands/bundle.js';
 import {explainCode} from './commands/explain.js';
+import {showLosses} from './commands/losses.js';
 import {showRelayStatus} from './commands/relay-status.js';
 import {showStatus, showUsage} from './commands/status.js';
 import {collectTimeline} from './commands/timeline.js';
@@ -96,6 +97,12 @@
 		.option('endpoint', {type: 'string'})
 		.option('workspace', {type: 'string', describe: 'service or caller'})
 		.option('json', jsonOption), async ({files, json, ...wish}) => run(() => filterLines(files, wish, json)))
+	.command('losses [files..]', 'requests not served in time, by moment, service and cause', command => command
+		.positional('files', {
+			type: 'string', array: true, default: ['-'], describe: 'log files; - for standard input',
+		})
+		.option('every', {type: 'number', default: 2, describe: 'seconds counted together'})
+		.option('json', jsonOption), async ({files, every, json}) => run(() => showLosses(files, every, json)))
 	.command('explain <code>', 'explain a result code', command => command
 		.positional('code', {type: 'string', demandOption: true})
 		.option('json', jsonOption), async ({code, json}) => run(() => explainCode(code, json)))
--- a/packages/relay/src/work/job-end.ts
+++ b/packages/relay/src/work/job-end.ts
@@ -7,4 +7,6 @@
 	readonly code?: Code;
 	readonly endpoint?: string;
 	readonly detail?: string;
+	/** Longest pause between two events of a stream, in milliseconds. */
+	readonly longestGapMs?: number;
 };
--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -30,6 +30,8 @@
 	timeoutMs: milliseconds,
 	/** Time within which the first byte is worth its full credit, in milliseconds. */
 	targetMs: milliseconds,
+	/** Longest pause between two events of a stream that is in time, in milliseconds; absent: no bound. */
+	gapTargetMs: milliseconds.optional(),
 	priority: count,
 	shares: z.array(serviceShare).min(1),
 });
