--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -68,6 +68,11 @@
 		return this.#entries.get(id)?.endpoint.state === 'ready';
 	}
 
+	/** Which part an endpoint does; undefined where it is not known, or has none. */
+	stageOf(id: string): Endpoint['stage'] {
+		return this.#entries.get(id)?.endpoint.stage;
+	}
+
 	/** All entries with their revisions, to be told to other hosts. */
 	list(): ListedEndpoint[] {
 		return [...this.#entries.values()].map(({revision, endpoint}) => ({revision, endpoint}));
--- a/packages/policy/src/relay/reading-queue.test.ts
+++ b/packages/policy/src/relay/reading-queue.test.ts
@@ -1,6 +1,7 @@
 /** Catalogue: how long a prompt is expected to take at a prefill replica. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {seedRandom} from '../utils/random.js';
 import {ReadingQueue} from './reading-queue.js';
 
 const empty = new ReadingQueue().expect(1000, 0);
@@ -41,4 +42,27 @@
 		queue.refuse(0);
 		expect(queue.expect(1000, 0)).toEqual(empty + 500);
 	});
+
+	it('a replica that decodes takes longer for a token', () => {
+		expect(new ReadingQueue(2).expect(1000, 0) - empty).toEqual(35);
+	});
+
+	const speeds = [
+		{name: 'a fast engine is learned', tokenMs: 0.01, offsetMs: 20},
+		{name: 'a slow one too', tokenMs: 0.12, offsetMs: 200},
+	];
+	for (const {name, tokenMs, offsetMs} of speeds) {
+		it(name, () => {
+			const random = seedRandom(7);
+			const queue = new ReadingQueue();
+			for (let at = 0; at < 300_000; at += 1000) {
+				const tokens = 500 + (random.next() * 5000);
+				const reading = queue.begin(tokens, at);
+				queue.finish(reading, at + offsetMs + (tokens * tokenMs));
+			}
+
+			expect(Math.abs(queue.tokenMs - tokenMs) < 0.05 * tokenMs).toEqual(true);
+			expect(Math.abs(queue.expect(3000, 400_000) - offsetMs - (3000 * tokenMs)) < 10).toEqual(true);
+		});
+	}
 });
--- a/packages/policy/src/relay/reading-queue.ts
+++ b/packages/policy/src/relay/reading-queue.ts
@@ -1,19 +1,26 @@
 /**
- * When a prefill replica will have read what is on its way to it: prompts are
- * read one after the other, so the sum of what all hosts sent is its queue.
- * Prompts of this host that are overdue show a queue that was not heard of.
- * Efficiency: news of other hosts' prompts may be late or lost.
+ * When a replica will have read what is on its way to it: prompts are read
+ * one after the other, so the sum of what all hosts sent is its queue. At a
+ * prefill replica those are all prompts, at a decode replica those that it
+ * has to read itself. Prompts of this host that are overdue show a queue that
+ * was not heard of. Efficiency: news of other hosts' prompts may be late or
+ * lost.
  */
 
-/** Time for a prompt's token, in milliseconds: 33 tokens a millisecond on the users' sheets, some replicas slower by a third. */
-const tokenMs = 0.035;
-/** Time that a prompt takes besides its reading, until any was seen, in milliseconds: the users' sheets. */
+/** What is supposed until prompts were read, in milliseconds: time for a prompt's token, and the time that a prompt takes besides. */
+const firstTokenMs = 0.035;
 const firstOffsetMs = 65;
+/** Lengths of the two imagined prompts that stand for these, in tokens: a short and a long one. */
+const imaginedTokens: readonly number[] = [500, 5000];
+/** Readings for which each of them counts. */
+const imaginedWeight = 2;
+/** What a reading still counts when the next one is noted: about forty make the line. */
+const memory = 0.975;
 const mostOffsetMs = 300;
+/** Least time for a prompt's token, in milliseconds. */
+const leastTokenMs = 0.001;
 /** Queue up to which an observation says something about that time, in milliseconds. */
 const emptyMs = 20;
-/** Weight of a new observation. */
-const weight = 0.1;
 /** Part of a delay that nobody announced and that is supposed to meet the next prompt too. */
 const delayShare = 0.8;
 /** Queue that is supposed at a replica that refused a prompt, in milliseconds: about ten prompts fill its memory. */
@@ -30,17 +37,27 @@
 /** The queue of one replica. */
 export class ReadingQueue {
 	readonly #own = new Set<Reading>();
-	#offsetMs = firstOffsetMs;
+	readonly #line: ReadingLine;
 	#idleAt = 0;
 
+	/** `slowness`: times as long as a prefill replica takes this one for a prompt's token, until it was seen. */
+	constructor(slowness = 1) {
+		this.#line = new ReadingLine(slowness * firstTokenMs);
+	}
+
+	/** Time for a prompt's token, in milliseconds. */
+	get tokenMs(): number {
+		return this.#line.tokenMs;
+	}
+
 	/** Notes a prompt that another host sends there. */
 	add(tokens: number, now: number): void {
-		this.#idleAt = Math.max(now, this.#idleAt) + (tokens * tokenMs);
+		this.#idleAt = Math.max(now, this.#idleAt) + (tokens * this.tokenMs);
 	}
 
 	/** Time until a further prompt would be read, in milliseconds. */
 	expect(tokens: number, now: number): number {
-		return this.#queued(now) + (tokens * tokenMs) + this.#offsetMs;
+		return this.#queued(now) + (tokens * this.tokenMs) + this.#line.offsetMs;
 	}
 
 	/** Notes a prompt of this host that goes there. */
@@ -59,11 +76,10 @@
 		this.#own.delete(reading);
 		const tookMs = now - sentAt;
 		if (queuedMs < emptyMs) {
-			const offsetMs = Math.min(mostOffsetMs, Math.max(0, tookMs - (tokens * tokenMs)));
-			this.#offsetMs += weight * (offsetMs - this.#offsetMs);
+			this.#line.note(tokens, Math.min(tookMs, expectedMs + mostOffsetMs));
 		}
 
-		const unforeseenMs = tookMs - expectedMs - (tokens * tokenMs);
+		const unforeseenMs = tookMs - expectedMs - (tokens * this.tokenMs);
 		if (unforeseenMs > 0) {
 			this.#idleAt = Math.max(this.#idleAt, now + (delayShare * unforeseenMs));
 		}
@@ -88,3 +104,51 @@
 		return Math.max(0, this.#idleAt - now) + overdueMs;
 	}
 }
+
+/** A straight line through what readings without a queue took, by their tokens; the latest count most. */
+class ReadingLine {
+	tokenMs: number;
+	offsetMs = firstOffsetMs;
+	#weight = 0;
+	#tokens = 0;
+	#took = 0;
+	#tokensSquared = 0;
+	#tokensTook = 0;
+
+	constructor(tokenMs: number) {
+		this.tokenMs = tokenMs;
+		for (const tokens of imaginedTokens) {
+			this.#add(tokens, firstOffsetMs + (tokens * tokenMs), imaginedWeight);
+		}
+	}
+
+	/** Notes a reading. */
+	note(tokens: number, tookMs: number): void {
+		this.#weight *= memory;
+		this.#tokens *= memory;
+		this.#took *= memory;
+		this.#tokensSquared *= memory;
+		this.#tokensTook *= memory;
+		this.#add(tokens, tookMs, 1);
+		this.#fit();
+	}
+
+	#add(tokens: number, tookMs: number, weight: number): void {
+		this.#weight += weight;
+		this.#tokens += weight * tokens;
+		this.#took += weight * tookMs;
+		this.#tokensSquared += weight * tokens * tokens;
+		this.#tokensTook += weight * tokens * tookMs;
+	}
+
+	#fit(): void {
+		const meanTokens = this.#tokens / this.#weight;
+		const meanTook = this.#took / this.#weight;
+		const spread = (this.#tokensSquared / this.#weight) - (meanTokens * meanTokens);
+		const together = (this.#tokensTook / this.#weight) - (meanTokens * meanTook);
+		const slope = spread > 0 ? together / spread : this.tokenMs;
+		// A line that falls, or that begins below zero, comes from chance
+		this.tokenMs = Math.min(meanTook / meanTokens, Math.max(leastTokenMs, slope));
+		this.offsetMs = meanTook - (meanTokens * this.tokenMs);
+	}
+}
--- a/packages/policy/src/relay/release-rate.ts
+++ b/packages/policy/src/relay/release-rate.ts
@@ -16,14 +16,21 @@
 	#tokens = firstTokens;
 	#holdMs = firstHoldMs;
 	#capacity = firstCapacity;
+	#seen = 0;
 
 	/** Time for which a request holds its memory, in milliseconds. */
 	get holdMs(): number {
 		return this.#holdMs;
 	}
 
+	/** Requests that ended. */
+	get seen(): number {
+		return this.#seen;
+	}
+
 	/** Notes a request that ended. */
 	note(tokens: number, heldMs: number): void {
+		this.#seen += 1;
 		this.#tokens += weight * (tokens - this.#tokens);
 		this.#holdMs += weight * (heldMs - this.#holdMs);
 	}
--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -1,25 +1,25 @@
 /**
  * How many of a model's replicas should read prompts and how many should
- * decode. It starts from a measured share and follows what requests meet: a
- * replica changes its part when one side makes requests wait and the other
- * has room. Efficiency: a wrong split costs waiting.
+ * decode: the split at which the service would serve most requests a second,
+ * from the paces at which this host saw both sides work. It starts from a
+ * share in the settings. Efficiency: a wrong split costs waiting.
  */
 import {type Endpoint} from '@gatehead/schema/routing';
 
-/** Least prefill replicas, so that one can fail. */
-const leastPrefill = 2;
+/** Times as long as a prefill replica takes a decode replica to read a prompt, while its own streams stand still: engines read at half the pace between the tokens of others. */
+export const decodeReadingFactor = 2;
+/** Share of its pace up to which a prefill replica is reckoned with: beyond it prompts wait too long for their turn. */
+const mostReading = 0.9;
+/** Least prefill replicas wanted: prompts beyond what they read are left to the decode replicas, as are all when none is left. */
+const leastPrefill = 1;
 /** Replicas for each change that may be under way at once under load. */
 const replicasPerChange = 12;
-/** Weight of a new observation. */
-const weight = 0.15;
-/** Observations from which on a mean counts. */
+/** Weight of a new prompt in the mean. */
+const weight = 0.05;
+/** Requests of either side from which on their paces count. */
 const leastSeen = 12;
-/** Time for memory from which on the decode side is short, and up to which it has room, as shares of the target. A change of part takes a replica away for six seconds: lower bounds (0.15, 0.08, 0.42) cost 0.16 of worth over eight days. */
-const decodeShort = 0.7;
-const decodeRoom = 0.03;
-/** The same for the prompt's reading, queue and all. */
-const prefillShort = 0.6;
-const prefillRoom = 0.25;
+/** Least gain for which a change is ordered, as a share of the present rate: a prefill replica that becomes a decode replica is missed by nobody meanwhile, one that leaves the decode side takes its room away for six seconds and as long as its streams last. */
+const leastGain: Readonly<Record<StageChange['stage'], number>> = {decode: 0.04, prefill: 0.1};
 
 /** A change of part that would help. */
 export type StageChange = {
@@ -28,50 +28,75 @@
 	readonly reason: string;
 };
 
-type Mean = {
-	value: number;
-	seen: number;
+/** How fast one replica of either part works, in requests a second, and from how many requests that is known. */
+export type Paces = {
+	readonly prefillPerS: number;
+	readonly decodePerS: number;
+	readonly seen: number;
+	/** Requests have waited for memory a moment ago: no decode replica can be spared. */
+	readonly isShort: boolean;
 };
 
-function observe(mean: Mean, value: number): void {
-	mean.seen += 1;
-	mean.value += Math.max(weight, 1 / mean.seen) * (value - mean.value);
+/** Requests a second that so many replicas serve with so many of them reading prompts. */
+export function serviceRate(replicas: number, prefill: number, {prefillPerS, decodePerS}: Paces): number {
+	const decode = replicas - prefill;
+	const decodeBound = decodePerS * decode;
+	const readPerS = mostReading * prefillPerS;
+	if (decodeBound <= readPerS * prefill) {
+		return decodeBound;
+	}
+
+	// Decode replicas read the rest: their time is shared between decoding all and reading some
+	const readingS = decodeReadingFactor / readPerS;
+	return (decode + (decodeReadingFactor * prefill)) / ((1 / decodePerS) + readingS);
+}
+
+/** Prefill replicas at which so many replicas serve most; the fewest among equals. */
+export function bestPrefill(replicas: number, paces: Paces): number {
+	let best = Math.min(leastPrefill, replicas - 1);
+	for (let prefill = best + 1; prefill < replicas; prefill += 1) {
+		if (serviceRate(replicas, prefill, paces) > serviceRate(replicas, best, paces)) {
+			best = prefill;
+		}
+	}
+
+	return Math.max(0, best);
 }
 
-/** What one host sees of one service's two sides. */
+/** The split of one service. */
 export class StageSplit {
 	readonly #share: number;
-	readonly #reserve: Mean = {value: 0, seen: 0};
-	readonly #prefill: Mean = {value: 0, seen: 0};
+	#readMs = 0;
+	#read = 0;
 
-	/** `share`: prefill replicas wanted of all, until requests say otherwise. */
+	/** `share`: prefill replicas wanted of all, until requests were seen. */
 	constructor(share: number) {
 		this.#share = share;
 	}
 
-	/** Notes the time that a request took to get memory, as a share of its target. */
-	noteReserve(share: number): void {
-		observe(this.#reserve, share);
+	/** Time for which a prompt keeps its prefill replica busy, in milliseconds; 0 until one was read. */
+	get readMs(): number {
+		return this.#readMs;
 	}
 
-	/** Notes the time that a prompt's reading took, as a share of its request's target. */
-	notePrefill(share: number): void {
-		observe(this.#prefill, share);
+	/** Prompts that were read. */
+	get read(): number {
+		return this.#read;
 	}
 
-	/** Forgets what was seen under another split; that requests have come is not forgotten. */
-	reset(): void {
-		this.#reserve.seen = Math.min(1, this.#reserve.seen);
-		this.#prefill.seen = 0;
+	/** Notes the time for which a prompt kept its prefill replica busy. */
+	noteRead(busyMs: number): void {
+		this.#read += 1;
+		this.#readMs += Math.max(weight, 1 / this.#read) * (busyMs - this.#readMs);
 	}
 
 	/** Changes to order now: all at once while nothing has come yet, a few at a time later on. */
-	choose(replicas: readonly Endpoint[], isUsable: (endpoint: Endpoint) => boolean): StageChange[] {
-		const most = this.#reserve.seen === 0 ? replicas.length : Math.max(1, Math.floor(replicas.length / replicasPerChange));
+	choose(replicas: readonly Endpoint[], paces: Paces, isUsable: (endpoint: Endpoint) => boolean): StageChange[] {
+		const most = paces.seen === 0 ? replicas.length : Math.max(1, Math.floor(replicas.length / replicasPerChange));
 		const changes: StageChange[] = [];
 		let left = replicas;
 		while (changes.length < most) {
-			const next = this.#chooseOne(left, isUsable);
+			const next = this.#chooseOne(left, paces, isUsable);
 			if (next === undefined) {
 				break;
 			}
@@ -83,41 +108,35 @@
 		return changes;
 	}
 
-	#chooseOne(replicas: readonly Endpoint[], isUsable: (endpoint: Endpoint) => boolean): StageChange | undefined {
+	#chooseOne(replicas: readonly Endpoint[], paces: Paces, isUsable: (endpoint: Endpoint) => boolean): StageChange | undefined {
 		const prefill = replicas.filter(({stage}) => stage === 'prefill');
 		const decode = replicas.filter(({stage}) => stage === 'decode');
-		const least = Math.min(leastPrefill, Math.max(1, replicas.length - 1));
-		const wanted = Math.max(least, Math.round(this.#share * replicas.length));
-		if (prefill.length > least && this.#isDecodeShort(prefill.length > wanted)) {
-			return change(prefill.filter(each => isUsable(each)), decode, 'decode', this.#describe(prefill.length, wanted));
+		const stage = this.#findStage(replicas.length, prefill.length, paces);
+		if (stage === undefined) {
+			return undefined;
 		}
 
-		if (prefill.length < wanted && decode.length > 1 && this.#isPrefillShort(prefill.length < least)) {
-			return change(decode.filter(each => isUsable(each)), prefill, 'prefill', this.#describe(prefill.length, wanted));
-		}
-
-		return undefined;
+		const [from, to] = stage === 'decode' ? [prefill, decode] : [decode, prefill];
+		return change(from.filter(each => isUsable(each)), to, stage, `${prefill.length} prefill of ${replicas.length}; a replica reads ${paces.prefillPerS.toFixed(1)} and decodes ${paces.decodePerS.toFixed(1)} requests a second`);
 	}
 
-	/** Beyond the wanted share requests must have waited; up to it, it is enough that prompts do not. */
-	#isDecodeShort(isBeyondShare: boolean): boolean {
-		const hasBegun = this.#reserve.seen > 0;
-		const isPrefillIdle = hasBegun ? this.#prefill.seen >= leastSeen && this.#prefill.value < prefillRoom : true;
-		if (isBeyondShare) {
-			return isPrefillIdle;
+	/** The part of which there are too few. */
+	#findStage(replicas: number, prefill: number, paces: Paces): StageChange['stage'] | undefined {
+		if (paces.seen === 0) {
+			const wanted = Math.max(Math.min(leastPrefill, replicas - 1), Math.round(this.#share * replicas));
+			return prefill > wanted ? 'decode' : undefined;
 		}
 
-		return isPrefillIdle && this.#reserve.seen >= leastSeen && this.#reserve.value > decodeShort;
-	}
-
-	/** Below the least number of prefill replicas decoding suffers too, since decode replicas then read prompts. */
-	#isPrefillShort(isBelowLeast: boolean): boolean {
-		const isShort = this.#prefill.seen >= leastSeen && this.#prefill.value > prefillShort;
-		return isShort && (isBelowLeast || this.#reserve.value < decodeRoom);
-	}
+		const wanted = paces.seen < leastSeen ? prefill : bestPrefill(replicas, paces);
+		if (wanted === prefill) {
+			return undefined;
+		}
 
-	#describe(prefill: number, wanted: number): string {
-		return `${prefill} prefill, ${wanted} wanted; memory after ${this.#reserve.value.toFixed(2)}, prompt in ${this.#prefill.value.toFixed(2)} of the target`;
+		const stage = wanted < prefill ? 'decode' : 'prefill';
+		const next = prefill + (stage === 'decode' ? -1 : 1);
+		const gain = (serviceRate(replicas, next, paces) / serviceRate(replicas, prefill, paces)) - 1;
+		const isSpared = stage === 'decode' || !paces.isShort;
+		return isSpared && gain >= leastGain[stage] ? stage : undefined;
 	}
 }
 
--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/wait-line.ts
@@ -1,15 +1,18 @@
 /**
- * Requests that wait for memory at one service: those whose first event can
- * still be in time go first, in the order of their arrival; the late ones
- * after them. Who has no chance to be in time any more is refused, at once
- * where the queue ahead says so. Efficiency only.
+ * Requests that wait for memory at one service. Streams that continue go
+ * first, then those whose first event can still be in time, in the order of
+ * their arrival; those that come late in any case take what is left, also of
+ * what other hosts wait for. A first try that cannot be in time any more is
+ * refused, at once where the queue ahead says so. Efficiency only.
  */
 import {jitter, type Random} from '../utils/random.js';
 
 /** Part of the expected wait that must fit into what is left of the target: places come free at random, and waiting for one that does not come costs the caller little against losing a timely answer. */
 const hopeShare = 0.6;
 /** Time after its target for which a late request is still worth serving, as a multiple of the target: callers leave after four times it. */
-const lateTargets = 2.4;
+const lateTargets = 3.2;
+/** Time for which a returned caller leaves its turn to timely ones of other hosts, as a multiple of the target: about half of what it may wait, so that it is served all the same. */
+const yieldTargets = 1.2;
 /** Part of the requests waiting at other hosts that are supposed to go first. */
 const elsewhereShare = 0.7;
 /** Shortest and longest time after which a caller should come back, in milliseconds: bursts on the users' sheets last 4 to 5 s, and callers heed at most a third of the time that they have left (14 s). */
@@ -18,6 +21,9 @@
 const comeBackSpread = 0.2;
 const millisecondsPerSecond = 1000;
 
+/** Turns of requests, the lowest first. */
+const ranks = {started: 0, timely: 1, late: 2} as const;
+
 /** A request that waits. */
 export type Waiter = {
 	/** When it began to wait. */
@@ -25,8 +31,8 @@
 	readonly arrivedAt: number;
 	readonly targetMs: number;
 	readonly deadlineAt: number;
-	/** It was refused before, or has a part of its answer: it is not refused early. */
-	readonly isKept: boolean;
+	/** `first` try of its caller; `returned` after a refusal, which is late in any case; `resumed`: the caller lost its stream with another host and wants the rest; `started`: this host has passed on a part of its answer. */
+	readonly stage: 'first' | 'returned' | 'resumed' | 'started';
 };
 
 /** A request without a chance, and why. */
@@ -37,7 +43,7 @@
 
 /** What is known of the other hosts' lines and of the replicas. */
 export type Outlook = {
-	/** Requests that wait at other hosts. */
+	/** Requests that wait at other hosts and can still be in time. */
 	readonly elsewhere: number;
 	/** Places that come free a second, for all hosts together. */
 	readonly releasesPerS: number;
@@ -71,7 +77,22 @@
 
 	/** All that wait, in the order of their turns. */
 	order(now: number, startMs: number): Each[] {
-		return [...this.#waiters].toSorted((left, right) => Number(slackMs(left, now, startMs) < 0) - Number(slackMs(right, now, startMs) < 0) || left.arrivedAt - right.arrivedAt);
+		return [...this.#waiters].toSorted((left, right) => rankOf(left, now, startMs) - rankOf(right, now, startMs) || left.arrivedAt - right.arrivedAt);
+	}
+
+	/** Requests that are not late yet. */
+	countTimely(now: number, startMs: number): number {
+		let timely = 0;
+		for (const waiter of this.#waiters) {
+			timely += rankOf(waiter, now, startMs) < ranks.late ? 1 : 0;
+		}
+
+		return timely;
+	}
+
+	/** Whether a request leaves its turn to those that wait at other hosts and can still be in time. */
+	doesYield(waiter: Each, now: number, {elsewhere}: Outlook): boolean {
+		return elsewhere > 0 && waiter.stage === 'returned' && now - waiter.since < yieldTargets * waiter.targetMs;
 	}
 
 	/** Requests to refuse now. */
@@ -106,13 +127,21 @@
 /** Says why a first try cannot be in time any more. */
 function findDelay(waiter: Waiter, ahead: number, now: number, {elsewhere, releasesPerS, startMs}: Outlook): string | undefined {
 	const expectedMs = (ahead + 1 + (elsewhereShare * elsewhere)) * millisecondsPerSecond / releasesPerS;
-	if (waiter.isKept || hopeShare * expectedMs <= slackMs(waiter, now, startMs)) {
+	if (waiter.stage !== 'first' || hopeShare * expectedMs <= slackMs(waiter, now, startMs)) {
 		return undefined;
 	}
 
 	return `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second, first event ${Math.round(startMs)} ms after`;
 }
 
+function rankOf(waiter: Waiter, now: number, startMs: number): number {
+	if (waiter.stage === 'started') {
+		return ranks.started;
+	}
+
+	return waiter.stage !== 'returned' && slackMs(waiter, now, startMs) >= 0 ? ranks.timely : ranks.late;
+}
+
 /** Time for which a request can wait and still be in time, in milliseconds; below zero: it is late. */
 function slackMs({arrivedAt, targetMs}: Waiter, now: number, startMs: number): number {
 	return arrivedAt + targetMs - startMs - now;
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -13,6 +13,7 @@
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
+import {type RequestFacts} from '../core/dialect.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Budgets} from '../work/budgets.js';
 import {type Job} from '../work/job.js';
@@ -171,7 +172,7 @@
 			body,
 			arrivedAt,
 			deadlineAt: arrivedAt + patienceMs,
-			isSecondTry: facts.patienceMs !== undefined && this.#secondTries.note(route.name, facts.patienceMs),
+			isSecondTry: this.#isSecondTry(route.name, facts),
 			signal: controller.signal,
 			reply,
 			mayHaveRun: false,
@@ -180,6 +181,12 @@
 		};
 	}
 
+	/** A caller that wants the rest of a stream has been here before, whatever its patience says. */
+	#isSecondTry(route: string, {patienceMs, lastEventId}: RequestFacts): boolean {
+		const isLessPatient = patienceMs !== undefined && this.#secondTries.note(route, patienceMs);
+		return isLessPatient || lastEventId !== undefined;
+	}
+
 	#passedHeaders(request: IncomingMessage): string[] {
 		const {dialect} = this.#parts.context;
 		return passHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isPassed(name));
@@ -206,7 +213,7 @@
 		}
 	}
 
-	#note(job: Job, {outcome, code, endpoint, detail}: JobEnd): void {
+	#note(job: Job, {outcome, code, endpoint, detail, longestGapMs}: JobEnd): void {
 		const {context: {clock, log, metrics}, routing} = this.#parts;
 		const {id, route, service, reply, arrivedAt, sends, runs, isSecondTry} = job;
 		const now = clock.now();
@@ -228,6 +235,9 @@
 			runs,
 			secondTry: isSecondTry,
 			patienceMs: job.facts.patienceMs,
+			targetMs: route.targetMs,
+			gapTargetMs: route.gapTargetMs,
+			longestGapMs,
 			firstByteMs: reply.firstByteAt === undefined ? undefined : Math.round(reply.firstByteAt - arrivedAt),
 			tookMs: Math.round(now - arrivedAt),
 			version: routing.version,
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -20,6 +20,10 @@
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds. */
 const greetMs = 500;
+/** The same in the first seconds of a process, in milliseconds: after a loss of all hosts each starts alone, and sends what the others do not hear of. Found within 0.3 s in place of 1.0 s after the last of seven hosts was back. */
+const firstGreetMs = 120;
+/** How long those first seconds last, in milliseconds: hosts that are restarted together are up within one. */
+const firstGreetingsMs = 4000;
 /** Interval at which seeds are greeted later on, so that two halves of a split find each other, in milliseconds. */
 const greetAgainMs = 10_000;
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
@@ -50,6 +54,7 @@
 	changedAt: number;
 	/** Whether another host was the first by rank in this process's life. */
 	hasFollowed = false;
+	#startedAt = 0;
 	readonly #parts: FleetParts;
 	readonly #links: PeerLinks<RelayMessage>;
 	#seeds: readonly string[];
@@ -168,6 +173,7 @@
 		const peerAddress = await this.#links.listen();
 		this.membership.members.updateSelf({peerAddress});
 		this.membership.start();
+		this.#startedAt = this.#parts.context.clock.now();
 		this.#keepGreeting();
 	}
 
@@ -234,8 +240,10 @@
 
 	#keepGreeting(): void {
 		this.#greet();
+		const {clock} = this.#parts.context;
 		const isAlone = this.membership.members.listReachable().length < 2;
-		this.#timer = this.#parts.context.clock.after(isAlone ? greetMs : greetAgainMs, () => {
+		const aloneMs = clock.now() - this.#startedAt < firstGreetingsMs ? firstGreetMs : greetMs;
+		this.#timer = clock.after(isAlone ? aloneMs : greetAgainMs, () => {
 			this.#keepGreeting();
 		});
 	}
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -9,6 +9,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
 import {type RelayContext} from '../core/context.js';
+import {isOff} from '../core/experiment.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {WaitingCounts} from './waiting-counts.js';
 
@@ -64,11 +65,19 @@
 
 	/** A prompt goes to a prefill replica now. */
 	tellReading(endpoint: string, tokens: number): void {
+		if (isOff(this.#parts.context, 'peerReadings')) {
+			return;
+		}
+
 		this.#tell({kind: 'reading', endpoint, tokens});
 	}
 
 	/** Memory was reserved at a decode replica, to be held for about so long. */
 	tellPlaced(endpoint: string, tokens: number, heldMs: number): void {
+		if (isOff(this.#parts.context, 'peerUse')) {
+			return;
+		}
+
 		this.#tell({
 			kind: 'placed', endpoint, tokens, heldMs,
 		});
@@ -76,6 +85,10 @@
 
 	/** So many requests wait for a service here. */
 	tellWaiting(service: string, count: number): void {
+		if (isOff(this.#parts.context, 'peerWaiting')) {
+			return;
+		}
+
 		this.#pendingCounts.set(service, count);
 		this.#schedule(this.#peers.length > fewPeers ? countsMs : 0);
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -72,7 +72,7 @@
 		const ownCalls = new OwnCalls(context, this.endpoints);
 		const budgets = new Budgets(context, () => this.fleet.countHosts());
 		this.#orders = new StageOrders({
-			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls,
+			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, rateOf: service => this.#work.desk.rateOf(service), waitedAt: service => this.#work.desk.waitedAt(service),
 		});
 		const news = this.fleet.load;
 		this.#work = {
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -8,11 +8,13 @@
 import {PeerUse} from '@gatehead/policy/relay/peer-use';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
 import {ReadingQueue} from '@gatehead/policy/relay/reading-queue';
+import {decodeReadingFactor} from '@gatehead/policy/relay/stage-split';
 import {type Subset} from '@gatehead/policy/relay/subsets';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type Bookkeeping} from '../core/context.js';
+import {type Bookkeeping, type RelayContext} from '../core/context.js';
+import {isOff} from '../core/experiment.js';
 import {Connections} from './connections.js';
 import {NearEndpoints} from './near-endpoints.js';
 
@@ -25,6 +27,11 @@
 /** Connections to one endpoint where its service names no bound. */
 const mostConnections = 64;
 
+/** Who hands on a pause that follows from an order of this host's own. */
+export const ownOrder = 'order';
+
+type EndpointContext = Bookkeeping & Pick<RelayContext, 'settings'>;
+
 type Use = {
 	readonly connections: Connections;
 	/** Sends in work. */
@@ -49,7 +56,7 @@
 export class Endpoints {
 	readonly book = new EndpointBook();
 	readonly health = new EndpointHealth();
-	readonly #context: Bookkeeping;
+	readonly #context: EndpointContext;
 	readonly #listener: EndpointListener;
 	/** What follows from each change. */
 	readonly #follow: Readonly<Record<BookChange['change'], (endpoint: Endpoint) => void>> = {
@@ -62,6 +69,7 @@
 		restaged: ({id, service}) => {
 			// What it failed in was its other part
 			this.health.forget(id);
+			this.#queues.delete(id);
 			this.#listener.onRoom(service);
 		},
 		leaving: ignore,
@@ -77,7 +85,7 @@
 	readonly #near = new NearEndpoints();
 	#sweep: Timer | undefined;
 
-	constructor(context: Bookkeeping, listener: EndpointListener) {
+	constructor(context: EndpointContext, listener: EndpointListener) {
 		this.#context = context;
 		this.#listener = listener;
 	}
@@ -114,7 +122,8 @@
 	order(service: string, {stage, hall, tokens = 0, weights, bearable}: OrderWish): Endpoint[] {
 		const now = this.#context.clock.now();
 		const {candidates, near} = this.#listCandidates(service, stage);
-		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, {tokens, bearable, near}, now), hall, weights, this.#context.random);
+		const weighed = isOff(this.#context, 'nearHalls') ? {...weights, farHall: 0} : weights;
+		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, {tokens, bearable, near}, now), hall, weighed, this.#context.random);
 	}
 
 	/** Usable decode replicas of a service in this host's subset. */
@@ -168,11 +177,11 @@
 		};
 	}
 
-	/** What is on its way to a prefill replica. */
+	/** Prompts on their way to a replica that reads them: all at a prefill replica, at a decode replica those that no other has read. */
 	queueOf(id: string): ReadingQueue {
 		let queue = this.#queues.get(id);
 		if (queue === undefined) {
-			queue = new ReadingQueue();
+			queue = new ReadingQueue(this.book.stageOf(id) === 'decode' ? decodeReadingFactor : 1);
 			this.#queues.set(id, queue);
 		}
 
@@ -182,6 +191,10 @@
 	/** Notes what became of a send. */
 	judge({id, service, address}: Endpoint, outcome: Outcome): void {
 		const {clock, log, metrics} = this.#context;
+		if (isOff(this.#context, 'pauses')) {
+			return;
+		}
+
 		const badness = this.health.badness(id, clock.now());
 		const pause = this.health.end(id, outcome, clock.now());
 		if (pause !== undefined) {
@@ -196,6 +209,10 @@
 	/** Takes over another host's pause. */
 	hearPause(pause: Pause, from: string): void {
 		const {clock, log, metrics} = this.#context;
+		if (from !== ownOrder && isOff(this.#context, 'pauseNews')) {
+			return;
+		}
+
 		if (this.health.hear(pause, clock.now())) {
 			log('endpointPaused', {endpoint: pause.endpoint, pauseMs: Math.round(pause.leftMs), source: from});
 			metrics.add('pauses', {source: 'peer'});
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -6,6 +6,7 @@
  * that the caller has; a stream that cannot continue is broken off.
  */
 import {type Endpoint} from '@gatehead/schema/routing';
+import {isOff} from '../core/experiment.js';
 import {
 	ExchangeError, isCut, readBody, settleEnd,
 } from '../upstream/exchange.js';
@@ -67,12 +68,10 @@
 	async work(): Promise<JobEnd> {
 		for (;;) {
 			this.#rounds += 1;
-			const {desk, orders, context: {clock}} = this.#parts;
-			const askedAt = clock.now();
+			const {desk, context: {clock}} = this.#parts;
 			const answer = await desk.reserve({
 				job: this.#job, tokens: this.#countTokens(), lifeMs: this.#engine.reservationMs, bearable: this.#engine.capacityTokens, avoid: this.#avoid, isStarted: this.#job.reply.hasBegun,
 			});
-			orders.splitOf(this.#job.service.name).noteReserve((clock.now() - askedAt) / this.#job.route.targetMs);
 			if (answer.kind === 'refused') {
 				return refuseJob(this.#job, answer);
 			}
@@ -100,7 +99,7 @@
 	}
 
 	async #runAt(reservation: Reservation): Promise<Decoded> {
-		const source = await this.#prefill.read(reservation.endpoint.hall);
+		const source = await this.#prefill.read(reservation.endpoint);
 		if (this.#job.signal.aborted) {
 			this.#prefill.free(source);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
@@ -110,7 +109,17 @@
 		return this.#decode(reservation, source);
 	}
 
-	async #decode({endpoint, name, lapsesAt}: Reservation, source: Source | undefined): Promise<Decoded> {
+	async #decode(reservation: Reservation, source: Source | undefined): Promise<Decoded> {
+		const readingMs = source === undefined ? this.#prefill.beginOwn(reservation.endpoint) : 0;
+		try {
+			return await this.#decodeAt(reservation, source, readingMs);
+		} finally {
+			this.#prefill.abandonOwn();
+		}
+	}
+
+	/** `readingMs`: time that the replica is expected to take for the prompt itself. */
+	async #decodeAt({endpoint, name, lapsesAt}: Reservation, source: Source | undefined, readingMs: number): Promise<Decoded> {
 		const {sender, context: {clock}} = this.#parts;
 		const isHeld = lapsesAt - clock.now() > lapseMarginMs;
 		const sent = await sender.send({
@@ -123,7 +132,7 @@
 				lastEventId: this.#events.lastId ?? this.#job.facts.lastEventId,
 			},
 			tokens: this.#countTokens(),
-			headMs: this.#job.route.isResumable ? silentMs : timeLeft(this.#job, clock.now()) + 1,
+			headMs: this.#job.route.isResumable ? silentMs + readingMs : timeLeft(this.#job, clock.now()) + 1,
 			signal: this.#job.signal,
 		});
 		this.#prefill.count(source, sent.kind === 'answer');
@@ -164,7 +173,7 @@
 	#goOn(endpoint: Endpoint, reason: string): boolean {
 		const job = this.#job;
 		const {budgets, context: {log}} = this.#parts;
-		const mayContinue = job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < mostRounds;
+		const mayContinue = !isOff(this.#parts.context, 'continuing') && job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < mostRounds;
 		if (!mayContinue || !budgets.take(job, 'continue')) {
 			return false;
 		}
@@ -209,6 +218,7 @@
 			for await (const chunk of response as AsyncIterable<Uint8Array>) {
 				watch.touch();
 				this.#events.pass(response, chunk);
+				this.#prefill.finishOwn();
 				this.#noteStart();
 			}
 
@@ -222,7 +232,7 @@
 			this.#events.finish(response);
 			const {longestGapMs} = this.#events;
 			metrics.time('gap', longestGapMs);
-			return {kind: 'ended', end: {outcome: 'answered', endpoint: endpoint.id, detail: `longest gap ${Math.round(longestGapMs)} ms`}};
+			return {kind: 'ended', end: {outcome: 'answered', endpoint: endpoint.id, longestGapMs: Math.round(longestGapMs)}};
 		} catch (error) {
 			return this.#breakOff(sent, endpoint, watch.isSilent ? 'silent' : String(error));
 		} finally {
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -5,7 +5,9 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
+import {type Mechanism} from '@gatehead/schema/relay-settings';
 import {type Endpoint} from '@gatehead/schema/routing';
+import {isOff} from '../core/experiment.js';
 import {readBody} from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
 import {type ExtraCause} from './budgets.js';
@@ -187,6 +189,11 @@
 
 	/** A connection that never came needs no budget: nothing arrived there. */
 	#mayRepeat(cause: ExtraCause): boolean {
+		const mechanism = optionalCauses[cause];
+		if (mechanism !== undefined && isOff(this.#parts.context, mechanism)) {
+			return false;
+		}
+
 		return cause === 'connect' || this.#parts.budgets.take(this.#job, cause);
 	}
 
@@ -242,6 +249,9 @@
 	}
 }
 
+/** Causes that an experiment can switch off. */
+const optionalCauses: Readonly<Partial<Record<ExtraCause, Mechanism>>> = {error: 'errorRetries', slow: 'slowCopies'};
+
 const causes: Readonly<Record<string, ExtraCause>> = {connect: 'connect', refused: 'refused', otherEndpoint: 'refused'};
 
 function causeOf(tried: Tried): ExtraCause {
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -4,7 +4,9 @@
  * nobody has read is read by the decode replica itself.
  */
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
+import {type Reading, type ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {type Endpoint} from '@gatehead/schema/routing';
+import {isOff} from '../core/experiment.js';
 import {readBody} from '../upstream/exchange.js';
 import {type Job} from './job.js';
 import {type WorkParts} from './parts.js';
@@ -13,8 +15,12 @@
 const mostPrefills = 3;
 /** Time that a prefill may take before its replica counts as silent, in milliseconds: a prompt that is read twice costs nearly as much as its answer is worth, so a queue is waited for. */
 const prefillMs = 2500;
-/** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others. */
+/** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others, unless that would take longer still. */
 const mostReadingShare = 0.5;
+/** The same for a request that is late in any case: a decode replica that reads holds up some ten streams that are not. */
+const mostLateReadingShare = 1;
+/** Time from a prompt's result to the first event, in milliseconds: the move of the memory and the first steps. */
+const firstStepsMs = 100;
 /** Longest answer of a prefill. */
 const mostBytes = 1_048_576;
 const okStatus = 200;
@@ -29,10 +35,17 @@
 	readonly result: string;
 };
 
+/** A prompt that its decode replica reads itself. */
+type OwnReading = {
+	readonly queue: ReadingQueue;
+	readonly reading: Reading;
+};
+
 /** The readings of one request's prompt. */
 export class Prefill {
 	readonly #parts: WorkParts;
 	readonly #job: Job;
+	#own: OwnReading | undefined;
 	/** Sends that may have reached a replica, in all rounds: those behind the first need the budget. */
 	#sends = 0;
 
@@ -41,12 +54,16 @@
 		this.#job = job;
 	}
 
-	/** Has the prompt read; undefined where no prefill replica did, so that the decode replica reads it. */
-	async read(hall: string): Promise<Source | undefined> {
+	/** Has the prompt read for a decode replica; undefined where no prefill replica did, so that this replica reads it. */
+	async read(decode: Endpoint): Promise<Source | undefined> {
 		const {endpoints, budgets, news, orders, context: {clock, log, metrics}} = this.#parts;
 		const job = this.#job;
+		if (isOff(this.#parts.context, 'readingApart')) {
+			return undefined;
+		}
+
 		const tokens = job.facts.promptTokens;
-		const candidates = this.#candidates(hall);
+		const candidates = this.#candidates(decode.hall);
 		for (const endpoint of candidates) {
 			if (job.signal.aborted || (this.#sends > 0 && !budgets.take(job, 'prefill'))) {
 				return undefined;
@@ -55,7 +72,7 @@
 			const queue = endpoints.queueOf(endpoint.id);
 			const startedAt = clock.now();
 			const expectedMs = queue.expect(tokens, startedAt);
-			if (expectedMs > mostReadingShare * job.route.targetMs) {
+			if (expectedMs > this.#mostReadingMs(startedAt) && endpoints.queueOf(decode.id).expect(tokens, startedAt) < expectedMs) {
 				log('prefilled', {
 					request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs),
 				});
@@ -71,7 +88,7 @@
 				queue.finish(reading, clock.now());
 				const tookMs = clock.now() - startedAt;
 				metrics.time('prefill', tookMs);
-				orders.splitOf(job.service.name).notePrefill(tookMs / job.route.targetMs);
+				orders.splitOf(job.service.name).noteRead(tokens * queue.tokenMs);
 				log('prefilled', {
 					request: job.id, endpoint: endpoint.id, outcome: 'read', tokens, expectedMs: Math.round(expectedMs), tookMs: Math.round(tookMs),
 				});
@@ -82,6 +99,29 @@
 		return undefined;
 	}
 
+	/** A decode replica reads the prompt itself: returns how long that is expected to take, in milliseconds. */
+	beginOwn({id}: Endpoint): number {
+		const {endpoints, news, context: {clock}} = this.#parts;
+		const tokens = this.#job.facts.promptTokens;
+		const queue = endpoints.queueOf(id);
+		const reading = queue.begin(tokens, clock.now());
+		news.tellReading(id, tokens);
+		this.#own = {queue, reading};
+		return reading.expectedMs;
+	}
+
+	/** The decode replica has read the prompt, as its first event shows. */
+	finishOwn(): void {
+		this.#own?.queue.finish(this.#own.reading, this.#parts.context.clock.now());
+		this.#own = undefined;
+	}
+
+	/** Nothing comes of the decode replica's reading. */
+	abandonOwn(): void {
+		this.#own?.queue.abandon(this.#own.reading);
+		this.#own = undefined;
+	}
+
 	/** Gives a result back that nobody uses. */
 	free(source: Source | undefined): void {
 		if (source !== undefined) {
@@ -96,6 +136,13 @@
 		}
 	}
 
+	/** Longest time for which a prefill replica is waited for, in milliseconds. */
+	#mostReadingMs(now: number): number {
+		const {arrivedAt, isSecondTry, route: {targetMs}} = this.#job;
+		const leftMs = arrivedAt + targetMs - firstStepsMs - now;
+		return isSecondTry || leftMs <= 0 ? mostLateReadingShare * targetMs : Math.min(mostReadingShare * targetMs, leftMs);
+	}
+
 	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
 	#candidates(hall: string): Endpoint[] {
 		const {endpoints, context: {clock}} = this.#parts;
--- a/packages/relay/src/work/reservation-desk.ts
+++ b/packages/relay/src/work/reservation-desk.ts
@@ -6,13 +6,15 @@
  */
 import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
 import {StartTime} from '@gatehead/policy/relay/start-time';
-import {WaitLine, type Waiter} from '@gatehead/policy/relay/wait-line';
+import {WaitLine, type Outlook, type Waiter} from '@gatehead/policy/relay/wait-line';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type RelayContext} from '../core/context.js';
+import {isOff} from '../core/experiment.js';
 import {type LoadNews} from '../peer/load-news.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
+import {comeBackMs} from './generation-end.js';
 import {RoomSearch, type Reservation, type Wish} from './room-search.js';
 
 /** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
@@ -54,6 +56,7 @@
 	readonly #starts = new Map<string, StartTime>();
 	/** Counts of waiting requests as last told. */
 	readonly #told = new Map<string, number>();
+	readonly #waitedAt = new Map<string, number>();
 	#timer: Timer | undefined;
 	#isAsking = false;
 	#isAgain = false;
@@ -85,7 +88,7 @@
 	async reserve(wish: Wish): Promise<DeskAnswer> {
 		const {job} = wish;
 		const line = this.#lineOf(job.service.name);
-		if (line.size === 0) {
+		if (line.size === 0 && !this.#doesYield(wish)) {
 			const reservation = await this.#search.find(wish);
 			if (reservation !== undefined) {
 				this.#noteGrant(wish, reservation, 0);
@@ -98,7 +101,7 @@
 
 	/** Notes how long a request has held its memory, to know how fast memory comes free. */
 	noteHold(service: string, tokens: number, heldMs: number): void {
-		this.#rateOf(service).note(tokens, heldMs);
+		this.rateOf(service).note(tokens, heldMs);
 	}
 
 	/** Notes how long after its reservation a request's first event came, to know who can still be in time. */
@@ -113,6 +116,26 @@
 		}
 	}
 
+	/** How fast a service's memory comes free. */
+	rateOf(service: string): ReleaseRate {
+		let rate = this.#releases.get(service);
+		if (rate === undefined) {
+			rate = new ReleaseRate();
+			this.#releases.set(service, rate);
+		}
+
+		return rate;
+	}
+
+	/** When a request last waited for a service's memory, here or at a peer that tells this host. */
+	waitedAt(service: string): number {
+		if (this.#news.waitingElsewhere(service) > 0 || this.#lineOf(service).size > 0) {
+			this.#waitedAt.set(service, this.#context.clock.now());
+		}
+
+		return this.#waitedAt.get(service) ?? Number.NEGATIVE_INFINITY;
+	}
+
 	async #wait(wish: Wish, line: WaitLine<Waiting>): Promise<DeskAnswer> {
 		const {job} = wish;
 		const {clock, metrics} = this.#context;
@@ -124,7 +147,7 @@
 				arrivedAt: wish.isStarted ? clock.now() : job.arrivedAt,
 				targetMs: job.route.targetMs,
 				deadlineAt: job.deadlineAt,
-				isKept: wish.isStarted || job.isSecondTry,
+				stage: this.#stageOf(wish),
 				resolve(answer) {
 					job.signal.removeEventListener('abort', leave);
 					line.remove(waiter);
@@ -138,16 +161,18 @@
 
 			job.signal.addEventListener('abort', leave, {once: true});
 			line.add(waiter);
+			this.#waitedAt.set(job.service.name, clock.now());
 			this.#schedule();
 		});
 	}
 
-	/** Tells other hosts how many wait here, where that has changed. */
+	/** Tells other hosts how many wait here that can still be in time, where that has changed. */
 	#tell(): void {
 		for (const [service, line] of this.#lines) {
-			if (line.size !== (this.#told.get(service) ?? 0)) {
-				this.#told.set(service, line.size);
-				this.#news.tellWaiting(service, line.size);
+			const timely = line.countTimely(this.#context.clock.now(), this.#startOf(service).valueMs);
+			if (timely !== (this.#told.get(service) ?? 0)) {
+				this.#told.set(service, timely);
+				this.#news.tellWaiting(service, timely);
 			}
 		}
 	}
@@ -196,7 +221,7 @@
 				return;
 			}
 
-			if (!line.has(waiter)) {
+			if (!line.has(waiter) || line.doesYield(waiter, this.#context.clock.now(), this.#outlookOf(service))) {
 				continue;
 			}
 
@@ -216,24 +241,39 @@
 	#refuseHopeless(service: string, line: WaitLine<Waiting>): void {
 		const {clock, random} = this.#context;
 		const now = clock.now();
-		const replicas = this.#endpoints.countDecode(service);
-		const hasEndpoints = replicas > 0;
-		const outlook = {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.#rateOf(service).perSecond(replicas), startMs: this.#startOf(service).valueMs};
+		const hasEndpoints = this.#endpoints.countDecode(service) > 0;
+		const outlook = this.#outlookOf(service);
 		for (const {waiter, detail} of line.findHopeless(now, outlook)) {
 			waiter.resolve({
-				kind: 'refused', code: hasEndpoints ? 'overloaded' : 'endpointsDown', retryAfterMs: line.comeBackMs(outlook, random), detail,
+				kind: 'refused', code: hasEndpoints ? 'overloaded' : 'endpointsDown', retryAfterMs: isOff(this.#context, 'comeBackTimes') ? comeBackMs : line.comeBackMs(outlook, random), detail,
 			});
 		}
 	}
 
-	#rateOf(service: string): ReleaseRate {
-		let rate = this.#releases.get(service);
-		if (rate === undefined) {
-			rate = new ReleaseRate();
-			this.#releases.set(service, rate);
+	#outlookOf(service: string): Outlook {
+		const replicas = this.#endpoints.countDecode(service);
+		return {elsewhere: this.#news.waitingElsewhere(service), releasesPerS: this.rateOf(service).perSecond(replicas), startMs: this.#startOf(service).valueMs};
+	}
+
+	#stageOf({isStarted, job}: Wish): Waiter['stage'] {
+		if (isStarted) {
+			return 'started';
 		}
 
-		return rate;
+		if (job.facts.lastEventId !== undefined) {
+			return isOff(this.#context, 'resumedTurns') ? 'returned' : 'resumed';
+		}
+
+		if (isOff(this.#context, 'earlyRefusal')) {
+			return 'resumed';
+		}
+
+		return job.isSecondTry && !isOff(this.#context, 'secondTries') ? 'returned' : 'first';
+	}
+
+	/** A returned caller does not pass those that wait elsewhere and can be in time. */
+	#doesYield(wish: Wish): boolean {
+		return this.#stageOf(wish) === 'returned' && this.#news.waitingElsewhere(wish.job.service.name) > 0;
 	}
 
 	#startOf(service: string): StartTime {
@@ -257,7 +297,7 @@
 	}
 
 	#noteGrant({job, tokens, bearable}: Wish, {endpoint}: Reservation, waitedMs: number): void {
-		const rate = this.#rateOf(job.service.name);
+		const rate = this.rateOf(job.service.name);
 		rate.setCapacity(bearable);
 		this.#endpoints.noteTaken(endpoint.id, tokens, readingMs);
 		this.#news.tellPlaced(endpoint.id, tokens, readingMs + rate.holdMs);
--- a/packages/relay/src/work/room-search.ts
+++ b/packages/relay/src/work/room-search.ts
@@ -6,6 +6,7 @@
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
+import {isOff} from '../core/experiment.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
 import {type Job} from './job.js';
@@ -55,6 +56,11 @@
 		const ordered = this.#endpoints.order(job.service.name, {
 			stage: 'decode', hall, tokens, weights, bearable,
 		});
+		const [best] = ordered;
+		if (best !== undefined && isOff(this.#context, 'reservations')) {
+			return {endpoint: best, name: '', lapsesAt: 0};
+		}
+
 		let asked = 0;
 		for (const endpoint of this.#narrow(ordered, avoid)) {
 			if (asked >= mostAsked || job.signal.aborted) {
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -6,14 +6,16 @@
  * is cut off sees a change first. The fence is the directory's revision,
  * which outlives every process; a host that takes over waits for a higher one.
  */
-import {StageSplit, type StageChange} from '@gatehead/policy/relay/stage-split';
+import {type ReleaseRate} from '@gatehead/policy/relay/release-rate';
+import {StageSplit, type Paces, type StageChange} from '@gatehead/policy/relay/stage-split';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type RelayContext} from '../core/context.js';
+import {isOff} from '../core/experiment.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Fleet} from '../peer/fleet.js';
-import {type Endpoints} from '../upstream/endpoints.js';
+import {ownOrder, type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
 
 /** Interval at which the split is looked at, in milliseconds. */
@@ -24,6 +26,15 @@
 const changeMs = 8000;
 /** Time between two orders for one service, in milliseconds: a change of part takes about six seconds. */
 const spacingMs = 7000;
+/** Longest time until a replica that took an order publishes its new part, in milliseconds: its streams end first, the longest after ten seconds. */
+const mostChangeMs = 20_000;
+/** Time after a request waited for memory during which no decode replica is taken away, in milliseconds: about the pause between two bursts. */
+const shortMs = 6000;
+/** Least time that a prompt's reading is supposed to take, in milliseconds. */
+const leastReadMs = 1;
+/** Outcomes of an order that was taken. */
+const takenOutcomes: ReadonlySet<string> = new Set(['200', '202']);
+const millisecondsPerSecond = 1000;
 
 /** What the task works with. */
 export type StageOrderParts = {
@@ -33,6 +44,10 @@
 	readonly fleet: Fleet;
 	readonly watch: DirectoryWatch;
 	readonly ownCalls: OwnCalls;
+	/** How fast a service's decode memory comes free. */
+	readonly rateOf: (service: string) => ReleaseRate;
+	/** When a request last waited for a service's memory, here or at a peer. */
+	readonly waitedAt: (service: string) => number;
 };
 
 /** Gives orders, where it is this host's turn. */
@@ -40,6 +55,8 @@
 	readonly #parts: StageOrderParts;
 	readonly #splits = new Map<string, StageSplit>();
 	readonly #orderedAt = new Map<string, number>();
+	/** Orders by replica, until its new part is published. */
+	readonly #underWay = new Map<string, {readonly stage: StageChange['stage']; readonly at: number}>();
 	/** Directory revision when this host became the one that orders; undefined: it is not. */
 	#ledSince: number | undefined;
 	#timer: Timer | undefined;
@@ -74,7 +91,7 @@
 
 	#look(): void {
 		const {context: {clock}, routing, endpoints} = this.#parts;
-		if (!this.#mayOrder(clock.now())) {
+		if (!this.#mayOrder(clock.now()) || isOff(this.#parts.context, 'stageOrders')) {
 			return;
 		}
 
@@ -85,14 +102,39 @@
 			}
 
 			const isUsable = ({id}: Endpoint) => endpoints.health.isUsable(id, clock.now());
-			for (const change of this.splitOf(name).choose(endpoints.book.listReady(name), isUsable)) {
+			for (const change of this.splitOf(name).choose(this.#listReplicas(name), this.#pacesOf(name), isUsable)) {
 				this.#orderedAt.set(name, clock.now());
-				this.splitOf(name).reset();
 				void this.#order(change);
 			}
 		}
 	}
 
+	/** Ready replicas, those that were ordered to change their part already in the new one. */
+	#listReplicas(service: string): Endpoint[] {
+		const {context: {clock}, endpoints} = this.#parts;
+		return endpoints.book.listReady(service).map(each => {
+			const order = this.#underWay.get(each.id);
+			if (order === undefined || each.stage === order.stage || clock.now() - order.at > mostChangeMs) {
+				this.#underWay.delete(each.id);
+				return each;
+			}
+
+			return {...each, stage: order.stage};
+		});
+	}
+
+	#pacesOf(service: string): Paces {
+		const {readMs, read} = this.splitOf(service);
+		const {rateOf, waitedAt, context: {clock}} = this.#parts;
+		const rate = rateOf(service);
+		return {
+			prefillPerS: millisecondsPerSecond / Math.max(leastReadMs, readMs),
+			decodePerS: rate.perSecond(1),
+			seen: Math.min(read, rate.seen),
+			isShort: clock.now() - waitedAt(service) < shortMs,
+		};
+	}
+
 	#mayOrder(now: number): boolean {
 		const {fleet, watch} = this.#parts;
 		if (!fleet.isFirst()) {
@@ -107,13 +149,18 @@
 	}
 
 	async #order({endpoint, stage, reason}: StageChange): Promise<void> {
-		const {context: {log, self}, ownCalls, watch, endpoints, fleet} = this.#parts;
+		const {context: {clock, log, self}, ownCalls, watch, endpoints, fleet} = this.#parts;
 		const fence = watch.revision;
 		// It turns requests away until it has changed its part
 		const pause = {endpoint: endpoint.id, leftMs: changeMs};
-		endpoints.hearPause(pause, 'order');
+		endpoints.hearPause(pause, ownOrder);
 		fleet.tellPause(pause);
+		this.#underWay.set(endpoint.id, {stage, at: clock.now()});
 		const outcome = await ownCalls.orderStage(endpoint, stage, self.host, fence);
+		if (!takenOutcomes.has(outcome)) {
+			this.#underWay.delete(endpoint.id);
+		}
+
 		log('stageOrdered', {
 			endpoint: endpoint.id, from: endpoint.stage, stage, fence, reason, outcome,
 		});
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -61,6 +61,11 @@
 	windowMs: milliseconds.default(10_000),
 });
 
+/** Mechanisms that an experiment can switch off, to measure what each is worth; all are on elsewhere. */
+export const mechanism = z.enum([
+	'reservations', 'readingApart', 'earlyRefusal', 'secondTries', 'resumedTurns', 'comeBackTimes', 'peerUse', 'peerReadings', 'peerWaiting', 'pauses', 'pauseNews', 'errorRetries', 'slowCopies', 'continuing', 'stageOrders', 'nearHalls',
+]);
+
 /** Settings of one relay process. */
 export const relaySettings = z.strictObject({
 	host: z.string().min(1),
@@ -73,13 +78,17 @@
 	/** Where counters go besides as StatsD datagrams. */
 	statsd: address.optional(),
 	/** Share of a model's replicas that read prompts, until requests say otherwise: on both users' sheets a request takes 0.1 s of a prefill replica and 0.36 s of a decode replica's memory. */
-	prefillShare: z.number().min(0.05).max(0.95).default(0.25),
+	prefillShare: z.number().min(0.05).max(0.95).default(0.2),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 	timing: timing.prefault({}),
 	limits: limits.prefault({}),
 	retry: retry.prefault({}),
+	/** For measurements alone (scripts/ablate.mjs): what is switched off. */
+	experiments: z.strictObject({off: z.array(mechanism).default([])}).prefault({}),
 });
 
+/** A mechanism by its name in experiments. */
+export type Mechanism = z.infer<typeof mechanism>;
 /** Checked settings. */
 export type RelaySettings = z.infer<typeof relaySettings>;
 /** Settings as written, before defaults. */
