--- /dev/null
+++ b/packages/host/src/peer/peer-links.test.ts
@@ -0,0 +1,80 @@
+/** Catalogue: how hosts find each other when an address does not answer. */
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import {describe, it} from 'node:test';
+import {systemClock} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {systemRandom} from '@gatehead/policy/utils/random';
+import {peerBatch} from '@gatehead/schema/peer-message';
+import {expect} from 'earl';
+import {HybridClock} from '../utils/hybrid-clock.js';
+import {Timeline} from '../utils/timeline.js';
+import {type PeerContext} from './peer-context.js';
+import {PeerLinks} from './peer-links.js';
+
+function makeContext(host: string, peer: string): PeerContext {
+	const hybrid = new HybridClock(host, () => 0);
+	return {
+		settings: {
+			listen: {peer}, timing: {tickMs: 700, suspectMs: 2100, lateWakeMs: 1000}, limits: {peerMessageBytes: 1_000_000}, keys: {},
+		},
+		clock: systemClock,
+		random: systemRandom,
+		log: ignore,
+		counters: {count: ignore},
+		hybrid,
+		timeline: new Timeline(host, hybrid, 10),
+		self: {host, incarnation: 1},
+	};
+}
+
+function makeLinks(host: string, peer: string, onMessage: (from: string) => void) {
+	return new PeerLinks(makeContext(host, peer), peerBatch, {
+		onMessage({host: from}) {
+			onMessage(from);
+		},
+		onLost: ignore,
+		ownRecord: () => ({
+			host, hall: 'h', region: 'r', incarnation: 1, counter: 0, state: 'alive', callerAddress: peer, peerAddress: peer, adminAddress: peer, load: 0,
+		}),
+		addressOf: () => undefined,
+	});
+}
+
+/** A link that never comes must not hold up the whole run, in milliseconds. */
+const hangMs = 60_000;
+
+describe('peer links', () => {
+	it('who is greeted again while the first connection hangs gets a new one', {timeout: hangMs}, async () => {
+		const accepted: Socket[] = [];
+		const silent = createServer(socket => {
+			accepted.push(socket);
+		}).listen(0, '127.0.0.1');
+		await once(silent, 'listening');
+		const bound = silent.address();
+		const address = `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`;
+		const caller = makeLinks('caller', '127.0.0.1:0', ignore);
+		caller.greet(address);
+		await once(silent, 'connection');
+		// Takes no more connections; the one that it has stays open and silent
+		silent.close();
+
+		const heard: string[] = [];
+		const met = new Promise<void>(resolve => {
+			const late = makeLinks('late', address, from => {
+				heard.push(from);
+				late.close();
+				resolve();
+			});
+			void late.listen().then(() => {
+				caller.greet(address);
+			});
+		});
+		await met;
+		expect(heard).toEqual(['caller']);
+		caller.close();
+		for (const socket of accepted) {
+			socket.destroy();
+		}
+	});
+});
--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {readFileSync} from 'node:fs';
 import {
-	type Client, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
+	type Client, connectivityState, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {pack, unpack} from 'msgpackr';
 import {splitAddress, joinAddress} from '@gatehead/schema/address';
@@ -136,6 +136,7 @@
 
 	/** Speaks to an address before the host's name is known, as to the seeds of the settings. */
 	greet(address: string): void {
+		this.#forgetHanging(address);
 		const link = this.#open('', address);
 		this.#flush(link);
 	}
@@ -154,6 +155,15 @@
 		this.#server.forceShutdown();
 	}
 
+	/** A host without power says nothing to a first packet, which is sent again only after a second: whoever is greeted again gets a new connection. */
+	#forgetHanging(address: string): void {
+		const client = this.#clients.get(address);
+		if (client?.getChannel().getConnectivityState(false) === connectivityState.CONNECTING) {
+			client.close();
+			this.#clients.delete(address);
+		}
+	}
+
 	#flush(link: Link<Message>): void {
 		link.isFlushing = false;
 		const batch = link.pending;
