--- a/packages/policy/src/relay/wait-line.test.ts
+++ b/packages/policy/src/relay/admission-queue.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {seedRandom} from '../utils/random.js';
-import {WaitLine, type Waiter} from './wait-line.js';
+import {AdmissionQueue, type Waiter} from './admission-queue.js';
 
 function waiter(arrivedAt: number, stage: Waiter['stage'] = 'first'): Waiter {
 	return {
@@ -70,7 +70,7 @@
 describe('wait line', () => {
 	for (const {name, waiters, now, elsewhere, releasesPerS, refused} of cases) {
 		it(name, () => {
-			const line = new WaitLine();
+			const line = new AdmissionQueue();
 			for (const each of waiters) {
 				line.add(each);
 			}
@@ -80,7 +80,7 @@
 	}
 
 	it('those that can be in time go before the late ones', () => {
-		const line = new WaitLine();
+		const line = new AdmissionQueue();
 		line.add(waiter(0));
 		line.add(waiter(500));
 		expect(line.order(650, startMs).map(({arrivedAt}) => arrivedAt)).toEqual([500, 0]);
@@ -88,7 +88,7 @@
 	});
 
 	it('who lost a stream takes its turn among the first tries', () => {
-		const line = new WaitLine();
+		const line = new AdmissionQueue();
 		line.add(waiter(20));
 		line.add(waiter(10, 'resumed'));
 		line.add(waiter(0, 'returned'));
@@ -97,7 +97,7 @@
 	});
 
 	it('streams that continue go first, returned callers last', () => {
-		const line = new WaitLine();
+		const line = new AdmissionQueue();
 		line.add(waiter(0, 'returned'));
 		line.add(waiter(10));
 		line.add(waiter(20, 'started'));
@@ -107,13 +107,13 @@
 
 	for (const {name: which, stage, now, elsewhere, doesYield} of yields) {
 		it(`${which} ${doesYield ? 'leaves' : 'takes'} its turn`, () => {
-			expect(new WaitLine().doesYield(waiter(0, stage), now, {elsewhere, releasesPerS: 10, startMs})).toEqual(doesYield);
+			expect(new AdmissionQueue().doesYield(waiter(0, stage), now, {elsewhere, releasesPerS: 10, startMs})).toEqual(doesYield);
 		});
 	}
 
 	it('callers come back spread, later the longer the line is', () => {
 		const random = seedRandom(5);
-		const line = new WaitLine();
+		const line = new AdmissionQueue();
 		const middle = {next: () => 0.5};
 		expect(line.comeBackMs({elsewhere: 0, releasesPerS: 10, startMs}, middle)).toEqual(3000);
 		expect(line.comeBackMs({elsewhere: 4, releasesPerS: 10, startMs}, middle)).toEqual(3400);
--- a/packages/policy/src/relay/wait-line.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -52,7 +52,7 @@
 };
 
 /** The line of one service at one host. */
-export class WaitLine<Each extends Waiter> {
+export class AdmissionQueue<Each extends Waiter> {
 	readonly #waiters = new Set<Each>();
 
 	/** Requests in line. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -20,7 +20,7 @@
 import {type JobEnd} from './work/job-end.js';
 import {type WorkParts} from './work/parts.js';
 import {workPlain} from './work/plain.js';
-import {ReservationDesk} from './work/reservation-desk.js';
+import {Admission} from './work/admission.js';
 import {StageOrders} from './work/stage-orders.js';
 
 /** Rest of the grace that is kept for ending, in milliseconds. */
@@ -50,7 +50,7 @@
 				this.fleet.tellPause(pause);
 			},
 			onRoom: service => {
-				this.#work.desk.roomAt(service);
+				this.#work.admission.roomAt(service);
 			},
 			subset: () => this.fleet.load.subset,
 		});
@@ -72,7 +72,7 @@
 		const ownCalls = new OwnCalls(context, this.endpoints);
 		const budgets = new Budgets(context, () => this.fleet.countHosts());
 		this.#orders = new StageOrders({
-			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, rateOf: service => this.#work.desk.rateOf(service), waitedAt: service => this.#work.desk.waitedAt(service),
+			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, rateOf: service => this.#work.admission.rateOf(service), waitedAt: service => this.#work.admission.waitedAt(service),
 		});
 		const news = this.fleet.load;
 		this.#work = {
@@ -80,7 +80,7 @@
 			endpoints: this.endpoints,
 			sender: new Sender(context, this.endpoints),
 			budgets,
-			desk: new ReservationDesk({
+			admission: new Admission({
 				context, endpoints: this.endpoints, calls: ownCalls, news,
 			}),
 			ownCalls,
@@ -117,7 +117,7 @@
 			directoryRevision: this.#watch.revision,
 			isDirectoryDown: this.#watch.isDown,
 			open: this.#front.open,
-			waiting: this.#work.desk.waiting,
+			waiting: this.#work.admission.waiting,
 			retryLeft: Math.floor(this.#work.budgets.leastLeft()),
 			subset: this.fleet.load.subset,
 			members: this.fleet.membership.members.list().map(({host, state}) => ({host, state})),
@@ -168,7 +168,7 @@
 		this.#watch.stop();
 		this.#orders.stop();
 		this.fleet.close();
-		this.#work.desk.close();
+		this.#work.admission.close();
 		this.#side.close();
 		await this.#front.close();
 		this.endpoints.close();
@@ -198,7 +198,7 @@
 
 	#refresh(): void {
 		const {metrics} = this.context;
-		metrics.set('waiting', this.#work.desk.waiting);
+		metrics.set('waiting', this.#work.admission.waiting);
 		metrics.set('hosts', this.fleet.countHosts());
 		metrics.set('retryLeft', this.#work.budgets.leastLeft());
 		const {table} = this.routing;
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -68,8 +68,8 @@
 	async work(): Promise<JobEnd> {
 		for (;;) {
 			this.#rounds += 1;
-			const {desk, context: {clock}} = this.#parts;
-			const answer = await desk.reserve({
+			const {admission, context: {clock}} = this.#parts;
+			const answer = await admission.reserve({
 				job: this.#job, tokens: this.#countTokens(), lifeMs: this.#engine.reservationMs, bearable: this.#engine.capacityTokens, avoid: this.#avoid, isStarted: this.#job.reply.hasBegun,
 			});
 			if (answer.kind === 'refused') {
@@ -210,7 +210,7 @@
 
 	/** Passes events on as they come. */
 	async #stream(sent: Extract<Sent, {kind: 'answer'}>, endpoint: Endpoint): Promise<Decoded> {
-		const {desk, context: {clock, metrics}} = this.#parts;
+		const {admission, context: {clock, metrics}} = this.#parts;
 		const {response} = sent;
 		// A silent stream that may not continue elsewhere is its replica's business
 		const watch = new SilenceWatch(response, clock, this.#job.route.isResumable ? silentMs : undefined);
@@ -228,7 +228,7 @@
 			}
 
 			sent.end('good');
-			desk.noteHold(this.#job.service.name, this.#countTokens(), clock.now() - this.#grantedAt);
+			admission.noteHold(this.#job.service.name, this.#countTokens(), clock.now() - this.#grantedAt);
 			this.#events.finish(response);
 			const {longestGapMs} = this.#events;
 			metrics.time('gap', longestGapMs);
@@ -248,7 +248,7 @@
 
 		this.#isStartNoted = true;
 		if (this.#rounds === 1) {
-			this.#parts.desk.noteStart(this.#job.service.name, this.#parts.context.clock.now() - this.#grantedAt);
+			this.#parts.admission.noteStart(this.#job.service.name, this.#parts.context.clock.now() - this.#grantedAt);
 		}
 	}
 
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -5,7 +5,7 @@
 import {type OwnCalls} from '../upstream/own-calls.js';
 import {type Sender} from '../upstream/sender.js';
 import {type Budgets} from './budgets.js';
-import {type ReservationDesk} from './reservation-desk.js';
+import {type Admission} from './admission.js';
 import {type StageOrders} from './stage-orders.js';
 
 /** What work is done with. */
@@ -14,7 +14,7 @@
 	readonly endpoints: Endpoints;
 	readonly sender: Sender;
 	readonly budgets: Budgets;
-	readonly desk: ReservationDesk;
+	readonly admission: Admission;
 	readonly ownCalls: OwnCalls;
 	readonly orders: StageOrders;
 	readonly news: LoadNews;
