Orders under way and the limit of a prompt's reading stand apart, each with its table of cases

Cause: both decisions stood inside tasks that own sockets, where no test reached them. The experiment's script shared the installed packages with its copies, whose build took the newer lock file for a reason to install, and emptied them. Change: policy/relay/orders-under-way.ts and reading-limit.ts; copies keep the times of their files; a caller's own words for what only the relay sets, and wrong names of mechanisms, have cases.

--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -4,6 +4,7 @@
  * nobody has read is read by the decode replica itself.
  */
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
+import {mostReadingMs} from '@gatehead/policy/relay/reading-limit';
 import {type Reading, type ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
@@ -15,12 +16,6 @@
 const mostPrefills = 3;
 /** Time that a prefill may take before its replica counts as silent, in milliseconds: a prompt that is read twice costs nearly as much as its answer is worth, so a queue is waited for. */
 const prefillMs = 2500;
-/** Share of the target that a prompt's reading may be expected to take; beyond it the decode replica reads it between the tokens of others, unless that would take longer still. */
-const mostReadingShare = 0.5;
-/** The same for a request that is late in any case: a decode replica that reads holds up some ten streams that are not. */
-const mostLateReadingShare = 1;
-/** Time from a prompt's result to the first event, in milliseconds: the move of the memory and the first steps. */
-const firstStepsMs = 100;
 /** Longest answer of a prefill. */
 const mostBytes = 1_048_576;
 const okStatus = 200;
@@ -72,7 +67,9 @@
 			const queue = endpoints.queueOf(endpoint.id);
 			const startedAt = clock.now();
 			const expectedMs = queue.expect(tokens, startedAt);
-			if (expectedMs > this.#mostReadingMs(startedAt) && endpoints.queueOf(decode.id).expect(tokens, startedAt) < expectedMs) {
+			const {arrivedAt, isSecondTry, route: {targetMs}} = job;
+			const mostMs = mostReadingMs({targetMs, leftMs: arrivedAt + targetMs - startedAt, isReturned: isSecondTry});
+			if (expectedMs > mostMs && endpoints.queueOf(decode.id).expect(tokens, startedAt) < expectedMs) {
 				log('prefilled', {
 					request: job.id, endpoint: endpoint.id, outcome: 'left to the decode replica', expectedMs: Math.round(expectedMs),
 				});
@@ -136,13 +133,6 @@
 		}
 	}
 
-	/** Longest time for which a prefill replica is waited for, in milliseconds. */
-	#mostReadingMs(now: number): number {
-		const {arrivedAt, isSecondTry, route: {targetMs}} = this.#job;
-		const leftMs = arrivedAt + targetMs - firstStepsMs - now;
-		return isSecondTry || leftMs <= 0 ? mostLateReadingShare * targetMs : Math.min(mostReadingShare * targetMs, leftMs);
-	}
-
 	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
 	#candidates(hall: string): Endpoint[] {
 		const {endpoints, context: {clock}} = this.#parts;
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -7,6 +7,7 @@
  * which outlives every process; a host that takes over waits for a higher one.
  */
 import {type ReleaseRate} from '@gatehead/policy/relay/release-rate';
+import {OrdersUnderWay} from '@gatehead/policy/relay/orders-under-way';
 import {StageSplit, type Paces, type StageChange} from '@gatehead/policy/relay/stage-split';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -26,8 +27,6 @@
 const changeMs = 8000;
 /** Time between two orders for one service, in milliseconds: a change of part takes about six seconds. */
 const spacingMs = 7000;
-/** Longest time until a replica that took an order publishes its new part, in milliseconds: its streams end first, the longest after ten seconds. */
-const mostChangeMs = 20_000;
 /** Time after a request waited for memory during which no decode replica is taken away, in milliseconds: about the pause between two bursts. */
 const shortMs = 6000;
 /** Least time that a prompt's reading is supposed to take, in milliseconds. */
@@ -55,8 +54,7 @@
 	readonly #parts: StageOrderParts;
 	readonly #splits = new Map<string, StageSplit>();
 	readonly #orderedAt = new Map<string, number>();
-	/** Orders by replica, until its new part is published. */
-	readonly #underWay = new Map<string, {readonly stage: StageChange['stage']; readonly at: number}>();
+	readonly #underWay = new OrdersUnderWay();
 	/** Directory revision when this host became the one that orders; undefined: it is not. */
 	#ledSince: number | undefined;
 	#timer: Timer | undefined;
@@ -102,27 +100,14 @@
 			}
 
 			const isUsable = ({id}: Endpoint) => endpoints.health.isUsable(id, clock.now());
-			for (const change of this.splitOf(name).choose(this.#listReplicas(name), this.#pacesOf(name), isUsable)) {
+			const replicas = this.#underWay.apply(endpoints.book.listReady(name), clock.now());
+			for (const change of this.splitOf(name).choose(replicas, this.#pacesOf(name), isUsable)) {
 				this.#orderedAt.set(name, clock.now());
 				void this.#order(change);
 			}
 		}
 	}
 
-	/** Ready replicas, those that were ordered to change their part already in the new one. */
-	#listReplicas(service: string): Endpoint[] {
-		const {context: {clock}, endpoints} = this.#parts;
-		return endpoints.book.listReady(service).map(each => {
-			const order = this.#underWay.get(each.id);
-			if (order === undefined || each.stage === order.stage || clock.now() - order.at > mostChangeMs) {
-				this.#underWay.delete(each.id);
-				return each;
-			}
-
-			return {...each, stage: order.stage};
-		});
-	}
-
 	#pacesOf(service: string): Paces {
 		const {readMs, read} = this.splitOf(service);
 		const {rateOf, waitedAt, context: {clock}} = this.#parts;
@@ -155,10 +140,10 @@
 		const pause = {endpoint: endpoint.id, leftMs: changeMs};
 		endpoints.hearPause(pause, ownOrder);
 		fleet.tellPause(pause);
-		this.#underWay.set(endpoint.id, {stage, at: clock.now()});
+		this.#underWay.begin(endpoint.id, stage, clock.now());
 		const outcome = await ownCalls.orderStage(endpoint, stage, self.host, fence);
 		if (!takenOutcomes.has(outcome)) {
-			this.#underWay.delete(endpoint.id);
+			this.#underWay.fail(endpoint.id);
 		}
 
 		log('stageOrdered', {
--- a/scripts/ablate.mjs
+++ b/scripts/ablate.mjs
@@ -6,7 +6,7 @@
  */
 import {execFile} from 'node:child_process';
 import {
-	cpSync, existsSync, mkdirSync, readFileSync, readdirSync, symlinkSync, writeFileSync,
+	cpSync, existsSync, mkdirSync, readFileSync, readdirSync, statSync, symlinkSync, writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -31,7 +31,7 @@
 	const copy = path.join(values.folder, mechanism);
 	if (!existsSync(copy)) {
 		mkdirSync(copy, {recursive: true});
-		cpSync('.', copy, {recursive: true, filter: source => !leftOut.has(path.basename(source))});
+		cpSync('.', copy, {recursive: true, preserveTimestamps: true, filter: source => !leftOut.has(path.basename(source))});
 		symlinkSync(path.resolve('node_modules'), path.join(copy, 'node_modules'));
 		if (mechanism !== 'none') {
 			const deploy = path.join(copy, 'deploy/system.toml');
@@ -72,10 +72,16 @@
 	}
 }
 
+/** Copies share the installed packages, so their build must find nothing to install. */
+function isInstalled() {
+	const installed = 'node_modules/.package-lock.json';
+	return existsSync(installed) && statSync(installed).mtimeMs > statSync('package-lock.json').mtimeMs;
+}
+
 if (site === undefined || values.folder === undefined) {
 	console.error('Say where the bench, the site file and a folder for copies are: node scripts/ablate.mjs BENCH SITE --folder DIR');
 	process.exitCode = 2;
-} else {
+} else if (isInstalled()) {
 	const mechanisms = ['none', ...values.off.split(',').filter(name => name !== '')];
 	const plays = mechanisms.flatMap(mechanism => values.seeds.split(',').flatMap(seed => values.days.split(',').map(day => ({mechanism, seed, day}))));
 	const results = new Map(mechanisms.map(mechanism => [mechanism, new Map()]));
@@ -104,4 +110,7 @@
 		console.log(`| ${mechanism} | ${rows.length} | ${figures.map(figure => figure.toFixed(3)).join(' | ')} | ${broken} |`);
 		bringJournal(copies.get(mechanism));
 	}
+} else {
+	console.error('Install the packages first: npm run prepare:workspace');
+	process.exitCode = 2;
 }
