The fleet and its news of the directory no longer import each other

Cause: a type that both need stood in one of them. Change: fleet-parts.ts holds it; a comment no longer names the users' sheets.

--- a/packages/policy/src/relay/subsets.ts
+++ b/packages/policy/src/relay/subsets.ts
@@ -8,7 +8,7 @@
 import {hashText} from '@gatehead/schema/hash-text';
 import {rank} from '../core/rendezvous.js';
 
-/** Hosts of a subset, at least; with twice as many it is split: the small deployments of the users' sheets have 8 and 9, and 20 told each other of every request at about 15 messages a second a host, worked out from 0.7 requests (docs/CAPACITY.md). */
+/** Hosts of a subset, at least; with twice as many it is split. Below, all hosts tell each other of every request; 20 told each other of every request at about 15 messages a second a host, worked out from 0.7 requests (docs/CAPACITY.md). */
 const leastHosts = 16;
 /** Endpoints of one kind that each subset must have on average, so that one can fail; with fewer all hosts share them. */
 const leastEndpoints = 2;
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -5,7 +5,7 @@
  */
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
-import {type FleetParts} from './fleet.js';
+import {type FleetParts} from './fleet-parts.js';
 
 /** Time that the own watch gets to bring what a peer knows already, in milliseconds: a hundred times the way to the directory, and a fifth of the shortest bound on leaving endpoints. */
 const ownNewsMs = 400;
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -12,10 +12,8 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {relayBatch, type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
 import {type RelayContext} from '../core/context.js';
-import {type DirectoryWatch} from '../core/directory-watch.js';
-import {type RoutingState} from '../core/routing-state.js';
-import {type Endpoints} from '../upstream/endpoints.js';
 import {DirectoryNews} from './directory-news.js';
+import {type FleetParts} from './fleet-parts.js';
 import {LoadNews} from './load-news.js';
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds. */
@@ -33,15 +31,6 @@
 /** Hosts of a hall that read it in larger fleets. */
 const watchersPerHall = 2;
 
-/** What the fleet works with. */
-export type FleetParts = {
-	readonly context: RelayContext;
-	readonly endpoints: Endpoints;
-	readonly routing: RoutingState;
-	readonly watch: () => DirectoryWatch;
-	readonly measureLoad: () => number;
-};
-
 type Hearer<Kind extends RelayMessage['kind']> = (from: Owner, message: RelayMessageOf<Kind>) => void;
 type Hearers = {readonly [Kind in RelayMessage['kind']]: Hearer<Kind>};
 
