--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -8,7 +8,7 @@
 
 /** How long after the directory's return a vanished entry may still come back, in milliseconds: the directory's own bound, and a heartbeat's jitter. */
 export const returnGraceMs = 2200;
-/** How long entries are kept that vanish together while the directory seems to answer, in milliseconds: below the shortest bound on new work for leaving endpoints (2,000 on the users' sheets), by two sweeps. */
+/** How long entries are kept that vanish together while the directory seems to answer, in milliseconds. An outage that nobody noticed brings its entries back within the grace above; a real departure of many must be believed before new work to leaving endpoints counts as a fault, two seconds after it, with two sweeps to spare. */
 export const massGraceMs = 1500;
 /** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice. */
 const massShare = 0.5;
--- a/packages/policy/src/relay/second-tries.ts
+++ b/packages/policy/src/relay/second-tries.ts
@@ -5,9 +5,11 @@
  */
 
 /**
- * Patience by which first tries of one route differ, in milliseconds: on the
- * users' bench 7 to 24 ms of it are spent on a new connection, on one to
- * another hall most; a refused caller comes back after 200 ms and more.
+ * Patience by which first tries of one route differ, in milliseconds: a new
+ * connection costs a caller some round trips of it, 24 ms at most where it
+ * was observed, and whoever was refused comes back after the time that the
+ * refusal names, at least several times as much. First tries that are taken
+ * for second ones are not refused when they can no longer be in time.
  */
 const connectAllowanceMs = 100;
 /** Requests of a route after which the longest patience among those before them is forgotten, so that one unusually patient caller does not turn all others into second tries for good. */
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -30,7 +30,7 @@
 	connectMs: milliseconds.default(250),
 	/** Time for which callers may keep a lookup's answer. */
 	lookupTtlMs: milliseconds.default(1000),
-	/** Most that callers stretch that time: the users' pages say three times. */
+	/** Most that callers stretch that time, as a multiple: some keep an answer three times as long. A planned stop accepts requests for that long. */
 	lookupStretch: z.number().min(1).default(3),
 	/** Time from the order to stop until the process is ended. */
 	graceMs: milliseconds.default(8000),
