Each module of the product says whether safety rests on it

Cause: the adapter, the operators' commands and some small modules did not; the adapter's reading of 'not run' carries a promise. Change: first comments alone. Conclusion: what is left without the word are stand-ins, experiments and tests, on which nothing of a deployment rests.

--- a/packages/control/src/commands/bundle.ts
+++ b/packages/control/src/commands/bundle.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl bundle …`: check, sign, compare, show, and wait until a version is in force everywhere. Nothing here writes to the platform. */
+/** `gateheadctl bundle …`: check, sign, compare, show, and wait until a version is in force everywhere. Nothing here writes to the platform. Safety: a bundle is checked as hosts check it, before it is signed. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {writeFileSync} from 'node:fs';
 import {bundleStatus, type BundleStatus} from '@gatehead/schema/admin-protocol';
--- a/packages/control/src/commands/explain.ts
+++ b/packages/control/src/commands/explain.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl explain CODE`: one row of the table of result codes, by number or name. */
+/** `gateheadctl explain CODE`: one row of the table of result codes, by number or name. Neither safety nor efficiency rests here. */
 import {codeNames, codes, findCode} from '@gatehead/schema/codes';
 import {fail} from '@gatehead/schema/failure';
 import {exitCodes, print, printJson} from '../utils/output.js';
--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl status` for relays: all side by side, what they disagree about first. */
+/** `gateheadctl status` for relays: all side by side, what they disagree about first. Neither safety nor efficiency rests here. */
 import {relayStatus, type RelayStatus} from '@gatehead/schema/relay-status';
 import {type FleetFile} from '../utils/files.js';
 import {askFleet, type Answered} from '../utils/fleet.js';
--- a/packages/control/src/commands/status.ts
+++ b/packages/control/src/commands/status.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl status` and `usage`: all hosts side by side, what they disagree about first. */
+/** `gateheadctl status` and `usage`: all hosts side by side, what they disagree about first. Neither safety nor efficiency rests here. */
 import process from 'node:process';
 import {
 	hostStatus, usageRows, type HostStatus, type UsageRows,
--- a/packages/control/src/commands/timeline-page.ts
+++ b/packages/control/src/commands/timeline-page.ts
@@ -1,4 +1,4 @@
-/** Draws events as one self-contained page: a lane for each host and endpoint, arrows from a host to the endpoint it acts on, zoom. */
+/** Draws events as one self-contained page: a lane for each host and endpoint, arrows from a host to the endpoint it acts on, zoom. Neither safety nor efficiency rests here. */
 import {type Event, type EventKind} from '@gatehead/schema/event';
 
 const laneHeight = 46;
--- a/packages/control/src/commands/timeline.ts
+++ b/packages/control/src/commands/timeline.ts
@@ -1,4 +1,4 @@
-/** `gateheadctl timeline`: events of all hosts in one causal order, as text, JSON lines or a page. */
+/** `gateheadctl timeline`: events of all hosts in one causal order, as text, JSON lines or a page. Neither safety nor efficiency rests here. */
 import {setTimeout as pause} from 'node:timers/promises';
 import process from 'node:process';
 import {timelineAnswer, type TimelineAnswer} from '@gatehead/schema/admin-protocol';
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** The `gateheadctl` binary, for operators. It reads; it has no verb that steers live traffic. */
+/** The `gateheadctl` binary, for operators. It reads; it has no verb that steers live traffic. Neither safety nor efficiency rests here. */
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
--- a/packages/control/src/utils/files.ts
+++ b/packages/control/src/utils/files.ts
@@ -1,4 +1,4 @@
-/** Files that operators hand over: bundles, settings, keys, the list of hosts. */
+/** Files that operators hand over: bundles, settings, keys, the list of hosts. Safety: a private key is written for its owner alone. */
 import {
 	createPrivateKey, createPublicKey, generateKeyPairSync, type KeyObject,
 } from 'node:crypto';
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -1,4 +1,4 @@
-/** Asks every host of a fleet the same question; a host that does not answer is named, never left out. */
+/** Asks every host of a fleet the same question; a host that does not answer is named, never left out. Neither safety nor efficiency rests here. */
 import {readFileSync} from 'node:fs';
 import {request as httpRequest, type IncomingMessage, type RequestOptions} from 'node:http';
 import {request as httpsRequest} from 'node:https';
--- a/packages/control/src/utils/output.ts
+++ b/packages/control/src/utils/output.ts
@@ -1,4 +1,4 @@
-/** What commands print: tables for people, JSON for programs, and numbered errors that say what to do next. */
+/** What commands print: tables for people, JSON for programs, and numbered errors that say what to do next. Neither safety nor efficiency rests here. */
 import process from 'node:process';
 import {codes} from '@gatehead/schema/codes';
 import {type Failure} from '@gatehead/schema/failure';
--- a/packages/host/src/admin/admin-front.ts
+++ b/packages/host/src/admin/admin-front.ts
@@ -1,6 +1,6 @@
 /**
  * The administration interface: reads only, for operators who prove who they
- * are, by token or by mutual TLS. Nothing here changes anything.
+ * are, by token or by mutual TLS. Safety: nothing here changes anything.
  */
 import {timingSafeEqual} from 'node:crypto';
 import {Buffer} from 'node:buffer';
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,4 +1,4 @@
-/** One host process put together: its tasks, how they hear of each other, started and stopped in order. */
+/** One host process put together: its tasks, how they hear of each other, started and stopped in order. Safety rests on the tasks, not here. */
 import {type Agent} from 'node:http';
 import {HostRings} from '@gatehead/policy/core/lookup';
 import {Ledger} from '@gatehead/policy/core/ledger';
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-/** The `gatehead` binary: one process on an entry host. */
+/** The `gatehead` binary: one process on an entry host. Neither safety nor efficiency rests here. */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import yargs from 'yargs';
--- a/packages/host/src/utils/counters.ts
+++ b/packages/host/src/utils/counters.ts
@@ -1,4 +1,4 @@
-/** Counters and timings of one process: kept for the administration interface and sent as StatsD datagrams by hot-shots. */
+/** Counters and timings of one process: kept for the administration interface and sent as StatsD datagrams by hot-shots. Neither safety nor efficiency rests here. */
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {StatsD} from 'hot-shots';
 import {splitAddress} from '@gatehead/schema/address';
--- a/packages/host/src/utils/hybrid-clock.ts
+++ b/packages/host/src/utils/hybrid-clock.ts
@@ -1,4 +1,4 @@
-/** A hybrid logical clock: wall time that never goes back and passes any stamp received, so that a cause sorts before its effect. */
+/** A hybrid logical clock: wall time that never goes back and passes any stamp received, so that a cause sorts before its effect. Neither safety nor efficiency rests here: no time-out follows it. */
 
 const wallDigits = 14;
 const logicalDigits = 6;
--- a/packages/host/src/utils/listen.ts
+++ b/packages/host/src/utils/listen.ts
@@ -1,4 +1,4 @@
-/** Binds an HTTP server to one of the process's own addresses. */
+/** Binds an HTTP server to one of the process's own addresses. Neither safety nor efficiency rests here. */
 import {type Server} from 'node:http';
 import {joinAddress, splitAddress} from '@gatehead/schema/address';
 import {Failure} from '@gatehead/schema/failure';
--- a/packages/host/src/utils/log.ts
+++ b/packages/host/src/utils/log.ts
@@ -1,4 +1,4 @@
-/** JSON lines by winston: a line only for a change of state, each with its numbered code. Never a token or a prompt. */
+/** JSON lines by winston: a line only for a change of state, each with its numbered code. Never a token or a prompt. Neither safety nor efficiency rests here. */
 import process from 'node:process';
 import {createLogger, format, transports} from 'winston';
 import {codes, type Code} from '@gatehead/schema/codes';
--- a/packages/host/src/utils/timeline.ts
+++ b/packages/host/src/utils/timeline.ts
@@ -1,4 +1,4 @@
-/** The process's bounded ring of typed events. Holds no token and no prompt. */
+/** The process's bounded ring of typed events. Holds no token and no prompt. Neither safety nor efficiency rests here. */
 import {type Event} from '@gatehead/schema/event';
 import {type HybridClock} from './hybrid-clock.js';
 
--- a/packages/policy/src/utils/clock.ts
+++ b/packages/policy/src/utils/clock.ts
@@ -1,4 +1,4 @@
-/** Time as the decisions see it: monotonic milliseconds, handed in, so that tests own it. */
+/** Time as the decisions see it: monotonic milliseconds, handed in, so that tests own it. Safety: time-outs follow this clock alone, never the time of day, which jumps. */
 
 /** A timer that can be stopped. */
 export type Timer = {
--- a/packages/policy/src/utils/random.ts
+++ b/packages/policy/src/utils/random.ts
@@ -1,4 +1,4 @@
-/** Seeded random numbers from a library, so that every measurement can be repeated. */
+/** Seeded random numbers from a library, so that every measurement can be repeated. Efficiency only: no promise rests on chance. */
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 const twoTo32 = 4_294_967_296;
--- a/packages/schema/src/address.ts
+++ b/packages/schema/src/address.ts
@@ -1,4 +1,4 @@
-/** Addresses by IP number, as every process learns them from settings, host list or bundle. */
+/** Addresses by IP number, as every process learns them from settings, host list or bundle. Neither safety nor efficiency rests here. */
 import {isIP} from 'node:net';
 import {z} from 'zod';
 
--- a/packages/schema/src/admin-protocol.ts
+++ b/packages/schema/src/admin-protocol.ts
@@ -1,4 +1,4 @@
-/** What the administration interface answers, as `gateheadctl` reads it. Reads only. */
+/** What the administration interface answers, as `gateheadctl` reads it. Reads only. Neither safety nor efficiency rests here. */
 import {z} from 'zod';
 import {event} from './event.js';
 import {memberState} from './peer-message.js';
--- a/packages/schema/src/caller-protocol.ts
+++ b/packages/schema/src/caller-protocol.ts
@@ -1,4 +1,4 @@
-/** What callers send and get: the convention that their clients already speak, with a numbered code and `ran` in every error. */
+/** What callers send and get: the convention that their clients already speak, with a numbered code and `ran` in every error. Safety: `ran` tells a caller whether it may repeat a call. */
 import {z} from 'zod';
 
 /** Paths towards callers. */
--- a/packages/schema/src/check.ts
+++ b/packages/schema/src/check.ts
@@ -1,4 +1,4 @@
-/** Checks outside data against a schema and names every fault at once: path, value found, what was expected. */
+/** Checks outside data against a schema and names every fault at once: path, value found, what was expected. Safety: what does not fit goes no further. */
 import {type z} from 'zod';
 import {type Code} from './codes.js';
 import {fail} from './failure.js';
--- a/packages/schema/src/hash-text.ts
+++ b/packages/schema/src/hash-text.ts
@@ -1,4 +1,4 @@
-/** A fast hash of text for spreading and hints, never for secrets or signatures. */
+/** A fast hash of text for spreading and hints, never for secrets or signatures. Efficiency only. */
 
 const offset = 2_166_136_261;
 const prime = 16_777_619;
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -1,4 +1,4 @@
-/** Settings of one `gatehead` process, in JSON. A process learns its addresses and its data hall here. */
+/** Settings of one `gatehead` process, in JSON. A process learns its addresses and its data hall here. Neither safety nor efficiency rests here. */
 import {z} from 'zod';
 import {address} from './address.js';
 
