The time for a prompt's token is read only where prompts differ in length

Cause: a line fitted to readings has no slope where all prompts have one length, or name none. After some hundred of them rounding stood for it: 0.001 ms a token in place of 0.035, so that queues of other hosts' prompts counted as nothing, and the split took readers for free. Ruled out: prompts imagined with a weight that stays: where lengths do differ the line then keeps a part of what was supposed. Change: below a spread of a tenth of the mean (or a block) the slope stays, and the rest of the time follows; a line never begins below zero. Figures: reading-queue.test.ts, two cases that fail on the code before (0.001 for 0.035), 11 cases pass.

--- a/packages/policy/src/relay/reading-queue.test.ts
+++ b/packages/policy/src/relay/reading-queue.test.ts
@@ -65,4 +65,22 @@
 			expect(Math.abs(queue.expect(3000, 400_000) - offsetMs - (3000 * tokenMs)) < 10).toEqual(true);
 		});
 	}
+
+	const lengths = [
+		{name: 'prompts of one length leave the time for a token as it was', tokens: 3000, count: 20_000},
+		{name: 'so do prompts without a length', tokens: 0, count: 20_000},
+	];
+	for (const {name, tokens, count} of lengths) {
+		it(name, () => {
+			const random = seedRandom(9);
+			const queue = new ReadingQueue();
+			const {tokenMs} = queue;
+			for (let at = 0; at < count * 1000; at += 1000) {
+				queue.finish(queue.begin(tokens, at), at + 250 + (20 * random.next()));
+			}
+
+			expect(queue.tokenMs).toEqual(tokenMs);
+			expect(Math.abs(queue.expect(tokens, (count + 1) * 1000) - 260) < 10).toEqual(true);
+		});
+	}
 });
--- a/packages/policy/src/relay/reading-queue.ts
+++ b/packages/policy/src/relay/reading-queue.ts
@@ -17,6 +17,10 @@
 /** What a reading still counts when the next one is noted: about forty make the line. */
 const memory = 0.975;
 const mostOffsetMs = 300;
+/** Least spread of the prompts' lengths from which a time for a token can be read, as a share of their mean: with less it is a matter of chance. */
+const leastSpread = 0.1;
+/** The same in tokens, for prompts that are all short or say no length: a block of memory. */
+const leastSpreadTokens = 16;
 /** Least time for a prompt's token, in milliseconds. */
 const leastTokenMs = 0.001;
 /** Queue up to which an observation says something about that time, in milliseconds. */
@@ -114,6 +118,8 @@
 	#took = 0;
 	#tokensSquared = 0;
 	#tokensTook = 0;
+	/** What each imagined prompt still counts. */
+	#imagined = imaginedWeight;
 
 	constructor(tokenMs: number) {
 		this.tokenMs = tokenMs;
@@ -129,6 +135,7 @@
 		this.#took *= memory;
 		this.#tokensSquared *= memory;
 		this.#tokensTook *= memory;
+		this.#imagined *= memory;
 		this.#add(tokens, tookMs, 1);
 		this.#fit();
 	}
@@ -144,11 +151,28 @@
 	#fit(): void {
 		const meanTokens = this.#tokens / this.#weight;
 		const meanTook = this.#took / this.#weight;
-		const spread = (this.#tokensSquared / this.#weight) - (meanTokens * meanTokens);
-		const together = (this.#tokensTook / this.#weight) - (meanTokens * meanTook);
-		const slope = spread > 0 ? together / spread : this.tokenMs;
-		// A line that falls, or that begins below zero, comes from chance
-		this.tokenMs = Math.min(meanTook / meanTokens, Math.max(leastTokenMs, slope));
+		if (this.#isSpread()) {
+			const spread = (this.#tokensSquared / this.#weight) - (meanTokens * meanTokens);
+			const together = (this.#tokensTook / this.#weight) - (meanTokens * meanTook);
+			// A line that falls comes from chance
+			this.tokenMs = Math.max(leastTokenMs, together / spread);
+		}
+
+		// So does one that begins below zero
+		this.tokenMs = meanTokens > 0 ? Math.min(this.tokenMs, meanTook / meanTokens) : this.tokenMs;
 		this.offsetMs = meanTook - (meanTokens * this.tokenMs);
 	}
+
+	/** Whether the prompts seen differ enough in length; the imagined ones do not count. */
+	#isSpread(): boolean {
+		let [weight, tokens, tokensSquared] = [this.#weight, this.#tokens, this.#tokensSquared];
+		for (const imagined of imaginedTokens) {
+			weight -= this.#imagined;
+			tokens -= this.#imagined * imagined;
+			tokensSquared -= this.#imagined * imagined * imagined;
+		}
+
+		const mean = tokens / weight;
+		return (tokensSquared / weight) - (mean * mean) > Math.max(leastSpreadTokens, leastSpread * mean) ** 2;
+	}
 }
