--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -127,14 +127,15 @@
 
 	/** Refuses who has no chance, and asks for the first of the others. */
 	async serve(): Promise<void> {
-		this.#refuseHopeless();
+		const outlook = this.#outlook();
+		this.#refuseHopeless(outlook);
 		let refused = 0;
 		for (const waiter of this.#queue.order(this.#parts.context.clock.now(), this.#start.valueMs)) {
 			if (refused >= askersPerRound) {
 				return;
 			}
 
-			if (this.#queue.has(waiter) && !this.#queue.doesYield(waiter, this.#parts.context.clock.now(), this.#outlook())) {
+			if (this.#queue.has(waiter) && !this.#queue.doesYield(waiter, this.#parts.context.clock.now(), outlook)) {
 				refused += await this.#ask(waiter) ? 0 : 1;
 			}
 		}
@@ -157,10 +158,9 @@
 		return true;
 	}
 
-	#refuseHopeless(): void {
+	#refuseHopeless(outlook: Outlook): void {
 		const {endpoints, context} = this.#parts;
 		const code = endpoints.countDecode(this.#service) > 0 ? 'overloaded' : 'endpointsDown';
-		const outlook = this.#outlook();
 		for (const {waiter, detail} of this.#queue.findHopeless(context.clock.now(), outlook)) {
 			const retryAfterMs = isOff(context, 'comeBackTimes') ? comeBackMs : this.#queue.comeBackMs(waiter, context.clock.now(), outlook, context.random);
 			waiter.resolve({
