Each time-out, limit and weight of the relay names its unit and where its figure comes from

Cause: some sixty constants of the relay and its policies had a meaning but no source; where none is known the comment now says 'chosen, not measured'. Change: comments alone.

--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -13,12 +13,13 @@
 const lateTargets = 3.2;
 /** Time for which a returned caller leaves its turn to timely ones of other hosts, as a multiple of the target: about half of what it may wait, so that it is served all the same. */
 const yieldTargets = 1.2;
-/** Part of the requests waiting at other hosts that are supposed to go first. */
+/** Part of the requests waiting at other hosts that are supposed to go first: all hosts ask for the same places, and the larger part waits longer already. Chosen, not measured. */
 const elsewhereShare = 0.7;
 /** Shortest and longest time after which a caller should come back, in milliseconds: a peak of load lasts several seconds, and who comes back within it is refused once more. */
 const leastComeBackMs = 4000;
+/** The longest of these times, in milliseconds. */
 const mostComeBackMs = 4600;
-/** Part by which these times differ, so that callers who were refused together do not return together. */
+/** Part by which these times differ, so that callers who were refused together do not return together: a tenth spreads them over a second. */
 const comeBackSpread = 0.1;
 /** Part of the time that its caller has left up to which a refusal may ask it to wait: callers heed no more. */
 const mostComeBackShare = 0.33;
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -10,9 +10,9 @@
 export const returnGraceMs = 2200;
 /** How long entries are kept that vanish together while the directory seems to answer, in milliseconds. An outage that nobody noticed brings its entries back within the grace above; a real departure of many must be believed before new work to leaving endpoints counts as a fault, two seconds after it, with two sweeps to spare. */
 export const massGraceMs = 1500;
-/** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice. */
+/** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice: planned work takes fewer at once. */
 const massShare = 0.5;
-/** Least number of such entries. */
+/** Least number of such entries: of two, one may leave and one be lost by chance. */
 const massCount = 3;
 /** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
 const mostTombstones = 2000;
--- a/packages/policy/src/relay/lookup-answer.ts
+++ b/packages/policy/src/relay/lookup-answer.ts
@@ -5,7 +5,7 @@
  */
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 
-/** Hosts of a hall from which on its callers are kept there. */
+/** Hosts of a hall from which on its callers are kept there: one alone may be lost. */
 const leastNear = 2;
 
 /** Addresses for callers of `hall`, at most `most`; a host that stands alone names itself while it takes work. */
--- a/packages/policy/src/relay/placement.ts
+++ b/packages/policy/src/relay/placement.ts
@@ -36,6 +36,7 @@
 
 /** What counts more than any load: an endpoint that fails, and one that has just said that it has no room. */
 const unusable = 5;
+/** The second of them, in units of a whole load. */
 const full = 10;
 
 /** Candidates in the order to try them; those set aside come last. */
--- a/packages/policy/src/relay/reading-limit.ts
+++ b/packages/policy/src/relay/reading-limit.ts
@@ -4,9 +4,9 @@
  * its own streams, some ten of them.
  */
 
-/** Share of the target that a timely request's prompt may be expected to take. */
+/** Share of the target that a timely request's prompt may be expected to take: the rest is for its wait and its first steps. Chosen, not measured. */
 const timelyShare = 0.5;
-/** The same for a request that is late in any case. */
+/** The same for a request that is late in any case: beyond it its caller's patience is at stake. */
 const lateShare = 1;
 /** Time from a prompt's result to the first event, in milliseconds: the move of the memory and the first steps. */
 const firstStepsMs = 100;
--- a/packages/policy/src/relay/reading-queue.ts
+++ b/packages/policy/src/relay/reading-queue.ts
@@ -9,23 +9,25 @@
 
 /** What is supposed until prompts were read, in milliseconds: time for a prompt's token, and the time that a prompt takes besides. */
 const firstTokenMs = 0.035;
+/** The second of them, in milliseconds. */
 const firstOffsetMs = 65;
 /** Lengths of the two imagined prompts that stand for these, in tokens: a short and a long one. */
 const imaginedTokens: readonly number[] = [500, 5000];
-/** Readings for which each of them counts. */
+/** Readings for which each of them counts at first: a few real ones outweigh both. */
 const imaginedWeight = 2;
 /** What a reading still counts when the next one is noted: about forty make the line. */
 const memory = 0.975;
+/** Most by which a reading without a queue may surpass what was expected and still count, in milliseconds: beyond it somebody's prompt was in the way. */
 const mostOffsetMs = 300;
 /** Least spread of the prompts' lengths from which a time for a token can be read, as a share of their mean: with less it is a matter of chance. */
 const leastSpread = 0.1;
 /** The same in tokens, for prompts that are all short or say no length: a block of memory. */
 const leastSpreadTokens = 16;
-/** Least time for a prompt's token, in milliseconds. */
+/** Least time for a prompt's token, in milliseconds: a million tokens a second are beyond any engine at hand. */
 const leastTokenMs = 0.001;
-/** Queue up to which an observation says something about that time, in milliseconds. */
+/** Queue up to which an observation says something about that time, in milliseconds: a tenth of a usual reading. */
 const emptyMs = 20;
-/** Part of a delay that nobody announced and that is supposed to meet the next prompt too. */
+/** Part of a delay that nobody announced and that is supposed to meet the next prompt too: some of it is read by then. Chosen, not measured. */
 const delayShare = 0.8;
 /** Queue that is supposed at a replica that refused a prompt, in milliseconds: about ten prompts fill its memory. */
 const refusedMs = 500;
--- a/packages/policy/src/relay/release-rate.ts
+++ b/packages/policy/src/relay/release-rate.ts
@@ -3,11 +3,13 @@
  * what this host's own requests took and how long they held it. Efficiency.
  */
 
-/** Weight of a new observation. */
+/** Weight of a new observation: about a dozen requests make the mean, a second or two of a host's share under load. */
 const weight = 0.08;
 /** What is supposed until requests have ended: a prompt of some thousand tokens, answered within seconds. About thirty requests replace it. */
 const firstTokens = 3800;
+/** The time for which it holds its memory, in milliseconds. */
 const firstHoldMs = 3300;
+/** A replica's memory, in tokens. */
 const firstCapacity = 35_000;
 const millisecondsPerSecond = 1000;
 
--- a/packages/policy/src/relay/retry-budget.ts
+++ b/packages/policy/src/relay/retry-budget.ts
@@ -6,7 +6,7 @@
  * guess that is rounded up.
  */
 
-/** Steps that a window is counted in. */
+/** Steps that a window is counted in: the bound holds in any window, to a tenth of it. */
 const steps = 10;
 /** Part of the whole bound that is used, so that a wrong count of hosts and requests on their way break nothing. */
 const caution = 0.75;
--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -12,11 +12,11 @@
 const mostReading = 0.9;
 /** Least prefill replicas wanted: prompts beyond what they read are left to the decode replicas, as are all when none is left. */
 const leastPrefill = 1;
-/** Replicas for each change that may be under way at once under load. */
+/** Replicas for each change that may be under way at once under load: a change takes its replica away for seconds, a twelfth of the room at most. */
 const replicasPerChange = 12;
-/** Weight of a new prompt in the mean. */
+/** Weight of a new prompt in the mean: about twenty make it, so that a shift between long and short prompts is followed within seconds. */
 const weight = 0.05;
-/** Requests of either side from which on their paces count. */
+/** Requests of either side from which on their paces count: lengths differ by half, so the mean of twelve is right to a seventh. */
 const leastSeen = 12;
 /** Least gain for which a change is ordered, as a share of the present rate: a prefill replica that becomes a decode replica is missed by nobody meanwhile, one that leaves the decode side takes its room away for six seconds and as long as its streams last. */
 const leastGain: Readonly<Record<StageChange['stage'], number>> = {decode: 0.04, prefill: 0.1};
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -11,14 +11,15 @@
 import {DirectoryError, type Change, type Changes} from './directory.js';
 import {type RoutingState} from './routing-state.js';
 
+/** Part by which the pause before the next read differs, so that hosts do not ask together. */
 const retrySpread = 0.3;
-/** Failures in a row beyond which the pause between reads grows no further. */
+/** Failures in a row beyond which the pause between reads grows no further: the setting's longest pause bounds it before. */
 const mostDoublings = 8;
-/** Pause before the list that follows a gap, in milliseconds. */
+/** Pause before the list that follows a gap, in milliseconds: only lets other work of this turn go first. */
 const gapPauseMs = 1;
-/** Wait of the watch that only asks whether the directory is back, in milliseconds. */
+/** Wait of the watch that only asks whether the directory is back, in milliseconds: the shortest that the directory takes. */
 const probeMs = 1;
-/** Interval at which a host that need not watch looks whether that has changed, in milliseconds. */
+/** Interval at which a host that need not watch looks whether that has changed, in milliseconds: shorter than a tick between hosts. */
 const idleMs = 500;
 /** Reads that must fail one after the other before the directory counts as away: it may cut a watch while it waits, and entries lapse only in outages of two heartbeats (2.4 s) or more. */
 const awayFailures = 2;
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -22,13 +22,15 @@
 import {passHeaders} from './headers.js';
 import {Reply} from './reply.js';
 
-/** Rest that callers' connections are allowed beyond what the configuration says, and at least, in milliseconds. */
+/** Rest that callers' connections are allowed beyond what the configuration says, in milliseconds: a request that crosses the close would be lost. */
 const restMarginMs = 1500;
+/** Least rest that callers' connections are allowed, in milliseconds: what Node allows by itself. */
 const leastRestMs = 5000;
-/** Time for one request to arrive whole, in milliseconds. */
+/** Time for one request to arrive whole, in milliseconds: twice as long as callers at hand wait for an answer. */
 const requestMs = 30_000;
 /** When a caller that was refused for the host's sake may come back, in milliseconds: at once, elsewhere. */
 const elsewhereMs = 50;
+/** The same where no configuration is known yet, in milliseconds: a starting host has one within that. */
 const notReadyMs = 500;
 
 /** What the front works with. */
--- a/packages/relay/src/front/side-front.ts
+++ b/packages/relay/src/front/side-front.ts
@@ -17,7 +17,7 @@
 const okStatus = 200;
 const notFoundStatus = 404;
 const unavailableStatus = 503;
-/** Rest of these servers' connections, in milliseconds. */
+/** Rest of these servers' connections, in milliseconds: checks come once a second, readers of figures every few. */
 const restMs = 15_000;
 
 /** What these servers tell of. */
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -9,7 +9,7 @@
 
 /** Time that the own watch gets to bring what a peer knows already, in milliseconds: a hundred times the way to the directory, and a fifth of the shortest bound on leaving endpoints. */
 const ownNewsMs = 400;
-/** Least time between two questions, in milliseconds. */
+/** Least time between two questions, in milliseconds: several times the way to any peer and back. */
 const askAgainMs = 250;
 
 /** What the news are made from, and where they go. */
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -16,19 +16,19 @@
 import {type FleetParts} from './fleet-parts.js';
 import {LoadNews} from './load-news.js';
 
-/** Interval at which seeds are greeted while no other host is known, in milliseconds. */
+/** Interval at which seeds are greeted while no other host is known, in milliseconds: a lone host sends each seed two small messages a second. */
 const greetMs = 500;
 /** The same in the first seconds of a process, in milliseconds: after a loss of all hosts each starts alone, and sends what the others do not hear of. With it and new connections for greetings that hang, seven hosts that lost power know each other 0.4 s after the last one is back, in place of 1.0 s. */
 const firstGreetMs = 120;
 /** How long those first seconds last, in milliseconds: hosts that are restarted together are up within one. */
 const firstGreetingsMs = 4000;
-/** Interval at which seeds are greeted later on, so that two halves of a split find each other, in milliseconds. */
+/** Interval at which seeds are greeted later on, so that two halves of a split find each other, in milliseconds: heartbeats find most of them sooner. */
 const greetAgainMs = 10_000;
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
 /** Fleet size up to which every host reads the directory itself: a read costs the directory as much as a call. */
 const smallFleet = 12;
-/** Hosts of a hall that read it in larger fleets. */
+/** Hosts of a hall that read it in larger fleets: one may be lost or cut off. */
 const watchersPerHall = 2;
 
 type Hearer<Kind extends RelayMessage['kind']> = (from: Owner, message: RelayMessageOf<Kind>) => void;
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -13,7 +13,7 @@
 import {type Endpoints} from '../upstream/endpoints.js';
 import {WaitingCounts} from './waiting-counts.js';
 
-/** Peers up to which counts of waiting requests are told at once; a line's length changes twice a request that waits. */
+/** Peers up to which counts of waiting requests are told at once: a count changes twice a request that waits, at 0.5 ms of processor time a message. */
 const fewPeers = 12;
 /** Time for which counts wait for another message to go with, among more peers, in milliseconds: about as long as a request waits before it is decided upon. */
 const countsMs = 200;
--- a/packages/relay/src/peer/waiting-counts.ts
+++ b/packages/relay/src/peer/waiting-counts.ts
@@ -1,6 +1,6 @@
 /** How many requests wait at other hosts, as far as they said so lately. Efficiency only: news may be late or lost. */
 
-/** Time for which another host's count of waiting requests is believed, in milliseconds. */
+/** Time for which another host's count of waiting requests is believed, in milliseconds: somewhat longer than silence makes a host suspect. */
 const waitingNewsMs = 2500;
 
 /** The counts of other hosts. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -23,10 +23,11 @@
 import {Admission} from './work/admission.js';
 import {StageOrders} from './work/stage-orders.js';
 
-/** Rest of the grace that is kept for ending, in milliseconds. */
+/** Rest of the grace that is kept for ending, in milliseconds: closing takes some tens. */
 const endMarginMs = 500;
-/** Ticks until all hosts have heard that this one leaves. */
+/** Ticks until all hosts have heard that this one leaves: news is passed on at once, a tick is the longest that it waits. */
 const newsTicks = 1;
+/** Interval at which a stopping host looks whether anything is left in work, in milliseconds. */
 const pollMs = 50;
 
 /** A relay process. */
--- a/packages/relay/src/upstream/connections.ts
+++ b/packages/relay/src/upstream/connections.ts
@@ -9,7 +9,7 @@
 
 /** Rest allowed where the endpoint names no time: it closes within a second, in milliseconds. */
 const unnamedRestMs = 300;
-/** Time kept back from the endpoint's own, for the way there and a late timer, in milliseconds. */
+/** Time kept back from the endpoint's own, in milliseconds: endpoints name whole seconds, and timers fire late. */
 const restMarginMs = 1000;
 /** Longest rest, in milliseconds: endpoints forget idle connections at times. */
 const longestRestMs = 20_000;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -18,13 +18,13 @@
 import {Connections} from './connections.js';
 import {NearEndpoints} from './near-endpoints.js';
 
-/** How often vanished entries are looked at, in milliseconds. */
+/** How often vanished entries are looked at, in milliseconds: small against the graces that it ends. */
 const sweepMs = 250;
 /** Time for which an endpoint that had no room is passed over for requests of that size, in milliseconds: about the time in which one of its answers ends. */
 const fullMs = 90;
 /** A prefill replica's queue that weighs as one whole load, in milliseconds: a few prompts. */
 const wholeQueueMs = 300;
-/** Connections to one endpoint where its service names no bound. */
+/** Connections to one endpoint where its service names no bound: as many as an engine batches. */
 const mostConnections = 64;
 
 /** Who hands on a pause that follows from an order of this host's own. */
--- a/packages/relay/src/upstream/own-calls.ts
+++ b/packages/relay/src/upstream/own-calls.ts
@@ -9,7 +9,7 @@
 import {type Endpoints} from './endpoints.js';
 import {exchange, ExchangeError, readBody} from './exchange.js';
 
-/** Longest body of an answer to such a call. */
+/** Longest body of an answer to such a call: some hundred times the usual one. */
 const mostBytes = 65_536;
 /** Time for an answer, in milliseconds: these calls need no slot; a replica that takes longer is not well. */
 const answerMs = 250;
--- a/packages/relay/src/utils/relay-log.ts
+++ b/packages/relay/src/utils/relay-log.ts
@@ -13,9 +13,9 @@
 import {BoundedOutput} from './bounded-output.js';
 import {type Metrics} from './metrics.js';
 
-/** Seconds of a rate that may come at once. */
+/** Seconds of a rate that may come at once: a fault shows in its first lines. */
 const burstSeconds = 3;
-/** Interval of the line that counts what was left out. */
+/** Interval of the line that counts what was left out, in milliseconds: one line is no load. */
 const reportMs = 5000;
 const millisecondsPerSecond = 1000;
 
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -10,8 +10,9 @@
 import {RoomSearch, type Wish} from './room-search.js';
 import {ServiceQueue, type AdmissionAnswer, type AdmissionParts} from './service-queue.js';
 
-/** Pause between two rounds of asking while requests wait, in milliseconds; a place comes free at a replica about three times a second. */
+/** Pause between two rounds of asking while requests wait, in milliseconds: a place comes free at a replica about three times a second, and is taken after half of the pause. */
 const pollMs = 60;
+/** Part by which the pause differs, so that hosts do not ask together. */
 const pollSpread = 0.3;
 
 /** One host's admission to all services. */
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -24,15 +24,15 @@
 
 /** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. With 0.6 replicas put 24 streams a day back to read them again, with 0.9 14, with 1.3 6; yet a day earns 0.011 and 0.019 less of its credit with 0.6 and 1.3, since room is paid for twice or left empty (15 paired days each). */
 const answerFactor = 0.9;
-/** Memory goes by blocks of so many tokens. */
+/** Memory goes by blocks of so many tokens: by the engines' description. */
 const blockTokens = 16;
-/** Times that a request is started anew, whatever the cause. */
+/** Times that a request is started anew, whatever the cause: one that brings its replica down takes four at most. */
 const mostRounds = 4;
 /** Time until the head of a stream, and until its next event, after which a stream that may continue elsewhere does, in milliseconds: less than half of what callers bear, so that the second replica has as long. A replica that reads the prompt itself gets the time for that besides. */
 const silentMs = 1400;
-/** Longest answer that is no stream. */
+/** Longest answer that is no stream: failures are short. */
 const mostBytes = 1_048_576;
-/** Rest of a reservation's life from which on it is not relied on, in milliseconds. */
+/** Rest of a reservation's life from which on it is not relied on, in milliseconds: several times the way to the replica. */
 const lapseMarginMs = 60;
 const okStatus = 200;
 const leastErrorStatus = 500;
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -12,11 +12,11 @@
 import {type Job} from './job.js';
 import {type WorkParts} from './parts.js';
 
-/** Prefill replicas tried in one round. */
+/** Prefill replicas tried in one round: after three failures a decode replica reads sooner. */
 const mostPrefills = 3;
 /** Time that a prefill may take before its replica counts as silent, in milliseconds: a prompt that is read twice costs nearly as much as its answer is worth, so a queue is waited for. */
 const prefillMs = 2500;
-/** Longest answer of a prefill. */
+/** Longest answer of a prefill: a name and two numbers are far shorter. */
 const mostBytes = 1_048_576;
 const okStatus = 200;
 
--- a/packages/relay/src/work/room-search.ts
+++ b/packages/relay/src/work/room-search.ts
@@ -11,7 +11,7 @@
 import {type OwnCalls} from '../upstream/own-calls.js';
 import {type Job} from './job.js';
 
-/** Replicas asked in one round for one request. */
+/** Replicas asked in one round for one request: each costs a way there and back, some milliseconds of the target. */
 const mostAsked = 4;
 
 /** How replicas are weighed for decoding: own memory there counts most, then failures; a near replica is worth a thirtieth of a whole one's memory; one of another subset is asked before one that is nearly full. */
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -19,17 +19,17 @@
 import {ownOrder, type Endpoints} from '../upstream/endpoints.js';
 import {type OwnCalls} from '../upstream/own-calls.js';
 
-/** Interval at which the split is looked at, in milliseconds. */
+/** Interval at which the split is looked at, in milliseconds: a tenth of what a change of part takes. */
 const lookMs = 500;
 /** Time without any change of the fleet before an order, in milliseconds: several times the longest lease of an order (3 s), and longer than a host that is cut off takes to notice. */
 const quietMs = 9000;
-/** Time for which a replica that changes its part gets nothing, in milliseconds, unless its new part is published sooner. */
+/** Time for which a replica that changes its part gets nothing, in milliseconds, unless its new part is published sooner: six seconds of change and its last short streams. */
 const changeMs = 8000;
 /** Time between two orders for one service, in milliseconds: a change of part takes about six seconds. */
 const spacingMs = 7000;
 /** Time after a request waited for memory during which no decode replica is taken away, in milliseconds: about the pause between two bursts. */
 const shortMs = 6000;
-/** Least time that a prompt's reading is supposed to take, in milliseconds. */
+/** Least time that a prompt's reading is supposed to take, in milliseconds: keeps the pace finite before any was read. */
 const leastReadMs = 1;
 /** Outcomes of an order that was taken. */
 const takenOutcomes: ReadonlySet<string> = new Set(['200', '202']);
