A prompt that its decode replica reads is kept by one small class

Cause: Prefill held both halves of two different readings: those at prefill replicas, and the one that a decode replica does itself. generation.ts asked it for things that it did not do.

Change: DecodeReading begins, finishes and abandons the reading; behaviour as before. No figures: a move of code.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -11,6 +11,7 @@
 	ExchangeError, isCut, readBody, settleEnd,
 } from '../upstream/exchange.js';
 import {type Sent} from '../upstream/sender.js';
+import {DecodeReading} from './decode-reading.js';
 import {
 	comeBackMs, loseJob, refuseJob, stopJob,
 } from './generation-end.js';
@@ -51,6 +52,7 @@
 	readonly #parts: WorkParts;
 	readonly #job: Job;
 	readonly #prefill: Prefill;
+	readonly #reading: DecodeReading;
 	readonly #events: EventPassage;
 	/** Decode replicas that had it. */
 	readonly #avoid = new Set<string>();
@@ -62,6 +64,7 @@
 		this.#parts = parts;
 		this.#job = job;
 		this.#prefill = new Prefill(parts, job);
+		this.#reading = new DecodeReading({clock: parts.context.clock, endpoints: parts.endpoints, news: parts.news});
 		this.#events = new EventPassage(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
@@ -110,11 +113,11 @@
 	}
 
 	async #decode(reservation: Reservation, source: Source | undefined): Promise<Decoded> {
-		const readingMs = source === undefined ? this.#prefill.beginOwn(reservation.endpoint) : 0;
+		const readingMs = source === undefined ? this.#reading.begin(reservation.endpoint.id, this.#job.facts.promptTokens) : 0;
 		try {
 			return await this.#decodeAt(reservation, source, readingMs);
 		} finally {
-			this.#prefill.abandonOwn();
+			this.#reading.abandon();
 		}
 	}
 
@@ -218,7 +221,7 @@
 			for await (const chunk of response as AsyncIterable<Uint8Array>) {
 				watch.touch();
 				this.#events.pass(response, chunk);
-				this.#prefill.finishOwn();
+				this.#reading.finish();
 				this.#noteStart();
 			}
 
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -5,7 +5,6 @@
  */
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {mostReadingMs} from '@gatehead/policy/relay/reading-limit';
-import {type Reading, type ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {readBody} from '../upstream/exchange.js';
@@ -30,17 +29,10 @@
 	readonly result: string;
 };
 
-/** A prompt that its decode replica reads itself. */
-type OwnReading = {
-	readonly queue: ReadingQueue;
-	readonly reading: Reading;
-};
-
-/** The readings of one request's prompt. */
+/** The readings of one request's prompt at prefill replicas. */
 export class Prefill {
 	readonly #parts: WorkParts;
 	readonly #job: Job;
-	#own: OwnReading | undefined;
 	/** Sends that may have reached a replica, in all rounds: those behind the first need the budget. */
 	#sends = 0;
 
@@ -96,29 +88,6 @@
 		return undefined;
 	}
 
-	/** A decode replica reads the prompt itself: returns how long that is expected to take, in milliseconds. */
-	beginOwn({id}: Endpoint): number {
-		const {endpoints, news, context: {clock}} = this.#parts;
-		const tokens = this.#job.facts.promptTokens;
-		const queue = endpoints.queueOf(id);
-		const reading = queue.begin(tokens, clock.now());
-		news.tellReading(id, tokens);
-		this.#own = {queue, reading};
-		return reading.expectedMs;
-	}
-
-	/** The decode replica has read the prompt, as its first event shows. */
-	finishOwn(): void {
-		this.#own?.queue.finish(this.#own.reading, this.#parts.context.clock.now());
-		this.#own = undefined;
-	}
-
-	/** Nothing comes of the decode replica's reading. */
-	abandonOwn(): void {
-		this.#own?.queue.abandon(this.#own.reading);
-		this.#own = undefined;
-	}
-
 	/** Gives a result back that nobody uses. */
 	free(source: Source | undefined): void {
 		if (source !== undefined) {
