Large fleets are dealt by hall, and only when a request asks

Cause, two of them. Dealing 195 hosts into 8 subsets takes 1.2 to 2.8 ms of processor time (200 runs), and it was done at each change of any host: a start of all brings some 200 changes, so 0.2 to 0.5 s of processor time at every host of a third of a core, just when callers come back. And subsets knew nothing of halls: over five halls, four of five prompts moved between halls to their decode replica, and as many messages about requests.

Change: a fleet is dealt when its subset is asked for. Where every hall has six hosts or more, each hall is dealt by itself: hosts prefer the replicas of their own hall, and tell the hosts of it.

Ruled out: a weight for far halls alone (a host knows the load only of the replicas that its peers use).

--- a/packages/relay/src/peer/load-news.test.ts
+++ b/packages/relay/src/peer/load-news.test.ts
@@ -4,6 +4,7 @@
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {seedRandom} from '@gatehead/policy/utils/random';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {wholeFleet} from '@gatehead/policy/relay/subsets';
 import {relaySettings} from '@gatehead/schema/relay-settings';
 import {expect} from 'earl';
 import {Endpoints} from '../upstream/endpoints.js';
@@ -50,18 +51,38 @@
 	},
 ];
 
+function makeContext(log: (code: string) => void = ignore) {
+	return {
+		clock: new ManualClock(), log, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, self: {host: 'host-0', incarnation: 1},
+	};
+}
+
 describe('news of load', () => {
+	it('a burst of changes of the fleet deals its hosts once, when a request asks', () => {
+		const dealt: string[] = [];
+		const context = makeContext(code => {
+			dealt.push(code);
+		});
+		const endpoints = new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => wholeFleet});
+		const news = new LoadNews({context, endpoints, send: ignore});
+		for (let hosts = 1; hosts <= 195; hosts += 1) {
+			news.setMembers(makeMembers(hosts));
+		}
+
+		expect(dealt).toEqual([]);
+		expect(news.subset.count).toEqual(8);
+		expect(news.subset.count).toEqual(8);
+		expect(dealt).toEqual(['subsetChanged']);
+	});
+
 	for (const {
 		name, hosts, steps, told,
 	} of cases) {
 		it(name, () => {
-			const clock = new ManualClock();
-			const context = {
-				clock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, self: {host: 'host-0', incarnation: 1},
-			};
+			const context = makeContext();
 			const heard = new Map<string, string[]>();
 			const news = new LoadNews({
-				context, endpoints: new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => ({count: 1, own: 0})}), send(host, {kind}) {
+				context, endpoints: new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => wholeFleet}), send(host, {kind}) {
 					heard.set(host, [...heard.get(host) ?? [], kind]);
 				},
 			});
@@ -72,7 +93,7 @@
 				} else if (step === 'waiting') {
 					news.tellWaiting('s', 1);
 				} else {
-					clock.advance(step.wait);
+					context.clock.advance(step.wait);
 				}
 			}
 
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -4,7 +4,7 @@
  * those are the hosts of one subset. Efficiency: news may be late or lost.
  */
 import {NewsPace} from '@gatehead/policy/relay/news-pace';
-import {countSubsets, dealSubsets, type Subset} from '@gatehead/policy/relay/subsets';
+import {dealHost, wholeFleet, type Subset} from '@gatehead/policy/relay/subsets';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
@@ -25,6 +25,12 @@
 	readonly send: (host: string, message: RelayMessage) => void;
 };
 
+/** This host's subset, and the other hosts of it that can be reached. */
+type Dealt = {
+	readonly subset: Subset;
+	readonly peers: readonly string[];
+};
+
 /** Tells the peers of this host's subset, and hears them. */
 export class LoadNews {
 	readonly #parts: LoadNewsParts;
@@ -34,8 +40,11 @@
 	#pending: RelayMessage[] = [];
 	/** Counts of waiting requests to be said, by service: only the last one matters. */
 	readonly #pendingCounts = new Map<string, number>();
-	#subset: Subset = {count: 1, own: 0};
-	#peers: readonly string[] = [];
+	#members: readonly MemberRecord[] = [];
+	/** What follows from the members; undefined until it is asked for. */
+	#dealt: Dealt | undefined;
+	/** As last written down. */
+	#subset = wholeFleet;
 	#timer: Timer | undefined;
 	/** When the timer fires. */
 	#dueAt = 0;
@@ -48,19 +57,13 @@
 
 	/** The subset that this host belongs to. */
 	get subset(): Subset {
-		return this.#subset;
+		return this.#deal().subset;
 	}
 
-	/** Takes over which hosts there are. */
+	/** Takes over which hosts there are. Dealing them takes a millisecond of processor time at 195 hosts, and a start of all brings as many changes: they are dealt when a request asks for the subset. */
 	setMembers(members: readonly MemberRecord[]): void {
-		const {self} = this.#parts.context;
-		// A host that is merely suspected comes back: dealing without it would move others for nothing
-		const staying = members.filter(({state}) => state === 'alive' || state === 'suspect');
-		const count = countSubsets(staying.length);
-		const dealt = dealSubsets(staying.map(({host}) => host), count);
-		const own = dealt.get(self.host) ?? 0;
-		this.#peers = staying.filter(({host, state}) => state === 'alive' && host !== self.host && dealt.get(host) === own).map(({host}) => host);
-		this.#setSubset({count, own});
+		this.#members = members;
+		this.#dealt = undefined;
 	}
 
 	/** A prompt goes to a prefill replica now. */
@@ -90,7 +93,7 @@
 		}
 
 		this.#pendingCounts.set(service, count);
-		this.#schedule(this.#peers.length > fewPeers ? countsMs : 0);
+		this.#schedule(this.#deal().peers.length > fewPeers ? countsMs : 0);
 	}
 
 	/** Requests that wait for a service at the peers. */
@@ -119,13 +122,31 @@
 		this.#timer?.stop();
 	}
 
-	#setSubset({count, own}: Subset): void {
-		if (count === this.#subset.count && own === this.#subset.own) {
+	#deal(): Dealt {
+		if (this.#dealt !== undefined) {
+			return this.#dealt;
+		}
+
+		const {self, settings: {hall}} = this.#parts.context;
+		// A host that is merely suspected comes back: dealing without it would move others for nothing
+		const staying = this.#members.filter(({state}) => state === 'alive' || state === 'suspect');
+		const {subset, peers} = dealHost({name: self.host, hall}, staying.map(member => ({name: member.host, hall: member.hall})));
+		const reachable = staying.filter(({host, state}) => state === 'alive' && peers.has(host)).map(({host}) => host);
+		this.#dealt = {subset, peers: reachable};
+		this.#noteSubset(subset, reachable.length + 1);
+		return this.#dealt;
+	}
+
+	#noteSubset(subset: Subset, hosts: number): void {
+		const {count, own, hall} = subset;
+		if (count === this.#subset.count && own === this.#subset.own && hall === this.#subset.hall) {
 			return;
 		}
 
-		this.#subset = {count, own};
-		this.#parts.context.log('subsetChanged', {subsets: count, subset: own, hosts: this.#peers.length + 1});
+		this.#subset = subset;
+		this.#parts.context.log('subsetChanged', {
+			subsets: count, subset: own, subsetHall: hall, hosts,
+		});
 	}
 
 	#tell(message: RelayMessage): void {
@@ -164,12 +185,13 @@
 
 	#flush(): void {
 		const messages = this.#takePending();
-		for (const host of this.#peers) {
+		const {peers} = this.#deal();
+		for (const host of peers) {
 			for (const message of messages) {
 				this.#parts.send(host, message);
 			}
 		}
 
-		this.#pace.spend(this.#peers.length, this.#parts.context.clock.now());
+		this.#pace.spend(peers.length, this.#parts.context.clock.now());
 	}
 }
