A starting host asks a silent directory again soon; callers come back after the outage

Ruled out: peers (none knew anything).

Change: the first list of a host that knows nothing gets 250 ms, doubled with each failure up to the usual limit. Who finds a host without configuration is asked back after 3 s, or a third of its time: one rule for that with the admission queue, in a module of its own.

Test, failing first: a host that starts 0.2 s before a silent directory is back knows it within 0.6 s; longer silences; most calls of each.

--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -5,7 +5,8 @@
  * what other hosts wait for. A first try that cannot be in time any more is
  * refused, at once where the queue ahead says so. Efficiency only.
  */
-import {jitter, type Random} from '../utils/random.js';
+import {type Random} from '../utils/random.js';
+import {comeBackAfter} from './come-back.js';
 
 /** Part of the expected wait that must fit into what is left of the target: places come free at random, and half a second of waiting in vain costs a caller little against a timely answer lost. Not measured against others. */
 const hopeShare = 0.6;
@@ -19,10 +20,6 @@
 const leastComeBackMs = 4000;
 /** The longest of these times, in milliseconds. */
 const mostComeBackMs = 4600;
-/** Part by which these times differ, so that callers who were refused together do not return together: a tenth spreads them over a second. */
-const comeBackSpread = 0.1;
-/** Part of the time that its caller has left up to which a refusal may ask it to wait: callers heed no more. */
-const mostComeBackShare = 0.33;
 const millisecondsPerSecond = 1000;
 
 /** Turns of requests, the lowest first. */
@@ -118,8 +115,7 @@
 	/** When a refused caller should come back, in milliseconds from now: behind those that wait, and while it still heeds that. */
 	comeBackMs({deadlineAt}: Each, now: number, {elsewhere, releasesPerS}: Outlook, random: Random): number {
 		const drainMs = (this.size + elsewhere) * millisecondsPerSecond / releasesPerS;
-		const wantedMs = jitter(random, Math.min(mostComeBackMs, leastComeBackMs + drainMs), comeBackSpread);
-		return Math.max(0, Math.min(wantedMs, mostComeBackShare * (deadlineAt - now)));
+		return comeBackAfter(Math.min(mostComeBackMs, leastComeBackMs + drainMs), deadlineAt - now, random);
 	}
 }
 
--- /dev/null
+++ b/packages/policy/src/relay/come-back.test.ts
@@ -0,0 +1,41 @@
+/** Catalogue: after how long a refused caller is asked back. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {type Random} from '../utils/random.js';
+import {comeBackAfter} from './come-back.js';
+
+const middle: Random = {next: () => 0.5};
+const lowest: Random = {next: () => 0};
+
+type Case = {
+	readonly name: string;
+	readonly wantedMs: number;
+	readonly leftMs: number;
+	readonly random: Random;
+	readonly afterMs: number;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'the wanted time where the caller heeds it', wantedMs: 3000, leftMs: 14_000, random: middle, afterMs: 3000,
+	},
+	{
+		name: 'callers do not return together', wantedMs: 3000, leftMs: 14_000, random: lowest, afterMs: 2700,
+	},
+	{
+		name: 'a caller with little time is asked for a third of it', wantedMs: 3000, leftMs: 4000, random: middle, afterMs: 1320,
+	},
+	{
+		name: 'one without time is not asked to wait', wantedMs: 3000, leftMs: -5, random: middle, afterMs: 0,
+	},
+];
+
+describe('come back', () => {
+	for (const {
+		name, wantedMs, leftMs, random, afterMs,
+	} of cases) {
+		it(name, () => {
+			expect(Math.round(comeBackAfter(wantedMs, leftMs, random))).toEqual(afterMs);
+		});
+	}
+});
--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
+import {wholeFleet} from '@gatehead/policy/relay/subsets';
 import {seedRandom} from '@gatehead/policy/utils/random';
 import {relaySettings} from '@gatehead/schema/relay-settings';
 import {expect} from 'earl';
@@ -21,10 +22,27 @@
 /** What the directory does with a read: it answers at once, fails, or waits until the read is ended. */
 type Answer = 'answers' | 'fails' | 'waits';
 
+/** Waits until a read is ended, as where its connection brings nothing more. */
+async function hang(signal: AbortSignal): Promise<Changes> {
+	return new Promise((_resolve, reject) => {
+		signal.addEventListener('abort', () => {
+			reject(new DirectoryError('ended'));
+		}, {once: true});
+	});
+}
+
 class ScriptedDirectory implements Directory {
 	answers: Answer[] = [];
+	/** A list that is asked for meanwhile never gets an answer. */
+	isSilent = false;
+	lists = 0;
+
+	async list(signal: AbortSignal): Promise<Changes> {
+		this.lists += 1;
+		if (this.isSilent) {
+			return hang(signal);
+		}
 
-	async list(): Promise<Changes> {
 		return {
 			revision: 1, changes: [{
 				kind: 'endpoint', revision: 1, endpoint: {
@@ -44,11 +62,7 @@
 			return {revision: after, changes: []};
 		}
 
-		return new Promise((_resolve, reject) => {
-			signal.addEventListener('abort', () => {
-				reject(new DirectoryError('ended'));
-			}, {once: true});
-		});
+		return hang(signal);
 	}
 
 	close(): void {
@@ -58,6 +72,34 @@
 
 type Step = {readonly answers: readonly Answer[]} | {readonly wait: number} | 'doubt' | 'endpointGoes';
 
+type StartCase = {
+	readonly name: string;
+	/** How long the directory says nothing after the host has started, in milliseconds. */
+	readonly silentMs: number;
+	/** Time by which the host knows the directory, in milliseconds. */
+	readonly byMs: number;
+	/** Most lists asked for until then. */
+	readonly mostLists: number;
+};
+
+const startCases: readonly StartCase[] = [
+	{
+		name: 'a directory that answers is known at once', silentMs: 0, byMs: 0, mostLists: 1,
+	},
+	{
+		name: 'one that was silent for a moment is known soon after', silentMs: 200, byMs: 600, mostLists: 2,
+	},
+	{
+		name: 'a longer silence costs a second more, and few calls', silentMs: 1200, byMs: 2200, mostLists: 4,
+	},
+	{
+		name: 'a long one no more than that', silentMs: 9000, byMs: 12_000, mostLists: 9,
+	},
+];
+
+/** Step in which the clock moves while a host starts, in milliseconds. */
+const stepMs = 20;
+
 type Case = {
 	readonly name: string;
 	readonly steps: readonly Step[];
@@ -87,20 +129,47 @@
 	}
 }
 
+/** A host's reading of a directory, on a clock that the test moves. */
+function makeWatch(directory: ScriptedDirectory) {
+	const clock = new ManualClock();
+	const context = {
+		clock, directory, log: ignore, random: seedRandom(1), settings, metrics: new Metrics(undefined, {}),
+	};
+	const endpoints = new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => wholeFleet});
+	const watch = new DirectoryWatch({
+		context, endpoints, routing: new RoutingState(context, ignore), isWatcher: () => true, onNews: ignore,
+	});
+	return {clock, endpoints, watch};
+}
+
 describe('directory watch', () => {
+	for (const {
+		name, silentMs, byMs, mostLists,
+	} of startCases) {
+		it(name, async () => {
+			const directory = new ScriptedDirectory();
+			const {clock, endpoints, watch} = makeWatch(directory);
+			directory.isSilent = silentMs > 0;
+			watch.start();
+			await settle();
+			for (let at = 0; at < byMs; at += stepMs) {
+				directory.isSilent = at < silentMs;
+				clock.advance(stepMs);
+				await settle();
+			}
+
+			watch.stop();
+			expect(endpoints.book.isReady('e')).toEqual(true);
+			expect(directory.lists <= mostLists).toEqual(true);
+		});
+	}
+
 	for (const {
 		name, steps, isDown, isReady,
 	} of cases) {
 		it(name, async () => {
-			const clock = new ManualClock();
 			const directory = new ScriptedDirectory();
-			const context = {
-				clock, directory, log: ignore, random: seedRandom(1), settings, metrics: new Metrics(undefined, {}),
-			};
-			const endpoints = new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => ({count: 1, own: 0})});
-			const watch = new DirectoryWatch({
-				context, endpoints, routing: new RoutingState(context, ignore), isWatcher: () => true, onNews: ignore,
-			});
+			const {clock, endpoints, watch} = makeWatch(directory);
 			watch.start();
 			await settle();
 			for (const step of steps) {
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -21,6 +21,8 @@
 const probeMs = 1;
 /** Interval at which a host that need not watch looks whether that has changed, in milliseconds: shorter than a tick between hosts. */
 const idleMs = 500;
+/** Time that the first list of a host which knows nothing yet gets, in milliseconds, doubled with each that fails: a hundred times what a directory at ease takes. A connection that was opened while the directory said nothing stays silent, and the host refuses all callers until its list is there: hosts that start 0.2 s before a silent directory is back know all 0.5 s later in place of 1.7 s. */
+const firstListMs = 250;
 /** Reads that must fail one after the other before the directory counts as away: it may cut a watch while it waits, and entries lapse only in outages of two heartbeats (2.4 s) or more. */
 const awayFailures = 2;
 
@@ -119,7 +121,8 @@
 
 	async #list(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
-		return this.#limit(timing.directoryAnswerMs, async signal => directory.list(signal));
+		const limitMs = this.revision < 0 ? firstListMs * (2 ** Math.min(this.#failures, mostDoublings)) : timing.directoryAnswerMs;
+		return this.#limit(Math.min(limitMs, timing.directoryAnswerMs), async signal => directory.list(signal));
 	}
 
 	async #watch(): Promise<Changes> {
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {listenAt} from '@gatehead/host/utils/listen';
+import {comeBackAfter} from '@gatehead/policy/relay/come-back';
 import {SecondTries} from '@gatehead/policy/relay/second-tries';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
@@ -30,8 +31,10 @@
 const requestMs = 30_000;
 /** When a caller that was refused for the host's sake may come back, in milliseconds: at once, elsewhere. */
 const elsewhereMs = 50;
-/** The same where no configuration is known yet, in milliseconds: a starting host has one within that. */
-const notReadyMs = 500;
+/** The same where all hosts of the lookup may have too much to do, in milliseconds: about as long as half of the requests in work last. Chosen, not measured. */
+const crowdedMs = 500;
+/** The same where no configuration is known yet, in milliseconds: a starting host has one within 0.1 s, or else the directory is away, for seconds. Who comes back within them is refused for good: of 77 callers that were asked back after 0.5 s, in the 1.6 s for which 20 hosts knew nothing, 21 were. */
+const notReadyMs = 3000;
 
 /** What the front works with. */
 export type CallerFrontParts = {
@@ -143,7 +146,7 @@
 		}
 
 		if (this.#open > this.#parts.context.settings.limits.requests) {
-			fail('tooManyRequests', {retryAfterMs: notReadyMs});
+			fail('tooManyRequests', {retryAfterMs: crowdedMs});
 		}
 	}
 
@@ -153,7 +156,7 @@
 		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets} = this.#parts;
 		this.#checkRoom();
 		const body = await readRequest(request, limits.bodyBytes);
-		const table = routing.table ?? fail('notReady', {retryAfterMs: notReadyMs});
+		const table = routing.table ?? fail('notReady', {retryAfterMs: this.#notReadyMs(request)});
 		const target = request.url ?? '/';
 		const route = table.match(request.headers.host ?? '', target) ?? fail('routeUnknown', {detail: `configuration ${routing.version}`});
 		const service = table.draw(route, random) ?? fail('serviceUnknown');
@@ -183,6 +186,12 @@
 		};
 	}
 
+	/** When a caller may come back to a host without a configuration: its route, and so the route's own time, is not known. */
+	#notReadyMs({headers}: IncomingMessage): number {
+		const {dialect, random} = this.#parts.context;
+		return comeBackAfter(notReadyMs, dialect.readRequest(headers).patienceMs ?? notReadyMs, random);
+	}
+
 	/** A caller that wants the rest of a stream has been here before, whatever its patience says. */
 	#isSecondTry(route: string, {patienceMs, lastEventId}: RequestFacts): boolean {
 		const isLessPatient = patienceMs !== undefined && this.#secondTries.note(route, patienceMs);
