The soak ends where a host ends before it serves

Cause: a run of the tests stood still for ten minutes: the soak asks its hosts until all serve, and a build whose main module called nothing ended each host at once, without a word.

Change: while it waits, a host that has ended ends the soak, with its name and the folder of its log.

--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
 import {seedRandom, type Random} from '@gatehead/policy/utils/random';
+import {fail} from '@gatehead/schema/failure';
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {sendRequest} from '../wire/client.js';
 import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
@@ -73,9 +74,14 @@
 	}
 }
 
-/** Waits until every host serves. */
-export async function waitUntilServing({hosts}: Bed): Promise<void> {
+/** Waits until every host serves; a host that ends instead would be waited for without end. */
+export async function waitUntilServing({hosts, folder}: Pick<Bed, 'folder'> & {readonly hosts: ReadonlyArray<Pick<HostProcess, 'caller' | 'isRunning' | 'name'>>}): Promise<void> {
 	for (let isReady = false; !isReady;) {
+		const ended = hosts.find(({isRunning}) => !isRunning);
+		if (ended !== undefined) {
+			fail('internal', {detail: `${ended.name} ended before it served; its log is in ${folder}`});
+		}
+
 		const answers = await Promise.all(hosts.map(async ({caller}) => sendRequest({address: caller, id: 'ready', path: '/repeatable/1'})));
 		isReady = answers.every(({status}) => status === 200);
 		await pause(readyPollMs);
