What one host uses of an endpoint stands in a class; readers of the directory have one name

Change: EndpointUse owns connections, work and the last word on room, with a catalogue of when an endpoint counts as full; `isReader` throughout the relay.

--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -137,7 +137,7 @@
 	};
 	const endpoints = new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => wholeFleet});
 	const watch = new DirectoryWatch({
-		context, endpoints, routing: new RoutingState(context, ignore), isWatcher: () => true, onNews: ignore,
+		context, endpoints, routing: new RoutingState(context, ignore), isReader: () => true, onNews: ignore,
 	});
 	return {clock, endpoints, watch};
 }
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -32,7 +32,7 @@
 	readonly endpoints: Endpoints;
 	readonly routing: RoutingState;
 	/** Whether this host reads the directory itself, or hears of it from others. */
-	readonly isWatcher: () => boolean;
+	readonly isReader: () => boolean;
 	/** Called when something was read that others may not know. */
 	readonly onNews: () => void;
 };
@@ -88,7 +88,7 @@
 	async #run(): Promise<void> {
 		const {clock} = this.#parts.context;
 		while (!this.#abort.signal.aborted) {
-			const isNeeded = this.revision < 0 || this.#parts.isWatcher();
+			const isNeeded = this.revision < 0 || this.#parts.isReader();
 			const pauseMs = isNeeded ? await this.#read() : idleMs;
 			if (pauseMs > 0) {
 				await new Promise<void>(resolve => {
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -15,7 +15,7 @@
 /** What the news are made from, and where they go. */
 export type DirectoryNewsParts = Omit<FleetParts, 'measureLoad'> & {
 	/** Whether this host reads the directory itself. */
-	readonly isWatcher: () => boolean;
+	readonly isReader: () => boolean;
 	readonly send: (host: string, message: RelayMessage) => void;
 	/** Tells the neighbours at once that there is something new. */
 	readonly announce: () => void;
@@ -34,13 +34,13 @@
 
 	/** Asks a peer for what it knows and this host does not: what the directory would say itself in a moment is not asked for. */
 	compare(host: string, {routingVersion, directoryRevision, pauses}: RelayMessageOf<'heartbeat'>): void {
-		const {routing, endpoints, watch, isWatcher, context: {clock}} = this.#parts;
+		const {routing, endpoints, watch, isReader, context: {clock}} = this.#parts;
 		for (const pause of pauses) {
 			endpoints.hearPause(pause, host);
 		}
 
 		const own = watch();
-		const hearsItself = isWatcher() && !own.isDown;
+		const hearsItself = isReader() && !own.isDown;
 		if (routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself)) {
 			this.#ask(host);
 		} else if (directoryRevision > own.revision) {
@@ -60,13 +60,13 @@
 
 	/** Tells a host that asked what it lacks. */
 	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
-		const {routing, endpoints, watch, isWatcher} = this.#parts;
+		const {routing, endpoints, watch, isReader} = this.#parts;
 		const listed = endpoints.book.list();
 		this.#parts.send(host, {
 			kind: 'directory',
 			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
 			revision: watch().revision,
-			isCurrent: isWatcher() && !watch().isDown,
+			isCurrent: isReader() && !watch().isDown,
 			endpoints: listed.filter(each => each.revision > revision),
 			ids: listed.map(each => each.endpoint.id),
 		});
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -103,7 +103,7 @@
 		this.load = new LoadNews({context, endpoints: parts.endpoints, send});
 		this.#news = new DirectoryNews({
 			...parts,
-			isWatcher: () => this.isWatcher(),
+			isReader: () => this.isReader(),
 			send,
 			announce: () => {
 				this.announce();
@@ -131,7 +131,7 @@
 	}
 
 	/** Whether this host reads the directory itself. */
-	isWatcher(): boolean {
+	isReader(): boolean {
 		return isDirectoryReader(this.membership.members.self, this.#listAlive());
 	}
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -65,7 +65,7 @@
 			context,
 			endpoints: this.endpoints,
 			routing: this.routing,
-			isWatcher: () => this.fleet.isWatcher(),
+			isReader: () => this.fleet.isReader(),
 			onNews: () => {
 				this.fleet.announce();
 			},
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -15,33 +15,20 @@
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Bookkeeping, type RelayContext} from '../core/context.js';
 import {isOff} from '../core/experiment.js';
-import {Connections} from './connections.js';
+import {type Connections} from './connections.js';
+import {EndpointUse} from './endpoint-use.js';
 import {NearEndpoints} from './near-endpoints.js';
 
 /** How often vanished entries are looked at, in milliseconds: small against the graces that it ends. */
 const sweepMs = 250;
-/** Time for which an endpoint that had no room is passed over for requests of that size, in milliseconds: about the time in which one of its answers ends. */
-const fullMs = 90;
 /** A prefill replica's queue that weighs as one whole load, in milliseconds: a few prompts. */
 const wholeQueueMs = 300;
-/** Connections to one endpoint where its service names no bound: as many as an engine batches. */
-const mostConnections = 64;
 
 /** Who hands on a pause that follows from an order of this host's own. */
 export const ownOrder = 'order';
 
 type EndpointContext = Bookkeeping & Pick<RelayContext, 'settings'>;
 
-type Use = {
-	readonly connections: Connections;
-	/** Sends in work. */
-	open: number;
-	/** Tokens of memory that this host has taken there. */
-	tokens: number;
-	fullAt: number;
-	fullTokens: number;
-};
-
 /** Who hears of changes, and knows which subset this host belongs to. */
 export type EndpointListener = {
 	/** This host has set an endpoint aside. */
@@ -79,7 +66,7 @@
 		},
 	};
 
-	readonly #uses = new Map<string, Use>();
+	readonly #uses = new Map<string, EndpointUse>();
 	readonly #queues = new Map<string, ReadingQueue>();
 	readonly #peerUse = new PeerUse();
 	readonly #near = new NearEndpoints();
@@ -140,17 +127,12 @@
 
 	/** Whether an endpoint said a moment ago that it had no room for as much. */
 	isFull(id: string, tokens: number): boolean {
-		const use = this.#uses.get(id);
-		return use !== undefined && this.#context.clock.now() - use.fullAt < fullMs && tokens >= use.fullTokens;
+		return this.#uses.get(id)?.isFull(tokens, this.#context.clock.now()) ?? false;
 	}
 
 	/** Notes that an endpoint has no room for so many tokens. */
 	noteFull(id: string, tokens: number): void {
-		const use = this.#uses.get(id);
-		if (use !== undefined) {
-			use.fullAt = this.#context.clock.now();
-			use.fullTokens = tokens;
-		}
+		this.#uses.get(id)?.noteFull(tokens, this.#context.clock.now());
 	}
 
 	/** Connections to an endpoint. */
@@ -160,21 +142,9 @@
 
 	/** Notes work at an endpoint; the returned function ends it, once. */
 	begin(endpoint: Endpoint, tokens: number): () => void {
-		const use = this.#useOf(endpoint);
-		use.open += 1;
-		use.tokens += tokens;
-		let isOpen = true;
-		return () => {
-			if (isOpen) {
-				isOpen = false;
-				use.open -= 1;
-				use.tokens -= tokens;
-				if (tokens > 0) {
-					use.fullAt = Number.NEGATIVE_INFINITY;
-					this.#listener.onRoom(endpoint.service);
-				}
-			}
-		};
+		return this.#useOf(endpoint).begin(tokens, () => {
+			this.#listener.onRoom(endpoint.service);
+		});
 	}
 
 	/** Prompts on their way to a replica that reads them: all at a prefill replica, at a decode replica those that no other has read. */
@@ -238,7 +208,7 @@
 	}
 
 	/** A prefill replica's load is its queue, a decode replica's the memory taken from here and by the hosts that say so, another's the requests from here. */
-	#loadOf({id, stage, slots}: Endpoint, use: Use | undefined, bearable: number, now: number): number {
+	#loadOf({id, stage, slots}: Endpoint, use: EndpointUse | undefined, bearable: number, now: number): number {
 		if (stage === 'prefill') {
 			return this.queueOf(id).expect(0, now) / wholeQueueMs;
 		}
@@ -250,18 +220,12 @@
 		return (use?.open ?? 0) / Math.max(1, slots);
 	}
 
-	#useOf({id}: Endpoint): Use {
+	#useOf({id}: Endpoint): EndpointUse {
 		let use = this.#uses.get(id);
 		if (use === undefined) {
-			use = {
-				connections: new Connections(mostConnections, () => {
-					this.#context.metrics.add('connections');
-				}),
-				open: 0,
-				tokens: 0,
-				fullAt: Number.NEGATIVE_INFINITY,
-				fullTokens: 0,
-			};
+			use = new EndpointUse(() => {
+				this.#context.metrics.add('connections');
+			});
 			this.#uses.set(id, use);
 		}
 
