--- a/packages/relay/src/upstream/near-endpoints.ts
+++ b/packages/relay/src/upstream/near-endpoints.ts
@@ -15,19 +15,19 @@
 	list(endpoints: readonly Endpoint[], subset: Subset): ReadonlySet<string> | undefined {
 		const [first] = endpoints;
 		// Endpoints of plain services are few and their requests short: all hosts share them
-		if ((subset.count < 2 && subset.hall === undefined) || first?.stage === undefined) {
+		if (subset.count < 2 || first?.stage === undefined) {
 			return undefined;
 		}
 
 		const kind = `${first.service} ${first.stage}`;
-		const placed = endpoints.map(({id, hall}) => ({name: id, hall}));
-		const key = `${subset.count} ${subset.own} ${subset.hall ?? ''} ${endpoints.map(({id}) => id).join(' ')}`;
+		const ids = endpoints.map(({id}) => id);
+		const key = `${subset.count} ${subset.own} ${ids.join(' ')}`;
 		const known = this.#dealt.get(kind);
 		if (known?.key === key) {
 			return known.near;
 		}
 
-		const near = listSubset(placed, subset);
+		const near = listSubset(ids, subset);
 		this.#dealt.set(kind, {key, near});
 		return near;
 	}
--- a/packages/relay/src/upstream/own-calls.ts
+++ b/packages/relay/src/upstream/own-calls.ts
@@ -4,7 +4,7 @@
  */
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type EndpointCall} from '../core/dialect.js';
-import {type RelayContext} from '../core/context.js';
+import {type Bookkeeping, type RelayContext} from '../core/context.js';
 import {noteRest, spoil} from './connections.js';
 import {type Endpoints} from './endpoints.js';
 import {exchange, ExchangeError, readBody} from './exchange.js';
@@ -17,7 +17,10 @@
 const tidyMs = 2000;
 const okStatus = 200;
 
-const never = new AbortController().signal;
+/** A signal that never fires: one for each call, since all calls at one moment would listen to a shared one. */
+function never(): AbortSignal {
+	return new AbortController().signal;
+}
 
 /** What came of a reservation. */
 export type ReservationAnswer
@@ -25,12 +28,14 @@
 		| {readonly kind: 'full'}
 		| {readonly kind: 'failed'; readonly reason: string};
 
+type OwnCallContext = Bookkeeping & Pick<RelayContext, 'dialect' | 'settings'>;
+
 /** Makes the relay's own calls. */
 export class OwnCalls {
-	readonly #context: RelayContext;
+	readonly #context: OwnCallContext;
 	readonly #endpoints: Endpoints;
 
-	constructor(context: RelayContext, endpoints: Endpoints) {
+	constructor(context: OwnCallContext, endpoints: Endpoints) {
 		this.#context = context;
 		this.#endpoints = endpoints;
 	}
@@ -75,7 +80,7 @@
 	/** Orders an engine to change its part; returns the status of its answer, or why there is none. */
 	async orderStage(endpoint: Endpoint, stage: 'prefill' | 'decode', holder: string, fence: number): Promise<string> {
 		try {
-			const {status} = await this.#call(endpoint, this.#context.dialect.orderStage(endpoint, stage, holder, fence), tidyMs, never);
+			const {status} = await this.#call(endpoint, this.#context.dialect.orderStage(endpoint, stage, holder, fence), tidyMs, never());
 			return String(status);
 		} catch (error) {
 			// The order may have been taken: what the directory says of the engine decides
@@ -86,7 +91,7 @@
 	async #tidy(endpoint: Endpoint, call: EndpointCall, what: string): Promise<void> {
 		let outcome = 'freed';
 		try {
-			const {status} = await this.#call(endpoint, call, tidyMs, never);
+			const {status} = await this.#call(endpoint, call, tidyMs, never());
 			outcome = String(status);
 		} catch (error) {
 			// What is not given back lapses by itself soon; the line says so
