Revert: large fleets are dealt over all halls again, still only when a request asks

Before the loss of all hosts requests come late two to four times as often; a subset of a hall holds one or two prefill replicas.

--- a/packages/policy/src/relay/subsets.ts
+++ b/packages/policy/src/relay/subsets.ts
@@ -2,8 +2,10 @@
  * Deterministic subsetting for large fleets: hosts and a service's endpoints
  * are dealt into as many subsets, and each host prefers the endpoints of its
  * own one. So the few hosts that share an endpoint can tell each other of
- * every request, and each endpoint has few connections. Efficiency: hosts
- * that know different members disagree for a while.
+ * every request, and each endpoint has few connections. Dealing each hall by
+ * itself was worse at 195 hosts in five halls: its subsets hold one or two
+ * prefill replicas, and two to four times as many requests were late before
+ * any loss. Efficiency: hosts that know different members disagree for a while.
  */
 import {hashText} from '@gatehead/schema/hash-text';
 import {rank} from '../core/rendezvous.js';
@@ -19,6 +21,9 @@
 	readonly own: number;
 };
 
+/** The subset of a fleet that is not dealt. */
+export const wholeFleet: Subset = {count: 1, own: 0};
+
 /** Subsets that so many hosts form: a power of two, so that it seldom changes. */
 export function countSubsets(hosts: number): number {
 	return 2 ** Math.max(0, Math.floor(Math.log2(Math.max(1, hosts) / leastHosts)));
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -4,7 +4,9 @@
  * those are the hosts of one subset. Efficiency: news may be late or lost.
  */
 import {NewsPace} from '@gatehead/policy/relay/news-pace';
-import {dealHost, wholeFleet, type Subset} from '@gatehead/policy/relay/subsets';
+import {
+	countSubsets, dealSubsets, wholeFleet, type Subset,
+} from '@gatehead/policy/relay/subsets';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
@@ -127,26 +129,25 @@
 			return this.#dealt;
 		}
 
-		const {self, settings: {hall}} = this.#parts.context;
+		const {self} = this.#parts.context;
 		// A host that is merely suspected comes back: dealing without it would move others for nothing
 		const staying = this.#members.filter(({state}) => state === 'alive' || state === 'suspect');
-		const {subset, peers} = dealHost({name: self.host, hall}, staying.map(member => ({name: member.host, hall: member.hall})));
-		const reachable = staying.filter(({host, state}) => state === 'alive' && peers.has(host)).map(({host}) => host);
-		this.#dealt = {subset, peers: reachable};
-		this.#noteSubset(subset, reachable.length + 1);
+		const count = countSubsets(staying.length);
+		const dealt = dealSubsets(staying.map(({host}) => host), count);
+		const own = dealt.get(self.host) ?? 0;
+		const peers = staying.filter(({host, state}) => state === 'alive' && host !== self.host && dealt.get(host) === own).map(({host}) => host);
+		this.#dealt = {subset: {count, own}, peers};
+		this.#noteSubset(this.#dealt);
 		return this.#dealt;
 	}
 
-	#noteSubset(subset: Subset, hosts: number): void {
-		const {count, own, hall} = subset;
-		if (count === this.#subset.count && own === this.#subset.own && hall === this.#subset.hall) {
+	#noteSubset({subset, peers}: Dealt): void {
+		if (subset.count === this.#subset.count && subset.own === this.#subset.own) {
 			return;
 		}
 
 		this.#subset = subset;
-		this.#parts.context.log('subsetChanged', {
-			subsets: count, subset: own, subsetHall: hall, hosts,
-		});
+		this.#parts.context.log('subsetChanged', {subsets: subset.count, subset: subset.own, hosts: peers.length + 1});
 	}
 
 	#tell(message: RelayMessage): void {
