The demo's hosts listen where their ports were found

Cause: two of five runs of `npm run demo` in a fresh clone ended with "does not serve after 20000 ms". The logs of the hosts, tour/centro-entry-1 and tour/godoy-entry-1, both say EADDRINUSE: ports are found at an address of the process alone, but the demo listened at 127.0.0.1, where an outgoing connection can hold the same port. Ruled out: load (the host ended at once, before any request).

Change: addresses are found whole.

--- a/packages/standin/src/demo/deployment.ts
+++ b/packages/standin/src/demo/deployment.ts
@@ -18,7 +18,7 @@
 import {traitsOf} from '../engine/traits.js';
 import {startPlatform, type StandinPlatform} from '../platform/platform-server.js';
 import {startService, type StandinService} from '../service/service-server.js';
-import {findPorts} from '../utils/ports.js';
+import {findAddresses} from '../utils/ports.js';
 
 const anyPort = '127.0.0.1:0';
 const ticketKeyBytes = 32;
@@ -134,8 +134,8 @@
 
 async function startHosts({example, hostCount, folder, timing}: DeploymentPlan, platform: StandinPlatform, keys: Keys): Promise<HostProcess[]> {
 	const named = nameHosts(example, hostCount);
-	const ports = await findPorts(hostCount * 3);
-	const addressOf = (index: number) => `127.0.0.1:${ports[index] ?? 0}`;
+	const addresses = await findAddresses(hostCount * 3);
+	const addressOf = (index: number) => addresses[index] ?? anyPort;
 	const listed: ListedHost[] = named.map(({name, hall}, index) => ({
 		host: name, hall, region: 'default', callerAddress: addressOf(index * 3), peerAddress: addressOf((index * 3) + 1), adminAddress: addressOf((index * 3) + 2), state: 'live',
 	}));
--- a/packages/standin/src/utils/ports.ts
+++ b/packages/standin/src/utils/ports.ts
@@ -29,3 +29,9 @@
 
 	return ports;
 }
+
+/** Free addresses of this process alone, for processes that must know theirs before they start. */
+export async function findAddresses(count: number): Promise<string[]> {
+	const ports = await findPorts(count);
+	return ports.map(port => `${ownAddress}:${port}`);
+}
