--- a/packages/policy/src/relay/admission-queue.test.ts
+++ b/packages/policy/src/relay/admission-queue.test.ts
@@ -6,7 +6,7 @@
 
 function waiter(arrivedAt: number, stage: Waiter['stage'] = 'first'): Waiter {
 	return {
-		since: arrivedAt, arrivedAt, targetMs: 900, deadlineAt: arrivedAt + 14_000, stage,
+		since: arrivedAt, arrivedAt, targetMs: 900, deadlineAt: arrivedAt + 14_000, priorities: [0, 0], stage,
 	};
 }
 
--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -32,6 +32,8 @@
 	readonly arrivedAt: number;
 	readonly targetMs: number;
 	readonly deadlineAt: number;
+	/** The workspace's, then the route's, 0 first; requests of one turn go by them, then by their arrival. */
+	readonly priorities: readonly [workspace: number, route: number];
 	/** `first` try of its caller; `returned` after a refusal, which is late in any case; `resumed`: the caller lost its stream with another host and wants the rest; `started`: this host has passed on a part of its answer. */
 	readonly stage: 'first' | 'returned' | 'resumed' | 'started';
 };
@@ -78,7 +80,7 @@
 
 	/** All that wait, in the order of their turns. */
 	order(now: number, startMs: number): Each[] {
-		return [...this.#waiters].toSorted((left, right) => rankOf(left, now, startMs) - rankOf(right, now, startMs) || left.arrivedAt - right.arrivedAt);
+		return [...this.#waiters].toSorted((left, right) => rankOf(left, now, startMs) - rankOf(right, now, startMs) || comparePriorities(left, right) || left.arrivedAt - right.arrivedAt);
 	}
 
 	/** Requests that are not late yet. */
@@ -135,6 +137,10 @@
 	return `${ahead} ahead, ${elsewhere} elsewhere, ${releasesPerS.toFixed(1)} places a second, first event ${Math.round(startMs)} ms after`;
 }
 
+function comparePriorities({priorities: left}: Waiter, {priorities: right}: Waiter): number {
+	return left[0] - right[0] || left[1] - right[1];
+}
+
 function rankOf(waiter: Waiter, now: number, startMs: number): number {
 	if (waiter.stage === 'started') {
 		return ranks.started;
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -37,7 +37,7 @@
 	/** Ids of all entries. */
 	readonly ids: ReadonlySet<string>;
 	readonly revision: number;
-	/** The list comes from a host that reads the directory now. */
+	/** The list was read while the directory answered, by another host. */
 	readonly isWitnessed?: boolean;
 };
 
--- a/packages/policy/src/relay/route-table.ts
+++ b/packages/policy/src/relay/route-table.ts
@@ -1,9 +1,11 @@
 /**
  * Finds the route of a request: by authority, then by the longest prefix of
- * its path; a route's services are drawn by weight. Safety: a request never
- * goes to a service that its route does not name.
+ * its path; a route's services are drawn by weight. Finds the workspace of a
+ * key. Safety: a request never goes to a service that its route does not name.
  */
-import {type Route, type Routing, type Service} from '@gatehead/schema/routing';
+import {
+	type Route, type Routing, type Service, type Workspace,
+} from '@gatehead/schema/routing';
 import {type Random} from '../utils/random.js';
 
 /** Authorities compare without their port and case. */
@@ -16,6 +18,7 @@
 	readonly routing: Routing;
 	readonly #routes = new Map<string, Route[]>();
 	readonly #services = new Map<string, Service>();
+	readonly #workspaces = new Map<string, Workspace>();
 
 	constructor(routing: Routing) {
 		this.routing = routing;
@@ -23,6 +26,12 @@
 			this.#services.set(service.name, service);
 		}
 
+		for (const workspace of routing.workspaces ?? []) {
+			for (const digest of workspace.keyDigests) {
+				this.#workspaces.set(digest, workspace);
+			}
+		}
+
 		for (const route of routing.routes) {
 			const key = normalize(route.authority);
 			this.#routes.set(key, [...(this.#routes.get(key) ?? []), route]);
@@ -39,6 +48,16 @@
 		return this.#routes.get(normalize(authority))?.find(({pathPrefix}) => path.startsWith(pathPrefix));
 	}
 
+	/** Whether callers show keys, but for public routes. */
+	get hasWorkspaces(): boolean {
+		return this.routing.workspaces !== undefined;
+	}
+
+	/** The workspace of a key, by the key's digest. */
+	workspaceOf(keyDigest: string): Workspace | undefined {
+		return this.#workspaces.get(keyDigest);
+	}
+
 	/** A service by name. */
 	service(name: string): Service | undefined {
 		return this.#services.get(name);
--- /dev/null
+++ b/packages/relay/src/access/freshness.ts
@@ -0,0 +1,204 @@
+/**
+ * Keeps the evidence that this host's list of keys is the newest. A host
+ * with work for keys asks a reader of the directory, which answers with the
+ * age of its own evidence; where no reader answers, the host asks the
+ * directory itself. Safety: evidence counts from the instant of asking on
+ * this host's own clock, so that neither a slow message nor a process that
+ * stood still makes it look younger than it is.
+ */
+import {agesFor, type EvidenceAges} from '@gatehead/policy/relay/evidence';
+import {type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {isOff} from '../core/experiment.js';
+import {type DirectoryWatch} from '../core/directory-watch.js';
+import {type AccessParts} from './access-parts.js';
+import {Questions} from './questions.js';
+
+/** Time that a reader gets to answer, in milliseconds: fifty times the way between halls, since small hosts are busy; the bound leaves room for several. */
+const answerMs = 200;
+/** Pause after a round of questions in which nobody could tell, in milliseconds: a directory that is away is asked three times a second by each hall's host. */
+const againMs = 300;
+
+type Answer = RelayMessageOf<'freshness'> & {readonly from: string};
+
+/** What the task works with. */
+export type FreshnessParts = AccessParts & {
+	readonly watch: () => Pick<DirectoryWatch, 'confirm'>;
+	/** Hosts to ask, in order; this one may be among them. */
+	readonly listConfirmers: () => readonly string[];
+};
+
+/** One host's evidence. */
+export class Freshness {
+	readonly #parts: FreshnessParts;
+	readonly #ages: EvidenceAges | undefined;
+	readonly #questions: Questions<Answer>;
+	#renewing: Promise<void> | undefined;
+	#failedAt = Number.NEGATIVE_INFINITY;
+	/** In the last round that brought nothing, some peer answered: others know no more either. */
+	#isShared = false;
+	#isLost = false;
+
+	constructor(parts: FreshnessParts) {
+		const {context: {clock, settings: {access: {revocationMs}}}} = parts;
+		this.#parts = parts;
+		this.#ages = revocationMs === undefined ? undefined : agesFor(revocationMs);
+		this.#questions = new Questions(clock);
+	}
+
+	/** Whether requests with keys may be let in at all now. */
+	get isLost(): boolean {
+		return this.#isLost;
+	}
+
+	/** Whether other hosts lack evidence too, as far as this one was told. */
+	get isShared(): boolean {
+		return this.#isShared;
+	}
+
+	/** Whether a key that was known to nobody at the last confirmation may be called wrong, for a request that arrived at an instant. */
+	isRecent(arrivedAt: number): boolean {
+		return this.#ages === undefined || this.#parts.routing.confirmedAt >= arrivedAt - this.#ages.renewMs;
+	}
+
+	/** Whether known keys may be relied on for a request that arrived at an instant. */
+	isProven(arrivedAt: number): boolean {
+		return this.#ages === undefined || this.#parts.routing.confirmedAt >= arrivedAt - this.#ages.mostMs;
+	}
+
+	/** Renews evidence that grows old; waits for that, up to a limit, where it has lapsed, or where `isRecentWanted`. */
+	async prove(arrivedAt: number, isRecentWanted: boolean, waitMs: number): Promise<void> {
+		if (this.isRecent(arrivedAt)) {
+			return;
+		}
+
+		const renewing = this.#renew();
+		if (this.isProven(arrivedAt) && !isRecentWanted) {
+			return;
+		}
+
+		await this.#wait(renewing, waitMs);
+		this.#note(this.isProven(arrivedAt));
+	}
+
+	/** Answers a peer. */
+	hearWanted(from: string, {ask, routingVersion, mostAgeMs}: RelayMessageOf<'freshnessWanted'>): void {
+		const {watch} = this.#parts;
+		const ageMs = this.#ageMs;
+		const refreshMs = this.#ages?.refreshMs ?? mostAgeMs;
+		if (ageMs <= Math.min(mostAgeMs, refreshMs)) {
+			this.#answer(from, ask, routingVersion);
+			return;
+		}
+
+		const confirming = watch().confirm();
+		if (ageMs <= mostAgeMs) {
+			this.#answer(from, ask, routingVersion);
+			return;
+		}
+
+		void confirming.then(() => {
+			this.#answer(from, ask, routingVersion);
+		});
+	}
+
+	/** Takes a peer's answer. */
+	hear(from: string, message: RelayMessageOf<'freshness'>): void {
+		this.#questions.answer(message.ask, {...message, from});
+	}
+
+	get #ageMs(): number {
+		return this.#parts.context.clock.now() - this.#parts.routing.confirmedAt;
+	}
+
+	#answer(host: string, ask: number, routingVersion: number): void {
+		const {routing, send} = this.#parts;
+		const ageMs = this.#ageMs;
+		send(host, {
+			kind: 'freshness',
+			ask,
+			...(Number.isFinite(ageMs) && !routing.isBehind ? {ageMs: Math.max(0, ageMs)} : {}),
+			...(routing.version > routingVersion && routing.table ? {routing: routing.table.routing} : {}),
+		});
+	}
+
+	async #renew(): Promise<void> {
+		const {clock} = this.#parts.context;
+		if (clock.now() - this.#failedAt < againMs) {
+			return;
+		}
+
+		this.#renewing ??= this.#askAround().finally(() => {
+			this.#renewing = undefined;
+		});
+		return this.#renewing;
+	}
+
+	async #askAround(): Promise<void> {
+		const {context, listConfirmers} = this.#parts;
+		const {self, clock} = context;
+		const confirmers = isOff(context, 'peerEvidence') ? [] : listConfirmers();
+		let hasAnswer = false;
+		for (const host of [...confirmers.filter(each => each !== self.host || each === confirmers[0]), self.host]) {
+			hasAnswer = (host === self.host ? await this.#askDirectory() : await this.#askPeer(host)) || hasAnswer;
+			if (this.isRecent(clock.now())) {
+				this.#isShared = false;
+				this.#note(true);
+				return;
+			}
+		}
+
+		this.#failedAt = clock.now();
+		this.#isShared = hasAnswer;
+	}
+
+	async #askDirectory(): Promise<boolean> {
+		await this.#parts.watch().confirm();
+		return false;
+	}
+
+	/** Whether the peer answered, with whatever age. */
+	async #askPeer(host: string): Promise<boolean> {
+		const {context: {clock, metrics}, routing, send} = this.#parts;
+		const askedAt = clock.now();
+		const answer = await this.#questions.ask(answerMs, ask => {
+			send(host, {
+				kind: 'freshnessWanted', ask, routingVersion: routing.version, mostAgeMs: this.#ages?.givenMs ?? 0,
+			});
+		});
+		metrics.add('evidenceAsked', {outcome: answer === undefined ? 'silent' : 'answered'});
+		if (answer === undefined) {
+			return false;
+		}
+
+		if (answer.routing !== undefined) {
+			routing.offer(answer.routing, host);
+		}
+
+		if (answer.ageMs !== undefined) {
+			routing.confirm(askedAt - answer.ageMs);
+		}
+
+		return true;
+	}
+
+	async #wait(renewing: Promise<void>, waitMs: number): Promise<void> {
+		const {clock} = this.#parts.context;
+		await new Promise<void>(resolve => {
+			const timer = clock.after(waitMs, resolve);
+			void renewing.then(() => {
+				timer.stop();
+				resolve();
+			});
+		});
+	}
+
+	#note(isProven: boolean): void {
+		if (isProven !== this.#isLost) {
+			return;
+		}
+
+		this.#isLost = !isProven;
+		const {context: {log}, routing} = this.#parts;
+		log(isProven ? 'keysConfirmed' : 'keysOutdatedSince', {version: routing.version, ageMs: Math.round(this.#ageMs), peersKnow: this.#isShared});
+	}
+}
--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -17,6 +17,8 @@
 	readonly answerTokens: number;
 	/** Id of the event after which the caller wants the stream to go on. */
 	readonly lastEventId: string | undefined;
+	/** Tokens of the prompt and of the longest answer, as quotas count them; undefined: the request does not say. */
+	readonly countedTokens: number | undefined;
 };
 
 /** What is said to an endpoint besides the caller's own headers. */
@@ -30,6 +32,8 @@
 	/** A reservation at this endpoint. */
 	readonly reservation?: string;
 	readonly lastEventId?: string | undefined;
+	/** The workspace whose key the caller showed. */
+	readonly workspace?: string | undefined;
 };
 
 /** What an endpoint's answer says of itself. */
@@ -66,6 +70,10 @@
 	/** The path of lookups. */
 	readonly lookupPath: string;
 	readRequest(headers: IncomingHttpHeaders): RequestFacts;
+	/** The digest of the one key that a caller shows, by the headers as they came; undefined: none, more than one, or none that can be read. The key itself is kept nowhere. */
+	readKeyDigest(rawHeaders: readonly string[]): string | undefined;
+	/** Whether a header, by its name in small letters, says who the caller is: such headers go no further where workspaces have keys. */
+	isIdentity(header: string): boolean;
 	/** Whether a caller's header, by its name in small letters, is passed on. */
 	isPassed(header: string): boolean;
 	/** Headers said to an endpoint, names and values by turns. */
--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -36,6 +36,16 @@
 	/** A list that is asked for meanwhile never gets an answer. */
 	isSilent = false;
 	lists = 0;
+	/** What the directory says of its revision, whatever its watches say; undefined: nothing. */
+	revisionNow: number | undefined = 1;
+
+	async readRevision(signal: AbortSignal): Promise<number> {
+		if (this.revisionNow === undefined) {
+			await hang(signal);
+		}
+
+		return this.revisionNow ?? 0;
+	}
 
 	async list(signal: AbortSignal): Promise<Changes> {
 		this.lists += 1;
@@ -70,7 +80,7 @@
 	}
 }
 
-type Step = {readonly answers: readonly Answer[]} | {readonly wait: number} | 'doubt' | 'endpointGoes';
+type Step = {readonly answers: readonly Answer[]} | {readonly wait: number} | 'doubt' | 'resign' | 'endpointGoes';
 
 type StartCase = {
 	readonly name: string;
@@ -136,10 +146,14 @@
 		clock, directory, log: ignore, random: seedRandom(1), settings, metrics: new Metrics(undefined, {}),
 	};
 	const endpoints = new Endpoints(context, {onPause: ignore, onRoom: ignore, subset: () => wholeFleet});
+	const routing = new RoutingState(context, ignore);
+	const role = {isReader: true};
 	const watch = new DirectoryWatch({
-		context, endpoints, routing: new RoutingState(context, ignore), isReader: () => true, onNews: ignore,
+		context, endpoints, routing, isReader: () => role.isReader, onNews: ignore,
 	});
-	return {clock, endpoints, watch};
+	return {
+		clock, endpoints, watch, routing, role,
+	};
 }
 
 describe('directory watch', () => {
@@ -169,18 +183,36 @@
 	} of cases) {
 		it(name, async () => {
 			const directory = new ScriptedDirectory();
-			const {clock, endpoints, watch} = makeWatch(directory);
+			const {clock, endpoints, watch, role} = makeWatch(directory);
 			watch.start();
 			await settle();
 			for (const step of steps) {
-				if (step === 'doubt') {
-					watch.doubt();
-				} else if (step === 'endpointGoes') {
-					endpoints.book.remove('e', 2, clock.now());
-				} else if ('wait' in step) {
-					clock.advance(step.wait);
-				} else {
-					directory.answers = [...step.answers];
+				switch (step) {
+					case 'resign': {
+						role.isReader = false;
+
+						break;
+					}
+
+					case 'doubt': {
+						watch.doubt();
+
+						break;
+					}
+
+					case 'endpointGoes': {
+						endpoints.book.remove('e', 2, clock.now());
+
+						break;
+					}
+
+					default: {
+						if ('wait' in step) {
+							clock.advance(step.wait);
+						} else {
+							directory.answers = [...step.answers];
+						}
+					}
 				}
 
 				await settle();
@@ -190,4 +222,76 @@
 			expect({isDown: watch.isDown, isReady: endpoints.book.isReady('e')}).toEqual({isDown, isReady});
 		});
 	}
+
+	it('what was heard is as good as its source: a host that reads, or one that heard from such a one', () => {
+		const {watch} = makeWatch(new ScriptedDirectory());
+		watch.hear(4, true);
+		expect(watch.isWitnessed).toEqual(true);
+		watch.hear(5, false);
+		expect(watch.isWitnessed).toEqual(false);
+		watch.hear(5, true);
+		expect(watch.isWitnessed).toEqual(true);
+	});
+});
+
+type ConfirmCase = {
+	readonly name: string;
+	/** The directory's revision; undefined: it says nothing. This host knows all up to 1. */
+	readonly revisionNow: number | undefined;
+	/** Lists that are asked for besides. */
+	readonly lists: number;
+	readonly isConfirmed: boolean;
+};
+
+const confirmCases: readonly ConfirmCase[] = [
+	{
+		name: 'a directory that knows no more confirms what is known', revisionNow: 1, lists: 0, isConfirmed: true,
+	},
+	{
+		name: 'one that knows more is listed, though the watch says nothing', revisionNow: 2, lists: 1, isConfirmed: true,
+	},
+	{
+		name: 'a silent one confirms nothing', revisionNow: undefined, lists: 0, isConfirmed: false,
+	},
+];
+
+describe('confirming that the configuration is the newest', () => {
+	for (const {
+		name, revisionNow, lists, isConfirmed,
+	} of confirmCases) {
+		it(name, async () => {
+			const directory = new ScriptedDirectory();
+			const {clock, watch, routing} = makeWatch(directory);
+			watch.start();
+			await settle();
+			clock.advance(3000);
+			const before = directory.lists;
+			directory.revisionNow = revisionNow;
+			const askedAt = clock.now();
+			const confirming = watch.confirm();
+			await settle();
+			clock.advance(600);
+			await confirming;
+			watch.stop();
+			expect(directory.lists - before).toEqual(lists);
+			expect(routing.confirmedAt >= askedAt).toEqual(isConfirmed);
+		});
+	}
+
+	it('counts from the asking, and many that ask share one read', async () => {
+		const directory = new ScriptedDirectory();
+		const {clock, watch, routing} = makeWatch(directory);
+		watch.start();
+		await settle();
+		clock.advance(3000);
+		directory.revisionNow = undefined;
+		const askedAt = clock.now();
+		const confirming = Promise.all([watch.confirm(), watch.confirm()]);
+		clock.advance(600);
+		await confirming;
+		directory.revisionNow = 1;
+		await watch.confirm();
+		watch.stop();
+		expect(routing.confirmedAt).toEqual(askedAt + 600);
+	});
 });
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -23,6 +23,8 @@
 const idleMs = 500;
 /** Time that the first list of a host which knows nothing yet gets, in milliseconds, doubled with each that fails: a hundred times what a directory at ease takes. A connection that was opened while the directory said nothing stays silent, and the host refuses all callers until its list is there: hosts that start 0.2 s before a silent directory is back know all 0.5 s later in place of 1.7 s. */
 const firstListMs = 250;
+/** Time that the directory gets to tell its revision, in milliseconds: twice what one takes that is sixty times slower than usual. */
+const confirmMs = 500;
 /** Reads that must fail one after the other before the directory counts as away: it may cut a watch while it waits, and entries lapse only in outages of two heartbeats (2.4 s) or more. */
 const awayFailures = 2;
 
@@ -51,6 +53,10 @@
 	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
 	#isDoubted = false;
 	#mustList = true;
+	/** Up to which revision the directory was read while it answered. */
+	#witnessed = -1;
+	/** The confirmation under way: all that ask meanwhile share it. */
+	#confirming: Promise<void> | undefined;
 
 	constructor(parts: WatchParts) {
 		this.#parts = parts;
@@ -80,9 +86,29 @@
 		}
 	}
 
+	/** Whether what this host knows was read while the directory answered, by itself or by the host that the news began with. */
+	get isWitnessed(): boolean {
+		return this.#witnessed >= this.revision;
+	}
+
 	/** Takes over what another host has read. */
-	hear(revision: number): void {
+	hear(revision: number, isWitnessed: boolean): void {
 		this.revision = Math.max(this.revision, revision);
+		if (isWitnessed) {
+			this.#witnessed = Math.max(this.#witnessed, revision);
+		}
+	}
+
+	/**
+	 * Asks the directory whether this host knows all that is published, reads
+	 * what it lacks, and notes the instant of asking. A watch is no evidence:
+	 * its connection may be cut in silence, and it may be told of a change late.
+	 */
+	async confirm(): Promise<void> {
+		this.#confirming ??= this.#confirm().finally(() => {
+			this.#confirming = undefined;
+		});
+		return this.#confirming;
 	}
 
 	async #run(): Promise<void> {
@@ -103,11 +129,16 @@
 		const {metrics} = this.#parts.context;
 		const wasDoubted = this.#isDoubted;
 		const read = this.#mustList || this.revision < 0 ? 'list' : 'watch';
+		const askedAt = this.#parts.context.clock.now();
 		try {
 			const changes = read === 'list' ? await this.#list() : await this.#watch();
 			metrics.add('directoryReads', {read, outcome: 'answered'});
 			this.#back();
 			this.#take(changes, read);
+			if (read === 'list') {
+				this.#parts.routing.confirm(askedAt);
+			}
+
 			return 0;
 		} catch (error) {
 			if (this.#abort.signal.aborted || this.#isDoubted !== wasDoubted) {
@@ -119,22 +150,49 @@
 		}
 	}
 
+	async #confirm(): Promise<void> {
+		const {routing, context: {clock, directory, metrics, settings: {timing}}} = this.#parts;
+		const askedAt = clock.now();
+		try {
+			const revision = await this.#limit(confirmMs, async signal => directory.readRevision(signal));
+			metrics.add('directoryReads', {read: 'revision', outcome: 'answered'});
+			if (revision <= this.revision) {
+				routing.confirm(askedAt);
+				return;
+			}
+
+			const listedAt = clock.now();
+			const changes = await this.#limit(timing.directoryAnswerMs, async signal => directory.list(signal));
+			metrics.add('directoryReads', {read: 'list', outcome: 'answered'});
+			this.#take(changes, 'list');
+			routing.confirm(listedAt);
+		} catch (error) {
+			metrics.add('directoryReads', {read: 'revision', outcome: 'failed'});
+			this.#parts.context.log('directoryLost', {read: 'revision', revision: this.revision, detail: String(error)});
+		}
+	}
+
 	async #list(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
 		const limitMs = this.revision < 0 ? firstListMs * (2 ** Math.min(this.#failures, mostDoublings)) : timing.directoryAnswerMs;
-		return this.#limit(Math.min(limitMs, timing.directoryAnswerMs), async signal => directory.list(signal));
+		return this.#limitRead(Math.min(limitMs, timing.directoryAnswerMs), async signal => directory.list(signal));
 	}
 
 	async #watch(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
 		const waitMs = this.#failures > 0 || this.#isDoubted ? probeMs : timing.watchMs;
-		return this.#limit(waitMs + timing.directoryAnswerMs, async signal => directory.watch(this.revision, waitMs, signal));
+		return this.#limitRead(waitMs + timing.directoryAnswerMs, async signal => directory.watch(this.revision, waitMs, signal));
 	}
 
-	async #limit<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
-		const {clock} = this.#parts.context;
+	/** A read of the watch, which `doubt` may end. */
+	async #limitRead<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
 		const controller = new AbortController();
 		this.#call = controller;
+		return this.#limit(limitMs, call, controller);
+	}
+
+	async #limit<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>, controller = new AbortController()): Promise<Result> {
+		const {clock} = this.#parts.context;
 		const timer = clock.after(limitMs, () => {
 			controller.abort();
 		});
@@ -201,7 +259,7 @@
 			this.#apply(change, now);
 		}
 
-		this.revision = Math.max(this.revision, revision);
+		this.hear(revision, true);
 		if (changes.length > 0) {
 			onNews();
 		}
@@ -228,6 +286,9 @@
 
 			case 'unreadable': {
 				log('directoryUnreadable', {key: change.key, detail: change.detail});
+				if (change.isRouting) {
+					routing.fallBehind();
+				}
 			}
 		}
 	}
--- a/packages/relay/src/core/directory.ts
+++ b/packages/relay/src/core/directory.ts
@@ -10,7 +10,7 @@
 	= | {readonly kind: 'routing'; readonly revision: number; readonly routing: Routing}
 		| ({readonly kind: 'endpoint'} & ListedEndpoint)
 		| {readonly kind: 'endpointGone'; readonly id: string; readonly revision: number}
-		| {readonly kind: 'unreadable'; readonly key: string; readonly detail: string};
+		| {readonly kind: 'unreadable'; readonly key: string; readonly isRouting: boolean; readonly detail: string};
 
 /** Changes up to a revision. */
 export type Changes = {
@@ -29,11 +29,13 @@
 	}
 }
 
-/** The published directory. Both calls raise a `DirectoryError`. */
+/** The published directory. All calls raise a `DirectoryError`. */
 export type Directory = {
 	/** All that is published now. */
 	list(signal: AbortSignal): Promise<Changes>;
 	/** What has changed since a revision; waits up to `waitMs` for something. */
 	watch(after: number, waitMs: number, signal: AbortSignal): Promise<Changes>;
+	/** The directory's revision now, by a read that is never answered from an older state. */
+	readRevision(signal: AbortSignal): Promise<number>;
 	close(): void;
 };
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -13,6 +13,7 @@
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
+import {type Gate} from '../access/gate.js';
 import {type RelayContext} from '../core/context.js';
 import {type RequestFacts} from '../core/dialect.js';
 import {type RoutingState} from '../core/routing-state.js';
@@ -41,6 +42,7 @@
 	readonly context: RelayContext;
 	readonly routing: RoutingState;
 	readonly budgets: Budgets;
+	readonly gate: Gate;
 	readonly work: (job: Job) => Promise<JobEnd>;
 };
 
@@ -132,6 +134,10 @@
 		try {
 			const job = await this.#takeIn(intake);
 			const end = await this.#parts.work(job);
+			if (!job.mayHaveRun) {
+				this.#parts.gate.giveBack(job.workspace, job.cost);
+			}
+
 			this.#note(job, end);
 		} catch (error) {
 			this.#refuse(intake, error);
@@ -153,15 +159,19 @@
 	/** Reads the request and finds its route. */
 	async #takeIn(intake: Intake): Promise<Job> {
 		const {request, reply, controller, arrivedAt} = intake;
-		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets} = this.#parts;
+		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets, gate} = this.#parts;
 		this.#checkRoom();
 		const body = await readRequest(request, limits.bodyBytes);
+		const showing = {keyDigest: dialect.readKeyDigest(request.rawHeaders), arrivedAt};
+		await gate.prepare(showing);
 		const table = routing.table ?? fail('notReady', {retryAfterMs: this.#notReadyMs(request)});
 		const target = request.url ?? '/';
 		const route = table.match(request.headers.host ?? '', target) ?? fail('routeUnknown', {detail: `configuration ${routing.version}`});
 		const service = table.draw(route, random) ?? fail('serviceUnknown');
+		const workspace = gate.identify(table, route, showing);
 		const facts = dialect.readRequest(request.headers);
 		const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
+		const cost = await gate.charge(workspace, facts);
 		budgets.arrive(service.name);
 		intake.patience = clock.after(arrivedAt + patienceMs - clock.now(), () => {
 			controller.abort('timeUp');
@@ -173,7 +183,9 @@
 			service,
 			method: request.method ?? 'GET',
 			target,
-			headers: this.#passedHeaders(request),
+			headers: this.#passedHeaders(request, table.hasWorkspaces),
+			workspace,
+			cost,
 			body,
 			arrivedAt,
 			deadlineAt: arrivedAt + patienceMs,
@@ -198,9 +210,10 @@
 		return isLessPatient || lastEventId !== undefined;
 	}
 
-	#passedHeaders(request: IncomingMessage): string[] {
+	/** Where workspaces have keys, who the caller is goes no further. */
+	#passedHeaders(request: IncomingMessage, hasWorkspaces: boolean): string[] {
 		const {dialect} = this.#parts.context;
-		return passHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isPassed(name));
+		return passHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isPassed(name) && !(hasWorkspaces && dialect.isIdentity(name)));
 	}
 
 	/** Names a request that came without a name, for the log. */
@@ -226,7 +239,7 @@
 
 	#note(job: Job, {outcome, code, endpoint, detail, longestGapMs}: JobEnd): void {
 		const {context: {clock, log, metrics}, routing} = this.#parts;
-		const {id, route, service, reply, arrivedAt, sends, runs, isSecondTry} = job;
+		const {id, route, service, workspace, reply, arrivedAt, sends, runs, isSecondTry} = job;
 		const now = clock.now();
 		metrics.add('requests', {kind: route.kind, outcome: code ?? outcome});
 		if (reply.firstByteAt !== undefined && outcome === 'answered') {
@@ -238,6 +251,7 @@
 			request: id,
 			route: route.name,
 			service: service.name,
+			workspace: workspace?.name,
 			outcome,
 			status: reply.status,
 			endpoint,
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -10,6 +10,7 @@
 
 const millisecondsPerSecond = 1000;
 const badGateway = 502;
+const unauthorizedStatus = 401;
 /** Statuses that promise that a request has not run. */
 export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -123,6 +124,10 @@
 			headers.push('Retry-After', (retryAfterMs / millisecondsPerSecond).toFixed(2));
 		}
 
+		if (status === unauthorizedStatus) {
+			headers.push('WWW-Authenticate', 'Bearer');
+		}
+
 		this.#writeHead(status, headers);
 		this.#response.end(body);
 		return code;
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -60,20 +60,25 @@
 
 	/** Tells a host that asked what it lacks. */
 	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
-		const {routing, endpoints, watch, isReader} = this.#parts;
+		const {routing, endpoints, watch} = this.#parts;
+		if (routing.isBehind) {
+			// It would pass on a revision without the configuration that belongs to it
+			return;
+		}
+
 		const listed = endpoints.book.list();
 		this.#parts.send(host, {
 			kind: 'directory',
 			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
 			revision: watch().revision,
-			isCurrent: isReader() && !watch().isDown,
+			isWitnessed: watch().isWitnessed,
 			endpoints: listed.filter(each => each.revision > revision),
 			ids: listed.map(each => each.endpoint.id),
 		});
 	}
 
 	/** Takes over what a host has told. */
-	take(host: string, {routing: offered, revision, isCurrent, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
+	take(host: string, {routing: offered, revision, isWitnessed, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
 			routing.offer(offered, host);
@@ -82,10 +87,10 @@
 		const own = watch();
 		if (revision > own.revision) {
 			const changes = endpoints.book.replace({
-				listed, ids: new Set(ids), revision, isWitnessed: isCurrent,
+				listed, ids: new Set(ids), revision, isWitnessed,
 			}, clock.now());
 			endpoints.note(changes, host);
-			own.hear(revision);
+			own.hear(revision, isWitnessed);
 			if (changes.length > 0) {
 				// The own watch should have said so: its connection may be cut in silence
 				own.doubt();
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -5,16 +5,19 @@
  */
 import {Membership, type Voice} from '@gatehead/host/peer/membership';
 import {PeerLinks} from '@gatehead/host/peer/peer-links';
-import {isDirectoryReader} from '@gatehead/policy/relay/directory-readers';
+import {isDirectoryReader, listConfirmers} from '@gatehead/policy/relay/directory-readers';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {relayBatch, type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {Freshness} from '../access/freshness.js';
+import {QuotaDesk} from '../access/quota-desk.js';
 import {type RelayContext} from '../core/context.js';
 import {DirectoryNews} from './directory-news.js';
 import {type FleetParts} from './fleet-parts.js';
+import {KnownHosts} from './known-hosts.js';
 import {LoadNews} from './load-news.js';
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds: a lone host sends each seed two small messages a second. */
@@ -36,6 +39,10 @@
 	readonly membership: Membership;
 	/** What is said of each request among hosts that share endpoints. */
 	readonly load: LoadNews;
+	/** How fresh this host's list of keys is. */
+	readonly freshness: Freshness;
+	/** Quotas that all hosts share. */
+	readonly quotas: QuotaDesk;
 	/** When a host came, went, or was suspected last. */
 	changedAt: number;
 	/** Whether another host was the first by rank in this process's life. */
@@ -48,6 +55,7 @@
 	#passTimer: Timer | undefined;
 	#known = '';
 	readonly #news: DirectoryNews;
+	readonly #hosts: KnownHosts;
 	/** What is done with each kind of message. */
 	readonly #hearers: Hearers = {
 		hello: (_from, {record}) => {
@@ -79,11 +87,24 @@
 		waiting: (from, message) => {
 			this.load.hearWaiting(from.host, message);
 		},
+		freshnessWanted: (from, message) => {
+			this.freshness.hearWanted(from.host, message);
+		},
+		freshness: (from, message) => {
+			this.freshness.hear(from.host, message);
+		},
+		quotaWanted: (from, message) => {
+			this.quotas.hearWanted(from.host, message);
+		},
+		quotaGranted: (_from, message) => {
+			this.quotas.hearGranted(message);
+		},
 	};
 
 	constructor(parts: FleetParts) {
 		const {context} = parts;
 		this.#parts = parts;
+		this.#hosts = new KnownHosts(context.clock);
 		this.#seeds = context.settings.seeds;
 		this.changedAt = context.clock.now();
 		this.#links = new PeerLinks<RelayMessage>(context, relayBatch, {
@@ -101,6 +122,15 @@
 		};
 
 		this.load = new LoadNews({context, endpoints: parts.endpoints, send});
+		const access = {context, routing: parts.routing, send};
+		this.freshness = new Freshness({
+			...access, watch: parts.watch, listConfirmers: () => listConfirmers(this.membership.members.self, this.#listAlive()),
+		});
+		this.quotas = new QuotaDesk({
+			...access,
+			listHeard: () => this.membership.members.listReachable().map(({host}) => host),
+			countKnown: () => this.#hosts.count(),
+		});
 		this.#news = new DirectoryNews({
 			...parts,
 			isReader: () => this.isReader(),
@@ -193,6 +223,8 @@
 			this.changedAt = this.#parts.context.clock.now();
 			this.hasFollowed ||= !this.isFirst();
 			this.load.setMembers(this.membership.members.list());
+			this.#hosts.note(this.membership.members.list());
+			this.quotas.noteFleetChange();
 		}
 	}
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -3,8 +3,10 @@
  * started and stopped in order. Efficiency: a planned stop serves on until no
  * lookup can name this host. Safety rests on the tasks, not here.
  */
+import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
+import {Gate} from './access/gate.js';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
 import {RoutingState} from './core/routing-state.js';
@@ -89,12 +91,12 @@
 			news,
 		};
 		this.#front = new CallerFront({
-			context, routing: this.routing, budgets, work: async job => this.#workOn(job),
+			context, routing: this.routing, budgets, gate: new Gate({routing: this.routing, freshness: this.fleet.freshness, quotas: this.fleet.quotas}), work: async job => this.#workOn(job),
 		});
 		this.#side = new SideFront({
 			context,
 			isReady: () => this.isReady,
-			listMembers: () => this.fleet.membership.members.list(),
+			listMembers: () => this.#listForCallers(),
 			refresh: () => {
 				this.#refresh();
 			},
@@ -177,6 +179,14 @@
 		this.context.metrics.close();
 	}
 
+	/** A host that must refuse requests with keys names the others alone, while it knows some. */
+	#listForCallers(): readonly MemberRecord[] {
+		const members = this.fleet.membership.members.list();
+		const others = members.filter(({host}) => host !== this.context.self.host);
+		const hasOthers = others.some(({state}) => state === 'alive');
+		return this.fleet.freshness.isLost && hasOthers ? others : members;
+	}
+
 	async #workOn(job: Job): Promise<JobEnd> {
 		return job.service.engine === undefined ? workPlain(this.#work, job) : workGeneration(this.#work, job);
 	}
@@ -202,6 +212,7 @@
 		metrics.set('waiting', this.#work.admission.waiting);
 		metrics.set('hosts', this.fleet.countHosts());
 		metrics.set('retryLeft', this.#work.budgets.leastLeft());
+		metrics.set('evidenceAge', this.routing.ageMs());
 		const {table} = this.routing;
 		let ready = 0;
 		for (const {name} of table?.routing.services ?? []) {
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -36,7 +36,7 @@
 	readonly job: Job;
 	readonly step: Step;
 	readonly endpoint: Endpoint;
-	readonly facts: Omit<SendFacts, 'endpoint' | 'leftMs'>;
+	readonly facts: Omit<SendFacts, 'endpoint' | 'leftMs' | 'workspace'>;
 	/** Memory that it takes there, in tokens. */
 	readonly tokens: number;
 	/** Time until the answer's head must be there. */
@@ -108,7 +108,9 @@
 	#headersOf({job, endpoint, facts}: Send): string[] {
 		const {clock, dialect} = this.#context;
 		const length = job.body === undefined ? [] : ['Content-Length', String(job.body.length)];
-		return [...job.headers, ...length, ...dialect.sendHeaders({...facts, endpoint, leftMs: Math.floor(timeLeft(job, clock.now()))})];
+		return [...job.headers, ...length, ...dialect.sendHeaders({
+			...facts, endpoint, workspace: job.workspace?.name, leftMs: Math.floor(timeLeft(job, clock.now())),
+		})];
 	}
 
 	#judge(send: Send, response: IncomingMessage, finish: () => void): Sent {
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -26,6 +26,8 @@
 	peerBytes: {name: 'gatehead_peer_bytes_total', help: 'Bytes sent to other hosts.', labels: []},
 	lateWakes: {name: 'gatehead_late_wakes_total', help: 'Times that this process found that it had been paused.', labels: []},
 	connections: {name: 'gatehead_endpoint_connections_total', help: 'Connections opened to endpoints.', labels: []},
+	evidenceAsked: {name: 'gatehead_evidence_asked_total', help: 'Peers asked how fresh the configuration is, by outcome.', labels: ['outcome']},
+	quotaAsked: {name: 'gatehead_quota_asked_total', help: 'Questions to keepers of quotas, by outcome.', labels: ['outcome']},
 	logDropped: {name: 'gatehead_log_lines_dropped_total', help: 'Log lines left out, by reason.', labels: ['reason']},
 } as const satisfies Record<string, {readonly name: string; readonly help: string; readonly labels: readonly string[]}>;
 
@@ -37,6 +39,7 @@
 	endpoints: {name: 'gatehead_endpoints_ready', help: 'Endpoints that take new work.'},
 	version: {name: 'gatehead_routing_version', help: 'Version of the configuration in force; 0: none.'},
 	directory: {name: 'gatehead_directory_up', help: '1 while the directory answers.'},
+	evidenceAge: {name: 'gatehead_evidence_age_ms', help: 'How long ago the configuration was known to be the newest; -1: never.'},
 	retryLeft: {name: 'gatehead_retry_budget_left', help: 'Second sends left to this host, least of all services.'},
 } as const satisfies Record<string, {readonly name: string; readonly help: string}>;
 
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -3,7 +3,7 @@
  * byte can reach an endpoint and is taken back only on the endpoint's own
  * word; every refusal asks it.
  */
-import {type Route, type Service} from '@gatehead/schema/routing';
+import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type Reply} from '../front/reply.js';
 import {type RequestFacts} from '../core/dialect.js';
 
@@ -14,6 +14,10 @@
 	readonly facts: RequestFacts;
 	readonly route: Route;
 	readonly service: Service;
+	/** Whose key the caller showed; undefined: no key is needed. */
+	readonly workspace: Workspace | undefined;
+	/** What it took out of the workspace's quota, in the quota's unit. */
+	readonly cost: number;
 	readonly method: string;
 	readonly target: string;
 	/** Headers to pass on, names and values by turns. */
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -93,6 +93,7 @@
 				arrivedAt: wish.isStarted ? clock.now() : job.arrivedAt,
 				targetMs: job.route.targetMs,
 				deadlineAt: job.deadlineAt,
+				priorities: [job.workspace?.priority ?? 0, job.route.priority],
 				stage: this.#stageOf(wish),
 				resolve: answer => {
 					job.signal.removeEventListener('abort', leave);
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -130,6 +130,12 @@
 	tooManyRequests: {
 		number: 2006, status: 503, ran: 'no', advice: 'This host has as many requests in work as it may. Come back after Retry-After.',
 	},
+	quotaSpent: {
+		number: 2007, status: 429, ran: 'no', advice: 'The quota of your workspace is used up. Come back after Retry-After.',
+	},
+	keysOutdated: {
+		number: 2008, status: 503, ran: 'no', advice: 'This host cannot tell whether its list of keys is the newest. Use another address.',
+	},
 	bundleSignature: {
 		number: 5001, status: 0, ran: 'no', advice: 'A bundle is not signed by a known operator key. Sign it with gateheadctl bundle sign.',
 	},
@@ -220,6 +226,15 @@
 	subsetChanged: {
 		number: 5030, status: 0, ran: 'no', advice: 'This host shares endpoints with other hosts than before. Efficiency only.',
 	},
+	keysOutdatedSince: {
+		number: 5031, status: 0, ran: 'no', advice: 'Neither the directory nor a peer has confirmed the configuration lately. Requests with keys are refused until one does.',
+	},
+	keysConfirmed: {
+		number: 5032, status: 0, ran: 'no', advice: 'The configuration is confirmed as the newest again.',
+	},
+	quotaKeeperSilent: {
+		number: 5033, status: 0, ran: 'no', advice: 'The host that deals a quota does not answer. Another one is asked.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -7,6 +7,9 @@
 /** An endpoint that a host has set aside. */
 export const pause = z.object({endpoint: z.string(), leftMs: z.number()});
 
+/** What a host last heard of a quota's level, from which keeper, and how long ago: a keeper that begins starts from it. */
+export const quotaLevel = z.object({level: z.number(), keeper: z.string(), ageMs: z.number().nonnegative()});
+
 /** Every message, by kind. */
 export const relayMessage = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('hello'), from: owner, record: memberRecord}),
@@ -16,9 +19,9 @@
 	}),
 	/** Asks for the configuration in force, where it is newer, and the endpoints written after a revision. */
 	z.object({kind: z.literal('directoryWanted'), routingVersion: z.number(), revision: z.number()}),
-	/** The answer to that; `isCurrent`: its sender reads the directory now. */
+	/** The answer to that; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with. */
 	z.object({
-		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), isCurrent: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000),
+		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
 	/** A prompt of so many tokens goes to an endpoint now; said to the hosts that share it. */
@@ -27,6 +30,22 @@
 	z.object({
 		kind: z.literal('placed'), endpoint: z.string(), tokens: z.number(), heldMs: z.number(),
 	}),
+	/** Asks how long ago the configuration was known to be the newest; `mostAgeMs`: an older answer is of no use. */
+	z.object({
+		kind: z.literal('freshnessWanted'), ask: z.number(), routingVersion: z.number(), mostAgeMs: z.number(),
+	}),
+	/** The answer to that; without `ageMs` its sender does not know. The configuration comes along where the asker's is older. */
+	z.object({
+		kind: z.literal('freshness'), ask: z.number(), ageMs: z.number().nonnegative().optional(), routing: routing.optional(),
+	}),
+	/** Asks the keeper of a workspace's quota for a part of it: `least` for what waits, `wanted` for what is expected besides. */
+	z.object({
+		kind: z.literal('quotaWanted'), ask: z.number(), workspace: z.string(), least: z.number().nonnegative(), wanted: z.number().nonnegative(), isStandIn: z.boolean(), heard: quotaLevel.optional(),
+	}),
+	/** The answer to that: what may be used at once, or when to ask again. */
+	z.object({
+		kind: z.literal('quotaGranted'), ask: z.number(), granted: z.number().nonnegative(), waitMs: z.number().nonnegative(), level: z.number(), keeper: z.string(),
+	}),
 	/** So many requests wait for memory at a service; said to the hosts that share its endpoints. */
 	z.object({kind: z.literal('waiting'), service: z.string(), count: z.number()}),
 ]);
@@ -38,3 +57,5 @@
 export type RelayMessage = z.infer<typeof relayMessage>;
 /** The message of one kind. */
 export type RelayMessageOf<Kind extends RelayMessage['kind']> = Extract<RelayMessage, {kind: Kind}>;
+/** A quota's level as a host last heard it. */
+export type QuotaLevel = z.infer<typeof quotaLevel>;
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -61,9 +61,19 @@
 	windowMs: milliseconds.default(10_000),
 });
 
+/** What binds all hosts together on keys and quotas of workspaces. */
+const access = z.strictObject({
+	/** Time after which no host runs a request whose key was taken away, whether or not it has heard of that, in milliseconds: an operator's promise. Absent: only hosts that hear of it are bound. */
+	revocationMs: milliseconds.optional(),
+	/** Time over which use is summed against a quota, in milliseconds; part by which the sum may exceed it, and what may come besides in the quota's unit: operators allow it since hosts count apart. */
+	quotaWindowMs: milliseconds.min(1000).default(8000),
+	quotaExcess: z.number().nonnegative().max(10).default(0.25),
+	quotaAllowance: z.number().nonnegative().default(0),
+});
+
 /** Mechanisms that an experiment can switch off, to measure what each is worth; all are on elsewhere. */
 export const mechanism = z.enum([
-	'reservations', 'readingApart', 'earlyRefusal', 'secondTries', 'resumedTurns', 'comeBackTimes', 'peerUse', 'peerReadings', 'peerWaiting', 'pauses', 'pauseNews', 'errorRetries', 'slowCopies', 'continuing', 'stageOrders', 'nearHalls',
+	'reservations', 'readingApart', 'earlyRefusal', 'secondTries', 'resumedTurns', 'comeBackTimes', 'peerUse', 'peerReadings', 'peerWaiting', 'pauses', 'pauseNews', 'errorRetries', 'slowCopies', 'continuing', 'stageOrders', 'nearHalls', 'quotaKeepers', 'peerEvidence',
 ]);
 
 /** Settings of one relay process. */
@@ -83,6 +93,7 @@
 	timing: timing.prefault({}),
 	limits: limits.prefault({}),
 	retry: retry.prefault({}),
+	access: access.prefault({}),
 	/** For measurements alone (scripts/ablate.mjs): what is switched off. */
 	experiments: z.strictObject({off: z.array(mechanism).default([])}).prefault({}),
 });
--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -33,9 +33,34 @@
 	/** Longest pause between two events of a stream that is in time, in milliseconds; absent: no bound. */
 	gapTargetMs: milliseconds.optional(),
 	priority: count,
+	/** Requests need no key; absent: they do, where the configuration has workspaces. */
+	isPublic: z.boolean().optional(),
 	shares: z.array(serviceShare).min(1),
 });
 
+/** What a quota counts: requests, or the tokens of prompts and answers. */
+export const quotaUnit = z.enum(['requests', 'tokens']);
+
+/** What the requests of one workspace may use at all hosts together: a rate, and what may come at once above it. */
+export const quota = z.object({
+	unit: quotaUnit,
+	ratePerS: z.number().positive(),
+	burst: z.number().nonnegative(),
+	/** Tokens that a request counts which does not say how many it has. */
+	unnamedTokens: z.number().nonnegative(),
+});
+
+/** Callers who share keys, a priority and a quota. */
+export const workspace = z.object({
+	name,
+	/** Digests of the keys that its callers show; the keys themselves are kept nowhere. */
+	keyDigests: z.array(z.string()),
+	/** 0 goes first; it counts before the route's. */
+	priority: count,
+	/** Absent: no limit. */
+	quota: quota.optional(),
+});
+
 /** Engines that read prompts and generate apart. */
 export const enginePool = z.object({
 	/** Memory of one engine, in tokens. */
@@ -66,6 +91,8 @@
 	routes: z.array(route),
 	services: z.array(service),
 	callerLimits,
+	/** Absent: no request needs a key. */
+	workspaces: z.array(workspace).optional(),
 });
 
 /** One run of one endpoint; a restart is another endpoint with another id. */
@@ -86,6 +113,12 @@
 
 /** What a route's requests may do. */
 export type RouteKind = z.infer<typeof routeKind>;
+/** What a quota counts. */
+export type QuotaUnit = z.infer<typeof quotaUnit>;
+/** A workspace's limit. */
+export type Quota = z.infer<typeof quota>;
+/** Callers who share keys. */
+export type Workspace = z.infer<typeof workspace>;
 /** Where requests go. */
 export type Route = z.infer<typeof route>;
 /** A service. */
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -19,6 +19,8 @@
 	readonly target: string;
 	readonly body: string;
 	readonly lastEventId: string | undefined;
+	/** All headers that came with it, names in small letters and values by turns. */
+	readonly headers: readonly string[];
 };
 
 /** What all replicas of one test share. */
@@ -28,6 +30,8 @@
 	readonly results: Map<string, string>;
 	/** Requests whose connection closed before their answer was whole. */
 	readonly closed: string[];
+	/** Headers of the prompts that were read. */
+	readonly readings: Array<readonly string[]>;
 	readonly orders: Array<{readonly replica: string; readonly holder: string; readonly fence: number}>;
 };
 
@@ -60,6 +64,10 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
+function listHeaders({rawHeaders}: IncomingMessage): string[] {
+	return rawHeaders.map((each, index) => index % 2 === 0 ? each.toLowerCase() : each);
+}
+
 class Replica {
 	readonly parts: ReplicaParts;
 	fault: ReplicaFault = 'none';
@@ -123,7 +131,7 @@
 		}
 
 		this.parts.log.runs.push({
-			request: id, replica: this.parts.id, target: request.url ?? '', body: exchange.body, lastEventId: headerOf(request, 'last-event-id'),
+			request: id, replica: this.parts.id, target: request.url ?? '', body: exchange.body, lastEventId: headerOf(request, 'last-event-id'), headers: listHeaders(request),
 		});
 		response.once('close', () => {
 			if (!response.writableFinished) {
@@ -133,7 +141,8 @@
 		this.#answer(exchange);
 	}
 
-	#prefill({response, id}: Exchange): void {
+	#prefill({request, response, id}: Exchange): void {
+		this.parts.log.readings.push(listHeaders(request));
 		const faults: Partial<Record<ReplicaFault, () => void>> = {
 			reset() {
 				response.socket?.resetAndDestroy();
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -43,10 +43,25 @@
 	readonly retryAllowance?: number;
 	/** Longest wait of a watch, in milliseconds; absent: as in production. */
 	readonly watchMs?: number;
+	/** Workspaces as the platform writes them; absent: no request needs a key. */
+	readonly tenants?: readonly StandinTenant[];
+	/** Time after which a key that was taken away is refused everywhere, in milliseconds; absent: no such bound. */
+	readonly revokeMs?: number;
 	/** Where the first host reaches the store, given the store's own address; absent: there. */
 	readonly storePath?: (store: string) => Promise<string>;
 };
 
+/** A workspace as the platform writes it. */
+export type StandinTenant = {
+	readonly name: string;
+	readonly apiKeys: readonly string[];
+	readonly priority?: number;
+	readonly unit?: string;
+	readonly plainTokens?: number;
+	readonly ratePerS?: number;
+	readonly burst?: number;
+};
+
 /** A running deployment. */
 export type World = {
 	readonly store: StandinStore;
@@ -59,7 +74,7 @@
 };
 
 /** The settings file as the platform writes it. */
-export function makeBoot({name, ip, ports, seeds, store, retryAllowance}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number}): unknown {
+export function makeBoot({name, ip, ports, seeds, store, retryAllowance, revokeMs}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
 	const [front, ready, control, directory] = ports.map(port => `${ip}:${port}`);
 	return {
 		nodeName: name,
@@ -73,15 +88,19 @@
 		seeds,
 		limits: {maxFds: 4100},
 		bounds: {
-			graceS: 8, retryBudgetRatio: retryAllowance === undefined ? 0.2 : 0, budgetSlack: retryAllowance ?? 58, budgetWindowS: 10, ttl_max_s: 5,
+			graceS: 8, retryBudgetRatio: retryAllowance === undefined ? 0.2 : 0, budgetSlack: retryAllowance ?? 58, budgetWindowS: 10, ttl_max_s: 5, ...(revokeMs === undefined
+				? {}
+				: {
+					revokeStrict: true, revokeMs, quotaOvershoot: 0.25, quotaSlack: 0, quotaWindowS: 8,
+				}),
 		},
 		platform: {address: store},
 		unknownField: {passed: 'over'},
 	};
 }
 
-/** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls. */
-export function makeConfig(version: number): unknown {
+/** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls, one of them on a public route too. */
+export function makeConfig(version: number, tenants?: readonly StandinTenant[]): unknown {
 	const route = {
 		host: 'calls.example', timeoutMs: 3000, targetLatencyMs: 900, priority: 1, sticky: false,
 	};
@@ -100,6 +119,9 @@
 			{
 				...route, name: 'repeatable', pathPrefix: '/repeatable/', kind: 'idempotent', trafficSplit: [{service: 'plain', weight: 1}], maxAttempts: 2,
 			},
+			{
+				...route, name: 'public', pathPrefix: '/public/', kind: 'idempotent', service: 'plain', maxAttempts: 2, public: true,
+			},
 		],
 		services: [
 			{
@@ -110,6 +132,7 @@
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
+		...(tenants === undefined ? {} : {tenants}),
 	};
 }
 
@@ -129,12 +152,13 @@
 	readonly lines: LoggedLine[];
 	readonly retryAllowance: number | undefined;
 	readonly watchMs: number | undefined;
+	readonly revokeMs: number | undefined;
 };
 
-async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs}: RelayStart): Promise<RunningRelay> {
+async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = readBoot(makeBoot({
-		name, ip: ownAddress, ports, seeds, store, retryAllowance,
+		name, ip: ownAddress, ports, seeds, store, retryAllowance, revokeMs,
 	}));
 	const relay = new Relay({
 		settings: {...settings, listen: {...settings.listen, metrics: undefined}, timing: {...settings.timing, watchMs: watchMs ?? settings.timing.watchMs}},
@@ -163,9 +187,9 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, storePath}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
-		runs: [], results: new Map(), closed: [], orders: [],
+		runs: [], results: new Map(), closed: [], readings: [], orders: [],
 	};
 	const lines: LoggedLine[] = [];
 	const store = await startStore(anyPort);
@@ -177,7 +201,7 @@
 		store.put(`servers/${replica.id}`, makeEntry(replica, state));
 	};
 
-	store.put('op/config', makeConfig(1));
+	store.put('op/config', makeConfig(1, tenants));
 	for (const replica of replicas) {
 		publish(replica, 'ready');
 	}
@@ -187,7 +211,7 @@
 	const firstStore = await storePath?.(store.address) ?? store.address;
 	const seeds = [`${ownAddress}:${portsOf(0)[2]}`];
 	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
-		index, store: index === 0 ? firstStore : store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs,
+		index, store: index === 0 ? firstStore : store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs,
 	})));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
 	return {
