A host that reads the directory no more believes what the others call gone

A host that was cut off took itself for a reader and failed; once the others were back it read no more, and its own failed reads kept every entry that vanished for good, unless a reader itself told it. Change: who stops reading gives its outage up. The test fails without it.

--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -128,6 +128,9 @@
 	{
 		name: 'a watch that was ended from here is no outage', steps: [{answers: ['answers']}, 'doubt', {wait: 10}, 'endpointGoes'], isDown: false, isReady: false,
 	},
+	{
+		name: 'who reads no more believes the others, though its own last reads failed', steps: [{answers: ['fails', 'fails', 'fails', 'fails']}, 'doubt', {wait: 400}, 'resign', {wait: 1500}, {wait: 600}, {wait: 2500}, 'endpointGoes'], isDown: false, isReady: false,
+	},
 	{
 		name: 'a silent directory is noticed soon after a doubt', steps: ['doubt', {wait: 1600}, {wait: 2000}, {wait: 2000}], isDown: true, isReady: true,
 	},
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -115,6 +115,10 @@
 		const {clock} = this.#parts.context;
 		while (!this.#abort.signal.aborted) {
 			const isNeeded = this.revision < 0 || this.#parts.isReader();
+			if (!isNeeded) {
+				this.#resign();
+			}
+
 			const pauseMs = isNeeded ? await this.#read() : idleMs;
 			if (pauseMs > 0) {
 				await new Promise<void>(resolve => {
@@ -124,6 +128,13 @@
 		}
 	}
 
+	/** Others read the directory now: that this host could not says nothing any more, and what they call gone is believed. */
+	#resign(): void {
+		if (this.#isDown) {
+			this.#back();
+		}
+	}
+
 	/** One read; returns the pause before the next. */
 	async #read(): Promise<number> {
 		const {metrics} = this.#parts.context;
