Operators see why a key or a quota refused a request

Cause: a 401, a 429 and a 503 for want of evidence all read 'refused before it had a route', and a read of the directory's revision that failed was logged as the directory lost.

--- a/packages/control/src/commands/trace.test.ts
+++ b/packages/control/src/commands/trace.test.ts
@@ -34,6 +34,21 @@
 		})], says: 'Answered by e2 with status 200 after 20 ms, whole after 30 ms.',
 	},
 	{name: 'the caller left', steps: [line('requestEnded', {outcome: 'callerLeft', tookMs: 30})], says: 'The caller left after 30 ms.'},
+	{
+		name: 'an unknown key', steps: [line('requestEnded', {
+			outcome: 'refused', reason: 'callerUnknown', version: 7, tookMs: 2,
+		})], says: 'Refused, not run: its key was unknown or taken away under configuration 7, or it showed none.',
+	},
+	{
+		name: 'no evidence of keys', steps: [line('requestEnded', {
+			outcome: 'refused', reason: 'keysOutdated', evidenceAgeMs: 5400, tookMs: 80,
+		})], says: 'Refused, not run: the host could not tell whether its list of keys was the newest (confirmed 5400 ms before).',
+	},
+	{
+		name: 'a quota that is used up', steps: [line('requestEnded', {
+			outcome: 'refused', reason: 'quotaSpent', detail: 'guides asked for 900 tokens', tookMs: 4,
+		})], says: 'Refused, not run: the quota of its workspace was used up (guides asked for 900 tokens).',
+	},
 	{name: 'no end', steps: [failed], says: 'No line tells of its end: the host was lost, or the line was left out (see linesLeftOut).'},
 ];
 
--- a/packages/control/src/commands/trace.ts
+++ b/packages/control/src/commands/trace.ts
@@ -25,11 +25,18 @@
 	requestEnded: end => describeEnd(end),
 };
 
+/** Why a request was refused before it was worked on, by the reason in its last line. */
+const refusals: Readonly<Record<string, (end: LogLine) => string>> = {
+	callerUnknown: end => `Refused, not run: its key was unknown or taken away under configuration ${textOf(end, 'version')}, or it showed none.`,
+	keysOutdated: end => `Refused, not run: the host could not tell whether its list of keys was the newest (confirmed ${textOf(end, 'evidenceAgeMs')} ms before).`,
+	quotaSpent: end => `Refused, not run: the quota of its workspace was used up (${textOf(end, 'detail')}).`,
+};
+
 function describeEnd(end: LogLine): string {
 	const outcomes: Readonly<Record<string, string>> = {
 		answered: `Answered by ${textOf(end, 'endpoint')} with status ${textOf(end, 'status')} after ${textOf(end, 'firstByteMs')} ms, whole after ${textOf(end, 'tookMs')} ms.`,
 		callerLeft: `The caller left after ${textOf(end, 'tookMs')} ms.`,
-		refused: `Refused before it had a route: ${textOf(end, 'detail')}.`,
+		refused: refusals[textOf(end, 'reason')]?.(end) ?? `Refused before it had a route: ${textOf(end, 'detail')}.`,
 	};
 	return outcomes[textOf(end, 'outcome')] ?? `Ended: ${textOf(end, 'outcome')}.`;
 }
@@ -79,7 +86,7 @@
 	return (code === undefined || line.name === code || String(line.code) === code)
 		&& (host === undefined || line.host === host)
 		&& (endpoint === undefined || textOf(line, 'endpoint') === endpoint)
-		&& (workspace === undefined || textOf(line, 'service') === workspace || textOf(line, 'caller') === workspace);
+		&& (workspace === undefined || textOf(line, 'workspace') === workspace || textOf(line, 'service') === workspace || textOf(line, 'caller') === workspace);
 }
 
 /** Prints the lines that concern something. */
--- a/packages/policy/src/relay/evidence.ts
+++ b/packages/policy/src/relay/evidence.ts
@@ -9,12 +9,12 @@
 
 /** Time taken off the bound, in milliseconds, so that rounding and a timer's lateness do not count against it. */
 const marginMs = 100;
-/** Part of the bound after which a host asks again: the other half is left for questions that fail, one after the other. */
-const renewShare = 0.5;
+/** Part of the bound after which a host asks again: the rest is left for questions that fail, one after the other. */
+const renewShare = 0.55;
 /** Oldest answer that a peer gives without asking the directory first, as a part of the bound: below the part above, so that an answer is of use for a while. */
-const givenShare = 0.36;
+const givenShare = 0.4;
 /** Age from which a peer that was asked asks the directory beside its answer, as a part of the bound. */
-const refreshShare = 0.16;
+const refreshShare = 0.28;
 
 /** The ages that follow from a bound, in milliseconds. */
 export type EvidenceAges = {
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -179,7 +179,7 @@
 			routing.confirm(listedAt);
 		} catch (error) {
 			metrics.add('directoryReads', {read: 'revision', outcome: 'failed'});
-			this.#parts.context.log('directoryLost', {read: 'revision', revision: this.revision, detail: String(error)});
+			this.#parts.context.log('directoryUnconfirmed', {revision: this.revision, confirmedMs: Math.round(routing.ageMs()), detail: String(error)});
 		}
 	}
 
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -229,7 +229,7 @@
 		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
 		metrics.add('requests', {kind: 'none', outcome});
 		log(code === 'internal' ? 'internal' : 'requestEnded', {
-			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, tookMs: Math.round(clock.now() - arrivedAt),
+			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, evidenceAgeMs: code === 'keysOutdated' ? Math.round(routing.ageMs()) : undefined, tookMs: Math.round(clock.now() - arrivedAt),
 		});
 		// A body that was not read to its end would block the connection
 		if (!request.complete) {
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -235,6 +235,9 @@
 	quotaKeeperSilent: {
 		number: 5033, status: 0, ran: 'no', advice: 'The host that deals a quota does not answer. Another one is asked.',
 	},
+	directoryUnconfirmed: {
+		number: 5034, status: 0, ran: 'no', advice: 'The directory did not say whether it knows more than this host. It is asked again when that is needed.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
