What a reader calls gone is believed also right after an own outage; greetings in a module

Change: a witnessed list counts against entries kept for an own outage until its grace is over, not only while it lasts; who gives reading up keeps nothing.

--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -17,7 +17,7 @@
 		| {readonly remove: string; readonly revision: number}
 		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number; readonly isWitnessed?: boolean}
 		| {readonly wait: number}
-		| {readonly directory: 'lost' | 'back'};
+		| {readonly directory: 'lost' | 'back' | 'leftToOthers'};
 
 type Case = {
 	readonly name: string;
@@ -91,6 +91,21 @@
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {remove: 'a', revision: 3}, {replace: [], revision: 5, isWitnessed: true}],
 		ready: [],
 	},
+	{
+		name: 'also where this host has just come back from a cut, and would give the entry its grace',
+		steps: [{put: listed('a', 1)}, {put: listed('b', 2)}, {directory: 'lost'}, {wait: 8000}, {directory: 'back'}, {replace: [listed('b', 2)], revision: 5, isWitnessed: true}],
+		ready: ['b'],
+	},
+	{
+		name: 'what vanished while this host could not read is gone soon after it has left that to others',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {replace: [], revision: 5}, {wait: 3000}, {directory: 'leftToOthers'}, {wait: 250}],
+		ready: [],
+	},
+	{
+		name: 'and what goes from then on is gone at once',
+		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {wait: 3000}, {directory: 'leftToOthers'}, {remove: 'a', revision: 5}],
+		ready: [],
+	},
 	{
 		name: 'a host that cannot read it either is not believed',
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {replace: [], revision: 5}],
@@ -118,6 +133,8 @@
 			book.sweep(now);
 		} else if (step.directory === 'lost') {
 			book.directoryLost();
+		} else if (step.directory === 'leftToOthers') {
+			book.directoryLeftToOthers(now);
 		} else {
 			book.directoryBack(now);
 		}
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -96,6 +96,16 @@
 		}
 	}
 
+	/** Others read the directory from now on: what vanished while this host could not is theirs to judge, and it gets no grace of its own. */
+	directoryLeftToOthers(now: number): void {
+		this.#isAway = false;
+		for (const entry of this.#entries.values()) {
+			if (entry.keptUntil !== undefined) {
+				entry.keptUntil = Math.min(entry.keptUntil, now);
+			}
+		}
+	}
+
 	/** Takes a written entry; returns what changed. */
 	put({revision, endpoint}: ListedEndpoint): BookChange[] {
 		const known = this.#entries.get(endpoint.id);
@@ -132,8 +142,8 @@
 
 	/**
 	 * Takes a whole list as of `revision`, or what changed in it and the ids of
-	 * all: what these lack has gone. An own outage says nothing against a list
-	 * that is witnessed.
+	 * all: what these lack has gone. An own outage, or one that has just ended,
+	 * says nothing against a list that is witnessed.
 	 */
 	replace({listed, ids, revision, isWitnessed = false}: BookList, now: number): BookChange[] {
 		const changes: BookChange[] = [];
@@ -146,7 +156,7 @@
 				continue;
 			}
 
-			if (isWitnessed && this.#isAway) {
+			if (isWitnessed && this.#isInOutage(now)) {
 				changes.push(...this.#erase(known, revision));
 			} else if (known.keptUntil === undefined) {
 				changes.push(...this.#vanish(known, revision, now));
@@ -174,14 +184,19 @@
 		return changes;
 	}
 
+	/** Whether this host cannot read the directory, or could not until a grace ago. */
+	#isInOutage(now: number): boolean {
+		return this.#isAway || now <= this.#backAt + returnGraceMs;
+	}
+
 	#vanish(known: Entry, revision: number, now: number): BookChange[] {
 		const {endpoint} = known;
 		if (endpoint.state !== 'ready') {
 			return this.#erase(known, revision);
 		}
 
+		const isInOutage = this.#isInOutage(now);
 		const returnUntil = this.#isAway ? Number.POSITIVE_INFINITY : this.#backAt + returnGraceMs;
-		const isInOutage = now <= returnUntil;
 		if (isInOutage || this.#isVanishing(endpoint.service)) {
 			known.keptUntil ??= isInOutage ? returnUntil : now + massGraceMs;
 			return [{endpoint, change: 'vanished'}];
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -131,7 +131,11 @@
 	/** Others read the directory now: that this host could not says nothing any more, and what they call gone is believed. */
 	#resign(): void {
 		if (this.#isDown) {
-			this.#back();
+			const {context: {clock, log}, endpoints} = this.#parts;
+			this.#isDown = false;
+			this.#failures = 0;
+			endpoints.book.directoryLeftToOthers(clock.now());
+			log('directoryBack', {revision: this.revision, detail: 'other hosts read it now'});
 		}
 	}
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -17,17 +17,10 @@
 import {type RelayContext} from '../core/context.js';
 import {DirectoryNews} from './directory-news.js';
 import {type FleetParts} from './fleet-parts.js';
+import {Greetings} from './greetings.js';
 import {KnownHosts} from './known-hosts.js';
 import {LoadNews} from './load-news.js';
 
-/** Interval at which seeds are greeted while no other host is known, in milliseconds: a lone host sends each seed two small messages a second. */
-const greetMs = 500;
-/** The same in the first seconds of a process, in milliseconds: after a loss of all hosts each starts alone, and sends what the others do not hear of. With it and new connections for greetings that hang, seven hosts that lost power know each other 0.4 s after the last one is back, in place of 1.0 s. */
-const firstGreetMs = 120;
-/** How long those first seconds last, in milliseconds: hosts that are restarted together are up within one. */
-const firstGreetingsMs = 4000;
-/** Interval at which seeds are greeted later on, so that two halves of a split find each other, in milliseconds: heartbeats find most of them sooner. */
-const greetAgainMs = 10_000;
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
 
@@ -47,11 +40,9 @@
 	changedAt: number;
 	/** Whether another host was the first by rank in this process's life. */
 	hasFollowed = false;
-	#startedAt = 0;
 	readonly #parts: FleetParts;
 	readonly #links: PeerLinks<RelayMessage>;
-	#seeds: readonly string[];
-	#timer: Timer | undefined;
+	readonly #greetings: Greetings;
 	#passTimer: Timer | undefined;
 	#known = '';
 	readonly #news: DirectoryNews;
@@ -105,7 +96,6 @@
 		const {context} = parts;
 		this.#parts = parts;
 		this.#hosts = new KnownHosts(context.clock);
-		this.#seeds = context.settings.seeds;
 		this.changedAt = context.clock.now();
 		this.#links = new PeerLinks<RelayMessage>(context, relayBatch, {
 			onMessage: (from, message) => {
@@ -117,6 +107,14 @@
 			ownRecord: () => this.membership.members.self,
 			addressOf: host => this.membership.members.recordOf(host)?.peerAddress,
 		});
+		this.#greetings = new Greetings({
+			clock: context.clock,
+			seeds: context.settings.seeds,
+			listKnown: () => this.membership.members.listReachable().map(({peerAddress}) => peerAddress),
+			greet: address => {
+				this.#links.greet(address);
+			},
+		});
 		const send = (host: string, message: RelayMessage) => {
 			this.#links.send(host, message);
 		};
@@ -150,7 +148,7 @@
 			},
 			onLateWake: () => {
 				this.changedAt = context.clock.now();
-				this.#greet();
+				this.#greetings.greet();
 			},
 		}, makeOwnRecord(context));
 	}
@@ -181,8 +179,7 @@
 		const peerAddress = await this.#links.listen();
 		this.membership.members.updateSelf({peerAddress});
 		this.membership.start();
-		this.#startedAt = this.#parts.context.clock.now();
-		this.#keepGreeting();
+		this.#greetings.start();
 	}
 
 	/** Says that this host is leaving. */
@@ -192,8 +189,7 @@
 
 	/** Takes over other seeds. */
 	reload(seeds: readonly string[]): void {
-		this.#seeds = seeds;
-		this.#greet();
+		this.#greetings.setSeeds(seeds);
 	}
 
 	/** Tells the neighbours at once what is new. */
@@ -208,7 +204,7 @@
 
 	/** Closes all links. */
 	close(): void {
-		this.#timer?.stop();
+		this.#greetings.stop();
 		this.#news.close();
 		this.load.close();
 		this.#passTimer?.stop();
@@ -248,26 +244,6 @@
 		}
 	}
 
-	#keepGreeting(): void {
-		this.#greet();
-		const {clock} = this.#parts.context;
-		const isAlone = this.membership.members.listReachable().length < 2;
-		const aloneMs = clock.now() - this.#startedAt < firstGreetingsMs ? firstGreetMs : greetMs;
-		this.#timer = clock.after(isAlone ? aloneMs : greetAgainMs, () => {
-			this.#keepGreeting();
-		});
-	}
-
-	/** Speaks to seeds that are not known as hosts yet. */
-	#greet(): void {
-		const known = new Set(this.membership.members.listReachable().map(({peerAddress}) => peerAddress));
-		for (const seed of this.#seeds) {
-			if (!known.has(seed)) {
-				this.#links.greet(seed);
-			}
-		}
-	}
-
 	#makeVoice(): Voice {
 		const {context, endpoints, routing, watch} = this.#parts;
 		return {
