--- a/packages/policy/src/relay/stage-split.test.ts
+++ b/packages/policy/src/relay/stage-split.test.ts
@@ -90,4 +90,14 @@
 		expect(serviceRate(6, 2, usual)).toEqual(12);
 		expect(Math.round(10 * serviceRate(6, 0, usual))).toEqual(108);
 	});
+
+	it('bursts of long prompts: a quarter of a large fleet reads before any request, about what its paces will ask for', () => {
+		// Prompts of 5,000 tokens read in 0.12 s; their streams hold an eighth of a replica's memory for 3.4 s
+		const long: Paces = {...usual, prefillPerS: 8.3, decodePerS: 2.27};
+		const atFirst = 14 - new StageSplit(0.25).choose(replicas(14, 28), unseen, () => true).length;
+		const best = bestPrefill(42, long);
+		expect([atFirst, best]).toEqual([11, 10]);
+		expect(serviceRate(42, atFirst, long) / serviceRate(42, best, long) > 0.95).toEqual(true);
+		expect(new StageSplit(0.25).choose(replicas(atFirst, 42 - atFirst), long, () => true)).toEqual([]);
+	});
 });
