Entries kept for a grace are told with the rest of it

Traced with the logs of all 88 hosts: a reader back from a cut at 26.08 s kept an entry that went at 26.610 s for the grace behind its outage, and named it among all entries when it passed the new revision on. 43 hosts took the revision; the end of the grace (28.34 s) has no revision, so nobody told them. Ruled out: number of readers, speed of news (0.3 s), hosts' own outages (those 43 had none). Change: the list says which entries are kept and for how long; who is told keeps them as long and no longer. Tests fail without it.

--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -2,7 +2,9 @@
 import {describe, it} from 'node:test';
 import {type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
 import {expect} from 'earl';
-import {EndpointBook, massGraceMs, returnGraceMs} from './endpoint-book.js';
+import {
+	EndpointBook, massGraceMs, returnGraceMs, type KeptEntry,
+} from './endpoint-book.js';
 
 function listed(id: string, revision: number, state: Endpoint['state'] = 'ready', stage?: Endpoint['stage']): ListedEndpoint {
 	return {
@@ -15,7 +17,7 @@
 type Step
 	= | {readonly put: ListedEndpoint}
 		| {readonly remove: string; readonly revision: number}
-		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number; readonly isWitnessed?: boolean}
+		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number; readonly isWitnessed?: boolean; readonly kept?: readonly KeptEntry[]}
 		| {readonly wait: number}
 		| {readonly directory: 'lost' | 'back' | 'leftToOthers'};
 
@@ -106,6 +108,21 @@
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {wait: 3000}, {directory: 'leftToOthers'}, {remove: 'a', revision: 5}],
 		ready: [],
 	},
+	{
+		name: 'an entry that its teller keeps for a grace is kept as long here',
+		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {wait: 1400}],
+		ready: ['a'],
+	},
+	{
+		name: 'and no longer, though its end is not told again',
+		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {wait: 1501}],
+		ready: [],
+	},
+	{
+		name: 'unless it is written again meanwhile',
+		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {put: listed('a', 6)}, {wait: 60_000}],
+		ready: ['a'],
+	},
 	{
 		name: 'a host that cannot read it either is not believed',
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {replace: [], revision: 5}],
@@ -150,6 +167,11 @@
 		});
 	}
 
+	it('what is kept is told with the rest of its grace', () => {
+		const book = play([{put: listed('a', 1)}, {put: listed('b', 2)}, {directory: 'lost'}, {directory: 'back'}, {remove: 'a', revision: 5}]);
+		expect(book.listKept(700)).toEqual([{id: 'a', leftMs: returnGraceMs - 700}]);
+	});
+
 	it('a change of part is told apart from other changes', () => {
 		const book = play([{put: listed('a', 1, 'ready', 'prefill')}]);
 		expect(book.put(listed('a', 2, 'ready', 'decode')).map(({change}) => change)).toEqual(['restaged']);
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -39,6 +39,14 @@
 	readonly revision: number;
 	/** The list was read while the directory answered, by another host. */
 	readonly isWitnessed?: boolean;
+	/** Entries among them that have vanished, and that its teller keeps for a grace. */
+	readonly kept?: readonly KeptEntry[];
+};
+
+/** An entry that has vanished and is kept for a while. */
+export type KeptEntry = {
+	readonly id: string;
+	readonly leftMs: number;
 };
 
 /** All endpoints now known. */
@@ -78,6 +86,18 @@
 		return [...this.#entries.values()].map(({revision, endpoint}) => ({revision, endpoint}));
 	}
 
+	/** Entries that have vanished and are kept, and for how long: whoever is told of the list must not keep them for longer. */
+	listKept(now: number): KeptEntry[] {
+		const kept: KeptEntry[] = [];
+		for (const {endpoint: {id}, keptUntil} of this.#entries.values()) {
+			if (keptUntil !== undefined) {
+				kept.push({id, leftMs: Math.max(0, Math.min(returnGraceMs, keptUntil - now))});
+			}
+		}
+
+		return kept;
+	}
+
 	/** Notes that the directory does not answer. */
 	directoryLost(): void {
 		this.#isAway = true;
@@ -145,12 +165,14 @@
 	 * all: what these lack has gone. An own outage, or one that has just ended,
 	 * says nothing against a list that is witnessed.
 	 */
-	replace({listed, ids, revision, isWitnessed = false}: BookList, now: number): BookChange[] {
+	replace({listed, ids, revision, isWitnessed = false, kept = []}: BookList, now: number): BookChange[] {
 		const changes: BookChange[] = [];
 		for (const each of listed) {
 			changes.push(...this.put(each));
 		}
 
+		changes.push(...this.#keep(kept, revision, now));
+
 		for (const known of this.#entries.values()) {
 			if (ids.has(known.endpoint.id) || known.revision > revision) {
 				continue;
@@ -184,6 +206,25 @@
 		return changes;
 	}
 
+	/** What a teller keeps for its grace is kept here for as long, and no longer: the news of its end may have come to the teller before, and is not told again. */
+	#keep(kept: readonly KeptEntry[], revision: number, now: number): BookChange[] {
+		const changes: BookChange[] = [];
+		for (const {id, leftMs} of kept) {
+			const known = this.#entries.get(id);
+			if (known === undefined || known.revision > revision) {
+				continue;
+			}
+
+			if (known.keptUntil === undefined) {
+				changes.push({endpoint: known.endpoint, change: 'vanished'});
+			}
+
+			known.keptUntil = Math.min(known.keptUntil ?? Number.POSITIVE_INFINITY, now + leftMs);
+		}
+
+		return changes;
+	}
+
 	/** Whether this host cannot read the directory, or could not until a grace ago. */
 	#isInOutage(now: number): boolean {
 		return this.#isAway || now <= this.#backAt + returnGraceMs;
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -60,7 +60,7 @@
 
 	/** Tells a host that asked what it lacks. */
 	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
-		const {routing, endpoints, watch} = this.#parts;
+		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (routing.isBehind) {
 			// It would pass on a revision without the configuration that belongs to it
 			return;
@@ -74,11 +74,12 @@
 			isWitnessed: watch().isWitnessed,
 			endpoints: listed.filter(each => each.revision > revision),
 			ids: listed.map(each => each.endpoint.id),
+			kept: endpoints.book.listKept(clock.now()),
 		});
 	}
 
 	/** Takes over what a host has told. */
-	take(host: string, {routing: offered, revision, isWitnessed, endpoints: listed, ids}: RelayMessageOf<'directory'>): void {
+	take(host: string, {routing: offered, revision, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
 			routing.offer(offered, host);
@@ -87,7 +88,7 @@
 		const own = watch();
 		if (revision > own.revision) {
 			const changes = endpoints.book.replace({
-				listed, ids: new Set(ids), revision, isWitnessed,
+				listed, ids: new Set(ids), revision, isWitnessed, kept,
 			}, clock.now());
 			endpoints.note(changes, host);
 			own.hear(revision, isWitnessed);
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -19,9 +19,9 @@
 	}),
 	/** Asks for the configuration in force, where it is newer, and the endpoints written after a revision. */
 	z.object({kind: z.literal('directoryWanted'), routingVersion: z.number(), revision: z.number()}),
-	/** The answer to that; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with. */
+	/** The answer to that; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with; `kept`: entries among `ids` that have vanished and get a grace at its sender. */
 	z.object({
-		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000),
+		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
 	/** A prompt of so many tokens goes to an endpoint now; said to the hosts that share it. */
