--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -110,17 +110,23 @@
 	},
 	{
 		name: 'an entry that its teller keeps for a grace is kept as long here',
-		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {wait: 1400}],
+		steps: [{put: listed('a', 1)}, {
+			replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}],
+		}, {wait: 1400}],
 		ready: ['a'],
 	},
 	{
 		name: 'and no longer, though its end is not told again',
-		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {wait: 1501}],
+		steps: [{put: listed('a', 1)}, {
+			replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}],
+		}, {wait: 1501}],
 		ready: [],
 	},
 	{
 		name: 'unless it is written again meanwhile',
-		steps: [{put: listed('a', 1)}, {replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}]}, {put: listed('a', 6)}, {wait: 60_000}],
+		steps: [{put: listed('a', 1)}, {
+			replace: [listed('a', 1)], revision: 5, isWitnessed: true, kept: [{id: 'a', leftMs: 1500}],
+		}, {put: listed('a', 6)}, {wait: 60_000}],
 		ready: ['a'],
 	},
 	{
