Who is asked for evidence, in a function with a name

Cause: the order of the hosts to ask stood in one expression of a loop head, and a type was called Showing. Change: #listToAsk; Credential. Behaviour unchanged; 40 tests of access pass.

--- a/packages/relay/src/access/freshness.ts
+++ b/packages/relay/src/access/freshness.ts
@@ -134,11 +134,9 @@
 	}
 
 	async #askAround(): Promise<void> {
-		const {context, listConfirmers} = this.#parts;
-		const {self, clock} = context;
-		const confirmers = isOff(context, 'peerEvidence') ? [] : listConfirmers();
+		const {self, clock} = this.#parts.context;
 		let hasAnswer = false;
-		for (const host of [...confirmers.filter(each => each !== self.host || each === confirmers[0]), self.host]) {
+		for (const host of this.#listToAsk()) {
 			hasAnswer = (host === self.host ? await this.#askDirectory() : await this.#askPeer(host)) || hasAnswer;
 			if (this.isRecent(clock.now())) {
 				this.#isShared = false;
@@ -151,6 +149,16 @@
 		this.#isShared = hasAnswer;
 	}
 
+	/** Readers in the order to ask them, and this host itself at the end, which stands for the directory. */
+	#listToAsk(): string[] {
+		const {context, listConfirmers} = this.#parts;
+		const {self} = context;
+		const confirmers = isOff(context, 'peerEvidence') ? [] : listConfirmers();
+		const isFirst = confirmers[0] === self.host;
+		const peers = confirmers.filter(host => host !== self.host);
+		return isFirst ? [self.host, ...peers, self.host] : [...peers, self.host];
+	}
+
 	async #askDirectory(): Promise<boolean> {
 		await this.#parts.watch().confirm();
 		return false;
--- a/packages/relay/src/access/gate.ts
+++ b/packages/relay/src/access/gate.ts
@@ -25,8 +25,8 @@
 	readonly quotas: QuotaDesk;
 };
 
-/** What a request shows at the gate. */
-export type Showing = {
+/** What a request shows of its caller, and when it arrived. */
+export type Credential = {
 	readonly keyDigest: string | undefined;
 	readonly arrivedAt: number;
 };
@@ -40,7 +40,7 @@
 	}
 
 	/** Sees to it that the list of keys is fresh enough for a request, as far as that can be had soon. To be called before the request's route is looked up, since it may bring a newer configuration. */
-	async prepare({keyDigest, arrivedAt}: Showing): Promise<void> {
+	async prepare({keyDigest, arrivedAt}: Credential): Promise<void> {
 		const {routing: {table}, freshness} = this.#parts;
 		if (table?.hasWorkspaces && keyDigest !== undefined) {
 			await freshness.prove(arrivedAt, table.workspaceOf(keyDigest) === undefined, waitMs);
@@ -48,7 +48,7 @@
 	}
 
 	/** The workspace of a request; undefined where none is asked for. Raises `callerUnknown` and `keysOutdated`. */
-	identify(table: RouteTable, {isPublic}: Route, {keyDigest, arrivedAt}: Showing): Workspace | undefined {
+	identify(table: RouteTable, {isPublic}: Route, {keyDigest, arrivedAt}: Credential): Workspace | undefined {
 		if (!table.hasWorkspaces) {
 			return undefined;
 		}
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -162,13 +162,13 @@
 		const {context: {clock, dialect, random, settings: {limits}}, routing, budgets, gate} = this.#parts;
 		this.#checkRoom();
 		const body = await readRequest(request, limits.bodyBytes);
-		const showing = {keyDigest: dialect.readKeyDigest(request.rawHeaders), arrivedAt};
-		await gate.prepare(showing);
+		const credential = {keyDigest: dialect.readKeyDigest(request.rawHeaders), arrivedAt};
+		await gate.prepare(credential);
 		const table = routing.table ?? fail('notReady', {retryAfterMs: this.#notReadyMs(request)});
 		const target = request.url ?? '/';
 		const route = table.match(request.headers.host ?? '', target) ?? fail('routeUnknown', {detail: `configuration ${routing.version}`});
 		const service = table.draw(route, random) ?? fail('serviceUnknown');
-		const workspace = gate.identify(table, route, showing);
+		const workspace = gate.identify(table, route, credential);
 		const facts = dialect.readRequest(request.headers);
 		const patienceMs = Math.min(facts.patienceMs ?? route.timeoutMs, route.timeoutMs);
 		const cost = await gate.charge(workspace, facts);
