--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -27,6 +27,8 @@
 /** What changed for one endpoint. */
 export type BookChange = {
 	readonly endpoint: Endpoint;
+	/** At which revision the directory said so; absent: it did not. */
+	readonly revision?: number;
 	readonly change: 'added' | 'changed' | 'restaged' | 'leaving' | 'vanished' | 'unreadable' | 'gone';
 };
 
@@ -163,18 +165,18 @@
 
 		this.#set({revision, endpoint, keptUntil: undefined});
 		if (endpoint.isUnreadable) {
-			return known?.endpoint.isUnreadable ? [] : [{endpoint, change: 'unreadable'}];
+			return known?.endpoint.isUnreadable ? [] : [{endpoint, revision, change: 'unreadable'}];
 		}
 
 		if (endpoint.state === 'leaving') {
-			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, change: 'leaving'}];
+			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, revision, change: 'leaving'}];
 		}
 
 		if (known === undefined) {
-			return [{endpoint, change: 'added'}];
+			return [{endpoint, revision, change: 'added'}];
 		}
 
-		return [{endpoint, change: known.endpoint.stage === endpoint.stage ? 'changed' : 'restaged'}];
+		return [{endpoint, revision, change: known.endpoint.stage === endpoint.stage ? 'changed' : 'restaged'}];
 	}
 
 	/**
@@ -335,7 +337,7 @@
 			this.#tombstones.delete(this.#tombstones.keys().next().value ?? '');
 		}
 
-		return [{endpoint, change: 'gone'}];
+		return [{endpoint, revision, change: 'gone'}];
 	}
 }
 
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -53,6 +53,8 @@
 	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
 	#isDoubted = false;
 	#mustList = true;
+	/** How often the directory had come back from a copy, as it last said. */
+	#epoch: number | undefined;
 	/** Up to which revision the directory was read while it answered. */
 	#witnessed = -1;
 	/** The confirmation under way: all that ask meanwhile share it. */
@@ -260,9 +262,10 @@
 		this.#isDoubted = false;
 	}
 
-	#take({changes, revision}: Changes, read: string): void {
+	#take({changes, revision, epoch}: Changes, read: string): void {
 		const {context: {clock}, endpoints, onNews} = this.#parts;
 		const now = clock.now();
+		this.#noteEpoch(epoch, revision, read);
 		if (read === 'list') {
 			this.#mustList = false;
 			const listed = changes.filter((change): change is Extract<Change, {kind: 'endpoint'}> => change.kind === 'endpoint');
@@ -282,6 +285,19 @@
 		}
 	}
 
+	/** Writes down that the directory has come back from a copy. */
+	#noteEpoch(epoch: number | undefined, revision: number, read: string): void {
+		const {log, metrics} = this.#parts.context;
+		if (this.#epoch !== undefined && epoch !== this.#epoch) {
+			metrics.add('directoryRestores');
+			log('directoryRestored', {
+				read, epoch, revision, previousEpoch: this.#epoch, previousRevision: this.revision,
+			});
+		}
+
+		this.#epoch = epoch;
+	}
+
 	#apply(change: Change, now: number): void {
 		const {endpoints, routing} = this.#parts;
 		switch (change.kind) {
--- a/packages/relay/src/core/directory.ts
+++ b/packages/relay/src/core/directory.ts
@@ -22,6 +22,8 @@
 	readonly changes: readonly Change[];
 	/** The directory's revision: a watch continues from here. */
 	readonly revision: number;
+	/** How often the directory has come back from a copy, as it counts; undefined: it does not say. */
+	readonly epoch?: number | undefined;
 };
 
 /** Why a read failed: it could not be had, or the history that it asked for is gone. */
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -100,10 +100,10 @@
 
 	/** Writes down what changed in the book; `source` says where the news came from. */
 	note(changes: readonly BookChange[], source: string): void {
-		for (const {endpoint, change} of changes) {
+		for (const {endpoint, change, revision} of changes) {
 			const {id, service, address, stage, hall} = endpoint;
 			this.#context.log('endpointChanged', {
-				endpoint: id, service, address, stage, endpointHall: hall, change, source,
+				endpoint: id, service, address, stage, endpointHall: hall, change, revision, source,
 			});
 			this.#follow[change](endpoint);
 		}
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -247,6 +247,9 @@
 	contentCleared: {
 		number: 5036, status: 0, ran: 'no', advice: 'A content is held back no longer: a run of it went well, an endpoint turned out to live, or all is long ago.',
 	},
+	directoryRestored: {
+		number: 5037, status: 0, ran: 'no', advice: 'The directory has come back from a copy: its revisions are given out again.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
