--- a/packages/standin/src/wire/store-server.ts
+++ b/packages/standin/src/wire/store-server.ts
@@ -1,4 +1,4 @@
-/** The platform's store as a stand-in: lists, watches, forgotten history, silence, refusals. Written from the platform's pages. */
+/** The platform's store as a stand-in: lists, watches, forgotten history, silence, refusals, a return from a copy. Written from the platform's pages. */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {sendJson, startServer} from '../utils/http.js';
@@ -15,6 +15,16 @@
 /** How the store misbehaves. */
 export type StoreFault = 'none' | 'silent' | 'busy' | 'reset';
 
+/** What a store held at one moment. */
+export type StoreCopy = {
+	readonly items: ReadonlyMap<string, StoreEvent>;
+	readonly history: readonly StoreEvent[];
+	readonly revision: number;
+};
+
+/** What becomes of the watches that wait in a store which comes back from a copy: they are cut, or never hear anything. */
+export type OldWatches = 'cut' | 'silent';
+
 /** A running store. */
 export type StandinStore = {
 	readonly address: string;
@@ -24,6 +34,10 @@
 	remove(key: string): void;
 	/** Forgets the history: watches from before get 410. */
 	compact(): void;
+	/** What it holds now. */
+	copy(): StoreCopy;
+	/** Comes back from a copy: later writes are gone, their revisions are given out again, and a watch from beyond gets 410. */
+	restore(copy: StoreCopy, watches?: OldWatches): void;
 	/** Calls so far. */
 	countCalls(): number;
 	kill(): Promise<void>;
@@ -38,7 +52,9 @@
 class Store {
 	fault: StoreFault = 'none';
 	calls = 0;
-	readonly #items = new Map<string, StoreEvent>();
+	/** How often it has come back from a copy; stands on every answer. */
+	era = 1;
+	#items = new Map<string, StoreEvent>();
 	#history: StoreEvent[] = [];
 	readonly #watches = new Set<Watch>();
 	#revision = 0;
@@ -69,13 +85,32 @@
 		this.#watches.clear();
 	}
 
+	copy(): StoreCopy {
+		return {items: new Map(this.#items), history: [...this.#history], revision: this.#revision};
+	}
+
+	restore({items, history, revision}: StoreCopy, watches: OldWatches): void {
+		this.era += 1;
+		this.#items = new Map(items);
+		this.#history = [...history];
+		this.#revision = revision;
+		this.#compactedAt = Math.min(this.#compactedAt, revision);
+		if (watches === 'cut') {
+			for (const watch of this.#watches) {
+				watch.response.destroy();
+			}
+		}
+
+		this.#watches.clear();
+	}
+
 	list(prefix: string): unknown {
 		const items = [...this.#items.values()].filter(({key}) => key.startsWith(prefix));
 		return {items, hasMore: false, asOf: this.#revision};
 	}
 
 	watch(watch: Watch, waitMs: number): void {
-		if (watch.after < this.#compactedAt) {
+		if (watch.after < this.#compactedAt || watch.after > this.#revision) {
 			sendJson(watch.response, 410, {});
 			return;
 		}
@@ -86,8 +121,9 @@
 
 		this.#watches.add(watch);
 		const timer = setTimeout(() => {
-			this.#watches.delete(watch);
-			sendJson(watch.response, 200, {events: [], asOf: this.#revision});
+			if (this.#watches.delete(watch)) {
+				sendJson(watch.response, 200, {events: [], asOf: this.#revision});
+			}
 		}, waitMs);
 		watch.response.once('close', () => {
 			clearTimeout(timer);
@@ -123,6 +159,7 @@
 	const store = new Store();
 	const guarded = (run: (url: URL, response: ServerResponse) => void) => (request: {socket: {resetAndDestroy(): unknown}}, response: ServerResponse, url: URL) => {
 		store.calls += 1;
+		response.setHeader('store-era', store.era);
 		const faults: Readonly<Record<StoreFault, () => void>> = {
 			none() {
 				run(url, response);
@@ -162,6 +199,10 @@
 		compact() {
 			store.compact();
 		},
+		copy: () => store.copy(),
+		restore(copy, watches = 'cut') {
+			store.restore(copy, watches);
+		},
 		countCalls: () => store.calls,
 		kill: server.kill,
 	};
