--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -33,7 +33,7 @@
 }
 
 function rowOf(status: RelayStatus): string[] {
-	const {host, hall, isReady, routingVersion, directoryRevision, open, waiting, retryLeft, subset, members, services} = status;
+	const {host, hall, isReady, routingVersion, directoryRevision, directoryEpoch, open, waiting, retryLeft, subset, members, services} = status;
 	const alive = members.filter(each => each.state === 'alive').length;
 	const endpoints = services.map(({service, ready, paused}) => `${service} ${ready - paused}/${ready}`).join(', ');
 	return [
@@ -41,7 +41,7 @@
 		hall,
 		isReady ? 'yes' : 'no',
 		String(routingVersion),
-		String(directoryRevision),
+		directoryEpoch === undefined ? String(directoryRevision) : `${directoryRevision} of ${directoryEpoch}`,
 		`${open} (${waiting} wait)`,
 		String(retryLeft),
 		`${subset.own + 1}/${subset.count}`,
--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -1,7 +1,9 @@
 /** Catalogue: what is believed of endpoints while the directory tells, is away, or tells old news. */
 import {describe, it} from 'node:test';
+import {type Position} from '@gatehead/schema/position';
 import {type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
 import {expect} from 'earl';
+import {contradictionMs, type Departure} from './departures.js';
 import {
 	EndpointBook, massGraceMs, returnGraceMs, type KeptEntry,
 } from './endpoint-book.js';
@@ -20,12 +22,19 @@
 	return {revision, endpoint: {...endpoint, instance}};
 }
 
+/** An entry of one of the directory's histories. */
+function within(epoch: number, entry: ListedEndpoint): ListedEndpoint {
+	return {...entry, epoch};
+}
+
 type Step
 	= | {readonly put: ListedEndpoint}
-		| {readonly hide: string; readonly revision: number}
-		| {readonly remove: string; readonly revision: number}
-		| {readonly replace: readonly ListedEndpoint[]; readonly revision: number; readonly isWitnessed?: boolean; readonly kept?: readonly KeptEntry[]}
+		| ({readonly hide: string} & Position)
+		| ({readonly remove: string} & Position)
+		| ({readonly replace: readonly ListedEndpoint[]} & Position & {readonly isWitnessed?: boolean; readonly kept?: readonly KeptEntry[]})
 		| {readonly wait: number}
+		| {readonly restored: Position}
+		| {readonly departures: readonly Departure[]}
 		| {readonly directory: 'lost' | 'back' | 'leftToOthers'};
 
 type Case = {
@@ -153,6 +162,107 @@
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {replace: [], revision: 5}],
 		ready: ['a'],
 	},
+	{
+		name: 'in a later history a lower revision counts',
+		steps: [{put: within(1, listed('a', 50))}, {restored: {epoch: 2, revision: 10}}, {put: within(2, listed('a', 12, 'leaving'))}],
+		ready: [],
+	},
+	{
+		name: 'news of the earlier history changes nothing there',
+		steps: [{put: within(1, listed('a', 50))}, {restored: {epoch: 2, revision: 10}}, {put: within(2, listed('a', 12, 'leaving'))}, {put: within(1, listed('a', 60))}],
+		ready: [],
+	},
+	{
+		name: 'nor do they take away what it has',
+		steps: [{put: within(2, listed('a', 5))}, {remove: 'a', epoch: 1, revision: 60}, {replace: [], epoch: 1, revision: 70}],
+		ready: ['a'],
+	},
+	{
+		name: 'a copy that lists what was leaving does not bring it back',
+		steps: [{put: within(1, listed('a', 50, 'leaving'))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 7))], epoch: 2, revision: 10}],
+		ready: [],
+	},
+	{
+		name: 'nor what had gone',
+		steps: [{put: within(1, listed('a', 50))}, {remove: 'a', epoch: 1, revision: 51}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 7))], epoch: 2, revision: 10}],
+		ready: [],
+	},
+	{
+		name: 'nor an earlier start, where a later one was known',
+		steps: [{put: within(1, started('a', '1', 7))}, {put: within(1, started('a', '2', 50))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, started('a', '1', 7))], epoch: 2, revision: 10}],
+		ready: ['a@2'],
+	},
+	{
+		name: 'which is gone when its grace is over and it has not written again',
+		steps: [{put: within(1, started('a', '1', 7))}, {put: within(1, started('a', '2', 50))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, started('a', '1', 7))], epoch: 2, revision: 10}, {wait: returnGraceMs + 1}],
+		ready: [],
+	},
+	{
+		name: 'what writes its entry anew is believed',
+		steps: [{put: within(1, listed('a', 50, 'leaving'))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 7))], epoch: 2, revision: 10}, {put: within(2, listed('a', 11))}],
+		ready: ['a'],
+	},
+	{
+		name: 'what nobody has contradicted for long enough, too',
+		steps: [{put: within(1, listed('a', 50, 'leaving'))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 7))], epoch: 2, revision: 10}, {wait: contradictionMs + 1}],
+		ready: ['a'],
+	},
+	{
+		name: 'also where it was written before this host first saw the new history, above the revision of its leaving',
+		steps: [{put: within(1, listed('a', 3))}, {remove: 'a', epoch: 1, revision: 8}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 9))], epoch: 2, revision: 10}],
+		ready: ['a'],
+	},
+	{
+		name: 'a second return begins that time anew',
+		steps: [{put: within(1, listed('a', 50, 'leaving'))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 7))], epoch: 2, revision: 10}, {wait: contradictionMs - 1}, {restored: {epoch: 3, revision: 9}}, {replace: [within(3, listed('a', 7))], epoch: 3, revision: 9}, {wait: 1000}],
+		ready: [],
+	},
+	{
+		name: 'what one host knows to have left counts at a host that has just started',
+		steps: [{put: within(2, listed('a', 7))}, {put: within(2, listed('b', 8))}, {
+			departures: [{
+				id: 'a', epoch: 2, revision: 10, leftMs: 5000,
+			}],
+		}],
+		ready: ['b'],
+	},
+	{
+		name: 'also where it is told before the list',
+		steps: [{
+			departures: [{
+				id: 'a', epoch: 2, revision: 10, leftMs: 5000,
+			}],
+		}, {put: within(2, listed('a', 7))}, {put: within(2, listed('b', 8))}],
+		ready: ['b'],
+	},
+	{
+		name: 'who saw less of the history knows better what was written anew',
+		steps: [{put: within(2, listed('a', 9))}, {
+			departures: [{
+				id: 'a', epoch: 2, revision: 10, leftMs: 5000,
+			}],
+		}, {
+			departures: [{
+				id: 'a', epoch: 2, revision: 8, leftMs: 5000,
+			}],
+		}],
+		ready: ['a'],
+	},
+	{
+		name: 'an entry that the copy lacks is kept for a grace, since it is written again',
+		steps: [{put: within(1, listed('a', 50))}, {put: within(1, listed('b', 5))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('b', 5))], epoch: 2, revision: 10}, {wait: returnGraceMs - 100}],
+		ready: ['a', 'b'],
+	},
+	{
+		name: 'and no longer',
+		steps: [{put: within(1, listed('a', 50))}, {put: within(1, listed('b', 5))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('b', 5))], epoch: 2, revision: 10}, {wait: returnGraceMs + 1}],
+		ready: ['b'],
+	},
+	{
+		name: 'an endpoint that came back before the return is not contradicted',
+		steps: [{put: within(1, listed('a', 3))}, {remove: 'a', epoch: 1, revision: 4}, {put: within(1, listed('a', 5))}, {restored: {epoch: 2, revision: 10}}, {replace: [within(2, listed('a', 5))], epoch: 2, revision: 10}],
+		ready: ['a'],
+	},
 	{
 		name: 'a list that is older than an entry does not remove it',
 		steps: [{put: listed('a', 8)}, {replace: [], revision: 5}],
@@ -165,13 +275,19 @@
 	let now = 0;
 	for (const step of steps) {
 		if ('put' in step) {
-			book.put(step.put);
+			book.put(step.put, now);
 		} else if ('hide' in step) {
-			book.hide(step.hide, step.revision);
+			book.hide(step.hide, {epoch: step.epoch, revision: step.revision}, now);
 		} else if ('remove' in step) {
-			book.remove(step.remove, step.revision, now);
+			book.remove(step.remove, {epoch: step.epoch, revision: step.revision}, now);
 		} else if ('replace' in step) {
-			book.replace({...step, listed: step.replace, ids: new Set(step.replace.map(each => each.endpoint.id))}, now);
+			book.replace({
+				...step, position: {epoch: step.epoch, revision: step.revision}, listed: step.replace, ids: new Set(step.replace.map(each => each.endpoint.id)),
+			}, now);
+		} else if ('restored' in step) {
+			book.directoryRestored(step.restored, now);
+		} else if ('departures' in step) {
+			book.hearDepartures(step.departures, now);
 		} else if ('wait' in step) {
 			now += step.wait;
 			book.sweep(now);
@@ -201,6 +317,6 @@
 
 	it('a change of part is told apart from other changes', () => {
 		const book = play([{put: listed('a', 1, 'ready', 'prefill')}]);
-		expect(book.put(listed('a', 2, 'ready', 'decode')).map(({change}) => change)).toEqual(['restaged']);
+		expect(book.put(listed('a', 2, 'ready', 'decode'), 0).map(({change}) => change)).toEqual(['restaged']);
 	});
 });
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -3,8 +3,12 @@
  * replaces a newer one, and an endpoint that is leaving or gone gets no new
  * work. Entries that vanish while the directory is away may belong to
  * endpoints that still serve: they are kept until a grace after its return.
+ * A directory that comes back from a copy has forgotten what left meanwhile:
+ * what is known to have left stays so until its entry is written anew.
  */
+import {isLater, type Position} from '@gatehead/schema/position';
 import {instanceOf, type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
+import {Departures, type Departure} from './departures.js';
 
 /** How long after the directory's return a vanished entry may still come back, in milliseconds: the directory's own bound, and a heartbeat's jitter. */
 export const returnGraceMs = 2200;
@@ -18,7 +22,7 @@
 const mostTombstones = 2000;
 
 type Entry = {
-	readonly revision: number;
+	readonly position: Position;
 	readonly endpoint: Endpoint;
 	/** Until when it may still serve although it has vanished; undefined: it is listed. While the directory is away the time does not run. */
 	keptUntil: number | undefined;
@@ -27,9 +31,9 @@
 /** What changed for one endpoint. */
 export type BookChange = {
 	readonly endpoint: Endpoint;
-	/** At which revision the directory said so; absent: it did not. */
-	readonly revision?: number;
-	readonly change: 'added' | 'changed' | 'restaged' | 'leaving' | 'vanished' | 'unreadable' | 'gone';
+	/** Where in the directory's history that is written; absent: it does not say so. */
+	readonly position?: Position;
+	readonly change: 'added' | 'changed' | 'restaged' | 'leaving' | 'vanished' | 'unreadable' | 'gone' | 'outdated';
 };
 
 /** All entries of the directory, as one host knows them. */
@@ -38,7 +42,7 @@
 	readonly listed: readonly ListedEndpoint[];
 	/** Ids of all entries. */
 	readonly ids: ReadonlySet<string>;
-	readonly revision: number;
+	readonly position: Position;
 	/** The list was read while the directory answered, by another host. */
 	readonly isWitnessed?: boolean;
 	/** Entries among them that have vanished, and that its teller keeps for a grace. */
@@ -57,19 +61,21 @@
 	readonly #entries = new Map<string, Entry>();
 	/** Names of the starts that are known. */
 	readonly #instances = new Map<string, string>();
-	/** Revisions at which entries went, by name, so that late news does not bring them back. */
-	readonly #tombstones = new Map<string, number>();
+	/** Where in the directory's history entries went, by name, so that late news does not bring them back. */
+	readonly #tombstones = new Map<string, Position>();
+	/** Starts that have left, for a directory that has forgotten it. */
+	readonly #departures = new Departures();
 	/** Entries removed lately, for telling an outage from single departures. */
-	#removed: Array<{readonly at: number; readonly revision: number; readonly endpoint: Endpoint}> = [];
+	#removed: Array<{readonly at: number; readonly position: Position; readonly endpoint: Endpoint}> = [];
 	#isAway = false;
 	#backAt = Number.NEGATIVE_INFINITY;
 
 	/** Endpoints that take new work. */
 	listReady(service: string): Endpoint[] {
 		const ready: Endpoint[] = [];
-		for (const {endpoint} of this.#entries.values()) {
-			if (endpoint.service === service && takesWork(endpoint)) {
-				ready.push(endpoint);
+		for (const entry of this.#entries.values()) {
+			if (entry.endpoint.service === service && this.#takesWork(entry)) {
+				ready.push(entry.endpoint);
 			}
 		}
 
@@ -79,7 +85,7 @@
 	/** Whether an endpoint takes new work now. */
 	isReady(id: string): boolean {
 		const known = this.#find(id);
-		return known !== undefined && takesWork(known.endpoint);
+		return known !== undefined && this.#takesWork(known);
 	}
 
 	/** Which part an endpoint does; undefined where it is not known, or has none. */
@@ -99,9 +105,9 @@
 		return known === undefined ? [] : [known.endpoint.id];
 	}
 
-	/** All entries with their revisions, to be told to other hosts. */
+	/** All entries with their positions, to be told to other hosts. */
 	list(): ListedEndpoint[] {
-		return [...this.#entries.values()].map(({revision, endpoint}) => ({revision, endpoint}));
+		return [...this.#entries.values()].map(({position, endpoint}) => ({...position, endpoint}));
 	}
 
 	/** Entries that have vanished and are kept, and for how long: whoever is told of the list must not keep them for longer. */
@@ -144,39 +150,82 @@
 		}
 	}
 
+	/**
+	 * Notes that the directory has come back from a copy, and that its new
+	 * history was first seen at `position`. Whatever stands there up to it may
+	 * be as old as the copy: starts that have left do not come back by it, and
+	 * entries that it lacks may have been written behind it, so that they get
+	 * the grace of an outage.
+	 */
+	directoryRestored(position: Position, now: number): void {
+		this.#backAt = now;
+		for (const entry of this.#entries.values()) {
+			if (entry.endpoint.state === 'leaving') {
+				this.#departures.add(entry.endpoint.id, entry.position.revision, now);
+			}
+
+			if (entry.keptUntil !== undefined) {
+				entry.keptUntil = now + returnGraceMs;
+			}
+		}
+
+		this.#departures.outlive(position, now);
+	}
+
+	/** Starts that have left although the directory lists them as ready: whoever reads the same copy must know it. */
+	listDepartures(now: number): Departure[] {
+		return this.#departures.list(now).filter(({id}) => this.#find(id)?.endpoint.state === 'ready');
+	}
+
+	/** Takes over which starts another host knows to have left. */
+	hearDepartures(departures: readonly Departure[], now: number): BookChange[] {
+		return departures.flatMap(departure => {
+			const known = this.#find(departure.id);
+			const wasReady = known !== undefined && this.#takesWork(known);
+			this.#departures.hear(departure, now);
+			return wasReady && !this.#takesWork(known) ? [{endpoint: known.endpoint, change: 'outdated' as const}] : [];
+		});
+	}
+
 	/** Takes a written entry; returns what changed. Of two starts under one name the one written later counts, whatever the replicas' clocks say. */
-	put({revision, endpoint}: ListedEndpoint): BookChange[] {
+	put({endpoint, ...position}: ListedEndpoint, now: number): BookChange[] {
 		const instance = instanceOf(endpoint);
 		const known = this.#entries.get(instance);
-		if (revision <= (this.#tombstones.get(instance) ?? -1) || (known !== undefined && revision < known.revision)) {
+		const tombstone = this.#tombstones.get(instance);
+		const isOld = (tombstone !== undefined && !isLater(position, tombstone)) || (known !== undefined && isLater(known.position, position));
+		if (isOld) {
 			return [];
 		}
 
 		if (known !== undefined && known.endpoint.id !== endpoint.id) {
-			this.#set({revision, endpoint, keptUntil: undefined});
-			this.#instances.delete(known.endpoint.id);
-			return [{endpoint: known.endpoint, change: 'gone'}, {endpoint, change: takesWork(endpoint) ? 'added' : 'leaving'}];
+			return this.#replaceStart(known, {position, endpoint, keptUntil: undefined}, now);
 		}
 
-		const isSame = known !== undefined && known.keptUntil === undefined && known.revision === revision;
+		const isSame = known !== undefined && known.keptUntil === undefined && !isLater(position, known.position);
 		if (isSame) {
 			return [];
 		}
 
-		this.#set({revision, endpoint, keptUntil: undefined});
+		this.#set({position, endpoint, keptUntil: undefined});
+		if (this.#isOutdated(endpoint, position)) {
+			return [{endpoint, position, change: 'outdated'}];
+		}
+
+		this.#departures.forget(endpoint.id);
+
 		if (endpoint.isUnreadable) {
-			return known?.endpoint.isUnreadable ? [] : [{endpoint, revision, change: 'unreadable'}];
+			return known?.endpoint.isUnreadable ? [] : [{endpoint, position, change: 'unreadable'}];
 		}
 
 		if (endpoint.state === 'leaving') {
-			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, revision, change: 'leaving'}];
+			return known?.endpoint.state === 'leaving' ? [] : [{endpoint, position, change: 'leaving'}];
 		}
 
 		if (known === undefined) {
-			return [{endpoint, revision, change: 'added'}];
+			return [{endpoint, position, change: 'added'}];
 		}
 
-		return [{endpoint, revision, change: known.endpoint.stage === endpoint.stage ? 'changed' : 'restaged'}];
+		return [{endpoint, position, change: known.endpoint.stage === endpoint.stage ? 'changed' : 'restaged'}];
 	}
 
 	/**
@@ -185,43 +234,43 @@
 	 * either, so what runs there goes on, and its next readable entry finds
 	 * health, pauses and connections as they were.
 	 */
-	hide(instance: string, revision: number): BookChange[] {
+	hide(instance: string, position: Position, now: number): BookChange[] {
 		const known = this.#entries.get(instance);
-		return known === undefined ? [] : this.put({revision, endpoint: {...known.endpoint, isUnreadable: true}});
+		return known === undefined ? [] : this.put({...position, endpoint: {...known.endpoint, isUnreadable: true}}, now);
 	}
 
-	/** Takes the news that the entry under a name went at `revision`. */
-	remove(instance: string, revision: number, now: number): BookChange[] {
+	/** Takes the news that the entry under a name went. */
+	remove(instance: string, position: Position, now: number): BookChange[] {
 		const known = this.#entries.get(instance);
-		if (known === undefined || revision < known.revision) {
+		if (known === undefined || isLater(known.position, position)) {
 			return [];
 		}
 
-		return this.#vanish(known, revision, now);
+		return this.#vanish(known, position, now);
 	}
 
 	/**
-	 * Takes a whole list as of `revision`, or what changed in it and the ids of
+	 * Takes a whole list as of a position, or what changed in it and the ids of
 	 * all: what these lack has gone. An own outage, or one that has just ended,
 	 * says nothing against a list that is witnessed.
 	 */
-	replace({listed, ids, revision, isWitnessed = false, kept = []}: BookList, now: number): BookChange[] {
+	replace({listed, ids, position, isWitnessed = false, kept = []}: BookList, now: number): BookChange[] {
 		const changes: BookChange[] = [];
 		for (const each of listed) {
-			changes.push(...this.put(each));
+			changes.push(...this.put(each, now));
 		}
 
-		changes.push(...this.#keep(kept, revision, now));
+		changes.push(...this.#keep(kept, position, now));
 
 		for (const known of this.#entries.values()) {
-			if (ids.has(known.endpoint.id) || known.revision > revision) {
+			if (ids.has(known.endpoint.id) || isLater(known.position, position)) {
 				continue;
 			}
 
 			if (isWitnessed && this.#isInOutage(now)) {
-				changes.push(...this.#erase(known, revision));
+				changes.push(...this.#erase(known, position, now));
 			} else if (known.keptUntil === undefined) {
-				changes.push(...this.#vanish(known, revision, now));
+				changes.push(...this.#vanish(known, position, now));
 			}
 		}
 
@@ -229,17 +278,20 @@
 	}
 
 	/** Drops an endpoint that is known to be gone, as when another one answers at its address. */
-	drop(id: string): BookChange[] {
+	drop(id: string, now: number): BookChange[] {
 		const known = this.#find(id);
-		return known === undefined ? [] : this.#erase(known, known.revision);
+		return known === undefined ? [] : this.#erase(known, known.position, now);
 	}
 
-	/** Drops vanished entries whose grace is over. */
+	/** Drops vanished entries whose grace is over, and believes again what nobody contradicts any more. */
 	sweep(now: number): BookChange[] {
-		const changes: BookChange[] = [];
+		const changes: BookChange[] = this.#departures.sweep(now).flatMap(id => {
+			const known = this.#find(id);
+			return known !== undefined && this.#takesWork(known) ? [{endpoint: known.endpoint, change: 'changed' as const}] : [];
+		});
 		for (const known of this.#entries.values()) {
 			if (known.keptUntil !== undefined && !this.#isAway && now > known.keptUntil) {
-				changes.push(...this.#erase(known, known.revision));
+				changes.push(...this.#erase(known, known.position, now));
 			}
 		}
 
@@ -247,11 +299,11 @@
 	}
 
 	/** What a teller keeps for its grace is kept here for as long, and no longer: the news of its end may have come to the teller before, and is not told again. */
-	#keep(kept: readonly KeptEntry[], revision: number, now: number): BookChange[] {
+	#keep(kept: readonly KeptEntry[], position: Position, now: number): BookChange[] {
 		const changes: BookChange[] = [];
 		for (const {id, leftMs} of kept) {
 			const known = this.#find(id);
-			if (known === undefined || known.revision > revision) {
+			if (known === undefined || isLater(known.position, position)) {
 				continue;
 			}
 
@@ -270,10 +322,10 @@
 		return this.#isAway || now <= this.#backAt + returnGraceMs;
 	}
 
-	#vanish(known: Entry, revision: number, now: number): BookChange[] {
+	#vanish(known: Entry, position: Position, now: number): BookChange[] {
 		const {endpoint} = known;
-		if (endpoint.state !== 'ready') {
-			return this.#erase(known, revision);
+		if (endpoint.state !== 'ready' || this.#isOutdated(endpoint, known.position)) {
+			return this.#erase(known, position, now);
 		}
 
 		const isInOutage = this.#isInOutage(now);
@@ -283,8 +335,8 @@
 			return [{endpoint, change: 'vanished'}];
 		}
 
-		const changes = this.#erase(known, revision);
-		this.#removed.push({at: now, revision, endpoint});
+		const changes = this.#erase(known, position, now);
+		this.#removed.push({at: now, position, endpoint});
 		return this.#restoreMass(endpoint.service, now) ?? changes;
 	}
 
@@ -309,8 +361,9 @@
 		}
 
 		this.#removed = this.#removed.filter(({endpoint}) => endpoint.service !== service);
-		for (const {revision, endpoint} of lost) {
-			this.#set({revision, endpoint, keptUntil: now + massGraceMs});
+		for (const {position, endpoint} of lost) {
+			this.#set({position, endpoint, keptUntil: now + massGraceMs});
+			this.#departures.forget(endpoint.id);
 		}
 
 		return lost.map(({endpoint}) => ({endpoint, change: 'vanished'}));
@@ -326,18 +379,43 @@
 		this.#instances.set(entry.endpoint.id, instance);
 	}
 
-	#erase({endpoint}: Entry, revision: number): BookChange[] {
+	/** Another start under a name takes the place of the known one, unless it is known to have left and only a copy brings it back. */
+	#replaceStart(known: Entry, next: Entry, now: number): BookChange[] {
+		const {endpoint} = next;
+		if (this.#isOutdated(endpoint, next.position)) {
+			return [];
+		}
+
+		this.#set(next);
+		this.#departures.forget(endpoint.id);
+		this.#instances.delete(known.endpoint.id);
+		this.#departures.add(known.endpoint.id, next.position.revision, now);
+		return [{endpoint: known.endpoint, change: 'gone'}, {endpoint, change: takesWork(endpoint) ? 'added' : 'leaving'}];
+	}
+
+	/** Whether an entry's endpoint gets new work: the directory says so, and no host knows that it has left since. */
+	#takesWork({endpoint, position}: Entry): boolean {
+		return takesWork(endpoint) && !this.#departures.covers(endpoint.id, position);
+	}
+
+	/** Whether an entry that says "ready" is a copy's, and its endpoint has left. */
+	#isOutdated({state, id}: Endpoint, position: Position): boolean {
+		return state === 'ready' && this.#departures.covers(id, position);
+	}
+
+	#erase({endpoint}: Entry, position: Position, now: number): BookChange[] {
 		const instance = instanceOf(endpoint);
 		this.#entries.delete(instance);
 		this.#instances.delete(endpoint.id);
 		// Taken out first, so that the oldest ends stand in front
 		this.#tombstones.delete(instance);
-		this.#tombstones.set(instance, revision);
+		this.#tombstones.set(instance, position);
+		this.#departures.add(endpoint.id, position.revision, now);
 		if (this.#tombstones.size > mostTombstones) {
 			this.#tombstones.delete(this.#tombstones.keys().next().value ?? '');
 		}
 
-		return [{endpoint, revision, change: 'gone'}];
+		return [{endpoint, position, change: 'gone'}];
 	}
 }
 
--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -5,6 +5,7 @@
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {wholeFleet} from '@gatehead/policy/relay/subsets';
 import {seedRandom} from '@gatehead/policy/utils/random';
+import {type Position} from '@gatehead/schema/position';
 import {relaySettings} from '@gatehead/schema/relay-settings';
 import {expect} from 'earl';
 import {Endpoints} from '../upstream/endpoints.js';
@@ -39,12 +40,15 @@
 	/** What the directory says of its revision, whatever its watches say; undefined: nothing. */
 	revisionNow: number | undefined = 1;
 
-	async readRevision(signal: AbortSignal): Promise<number> {
+	/** Which of its histories the directory is in. */
+	epoch = 1;
+
+	async readPosition(signal: AbortSignal): Promise<Position> {
 		if (this.revisionNow === undefined) {
 			await hang(signal);
 		}
 
-		return this.revisionNow ?? 0;
+		return {epoch: this.epoch, revision: this.revisionNow ?? 0};
 	}
 
 	async list(signal: AbortSignal): Promise<Changes> {
@@ -54,7 +58,7 @@
 		}
 
 		return {
-			revision: 1, changes: [{
+			position: {epoch: this.epoch, revision: 1}, changes: [{
 				kind: 'endpoint', revision: 1, endpoint: {
 					id: 'e', service: 's', address: '10.0.0.1:80', hall: 'one', state: 'ready', stage: undefined, slots: 4,
 				},
@@ -69,7 +73,7 @@
 		}
 
 		if (answer === 'answers') {
-			return {revision: after, changes: []};
+			return {position: {epoch: this.epoch, revision: after}, changes: []};
 		}
 
 		return hang(signal);
@@ -206,7 +210,7 @@
 					}
 
 					case 'endpointGoes': {
-						endpoints.book.remove('e', 2, clock.now());
+						endpoints.book.remove('e', {epoch: 1, revision: 2}, clock.now());
 
 						break;
 					}
@@ -230,11 +234,11 @@
 
 	it('what was heard is as good as its source: a host that reads, or one that heard from such a one', () => {
 		const {watch} = makeWatch(new ScriptedDirectory());
-		watch.hear(4, true);
+		watch.hear({revision: 4}, true);
 		expect(watch.isWitnessed).toEqual(true);
-		watch.hear(5, false);
+		watch.hear({revision: 5}, false);
 		expect(watch.isWitnessed).toEqual(false);
-		watch.hear(5, true);
+		watch.hear({revision: 5}, true);
 		expect(watch.isWitnessed).toEqual(true);
 	});
 });
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -1,14 +1,16 @@
 /**
- * Reads the published directory: a list at the start and after a gap, one
- * watch after the other else. Efficiency, but for one rule: what the directory
- * does not say is not believed to be gone while it is away.
+ * Reads the published directory: a list at the start, after a gap and in a
+ * new history, one watch after the other else. Efficiency, but for two rules:
+ * what the directory does not say is not believed to be gone while it is away,
+ * and a watch never goes on from one history into another.
  */
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {jitter} from '@gatehead/policy/utils/random';
-import {type ListedEndpoint} from '@gatehead/schema/routing';
+import {isCovered, type Position} from '@gatehead/schema/position';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type Bookkeeping, type RelayContext} from './context.js';
 import {DirectoryError, type Change, type Changes} from './directory.js';
+import {DirectoryHistory} from './directory-history.js';
 import {type RoutingState} from './routing-state.js';
 
 /** Part by which the pause before the next read differs, so that hosts do not ask together. */
@@ -41,8 +43,6 @@
 
 /** One host's reading of the directory. */
 export class DirectoryWatch {
-	/** Revision up to which this host knows the directory; -1: it knows nothing. */
-	revision = -1;
 	readonly #parts: WatchParts;
 	readonly #abort = new AbortController();
 	/** Ends the read in work. */
@@ -53,10 +53,7 @@
 	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
 	#isDoubted = false;
 	#mustList = true;
-	/** How often the directory had come back from a copy, as it last said. */
-	#epoch: number | undefined;
-	/** Up to which revision the directory was read while it answered. */
-	#witnessed = -1;
+	readonly #history = new DirectoryHistory();
 	/** The confirmation under way: all that ask meanwhile share it. */
 	#confirming: Promise<void> | undefined;
 
@@ -64,6 +61,16 @@
 		this.#parts = parts;
 	}
 
+	/** Up to where this host knows the directory; undefined: it knows nothing. */
+	get position(): Position | undefined {
+		return this.#history.position;
+	}
+
+	/** The revision of that; -1: it knows nothing. */
+	get revision(): number {
+		return this.position?.revision ?? -1;
+	}
+
 	/** Whether the directory is held to be away. */
 	get isDown(): boolean {
 		return this.#isDown;
@@ -90,15 +97,32 @@
 
 	/** Whether what this host knows was read while the directory answered, by itself or by the host that the news began with. */
 	get isWitnessed(): boolean {
-		return this.#witnessed >= this.revision;
+		return this.#history.isWitnessed;
 	}
 
 	/** Takes over what another host has read. */
-	hear(revision: number, isWitnessed: boolean): void {
-		this.revision = Math.max(this.revision, revision);
-		if (isWitnessed) {
-			this.#witnessed = Math.max(this.#witnessed, revision);
+	hear(position: Position, isWitnessed: boolean): void {
+		this.#history.advance(position, isWitnessed);
+	}
+
+	/**
+	 * Follows the history of a position that was read or heard, where it is a
+	 * later one: the directory has come back from a copy. Called before
+	 * anything of it is believed.
+	 */
+	follow(position: Position, source: string): void {
+		if (this.#history.place(position) !== 'restored') {
+			return;
 		}
+
+		const {context: {clock, log, metrics}, endpoints} = this.#parts;
+		const {position: previous} = this;
+		this.#history.enter(position, clock.now());
+		endpoints.book.directoryRestored(position, clock.now());
+		metrics.add('directoryRestores');
+		log('directoryRestored', {
+			epoch: position.epoch, revision: position.revision, previousEpoch: previous?.epoch, previousRevision: previous?.revision, source,
+		});
 	}
 
 	/**
@@ -116,7 +140,7 @@
 	async #run(): Promise<void> {
 		const {clock} = this.#parts.context;
 		while (!this.#abort.signal.aborted) {
-			const isNeeded = this.revision < 0 || this.#parts.isReader();
+			const isNeeded = this.position === undefined || this.#parts.isReader();
 			if (!isNeeded) {
 				this.#resign();
 			}
@@ -145,15 +169,23 @@
 	async #read(): Promise<number> {
 		const {metrics} = this.#parts.context;
 		const wasDoubted = this.#isDoubted;
-		const read = this.#mustList || this.revision < 0 ? 'list' : 'watch';
+		const from = this.position;
+		const read = this.#mustList || from === undefined ? 'list' : 'watch';
 		const askedAt = this.#parts.context.clock.now();
 		try {
-			const changes = read === 'list' ? await this.#list() : await this.#watch();
+			const changes = from === undefined || read === 'list' ? await this.#list() : await this.#watch(from.revision);
+			this.#refuseOutdated(changes.position);
 			metrics.add('directoryReads', {read, outcome: 'answered'});
 			this.#back();
+			if (read === 'watch' && changes.position.epoch !== from?.epoch) {
+				// What this history changed below the revision that was asked for is not among the changes
+				this.#mustList = true;
+				return gapPauseMs;
+			}
+
 			this.#take(changes, read);
 			if (read === 'list') {
-				this.#parts.routing.confirm(askedAt);
+				this.#confirmAt(askedAt);
 			}
 
 			return 0;
@@ -171,18 +203,21 @@
 		const {routing, context: {clock, directory, metrics, settings: {timing}}} = this.#parts;
 		const askedAt = clock.now();
 		try {
-			const revision = await this.#limit(confirmMs, async signal => directory.readRevision(signal));
+			const position = await this.#limit(confirmMs, async signal => directory.readPosition(signal));
 			metrics.add('directoryReads', {read: 'revision', outcome: 'answered'});
-			if (revision <= this.revision) {
-				routing.confirm(askedAt);
+			if (this.position !== undefined && isCovered(position, this.position)) {
+				this.#confirmAt(askedAt);
 				return;
 			}
 
+			this.#refuseOutdated(position);
+
 			const listedAt = clock.now();
 			const changes = await this.#limit(timing.directoryAnswerMs, async signal => directory.list(signal));
+			this.#refuseOutdated(changes.position);
 			metrics.add('directoryReads', {read: 'list', outcome: 'answered'});
 			this.#take(changes, 'list');
-			routing.confirm(listedAt);
+			this.#confirmAt(listedAt);
 		} catch (error) {
 			metrics.add('directoryReads', {read: 'revision', outcome: 'failed'});
 			this.#parts.context.log('directoryUnconfirmed', {revision: this.revision, confirmedMs: Math.round(routing.ageMs()), detail: String(error)});
@@ -191,14 +226,14 @@
 
 	async #list(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
-		const limitMs = this.revision < 0 ? firstListMs * (2 ** Math.min(this.#failures, mostDoublings)) : timing.directoryAnswerMs;
+		const limitMs = this.position === undefined ? firstListMs * (2 ** Math.min(this.#failures, mostDoublings)) : timing.directoryAnswerMs;
 		return this.#limitRead(Math.min(limitMs, timing.directoryAnswerMs), async signal => directory.list(signal));
 	}
 
-	async #watch(): Promise<Changes> {
+	async #watch(after: number): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
 		const waitMs = this.#failures > 0 || this.#isDoubted ? probeMs : timing.watchMs;
-		return this.#limitRead(waitMs + timing.directoryAnswerMs, async signal => directory.watch(this.revision, waitMs, signal));
+		return this.#limitRead(waitMs + timing.directoryAnswerMs, async signal => directory.watch(after, waitMs, signal));
 	}
 
 	/** A read of the watch, which `doubt` may end. */
@@ -224,6 +259,8 @@
 		const {log, metrics, random, settings: {timing}} = this.#parts.context;
 		const isGap = error instanceof DirectoryError && error.isGap;
 		metrics.add('directoryReads', {read, outcome: isGap ? 'gap' : 'failed'});
+		const namesAnother = error instanceof DirectoryError && error.epoch !== undefined && this.#history.place({epoch: error.epoch, revision: 0}) === 'restored';
+		this.#mustList ||= namesAnother;
 		if (isGap) {
 			log('directoryLost', {read, revision: this.revision, detail: 'the history since this revision is gone; it is listed anew'});
 			this.#mustList = true;
@@ -262,64 +299,66 @@
 		this.#isDoubted = false;
 	}
 
-	#take({changes, revision, epoch}: Changes, read: string): void {
+	/** An answer from before the directory came back was long on its way, or its teller is out of date: it is none. */
+	#refuseOutdated(position: Position): void {
+		if (this.#history.place(position) === 'outdated') {
+			throw new DirectoryError(`an answer of epoch ${String(position.epoch)}, which is over`);
+		}
+	}
+
+	/** Takes note that the configuration in force was the newest at an instant, where the directory can tell. */
+	#confirmAt(askedAt: number): void {
+		if (this.#history.mayConfirm(this.#parts.context.clock.now())) {
+			this.#parts.routing.confirm(askedAt);
+		}
+	}
+
+	#take({changes, position}: Changes, read: string): void {
 		const {context: {clock}, endpoints, onNews} = this.#parts;
 		const now = clock.now();
-		this.#noteEpoch(epoch, revision, read);
+		const isNewHistory = this.#history.place(position) === 'restored';
+		this.follow(position, 'directory');
 		if (read === 'list') {
 			this.#mustList = false;
-			const listed = changes.filter((change): change is Extract<Change, {kind: 'endpoint'}> => change.kind === 'endpoint');
+			const listed = changes.flatMap(change => change.kind === 'endpoint' ? [{epoch: position.epoch, revision: change.revision, endpoint: change.endpoint}] : []);
 			// What cannot be read is there all the same
 			const hidden = changes.flatMap(change => change.kind === 'endpointUnreadable' ? endpoints.book.idsOf(change.instance) : []);
 			const ids = new Set([...listed.map(each => each.endpoint.id), ...hidden]);
-			endpoints.note(endpoints.book.replace({listed, ids, revision}, now), 'list');
+			endpoints.note(endpoints.book.replace({listed, ids, position}, now), 'list');
 		}
 
 		for (const change of changes) {
-			this.#apply(change, now);
+			this.#apply(change, position.epoch, now);
 		}
 
-		this.hear(revision, true);
-		if (changes.length > 0) {
+		this.hear(position, true);
+		if (changes.length > 0 || isNewHistory) {
 			onNews();
 		}
 	}
 
-	/** Writes down that the directory has come back from a copy. */
-	#noteEpoch(epoch: number | undefined, revision: number, read: string): void {
-		const {log, metrics} = this.#parts.context;
-		if (this.#epoch !== undefined && epoch !== this.#epoch) {
-			metrics.add('directoryRestores');
-			log('directoryRestored', {
-				read, epoch, revision, previousEpoch: this.#epoch, previousRevision: this.revision,
-			});
-		}
-
-		this.#epoch = epoch;
-	}
-
-	#apply(change: Change, now: number): void {
+	#apply(change: Change, epoch: number | undefined, now: number): void {
 		const {endpoints, routing} = this.#parts;
 		switch (change.kind) {
 			case 'routing': {
+				this.#history.noteRouting({epoch, revision: change.revision});
 				routing.offer(change.routing, 'directory');
 				return;
 			}
 
 			case 'endpoint': {
-				const listed: ListedEndpoint = {revision: change.revision, endpoint: change.endpoint};
-				endpoints.note(endpoints.book.put(listed), 'watch');
+				endpoints.note(endpoints.book.put({epoch, revision: change.revision, endpoint: change.endpoint}, now), 'watch');
 				return;
 			}
 
 			case 'endpointGone': {
-				endpoints.note(endpoints.book.remove(change.instance, change.revision, now), 'watch');
+				endpoints.note(endpoints.book.remove(change.instance, {epoch, revision: change.revision}, now), 'watch');
 				return;
 			}
 
 			case 'endpointUnreadable': {
 				this.#noteUnreadable('endpoint', change.detail, change.instance);
-				endpoints.note(endpoints.book.hide(change.instance, change.revision), 'watch');
+				endpoints.note(endpoints.book.hide(change.instance, {epoch, revision: change.revision}, now), 'watch');
 				return;
 			}
 
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -1,14 +1,18 @@
 /**
  * What hosts tell each other of the configuration and of endpoints, so that a
  * host which does not read the directory, or cannot, knows them as well.
- * Efficiency: versions and revisions decide what is believed, not who said it.
+ * Efficiency: versions and positions decide what is believed, not who said it.
  */
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {comparePositions, isLater, type Position} from '@gatehead/schema/position';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type FleetParts} from './fleet-parts.js';
 
 /** Time that the own watch gets to bring what a peer knows already, in milliseconds: a hundred times the way to the directory, and a fifth of the shortest bound on leaving endpoints. */
 const ownNewsMs = 400;
+/** Time for which a host that has heard of a position in no history that it can name reads the directory itself, in milliseconds: three ticks, the time after which a silent host is suspect. */
+const unplacedMs = 2100;
 /** Least time between two questions, in milliseconds: several times the way to any peer and back. */
 const askAgainMs = 250;
 
@@ -25,6 +29,7 @@
 export class DirectoryNews {
 	readonly #parts: DirectoryNewsParts;
 	#askedAt = Number.NEGATIVE_INFINITY;
+	#unplacedAt = Number.NEGATIVE_INFINITY;
 	/** Waits for the own watch to bring what a peer knows already. */
 	#late: Timer | undefined;
 
@@ -33,33 +38,42 @@
 	}
 
 	/** Asks a peer for what it knows and this host does not: what the directory would say itself in a moment is not asked for. */
-	compare(host: string, {routingVersion, directoryRevision, pauses}: RelayMessageOf<'heartbeat'>): void {
-		const {routing, endpoints, watch, isReader, context: {clock}} = this.#parts;
+	compare(host: string, {routingVersion, directoryRevision, directoryEpoch, departures, pauses}: RelayMessageOf<'heartbeat'>): void {
+		const {routing, endpoints, watch} = this.#parts;
 		for (const pause of pauses) {
 			endpoints.hearPause(pause, host);
 		}
 
+		endpoints.hearDepartures(departures, host);
 		const own = watch();
-		const hearsItself = isReader() && !own.isDown;
-		if (routingVersion > routing.version || (directoryRevision > own.revision && !hearsItself)) {
+		const offered: Position = {epoch: directoryEpoch, revision: directoryRevision};
+		this.#noteUnplaced(offered, own);
+		const isLate = directoryRevision >= 0 && this.#isLate(offered, own);
+		const isOtherHistory = own.position !== undefined && own.position.epoch !== directoryEpoch;
+		if (routingVersion > routing.version || (isLate && (isOtherHistory || !this.#hearsItself(own)))) {
 			this.#ask(host);
-		} else if (directoryRevision > own.revision) {
-			this.#late ??= clock.after(ownNewsMs, () => {
-				this.#late = undefined;
-				if (directoryRevision > own.revision) {
-					this.#ask(host);
-				}
-			});
+		} else if (isLate) {
+			this.#askLater(host, offered);
+		}
+
+		if (isLate && isOtherHistory) {
+			// The own watch belongs to a history that is over
+			own.doubt();
 		}
 	}
 
+	/** Whether hosts that speak to this one say where they stand in a way that cannot be placed, as hosts of an earlier version: then it has to see for itself. */
+	get hearsUnplaced(): boolean {
+		return this.#parts.context.clock.now() - this.#unplacedAt < unplacedMs;
+	}
+
 	/** Stops waiting for the own watch. */
 	close(): void {
 		this.#late?.stop();
 	}
 
 	/** Tells a host that asked what it lacks. */
-	give(host: string, {routingVersion, revision}: RelayMessageOf<'directoryWanted'>): void {
+	give(host: string, {routingVersion, ...known}: RelayMessageOf<'directoryWanted'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (routing.isBehind) {
 			// It would pass on a revision without the configuration that belongs to it
@@ -71,41 +85,78 @@
 			kind: 'directory',
 			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
 			revision: watch().revision,
+			epoch: watch().position?.epoch,
+			departures: endpoints.book.listDepartures(clock.now()),
 			isWitnessed: watch().isWitnessed,
-			endpoints: listed.filter(each => each.revision > revision),
+			endpoints: listed.filter(each => known.revision < 0 || isLater(each, known)),
 			ids: listed.map(each => each.endpoint.id),
 			kept: endpoints.book.listKept(clock.now()),
 		});
 	}
 
 	/** Takes over what a host has told. */
-	take(host: string, {routing: offered, revision, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
+	take(host: string, {routing: offered, revision, epoch, departures, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
 			routing.offer(offered, host);
 		}
 
 		const own = watch();
-		if (revision > own.revision) {
-			const changes = endpoints.book.replace({
-				listed, ids: new Set(ids), revision, isWitnessed, kept,
-			}, clock.now());
-			endpoints.note(changes, host);
-			own.hear(revision, isWitnessed);
-			if (changes.length > 0) {
-				// The own watch should have said so: its connection may be cut in silence
-				own.doubt();
-			}
+		const position: Position = {epoch, revision};
+		if (revision < 0 || !this.#isLate(position, own)) {
+			return;
+		}
 
-			this.#parts.announce();
+		const isOtherHistory = own.position !== undefined && own.position.epoch !== epoch;
+		own.follow(position, host);
+		endpoints.hearDepartures(departures, host);
+		const changes = endpoints.book.replace({
+			listed, ids: new Set(ids), position, isWitnessed, kept,
+		}, clock.now());
+		endpoints.note(changes, host);
+		own.hear(position, isWitnessed);
+		if (changes.length > 0 || isOtherHistory) {
+			// The own watch should have said so: its connection may be cut in silence
+			own.doubt();
 		}
+
+		this.#parts.announce();
+	}
+
+	#noteUnplaced(offered: Position, {position}: DirectoryWatch): void {
+		if (offered.revision >= 0 && position !== undefined && comparePositions(offered, position) === 'unknown') {
+			this.#unplacedAt = this.#parts.context.clock.now();
+		}
+	}
+
+	/** Whether this host hears of changes from the directory itself. */
+	#hearsItself(own: DirectoryWatch): boolean {
+		return this.#parts.isReader() && !own.isDown;
+	}
+
+	/** Whether this host knows less of the directory than what is offered. */
+	#isLate(offered: Position, {position}: DirectoryWatch): boolean {
+		return position === undefined || comparePositions(offered, position) === 'later';
+	}
+
+	/** Asks unless the own watch has brought it meanwhile. */
+	#askLater(host: string, offered: Position): void {
+		const {watch, context: {clock}} = this.#parts;
+		this.#late ??= clock.after(ownNewsMs, () => {
+			this.#late = undefined;
+			if (this.#isLate(offered, watch())) {
+				this.#ask(host);
+			}
+		});
 	}
 
 	#ask(host: string): void {
 		const {routing, watch, context: {clock}} = this.#parts;
 		if (clock.now() - this.#askedAt > askAgainMs) {
 			this.#askedAt = clock.now();
-			this.#parts.send(host, {kind: 'directoryWanted', routingVersion: routing.version, revision: watch().revision});
+			this.#parts.send(host, {
+				kind: 'directoryWanted', routingVersion: routing.version, revision: watch().revision, epoch: watch().position?.epoch,
+			});
 		}
 	}
 }
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -168,7 +168,7 @@
 
 	/** Whether this host reads the directory itself. */
 	isReader(): boolean {
-		return isDirectoryReader(this.membership.members.self, this.#listAlive());
+		return this.#news.hearsUnplaced || isDirectoryReader(this.membership.members.self, this.#listAlive());
 	}
 
 	/** Whether this host is the first by rank of those alive: the one that acts for all in a matter. */
@@ -268,6 +268,8 @@
 					clock: context.hybrid.stamp(),
 					routingVersion: routing.version,
 					directoryRevision: watch().revision,
+					directoryEpoch: watch().position?.epoch,
+					departures: endpoints.book.listDepartures(context.clock.now()),
 					pauses: endpoints.health.listPauses(context.clock.now()),
 					heldContents: guard.listHeld(),
 				});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -134,6 +134,7 @@
 			isReady: this.isReady,
 			routingVersion: this.routing.version,
 			directoryRevision: this.#watch.revision,
+			directoryEpoch: this.#watch.position?.epoch,
 			isDirectoryDown: this.#watch.isDown,
 			open: this.#front.open,
 			waiting: this.#work.admission.waiting,
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -10,6 +10,7 @@
 import {ReadingQueue} from '@gatehead/policy/relay/reading-queue';
 import {decodeReadingFactor} from '@gatehead/policy/relay/stage-split';
 import {type Subset} from '@gatehead/policy/relay/subsets';
+import {type Departure} from '@gatehead/policy/relay/departures';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -64,6 +65,7 @@
 		leaving: ignore,
 		unreadable: ignore,
 		vanished: ignore,
+		outdated: ignore,
 		gone: endpoint => {
 			this.#listener.onGone(endpoint);
 			this.#forget(endpoint.id);
@@ -100,15 +102,20 @@
 
 	/** Writes down what changed in the book; `source` says where the news came from. */
 	note(changes: readonly BookChange[], source: string): void {
-		for (const {endpoint, change, revision} of changes) {
+		for (const {endpoint, change, position} of changes) {
 			const {id, service, address, stage, hall} = endpoint;
 			this.#context.log('endpointChanged', {
-				endpoint: id, service, address, stage, endpointHall: hall, change, revision, source,
+				endpoint: id, service, address, stage, endpointHall: hall, change, ...position, source,
 			});
 			this.#follow[change](endpoint);
 		}
 	}
 
+	/** Takes over which endpoints another host knows to have left. */
+	hearDepartures(departures: readonly Departure[], from: string): void {
+		this.note(this.book.hearDepartures(departures, this.#context.clock.now()), from);
+	}
+
 	/** Endpoints of a service that take new work, in the order to try them. */
 	order(service: string, {stage, hall, tokens = 0, weights, bearable}: OrderWish): Endpoint[] {
 		const now = this.#context.clock.now();
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -192,7 +192,7 @@
 	#refused(send: Send, {isOther}: AnswerFacts, status: number): Sent {
 		const {endpoint} = send;
 		if (isOther) {
-			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id), 'endpoint');
+			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id, this.#context.clock.now()), 'endpoint');
 		}
 
 		return this.#note(send, {kind: 'notRun', reason: isOther ? 'otherEndpoint' : 'refused', status}, {status});
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -25,7 +25,7 @@
 	pauses: {name: 'gatehead_endpoint_pauses_total', help: 'Endpoints set aside because sends to them failed, by who saw it.', labels: ['source']},
 	directoryReads: {name: 'gatehead_directory_reads_total', help: 'Reads of the directory, by kind and outcome.', labels: ['read', 'outcome']},
 	directoryUnreadable: {name: 'gatehead_directory_unreadable_total', help: 'Items of the directory that could not be read, by what they were to say.', labels: ['item']},
-	directoryRestores: {name: 'gatehead_directory_restores_total', help: 'Times that the directory was found to have come back from a copy.', labels: []},
+	directoryRestores: {name: 'gatehead_directory_restores_total', help: 'Times that the directory was found to have come back from a copy, in a history of its own.', labels: []},
 	lookups: {name: 'gatehead_lookups_total', help: 'Lookups answered.', labels: []},
 	peerMessages: {name: 'gatehead_peer_messages_total', help: 'Messages sent to other hosts.', labels: []},
 	peerBytes: {name: 'gatehead_peer_bytes_total', help: 'Bytes sent to other hosts.', labels: []},
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -3,13 +3,15 @@
  * one replica within a lease's time, and fences rise. One host gives all
  * orders: the first by rank of those alive, while it sees a majority of all
  * hosts known and nothing about the fleet has changed for a while; whoever
- * is cut off sees a change first. The fence is the directory's revision,
- * which outlives every process; a host that takes over waits for a higher one.
+ * is cut off sees a change first. The fence is the directory's position,
+ * which outlives every process and rises also where revisions are given out
+ * again; a host that takes over waits for a later one.
  */
 import {type ReleaseRate} from '@gatehead/policy/relay/release-rate';
 import {OrdersUnderWay} from '@gatehead/policy/relay/orders-under-way';
 import {StageSplit, type Paces, type StageChange} from '@gatehead/policy/relay/stage-split';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {isLater, toFence, type Position} from '@gatehead/schema/position';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type RelayContext} from '../core/context.js';
@@ -55,8 +57,8 @@
 	readonly #splits = new Map<string, StageSplit>();
 	readonly #orderedAt = new Map<string, number>();
 	readonly #underWay = new OrdersUnderWay();
-	/** Directory revision when this host became the one that orders; undefined: it is not. */
-	#ledSince: number | undefined;
+	/** Directory position when this host became the one that orders; undefined: it is not. */
+	#ledSince: Position | undefined;
 	#timer: Timer | undefined;
 
 	constructor(parts: StageOrderParts) {
@@ -127,15 +129,24 @@
 			return false;
 		}
 
-		this.#ledSince ??= watch.revision;
+		const {position} = watch;
+		if (position === undefined) {
+			return false;
+		}
+
+		this.#ledSince ??= position;
 		const isQuiet = now - fleet.changedAt >= quietMs;
-		const mayFollow = !fleet.hasFollowed || watch.revision > this.#ledSince;
+		const mayFollow = !fleet.hasFollowed || isLater(position, this.#ledSince);
 		return isQuiet && mayFollow && fleet.hasMajority() && !watch.isDown;
 	}
 
 	async #order({endpoint, stage, reason}: StageChange): Promise<void> {
 		const {context: {clock, log, self}, ownCalls, watch, endpoints, fleet} = this.#parts;
-		const fence = watch.revision;
+		const fence = watch.position === undefined ? undefined : toFence(watch.position);
+		if (fence === undefined) {
+			return;
+		}
+
 		// It turns requests away until it has changed its part
 		const pause = {endpoint: endpoint.id, leftMs: changeMs};
 		endpoints.hearPause(pause, ownOrder);
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -248,7 +248,7 @@
 		number: 5036, status: 0, ran: 'no', advice: 'A content is held back no longer: a run of it went well, an endpoint turned out to live, or all is long ago.',
 	},
 	directoryRestored: {
-		number: 5037, status: 0, ran: 'no', advice: 'The directory has come back from a copy: its revisions are given out again.',
+		number: 5037, status: 0, ran: 'no', advice: 'The directory has come back from a copy: its revisions are given out again. It is listed anew; what is known to have left stays so until it is written anew.',
 	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -2,11 +2,17 @@
 import {z} from 'zod';
 import {owner} from './engine-protocol.js';
 import {memberRecord} from './peer-message.js';
-import {listedEndpoint, routing} from './routing.js';
+import {position} from './position.js';
+import {listedEndpoint, longestId, routing} from './routing.js';
 
 /** An endpoint that a host has set aside. */
 export const pause = z.object({endpoint: z.string(), leftMs: z.number()});
 
+/** A start of an endpoint that has left although the directory's history may list it as ready up to a position, having come back from a copy; and for how long that counts. */
+export const departure = position.extend({id: z.string().max(longestId), leftMs: z.number().nonnegative()});
+/** Departures told at once: a directory that has lost the end of a whole fleet's planned stop. */
+const departures = z.array(departure).max(2000).default([]);
+
 /** What a host last heard of a quota's level, from which keeper, and how long ago: a keeper that begins starts from it. */
 export const quotaLevel = z.object({level: z.number(), keeper: z.string(), ageMs: z.number().nonnegative()});
 
@@ -23,13 +29,15 @@
 	z.object({kind: z.literal('hello'), from: owner, record: memberRecord}),
 	z.object({kind: z.literal('doubt'), record: memberRecord}),
 	z.object({
-		kind: z.literal('heartbeat'), isAnswer: z.boolean(), news: z.array(memberRecord).max(10_000), clock: z.string(), routingVersion: z.number(), directoryRevision: z.number(), pauses: z.array(pause).max(1000), heldContents: z.array(crashReport).max(64).default([]),
+		kind: z.literal('heartbeat'), isAnswer: z.boolean(), news: z.array(memberRecord).max(10_000), clock: z.string(), routingVersion: z.number(), directoryRevision: z.number(), directoryEpoch: position.shape.epoch, departures, pauses: z.array(pause).max(1000), heldContents: z.array(crashReport).max(64).default([]),
+	}),
+	/** Asks for the configuration in force, where it is newer, and the endpoints written after a position; revision -1: all. */
+	z.object({
+		kind: z.literal('directoryWanted'), routingVersion: z.number(), revision: z.number(), epoch: position.shape.epoch,
 	}),
-	/** Asks for the configuration in force, where it is newer, and the endpoints written after a revision. */
-	z.object({kind: z.literal('directoryWanted'), routingVersion: z.number(), revision: z.number()}),
 	/** The answer to that; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with; `kept`: entries among `ids` that have vanished and get a grace at its sender. */
 	z.object({
-		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
+		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
 	/** What is news about contents under which endpoints end; said to all. */
--- a/packages/schema/src/relay-status.ts
+++ b/packages/schema/src/relay-status.ts
@@ -12,6 +12,8 @@
 	routingVersion: z.number(),
 	/** Revision up to which the directory is known here; -1: not at all. */
 	directoryRevision: z.number(),
+	/** How often the directory had come back from a copy then, as it counts; absent: it does not say, or an earlier version answers. */
+	directoryEpoch: z.number().optional(),
 	isDirectoryDown: z.boolean(),
 	/** Requests in work, and those of them that wait for decode memory. */
 	open: z.number(),
--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -5,12 +5,13 @@
  */
 import {z} from 'zod';
 import {address} from './address.js';
+import {position} from './position.js';
 
 const name = z.string().min(1).max(200);
 const milliseconds = z.number().nonnegative();
 const count = z.number().int().nonnegative();
 /** Longest id: a name, and the instant of a start. */
-const longestId = 240;
+export const longestId = 240;
 
 /** `stream` answers with events; `repeatable` may run more than once; `once` runs at most once. */
 export const routeKind = z.enum(['stream', 'repeatable', 'once']);
@@ -116,8 +117,8 @@
 	isUnreadable: z.boolean().optional(),
 });
 
-/** An endpoint with the revision of the directory at which it was last written. */
-export const listedEndpoint = z.object({revision: count, endpoint});
+/** An endpoint with the position in the directory's history at which it was last written. */
+export const listedEndpoint = position.extend({endpoint});
 
 /** What a route's requests may do. */
 export type RouteKind = z.infer<typeof routeKind>;
@@ -137,7 +138,7 @@
 export type Routing = z.infer<typeof routing>;
 /** One run of one endpoint. */
 export type Endpoint = z.infer<typeof endpoint>;
-/** An endpoint and its revision. */
+/** An endpoint and its position. */
 export type ListedEndpoint = z.infer<typeof listedEndpoint>;
 
 /** The name that an endpoint answers to. */
