Soak: the directory comes back from a copy, and its writers write again

Cause: no fault of the soak took acknowledged writes away. The new kind stands at the end of the table, and seeds that failed are played with the twelve kinds that there were, so that their schedules stay as they were.

--- a/packages/standin/src/soak/soak.test.ts
+++ b/packages/standin/src/soak/soak.test.ts
@@ -9,7 +9,7 @@
 const shortSeconds = 2;
 /** Time after the last seed in which the file must end by itself, in milliseconds; sockets that are closing take some tens. */
 const endMs = 10_000;
-const cases = [{seed: 1001, cause: 'a fresh seed'}, {seed: 1003, cause: 'another'}, ...failedSeeds];
+const cases: ReadonlyArray<{readonly seed: number; readonly kinds?: number; readonly cause: string}> = [{seed: 1001, kinds: 12, cause: 'a fresh seed'}, {seed: 1003, kinds: 12, cause: 'another'}, {seed: 1005, cause: 'one with all kinds of fault'}, ...failedSeeds];
 
 describe('soak', () => {
 	after(() => {
@@ -25,9 +25,9 @@
 		await expect(waitUntilServing({hosts, folder: '/logs'})).toBeRejectedWith('host-0 ended before it served');
 	});
 
-	for (const {seed, cause} of cases) {
+	for (const {seed, kinds, cause} of cases) {
 		it(`seed ${seed} keeps every promise (${cause})`, async () => {
-			const {broken, requests} = await playSoak(seed, shortSeconds);
+			const {broken, requests} = await playSoak({seed, kinds, seconds: shortSeconds});
 			expect([...broken]).toEqual([]);
 			expect(requests > 0).toEqual(true);
 		});
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -34,7 +34,7 @@
 	readonly broken: readonly string[];
 };
 
-/** Each fault, with what ends it. */
+/** Each fault, with what ends it. New ones go to the end: seeds that failed are played with the kinds that there were. */
 const faults: Readonly<Record<string, (bed: Bed, lastsMs: number) => Promise<void>>> = {
 	async killHost({random, hosts}, lastsMs) {
 		const host = pick(random, hosts);
@@ -103,13 +103,30 @@
 		await pause(lastsMs);
 		publish(bed, index, 'ready');
 	},
+	async restoreStore(bed, lastsMs) {
+		const {store, replicas} = bed;
+		const copy = store.copy();
+		await pause(lastsMs);
+		store.setFault('reset');
+		store.restore(copy, lastsMs > longestFaultMs / 2 ? 'cut' : 'silent');
+		await pause(lastsMs / 2);
+		store.setFault('none');
+		// What the operator and the replicas wrote meanwhile is written again
+		store.put('op/config', makeConfig(bed.version));
+		for (const {id} of replicas) {
+			const written = store.lastWritten(`servers/${id}`);
+			if (written !== undefined) {
+				store.put(`servers/${id}`, written);
+			}
+		}
+	},
 };
 
-async function injectFaults(bed: Bed, endsAt: number): Promise<number> {
+async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
 	const running: Array<Promise<void>> = [];
 	while (performance.now() < endsAt) {
 		await pause(jitter(bed.random, faultGapMs, spread));
-		const fault = pick(bed.random, Object.keys(faults));
+		const fault = pick(bed.random, Object.keys(faults).slice(0, kinds));
 		running.push(faults[fault ?? '']?.(bed, bed.random.next() * longestFaultMs) ?? Promise.resolve());
 	}
 
@@ -137,14 +154,23 @@
 	return unserved;
 }
 
+/** How a seed is played. */
+export type SoakPlan = {
+	readonly seed: number;
+	readonly seconds: number;
+	readonly hosts?: number;
+	/** How many kinds of fault there are, from the first on; absent: all. */
+	readonly kinds?: number;
+};
+
 /** Plays one seed. */
-export async function playSoak(seed: number, seconds: number, hostCount = 3): Promise<SoakReport> {
+export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = Object.keys(faults).length}: SoakPlan): Promise<SoakReport> {
 	const bed = await makeBed(seed, hostCount);
 	try {
 		await waitUntilServing(bed);
 		let isOver = false;
 		const sending = sendUntil(bed, () => isOver);
-		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000));
+		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000), kinds);
 		isOver = true;
 		const sent = await sending;
 		for (const host of bed.hosts) {
--- a/packages/standin/src/wire/store-server.ts
+++ b/packages/standin/src/wire/store-server.ts
@@ -38,6 +38,8 @@
 	copy(): StoreCopy;
 	/** Comes back from a copy: later writes are gone, their revisions are given out again, and a watch from beyond gets 410. */
 	restore(copy: StoreCopy, watches?: OldWatches): void;
+	/** What a key's writer wrote last, whatever the store has lost since. */
+	lastWritten(key: string): unknown;
 	/** Calls so far. */
 	countCalls(): number;
 	kill(): Promise<void>;
@@ -54,6 +56,8 @@
 	calls = 0;
 	/** How often it has come back from a copy; stands on every answer. */
 	era = 1;
+	/** What writers wrote last, by key: they write it again when the store has lost it. */
+	readonly written = new Map<string, unknown>();
 	#items = new Map<string, StoreEvent>();
 	#history: StoreEvent[] = [];
 	readonly #watches = new Set<Watch>();
@@ -61,6 +65,7 @@
 	#compactedAt = 0;
 
 	write(key: string, value: unknown): void {
+		this.written.set(key, value);
 		this.#revision += 1;
 		const item = {
 			key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision: this.#revision, createRev: this.#items.get(key)?.createRev ?? this.#revision,
@@ -70,6 +75,7 @@
 	}
 
 	remove(key: string): void {
+		this.written.delete(key);
 		this.#revision += 1;
 		this.#items.delete(key);
 		this.#publish({key, revision: this.#revision, tombstone: true});
@@ -203,6 +209,7 @@
 		restore(copy, watches = 'cut') {
 			store.restore(copy, watches);
 		},
+		lastWritten: key => store.written.get(key),
 		countCalls: () => store.calls,
 		kill: server.kill,
 	};
