News of the directory: each hop within a bound, also where questions meet and readers are lost in silence

Change: a question that meets another is put as soon as that is 250 ms old, and up to four times to whoever offered last; the first host by rank watches for 2 s at most; neighbours of a silent reader read after 1.2 s.

--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -106,6 +106,11 @@
 		this.#announce();
 	}
 
+	/** Neighbours whose heartbeats this host awaits, and that were silent for so long. */
+	listSilent(silenceMs: number): string[] {
+		return this.#neighbourhood.listSilent(this.#parts.context.clock.now(), silenceMs);
+	}
+
 	/** Takes a peer's first words. */
 	hello(record: MemberRecord): void {
 		this.#merge([record]);
--- a/packages/policy/src/relay/directory-readers.test.ts
+++ b/packages/policy/src/relay/directory-readers.test.ts
@@ -1,7 +1,7 @@
 /** Catalogue: how many hosts read the directory, and who takes over from one that is gone. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {isDirectoryReader, type PlacedHost} from './directory-readers.js';
+import {isDirectoryReader, isReaderSilent, type PlacedHost} from './directory-readers.js';
 
 /** Hosts dealt in turn to so many halls. */
 function makeFleet(hosts: number, halls: number): PlacedHost[] {
@@ -65,6 +65,15 @@
 		}
 	});
 
+	it('a silent reader is told from other silent hosts', () => {
+		const fleet = makeFleet(60, 3);
+		const readers = new Set(listReaders(fleet).map(({host}) => host));
+		const others = fleet.filter(({host}) => !readers.has(host)).map(({host}) => host);
+		expect(isReaderSilent(new Set([[...readers][0] ?? '']), fleet)).toEqual(true);
+		expect(isReaderSilent(new Set(others), fleet)).toEqual(false);
+		expect(isReaderSilent(new Set(), fleet)).toEqual(false);
+	});
+
 	it('a hall that is lost whole leaves the readers of the others', () => {
 		const fleet = makeFleet(195, 5);
 		const left = fleet.filter(({hall}) => hall !== 'hall-0');
--- a/packages/policy/src/relay/directory-readers.ts
+++ b/packages/policy/src/relay/directory-readers.ts
@@ -11,6 +11,8 @@
  */
 import {rank} from '../core/rendezvous.js';
 
+/** What hosts are ranked for: the first of a hall read, the first of all is among them. */
+export const readerMatter = 'directory';
 /** Fleet size up to which every host reads the directory itself: its calls are few then, and a host that is cut off from its peers still knows all. */
 const smallFleet = 12;
 /** Least readers of a larger fleet: two may be lost or cut off together while the third still reads. */
@@ -32,10 +34,15 @@
 	return listFirst(self.hall, alive, halls.size).includes(self.host);
 }
 
+/** Whether one of the silent hosts reads the directory: its neighbours read as well until it is heard or replaced, so that readers which are lost together leave no gap. By the default times three readers that are lost in silence are replaced after 3.4 s (suspicion 2.1 s, a tick 0.8 s, a look 0.5 s), their neighbours read after 1.7 s; endpoints that left may get requests for 3 s. */
+export function isReaderSilent(silent: ReadonlySet<string>, alive: readonly PlacedHost[]): boolean {
+	return silent.size > 0 && alive.some(each => silent.has(each.host) && isDirectoryReader(each, alive));
+}
+
 /** The hosts of a hall that come first: as many as make the least number of readers in all halls together. */
 function listFirst(hall: string, alive: readonly PlacedHost[], halls: number): string[] {
 	const near = alive.filter(each => each.hall === hall).map(({host}) => host);
-	return rank('directory', near).slice(0, Math.ceil(leastReaders / halls));
+	return rank(readerMatter, near).slice(0, Math.ceil(leastReaders / halls));
 }
 
 /** Hosts that are asked how fresh the configuration is, in the order to ask them: the readers of each hall, the own hall's first. Asking these alone keeps the calls at the directory few, whatever the fleet's size; where one of them is turned away by the directory, the next is asked. */
--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -37,6 +37,7 @@
 	/** A list that is asked for meanwhile never gets an answer. */
 	isSilent = false;
 	lists = 0;
+	watches = 0;
 	/** What the directory says of its revision, whatever its watches say; undefined: nothing. */
 	revisionNow: number | undefined = 1;
 
@@ -67,6 +68,7 @@
 	}
 
 	async watch(after: number, _waitMs: number, signal: AbortSignal): Promise<Changes> {
+		this.watches += 1;
 		const answer = this.answers.shift() ?? 'waits';
 		if (answer === 'fails') {
 			throw new DirectoryError('cut');
@@ -156,9 +158,9 @@
 		onPause: ignore, onRoom: ignore, onGone: ignore, subset: () => wholeFleet,
 	});
 	const routing = new RoutingState(context, ignore);
-	const role = {isReader: true};
+	const role = {isReader: true, isShortWatcher: false};
 	const watch = new DirectoryWatch({
-		context, endpoints, routing, isReader: () => role.isReader, onNews: ignore,
+		context, endpoints, routing, isReader: () => role.isReader, isShortWatcher: () => role.isShortWatcher, onNews: ignore,
 	});
 	return {
 		clock, endpoints, watch, routing, role,
@@ -232,6 +234,55 @@
 		});
 	}
 
+	it('a silent connection is noticed within 3.5 s at the host whose watches are short', async () => {
+		for (const [isShortWatcher, watches] of [[true, 2], [false, 1]] as const) {
+			const directory = new ScriptedDirectory();
+			const {clock, watch, role} = makeWatch(directory);
+			role.isShortWatcher = isShortWatcher;
+			watch.start();
+			await settle();
+			for (let at = 0; at < 4000; at += stepMs) {
+				clock.advance(stepMs);
+				await settle();
+			}
+
+			watch.stop();
+			expect(directory.watches).toEqual(watches);
+		}
+	});
+
+	it('a watch that is answered from another history is not gone on with: the directory is listed', async () => {
+		const directory = new ScriptedDirectory();
+		const {clock, watch} = makeWatch(directory);
+		directory.answers = ['answers', 'waits'];
+		watch.start();
+		await settle();
+		const {lists} = directory;
+		directory.epoch = 2;
+		directory.answers = ['answers'];
+		watch.doubt();
+		await settle();
+		clock.advance(2);
+		await settle();
+		watch.stop();
+		expect(directory.lists - lists).toEqual(1);
+		expect(watch.position).toEqual({epoch: 2, revision: 1});
+	});
+
+	it('an answer from a history that is over changes nothing', async () => {
+		const directory = new ScriptedDirectory();
+		const {watch} = makeWatch(directory);
+		watch.start();
+		await settle();
+		watch.follow({epoch: 2, revision: 1}, 'peer');
+		directory.answers = ['answers'];
+		watch.doubt();
+		await settle();
+		watch.stop();
+		expect(watch.position).toEqual({epoch: 2, revision: 1});
+		expect(directory.lists).toEqual(1);
+	});
+
 	it('what was heard is as good as its source: a host that reads, or one that heard from such a one', () => {
 		const {watch} = makeWatch(new ScriptedDirectory());
 		watch.hear({revision: 4}, true);
@@ -287,6 +338,27 @@
 		});
 	}
 
+	for (const {name, waitMs, isConfirmed} of [
+		{name: 'a directory just back from a copy confirms nothing: the operator may not have written again', waitMs: 0, isConfirmed: false},
+		{name: 'it does when the grace is over', waitMs: 2300, isConfirmed: true},
+	]) {
+		it(name, async () => {
+			const directory = new ScriptedDirectory();
+			const {clock, watch, routing} = makeWatch(directory);
+			watch.start();
+			await settle();
+			clock.advance(3000);
+			directory.epoch = 2;
+			await watch.confirm();
+			expect(watch.position?.epoch).toEqual(2);
+			clock.advance(waitMs);
+			const askedAt = clock.now();
+			await watch.confirm();
+			watch.stop();
+			expect(routing.confirmedAt >= askedAt).toEqual(isConfirmed);
+		});
+	}
+
 	it('counts from the asking, and many that ask share one read', async () => {
 		const directory = new ScriptedDirectory();
 		const {clock, watch, routing} = makeWatch(directory);
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -37,6 +37,8 @@
 	readonly routing: RoutingState;
 	/** Whether this host reads the directory itself, or hears of it from others. */
 	readonly isReader: () => boolean;
+	/** Whether this host is the one whose watches are short, so that the others' silence is noticed. */
+	readonly isShortWatcher: () => boolean;
 	/** Called when something was read that others may not know. */
 	readonly onNews: () => void;
 };
@@ -231,8 +233,9 @@
 	}
 
 	async #watch(after: number): Promise<Changes> {
-		const {context: {directory, settings: {timing}}} = this.#parts;
-		const waitMs = this.#failures > 0 || this.#isDoubted ? probeMs : timing.watchMs;
+		const {isShortWatcher, context: {directory, settings: {timing}}} = this.#parts;
+		const calmMs = isShortWatcher() ? Math.min(timing.shortWatchMs, timing.watchMs) : timing.watchMs;
+		const waitMs = this.#failures > 0 || this.#isDoubted ? probeMs : calmMs;
 		return this.#limitRead(waitMs + timing.directoryAnswerMs, async signal => directory.watch(after, waitMs, signal));
 	}
 
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -6,18 +6,22 @@
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {comparePositions, isLater, type Position} from '@gatehead/schema/position';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
+import {type RelayContext} from '../core/context.js';
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type FleetParts} from './fleet-parts.js';
 
 /** Time that the own watch gets to bring what a peer knows already, in milliseconds: a hundred times the way to the directory, and a fifth of the shortest bound on leaving endpoints. */
-const ownNewsMs = 400;
+export const ownNewsMs = 400;
 /** Time for which a host that has heard of a position in no history that it can name reads the directory itself, in milliseconds: three ticks, the time after which a silent host is suspect. */
 const unplacedMs = 2100;
-/** Least time between two questions, in milliseconds: several times the way to any peer and back. */
-const askAgainMs = 250;
+/** Least time between two questions, and until an unanswered one is put again, in milliseconds: several times the way to any peer and back. */
+export const askAgainMs = 250;
+/** Questions after one heartbeat: whoever offered the news may be gone since, and the next heartbeat of another comes within three ticks. */
+const mostQuestions = 4;
 
 /** What the news are made from, and where they go. */
-export type DirectoryNewsParts = Omit<FleetParts, 'measureLoad'> & {
+export type DirectoryNewsParts = Pick<FleetParts, 'endpoints' | 'routing' | 'watch'> & {
+	readonly context: Pick<RelayContext, 'clock'>;
 	/** Whether this host reads the directory itself. */
 	readonly isReader: () => boolean;
 	readonly send: (host: string, message: RelayMessage) => void;
@@ -25,10 +29,21 @@
 	readonly announce: () => void;
 };
 
+/** What a peer knows beyond this host, and how often it may still be asked. */
+type Offer = {
+	readonly host: string;
+	readonly position: Position;
+	readonly routingVersion: number;
+	readonly questions: number;
+};
+
 /** Compares with other hosts, asks them and answers them. */
 export class DirectoryNews {
 	readonly #parts: DirectoryNewsParts;
-	#askedAt = Number.NEGATIVE_INFINITY;
+	/** The latest news that were offered. */
+	#offer: Offer | undefined;
+	/** Runs from one question to the earliest next. */
+	#pause: Timer | undefined;
 	#unplacedAt = Number.NEGATIVE_INFINITY;
 	/** Waits for the own watch to bring what a peer knows already. */
 	#late: Timer | undefined;
@@ -51,9 +66,9 @@
 		const isLate = directoryRevision >= 0 && this.#isLate(offered, own);
 		const isOtherHistory = own.position !== undefined && own.position.epoch !== directoryEpoch;
 		if (routingVersion > routing.version || (isLate && (isOtherHistory || !this.#hearsItself(own)))) {
-			this.#ask(host);
+			this.#want(host, offered, routingVersion);
 		} else if (isLate) {
-			this.#askLater(host, offered);
+			this.#wantLater(host, offered, routingVersion);
 		}
 
 		if (isLate && isOtherHistory) {
@@ -70,6 +85,7 @@
 	/** Stops waiting for the own watch. */
 	close(): void {
 		this.#late?.stop();
+		this.#pause?.stop();
 	}
 
 	/** Tells a host that asked what it lacks. */
@@ -140,23 +156,43 @@
 	}
 
 	/** Asks unless the own watch has brought it meanwhile. */
-	#askLater(host: string, offered: Position): void {
+	#wantLater(host: string, offered: Position, routingVersion: number): void {
 		const {watch, context: {clock}} = this.#parts;
 		this.#late ??= clock.after(ownNewsMs, () => {
 			this.#late = undefined;
 			if (this.#isLate(offered, watch())) {
-				this.#ask(host);
+				this.#want(host, offered, routingVersion);
 			}
 		});
 	}
 
-	#ask(host: string): void {
-		const {routing, watch, context: {clock}} = this.#parts;
-		if (clock.now() - this.#askedAt > askAgainMs) {
-			this.#askedAt = clock.now();
-			this.#parts.send(host, {
-				kind: 'directoryWanted', routingVersion: routing.version, revision: watch().revision, epoch: watch().position?.epoch,
-			});
+	#want(host: string, position: Position, routingVersion: number): void {
+		this.#offer = {
+			host, position, routingVersion, questions: mostQuestions,
+		};
+		this.#ask();
+	}
+
+	/** Puts the next question at once, or as soon as the last one is old enough: what is offered in between must not wait for the next heartbeat. */
+	#ask(): void {
+		const {routing, watch, send, context: {clock}} = this.#parts;
+		const offer = this.#offer;
+		if (this.#pause !== undefined || offer === undefined || offer.questions === 0 || !this.#lacks(offer)) {
+			return;
 		}
+
+		this.#offer = {...offer, questions: offer.questions - 1};
+		send(offer.host, {
+			kind: 'directoryWanted', routingVersion: routing.version, revision: watch().revision, epoch: watch().position?.epoch,
+		});
+		this.#pause = clock.after(askAgainMs, () => {
+			this.#pause = undefined;
+			this.#ask();
+		});
+	}
+
+	#lacks({position, routingVersion}: Offer): boolean {
+		const {routing, watch} = this.#parts;
+		return routingVersion > routing.version || (position.revision >= 0 && this.#isLate(position, watch()));
 	}
 }
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -5,7 +5,7 @@
  */
 import {Membership, type Voice} from '@gatehead/host/peer/membership';
 import {PeerLinks} from '@gatehead/host/peer/peer-links';
-import {isDirectoryReader, listConfirmers} from '@gatehead/policy/relay/directory-readers';
+import {isDirectoryReader, isReaderSilent, listConfirmers} from '@gatehead/policy/relay/directory-readers';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -26,6 +26,9 @@
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
 
+/** Silence of a reader after which its neighbours read as well, in milliseconds: a heartbeat that was lost, and half a tick. A second before it is suspect, which leaves the bound on leaving endpoints room for the rest of the way. */
+const standInMs = 1200;
+
 type Hearer<Kind extends RelayMessage['kind']> = (from: Owner, message: RelayMessageOf<Kind>) => void;
 type Hearers = {readonly [Kind in RelayMessage['kind']]: Hearer<Kind>};
 
@@ -168,7 +171,10 @@
 
 	/** Whether this host reads the directory itself. */
 	isReader(): boolean {
-		return this.#news.hearsUnplaced || isDirectoryReader(this.membership.members.self, this.#listAlive());
+		const alive = this.#listAlive();
+		return this.#news.hearsUnplaced
+			|| isDirectoryReader(this.membership.members.self, alive)
+			|| isReaderSilent(new Set(this.membership.listSilent(standInMs)), alive);
 	}
 
 	/** Whether this host is the first by rank of those alive: the one that acts for all in a matter. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,6 +6,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
+import {readerMatter} from '@gatehead/policy/relay/directory-readers';
 import {Gate} from './access/gate.js';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
@@ -83,6 +84,7 @@
 			endpoints: this.endpoints,
 			routing: this.routing,
 			isReader: () => this.fleet.isReader(),
+			isShortWatcher: () => this.fleet.isFirst(readerMatter),
 			onNews: () => {
 				this.fleet.announce();
 			},
