How old the word of a leaving endpoint is; the stand-in store vouches for nothing that it did not tell

Cause: with the first host's watches cut to 2 s, access.test.ts stood still for good. Traced: the stand-in store, while it was to say nothing, ended waiting watches with its newest revision and without the writes up to it, so the host believed to know a configuration that nobody had told it.

Change: a silent stand-in ends no watch, and a watch that ends brings its events. Hosts tell each other how long ago the directory was read; gatehead_departure_age_ms and 5038 sentToLeaving (a send behind another host's reading).

--- a/packages/host/src/utils/log.ts
+++ b/packages/host/src/utils/log.ts
@@ -12,7 +12,7 @@
 
 /** Codes that somebody should look at. */
 const alarms = new Set<Code>(['bundleSignature', 'bundleConflict', 'bundleInvalid', 'orderFenced', 'peerRefused', 'internal']);
-const warnings = new Set<Code>(['bundleOlder', 'configurationDown', 'memberSuspect', 'memberDead', 'lateWake', 'endpointSuspect', 'orphanCancelled', 'endpointFault', 'directoryLost', 'endpointPaused', 'answerLost', 'timeoutSpent', 'streamBroken', 'attemptsSpent', 'overloaded', 'endpointsDown', 'linesLeftOut', 'directoryUnreadable', 'keysOutdatedSince', 'quotaKeeperSilent', 'directoryUnconfirmed']);
+const warnings = new Set<Code>(['bundleOlder', 'configurationDown', 'memberSuspect', 'memberDead', 'lateWake', 'endpointSuspect', 'orphanCancelled', 'endpointFault', 'directoryLost', 'endpointPaused', 'answerLost', 'timeoutSpent', 'streamBroken', 'attemptsSpent', 'overloaded', 'endpointsDown', 'linesLeftOut', 'directoryUnreadable', 'keysOutdatedSince', 'quotaKeeperSilent', 'directoryUnconfirmed', 'directoryRestored', 'sentToLeaving']);
 
 /** How loud a code is. */
 export function levelOf(code: Code): 'error' | 'warn' | 'info' {
--- a/packages/policy/src/relay/departures.ts
+++ b/packages/policy/src/relay/departures.ts
@@ -6,6 +6,7 @@
  * written anew.
  */
 import {comparePositions, isLater, type Position} from '@gatehead/schema/position';
+import {RecentMap} from '../utils/recent-map.js';
 
 /** For how long a departure contradicts a copy, in milliseconds, from the instant at which its history is first seen: a leaving replica has told the directory again 2 s after its return, the entry of one that has ended lapses after three heartbeats (3.6 s); twice the longer, and a reader that comes late. */
 export const contradictionMs = 10_000;
@@ -35,17 +36,13 @@
 /** Departures as one host knows them. */
 export class Departures {
 	/** Starts that left, the oldest first. */
-	readonly #departed = new Map<string, Memory>();
+	readonly #departed = new RecentMap<string, Memory>(mostRemembered);
 	/** Starts that a copy may list as ready. */
 	readonly #contradicted = new Map<string, Contradiction>();
 
 	/** Notes that a start has left, by the directory's word at a revision. */
 	add(id: string, revision: number, now: number): void {
-		this.#departed.delete(id);
 		this.#departed.set(id, {revision, at: now});
-		if (this.#departed.size > mostRemembered) {
-			this.#departed.delete(this.#departed.keys().next().value ?? '');
-		}
 	}
 
 	/** A start was wrongly taken for one that has left. */
@@ -66,7 +63,7 @@
 			}
 		}
 
-		for (const [id, {revision, at}] of this.#departed) {
+		for (const [id, {revision, at}] of this.#departed.entries()) {
 			if (now - at <= rememberMs) {
 				this.#contradicted.set(id, {position: {...position, revision: Math.min(position.revision, revision)}, until: now + contradictionMs});
 			}
--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -4,9 +4,9 @@
 import {type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
 import {expect} from 'earl';
 import {contradictionMs, type Departure} from './departures.js';
-import {
-	EndpointBook, massGraceMs, returnGraceMs, type KeptEntry,
-} from './endpoint-book.js';
+import {EndpointBook, returnGraceMs} from './endpoint-book.js';
+import {type KeptEntry} from './endpoint-change.js';
+import {massGraceMs} from './joint-loss.js';
 
 function listed(id: string, revision: number, state: Endpoint['state'] = 'ready', stage?: Endpoint['stage']): ListedEndpoint {
 	return {
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -8,16 +8,13 @@
  */
 import {isLater, type Position} from '@gatehead/schema/position';
 import {instanceOf, type Endpoint, type ListedEndpoint} from '@gatehead/schema/routing';
+import {RecentMap} from '../utils/recent-map.js';
 import {Departures, type Departure} from './departures.js';
+import {type BookChange, type BookList, type KeptEntry} from './endpoint-change.js';
+import {JointLoss, massGraceMs, type Loss} from './joint-loss.js';
 
 /** How long after the directory's return a vanished entry may still come back, in milliseconds: the directory's own bound, and a heartbeat's jitter. */
 export const returnGraceMs = 2200;
-/** How long entries are kept that vanish together while the directory seems to answer, in milliseconds. An outage that nobody noticed brings its entries back within the grace above; a real departure of many must be believed before new work to leaving endpoints counts as a fault, two seconds after it, with two sweeps to spare. */
-export const massGraceMs = 1500;
-/** Share of a service's entries that must vanish within one grace to be read as an outage that this host did not notice: planned work takes fewer at once. */
-const massShare = 0.5;
-/** Least number of such entries: of two, one may leave and one be lost by chance. */
-const massCount = 3;
 /** Ends remembered: those of some days, at 198 hosts and endpoints that come and go in one. */
 const mostTombstones = 2000;
 
@@ -28,33 +25,6 @@
 	keptUntil: number | undefined;
 };
 
-/** What changed for one endpoint. */
-export type BookChange = {
-	readonly endpoint: Endpoint;
-	/** Where in the directory's history that is written; absent: it does not say so. */
-	readonly position?: Position;
-	readonly change: 'added' | 'changed' | 'restaged' | 'leaving' | 'vanished' | 'unreadable' | 'gone' | 'outdated';
-};
-
-/** All entries of the directory, as one host knows them. */
-export type BookList = {
-	/** Entries in full: all, or those written lately. */
-	readonly listed: readonly ListedEndpoint[];
-	/** Ids of all entries. */
-	readonly ids: ReadonlySet<string>;
-	readonly position: Position;
-	/** The list was read while the directory answered, by another host. */
-	readonly isWitnessed?: boolean;
-	/** Entries among them that have vanished, and that its teller keeps for a grace. */
-	readonly kept?: readonly KeptEntry[];
-};
-
-/** An entry that has vanished and is kept for a while. */
-export type KeptEntry = {
-	readonly id: string;
-	readonly leftMs: number;
-};
-
 /** All endpoints now known. */
 export class EndpointBook {
 	/** By the name that an endpoint's starts share: of these the directory knows one at a time. */
@@ -62,11 +32,11 @@
 	/** Names of the starts that are known. */
 	readonly #instances = new Map<string, string>();
 	/** Where in the directory's history entries went, by name, so that late news does not bring them back. */
-	readonly #tombstones = new Map<string, Position>();
+	readonly #tombstones = new RecentMap<string, Position>(mostTombstones);
 	/** Starts that have left, for a directory that has forgotten it. */
 	readonly #departures = new Departures();
 	/** Entries removed lately, for telling an outage from single departures. */
-	#removed: Array<{readonly at: number; readonly position: Position; readonly endpoint: Endpoint}> = [];
+	readonly #losses = new JointLoss(returnGraceMs);
 	#isAway = false;
 	#backAt = Number.NEGATIVE_INFINITY;
 
@@ -336,8 +306,8 @@
 		}
 
 		const changes = this.#erase(known, position, now);
-		this.#removed.push({at: now, position, endpoint});
-		return this.#restoreMass(endpoint.service, now) ?? changes;
+		const joint = this.#losses.add({at: now, position, endpoint}, () => this.listReady(endpoint.service).length);
+		return joint.length > 0 ? this.#takeBack(joint, now) : changes;
 	}
 
 	/** Whether others of a service have vanished in what was taken for an outage. */
@@ -352,21 +322,12 @@
 	}
 
 	/** When most of a service vanishes at once, its directory was away and nobody told: the entries are taken back for a grace. */
-	#restoreMass(service: string, now: number): BookChange[] | undefined {
-		this.#removed = this.#removed.filter(({at}) => now - at <= returnGraceMs);
-		const lost = this.#removed.filter(({endpoint}) => endpoint.service === service);
-		const left = this.listReady(service).length;
-		if (lost.length < massCount || lost.length < massShare * (lost.length + left)) {
-			return undefined;
-		}
-
-		this.#removed = this.#removed.filter(({endpoint}) => endpoint.service !== service);
-		for (const {position, endpoint} of lost) {
+	#takeBack(losses: readonly Loss[], now: number): BookChange[] {
+		return losses.map(({position, endpoint}) => {
 			this.#set({position, endpoint, keptUntil: now + massGraceMs});
 			this.#departures.forget(endpoint.id);
-		}
-
-		return lost.map(({endpoint}) => ({endpoint, change: 'vanished'}));
+			return {endpoint, change: 'vanished'};
+		});
 	}
 
 	#find(id: string): Entry | undefined {
@@ -407,14 +368,8 @@
 		const instance = instanceOf(endpoint);
 		this.#entries.delete(instance);
 		this.#instances.delete(endpoint.id);
-		// Taken out first, so that the oldest ends stand in front
-		this.#tombstones.delete(instance);
 		this.#tombstones.set(instance, position);
 		this.#departures.add(endpoint.id, position.revision, now);
-		if (this.#tombstones.size > mostTombstones) {
-			this.#tombstones.delete(this.#tombstones.keys().next().value ?? '');
-		}
-
 		return [{endpoint, position, change: 'gone'}];
 	}
 }
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -9,8 +9,9 @@
 import {isCovered, type Position} from '@gatehead/schema/position';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type Bookkeeping, type RelayContext} from './context.js';
-import {DirectoryError, type Change, type Changes} from './directory.js';
+import {DirectoryError, type Changes} from './directory.js';
 import {DirectoryHistory} from './directory-history.js';
+import {DirectoryIntake} from './directory-intake.js';
 import {type RoutingState} from './routing-state.js';
 
 /** Part by which the pause before the next read differs, so that hosts do not ask together. */
@@ -55,12 +56,21 @@
 	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
 	#isDoubted = false;
 	#mustList = true;
+	/** When the newest that this host knows was read, on its own clock. */
+	#readAt = Number.NEGATIVE_INFINITY;
 	readonly #history = new DirectoryHistory();
+	readonly #intake: DirectoryIntake;
 	/** The confirmation under way: all that ask meanwhile share it. */
 	#confirming: Promise<void> | undefined;
 
 	constructor(parts: WatchParts) {
 		this.#parts = parts;
+		this.#intake = new DirectoryIntake({
+			...parts,
+			onRouting: position => {
+				this.#history.noteRouting(position);
+			},
+		});
 	}
 
 	/** Up to where this host knows the directory; undefined: it knows nothing. */
@@ -102,8 +112,14 @@
 		return this.#history.isWitnessed;
 	}
 
-	/** Takes over what another host has read. */
-	hear(position: Position, isWitnessed: boolean): void {
+	/** How long ago what this host knows was read, by itself or by the host that the news began with, in milliseconds. */
+	get ageMs(): number {
+		return Number.isFinite(this.#readAt) ? Math.max(0, this.#parts.context.clock.now() - this.#readAt) : 0;
+	}
+
+	/** Takes over what another host has read, so long ago. */
+	hear(position: Position, isWitnessed: boolean, ageMs = 0): void {
+		this.#readAt = this.#parts.context.clock.now() - ageMs;
 		this.#history.advance(position, isWitnessed);
 	}
 
@@ -316,70 +332,18 @@
 		}
 	}
 
-	#take({changes, position}: Changes, read: string): void {
-		const {context: {clock}, endpoints, onNews} = this.#parts;
-		const now = clock.now();
-		const isNewHistory = this.#history.place(position) === 'restored';
-		this.follow(position, 'directory');
+	#take(changes: Changes, read: string): void {
+		const isNewHistory = this.#history.place(changes.position) === 'restored';
+		this.follow(changes.position, 'directory');
 		if (read === 'list') {
 			this.#mustList = false;
-			const listed = changes.flatMap(change => change.kind === 'endpoint' ? [{epoch: position.epoch, revision: change.revision, endpoint: change.endpoint}] : []);
-			// What cannot be read is there all the same
-			const hidden = changes.flatMap(change => change.kind === 'endpointUnreadable' ? endpoints.book.idsOf(change.instance) : []);
-			const ids = new Set([...listed.map(each => each.endpoint.id), ...hidden]);
-			endpoints.note(endpoints.book.replace({listed, ids, position}, now), 'list');
-		}
-
-		for (const change of changes) {
-			this.#apply(change, position.epoch, now);
-		}
-
-		this.hear(position, true);
-		if (changes.length > 0 || isNewHistory) {
-			onNews();
+			this.#intake.replace(changes);
 		}
-	}
-
-	#apply(change: Change, epoch: number | undefined, now: number): void {
-		const {endpoints, routing} = this.#parts;
-		switch (change.kind) {
-			case 'routing': {
-				this.#history.noteRouting({epoch, revision: change.revision});
-				routing.offer(change.routing, 'directory');
-				return;
-			}
-
-			case 'endpoint': {
-				endpoints.note(endpoints.book.put({epoch, revision: change.revision, endpoint: change.endpoint}, now), 'watch');
-				return;
-			}
-
-			case 'endpointGone': {
-				endpoints.note(endpoints.book.remove(change.instance, {epoch, revision: change.revision}, now), 'watch');
-				return;
-			}
-
-			case 'endpointUnreadable': {
-				this.#noteUnreadable('endpoint', change.detail, change.instance);
-				endpoints.note(endpoints.book.hide(change.instance, {epoch, revision: change.revision}, now), 'watch');
-				return;
-			}
 
-			case 'routingUnreadable': {
-				this.#noteUnreadable('routing', change.detail);
-				routing.fallBehind();
-				return;
-			}
-
-			case 'unreadable': {
-				this.#noteUnreadable('item', change.detail);
-			}
+		this.#intake.apply(changes);
+		this.hear(changes.position, true);
+		if (changes.changes.length > 0 || isNewHistory) {
+			this.#parts.onNews();
 		}
 	}
-
-	#noteUnreadable(item: string, detail: string, endpoint?: string): void {
-		const {log, metrics} = this.#parts.context;
-		metrics.add('directoryUnreadable', {item});
-		log('directoryUnreadable', {item, endpoint, detail});
-	}
 }
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -103,6 +103,7 @@
 			revision: watch().revision,
 			epoch: watch().position?.epoch,
 			departures: endpoints.book.listDepartures(clock.now()),
+			ageMs: watch().ageMs,
 			isWitnessed: watch().isWitnessed,
 			endpoints: listed.filter(each => known.revision < 0 || isLater(each, known)),
 			ids: listed.map(each => each.endpoint.id),
@@ -111,7 +112,7 @@
 	}
 
 	/** Takes over what a host has told. */
-	take(host: string, {routing: offered, revision, epoch, departures, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
+	take(host: string, {routing: offered, revision, epoch, departures, ageMs, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
 			routing.offer(offered, host);
@@ -129,8 +130,8 @@
 		const changes = endpoints.book.replace({
 			listed, ids: new Set(ids), position, isWitnessed, kept,
 		}, clock.now());
-		endpoints.note(changes, host);
-		own.hear(position, isWitnessed);
+		endpoints.note(changes, host, ageMs);
+		own.hear(position, isWitnessed, ageMs);
 		if (changes.length > 0 || isOtherHistory) {
 			// The own watch should have said so: its connection may be cut in silence
 			own.doubt();
--- a/packages/relay/src/upstream/endpoint-use.test.ts
+++ b/packages/relay/src/upstream/endpoint-use.test.ts
@@ -40,7 +40,7 @@
 		it(name, () => {
 			const use = new EndpointUse(ignore);
 			const now = 1000;
-			const end = use.begin(ended ?? 0, ignore);
+			const end = use.begin(ended ?? 0, now, ignore);
 			if (refused !== undefined) {
 				use.noteFull(refused.tokens, now - refused.agoMs);
 			}
@@ -56,7 +56,7 @@
 
 	it('work is counted until it ends, once', () => {
 		const use = new EndpointUse(ignore);
-		const end = use.begin(700, ignore);
+		const end = use.begin(700, 0, ignore);
 		expect([use.open, use.tokens]).toEqual([1, 700]);
 		end();
 		end();
--- a/packages/relay/src/upstream/endpoint-use.ts
+++ b/packages/relay/src/upstream/endpoint-use.ts
@@ -9,6 +9,8 @@
 /** The use of one endpoint. */
 export class EndpointUse {
 	readonly connections: Connections;
+	/** When the last work began, on this process's clock. */
+	beganAt = Number.NEGATIVE_INFINITY;
 	#open = 0;
 	#tokens = 0;
 	#fullAt = Number.NEGATIVE_INFINITY;
@@ -30,7 +32,8 @@
 	}
 
 	/** Notes work; the returned function ends it, once, and says by `onRoom` that memory came free. */
-	begin(tokens: number, onRoom: () => void): () => void {
+	begin(tokens: number, now: number, onRoom: () => void): () => void {
+		this.beganAt = now;
 		this.#open += 1;
 		this.#tokens += tokens;
 		let isOpen = true;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -3,7 +3,8 @@
  * which fail, what it has in work at each, and the connections kept to them.
  * Safety: an endpoint that is leaving gets nothing new from here.
  */
-import {EndpointBook, type BookChange} from '@gatehead/policy/relay/endpoint-book';
+import {EndpointBook} from '@gatehead/policy/relay/endpoint-book';
+import {type BookChange} from '@gatehead/policy/relay/endpoint-change';
 import {EndpointHealth, type Outcome, type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {PeerUse} from '@gatehead/policy/relay/peer-use';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
@@ -28,6 +29,9 @@
 /** Who hands on a pause that follows from an order of this host's own. */
 export const ownOrder = 'order';
 
+/** Changes by which an endpoint stops to take work for good. */
+const departing: ReadonlySet<BookChange['change']> = new Set(['leaving', 'outdated', 'gone']);
+
 type EndpointContext = Bookkeeping & Pick<RelayContext, 'settings'>;
 
 /** Who hears of changes, and knows which subset this host belongs to. */
@@ -100,13 +104,17 @@
 		}
 	}
 
-	/** Writes down what changed in the book; `source` says where the news came from. */
-	note(changes: readonly BookChange[], source: string): void {
+	/** Writes down what changed in the book; `source` says where the news came from, `ageMs` how long ago the directory was read for it. */
+	note(changes: readonly BookChange[], source: string, ageMs = 0): void {
 		for (const {endpoint, change, position} of changes) {
 			const {id, service, address, stage, hall} = endpoint;
 			this.#context.log('endpointChanged', {
-				endpoint: id, service, address, stage, endpointHall: hall, change, ...position, source,
+				endpoint: id, service, address, stage, endpointHall: hall, change, ...position, source, ageMs: Math.round(ageMs),
 			});
+			if (departing.has(change)) {
+				this.#noteDeparture(endpoint, ageMs);
+			}
+
 			this.#follow[change](endpoint);
 		}
 	}
@@ -153,7 +161,7 @@
 
 	/** Notes work at an endpoint; the returned function ends it, once. */
 	begin(endpoint: Endpoint, tokens: number): () => void {
-		return this.#useOf(endpoint).begin(tokens, () => {
+		return this.#useOf(endpoint).begin(tokens, this.#context.clock.now(), () => {
 			this.#listener.onRoom(endpoint.service);
 		});
 	}
@@ -205,6 +213,18 @@
 		}
 	}
 
+	/** How late this host learns that an endpoint leaves, and whether it sent there although another host had read it. */
+	#noteDeparture({id, service}: Endpoint, ageMs: number): void {
+		const {clock, log, metrics} = this.#context;
+		metrics.time('departure', ageMs);
+		const sentMs = clock.now() - (this.#uses.get(id)?.beganAt ?? Number.NEGATIVE_INFINITY);
+		if (sentMs < ageMs) {
+			log('sentToLeaving', {
+				endpoint: id, service, sentMs: Math.round(sentMs), ageMs: Math.round(ageMs),
+			});
+		}
+	}
+
 	/** Endpoints of one part of a service that take new work, and those of this host's subset among them. */
 	#listCandidates(service: string, stage: Endpoint['stage']): Candidates {
 		const candidates = this.book.listReady(service).filter(each => each.stage === stage);
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -250,6 +250,9 @@
 	directoryRestored: {
 		number: 5037, status: 0, ran: 'no', advice: 'The directory has come back from a copy: its revisions are given out again. It is listed anew; what is known to have left stays so until it is written anew.',
 	},
+	sentToLeaving: {
+		number: 5038, status: 0, ran: 'no', advice: 'A request went to an endpoint after another host had read that it leaves. The line says how long before, and how old the news was.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -35,9 +35,9 @@
 	z.object({
 		kind: z.literal('directoryWanted'), routingVersion: z.number(), revision: z.number(), epoch: position.shape.epoch,
 	}),
-	/** The answer to that; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with; `kept`: entries among `ids` that have vanished and get a grace at its sender. */
+	/** The answer to that; `ageMs`: how long ago the host that the news began with read them; `isWitnessed`: it was read while the directory answered, by its sender or by the host that the news began with; `kept`: entries among `ids` that have vanished and get a grace at its sender. */
 	z.object({
-		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
+		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, ageMs: z.number().nonnegative().default(0), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
 	/** What is news about contents under which endpoints end; said to all. */
--- a/packages/standin/src/wire/store-server.ts
+++ b/packages/standin/src/wire/store-server.ts
@@ -127,7 +127,8 @@
 
 		this.#watches.add(watch);
 		const timer = setTimeout(() => {
-			if (this.#watches.delete(watch)) {
+			// A store that says nothing does not end a watch either: its answer would vouch for writes that it has not told
+			if (this.fault === 'none' && this.#watches.delete(watch) && !this.#answer(watch)) {
 				sendJson(watch.response, 200, {events: [], asOf: this.#revision});
 			}
 		}, waitMs);
