--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -96,6 +96,11 @@
 		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index})), {wait: massGraceMs + 1}],
 		ready: [],
 	},
+	{
+		name: 'and one that was written again before the others went is not taken for lost with them',
+		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), {remove: 'a', revision: 10}, {put: listed('a', 11)}, ...five.slice(1).map((id, index) => ({remove: id, revision: 12 + index})), {wait: massGraceMs + 1}],
+		ready: ['a'],
+	},
 	{
 		name: 'the grace after a return ends for late departures too',
 		steps: [{put: listed('a', 1)}, {directory: 'lost'}, {directory: 'back'}, {wait: 2000}, {remove: 'a', revision: 3}, {wait: 201}],
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -323,7 +323,9 @@
 
 	/** When most of a service vanishes at once, its directory was away and nobody told: the entries are taken back for a grace. */
 	#takeBack(losses: readonly Loss[], now: number): BookChange[] {
-		return losses.map(({position, endpoint}) => {
+		// Whose name has an entry again was no loss of this outage, or is over it
+		const missing = losses.filter(({endpoint}) => !this.#entries.has(instanceOf(endpoint)));
+		return missing.map(({position, endpoint}) => {
 			this.#set({position, endpoint, keptUntil: now + massGraceMs});
 			this.#departures.forget(endpoint.id);
 			return {endpoint, change: 'vanished'};
