--- a/packages/host/src/core/bundle-watch.ts
+++ b/packages/host/src/core/bundle-watch.ts
@@ -18,9 +18,9 @@
 
 /** What the watch works with. */
 export type BundleWatchParts = {
-	readonly context: Context;
-	readonly bundles: BundleStore;
-	readonly platform: PlatformClient;
+	readonly context: Pick<Context, 'clock' | 'log' | 'random'> & {readonly settings: {readonly timing: Pick<Context['settings']['timing'], 'watchMs'>}};
+	readonly bundles: Pick<BundleStore, 'offer'>;
+	readonly platform: Pick<PlatformClient, 'watch'>;
 	/** Whether it falls to this host to watch now. */
 	readonly isWatcher: () => boolean;
 };
