--- a/packages/host/src/core/bundle-watch.test.ts
+++ b/packages/host/src/core/bundle-watch.test.ts
@@ -50,8 +50,13 @@
 					offered.push(code);
 				},
 			};
+			const bundles = {
+				offer(): never {
+					throw new RangeError('No value here is a bundle.');
+				},
+			};
 			const watch = new BundleWatch({
-				context, bundles: {offer: ignore}, platform, isWatcher: () => true,
+				context, bundles, platform, isWatcher: () => true,
 			});
 			watch.start();
 			for (let turn = 0; turn < 20; turn += 1) {
