Sight: how old the evidence behind a refusal is, and how old a configuration is when it comes into force

The incident's hypotheses cannot be told apart by the lines there are: 1010 names a version alone, 5020 a source alone, and a read that ran into its own bound counts like one that was refused.

Refusals that another configuration might not bring (1006, 1010, 1011, 2008) carry evidenceAgeMs; 5020 carries ageMs, the time since the directory was read for it, with a histogram gatehead_routing_age_ms; reads that brought nothing within their bound count as "silent". No decision changes.

--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -31,6 +31,14 @@
 /** Reads that must fail one after the other before the directory counts as away: it may cut a watch while it waits, and entries lapse only in outages of two heartbeats (2.4 s) or more. */
 const awayFailures = 2;
 
+function outcomeOf(isGap: boolean, isSilent: boolean): string {
+	if (isGap) {
+		return 'gap';
+	}
+
+	return isSilent ? 'silent' : 'failed';
+}
+
 /** What the watch works with. */
 export type WatchParts = {
 	readonly context: Bookkeeping & Pick<RelayContext, 'directory' | 'settings'>;
@@ -213,7 +221,7 @@
 				return 0;
 			}
 
-			return this.#fail(error, read);
+			return this.#fail(error, read, this.#call?.signal.aborted === true);
 		}
 	}
 
@@ -274,10 +282,11 @@
 		}
 	}
 
-	#fail(error: unknown, read: string): number {
+	/** `isSilent`: nothing came within the read's own bound. */
+	#fail(error: unknown, read: string, isSilent: boolean): number {
 		const {log, metrics, random, settings: {timing}} = this.#parts.context;
 		const isGap = error instanceof DirectoryError && error.isGap;
-		metrics.add('directoryReads', {read, outcome: isGap ? 'gap' : 'failed'});
+		metrics.add('directoryReads', {read, outcome: outcomeOf(isGap, isSilent)});
 		const namesAnother = error instanceof DirectoryError && error.epoch !== undefined && this.#history.place({epoch: error.epoch, revision: 0}) === 'restored';
 		this.#mustList ||= namesAnother;
 		if (isGap) {
--- a/packages/relay/src/core/routing-state.ts
+++ b/packages/relay/src/core/routing-state.ts
@@ -60,8 +60,8 @@
 		this.#isBehind = true;
 	}
 
-	/** Takes an offer; adopts it where it is newer. */
-	offer(routing: Routing, source: string): void {
+	/** Takes an offer; adopts it where it is newer. `ageMs`: how long ago the host that the offer began with read it. */
+	offer(routing: Routing, source: string, ageMs = 0): void {
 		const {log, metrics} = this.#context;
 		if (routing.version <= this.version) {
 			if (routing.version < this.version) {
@@ -75,8 +75,9 @@
 		this.#table = new RouteTable(routing);
 		this.#isBehind = false;
 		metrics.set('version', routing.version);
+		metrics.time('routingAge', ageMs);
 		log('routingAdopted', {
-			version: routing.version, previous, routes: routing.routes.length, services: routing.services.length, source,
+			version: routing.version, previous, routes: routing.routes.length, services: routing.services.length, source, ageMs: Math.round(ageMs),
 		});
 		this.#onAdopted(routing);
 	}
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -11,6 +11,7 @@
 import {comeBackAfter} from '@gatehead/policy/relay/come-back';
 import {SecondTries} from '@gatehead/policy/relay/second-tries';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {type Code} from '@gatehead/schema/codes';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
 import {type Gate} from '../access/gate.js';
@@ -39,6 +40,9 @@
 /** The same where no configuration is known yet, in milliseconds: a starting host has one within 0.1 s, or else the directory is away, for seconds. Who comes back within them is refused for good: of 77 callers that were asked back after 0.5 s, in the 1.6 s for which 20 hosts knew nothing, 21 were. */
 const notReadyMs = 3000;
 
+/** Refusals that another configuration might not bring: their lines say how long ago the one in force was known to be the newest. */
+const decidedByConfiguration: ReadonlySet<Code> = new Set(['routeUnknown', 'serviceUnknown', 'callerUnknown', 'keysOutdated']);
+
 /** What the front works with. */
 export type CallerFrontParts = {
 	readonly context: RelayContext;
@@ -243,7 +247,7 @@
 		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
 		metrics.add('requests', {kind: 'none', outcome});
 		log(code === 'internal' ? 'internal' : 'requestEnded', {
-			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, evidenceAgeMs: code === 'keysOutdated' ? Math.round(routing.ageMs()) : undefined, tookMs: Math.round(clock.now() - arrivedAt),
+			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, evidenceAgeMs: decidedByConfiguration.has(code) ? Math.round(routing.ageMs()) : undefined, tookMs: Math.round(clock.now() - arrivedAt),
 		});
 		// A body that was not read to its end would block the connection
 		if (!request.complete) {
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -115,7 +115,7 @@
 	take(host: string, {routing: offered, revision, epoch, departures, ageMs, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		if (offered !== undefined) {
-			routing.offer(offered, host);
+			routing.offer(offered, host, ageMs);
 		}
 
 		const own = watch();
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -58,6 +58,7 @@
 	reserve: {name: 'gatehead_reserve_ms', help: 'Time that a request waited for decode memory.', labels: []},
 	prefill: {name: 'gatehead_prefill_ms', help: 'Time that a prefill took, as its host saw it.', labels: []},
 	departure: {name: 'gatehead_departure_age_ms', help: 'How long after the directory was read for it this host learnt that an endpoint leaves; 0: it read that itself.', labels: []},
+	routingAge: {name: 'gatehead_routing_age_ms', help: 'How long after the directory was read for it this host took a configuration into force; 0: it read that itself.', labels: []},
 	gap: {name: 'gatehead_event_gap_ms', help: 'Longest pause between two events of a stream.', labels: []},
 } as const satisfies Record<string, {readonly name: string; readonly help: string; readonly labels: readonly string[]}>;
 
