--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -190,8 +190,8 @@
 
 	/** Starts; resolves once the own address is bound. */
 	async start(): Promise<void> {
-		const peerAddress = await this.#links.listen();
-		this.membership.members.updateSelf({peerAddress});
+		const boundAddress = await this.#links.listen();
+		this.membership.members.updateSelf({peerAddress: this.#parts.context.settings.listen.advertisedPeer ?? boundAddress});
 		this.membership.start();
 		this.#greetings.start();
 	}
@@ -305,7 +305,7 @@
 		counter: 0,
 		state: 'alive',
 		callerAddress: listen.caller,
-		peerAddress: listen.peer,
+		peerAddress: listen.advertisedPeer ?? listen.peer,
 		adminAddress: listen.metrics ?? '',
 		load: 0,
 	};
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -6,9 +6,9 @@
 const milliseconds = z.number().nonnegative().max(3_600_000);
 const count = z.number().int().positive().max(100_000_000);
 
-/** Own addresses: towards callers, for checks of readiness, for lookups, towards other hosts, for metrics. */
+/** Own addresses: towards callers, for checks of readiness, for lookups, towards other hosts, for metrics. `advertisedPeer`: where other hosts reach this one, if not at `peer` itself. */
 const listen = z.strictObject({
-	caller: address, ready: address, lookup: address, peer: address, metrics: address.optional(),
+	caller: address, ready: address, lookup: address, peer: address, advertisedPeer: address.optional(), metrics: address.optional(),
 });
 
 /** Times. Defaults come from the measured rounds in docs/RESULTS.md where no other source is named. */
--- a/packages/standin/src/soak/faulty-proxy.ts
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -12,6 +12,8 @@
 export type FaultyProxy = {
 	readonly address: string;
 	mode: ProxyMode;
+	/** Nothing passes any more on the connections that are open now, not even their end; new ones work. */
+	silenceOpen(): void;
 	/** Resets all open connections. */
 	reset(): void;
 	close(): void;
@@ -37,13 +39,14 @@
 export async function startProxy(target: string): Promise<FaultyProxy> {
 	const {ip, port} = splitAddress(target);
 	const sockets = new Set<Socket>();
+	const silenced = new WeakSet<Socket>();
 	const proxy: {mode: ProxyMode} = {mode: 'pass'};
 	const forward = (from: Socket, to: Socket, isAnswer: boolean) => {
 		const dropped: Readonly<Record<ProxyMode, boolean>> = {
 			pass: false, delay: false, silence: true, dropAnswers: isAnswer,
 		};
 		from.on('data', chunk => {
-			if (dropped[proxy.mode]) {
+			if (dropped[proxy.mode] || silenced.has(from)) {
 				return;
 			}
 
@@ -56,12 +59,18 @@
 			}
 		});
 		from.on('end', () => {
+			if (silenced.has(from)) {
+				return;
+			}
+
 			setTimeout(() => {
 				passEnd(from, to, isAnswer);
 			}, proxy.mode === 'delay' ? delayMs : 0);
 		});
 		from.on('error', () => {
-			to.resetAndDestroy();
+			if (!silenced.has(from)) {
+				to.resetAndDestroy();
+			}
 		});
 		from.once('close', () => {
 			sockets.delete(from);
@@ -75,7 +84,9 @@
 		forward(incoming, outgoing, false);
 		forward(outgoing, incoming, true);
 		incoming.once('close', () => {
-			outgoing.destroy();
+			if (!silenced.has(incoming)) {
+				outgoing.destroy();
+			}
 		});
 	});
 	server.listen(0, '127.0.0.1');
@@ -89,6 +100,11 @@
 		set mode(mode) {
 			proxy.mode = mode;
 		},
+		silenceOpen() {
+			for (const socket of sockets) {
+				silenced.add(socket);
+			}
+		},
 		reset() {
 			for (const socket of sockets) {
 				socket.resetAndDestroy();
--- a/packages/standin/src/wire/access.test.ts
+++ b/packages/standin/src/wire/access.test.ts
@@ -235,7 +235,11 @@
 	it('a host that the directory turns away is told by its peer, and goes on with the keys that stand', async () => {
 		let path: FaultyProxy | undefined;
 		const world = await startWorld({
-			...brief, async storePath(store) {
+			...brief, async storePath(store, host) {
+				if (host > 0) {
+					return store;
+				}
+
 				path = await startProxy(store);
 				return path.address;
 			},
--- a/packages/standin/src/wire/relay.test.ts
+++ b/packages/standin/src/wire/relay.test.ts
@@ -196,7 +196,11 @@
 	it('a host whose watch says nothing hears of a leaving replica from its peers', {timeout: 20_000}, async () => {
 		let path: FaultyProxy | undefined;
 		const world = await startWorld({
-			...parts, hosts: 2, watchMs: 600_000, async storePath(store) {
+			...parts, hosts: 2, watchMs: 600_000, async storePath(store, host) {
+				if (host > 0) {
+					return store;
+				}
+
 				path = await startProxy(store);
 				return path.address;
 			},
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -51,8 +51,10 @@
 	readonly crashingBody?: string;
 	/** The hosts' clock; absent: the machine's own. */
 	readonly clock?: Clock;
-	/** Where the first host reaches the store, given the store's own address; absent: there. */
-	readonly storePath?: (store: string) => Promise<string>;
+	/** Where a host, by its number, reaches the store, given the store's own address; absent: there. */
+	readonly storePath?: (store: string, host: number) => Promise<string>;
+	/** Where other hosts reach one, given its own address; absent: there. */
+	readonly peerPath?: (peer: string, host: number) => Promise<string>;
 };
 
 /** A workspace as the platform writes it. */
@@ -103,8 +105,11 @@
 	};
 }
 
+/** A route of one test's own. */
+type AddedRoute = {readonly pathPrefix: string; readonly service: string};
+
 /** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls, one of them on a public route too. */
-export function makeConfig(version: number, tenants?: readonly StandinTenant[]): unknown {
+export function makeConfig(version: number, tenants?: readonly StandinTenant[], added: readonly AddedRoute[] = []): unknown {
 	const route = {
 		host: 'calls.example', timeoutMs: 3000, targetLatencyMs: 900, priority: 1, sticky: false,
 	};
@@ -126,6 +131,9 @@
 			{
 				...route, name: 'public', pathPrefix: '/public/', kind: 'idempotent', service: 'plain', maxAttempts: 2, public: true,
 			},
+			...added.map(({pathPrefix, service}) => ({
+				...route, name: pathPrefix, pathPrefix, kind: 'idempotent', service, maxAttempts: 2,
+			})),
 		],
 		services: [
 			{
@@ -158,15 +166,16 @@
 	readonly watchMs: number | undefined;
 	readonly revokeMs: number | undefined;
 	readonly clock: Clock | undefined;
+	readonly advertisedPeer: string | undefined;
 };
 
-async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock}: RelayStart): Promise<RunningRelay> {
+async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = readBoot(makeBoot({
 		name, ip: ownAddress, ports, seeds, store, retryAllowance, revokeMs,
 	}));
 	const relay = new Relay({
-		settings: {...settings, listen: {...settings.listen, metrics: undefined}, timing: {...settings.timing, watchMs: watchMs ?? settings.timing.watchMs}},
+		settings: {...settings, listen: {...settings.listen, metrics: undefined, advertisedPeer}, timing: {...settings.timing, watchMs: watchMs ?? settings.timing.watchMs}},
 		clock: clock ?? systemClock,
 		random: seedRandom(index),
 		wall: () => Date.now(),
@@ -192,7 +201,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, crashingBody, clock}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, clock}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
@@ -213,10 +222,11 @@
 
 	const ports = await findPorts(4 * hosts);
 	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
-	const firstStore = await storePath?.(store.address) ?? store.address;
-	const seeds = [`${ownAddress}:${portsOf(0)[2]}`];
+	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
+	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
+	const seeds = [advertised[0] ?? peers[0] ?? ''];
 	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
-		index, store: index === 0 ? firstStore : store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock,
+		index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index],
 	})));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
 	return {
