--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -18,7 +18,7 @@
 import {QuotaDesk} from '../access/quota-desk.js';
 import {type RelayContext} from '../core/context.js';
 import {DirectoryNews} from './directory-news.js';
-import {type FleetParts} from './fleet-parts.js';
+import {type FleetParts, type HostLinks} from './fleet-parts.js';
 import {Greetings} from './greetings.js';
 import {KnownHosts} from './known-hosts.js';
 import {LoadNews} from './load-news.js';
@@ -46,7 +46,7 @@
 	/** Whether another host was the first by rank in this process's life. */
 	hasFollowed = false;
 	readonly #parts: FleetParts;
-	readonly #links: PeerLinks<RelayMessage>;
+	readonly #links: HostLinks;
 	readonly #greetings: Greetings;
 	#passTimer: Timer | undefined;
 	#known = '';
@@ -106,7 +106,8 @@
 		this.#parts = parts;
 		this.#hosts = new KnownHosts(context.clock);
 		this.changedAt = context.clock.now();
-		this.#links = new PeerLinks<RelayMessage>(context, relayBatch, {
+		const makeLinks = parts.makeLinks ?? (listener => new PeerLinks<RelayMessage>(context, relayBatch, listener));
+		this.#links = makeLinks({
 			onMessage: (from, message) => {
 				this.#hear(from, message);
 			},
