Mend: readers of the directory that live and are turned away are stood in for

What callers saw: requests refused, or run by what an older configuration allows, at every host of a large fleet for as long as the directory turned three of them away (a configuration acknowledged at 9.4 s was in force at 15.3 s).

Cause: in fleets over twelve hosts three read for all. A reader keeps that task while membership hears it; one that lives and is turned away reads nothing, tells nothing, and nobody else asks. Class: a task that rests on being alive, not on being able.

Change: a reader says of itself, in its member record, that it is turned away (at the first read that is refused or brings nothing in its bound, or the second that fails). The other readers then look at once. While nobody says that the directory answers, more hosts read themselves: three after 150 ms, twice as many every 80 ms more; who is answered says so, the first three of those go on, and all stand down when the readers are answered again. A stand-in that is turned away rests for 8 s. A host that hears none of its neighbours reads for itself too. Evidence is asked for at hosts that were answered. 5040 readerStandsIn.

Why it holds: every host of whatever tenth can read has its turn within 0.7 s of the word; the directory's answer stops the others, not a guess.

--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -115,6 +115,12 @@
 		return this.#neighbourhood.listSilent(this.#parts.context.clock.now(), silenceMs);
 	}
 
+	/** Whether all neighbours were silent for so long: this host may be cut off from its peers alone. */
+	hearsNobody(silenceMs: number): boolean {
+		const {size} = this.#neighbourhood.chosen;
+		return size > 0 && this.listSilent(silenceMs).length === size;
+	}
+
 	/** Takes a peer's first words. */
 	hello(record: MemberRecord): void {
 		this.#merge([record]);
--- a/packages/policy/src/core/members.ts
+++ b/packages/policy/src/core/members.ts
@@ -88,7 +88,7 @@
 	}
 
 	/** Changes this host's own record under a higher counter. */
-	updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'load' | 'callerAddress' | 'peerAddress' | 'adminAddress'>>): void {
+	updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'load' | 'callerAddress' | 'peerAddress' | 'adminAddress' | 'directory'>>): void {
 		this.#put({...this.self, ...change, counter: this.self.counter + 1});
 	}
 
--- a/packages/policy/src/relay/directory-readers.test.ts
+++ b/packages/policy/src/relay/directory-readers.test.ts
@@ -1,7 +1,9 @@
 /** Catalogue: how many hosts read the directory, and who takes over from one that is gone. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {isDirectoryReader, isReaderSilent, type PlacedHost} from './directory-readers.js';
+import {
+	isDirectoryReader, isReaderSilent, isSpareReader, listConfirmers, standInAfterMs, viewReading, type PlacedHost,
+} from './directory-readers.js';
 
 /** Hosts dealt in turn to so many halls. */
 function makeFleet(hosts: number, halls: number): PlacedHost[] {
@@ -80,3 +82,57 @@
 		expect(listReaders(left).length).toEqual(4);
 	});
 });
+
+describe('readers that live and are turned away', () => {
+	const away = {directory: 'away'} as const;
+	const answers = {directory: 'answers'} as const;
+	const fleet = makeFleet(90, 3);
+	const isReader = (each: PlacedHost) => isDirectoryReader(each, fleet);
+
+	type ViewCase = {readonly name: string; readonly alive: readonly PlacedHost[]; readonly isDoubted: boolean; readonly answering: number};
+	const viewCases: readonly ViewCase[] = [
+		{
+			name: 'nothing is said', alive: fleet, isDoubted: false, answering: 0,
+		},
+		{
+			name: 'one reader is turned away', alive: [...fleet.slice(1), {...fleet[0] ?? {host: '', hall: ''}, ...away}], isDoubted: true, answering: 0,
+		},
+		{
+			name: 'others have been answered since', alive: fleet.map((each, index) => index < 4 ? {...each, ...(index === 0 ? away : answers)} : each), isDoubted: true, answering: 3,
+		},
+		{
+			name: 'in a small fleet all read, and nobody stands in', alive: makeFleet(12, 3).map(each => ({...each, ...away})), isDoubted: false, answering: 0,
+		},
+	];
+	for (const {
+		name, alive, isDoubted, answering,
+	} of viewCases) {
+		it(name, () => {
+			const view = viewReading(alive);
+			expect([view.isDoubted, view.answering.length]).toEqual([isDoubted, answering]);
+		});
+	}
+
+	it('each host stands in, the first few soon, twice as many with each step, all within a second', () => {
+		const alive = fleet.map(each => isReader(each) ? {...each, ...away} : each);
+		const times = alive.filter(each => each.directory === undefined).map(each => standInAfterMs(each, alive)).toSorted((left, right) => left - right);
+		const groups = [...new Set(times)].map(time => times.filter(each => each === time).length);
+		expect(groups).toEqual([3, 3, 6, 12, 24, 39]);
+		expect((times.at(-1) ?? 0) < 1000).toEqual(true);
+	});
+
+	it('of many that were answered the first three go on', () => {
+		const alive = fleet.map((each, index) => index < 6 ? {...each, ...answers} : {...each, ...away});
+		const view = viewReading(alive);
+		expect(view.answering.filter(host => !isSpareReader(host, view)).length).toEqual(3);
+	});
+
+	it('evidence is asked for at hosts that were answered, never at those that are turned away', () => {
+		const self = {host: 'host-50', hall: 'hall-2'};
+		const turnedAway = fleet.map(each => isReader(each) ? {...each, ...away} : each);
+		const found = listConfirmers(self, turnedAway);
+		expect(found.filter(host => turnedAway.some(each => each.host === host && each.directory === 'away'))).toEqual([]);
+		const answered = turnedAway.map(each => each.host === 'host-7' ? {...each, ...answers} : each);
+		expect(listConfirmers(self, answered)).toEqual(['host-7']);
+	});
+});
--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -160,7 +160,7 @@
 	const routing = new RoutingState(context, ignore);
 	const role = {isReader: true, isShortWatcher: false};
 	const watch = new DirectoryWatch({
-		context, endpoints, routing, isReader: () => role.isReader, isShortWatcher: () => role.isShortWatcher, onNews: ignore,
+		context, endpoints, routing, isReader: () => role.isReader, isShortWatcher: () => role.isShortWatcher, onRead: ignore, onNews: ignore,
 	});
 	return {
 		clock, endpoints, watch, routing, role,
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -41,6 +41,9 @@
 	return isSilent ? 'silent' : 'failed';
 }
 
+/** What a read came to. `failed` once: the directory may cut a watch while it waits; `away`: it is away from this host. */
+export type ReadOutcome = 'answered' | 'failed' | 'away';
+
 /** What the watch works with. */
 export type WatchParts = {
 	readonly context: Bookkeeping & Pick<RelayContext, 'directory' | 'settings'>;
@@ -50,6 +53,8 @@
 	readonly isReader: () => boolean;
 	/** Whether this host is the one whose watches are short, so that the others' silence is noticed. */
 	readonly isShortWatcher: () => boolean;
+	/** Called with the outcome of each read of the directory. */
+	readonly onRead: (outcome: ReadOutcome) => void;
 	/** Called when something was read that others may not know. */
 	readonly onNews: () => void;
 };
@@ -61,6 +66,8 @@
 	/** Ends the read in work. */
 	#call: AbortController | undefined;
 	#timer: Timer | undefined;
+	/** Ends the pause of a host that is not needed. */
+	#wake: (() => void) | undefined;
 	#isDown = false;
 	#failures = 0;
 	/** A watch was ended because others know more; until a read is answered the directory is asked anew. */
@@ -117,6 +124,16 @@
 		}
 	}
 
+	/** Begins the next read at once, where this host only waits to be needed. */
+	wake(): void {
+		this.#wake?.();
+	}
+
+	/** Whether the directory answered this host's last read. */
+	get isAnswered(): boolean {
+		return this.#failures === 0;
+	}
+
 	/** Whether what this host knows was read while the directory answered, by itself or by the host that the news began with. */
 	get isWitnessed(): boolean {
 		return this.#history.isWitnessed;
@@ -177,7 +194,10 @@
 			if (pauseMs > 0) {
 				await new Promise<void>(resolve => {
 					this.#timer = clock.after(pauseMs, resolve);
+					this.#wake = isNeeded ? undefined : resolve;
 				});
+				this.#timer?.stop();
+				this.#wake = undefined;
 			}
 		}
 	}
@@ -300,6 +320,9 @@
 		}
 
 		this.#failures += 1;
+		const isRefused = error instanceof DirectoryError && error.isRefused;
+		this.#parts.onRead(isSilent || isRefused || this.#failures >= awayFailures ? 'away' : 'failed');
+
 		if (!this.#isDown && this.#failures >= awayFailures) {
 			this.#lose(error, read);
 		}
@@ -334,6 +357,7 @@
 
 		this.#failures = 0;
 		this.#isDoubted = false;
+		this.#parts.onRead('answered');
 	}
 
 	/** An answer from before the directory came back was long on its way, or its teller is out of date: it is none. */
--- a/packages/relay/src/core/directory.ts
+++ b/packages/relay/src/core/directory.ts
@@ -29,6 +29,8 @@
 export type DirectoryFault = {
 	/** The history that it asked for is gone. */
 	readonly isGap?: boolean;
+	/** The directory itself said that it does not answer. */
+	readonly isRefused?: boolean;
 	/** The epoch that the refusal names. */
 	readonly epoch?: number;
 	readonly cause?: unknown;
@@ -37,11 +39,13 @@
 /** Why a read failed: it could not be had, or the history that it asked for is gone. */
 export class DirectoryError extends Error {
 	readonly isGap: boolean;
+	readonly isRefused: boolean;
 	readonly epoch: number | undefined;
 
-	constructor(message: string, {isGap = false, epoch, cause}: DirectoryFault = {}) {
+	constructor(message: string, {isGap = false, isRefused = false, epoch, cause}: DirectoryFault = {}) {
 		super(message, {cause});
 		this.isGap = isGap;
+		this.isRefused = isRefused;
 		this.epoch = epoch;
 	}
 }
--- a/packages/relay/src/peer/directory-news.test.ts
+++ b/packages/relay/src/peer/directory-news.test.ts
@@ -136,7 +136,7 @@
 					list: unread, watch: unread, readPosition: unread, close: ignore,
 				},
 			},
-			endpoints, routing, isReader: () => false, isShortWatcher: () => false, onNews: ignore,
+			endpoints, routing, isReader: () => false, isShortWatcher: () => false, onRead: ignore, onNews: ignore,
 		});
 		const news = new DirectoryNews({
 			context,
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -148,7 +148,7 @@
 
 	/** Whether this host hears of changes from the directory itself. */
 	#hearsItself(own: DirectoryWatch): boolean {
-		return this.#parts.isReader() && !own.isDown;
+		return this.#parts.isReader() && own.isAnswered;
 	}
 
 	/** Whether this host knows less of the directory than what is offered. */
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -5,7 +5,9 @@
  */
 import {Membership, type Voice} from '@gatehead/host/peer/membership';
 import {PeerLinks} from '@gatehead/host/peer/peer-links';
-import {isDirectoryReader, isReaderSilent, listConfirmers} from '@gatehead/policy/relay/directory-readers';
+import {
+	isDirectoryReader, isReaderSilent, listConfirmers, readerMatter, viewReading,
+} from '@gatehead/policy/relay/directory-readers';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -22,6 +24,7 @@
 import {Greetings} from './greetings.js';
 import {KnownHosts} from './known-hosts.js';
 import {LoadNews} from './load-news.js';
+import {ReadingDuty} from './reading-duty.js';
 
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
@@ -39,6 +42,8 @@
 	readonly load: LoadNews;
 	/** How fresh this host's list of keys is. */
 	readonly freshness: Freshness;
+	/** Whether this host reads the directory for others that cannot. */
+	readonly duty: ReadingDuty;
 	/** Quotas that all hosts share. */
 	readonly quotas: QuotaDesk;
 	/** When a host came, went, or was suspected last. */
@@ -134,6 +139,16 @@
 		this.freshness = new Freshness({
 			...access, watch: parts.watch, listConfirmers: () => listConfirmers(this.membership.members.self, this.#listAlive()),
 		});
+		this.duty = new ReadingDuty({
+			context,
+			listAlive: () => this.#listAlive(),
+			self: () => this.membership.members.self,
+			say: directory => {
+				this.membership.members.updateSelf({directory});
+				this.announce();
+			},
+			watch: parts.watch,
+		});
 		this.quotas = new QuotaDesk({
 			...access,
 			listHeard: () => this.membership.members.listReachable().map(({host}) => host),
@@ -154,6 +169,7 @@
 			onChange: () => {
 				context.metrics.set('hosts', this.countHosts());
 				this.#noteChange();
+				this.duty.noteFleet();
 				this.#passOn();
 			},
 			onLateWake: () => {
@@ -175,7 +191,17 @@
 		const alive = this.#listAlive();
 		return this.#news.hearsUnplaced
 			|| isDirectoryReader(this.membership.members.self, alive)
-			|| isReaderSilent(new Set(this.membership.listSilent(standInMs)), alive);
+			|| isReaderSilent(new Set(this.membership.listSilent(standInMs)), alive)
+			|| this.membership.hearsNobody(standInMs)
+			|| this.duty.standsIn;
+	}
+
+	/** Whether this host is the first of those that read and are answered: the one whose reads are short, so that silence is noticed. */
+	isFirstReader(): boolean {
+		const alive = this.#listAlive();
+		const {answering} = viewReading(alive);
+		const first = answering[0] ?? rankFirst(readerMatter, alive.map(({host}) => host));
+		return first === this.#parts.context.self.host;
 	}
 
 	/** Whether this host is the first by rank of those alive: the one that acts for all in a matter. */
@@ -226,6 +252,7 @@
 	close(): void {
 		this.#greetings.stop();
 		this.#news.close();
+		this.duty.stop();
 		this.load.close();
 		this.#passTimer?.stop();
 		this.membership.stop();
--- a/packages/relay/src/peer/news-path.test.ts
+++ b/packages/relay/src/peer/news-path.test.ts
@@ -231,7 +231,7 @@
 	#refuse(refusal: Refusal, {reject}: Call): void {
 		if (refusal !== 'silent') {
 			this.#clock.after(answerMs, () => {
-				reject(new DirectoryError(refusal === 'busy' ? 'status 503' : 'reset'));
+				reject(new DirectoryError(refusal, {isRefused: refusal === 'busy'}));
 			});
 		}
 	}
@@ -341,7 +341,10 @@
 			endpoints,
 			routing,
 			isReader: () => fleet.isReader(),
-			isShortWatcher: () => fleet.isFirst('directory'),
+			isShortWatcher: () => fleet.isFirstReader(),
+			onRead(outcome) {
+				fleet.duty.noteRead(outcome);
+			},
 			onNews() {
 				fleet.announce();
 			},
@@ -430,3 +433,34 @@
 		}
 	}
 });
+
+/** Time for which the directory is away, in milliseconds: the longest that operators plan for. */
+const awayMs = 9000;
+/** Calls that a directory which is away may cost, besides those of its readers: each host looks once. */
+const mostLooks = 1;
+/** Calls that its readers make meanwhile, each: one a second, and the first ones closer together. */
+const mostReaderCalls = 16;
+const readers = 3;
+
+describe('a directory that is away for all', () => {
+	for (const refusal of ['busy', 'silent', 'reset'] as const) {
+		it(`(${refusal}) is asked once by each host besides its readers, and by its readers alone when it is back`, async () => {
+			const fleet = new PlayedFleet(60, 1);
+			await fleet.start();
+			for (const {name} of fleet.hosts) {
+				fleet.directory.turnAway(name, refusal);
+			}
+
+			const {calls} = fleet.directory;
+			await fleet.play(awayMs, () => false);
+			const asked = fleet.directory.calls - calls;
+			fleet.directory.refusals.clear();
+			await fleet.play(awayMs, () => false);
+			const readingNow = fleet.hosts.filter(each => each.fleet.isReader()).length;
+			const tookMs = await fleet.publish();
+			fleet.close();
+			console.log(`away (${refusal}): ${asked} calls in ${awayMs} ms at 60 hosts, then ${readingNow} readers`);
+			expect({isBounded: asked <= (60 * mostLooks) + (readers * mostReaderCalls), readingNow, isInTime: tookMs <= boundOf(60)}).toEqual({isBounded: true, readingNow: readers, isInTime: true});
+		});
+	}
+});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,7 +6,6 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
-import {readerMatter} from '@gatehead/policy/relay/directory-readers';
 import {Gate} from './access/gate.js';
 import {makeRelayContext, type RelayContext, type RelayParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
@@ -84,7 +83,10 @@
 			endpoints: this.endpoints,
 			routing: this.routing,
 			isReader: () => this.fleet.isReader(),
-			isShortWatcher: () => this.fleet.isFirst(readerMatter),
+			isShortWatcher: () => this.fleet.isFirstReader(),
+			onRead: outcome => {
+				this.fleet.duty.noteRead(outcome);
+			},
 			onNews: () => {
 				this.fleet.announce();
 			},
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -259,6 +259,9 @@
 	linkRenewed: {
 		number: 5039, status: 0, ran: 'no', advice: 'A host did not answer in time on an open link. The next word goes over a new one; if it stays silent, look at that host.',
 	},
+	readerStandsIn: {
+		number: 5040, status: 0, ran: 'no', advice: 'This host reads the directory for others, since those that do so are turned away by it.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -22,6 +22,8 @@
 	peerAddress: z.string(),
 	adminAddress: z.string(),
 	load: z.number(),
+	/** Absent: nothing worth telling. `away`: the directory turns this host away, which should read it for others; `answers`: it has answered this host since another one said so. */
+	directory: z.enum(['away', 'answers']).optional(),
 });
 
 /** A request that waits for its turn at a cell's keeper. */
