--- a/packages/relay/src/peer/news-path.test.ts
+++ b/packages/relay/src/peer/news-path.test.ts
@@ -76,6 +76,8 @@
 	}
 
 	send(host: string, message: RelayMessage): void {
+		const {counts} = this.#network;
+		counts.set(message.kind, (counts.get(message.kind) ?? 0) + 1);
 		const known = this.#connections.get(host);
 		const connection = known ?? this.#network.open();
 		this.#connections.set(host, connection);
@@ -107,6 +109,8 @@
 /** What hosts speak over. */
 class PlayedNetwork {
 	readonly links = new Map<string, PlayedLinks>();
+	/** Messages so far, by kind. */
+	readonly counts = new Map<RelayMessage['kind'], number>();
 	readonly #clock: ManualClock;
 	#open: Connection[] = [];
 
@@ -464,3 +468,55 @@
 		});
 	}
 });
+
+/** Time for which unknown routes are asked for, in milliseconds, and the gap between two at one host: 500 a second. */
+const scanMs = 4000;
+const scanGapMs = 2;
+/** Time within which a request that is really wrong hears so on a calm day, in milliseconds. */
+const promptMs = 100;
+/** Most calls a second that readers make for it: each confirms once in the time for which it gives an answer away. */
+const mostScanCalls = 10;
+/** Most questions a second of one host: each answer serves for a third of a second at the least. */
+const mostQuestions = 4;
+
+describe('evidence for refusals', () => {
+	it('costs the same however many unknown routes are asked for, and is there at once', async () => {
+		const fleet = new PlayedFleet(60, 1);
+		await fleet.start();
+		const {directory, network: {counts}, hosts, clock} = fleet;
+		const before = directory.calls;
+		await fleet.play(scanMs, () => false);
+		const idleCalls = directory.calls - before;
+		const asked = counts.get('freshnessWanted') ?? 0;
+		const waits: number[] = [];
+		let unproven = 0;
+		const ask = async ({fleet: {freshness}}: Host) => {
+			const arrivedAt = clock.now();
+			await freshness.proveRefusal(arrivedAt, 400);
+			unproven += freshness.mayRefuse(arrivedAt) ? 0 : 1;
+			waits.push(clock.now() - arrivedAt);
+		};
+
+		const startedAt = clock.now();
+		for (const host of hosts) {
+			for (let at = 0; at < scanMs; at += scanGapMs) {
+				clock.after(at, () => {
+					void ask(host);
+				});
+			}
+		}
+
+		await fleet.play(scanMs + promptMs, () => false);
+		const seconds = (clock.now() - startedAt) / 1000;
+		const calls = Math.round((directory.calls - before - (2 * idleCalls)) / seconds);
+		const questions = ((counts.get('freshnessWanted') ?? 0) - asked) / seconds / hosts.length;
+		fleet.close();
+		const late = waits.filter(wait => wait > promptMs).length;
+		console.log(`unknown routes, 500 a second at each of 60 hosts: ${calls} calls to the directory a second besides ${idleCalls / scanMs * 1000}, ${questions.toFixed(1)} questions a second of a host, ${late} of ${waits.length} later than ${promptMs} ms`);
+		expect({
+			unproven, late: late <= waits.length / 100, calls: calls <= mostScanCalls, questions: questions <= mostQuestions,
+		}).toEqual({
+			unproven: 0, late: true, calls: true, questions: true,
+		});
+	});
+});
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -120,6 +120,17 @@
 			}
 		}
 	},
+	/** Open connections die in silence, to the store and to replicas, while the configuration changes; new ones work. */
+	async silencePaths(bed, lastsMs) {
+		const {storeProxy, proxies} = bed;
+		const isEvery = lastsMs > longestFaultMs / 2;
+		for (const proxy of isEvery ? [storeProxy, ...proxies] : [pick(bed.random, [storeProxy, ...proxies]) ?? storeProxy]) {
+			proxy.silenceOpen();
+		}
+
+		bed.version += 1;
+		bed.store.put('op/config', makeConfig(bed.version));
+	},
 };
 
 async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
--- a/specification/evidence.pml
+++ b/specification/evidence.pml
@@ -4,7 +4,10 @@
  * the directory; a host asks the reader, or hears of nothing. Messages may
  * take any time, or be lost; either process may stand still between any two
  * of its steps. Invariant: no request that was sent later than the bound
- * after the key was taken away is let in.
+ * after the key was taken away is let in. The same step stands for a request
+ * that version 2 alone allows: a host that knows version 1 calls it wrong for
+ * good under the same condition, and must not once it was sent later than the
+ * bound after version 2 was acknowledged.
  * Seeded mistakes: MISTAKE_ANSWERED (evidence counts from the answer, not
  * from the asking), MISTAKE_READER_ANSWERED (the same at the reader),
  * MISTAKE_NO_AGE (a peer's answer counts as fresh, whatever its age),
@@ -13,7 +16,8 @@
  * evidence), MISTAKE_OLD_NOW (the clock is read before the request comes),
  * MISTAKE_NO_NAME (an answer to an earlier question is taken for one to the
  * last), MISTAKE_SLEEPING_CLOCK (the host's ages rest on a clock that stands
- * still while its machine sleeps).
+ * still while its machine sleeps), MISTAKE_REFUSE_OLD (a request is called
+ * wrong from whatever version the host knows).
  */
 #define bound 1       /* ticks after which a key is refused everywhere */
 #define most 4        /* ticks played */
@@ -146,6 +150,10 @@
 			if
 			:: hostVersion == 1 && hostConfirmedAt + bound >= arrivedAt ->
 				assert(revokedAt == 255 || now <= revokedAt + bound)
+#ifdef MISTAKE_REFUSE_OLD
+			:: hostVersion == 1 ->
+				assert(revokedAt == 255 || now <= revokedAt + bound)
+#endif
 			:: else
 			fi;
 			arrivedAt = 0
