--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -156,12 +156,14 @@
 		}
 
 		this.#links.delete(host);
-		link?.close();
 		const address = this.#listener.addressOf(host) ?? '';
 		this.#clients.get(address)?.close();
 		this.#clients.delete(address);
-		counters.count('linksRenewed');
-		log('linkRenewed', {peer: host, ageMs: link === undefined ? undefined : Math.round(clock.now() - link.openedAt)});
+		if (link !== undefined) {
+			link.close();
+			counters.count('linksRenewed');
+			log('linkRenewed', {peer: host, ageMs: Math.round(clock.now() - link.openedAt)});
+		}
 	}
 
 	/** Closes everything. */
--- a/packages/relay/src/access/access-parts.ts
+++ b/packages/relay/src/access/access-parts.ts
@@ -8,4 +8,6 @@
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'self' | 'settings'>;
 	readonly routing: RoutingState;
 	readonly send: (host: string, message: RelayMessage) => void;
+	/** Sees to it that what is said to a host next goes over a new connection. */
+	readonly renew: (host: string) => void;
 };
--- a/packages/relay/src/access/freshness.test.ts
+++ b/packages/relay/src/access/freshness.test.ts
@@ -35,6 +35,7 @@
 class Scene {
 	readonly clock = new ManualClock();
 	readonly sent: RelayMessage[] = [];
+	readonly renewed: string[] = [];
 	readonly routing: RoutingState;
 	readonly freshness: Freshness;
 	/** Whether the directory answers. */
@@ -54,6 +55,9 @@
 			routing: this.routing,
 			watch: () => ({confirm: async () => this.#confirm()}),
 			listConfirmers: () => [...this.peers.keys()],
+			renew: host => {
+				this.renewed.push(host);
+			},
 			send: (host, message) => {
 				this.#hear(host, message);
 			},
@@ -150,7 +154,7 @@
 		await scene.run(6000);
 		expect(await scene.arrive()).toEqual(false);
 		await scene.run(400);
-		expect(await scene.arrive()).toEqual(true);
+		expect([await scene.arrive(), scene.renewed]).toEqual([true, ['silent']]);
 	});
 
 	it('counts from the asking: an answer that was long on its way is as old as its question', async () => {
--- a/packages/relay/src/access/freshness.ts
+++ b/packages/relay/src/access/freshness.ts
@@ -217,6 +217,8 @@
 		});
 		metrics.add('evidenceAsked', {outcome: answer === undefined ? 'silent' : 'answered'});
 		if (answer === undefined) {
+			// It is no neighbour whose heartbeats would show that the link is dead
+			this.#parts.renew(host);
 			return false;
 		}
 
--- a/packages/relay/src/access/quota-desk.ts
+++ b/packages/relay/src/access/quota-desk.ts
@@ -198,6 +198,7 @@
 			}
 
 			metrics.add('quotaAsked', {outcome: 'silent'});
+			this.#parts.renew(keeper);
 			log('quotaKeeperSilent', {workspace: name, keeper, hosts: listHeard().length});
 		}
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -135,7 +135,13 @@
 		};
 
 		this.load = new LoadNews({context, endpoints: parts.endpoints, send});
-		const access = {context, routing: parts.routing, send};
+		const renew = (host: string) => {
+			this.#links.renew(host);
+		};
+
+		const access = {
+			context, routing: parts.routing, send, renew,
+		};
 		this.freshness = new Freshness({
 			...access, watch: parts.watch, listConfirmers: () => listConfirmers(this.membership.members.self, this.#listAlive()),
 		});
--- a/packages/relay/src/peer/news-path.test.ts
+++ b/packages/relay/src/peer/news-path.test.ts
@@ -35,10 +35,12 @@
 /** Time in which the directory answers, in milliseconds. */
 const answerMs = 10;
 const stepMs = 5;
-/** Time for a fleet to settle before anything befalls it, in milliseconds: every host's first watch is over. */
-const settleMs = 9000;
-/** Time in which hosts find each other again, in milliseconds: suspicion, and three times three ticks for words to hosts thought to be gone. */
-const reunionMs = 9000;
+/** Time for a fleet to settle before anything befalls it, in milliseconds, and again behind a first publication, which ends every host's first watch. */
+const settleMs = 1800;
+/** Time after which a host that is missed is suspect everywhere, in milliseconds. */
+const suspicionMs = 3000;
+/** Time in which hosts find each other again, in milliseconds: three times three ticks for words to hosts thought to be gone. */
+const reunionMs = 6000;
 /** Time after which a fleet that does not agree never will, in milliseconds. */
 const longestMs = 20_000;
 const halls = ['a', 'b', 'c'];
@@ -287,6 +289,8 @@
 		}
 
 		await this.play(settleMs, () => false);
+		this.directory.publish();
+		await this.play(settleMs, () => false);
 	}
 
 	/** Plays until something is so; returns the time that took. */
@@ -426,7 +430,8 @@
 					await fleet.play(seed * 230, () => false);
 					harm(fleet);
 					times.push(await fleet.publish());
-					await fleet.play(reunionMs, () => false);
+					await fleet.play(suspicionMs, () => false);
+					await fleet.play(reunionMs, () => fleet.isWhole);
 					divided += fleet.isWhole ? 0 : 1;
 					fleet.close();
 				}
@@ -470,7 +475,7 @@
 });
 
 /** Time for which unknown routes are asked for, in milliseconds, and the gap between two at one host: 500 a second. */
-const scanMs = 4000;
+const scanMs = 2000;
 const scanGapMs = 2;
 /** Time within which a request that is really wrong hears so on a calm day, in milliseconds. */
 const promptMs = 100;
--- a/packages/relay/src/peer/reading-duty.ts
+++ b/packages/relay/src/peer/reading-duty.ts
@@ -56,7 +56,14 @@
 			return;
 		}
 
-		if (isDirectoryReader(self(), alive)) {
+		const isReader = isDirectoryReader(self(), alive);
+		if (!isReader && self().directory === 'away') {
+			// Others read now: its word would go on asking for stand-ins, and no read of its own takes it back
+			this.#say(undefined);
+			return;
+		}
+
+		if (isReader) {
 			if (hasBegun && self().directory === undefined) {
 				// Its own watch may be as dead, and nothing else would show that for seconds
 				watch().doubt();
