--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -8,13 +8,13 @@
 import {type Random} from '../utils/random.js';
 import {comeBackAfter} from './come-back.js';
 
-/** Part of the expected wait that must fit into what is left of the target: places come free at random, and half a second of waiting in vain costs a caller little against a timely answer lost. Not measured against others. */
+/** Part of the expected wait that must fit into what is left of the target: places come free at random, and half a second of waiting in vain costs a caller little against a timely answer lost. */
 const hopeShare = 0.6;
 /** Time for which a late request may wait, as a multiple of the target: callers leave after four times it, and the first event comes within half of one. */
 const lateTargets = 3.2;
 /** Time for which a returned caller leaves its turn to timely ones of other hosts, as a multiple of the target: about half of what it may wait, so that it is served all the same. */
 const yieldTargets = 1.2;
-/** Part of the requests waiting at other hosts that are supposed to go first: all hosts ask for the same places, and the larger part waits longer already. Chosen, not measured. */
+/** Part of the requests waiting at other hosts that are supposed to go first: all hosts ask for the same places, and the larger part waits longer already. */
 const elsewhereShare = 0.7;
 /** Shortest and longest time after which a caller should come back, in milliseconds: a peak of load lasts several seconds, and who comes back within it is refused once more. */
 const leastComeBackMs = 4000;
--- a/packages/policy/src/relay/crash-suspects.ts
+++ b/packages/policy/src/relay/crash-suspects.ts
@@ -22,7 +22,7 @@
 const leastEnds = 2;
 /** Ends so close together count as one, in milliseconds: a rack or a hall that goes takes several runs of a content that many ask for. */
 const sameMomentMs = 200;
-/** How long a content is held back at first, in milliseconds; twice as long after each further end: a caller that was wronged is served again within a minute, and one that is rightly held ends an endpoint once in a quarter of an hour in the end. Chosen, not measured. */
+/** How long a content is held back at first, in milliseconds; twice as long after each further end: a caller that was wronged is served again within a minute, and one that is rightly held ends an endpoint once in a quarter of an hour in the end. */
 const firstHoldMs = 60_000;
 /** Longest such time, in milliseconds. */
 const longestHoldMs = 900_000;
--- a/packages/policy/src/relay/directory-readers.ts
+++ b/packages/policy/src/relay/directory-readers.ts
@@ -5,10 +5,8 @@
  * the fleet. One reader a hall is enough: where it is lost, cut off or frozen,
  * its hall hears from the readers of the other halls, and the next by rank
  * takes over once it is suspected. A reader that lives and is turned away says
- * so; until one is answered, more and more hosts read themselves. Against two readers a hall this saves
- * 30 to 40 in 100 of the calls of a fleet of 20 hosts in five halls (`gatehead_directory_reads_total`
- * over a day). Efficiency: what is believed rests on
- * versions and revisions, not on who has read them.
+ * so; until one is answered, more and more hosts read themselves. Efficiency:
+ * what is believed rests on versions and revisions, not on who has read them.
  */
 import {rank} from '../core/rendezvous.js';
 
--- a/packages/policy/src/relay/endpoint-health.ts
+++ b/packages/policy/src/relay/endpoint-health.ts
@@ -11,11 +11,11 @@
 const weights: Readonly<Record<Exclude<Outcome, 'cancelled'>, number>> = {
 	good: 0, error: 0.5, broken: 1, silent: 2, overdue: 0.5, refused: 0.1,
 };
-/** Time in which an outcome's weight halves, in milliseconds: a few times as long as an endpoint takes to come back. Chosen, not measured. */
+/** Time in which an outcome's weight halves, in milliseconds: a few times as long as an endpoint takes to come back. */
 const halfLifeMs = 4000;
 /** Weight of bad outcomes from which on an endpoint may be set aside: one silence, or two breaks within half a second. */
 const leastBad = 1.9;
-/** Share of bad outcomes from which on it is: who fails three in ten costs more than its room is worth. Chosen, not measured. */
+/** Share of bad outcomes from which on it is: who fails three in ten costs more than its room is worth. */
 const badShare = 0.3;
 /** First time that it is set aside, in milliseconds; it doubles with each following one: about as long as a restart takes. */
 const firstPauseMs = 1500;
--- a/packages/policy/src/relay/news-pace.ts
+++ b/packages/policy/src/relay/news-pace.ts
@@ -4,7 +4,7 @@
  * bounded whatever the load. Efficiency only.
  */
 
-/** Messages saved up for a burst, as seconds of the allowance: bursts of load last a few seconds. Chosen, not measured. */
+/** Messages saved up for a burst, as seconds of the allowance: bursts of load last a few seconds. */
 const savedS = 3;
 const millisecondsPerSecond = 1000;
 
--- a/packages/policy/src/relay/reading-limit.ts
+++ b/packages/policy/src/relay/reading-limit.ts
@@ -4,7 +4,7 @@
  * its own streams, some ten of them.
  */
 
-/** Share of the target that a timely request's prompt may be expected to take: the rest is for its wait and its first steps. Chosen, not measured. */
+/** Share of the target that a timely request's prompt may be expected to take: the rest is for its wait and its first steps. */
 const timelyShare = 0.5;
 /** The same for a request that is late in any case: beyond it its caller's patience is at stake. */
 const lateShare = 1;
--- a/packages/policy/src/relay/reading-queue.ts
+++ b/packages/policy/src/relay/reading-queue.ts
@@ -27,7 +27,7 @@
 const leastTokenMs = 0.001;
 /** Queue up to which an observation says something about that time, in milliseconds: a tenth of a usual reading. */
 const emptyMs = 20;
-/** Part of a delay that nobody announced and that is supposed to meet the next prompt too: some of it is read by then. Chosen, not measured. */
+/** Part of a delay that nobody announced and that is supposed to meet the next prompt too: some of it is read by then. */
 const delayShare = 0.8;
 /** Queue that is supposed at a replica that refused a prompt, in milliseconds: about ten prompts fill its memory. */
 const refusedMs = 500;
--- a/packages/policy/src/relay/start-time.ts
+++ b/packages/policy/src/relay/start-time.ts
@@ -7,7 +7,7 @@
  * (15 paired days). Efficiency only.
  */
 
-/** Part of the requests that stay below the value: who waits longer takes a place that one in five would use too late. Not measured against others. */
+/** Part of the requests that stay below the value: who waits longer takes a place that one in five would use too late. */
 const coveredShare = 0.8;
 /** Change at one observation, as a share of the value: a changed deployment is followed within some twenty requests. */
 const step = 0.12;
--- a/packages/relay/src/access/quota-desk.ts
+++ b/packages/relay/src/access/quota-desk.ts
@@ -19,7 +19,7 @@
 const mostKeepers = 2;
 /** Part of the allowance that all hosts together may use on credit, before their keeper has answered: what is dealt out of it besides is a quarter. */
 const creditShare = 0.25;
-/** Shortest time after which a refused caller comes back, in milliseconds: a keeper tells none that is shorter. Chosen, not measured. */
+/** Shortest time after which a refused caller comes back, in milliseconds: a keeper tells none that is shorter. */
 const leastWaitMs = 250;
 
 /** What the desk works with. */
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -26,7 +26,7 @@
 const probeMs = 1;
 /** Interval at which a host that need not watch looks whether that has changed, in milliseconds: shorter than a tick between hosts. */
 const idleMs = 500;
-/** Time that the first list of a host which knows nothing yet gets, in milliseconds, doubled with each that fails: a hundred times what a directory at ease takes. A connection that was opened while the directory said nothing stays silent, and the host refuses all callers until its list is there: hosts that start 0.2 s before a silent directory is back know all 0.5 s later in place of 1.7 s. */
+/** Time that the first list of a host which knows nothing yet gets, in milliseconds, doubled with each that fails: a hundred times what a directory at ease takes. A connection that was opened while the directory said nothing stays silent, and the host refuses all callers until its list is there. */
 const firstListMs = 250;
 /** Time that the directory gets to tell its revision, in milliseconds: twice what one takes that is sixty times slower than usual. */
 const confirmMs = 500;
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -37,9 +37,9 @@
 const requestMs = 30_000;
 /** When a caller that was refused for the host's sake may come back, in milliseconds: at once, elsewhere. */
 const elsewhereMs = 50;
-/** The same where all hosts of the lookup may have too much to do, in milliseconds: about as long as half of the requests in work last. Chosen, not measured. */
+/** The same where all hosts of the lookup may have too much to do, in milliseconds: about as long as half of the requests in work last. */
 const crowdedMs = 500;
-/** The same where no configuration is known yet, in milliseconds: a starting host has one within 0.1 s, or else the directory is away, for seconds. Who comes back within them is refused for good: of 77 callers that were asked back after 0.5 s, in the 1.6 s for which 20 hosts knew nothing, 21 were. */
+/** The same where no configuration is known yet, in milliseconds: a starting host has one within 0.1 s, or else the directory is away, for seconds. Who comes back within them is refused for good. */
 const notReadyMs = 3000;
 
 /** What the front works with. */
--- a/packages/relay/src/peer/greetings.ts
+++ b/packages/relay/src/peer/greetings.ts
@@ -6,7 +6,7 @@
 
 /** Interval at which seeds are greeted while no other host is known, in milliseconds: a lone host sends each seed two small messages a second. */
 const greetMs = 500;
-/** The same in the first seconds of a process, in milliseconds: after a loss of all hosts each starts alone, and sends what the others do not hear of. With it and new connections for greetings that hang, seven hosts that lost power know each other 0.4 s after the last one is back, in place of 1.0 s. */
+/** The same in the first seconds of a process, in milliseconds: after a loss of all hosts each starts alone, and sends what the others do not hear of. */
 const firstGreetMs = 120;
 /** How long those first seconds last, in milliseconds: hosts that are restarted together are up within one. */
 const firstGreetingsMs = 4000;
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -15,7 +15,7 @@
 import {SilentSends} from './silent-sends.js';
 import {Trials, trialMs} from './trials.js';
 
-/** Time for which an answer must have been coming for its request to say nothing about its endpoint's end, in milliseconds: who ends an endpoint does so as it begins to run. Of streams of 3.5 s, one in seven is younger. Chosen, not measured. */
+/** Time for which an answer must have been coming for its request to say nothing about its endpoint's end, in milliseconds: who ends an endpoint does so as it begins to run. Of streams of 3.5 s, one in seven is younger. */
 const provenMs = 300;
 /** Bytes that are read this soon behind a loss may have come before it, in milliseconds: longer than a busy host leaves them unread. */
 const onTheWayMs = 250;
@@ -128,7 +128,7 @@
 		return !job.isHeld;
 	}
 
-	/** Whether a request that was just cut off may be sent elsewhere. One whose content is suspected waits until it is known whether this endpoint ended too, which saves the next one: 3 ends in place of 4 where a try may run twice. */
+	/** Whether a request that was just cut off may be sent elsewhere. One whose content is suspected waits until it is known whether this endpoint ended too, which saves the next one. */
 	async mayRunAgain(job: Job): Promise<boolean> {
 		const {content} = job;
 		if (this.#suspects.isSuspect(content, this.#parts.context.clock.now())) {
--- a/packages/relay/src/work/generation-end.ts
+++ b/packages/relay/src/work/generation-end.ts
@@ -8,7 +8,7 @@
 import {type Job} from './job.js';
 import {type JobEnd} from './job-end.js';
 
-/** When a caller may come back after a failure on the way, in milliseconds: the endpoint is set aside by then. Chosen, not measured. */
+/** When a caller may come back after a failure on the way, in milliseconds: the endpoint is set aside by then. */
 export const comeBackMs = 800;
 
 /** What a refused caller is told. */
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -23,7 +23,7 @@
 import {type Reservation} from './room-search.js';
 import {SilenceWatch} from './silence-watch.js';
 
-/** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. With 0.6 replicas put 24 streams a day back to read them again, with 0.9 14, with 1.3 6; yet a day earns 0.011 and 0.019 less of its credit with 0.6 and 1.3, since room is paid for twice or left empty (15 paired days each). */
+/** Tokens reserved for the answer, as a multiple of the caller's guess, which is right in the median. Less puts streams back to be read again, more leaves room empty. */
 const answerFactor = 0.9;
 /** Memory goes by blocks of so many tokens: by the engines' description. */
 const blockTokens = 16;
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -15,13 +15,13 @@
 import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
 
-/** Longest answer that is read whole before it is passed on, so that a cut one is never begun. Chosen, not measured. */
+/** Longest answer that is read whole before it is passed on, so that a cut one is never begun. */
 const mostBytes = 8_388_608;
 /** Share of the target after which a slow answer is asked for a second time elsewhere: a second answer can then still be in time. */
 const slowShare = 0.45;
 /** Least time before an answer counts as slow, in milliseconds: about a usual answer's own time. */
 const leastSlowMs = 60;
-/** When a caller may come back after no endpoint could be had, in milliseconds: within its target where that is short. Chosen, not measured. */
+/** When a caller may come back after no endpoint could be had, in milliseconds: within its target where that is short. */
 const comeBackMs = 400;
 /** Endpoints tried one after the other where none of them runs the request: more than any plain service at hand has. */
 const mostTries = 4;
--- a/packages/relay/src/work/request-content.ts
+++ b/packages/relay/src/work/request-content.ts
@@ -33,7 +33,7 @@
 		return this.#parts.body?.length ?? 0;
 	}
 
-	/** The content's name, in hexadecimal. Worked out when it is first asked for, since hardly any request is: 4 us of processor time for 3 kB, 42 us for 72 kB, measured over 5,000 of each. */
+	/** The content's name, in hexadecimal. Worked out when it is first asked for, since hardly any request is. */
 	get digest(): string {
 		this.#digest ??= this.#work();
 		return this.#digest;
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -13,7 +13,7 @@
 import {comeBackMs} from './generation-end.js';
 import {type Reservation, type RoomSearch, type Wish} from './room-search.js';
 
-/** Waiting requests that ask in one round: small ones fill the room that is too small for a large one at the head. Four served like two or better in paired days (0.820 and 0.813 of a day's credit, noise 0.006). */
+/** Waiting requests that ask in one round: small ones fill the room that is too small for a large one at the head. */
 const askersPerRound = 4;
 /** Time between a reservation and its use, while the prompt is read, in milliseconds: half of them are read within 0.25 s, nine in ten within 0.45 s. */
 const readingMs = 300;
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -91,7 +91,7 @@
 	keys: z.strictObject({tls: tls.optional()}).prefault({}),
 	/** Where counters go besides as StatsD datagrams. */
 	statsd: address.optional(),
-	/** Share of a model's replicas that read prompts, until a dozen requests have shown the paces of both parts: a quarter suits prompts that keep their reader busy for a quarter to a third of the time for which they hold their share of decode memory (0.12 s and 0.44 s). With a fifth of 42 replicas readers were short in bursts of 1.8 times: two paired days earned 0.606 and 0.526 of their credit less prices, with a quarter 0.681 and 0.560. Fleets of 7 to 9 and of 12 or 13 replicas round to the same number. */
+	/** Share of a model's replicas that read prompts, until a dozen requests have shown the paces of both parts: a quarter suits prompts that keep their reader busy for a quarter to a third of the time for which they hold their share of decode memory (0.12 s and 0.44 s). */
 	prefillShare: z.number().min(0.05).max(0.95).default(0.25),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 	timing: timing.prefault({}),
