Mend: silence upon silence: neighbours that beat by themselves are judged twice a tick, and news from a peer makes the own watch doubtful

Cause: the host whose watch had died went on with it, since news of a configuration, unlike that of endpoints, did not make it look; so it lived on its peer's word when that fell silent too, and a neighbour that beats by itself was judged only once a tick (up to 1.94 s behind its last word).

Change: a configuration that a peer brings first ends the own watch, as endpoints do; overdue neighbours are looked for at 0.4 s and half a tick later (1.56 s at the longest).

--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -271,22 +271,27 @@
 
 	/** The heartbeat proper, which the chosen neighbours answer. */
 	#beat(): void {
-		const beatAt = this.#parts.context.clock.now();
+		const {clock, settings: {timing: {tickMs}}} = this.#parts.context;
+		const sentAt = clock.now();
 		for (const [host, neighbour] of this.#neighbourhood.chosen) {
 			this.#send(host, neighbour);
 		}
 
-		this.#after(linkAnswerMs, () => {
-			this.#renewOverdue(beatAt);
-		});
+		// Twice a tick: neighbours that beat by themselves may fall due at any time
+		for (const waitMs of [linkAnswerMs, linkAnswerMs + (tickMs / 2)]) {
+			this.#after(waitMs, () => {
+				this.#renewOverdue(sentAt, sentAt + waitMs);
+			});
+		}
 	}
 
 	/** Open connections may die in silence, without a reset. Neighbours whose word is overdue are spoken to again over new ones, with all news since the start. */
-	#renewOverdue(beatAt: number): void {
+	#renewOverdue(sentAt: number, wakeAt: number): void {
 		const {context: {clock, settings: {timing: {tickMs}}}, voice} = this.#parts;
-		const isLate = clock.now() - beatAt > 2 * linkAnswerMs;
+		const isLate = clock.now() - wakeAt > linkAnswerMs;
+		const overdue = this.#neighbourhood.listOverdue({sentAt, dueAt: wakeAt - linkAnswerMs, beatMs: (1 + tickSpread) * tickMs});
 		// Where this process is late itself, answers may wait unread
-		for (const host of isLate ? [] : this.#neighbourhood.listOverdue(beatAt, (1 + tickSpread) * tickMs)) {
+		for (const host of isLate ? [] : overdue) {
 			voice.renew(host);
 			const neighbour = this.#neighbourhood.lose(host);
 			if (neighbour !== undefined) {
--- a/packages/host/src/peer/neighbourhood.ts
+++ b/packages/host/src/peer/neighbourhood.ts
@@ -15,6 +15,13 @@
 	retriedAt: number;
 };
 
+/** What is expected of neighbours: an answer to what was sent at `sentAt`, or a heartbeat in the `beatMs` before `dueAt`, by the own clock in milliseconds. */
+export type Expectation = {
+	readonly sentAt: number;
+	readonly dueAt: number;
+	readonly beatMs: number;
+};
+
 /** A neighbour of whom nothing is known. */
 export function makeNeighbour(now: number): Neighbour {
 	return {
@@ -78,10 +85,11 @@
 		return [...this.#chosen].filter(([, {heardAt}]) => now - heardAt > silenceMs).map(([host]) => host);
 	}
 
-	/** Chosen neighbours whose word is overdue: an answer to the heartbeat of an instant, or, where they beat by themselves, their next heartbeat. */
-	listOverdue(sentAt: number, beatMs: number): string[] {
+	/** Chosen neighbours whose word is overdue: an answer to a heartbeat, or, where they beat by themselves, their next heartbeat. */
+	listOverdue({sentAt, dueAt, beatMs}: Expectation): string[] {
+		const isBeating = ({beatAt}: Neighbour) => sentAt - beatAt < 2 * beatMs;
 		return [...this.#chosen]
-			.filter(([, {heardAt, beatAt}]) => heardAt < (sentAt - beatAt < 2 * beatMs ? sentAt - beatMs : sentAt))
+			.filter(([, neighbour]) => neighbour.heardAt < (isBeating(neighbour) ? dueAt - beatMs : sentAt))
 			.map(([host]) => host);
 	}
 
--- a/packages/relay/src/peer/directory-news.ts
+++ b/packages/relay/src/peer/directory-news.ts
@@ -114,11 +114,13 @@
 	/** Takes over what a host has told. */
 	take(host: string, {routing: offered, revision, epoch, departures, ageMs, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
-		if (offered !== undefined) {
+		const own = watch();
+		if (offered !== undefined && offered.version > routing.version) {
 			routing.offer(offered, host, ageMs);
+			// The own watch should have said so: its connection may be cut in silence
+			own.doubt();
 		}
 
-		const own = watch();
 		const position: Position = {epoch, revision};
 		if (revision < 0 || !this.#isLate(position, own)) {
 			return;
@@ -133,7 +135,7 @@
 		endpoints.note(changes, host, ageMs);
 		own.hear(position, isWitnessed, ageMs);
 		if (changes.length > 0 || isOtherHistory) {
-			// The own watch should have said so: its connection may be cut in silence
+			// The same holds for endpoints
 			own.doubt();
 		}
 
--- a/packages/relay/src/peer/news-path.test.ts
+++ b/packages/relay/src/peer/news-path.test.ts
@@ -8,6 +8,7 @@
  * configuration is in force everywhere within 2 s, in the largest fleets 3 s.
  * Prints the table of docs/PLATFORM.md.
  */
+import process from 'node:process';
 import {setImmediate} from 'node:timers/promises';
 import {describe, it} from 'node:test';
 import {type LinkListener} from '@gatehead/host/peer/peer-links';
@@ -20,6 +21,7 @@
 import {relaySettings} from '@gatehead/schema/relay-settings';
 import {type Routing} from '@gatehead/schema/routing';
 import {expect} from 'earl';
+import fc from 'fast-check';
 import {makeRelayContext} from '../core/context.js';
 import {type Dialect} from '../core/dialect.js';
 import {DirectoryWatch} from '../core/directory-watch.js';
@@ -48,7 +50,9 @@
 
 /** A connection between two hosts. */
 type Connection = {
-	isSilent: boolean;
+	/** Hosts whose words do not pass on it any more. */
+	readonly silenced: Set<string>;
+	readonly ends: readonly string[];
 };
 
 function makeRouting(version: number): Routing {
@@ -81,10 +85,10 @@
 		const {counts} = this.#network;
 		counts.set(message.kind, (counts.get(message.kind) ?? 0) + 1);
 		const known = this.#connections.get(host);
-		const connection = known ?? this.#network.open();
+		const connection = known ?? this.#network.open([this.#host, host]);
 		this.#connections.set(host, connection);
 		const isNew = known === undefined;
-		this.#network.carry(connection, isNew ? 2 * transitMs : transitMs, () => {
+		this.#network.carry(connection, this.#host, isNew ? 2 * transitMs : transitMs, () => {
 			this.#network.links.get(host)?.hear(this.#host, message, connection);
 		});
 	}
@@ -120,24 +124,29 @@
 		this.#clock = clock;
 	}
 
-	open(): Connection {
-		const connection = {isSilent: false};
+	open(ends: readonly string[]): Connection {
+		const connection = {silenced: new Set<string>(), ends};
 		this.#open.push(connection);
 		return connection;
 	}
 
-	carry(connection: Connection, afterMs: number, arrive: () => void): void {
+	carry(connection: Connection, from: string, afterMs: number, arrive: () => void): void {
 		this.#clock.after(afterMs, () => {
-			if (!connection.isSilent) {
+			if (!connection.silenced.has(from)) {
 				arrive();
 			}
 		});
 	}
 
-	/** Nothing passes any more on some of the connections that are open now. */
-	silence(share: number, random: Random): void {
-		for (const connection of this.#open) {
-			connection.isSilent ||= random.next() < share;
+	/** Nothing passes any more on some of the connections that are open now, or nothing one way. */
+	silence(share: number, random: Random, isOneWay = false): void {
+		for (const {silenced, ends} of this.#open) {
+			if (random.next() < share) {
+				const one = ends[Math.floor(2 * random.next())] ?? '';
+				for (const end of isOneWay ? [one] : ends) {
+					silenced.add(end);
+				}
+			}
 		}
 
 		this.#open = [];
@@ -443,6 +452,41 @@
 	}
 });
 
+/** One fault of a generated fleet. */
+type Fault = {
+	readonly share: number;
+	readonly isOneWay: boolean;
+	readonly isDirectoryToo: boolean;
+	/** Time before it, in milliseconds. */
+	readonly gapMs: number;
+};
+
+const fault: fc.Arbitrary<Fault> = fc.record({
+	share: fc.constantFrom(0.1, 0.5, 0.9, 1), isOneWay: fc.boolean(), isDirectoryToo: fc.boolean(), gapMs: fc.integer({min: 0, max: 2500}),
+});
+
+describe('the way of a configuration in generated fleets', () => {
+	it('any set of connections falls silent, one way or both, again within seconds', async () => {
+		await fc.assert(fc.asyncProperty(fc.constantFrom(2, 5, 13, 24), fc.integer({min: 1, max: 1000}), fc.array(fault, {minLength: 1, maxLength: 3}), async (size, seed, faults) => {
+			const fleet = new PlayedFleet(size, seed);
+			await fleet.start();
+			const times: number[] = [];
+			for (const {share, isOneWay, isDirectoryToo, gapMs} of faults) {
+				await fleet.play(gapMs, () => false);
+				fleet.network.silence(share, fleet.random, isOneWay);
+				if (isDirectoryToo) {
+					fleet.directory.silenceOpen();
+				}
+
+				times.push(await fleet.publish());
+			}
+
+			fleet.close();
+			expect(times.filter(time => time > boundOf(size))).toEqual([]);
+		}), {seed: 77, numRuns: Number(process.env.NEWS_PATH_RUNS ?? 25)});
+	});
+});
+
 /** Time for which the directory is away, in milliseconds: the longest that operators plan for. */
 const awayMs = 9000;
 /** Calls that a directory which is away may cost, besides those of its readers: each host looks once. */
