Add: log lines and counters for what endpoints announce in responses

Rate limits, drain notices and backoff periods are parsed at the platform's boundary into one typed record and noted by endpoint: one log line (5041) and one count when each begins, changes or ends, 5042 for a header that cannot be parsed.

--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -4,6 +4,7 @@
  * only be true where the endpoint itself says that it did not run a request.
  */
 import {type IncomingHttpHeaders} from 'node:http';
+import {type EndpointSignals} from '@gatehead/policy/relay/endpoint-signals';
 import {type Endpoint} from '@gatehead/schema/routing';
 
 /** What a caller's request says of itself. */
@@ -48,6 +49,8 @@
 	readonly isOther: boolean;
 	/** How long the connection may rest, in milliseconds; undefined: less than a second. */
 	readonly restMs: number | undefined;
+	/** What the endpoint states about itself besides. */
+	readonly signals: EndpointSignals;
 };
 
 /** A call of the relay's own to an endpoint. */
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -5,6 +5,7 @@
  */
 import {EndpointBook} from '@gatehead/policy/relay/endpoint-book';
 import {type BookChange} from '@gatehead/policy/relay/endpoint-change';
+import {SignalBook, type SignalChange, type Statement} from '@gatehead/policy/relay/endpoint-signals';
 import {EndpointHealth, type Outcome, type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {PeerUse} from '@gatehead/policy/relay/peer-use';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
@@ -50,6 +51,7 @@
 export class Endpoints {
 	readonly book = new EndpointBook();
 	readonly health = new EndpointHealth();
+	readonly #signals = new SignalBook();
 	readonly #context: EndpointContext;
 	readonly #listener: EndpointListener;
 	/** What follows from each change. */
@@ -200,6 +202,17 @@
 		}
 	}
 
+	/** Takes what an endpoint states about itself in a response. */
+	noteSignals(endpoint: Endpoint, statement: Statement): void {
+		const {clock, log, metrics} = this.#context;
+		for (const header of statement.signals.malformed) {
+			metrics.add('signalsMalformed', {header});
+			log('signalMalformed', {endpoint: endpoint.id, service: endpoint.service, header});
+		}
+
+		this.#noteSignalChanges(endpoint.id, this.#signals.note(endpoint.id, statement, clock.now()), 'own');
+	}
+
 	/** Takes over another host's pause. */
 	hearPause(pause: Pause, from: string): void {
 		const {clock, log, metrics} = this.#context;
@@ -213,6 +226,16 @@
 		}
 	}
 
+	#noteSignalChanges(endpoint: string, changes: readonly SignalChange[], source: string): void {
+		const {log, metrics} = this.#context;
+		for (const {signal, change, value} of changes) {
+			log('endpointSignal', {
+				endpoint, signal, change, value, source,
+			});
+			metrics.add('signals', {signal, change, source: source === 'own' ? 'own' : 'peer'});
+		}
+	}
+
 	/** How late this host learns that an endpoint leaves, and whether it sent there although another host had read it. */
 	#noteDeparture({id, service}: Endpoint, ageMs: number): void {
 		const {clock, log, metrics} = this.#context;
@@ -272,6 +295,7 @@
 	#forget(id: string): void {
 		const use = this.#uses.get(id);
 		this.health.forget(id);
+		this.#signals.forget(id);
 		this.#queues.delete(id);
 		this.#peerUse.forget(id);
 		if (use?.open === 0) {
--- a/packages/relay/src/upstream/own-calls.ts
+++ b/packages/relay/src/upstream/own-calls.ts
@@ -120,6 +120,10 @@
 			throw new ExchangeError('reset', true, new Error('an answer to another request'));
 		}
 
+		if (!facts.isOther) {
+			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt: clock.now(), isComplete: false});
+		}
+
 		return {status, body: new TextDecoder().decode(await readBody(response, mostBytes))};
 	}
 }
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -137,6 +137,11 @@
 			this.#endpoints.judge(endpoint, outcome);
 		};
 
+		const isForeign = facts.id !== undefined && facts.id !== job.id;
+		if (!facts.isOther && !isForeign) {
+			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: true});
+		}
+
 		if (facts.isNotRun || facts.isOther) {
 			this.#takeBack(send);
 			response.resume();
@@ -151,7 +156,6 @@
 			return this.#refused(send, facts, status);
 		}
 
-		const isForeign = facts.id !== undefined && facts.id !== job.id;
 		// A promise that the endpoint does not vouch for must not be passed on as one
 		const isEmptyPromise = promises.has(status);
 		const isUnmarked = isEmptyPromise || isUnmarkedSuccess(step, status, facts);
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -23,6 +23,8 @@
 	budgetSpent: {name: 'gatehead_retry_budget_spent_total', help: 'Second sends that the retry budget did not allow.', labels: []},
 	prefillTokens: {name: 'gatehead_prefill_tokens_total', help: 'Prompt tokens read, by whether a decode endpoint used the result.', labels: ['use']},
 	pauses: {name: 'gatehead_endpoint_pauses_total', help: 'Endpoints set aside because sends to them failed, by who saw it.', labels: ['source']},
+	signals: {name: 'gatehead_endpoint_signals_total', help: 'Rate limits, drain notices and backoff periods of endpoints that began, changed or ended, by who received them.', labels: ['signal', 'change', 'source']},
+	signalsMalformed: {name: 'gatehead_endpoint_signals_malformed_total', help: 'Headers of endpoints that could not be parsed, by header.', labels: ['header']},
 	directoryReads: {name: 'gatehead_directory_reads_total', help: 'Reads of the directory, by kind and outcome.', labels: ['read', 'outcome']},
 	directoryUnreadable: {name: 'gatehead_directory_unreadable_total', help: 'Items of the directory that could not be read, by what they were to say.', labels: ['item']},
 	directoryRestores: {name: 'gatehead_directory_restores_total', help: 'Times that the directory was found to have come back from a copy, in a history of its own.', labels: []},
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -262,6 +262,12 @@
 	readerStandsIn: {
 		number: 5040, status: 0, ran: 'no', advice: 'This host reads the directory for others, since those that do so are turned away by it.',
 	},
+	endpointSignal: {
+		number: 5041, status: 0, ran: 'no', advice: 'An endpoint announced a rate limit, a drain or a backoff period in a response, or one ended. The line names the signal, its value and the host that received it.',
+	},
+	signalMalformed: {
+		number: 5042, status: 0, ran: 'no', advice: 'A header of an endpoint\'s response cannot be parsed and is ignored. The request itself is not affected.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
