--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -36,7 +36,7 @@
 export async function makeBed(seed: number, hostCount: number): Promise<Bed> {
 	const folder = mkdtempSync(join(tmpdir(), `gatehead-soak-${seed}-`));
 	const log: ReplicaLog = {
-		runs: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
+		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
 	const store = await startStore(anyPort);
 	const storeProxy = await startProxy(store.address);
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -23,9 +23,29 @@
 	readonly headers: readonly string[];
 };
 
+/** What a replica states about itself in its answers. */
+export type StatedSignals = {
+	/** Requests a second that it takes from all hosts together. */
+	limitPerS?: number;
+	isLeaving?: boolean;
+	/** It answers requests with 503 and this `Retry-After`, in seconds. */
+	backoffS?: number;
+};
+
+/** One request that reached a replica, whether or not it ran. */
+export type Arrival = {
+	readonly request: string;
+	readonly replica: string;
+	/** On the process's steady clock, in milliseconds. */
+	readonly at: number;
+	/** Whether it was answered with a `Retry-After`. */
+	readonly isBackedOff: boolean;
+};
+
 /** What all replicas of one test share. */
 export type ReplicaLog = {
 	readonly runs: Run[];
+	readonly arrivals: Arrival[];
 	/** Prefill results by handle that nobody has taken or freed; handles are unlike those of other replicas, since a proxy may stand before each. */
 	readonly results: Map<string, string>;
 	/** Requests whose connection closed before their answer was whole. */
@@ -53,6 +73,8 @@
 	/** What it publishes as the instant of its start; a test may make it anything. */
 	born: unknown;
 	fault: ReplicaFault;
+	/** Stated in each answer from now on. */
+	signals: StatedSignals;
 	/** Ends the server; `revive` starts it on the same address. */
 	kill(): Promise<void>;
 	revive(): Promise<void>;
@@ -77,6 +99,7 @@
 class Replica {
 	readonly parts: ReplicaParts;
 	fault: ReplicaFault = 'none';
+	signals: StatedSignals = {};
 	#taken = 0;
 	#made = 0;
 	readonly #holds = new Set<string>();
@@ -120,7 +143,8 @@
 			return;
 		}
 
-		if (this.fault === 'full') {
+		this.#state(exchange);
+		if (this.fault === 'full' || this.signals.backoffS !== undefined) {
 			response.setHeader('Not-Executed', '1');
 			sendJson(response, 503, {});
 			return;
@@ -155,6 +179,25 @@
 		this.#answer(exchange);
 	}
 
+	/** Notes the request, and puts this replica's signals on its answer. */
+	#state({response, id}: Exchange): void {
+		const {limitPerS, isLeaving, backoffS} = this.signals;
+		this.parts.log.arrivals.push({
+			request: id, replica: this.parts.id, at: performance.now(), isBackedOff: backoffS !== undefined,
+		});
+		if (limitPerS !== undefined) {
+			response.setHeader('Server-Limit', String(limitPerS));
+		}
+
+		if (isLeaving) {
+			response.setHeader('Server-Leaving', '1');
+		}
+
+		if (backoffS !== undefined) {
+			response.setHeader('Retry-After', String(backoffS));
+		}
+	}
+
 	/** The head of the answer is out, and no event of it, when the replica ends. */
 	#crash({request: {socket}, id}: Exchange): void {
 		socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n`);
@@ -320,6 +363,12 @@
 		set fault(fault) {
 			replica.fault = fault;
 		},
+		get signals() {
+			return replica.signals;
+		},
+		set signals(signals) {
+			replica.signals = signals;
+		},
 		kill: server.kill,
 		revive: server.revive,
 	};
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -203,7 +203,7 @@
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
 export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, clock}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
-		runs: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
+		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
 	const lines: LoggedLine[] = [];
 	const store = await startStore(anyPort);
