--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -104,7 +104,9 @@
 		this.#work = {
 			context,
 			endpoints: this.endpoints,
-			sender: new Sender({context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter}),
+			sender: new Sender({
+				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter,
+			}),
 			guard: this.guard,
 			budgets,
 			admission: new Admission({
