Fix: a drain notice in a response takes effect at once, at all hosts

Callers' requests still went to endpoints that had announced their end, and were lost with them when the directory was away.

Cause: only the directory could make an endpoint drain; no header of a response was read for it. Ruled out: a notice that is received and lost again when the directory lists the endpoint anew (none was received).

Now the host that receives a notice sends nothing new there, and sends the notice to all hosts; heartbeats carry it for those that miss it. The directory cannot revoke it: an endpoint that starts anew has another id.

--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -37,9 +37,15 @@
 	readonly #departures = new Departures();
 	/** Entries removed lately, for telling an outage from single departures. */
 	readonly #losses = new JointLoss(returnGraceMs);
+	/** Whether an endpoint has announced itself that it drains, whatever the directory says. */
+	readonly #isDraining: (id: string) => boolean;
 	#isAway = false;
 	#backAt = Number.NEGATIVE_INFINITY;
 
+	constructor(isDraining: (id: string) => boolean = () => false) {
+		this.#isDraining = isDraining;
+	}
+
 	/** Endpoints that take new work. */
 	listReady(service: string): Endpoint[] {
 		const ready: Endpoint[] = [];
@@ -361,9 +367,9 @@
 		return [{endpoint: known.endpoint, change: 'gone'}, {endpoint, change: takesWork(endpoint) ? 'added' : 'leaving'}];
 	}
 
-	/** Whether an entry's endpoint gets new work: the directory says so, and no host knows that it has left since. */
+	/** Whether an entry's endpoint gets new work: the directory says so, it has not announced its drain, and no host knows that it has left since. */
 	#takesWork({endpoint, position}: Entry): boolean {
-		return takesWork(endpoint) && !this.#departures.covers(endpoint.id, position);
+		return takesWork(endpoint) && !this.#isDraining(endpoint.id) && !this.#departures.covers(endpoint.id, position);
 	}
 
 	/** Whether an entry that says "ready" is a copy's, and its endpoint has left. */
--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -74,6 +74,21 @@
 		return record.limit !== undefined && at <= record.limit.at ? [] : setLimit(record, perS, at);
 	}
 
+	/** Merges a drain notice from another host. A notice stands until the endpoint starts anew, which gives it another id. */
+	mergeDrain(endpoint: string): SignalChange[] {
+		return this.#noteDrain(this.#recordOf(endpoint), true);
+	}
+
+	/** Whether an endpoint has announced that it drains. */
+	isDraining(endpoint: string): boolean {
+		return this.#records.get(endpoint)?.isDraining ?? false;
+	}
+
+	/** Endpoints that have announced that they drain. */
+	listDraining(): string[] {
+		return [...this.#records.entries()].filter(([, {isDraining}]) => isDraining).map(([endpoint]) => endpoint);
+	}
+
 	/** An endpoint's limit in requests a second; undefined: none is in force. */
 	limitOf(endpoint: string): number | undefined {
 		return this.#records.get(endpoint)?.limit?.perS;
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -72,6 +72,7 @@
 			this.#parts.context.hybrid.receive(message.clock);
 			this.membership.heartbeat(from, message);
 			this.#parts.guard.hear(message.heldContents);
+			this.#parts.endpoints.receiveDrains(message.draining, from.host);
 			this.#news.compare(from.host, message);
 		},
 		directoryWanted: (from, message) => {
@@ -86,6 +87,9 @@
 		paused: (from, {pause}) => {
 			this.#parts.endpoints.hearPause(pause, from.host);
 		},
+		draining: (from, {endpoints}) => {
+			this.#parts.endpoints.receiveDrains(endpoints, from.host);
+		},
 		reading: (_from, message) => {
 			this.load.hearReading(message);
 		},
@@ -278,6 +282,11 @@
 		this.#tellAll({kind: 'paused', pause});
 	}
 
+	/** Sends a drain notice to all hosts that can be reached. */
+	announceDrain(endpoint: string): void {
+		this.#tellAll({kind: 'draining', endpoints: [endpoint]});
+	}
+
 	/** Tells all hosts that can be reached of contents under which endpoints end. */
 	tellCrashes(reports: readonly CrashReport[]): void {
 		this.#tellAll({kind: 'crashes', reports: [...reports]});
@@ -342,6 +351,7 @@
 					departures: endpoints.book.listDepartures(context.clock.now()),
 					pauses: endpoints.health.listPauses(context.clock.now()),
 					heldContents: guard.listHeld(),
+					draining: endpoints.listDraining(),
 				});
 			},
 			doubt: (host, record) => {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -62,6 +62,9 @@
 			onLimit: endpoint => {
 				this.fleet.limiter.noteStated(endpoint);
 			},
+			onDrain: endpoint => {
+				this.fleet.announceDrain(endpoint);
+			},
 			onRoom: service => {
 				this.#work.admission.roomAt(service);
 			},
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -31,6 +31,9 @@
 /** Time without a request after which a rate-limited endpoint is placed like any other, in milliseconds: its limit can only change with a response. */
 const limitProbeMs = 1000;
 
+/** The source of signals that this host received itself. */
+const ownSource = 'own';
+
 /** Who hands on a pause that follows from an order of this host's own. */
 export const ownOrder = 'order';
 
@@ -47,6 +50,8 @@
 	onGone(endpoint: Endpoint): void;
 	/** An endpoint has stated to this host that its rate limit began, changed or ended. */
 	onLimit(endpoint: string): void;
+	/** An endpoint has announced to this host that it drains. */
+	onDrain(endpoint: string): void;
 	/** Room may have come free at a service. */
 	onRoom(service: string): void;
 	/** This host's subset among the fleet's. */
@@ -55,9 +60,9 @@
 
 /** The endpoints of one host. */
 export class Endpoints {
-	readonly book = new EndpointBook();
-	readonly health = new EndpointHealth();
 	readonly signals = new SignalBook();
+	readonly book = new EndpointBook(id => this.signals.isDraining(id));
+	readonly health = new EndpointHealth();
 	readonly #context: EndpointContext;
 	readonly #listener: EndpointListener;
 	/** What follows from each change. */
@@ -84,6 +89,17 @@
 		},
 	};
 
+	/** Which signals of an endpoint other hosts have to know: a backoff period is between it and this host. */
+	readonly #announce: Readonly<Record<SignalChange['signal'], (endpoint: string) => void>> = {
+		limit: endpoint => {
+			this.#listener.onLimit(endpoint);
+		},
+		drain: endpoint => {
+			this.#listener.onDrain(endpoint);
+		},
+		backoff: ignore,
+	};
+
 	readonly #uses = new Map<string, EndpointUse>();
 	readonly #queues = new Map<string, ReadingQueue>();
 	readonly #peerUse = new PeerUse();
@@ -216,7 +232,7 @@
 			log('signalMalformed', {endpoint: endpoint.id, service: endpoint.service, header});
 		}
 
-		this.#noteSignalChanges(endpoint.id, this.signals.note(endpoint.id, statement, clock.now()), 'own');
+		this.#noteSignalChanges(endpoint.id, this.signals.note(endpoint.id, statement, clock.now()), ownSource);
 	}
 
 	/** Takes over rate limits from another host. */
@@ -228,6 +244,18 @@
 		}
 	}
 
+	/** Takes over drain notices from another host. */
+	receiveDrains(endpoints: readonly string[], from: string): void {
+		for (const endpoint of endpoints) {
+			this.#noteSignalChanges(endpoint, this.signals.mergeDrain(endpoint), from);
+		}
+	}
+
+	/** Endpoints that drain and that the directory still lists. */
+	listDraining(): string[] {
+		return this.signals.listDraining().filter(id => this.book.isKnown(id));
+	}
+
 	/** Shortest time until an endpoint of a service may get a request, in milliseconds; undefined: one may now, or there is none. */
 	shortestWaitMs(service: string, stage: Endpoint['stage']): number | undefined {
 		const now = this.#context.clock.now();
@@ -254,9 +282,9 @@
 			log('endpointSignal', {
 				endpoint, signal, change, value, source,
 			});
-			metrics.add('signals', {signal, change, source: source === 'own' ? 'own' : 'peer'});
-			if (signal === 'limit' && source === 'own') {
-				this.#listener.onLimit(endpoint);
+			metrics.add('signals', {signal, change, source: source === ownSource ? ownSource : 'peer'});
+			if (source === ownSource) {
+				this.#announce[signal](endpoint);
 			}
 		}
 	}
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -28,12 +28,15 @@
 export const rateLimit = z.object({endpoint: z.string().max(longestId), perS: z.number().nonnegative().optional(), ageMs: z.number().nonnegative()});
 const rateLimits = z.array(rateLimit).max(2000);
 
+/** Endpoints that have announced in a response that they drain. */
+const drainingEndpoints = z.array(z.string().max(longestId)).max(2000);
+
 /** Every message, by kind. */
 export const relayMessage = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('hello'), from: owner, record: memberRecord}),
 	z.object({kind: z.literal('doubt'), record: memberRecord}),
 	z.object({
-		kind: z.literal('heartbeat'), isAnswer: z.boolean(), news: z.array(memberRecord).max(10_000), clock: z.string(), routingVersion: z.number(), directoryRevision: z.number(), directoryEpoch: position.shape.epoch, departures, pauses: z.array(pause).max(1000), heldContents: z.array(crashReport).max(64).default([]),
+		kind: z.literal('heartbeat'), isAnswer: z.boolean(), news: z.array(memberRecord).max(10_000), clock: z.string(), routingVersion: z.number(), directoryRevision: z.number(), directoryEpoch: position.shape.epoch, departures, pauses: z.array(pause).max(1000), heldContents: z.array(crashReport).max(64).default([]), draining: drainingEndpoints.default([]),
 	}),
 	/** Asks for the configuration in force, where it is newer, and the endpoints written after a position; revision -1: all. */
 	z.object({
@@ -44,6 +47,8 @@
 		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, ageMs: z.number().nonnegative().default(0), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
+	/** Drain notices that the sender has just received; sent to all hosts, and with heartbeats for those that miss it. */
+	z.object({kind: z.literal('draining'), endpoints: drainingEndpoints}),
 	/** What is news about contents under which endpoints end; said to all. */
 	z.object({kind: z.literal('crashes'), reports: z.array(crashReport).max(64)}),
 	/** A prompt of so many tokens goes to an endpoint now; said to the hosts that share it. */
