Fix: an endpoint that asks for backoff gets nothing until its period is over

Callers lost some milliseconds to each refusal, and the endpoint in need got up to nine requests of one host in the 3 s in which it wanted none.

Cause: Retry-After of an endpoint was not read; a refusal counted as a full endpoint for 90 ms and as a tenth of a failure. Ruled out: a period that is known and not asked for on some path (none was known).

Now the period counts from the response on, for this host, and is asked right before the first byte of every attempt leaves; overlapping periods extend each other. Behind it the endpoint's share of requests rises over a second.

--- a/packages/policy/src/relay/come-back.test.ts
+++ b/packages/policy/src/relay/come-back.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {type Random} from '../utils/random.js';
-import {comeBackAfter} from './come-back.js';
+import {comeBackAfter, comeBackBehind} from './come-back.js';
 
 const middle: Random = {next: () => 0.5};
 const lowest: Random = {next: () => 0};
@@ -39,3 +39,29 @@
 		});
 	}
 });
+
+const waitCases: readonly Case[] = [
+	{
+		name: 'at the instant itself at the earliest', wantedMs: 3000, leftMs: 14_000, random: lowest, afterMs: 3000,
+	},
+	{
+		name: 'spread over a second at the most', wantedMs: 3000, leftMs: 14_000, random: middle, afterMs: 3500,
+	},
+	{
+		name: 'spread over the wait where that is shorter', wantedMs: 200, leftMs: 14_000, random: middle, afterMs: 300,
+	},
+	{
+		name: 'within a third of the time left', wantedMs: 3000, leftMs: 3000, random: middle, afterMs: 990,
+	},
+	{
+		name: 'never at once', wantedMs: 1, leftMs: 3000, random: lowest, afterMs: 20,
+	},
+];
+
+describe('come back for an endpoint that takes requests again', () => {
+	for (const {name, wantedMs, leftMs, random, afterMs} of waitCases) {
+		it(name, () => {
+			expect(Math.round(comeBackBehind(wantedMs, leftMs, random))).toEqual(afterMs);
+		});
+	}
+});
--- a/packages/policy/src/relay/endpoint-signals.test.ts
+++ b/packages/policy/src/relay/endpoint-signals.test.ts
@@ -81,3 +81,60 @@
 		});
 	}
 });
+
+type DecisionCase = {
+	readonly name: string;
+	readonly signals: Partial<EndpointSignals>;
+	readonly permitsFrom?: number;
+	readonly at: number;
+	readonly waitMs: number;
+	readonly isBackingOff: boolean;
+	readonly rampShare: number;
+};
+
+const decisionCases: readonly DecisionCase[] = [
+	{
+		name: 'no signal', signals: {}, at: 100, waitMs: 0, isBackingOff: false, rampShare: 1,
+	},
+	{
+		name: 'within a backoff period', signals: {backoffMs: 3000}, at: 1000, waitMs: 2000, isBackingOff: true, rampShare: 0,
+	},
+	{
+		name: 'a quarter of a second behind it', signals: {backoffMs: 3000}, at: 3250, waitMs: 0, isBackingOff: false, rampShare: 0.25,
+	},
+	{
+		name: 'long behind it', signals: {backoffMs: 3000}, at: 9000, waitMs: 0, isBackingOff: false, rampShare: 1,
+	},
+	{
+		name: 'a limit with permits left', signals: {limitPerS: 5}, at: 100, waitMs: 0, isBackingOff: false, rampShare: 1,
+	},
+	{
+		name: 'a limit without permits for a while', signals: {limitPerS: 5}, permitsFrom: 500, at: 100, waitMs: 400, isBackingOff: false, rampShare: 1,
+	},
+	{
+		name: 'a limit without permits, and a longer backoff', signals: {limitPerS: 5, backoffMs: 900}, permitsFrom: 500, at: 100, waitMs: 800, isBackingOff: true, rampShare: 0,
+	},
+];
+
+describe('decisions on signals', () => {
+	for (const {name, signals, permitsFrom, at, waitMs, isBackingOff, rampShare} of decisionCases) {
+		it(name, () => {
+			const book = new SignalBook();
+			book.note('e', {signals: {...none, ...signals}, sentAt: -1, isComplete: true}, 0);
+			if (permitsFrom !== undefined) {
+				book.notePermitsFrom('e', permitsFrom);
+			}
+
+			expect([book.waitMs('e', at), book.isBackingOff('e', at), book.rampShare('e', at)]).toEqual([waitMs, isBackingOff, rampShare]);
+		});
+	}
+
+	it('of two statements of a limit the later one counts, whichever host received it', () => {
+		const book = new SignalBook();
+		book.note('e', {signals: {...none, limitPerS: 5}, sentAt: 90, isComplete: true}, 100);
+		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 80}, 150)).toEqual([]);
+		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 20}, 150)).toEqual([{signal: 'limit', change: 'changed', value: 9}]);
+		expect(book.mergeLimit({endpoint: 'e', ageMs: 0}, 200)).toEqual([{signal: 'limit', change: 'ended', value: 9}]);
+		expect(book.limitOf('e')).toEqual(undefined);
+	});
+});
--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -39,6 +39,9 @@
 /** Endpoints with signals that are remembered; beyond that the one that changed longest ago is forgotten. */
 const mostEndpoints = 2000;
 
+/** Time in which an endpoint comes back to its usual requests behind a backoff period, in milliseconds. */
+const rampMs = 1000;
+
 type SignalRecord = {
 	/** The last statement of a limit; without `perS` it stated that there is none. */
 	limit: {readonly perS: number | undefined; readonly at: number} | undefined;
@@ -131,7 +134,30 @@
 	/** Time until an endpoint may get a request from this host, in milliseconds; 0: now. */
 	waitMs(endpoint: string, now: number): number {
 		const record = this.#records.get(endpoint);
-		return record?.limit?.perS === undefined ? 0 : Math.max(0, record.permitsFrom - now);
+		if (record === undefined) {
+			return 0;
+		}
+
+		const permitsFrom = record.limit?.perS === undefined ? now : record.permitsFrom;
+		return Math.max(0, record.backoffUntil - now, permitsFrom - now);
+	}
+
+	/** Endpoints that want nothing from this host now, and for how long, in milliseconds. */
+	listBackoffs(now: number): Array<{readonly endpoint: string; readonly leftMs: number}> {
+		return [...this.#records.entries()]
+			.map(([endpoint, {backoffUntil}]) => ({endpoint, leftMs: backoffUntil - now}))
+			.filter(({leftMs}) => leftMs > 0);
+	}
+
+	/** Whether an endpoint wants nothing from this host now. */
+	isBackingOff(endpoint: string, now: number): boolean {
+		return now < (this.#records.get(endpoint)?.backoffUntil ?? now);
+	}
+
+	/** Part of its usual requests that an endpoint gets, from 0 to 1: it rises behind a backoff period. */
+	rampShare(endpoint: string, now: number): number {
+		const elapsedMs = now - (this.#records.get(endpoint)?.backoffUntil ?? Number.NEGATIVE_INFINITY);
+		return Math.min(1, Math.max(0, elapsedMs / rampMs));
 	}
 
 	/** An endpoint is gone, and its limit with it. */
--- a/packages/policy/src/relay/placement.ts
+++ b/packages/policy/src/relay/placement.ts
@@ -21,6 +21,8 @@
 	readonly isOfOtherSubset: boolean;
 	/** It takes few requests a second, and had one a moment ago. */
 	readonly isLimited: boolean;
+	/** It comes back from a backoff period, and this request is not for it yet. */
+	readonly isRamping: boolean;
 };
 
 /** How endpoints are weighed, each in units of a whole endpoint's load. */
@@ -42,11 +44,13 @@
 const full = 10;
 /** A rate-limited endpoint: each request there needs a permit, so others go first until they are half loaded. */
 const limited = 0.5;
+/** An endpoint whose load would be the least for a moment, since it had none for a while. */
+const ramping = 1;
 
 /** Candidates in the order to try them; those set aside come last. */
 export function orderEndpoints(candidates: readonly Endpoint[], standingOf: (endpoint: Endpoint) => Standing, hall: string, weights: PlacementWeights, random: Random): Endpoint[] {
 	const weighed = candidates.map(endpoint => {
-		const {load, isUsable, badness, hasConnection, isFull, isOfOtherSubset, isLimited} = standingOf(endpoint);
+		const {load, isUsable, badness, hasConnection, isFull, isOfOtherSubset, isLimited, isRamping} = standingOf(endpoint);
 		const cost = load
 			+ (endpoint.hall === hall ? 0 : weights.farHall)
 			+ (hasConnection ? 0 : weights.newConnection)
@@ -54,6 +58,7 @@
 			+ (isOfOtherSubset ? weights.otherSubset : 0)
 			+ (weights.noise * random.next())
 			+ (isLimited ? limited : 0)
+			+ (isRamping ? ramping : 0)
 			+ (isFull ? full : 0)
 			+ (isUsable ? 0 : unusable);
 		return {endpoint, cost};
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -244,7 +244,11 @@
 		metrics.set('waiting', this.#work.admission.waiting);
 		metrics.set('hosts', this.fleet.countHosts());
 		metrics.set('retryLeft', this.#work.budgets.leastLeft());
-		metrics.set('limitedEndpoints', this.endpoints.signals.listLimits(this.context.clock.now()).filter(({perS}) => perS !== undefined).length);
+		const {signals} = this.endpoints;
+		const now = this.context.clock.now();
+		metrics.set('limitedEndpoints', signals.listLimits(now).filter(({perS}) => perS !== undefined).length);
+		metrics.set('drainingEndpoints', this.endpoints.listDraining().length);
+		metrics.set('backingOffEndpoints', signals.listBackoffs(now).length);
 		metrics.set('evidenceAge', this.routing.ageMs());
 		const {table} = this.routing;
 		let ready = 0;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -318,6 +318,7 @@
 			isFull: this.isFull(endpoint.id, tokens),
 			isOfOtherSubset: !isNear(endpoint.id, near),
 			isLimited: this.signals.limitOf(endpoint.id) !== undefined && now - (use?.beganAt ?? Number.NEGATIVE_INFINITY) < limitProbeMs,
+			isRamping: this.#context.random.next() >= this.signals.rampShare(endpoint.id, now),
 		};
 	}
 
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -137,8 +137,10 @@
 
 	/** Asked with the connection ready: from here on the request may run. */
 	#mayLeave({job, step, endpoint}: Send): boolean {
+		const {book, signals} = this.#endpoints;
+		const isOpen = book.isReady(endpoint.id) && !signals.isBackingOff(endpoint.id, this.#context.clock.now());
 		// The content may have become known as one that ends endpoints since it was let in
-		if (!this.#endpoints.book.isReady(endpoint.id) || !this.#guard.mayRun(job)) {
+		if (!isOpen || !this.#guard.mayRun(job)) {
 			return false;
 		}
 
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -51,6 +51,8 @@
 	directory: {name: 'gatehead_directory_up', help: '1 while the directory answers.'},
 	evidenceAge: {name: 'gatehead_evidence_age_ms', help: 'How long ago the configuration was known to be the newest; -1: never.'},
 	limitedEndpoints: {name: 'gatehead_endpoints_limited', help: 'Endpoints with a rate limit in force.'},
+	drainingEndpoints: {name: 'gatehead_endpoints_draining', help: 'Endpoints listed by the directory that have announced their drain in a response.'},
+	backingOffEndpoints: {name: 'gatehead_endpoints_backing_off', help: 'Endpoints that asked this host for backoff and get nothing from it now.'},
 	heldContents: {name: 'gatehead_held_contents', help: 'Contents of requests that are refused because endpoints ended as they ran them.'},
 	retryLeft: {name: 'gatehead_retry_budget_left', help: 'Second sends left to this host, least of all services.'},
 } as const satisfies Record<string, {readonly name: string; readonly help: string}>;
--- a/packages/standin/src/wire/endpoint-backoff.test.ts
+++ b/packages/standin/src/wire/endpoint-backoff.test.ts
@@ -5,6 +5,11 @@
  * Seen: an endpoint answered 503 with a `Retry-After` of 3 s, and received 4
  * and 9 requests from the same host in that time, where two are allowed from
  * half a second after the response to the end of the period.
+ *
+ * Cause: `Retry-After` of an endpoint was not read. A refusal counted as a full
+ * endpoint for 90 ms and as a tenth of a failure, so that the idle endpoint
+ * soon looked best again. Evidence: gaps between sends did not depend on the
+ * period, and no host ever ejected the endpoint.
  */
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
