--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -12,7 +12,7 @@
 import {type HostStatus} from '@gatehead/schema/admin-protocol';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
 import {type Event} from '@gatehead/schema/event';
-import {findRelayDisagreements} from './relay-status.js';
+import {findRelayDisagreements, listSignals} from './relay-status.js';
 import {findDisagreements, addUsage} from './status.js';
 import {drawTimeline} from './timeline-page.js';
 import {mergeEvents} from './timeline.js';
@@ -171,7 +171,7 @@
 
 function relayOf(name: string, change: Partial<RelayStatus> = {}): RelayStatus {
 	return {
-		host: name, incarnation: 1, hall: 'a', isReady: true, routingVersion: 7, directoryRevision: 40, isDirectoryDown: false, open: 0, waiting: 0, retryLeft: 3, subset: {own: 0, count: 1}, members: [], services: [{service: 'm', ready: 2, paused: 0}], ...change,
+		host: name, incarnation: 1, hall: 'a', isReady: true, routingVersion: 7, directoryRevision: 40, isDirectoryDown: false, open: 0, waiting: 0, retryLeft: 3, subset: {own: 0, count: 1}, members: [], services: [{service: 'm', ready: 2, paused: 0}], signals: [], ...change,
 	};
 }
 
@@ -184,6 +184,21 @@
 ];
 
 describe('status of relays', () => {
+	it('lists the signals of endpoints with their sources', () => {
+		const signals = [
+			{
+				endpoint: 'e2', signal: 'backoff', leftMs: 1250, source: 'own',
+			},
+			{
+				endpoint: 'e1', signal: 'limit', value: 5.4, source: 'b',
+			},
+		] as const;
+		expect(listSignals([{host: 'a', ok: true, answer: relayOf('a', {signals: [...signals]})}])).toEqual([
+			['e1', 'limit', '5.4/s', '', 'b', 'a'],
+			['e2', 'backoff', '', '1.3 s', 'own', 'a'],
+		]);
+	});
+
 	for (const {name, relays, found} of relayDisagreements) {
 		it(`finds ${name}`, () => {
 			expect(findRelayDisagreements(relays.map(answer => ({host: answer.host, ok: true, answer})))).toEqual([...found]);
--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -2,8 +2,11 @@
 import {relayStatus, type RelayStatus} from '@gatehead/schema/relay-status';
 import {type FleetFile} from '../utils/files.js';
 import {askFleet, type Answered} from '../utils/fleet.js';
+import {print, printTable} from '../utils/output.js';
 import {findMemberDisagreements, findSilent, showSideBySide} from './side-by-side.js';
 
+const millisecondsPerSecond = 1000;
+
 /** Finds what relays disagree about, in words. */
 export function findRelayDisagreements(answers: ReadonlyArray<Answered<RelayStatus>>): string[] {
 	const known = answers.flatMap(each => (each.ok ? [each.answer] : []));
@@ -50,10 +53,25 @@
 	];
 }
 
-/** Prints all relays; exit code 1 where they disagree. */
+/** Signals of endpoints in force, by host. */
+export function listSignals(answers: ReadonlyArray<Answered<RelayStatus>>): string[][] {
+	const known = answers.flatMap(each => (each.ok ? [each.answer] : []));
+	return known.flatMap(({host, signals}) => signals.map(({endpoint, signal, value, leftMs, source}) => [
+		endpoint, signal, value === undefined ? '' : `${value}/s`, leftMs === undefined ? '' : `${(leftMs / millisecondsPerSecond).toFixed(1)} s`, source, host,
+	])).toSorted((left, right) => (left.join(' ') < right.join(' ') ? -1 : 1));
+}
+
+/** Prints all relays, and the signals of endpoints that they act on; exit code 1 where they disagree. */
 export async function showRelayStatus(fleet: FleetFile, isJson: boolean): Promise<number> {
 	const answers = await askFleet(fleet, '/status', data => relayStatus.parse(data));
-	return showSideBySide({
+	const exitCode = showSideBySide({
 		answers, disagreements: findRelayDisagreements(answers), headings: ['host', 'hall', 'ready', 'version', 'revision', 'open', 'retries left', 'subset', 'members', 'endpoints'], rowOf,
 	}, isJson);
+	const signals = listSignals(answers);
+	if (!isJson && signals.length > 0) {
+		print('');
+		printTable(['endpoint', 'signal', 'limit', 'left', 'received by', 'at'], signals);
+	}
+
+	return exitCode;
 }
--- a/packages/policy/src/relay/endpoint-signals.test.ts
+++ b/packages/policy/src/relay/endpoint-signals.test.ts
@@ -132,9 +132,29 @@
 	it('of two statements of a limit the later one counts, whichever host received it', () => {
 		const book = new SignalBook();
 		book.note('e', {signals: {...none, limitPerS: 5}, sentAt: 90, isComplete: true}, 100);
-		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 80}, 150)).toEqual([]);
-		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 20}, 150)).toEqual([{signal: 'limit', change: 'changed', value: 9}]);
-		expect(book.mergeLimit({endpoint: 'e', ageMs: 0}, 200)).toEqual([{signal: 'limit', change: 'ended', value: 9}]);
+		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 80}, 'b', 150)).toEqual([]);
+		expect(book.mergeLimit({endpoint: 'e', perS: 9, ageMs: 20}, 'b', 150)).toEqual([{signal: 'limit', change: 'changed', value: 9}]);
+		expect(book.mergeLimit({endpoint: 'e', ageMs: 0}, 'b', 200)).toEqual([{signal: 'limit', change: 'ended', value: 9}]);
 		expect(book.limitOf('e')).toEqual(undefined);
 	});
+
+	it('operators see each signal in force with its source and the time that is left', () => {
+		const book = new SignalBook();
+		book.note('e', {
+			signals: {
+				...none, limitPerS: 5, isDraining: true, backoffMs: 900,
+			}, sentAt: 0, isComplete: true,
+		}, 100);
+		book.mergeDrain('f', 'b');
+		expect(book.list(300)).toEqual([
+			{
+				endpoint: 'e', signal: 'limit', value: 5, source: 'own',
+			},
+			{endpoint: 'e', signal: 'drain', source: 'own'},
+			{
+				endpoint: 'e', signal: 'backoff', leftMs: 700, source: 'own',
+			},
+			{endpoint: 'f', signal: 'drain', source: 'b'},
+		]);
+	});
 });
--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -4,6 +4,7 @@
  * these signals are taken here.
  */
 import {type RateLimit} from '@gatehead/schema/relay-message';
+import {type SignalState} from '@gatehead/schema/relay-status';
 import {RecentMap} from '../utils/recent-map.js';
 
 /** What one response states. */
@@ -42,10 +43,14 @@
 /** Time in which an endpoint comes back to its usual requests behind a backoff period, in milliseconds. */
 const rampMs = 1000;
 
+/** The source of signals that this host received itself. */
+export const ownSource = 'own';
+
 type SignalRecord = {
 	/** The last statement of a limit; without `perS` it stated that there is none. */
-	limit: {readonly perS: number | undefined; readonly at: number} | undefined;
-	isDraining: boolean;
+	limit: {readonly perS: number | undefined; readonly at: number; readonly source: string} | undefined;
+	/** The host that received the drain notice; undefined: there is none. */
+	drainSource: string | undefined;
 	backoffUntil: number;
 	/** Until when no permit can be had. */
 	permitsFrom: number;
@@ -65,31 +70,31 @@
 		const record = this.#recordOf(endpoint);
 		return [
 			...this.#noteLimit(record, limitPerS, isComplete ? sentAt : Number.NEGATIVE_INFINITY, now),
-			...this.#noteDrain(record, isDraining),
+			...(isDraining ? noteDrain(record, ownSource) : []),
 			...this.#noteBackoff(record, backoffMs, now),
 		];
 	}
 
 	/** Merges a limit from another host; the later statement counts. */
-	mergeLimit({endpoint, perS, ageMs}: RateLimit, now: number): SignalChange[] {
+	mergeLimit({endpoint, perS, ageMs}: RateLimit, source: string, now: number): SignalChange[] {
 		const record = this.#recordOf(endpoint);
 		const at = now - ageMs;
-		return record.limit !== undefined && at <= record.limit.at ? [] : setLimit(record, perS, at);
+		return record.limit !== undefined && at <= record.limit.at ? [] : setLimit(record, {perS, at, source});
 	}
 
 	/** Merges a drain notice from another host. A notice stands until the endpoint starts anew, which gives it another id. */
-	mergeDrain(endpoint: string): SignalChange[] {
-		return this.#noteDrain(this.#recordOf(endpoint), true);
+	mergeDrain(endpoint: string, source: string): SignalChange[] {
+		return noteDrain(this.#recordOf(endpoint), source);
 	}
 
 	/** Whether an endpoint has announced that it drains. */
 	isDraining(endpoint: string): boolean {
-		return this.#records.get(endpoint)?.isDraining ?? false;
+		return this.#records.get(endpoint)?.drainSource !== undefined;
 	}
 
 	/** Endpoints that have announced that they drain. */
 	listDraining(): string[] {
-		return [...this.#records.entries()].filter(([, {isDraining}]) => isDraining).map(([endpoint]) => endpoint);
+		return [...this.#records.entries()].filter(([, {drainSource}]) => drainSource !== undefined).map(([endpoint]) => endpoint);
 	}
 
 	/** An endpoint's limit in requests a second; undefined: none is in force. */
@@ -142,11 +147,21 @@
 		return Math.max(0, record.backoffUntil - now, permitsFrom - now);
 	}
 
-	/** Endpoints that want nothing from this host now, and for how long, in milliseconds. */
-	listBackoffs(now: number): Array<{readonly endpoint: string; readonly leftMs: number}> {
-		return [...this.#records.entries()]
-			.map(([endpoint, {backoffUntil}]) => ({endpoint, leftMs: backoffUntil - now}))
-			.filter(({leftMs}) => leftMs > 0);
+	/** All signals in force, for operators. */
+	list(now: number): SignalState[] {
+		return [...this.#records.entries()].flatMap(([endpoint, {limit, drainSource, backoffUntil}]) => [
+			...(limit?.perS === undefined
+				? []
+				: [{
+					endpoint, signal: 'limit' as const, value: limit.perS, source: limit.source,
+				}]),
+			...(drainSource === undefined ? [] : [{endpoint, signal: 'drain' as const, source: drainSource}]),
+			...(backoffUntil > now
+				? [{
+					endpoint, signal: 'backoff' as const, leftMs: Math.round(backoffUntil - now), source: ownSource,
+				}]
+				: []),
+		]);
 	}
 
 	/** Whether an endpoint wants nothing from this host now. */
@@ -171,21 +186,12 @@
 	#noteLimit(record: SignalRecord, perS: number | undefined, sentAt: number, now: number): SignalChange[] {
 		const {limit} = record;
 		if (perS !== undefined) {
-			return setLimit(record, perS, now);
+			return setLimit(record, {perS, at: now, source: ownSource});
 		}
 
 		// A response to an earlier request may have overtaken the one that stated the limit
 		const isOutdated = limit === undefined || sentAt <= limit.at || now - limit.at < limitHoldMs;
-		return isOutdated || limit.perS === undefined ? [] : setLimit(record, undefined, now);
-	}
-
-	#noteDrain(record: SignalRecord, isDraining: boolean): SignalChange[] {
-		if (!isDraining || record.isDraining) {
-			return [];
-		}
-
-		record.isDraining = true;
-		return [{signal: 'drain', change: 'began'}];
+		return isOutdated || limit.perS === undefined ? [] : setLimit(record, {perS: undefined, at: now, source: ownSource});
 	}
 
 	#noteBackoff(record: SignalRecord, backoffMs: number | undefined, now: number): SignalChange[] {
@@ -202,7 +208,7 @@
 		let record = this.#records.get(endpoint);
 		if (record === undefined) {
 			record = {
-				limit: undefined, isDraining: false, backoffUntil: Number.NEGATIVE_INFINITY, permitsFrom: Number.NEGATIVE_INFINITY,
+				limit: undefined, drainSource: undefined, backoffUntil: Number.NEGATIVE_INFINITY, permitsFrom: Number.NEGATIVE_INFINITY,
 			};
 			this.#records.set(endpoint, record);
 		}
@@ -212,9 +218,10 @@
 }
 
 /** Sets a limit, and forgets when permits were to be had under another one. */
-function setLimit(record: SignalRecord, perS: number | undefined, at: number): SignalChange[] {
+function setLimit(record: SignalRecord, limit: NonNullable<SignalRecord['limit']>): SignalChange[] {
 	const before = record.limit?.perS;
-	record.limit = {perS, at};
+	const {perS} = limit;
+	record.limit = limit;
 	if (perS === before) {
 		return [];
 	}
@@ -226,3 +233,12 @@
 
 	return [{signal: 'limit', change: before === undefined ? 'began' : 'changed', value: perS}];
 }
+
+function noteDrain(record: SignalRecord, source: string): SignalChange[] {
+	if (record.drainSource !== undefined) {
+		return [];
+	}
+
+	record.drainSource = source;
+	return [{signal: 'drain', change: 'began'}];
+}
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -313,6 +313,7 @@
 			this.load.setMembers(this.membership.members.list());
 			this.#hosts.note(this.membership.members.list());
 			this.quotas.noteFleetChange();
+			this.limiter.noteFleetChange();
 		}
 	}
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -155,6 +155,7 @@
 			subset: this.fleet.load.subset,
 			members: this.fleet.membership.members.list().map(({host, state}) => ({host, state})),
 			services: this.#describeServices(),
+			signals: this.endpoints.signals.list(this.context.clock.now()),
 		};
 	}
 
@@ -230,12 +231,11 @@
 	}
 
 	#describeServices(): RelayStatus['services'] {
-		const {book, health} = this.endpoints;
-		const now = this.context.clock.now();
+		const {endpoints} = this;
 		const services = this.routing.table?.routing.services ?? [];
 		return services.map(({name}) => {
-			const ready = book.listReady(name);
-			return {service: name, ready: ready.length, paused: ready.filter(({id}) => !health.isUsable(id, now)).length};
+			const ready = endpoints.book.listReady(name);
+			return {service: name, ready: ready.length, paused: ready.filter(({id}) => !endpoints.isUsable(id)).length};
 		});
 	}
 
@@ -246,9 +246,9 @@
 		metrics.set('retryLeft', this.#work.budgets.leastLeft());
 		const {signals} = this.endpoints;
 		const now = this.context.clock.now();
-		metrics.set('limitedEndpoints', signals.listLimits(now).filter(({perS}) => perS !== undefined).length);
+		metrics.set('limitedEndpoints', signals.list(now).filter(({signal}) => signal === 'limit').length);
 		metrics.set('drainingEndpoints', this.endpoints.listDraining().length);
-		metrics.set('backingOffEndpoints', signals.listBackoffs(now).length);
+		metrics.set('backingOffEndpoints', signals.list(now).filter(({signal}) => signal === 'backoff').length);
 		metrics.set('evidenceAge', this.routing.ageMs());
 		const {table} = this.routing;
 		let ready = 0;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -5,7 +5,9 @@
  */
 import {EndpointBook} from '@gatehead/policy/relay/endpoint-book';
 import {type BookChange} from '@gatehead/policy/relay/endpoint-change';
-import {SignalBook, type SignalChange, type Statement} from '@gatehead/policy/relay/endpoint-signals';
+import {
+	ownSource, SignalBook, type SignalChange, type Statement,
+} from '@gatehead/policy/relay/endpoint-signals';
 import {EndpointHealth, type Outcome, type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {PeerUse} from '@gatehead/policy/relay/peer-use';
 import {orderEndpoints, type PlacementWeights, type Standing} from '@gatehead/policy/relay/placement';
@@ -31,9 +33,6 @@
 /** Time without a request after which a rate-limited endpoint is placed like any other, in milliseconds: its limit can only change with a response. */
 const limitProbeMs = 1000;
 
-/** The source of signals that this host received itself. */
-const ownSource = 'own';
-
 /** Who hands on a pause that follows from an order of this host's own. */
 export const ownOrder = 'order';
 
@@ -156,6 +155,12 @@
 		return orderEndpoints(candidates, endpoint => this.#standingOf(endpoint, {tokens, bearable, near}, now), hall, weighed, this.#context.random);
 	}
 
+	/** Whether an endpoint may get a request of this host now. */
+	isUsable(id: string): boolean {
+		const now = this.#context.clock.now();
+		return this.health.isUsable(id, now) && this.signals.waitMs(id, now) === 0;
+	}
+
 	/** Usable decode replicas of a service in this host's subset. */
 	countDecode(service: string): number {
 		const now = this.#context.clock.now();
@@ -239,7 +244,7 @@
 	receiveLimits(limits: readonly RateLimit[], from: string): void {
 		for (const limit of limits) {
 			if (this.book.isKnown(limit.endpoint)) {
-				this.#noteSignalChanges(limit.endpoint, this.signals.mergeLimit(limit, this.#context.clock.now()), from);
+				this.#noteSignalChanges(limit.endpoint, this.signals.mergeLimit(limit, from, this.#context.clock.now()), from);
 			}
 		}
 	}
@@ -247,7 +252,7 @@
 	/** Takes over drain notices from another host. */
 	receiveDrains(endpoints: readonly string[], from: string): void {
 		for (const endpoint of endpoints) {
-			this.#noteSignalChanges(endpoint, this.signals.mergeDrain(endpoint), from);
+			this.#noteSignalChanges(endpoint, this.signals.mergeDrain(endpoint, from), from);
 		}
 	}
 
--- a/packages/relay/src/upstream/rate-limiter.ts
+++ b/packages/relay/src/upstream/rate-limiter.ts
@@ -75,6 +75,9 @@
 	/** As another host: the version that it has. */
 	#known: Version | undefined;
 	#roundAt = Number.NEGATIVE_INFINITY;
+	/** Ranking hundreds of hosts for each request would cost more than the request. */
+	#granterHost: string | undefined;
+	#isGranterKnown = false;
 	#timer: Timer | undefined;
 
 	constructor(parts: RateLimiterParts) {
@@ -85,6 +88,11 @@
 		this.#questions = new Questions(clock);
 	}
 
+	/** Whether this host grants permits now. */
+	get isGranter(): boolean {
+		return this.#findGranter() === this.#parts.context.self.host;
+	}
+
 	/** Stops. */
 	close(): void {
 		this.#timer?.stop();
@@ -114,6 +122,11 @@
 		}
 	}
 
+	/** Hosts came, went, or were suspected. */
+	noteFleetChange(): void {
+		this.#isGranterKnown = false;
+	}
+
 	/** An endpoint is gone. */
 	forget(endpoint: string): void {
 		this.#desks.delete(endpoint);
@@ -189,7 +202,7 @@
 	/** The limits known here have changed; the granter distributes them at once. */
 	#noteLimits(): void {
 		this.#version += 1;
-		if (this.#findGranter() === this.#parts.context.self.host) {
+		if (this.isGranter) {
 			this.#openRound();
 		}
 	}
@@ -308,7 +321,7 @@
 
 	#openDueRound(): void {
 		const {context: {clock, self}} = this.#parts;
-		if (this.#findGranter() === self.host && clock.now() - this.#roundAt >= roundMs * 0.9) {
+		if (this.isGranter && clock.now() - this.#roundAt >= roundMs * 0.9) {
 			this.#openRound();
 		}
 	}
@@ -352,8 +365,14 @@
 	}
 
 	#findGranter(): string | undefined {
+		if (this.#isGranterKnown) {
+			return this.#granterHost;
+		}
+
 		const alive = this.#parts.listReachable().filter(({state}) => state === 'alive');
-		return rankFirst(granterMatter, alive.map(({host}) => host));
+		this.#granterHost = rankFirst(granterMatter, alive.map(({host}) => host));
+		this.#isGranterKnown = true;
+		return this.#granterHost;
 	}
 
 	#deskOf(endpoint: string): Desk {
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -106,11 +106,11 @@
 
 	/** Prefill replicas in the order to try them; one that fails is left out, since a decode replica can read the prompt. */
 	#candidates(hall: string): Endpoint[] {
-		const {endpoints, context: {clock}} = this.#parts;
+		const {endpoints} = this.#parts;
 		const ordered = endpoints.order(this.#job.service.name, {
 			stage: 'prefill', hall, weights, bearable: 0,
 		});
-		const usable = ordered.filter(({id}) => endpoints.health.isUsable(id, clock.now()));
+		const usable = ordered.filter(({id}) => endpoints.isUsable(id));
 		return usable.slice(0, mostPrefills);
 	}
 
--- a/packages/relay/src/work/room-search.ts
+++ b/packages/relay/src/work/room-search.ts
@@ -107,8 +107,7 @@
 
 	/** Leaves out replicas that fail, and those that had the request before, unless there are no others. */
 	#narrow(ordered: readonly Endpoint[], avoid: ReadonlySet<string>): readonly Endpoint[] {
-		const now = this.#context.clock.now();
-		const usable = ordered.filter(({id}) => this.#endpoints.health.isUsable(id, now));
+		const usable = ordered.filter(({id}) => this.#endpoints.isUsable(id));
 		const candidates = usable.length > 0 ? usable : ordered;
 		const fresh = candidates.filter(({id}) => !avoid.has(id));
 		return fresh.length > 0 ? fresh : candidates;
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -101,7 +101,7 @@
 				continue;
 			}
 
-			const isUsable = ({id}: Endpoint) => endpoints.health.isUsable(id, clock.now());
+			const isUsable = ({id}: Endpoint) => endpoints.isUsable(id);
 			const replicas = this.#underWay.apply(endpoints.book.listReady(name), clock.now());
 			for (const change of this.splitOf(name).choose(replicas, this.#pacesOf(name), isUsable)) {
 				this.#orderedAt.set(name, clock.now());
--- a/packages/schema/src/relay-status.ts
+++ b/packages/schema/src/relay-status.ts
@@ -2,6 +2,16 @@
 import {z} from 'zod';
 import {memberState} from './peer-message.js';
 
+/** A signal of an endpoint in force at one host: a limit in requests a second, a drain notice, or a backoff period; `source`: the host that received it, `own` for this one. */
+export const signalState = z.object({
+	endpoint: z.string(),
+	signal: z.enum(['limit', 'drain', 'backoff']),
+	value: z.number().optional(),
+	/** Rest of a backoff period, in milliseconds. */
+	leftMs: z.number().optional(),
+	source: z.string(),
+});
+
 /** A relay's view of itself, the others and the endpoints. */
 export const relayStatus = z.object({
 	host: z.string(),
@@ -25,7 +35,11 @@
 	members: z.array(z.object({host: z.string(), state: memberState})),
 	/** Endpoints that take new work, and those of them that are set aside. */
 	services: z.array(z.object({service: z.string(), ready: z.number(), paused: z.number()})),
+	/** Signals of endpoints in force. */
+	signals: z.array(signalState).default([]),
 });
 
+/** A signal of an endpoint in force. */
+export type SignalState = z.infer<typeof signalState>;
 /** A relay's view. */
 export type RelayStatus = z.infer<typeof relayStatus>;
