--- a/packages/policy/src/relay/news-pace.test.ts
+++ b/packages/policy/src/relay/gossip-budget.test.ts
@@ -1,7 +1,7 @@
 /** How often load is told. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {NewsPace} from './news-pace.js';
+import {GossipBudget} from './gossip-budget.js';
 
 type Case = {
 	readonly name: string;
@@ -32,7 +32,7 @@
 		name, sentAt, now, waitMs,
 	} of cases) {
 		it(name, () => {
-			const pace = new NewsPace(40, 0);
+			const pace = new GossipBudget(40, 0);
 			for (const at of sentAt) {
 				pace.spend(20, at);
 			}
--- a/packages/policy/src/relay/news-pace.ts
+++ b/packages/policy/src/relay/gossip-budget.ts
@@ -1,21 +1,21 @@
 /**
- * How often a host tells its peers of its load: at once as long as messages
- * are few, gathered together beyond that, so that the cost of telling is
- * bounded whatever the load. Efficiency only.
+ * A token bucket for load messages to peers: sent at once while they are few,
+ * batched beyond that, so that their cost is bounded at any load. Efficiency
+ * only.
  */
 
-/** Messages saved up for a burst, as seconds of the allowance: bursts of load last a few seconds. */
+/** Size of the bucket, in seconds of its rate: bursts of load last a few seconds. */
 const savedS = 3;
 const millisecondsPerSecond = 1000;
 
-/** The allowance of one host. */
-export class NewsPace {
+/** One host's budget. */
+export class GossipBudget {
 	readonly #perSecond: number;
-	/** Messages left, below zero once more were sent than saved up. */
+	/** Messages left; negative once the bucket is overdrawn. */
 	#left: number;
 	#at: number;
 
-	/** `perSecond`: messages that may be sent a second, one for each peer told. */
+	/** `perSecond`: messages that may be sent a second, one for each peer. */
 	constructor(perSecond: number, now: number) {
 		this.#perSecond = perSecond;
 		this.#left = savedS * perSecond;
--- a/packages/relay/src/peer/load-news.ts
+++ b/packages/relay/src/peer/load-news.ts
@@ -3,7 +3,7 @@
  * on their way, decode memory taken, requests that wait. In a large fleet
  * those are the hosts of one subset. Efficiency: news may be late or lost.
  */
-import {NewsPace} from '@gatehead/policy/relay/news-pace';
+import {GossipBudget} from '@gatehead/policy/relay/gossip-budget';
 import {
 	countSubsets, dealSubsets, wholeFleet, type Subset,
 } from '@gatehead/policy/relay/subsets';
@@ -36,7 +36,7 @@
 /** Tells the peers of this host's subset, and hears them. */
 export class LoadNews {
 	readonly #parts: LoadNewsParts;
-	readonly #pace: NewsPace;
+	readonly #budget: GossipBudget;
 	readonly #waiting = new WaitingCounts();
 	/** Said with the next message. */
 	#pending: RelayMessage[] = [];
@@ -54,7 +54,7 @@
 	constructor(parts: LoadNewsParts) {
 		const {clock, settings} = parts.context;
 		this.#parts = parts;
-		this.#pace = new NewsPace(settings.limits.loadMessages, clock.now());
+		this.#budget = new GossipBudget(settings.limits.loadMessages, clock.now());
 	}
 
 	/** The subset that this host belongs to. */
@@ -159,7 +159,7 @@
 	#schedule(delayMs: number): void {
 		const {clock} = this.#parts.context;
 		const now = clock.now();
-		const dueAt = now + Math.max(delayMs, this.#pace.waitMs(now));
+		const dueAt = now + Math.max(delayMs, this.#budget.waitMs(now));
 		if (this.#timer !== undefined && this.#dueAt <= dueAt) {
 			return;
 		}
@@ -193,6 +193,6 @@
 			}
 		}
 
-		this.#pace.spend(peers.length, this.#parts.context.clock.now());
+		this.#budget.spend(peers.length, this.#parts.context.clock.now());
 	}
 }
