--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -6,7 +6,7 @@
  * refused, at once where the queue ahead says so. Efficiency only.
  */
 import {type Random} from '../utils/random.js';
-import {comeBackAfter} from './come-back.js';
+import {retryAfter} from './retry-after.js';
 
 /** Part of the expected wait that must fit into what is left of the target: places come free at random, and half a second of waiting in vain costs a caller little against a timely answer lost. */
 const hopeShare = 0.6;
@@ -17,7 +17,7 @@
 /** Part of the requests waiting at other hosts that are supposed to go first: all hosts ask for the same places, and the larger part waits longer already. */
 const elsewhereShare = 0.7;
 /** Shortest and longest time after which a caller should come back, in milliseconds: a peak of load lasts several seconds, and who comes back within it is refused once more. */
-const leastComeBackMs = 4000;
+const leastRetryMs = 4000;
 /** The longest of these times, in milliseconds. */
 const mostComeBackMs = 4600;
 const millisecondsPerSecond = 1000;
@@ -117,7 +117,7 @@
 	/** When a refused caller should come back, in milliseconds from now: behind those that wait, and while it still heeds that. */
 	comeBackMs({deadlineAt}: Each, now: number, {elsewhere, releasesPerS}: Outlook, random: Random): number {
 		const drainMs = (this.size + elsewhere) * millisecondsPerSecond / releasesPerS;
-		return comeBackAfter(Math.min(mostComeBackMs, leastComeBackMs + drainMs), deadlineAt - now, random);
+		return retryAfter(Math.min(mostComeBackMs, leastRetryMs + drainMs), deadlineAt - now, random);
 	}
 }
 
--- a/packages/policy/src/relay/come-back.test.ts
+++ b/packages/policy/src/relay/retry-after.test.ts
@@ -1,8 +1,8 @@
-/** Catalogue: after how long a refused caller is asked back. */
+/** Catalogue: the time after which a rejected caller should retry. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {type Random} from '../utils/random.js';
-import {comeBackAfter, comeBackBehind} from './come-back.js';
+import {retryAfter, retryAfterWait} from './retry-after.js';
 
 const middle: Random = {next: () => 0.5};
 const lowest: Random = {next: () => 0};
@@ -17,7 +17,7 @@
 
 const cases: readonly Case[] = [
 	{
-		name: 'the wanted time where the caller heeds it', wantedMs: 3000, leftMs: 14_000, random: middle, afterMs: 3000,
+		name: 'the wanted time where the caller honours it', wantedMs: 3000, leftMs: 14_000, random: middle, afterMs: 3000,
 	},
 	{
 		name: 'callers do not return together', wantedMs: 3000, leftMs: 14_000, random: lowest, afterMs: 2700,
@@ -30,12 +30,12 @@
 	},
 ];
 
-describe('come back', () => {
+describe('retry after a rejection', () => {
 	for (const {
 		name, wantedMs, leftMs, random, afterMs,
 	} of cases) {
 		it(name, () => {
-			expect(Math.round(comeBackAfter(wantedMs, leftMs, random))).toEqual(afterMs);
+			expect(Math.round(retryAfter(wantedMs, leftMs, random))).toEqual(afterMs);
 		});
 	}
 });
@@ -58,10 +58,10 @@
 	},
 ];
 
-describe('come back for an endpoint that takes requests again', () => {
+describe('retry at an endpoint that takes requests again', () => {
 	for (const {name, wantedMs, leftMs, random, afterMs} of waitCases) {
 		it(name, () => {
-			expect(Math.round(comeBackBehind(wantedMs, leftMs, random))).toEqual(afterMs);
+			expect(Math.round(retryAfterWait(wantedMs, leftMs, random))).toEqual(afterMs);
 		});
 	}
 });
--- a/packages/relay/src/front/caller-front.ts
+++ b/packages/relay/src/front/caller-front.ts
@@ -8,7 +8,7 @@
 } from 'node:http';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {listenAt} from '@gatehead/host/utils/listen';
-import {comeBackAfter} from '@gatehead/policy/relay/come-back';
+import {retryAfter} from '@gatehead/policy/relay/retry-after';
 import {isDecidedByConfiguration} from '@gatehead/policy/relay/final-refusals';
 import {SecondTries} from '@gatehead/policy/relay/second-tries';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -218,7 +218,7 @@
 
 	/** When a caller may come back to a host without a configuration: its route, and so the route's own time, is not known. */
 	#notReadyMs({patienceMs}: Ask): number {
-		return comeBackAfter(notReadyMs, patienceMs ?? notReadyMs, this.#parts.context.random);
+		return retryAfter(notReadyMs, patienceMs ?? notReadyMs, this.#parts.context.random);
 	}
 
 	/** A caller that wants the rest of a stream has been here before, whatever its patience says. */
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -5,7 +5,7 @@
  * only.
  */
 import {type ReleaseRate} from '@gatehead/policy/relay/release-rate';
-import {comeBackBehind} from '@gatehead/policy/relay/come-back';
+import {retryAfterWait} from '@gatehead/policy/relay/retry-after';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {timeLeft} from './job.js';
@@ -102,7 +102,7 @@
 		const {context: {clock, random}, endpoints} = this.#parts;
 		const waitMs = isStarted ? undefined : endpoints.shortestWaitMs(job.service.name, 'decode');
 		const isLate = waitMs !== undefined && clock.now() + waitMs > job.arrivedAt + job.route.targetMs;
-		return isLate ? comeBackBehind(waitMs, timeLeft(job, clock.now()), random) : undefined;
+		return isLate ? retryAfterWait(waitMs, timeLeft(job, clock.now()), random) : undefined;
 	}
 
 	#schedule(): void {
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -4,7 +4,7 @@
  * to a second endpoint when the first fails or is slow, within the budget.
  */
 import {type IncomingMessage} from 'node:http';
-import {comeBackBehind} from '@gatehead/policy/relay/come-back';
+import {retryAfterWait} from '@gatehead/policy/relay/retry-after';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Mechanism} from '@gatehead/schema/relay-settings';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -248,7 +248,7 @@
 	#waitMs(): number | undefined {
 		const {endpoints, context: {clock, random}} = this.#parts;
 		const waitMs = endpoints.shortestWaitMs(this.#job.service.name, undefined);
-		return waitMs === undefined ? undefined : comeBackBehind(waitMs, timeLeft(this.#job, clock.now()), random);
+		return waitMs === undefined ? undefined : retryAfterWait(waitMs, timeLeft(this.#job, clock.now()), random);
 	}
 
 	#giveUp(endpoint?: Endpoint): JobEnd {
