--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -25,7 +25,7 @@
 import {Greetings} from './greetings.js';
 import {KnownHosts} from './known-hosts.js';
 import {LoadNews} from './load-news.js';
-import {ReadingDuty} from './reading-duty.js';
+import {WatcherFailover} from './watcher-failover.js';
 
 /** Pause before news of hosts is passed on, in milliseconds: news that come together go together. */
 const passOnMs = 100;
@@ -43,8 +43,8 @@
 	readonly load: LoadNews;
 	/** How fresh this host's list of keys is. */
 	readonly freshness: Freshness;
-	/** Whether this host reads the directory for others that cannot. */
-	readonly duty: ReadingDuty;
+	/** Whether this host watches the directory in place of watchers that cannot. */
+	readonly watcherFailover: WatcherFailover;
 	/** Quotas that all hosts share. */
 	readonly quotas: QuotaDesk;
 	/** Rate limits of endpoints, kept over all hosts. */
@@ -167,11 +167,11 @@
 		this.freshness = new Freshness({
 			...access, watch: parts.watch, listConfirmers: () => listConfirmers(this.membership.members.self, this.#listAlive()),
 		});
-		this.duty = new ReadingDuty({
+		this.watcherFailover = new WatcherFailover({
 			context,
 			listAlive: () => this.#listAlive(),
 			self: () => this.membership.members.self,
-			say: directory => {
+			announce: directory => {
 				this.membership.members.updateSelf({directory});
 				this.announce();
 			},
@@ -208,7 +208,7 @@
 			onChange: () => {
 				context.metrics.set('hosts', this.countHosts());
 				this.#noteChange();
-				this.duty.noteFleet();
+				this.watcherFailover.noteFleet();
 				this.#passOn();
 			},
 			onLateWake: () => {
@@ -232,7 +232,7 @@
 			|| isDirectoryReader(this.membership.members.self, alive)
 			|| isReaderSilent(new Set(this.membership.listSilent(standInMs)), alive)
 			|| this.membership.hearsNobody(standInMs)
-			|| this.duty.standsIn;
+			|| this.watcherFailover.isTakingOver;
 	}
 
 	/** Whether this host is the first of those that read and are answered: the one whose reads are short, so that silence is noticed. */
@@ -296,7 +296,7 @@
 	close(): void {
 		this.#greetings.stop();
 		this.#news.close();
-		this.duty.stop();
+		this.watcherFailover.stop();
 		this.load.close();
 		this.limiter.close();
 		this.#passTimer?.stop();
--- a/packages/relay/src/peer/news-path.test.ts
+++ b/packages/relay/src/peer/news-path.test.ts
@@ -360,7 +360,7 @@
 			isReader: () => fleet.isReader(),
 			isShortWatcher: () => fleet.isFirstReader(),
 			onRead(outcome) {
-				fleet.duty.noteRead(outcome);
+				fleet.watcherFailover.noteRead(outcome);
 			},
 			onNews() {
 				fleet.announce();
--- a/packages/relay/src/peer/reading-duty.test.ts
+++ b/packages/relay/src/peer/watcher-failover.test.ts
@@ -7,7 +7,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {expect} from 'earl';
 import {type ReadOutcome} from '../core/directory-watch.js';
-import {ReadingDuty} from './reading-duty.js';
+import {WatcherFailover} from './watcher-failover.js';
 
 const names = rank(readerMatter, Array.from({length: 20}, (_, index) => `host-${index}`));
 /** All hosts stand in one hall: the first three by rank read. */
@@ -76,11 +76,11 @@
 				host, hall: 'one', region: 'r', incarnation: 1, counter: 1, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0, directory: words.get(host),
 			});
 			let looked = 0;
-			const duty = new ReadingDuty({
+			const failover = new WatcherFailover({
 				context: {clock, log: ignore},
 				listAlive: () => alive.map(host => toRecord(host)),
 				self: () => toRecord(self),
-				say(directory) {
+				announce(directory) {
 					words.set(self, directory);
 				},
 				watch: () => ({
@@ -95,19 +95,19 @@
 					alive.splice(0, alive.length, self, ...names.filter(host => host !== self));
 					const higher = Array.from({length: 4000}, (_, index) => `new-${index}`);
 					alive.push(...rank(readerMatter, [...higher, self]).slice(0, readers));
-					duty.noteFleet();
+					failover.noteFleet();
 				} else if ('firstSays' in step) {
 					words.set(names[0] ?? '', step.firstSays);
-					duty.noteFleet();
+					failover.noteFleet();
 				} else if ('read' in step) {
-					duty.noteRead(step.read);
+					failover.noteRead(step.read);
 				} else {
 					clock.advance(step.wait);
 				}
 			}
 
-			expect({says: words.get(self), standsIn: duty.standsIn, looked}).toEqual({says, standsIn, looked: looks});
-			duty.stop();
+			expect({says: words.get(self), standsIn: failover.isTakingOver, looked}).toEqual({says, standsIn, looked: looks});
+			failover.stop();
 		});
 	}
 });
--- a/packages/relay/src/peer/reading-duty.ts
+++ b/packages/relay/src/peer/watcher-failover.ts
@@ -1,10 +1,9 @@
 /**
- * Whether this host reads the directory for others, beyond those that always
- * do. A reader that lives but is turned away keeps its task as far as
- * membership can tell, so it says so itself; the other readers then look at
- * once, and until somebody is answered more and more hosts read themselves.
- * Efficiency: what is believed rests on versions and positions, not on who
- * has read them.
+ * Failover of the directory watcher role. A watcher that is alive but gets
+ * only errors keeps its role as far as membership can tell, so it announces
+ * itself as unavailable. The other watchers then check their own watches at
+ * once, and more and more hosts take over until one succeeds. Efficiency:
+ * versions and positions decide what is adopted, not who has read it.
  */
 import {
 	isDirectoryReader, isSmallFleet, isSpareReader, standInAfterMs, viewReading,
@@ -14,37 +13,37 @@
 import {type RelayContext} from '../core/context.js';
 import {type DirectoryWatch, type ReadOutcome} from '../core/directory-watch.js';
 
-/** Time for which a host that was turned away as a stand-in does not try again, in milliseconds: a directory that is away for all is back within seconds, and its readers go on asking. */
+/** Time until a host that took over without success tries again, in milliseconds: a directory that rejects everybody is back within seconds, and its watchers keep retrying. */
 const againMs = 8000;
 
-/** What the duty works with. */
-export type ReadingDutyParts = {
+/** What failover works with. */
+export type WatcherFailoverParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log'>;
 	readonly listAlive: () => readonly MemberRecord[];
 	readonly self: () => MemberRecord;
-	/** Changes what this host says of the directory, and tells the neighbours at once. */
-	readonly say: (directory: MemberRecord['directory']) => void;
+	/** Publishes this host's state as a watcher to its neighbours. */
+	readonly announce: (directory: MemberRecord['directory']) => void;
 	readonly watch: () => Pick<DirectoryWatch, 'doubt' | 'wake'>;
 };
 
-/** One host's part in reading. */
-export class ReadingDuty {
-	readonly #parts: ReadingDutyParts;
-	#standsIn = false;
+/** One host's part in failover. */
+export class WatcherFailover {
+	readonly #parts: WatcherFailoverParts;
+	#isTakingOver = false;
 	#isDoubted = false;
 	#timer: Timer | undefined;
 	#triedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(parts: ReadingDutyParts) {
+	constructor(parts: WatcherFailoverParts) {
 		this.#parts = parts;
 	}
 
-	/** Whether this host reads in place of those that cannot. */
-	get standsIn(): boolean {
-		return this.#standsIn;
+	/** Whether this host watches in place of watchers that cannot. */
+	get isTakingOver(): boolean {
+		return this.#isTakingOver;
 	}
 
-	/** Takes note of what the hosts say now. */
+	/** Reacts to a change of any host's state. */
 	noteFleet(): void {
 		const {listAlive, self, watch} = this.#parts;
 		const alive = listAlive();
@@ -52,28 +51,28 @@
 		const hasBegun = view.isDoubted && !this.#isDoubted;
 		this.#isDoubted = view.isDoubted;
 		if (!view.isDoubted) {
-			this.#standDown();
+			this.#stepDown();
 			return;
 		}
 
 		const isReader = isDirectoryReader(self(), alive);
 		if (!isReader && self().directory === 'away') {
-			// Others read now: its word would go on asking for stand-ins, and no read of its own takes it back
-			this.#say(undefined);
+			// No longer a watcher, so no successful read would ever clear the flag
+			this.#announce(undefined);
 			return;
 		}
 
 		if (isReader) {
 			if (hasBegun && self().directory === undefined) {
-				// Its own watch may be as dead, and nothing else would show that for seconds
+				// The own watch may be half-open as well, which nothing else would show for seconds
 				watch().doubt();
 			}
 
 			return;
 		}
 
-		if (this.#standsIn && isSpareReader(self().host, view)) {
-			this.#standDown();
+		if (this.#isTakingOver && isSpareReader(self().host, view)) {
+			this.#stepDown();
 		}
 
 		if (view.answering.length === 0) {
@@ -81,7 +80,7 @@
 		}
 	}
 
-	/** Takes note of what a read of the directory came to. */
+	/** Reacts to the outcome of a read of the directory. */
 	noteRead(outcome: ReadOutcome): void {
 		const {listAlive, self} = this.#parts;
 		const alive = listAlive();
@@ -90,9 +89,9 @@
 			return;
 		}
 
-		if (this.#standsIn) {
-			this.#standsIn = outcome === 'answered';
-			this.#say(this.#standsIn ? 'answers' : undefined);
+		if (this.#isTakingOver) {
+			this.#isTakingOver = outcome === 'answered';
+			this.#announce(this.#isTakingOver ? 'answers' : undefined);
 		}
 	}
 
@@ -101,33 +100,33 @@
 		this.#timer?.stop();
 	}
 
-	/** What a host that always reads tells of it: nothing, unless it or another one is turned away. */
+	/** A watcher announces its state only while it or another watcher is unavailable. */
 	#noteOwnRead(outcome: ReadOutcome, alive: readonly MemberRecord[]): void {
 		if (outcome === 'away' && !isSmallFleet(alive)) {
-			this.#say('away');
+			this.#announce('away');
 		}
 
 		if (outcome === 'answered') {
 			const {host} = this.#parts.self();
 			const {isDoubted} = viewReading(alive.filter(each => each.host !== host));
-			this.#say(isDoubted ? 'answers' : undefined);
+			this.#announce(isDoubted ? 'answers' : undefined);
 		}
 	}
 
 	#plan(alive: readonly MemberRecord[]): void {
 		const {context: {clock}, self} = this.#parts;
-		if (this.#standsIn || this.#timer !== undefined) {
+		if (this.#isTakingOver || this.#timer !== undefined) {
 			return;
 		}
 
-		const restMs = Math.max(0, this.#triedAt + againMs - clock.now());
-		this.#timer = clock.after(restMs + standInAfterMs(self(), alive), () => {
+		const backoffMs = Math.max(0, this.#triedAt + againMs - clock.now());
+		this.#timer = clock.after(backoffMs + standInAfterMs(self(), alive), () => {
 			this.#timer = undefined;
-			this.#standIn();
+			this.#takeOver();
 		});
 	}
 
-	#standIn(): void {
+	#takeOver(): void {
 		const {context: {clock, log}, listAlive, self, watch} = this.#parts;
 		const alive = listAlive();
 		const {isDoubted, answering} = viewReading(alive);
@@ -136,25 +135,25 @@
 		}
 
 		this.#triedAt = clock.now();
-		this.#standsIn = true;
+		this.#isTakingOver = true;
 		log('readerStandsIn', {detail: 'the hosts that read the directory are turned away'});
-		// The first read only asks; its outcome comes back to `noteRead`
+		// The outcome of the first read arrives at `noteRead`
 		watch().doubt();
 		watch().wake();
 	}
 
-	#standDown(): void {
+	#stepDown(): void {
 		this.#timer?.stop();
 		this.#timer = undefined;
-		this.#standsIn = false;
+		this.#isTakingOver = false;
 		if (this.#parts.self().directory === 'answers') {
-			this.#say(undefined);
+			this.#announce(undefined);
 		}
 	}
 
-	#say(directory: MemberRecord['directory']): void {
+	#announce(directory: MemberRecord['directory']): void {
 		if (this.#parts.self().directory !== directory) {
-			this.#parts.say(directory);
+			this.#parts.announce(directory);
 		}
 	}
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -92,7 +92,7 @@
 			isReader: () => this.fleet.isReader(),
 			isShortWatcher: () => this.fleet.isFirstReader(),
 			onRead: outcome => {
-				this.fleet.duty.noteRead(outcome);
+				this.fleet.watcherFailover.noteRead(outcome);
 			},
 			onNews: () => {
 				this.fleet.announce();
