Fix: bound the rounds of a granter whose endpoints change their limits often

At 300 hosts a round costs 600 messages; limits that differ in each response would have brought ten rounds a second.

--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -37,7 +37,7 @@
 
 /** Time without any statement of a limit after which one response without it ends the limit, in milliseconds. Longer than responses overtake each other. */
 const limitHoldMs = 1000;
-/** Endpoints with signals that are remembered; beyond that the one that changed longest ago is forgotten. */
+/** Endpoints with signals that are remembered; beyond that the oldest is forgotten. */
 const mostEndpoints = 2000;
 
 /** Time in which an endpoint comes back to its usual requests behind a backoff period, in milliseconds. */
--- a/packages/relay/src/upstream/rate-limiter.ts
+++ b/packages/relay/src/upstream/rate-limiter.ts
@@ -18,8 +18,9 @@
 
 /** Interval of the rounds in which shares are asked for, in milliseconds: a share outlives two lost rounds. */
 const roundMs = 1000;
-/** Least time between two rounds, in milliseconds. */
+/** Least time between two rounds, in milliseconds, and for each host: endpoints that state another limit with each response must not cost the granter more than a core's tenth. */
 const leastRoundMs = 100;
+const leastRoundMsPerHost = 2;
 /** Time that the granter gets to answer, in milliseconds. */
 const answerMs = 120;
 /** Time after which to ask again where no granter answers, in milliseconds. */
@@ -329,14 +330,14 @@
 	#openRound(): void {
 		const {context: {clock, self}, signals, listReachable, countKnown, send} = this.#parts;
 		const now = clock.now();
-		if (now - this.#roundAt < leastRoundMs) {
+		const hosts = countKnown();
+		if (now - this.#roundAt < Math.max(leastRoundMs, leastRoundMsPerHost * hosts)) {
 			// The timer's next round brings the rest
 			return;
 		}
 
 		this.#roundAt = now;
 		const round = this.#granter.openRound(now);
-		const hosts = countKnown();
 		const limits = signals.listLimits(now);
 		if (this.#mayLend() && this.#share.lend(self, now)) {
 			this.#granter.receive(self.host, round, this.#shareOf(hosts), now);
