Fix: a garbled response does not end an endpoint's rate limit

Only a response that names the request it answers shows by a missing header that a limit has ended. Found by reading the diff, not seen in a run.

--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -31,7 +31,7 @@
 export type Statement = {
 	readonly signals: EndpointSignals;
 	readonly sentAt: number;
-	/** Whether a missing limit means that there is none: true for responses to requests, not for calls of the relay's own. */
+	/** Whether a missing limit means that there is none: true for responses that name the request, not for calls of the relay's own. */
 	readonly isComplete: boolean;
 };
 
--- a/packages/relay/src/upstream/rate-limiter.ts
+++ b/packages/relay/src/upstream/rate-limiter.ts
@@ -5,7 +5,7 @@
  * in force no message is sent.
  */
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
-import {type SignalBook, type SignalChange} from '@gatehead/policy/relay/endpoint-signals';
+import {type SignalBook} from '@gatehead/policy/relay/endpoint-signals';
 import {RateGranter, type RateGrant} from '@gatehead/policy/relay/rate-granter';
 import {RatePermits, unlimited, type Permit} from '@gatehead/policy/relay/rate-permits';
 import {RateShare} from '@gatehead/policy/relay/rate-share';
@@ -18,7 +18,7 @@
 
 /** Interval of the rounds in which shares are asked for, in milliseconds: a share outlives two lost rounds. */
 const roundMs = 1000;
-/** Least time between two rounds, in milliseconds, and for each host: endpoints that state another limit with each response must not cost the granter more than a core's tenth. */
+/** Least time between two rounds, in milliseconds, and the same for each host: bounds the granter's messages where endpoints state another limit with each response. */
 const leastRoundMs = 100;
 const leastRoundMsPerHost = 2;
 /** Time that the granter gets to answer, in milliseconds. */
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -173,7 +173,8 @@
 
 		const isForeign = facts.id !== undefined && facts.id !== job.id;
 		if (!facts.isOther && !isForeign) {
-			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: true});
+			// A garbled response may lack any header, so only one that names the request shows that a limit has ended
+			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: facts.id === job.id});
 		}
 
 		if (facts.isNotRun || facts.isOther) {
