Add: signals of endpoints in the fault soak

Replicas announce rate limits, ask for backoff, and drain in responses alone before they start anew.

--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -19,6 +19,9 @@
 const longestFaultMs = 1500;
 const spread = 0.5;
 const calmMs = 4000;
+/** Highest limit that a replica announces, in requests a second, less one: below what the soak sends. */
+const mostLimitPerS = 9;
+const millisecondsPerSecond = 1000;
 const replicaFaults: readonly ReplicaFault[] = ['full', 'reset', 'silent', 'error', 'foreign', 'unmarked', 'cut', 'doubled', 'emptyPromise', 'unframedReset'];
 const storeFaults: readonly StoreFault[] = ['silent', 'busy', 'reset'];
 const proxyModes: readonly ProxyMode[] = ['delay', 'silence', 'dropAnswers'];
@@ -131,6 +134,27 @@
 		bed.version += 1;
 		bed.store.put('op/config', makeConfig(bed.version));
 	},
+	/** A replica announces a rate limit or asks for backoff in its responses, and stops to. */
+	async limitReplica({random, replicas}, lastsMs) {
+		const replica = pick(random, replicas);
+		if (replica !== undefined) {
+			replica.signals = random.next() < 0.5 ? {limitPerS: 1 + (random.next() * mostLimitPerS)} : {backoffS: lastsMs / millisecondsPerSecond};
+			await pause(lastsMs);
+			replica.signals = {};
+		}
+	},
+	/** A replica announces its drain in responses alone, and starts anew under its name. */
+	async drainUnlisted(bed, lastsMs) {
+		const index = Math.floor(bed.random.next() * bed.replicas.length);
+		const replica = bed.replicas[index];
+		if (replica !== undefined) {
+			replica.signals = {isLeaving: true};
+			await pause(lastsMs);
+			replica.signals = {};
+			replica.born = Date.now();
+			publish(bed, index, 'ready');
+		}
+	},
 };
 
 async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
