--- a/packages/host/src/peer/membership.ts
+++ b/packages/host/src/peer/membership.ts
@@ -37,7 +37,7 @@
 	/** Tells a host what is wrongly thought of it, so that it refutes that. */
 	doubt(host: string, record: MemberRecord): void;
 	hello(host: string): void;
-	/** Sees to it that what is said to a host next goes over a new connection. */
+	/** Closes the stream to a peer; the next message reconnects. */
 	renew(host: string): void;
 };
 
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -367,7 +367,7 @@
 		return [{endpoint: known.endpoint, change: 'gone'}, {endpoint, change: takesWork(endpoint) ? 'added' : 'leaving'}];
 	}
 
-	/** Whether an entry's endpoint gets new work: the directory says so, it has not announced its drain, and no host knows that it has left since. */
+	/** Whether an entry's endpoint gets new work: it is listed as ready, has not announced its drain, and no departure covers the entry. */
 	#takesWork({endpoint, position}: Entry): boolean {
 		return takesWork(endpoint) && !this.#isDraining(endpoint.id) && !this.#departures.covers(endpoint.id, position);
 	}
--- a/packages/policy/src/relay/endpoint-signals.ts
+++ b/packages/policy/src/relay/endpoint-signals.ts
@@ -40,7 +40,7 @@
 /** Endpoints with signals that are remembered; beyond that the oldest is forgotten. */
 const mostEndpoints = 2000;
 
-/** Time in which an endpoint comes back to its usual requests behind a backoff period, in milliseconds. */
+/** Length of the slow start after a backoff period, in milliseconds. */
 const rampMs = 1000;
 
 /** The source of signals that this host received itself. */
--- a/packages/standin/src/limits/main.ts
+++ b/packages/standin/src/limits/main.ts
@@ -9,7 +9,7 @@
 const sizes = [4, 16, 90, 300];
 const limits = [0.5, 5, 50];
 const designs: readonly FleetDesign[] = ['shares', 'equalParts', 'reachedParts'];
-/** Seeds that no constant was chosen by. */
+/** Seeds of the plays of one row. */
 const seeds = [101, 102, 103];
 const millisecondsPerSecond = 1000;
 
