Tests: a configuration that cannot be used must not come into force (fails)

Seen: seven kinds of configuration that have the platform's shape and make no sense are adopted: requests on the route get 404 1011 or 504 4009 until the next version. A host that cannot read the store adopts them from its peer as well.

--- /dev/null
+++ b/packages/standin/src/wire/unusable-configuration.test.ts
@@ -0,0 +1,83 @@
+/** A published configuration that cannot be used must neither come into force nor keep the next one from doing so, at hosts that read the directory and at hosts that hear of it from peers. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
+import {sendRequest} from './client.js';
+import {
+	makeConfig, startWorld, until, type RunningRelay, type World,
+} from './world.js';
+
+/** A route as the platform writes it, with fields that a test replaces. */
+type RouteDraft = Readonly<Record<string, unknown>>;
+
+type Case = {
+	readonly name: string;
+	/** Replaces fields of the route under test. */
+	readonly route: RouteDraft;
+};
+
+const cases: readonly Case[] = [
+	{name: 'a route to a service that is not declared', route: {service: 'missing'}},
+	{name: 'a split between a declared service and one that is not', route: {trafficSplit: [{service: 'plain', weight: 1}, {service: 'missing', weight: 1}]}},
+	{name: 'a split without services', route: {trafficSplit: []}},
+	{name: 'a split whose weights are all 0', route: {trafficSplit: [{service: 'plain', weight: 0}]}},
+	{name: 'a negative timeout', route: {timeoutMs: -1}},
+	{name: 'a timeout of 0', route: {timeoutMs: 0}},
+	{name: 'a priority that is no integer', route: {priority: 1.5}},
+];
+
+function makeDraft(version: number, fields: RouteDraft): unknown {
+	const config = makeConfig(version) as {readonly routes: readonly RouteDraft[]}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- made above
+	return {...config, routes: config.routes.map(route => route.name === 'once' ? {...route, ...fields} : route)};
+}
+
+async function askAll(relays: readonly RunningRelay[]): Promise<number[]> {
+	const answers = await Promise.all(relays.map(async ({caller, name}) => sendRequest({address: caller, id: `request-${name}`, path: '/once/1'})));
+	return answers.map(({status}) => status);
+}
+
+/** Waits until the hosts that read the directory have read all that it holds. */
+async function untilRead({store, relays}: World): Promise<void> {
+	const {revision} = store.copy();
+	await until(() => (relays[0]?.relay.describe().directoryRevision ?? 0) >= revision);
+}
+
+describe('a configuration that cannot be used', () => {
+	for (const {name, route} of cases) {
+		it(`${name}: the last one stays in force, and the next one follows`, async () => {
+			const paths: FaultyProxy[] = [];
+			const world = await startWorld({
+				hosts: 2, plain: 1, prefill: 1, decode: 1, slots: 8,
+				async storePath(store) {
+					const path = await startProxy(store);
+					paths.push(path);
+					return path.address;
+				},
+			});
+			const {store, relays, lines} = world;
+			try {
+				// The second host hears of configurations from the first
+				const last = paths.at(-1);
+				last?.reset();
+				last!.mode = 'silence';
+				store.put('op/config', makeDraft(2, route));
+				await untilRead(world);
+				const statuses = await askAll(relays);
+				const versions = relays.map(({relay}) => relay.routing.version);
+				store.put('op/config', makeConfig(3));
+				await until(() => relays.every(({relay}) => relay.routing.version === 3));
+				const refusals = lines.filter(({code}) => code === 'peerRefused').length;
+				expect({
+					versions, statuses, later: await askAll(relays), refusals,
+				}).toEqual({
+					versions: [1, 1], statuses: [200, 200], later: [200, 200], refusals: 0,
+				});
+			} finally {
+				await world.stop();
+				for (const path of paths) {
+					path.close();
+				}
+			}
+		});
+	}
+});
