Routing: a configuration on which routes could never be served stays out of force

Seen: a configuration with a route to a service that is not declared, with weights that are all 0 or with a timeout of 0 came into force. Requests on the route got 404 1011, a final refusal, or 504 4009. Cause: the shape was checked, not whether the parts fit each other. Ruled out: a check in the schema, since one bad configuration of a peer would then reject the whole message that carries it, and close the link.

--- a/packages/host/src/utils/log.ts
+++ b/packages/host/src/utils/log.ts
@@ -11,7 +11,7 @@
 export type Log = (code: Code, fields?: LogFields) => void;
 
 /** Codes logged as errors, which need an operator's attention. */
-const errorCodes = new Set<Code>(['bundleSignature', 'bundleConflict', 'bundleInvalid', 'orderFenced', 'peerRefused', 'internal']);
+const errorCodes = new Set<Code>(['bundleSignature', 'bundleConflict', 'bundleInvalid', 'orderFenced', 'peerRefused', 'routingRejected', 'internal']);
 const warningCodes = new Set<Code>(['bundleOlder', 'configurationDown', 'memberSuspect', 'memberDead', 'lateWake', 'endpointSuspect', 'orphanCancelled', 'endpointFault', 'directoryLost', 'endpointPaused', 'answerLost', 'timeoutSpent', 'streamBroken', 'attemptsSpent', 'overloaded', 'endpointsDown', 'linesLeftOut', 'directoryUnreadable', 'keysOutdatedSince', 'quotaKeeperSilent', 'directoryUnconfirmed', 'directoryRestored', 'sentToLeaving']);
 
 /** Log level of a code. */
--- a/packages/relay/src/core/routing-state.ts
+++ b/packages/relay/src/core/routing-state.ts
@@ -5,9 +5,13 @@
  * version.
  */
 import {RouteTable} from '@gatehead/policy/relay/route-table';
+import {findRoutingFaults} from '@gatehead/policy/relay/routing-faults';
 import {type Routing} from '@gatehead/schema/routing';
 import {type BaseContext} from './context.js';
 
+/** Maximum faults of a configuration in one log line. */
+const maxLoggedFaults = 5;
+
 /** Holds the active configuration. */
 export class RoutingState {
 	readonly #context: BaseContext;
@@ -15,8 +19,10 @@
 	#table: RouteTable | undefined;
 	/** Time on this process's monotonic clock; newer versions may have been published since. */
 	#confirmedAt = Number.NEGATIVE_INFINITY;
-	/** Whether a newer version was published that this host cannot parse. */
+	/** Whether a newer version was published that this host cannot use. */
 	#isBehind = false;
+	/** Latest version that was rejected; hosts and lists offer it again. */
+	#rejectedVersion = 0;
 
 	constructor(context: BaseContext, onAdopted: (routing: Routing) => void) {
 		this.#context = context;
@@ -33,7 +39,7 @@
 		return this.#table?.routing.version ?? 0;
 	}
 
-	/** Whether a newer version exists that this host cannot parse. */
+	/** Whether a newer version exists that this host cannot use. */
 	get isBehind(): boolean {
 		return this.#isBehind;
 	}
@@ -55,12 +61,12 @@
 		}
 	}
 
-	/** Records that a version was published that this host cannot parse. */
+	/** Records that a newer version was published that this host cannot use. */
 	markBehind(): void {
 		this.#isBehind = true;
 	}
 
-	/** Activates a configuration if it is newer. `ageMs`: time in milliseconds since it was read from the directory. */
+	/** Activates a configuration if it is newer and can be used. `ageMs`: time in milliseconds since it was read from the directory. */
 	offer(routing: Routing, source: string, ageMs = 0): void {
 		const {log, metrics} = this.#context;
 		if (routing.version <= this.version) {
@@ -71,6 +77,12 @@
 			return;
 		}
 
+		const faults = findRoutingFaults(routing);
+		if (faults.length > 0) {
+			this.#reject(routing, source, faults);
+			return;
+		}
+
 		const previous = this.version;
 		this.#table = new RouteTable(routing);
 		this.#isBehind = false;
@@ -81,4 +93,19 @@
 		});
 		this.#onAdopted(routing);
 	}
+
+	/** Keeps the active configuration. */
+	#reject({version}: Routing, source: string, faults: readonly string[]): void {
+		this.markBehind();
+		if (version <= this.#rejectedVersion) {
+			return;
+		}
+
+		this.#rejectedVersion = version;
+		const {log, metrics} = this.#context;
+		metrics.add('routingRejected');
+		log('routingRejected', {
+			offered: version, version: this.version, source, detail: faults.slice(0, maxLoggedFaults).join('; '), faults: faults.length,
+		});
+	}
 }
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -27,6 +27,7 @@
 	signalsMalformed: {name: 'gatehead_endpoint_signals_malformed_total', help: 'Headers of endpoints that could not be parsed, by header.', labels: ['header']},
 	directoryReads: {name: 'gatehead_directory_reads_total', help: 'Reads of the directory, by kind and outcome.', labels: ['read', 'outcome']},
 	directoryUnreadable: {name: 'gatehead_directory_unreadable_total', help: 'Items of the directory that could not be read, by what they were to say.', labels: ['item']},
+	routingRejected: {name: 'gatehead_routing_rejected_total', help: 'Published configurations that could not be used and did not come into force.', labels: []},
 	directoryRestores: {name: 'gatehead_directory_restores_total', help: 'Times that the directory was found to have come back from a copy, in a history of its own.', labels: []},
 	lookups: {name: 'gatehead_lookups_total', help: 'Lookups answered.', labels: []},
 	peerMessages: {name: 'gatehead_peer_messages_total', help: 'Messages sent to other hosts.', labels: []},
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -268,6 +268,9 @@
 	signalMalformed: {
 		number: 5042, status: 0, ran: 'no', advice: 'A header of an endpoint\'s response cannot be parsed and is ignored. The request itself is not affected.',
 	},
+	routingRejected: {
+		number: 5043, status: 0, ran: 'no', advice: 'A published configuration cannot be used and was left alone; the last one stays in force. Mend what the line names and publish a new version.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
