Tests: a configuration after several faults in a row, at 4 to 300 hosts

The incident's first two hypotheses, as tests: connections that die again while they are being replaced, one direction alone, and a host that is partitioned from its peers and then from the directory.

--- a/packages/relay/src/peer/config-propagation.test.ts
+++ b/packages/relay/src/peer/config-propagation.test.ts
@@ -111,6 +111,8 @@
 /** Network between the hosts. */
 class SimulatedNetwork {
 	readonly links = new Map<string, SimulatedLinks>();
+	/** Hosts that no message reaches or leaves. */
+	readonly partitioned = new Set<string>();
 	/** Number of messages sent so far, by kind. */
 	readonly counts = new Map<RelayMessage['kind'], number>();
 	readonly #clock: ManualClock;
@@ -128,7 +130,7 @@
 
 	deliver(connection: Connection, from: string, afterMs: number, arrive: () => void): void {
 		this.#clock.after(afterMs, () => {
-			if (!connection.droppedFrom.has(from)) {
+			if (!connection.droppedFrom.has(from) && !connection.ends.some(end => this.partitioned.has(end))) {
 				arrive();
 			}
 		});
@@ -299,7 +301,7 @@
 	}
 
 	/** Runs until a condition holds, at most `mostMs`; returns the elapsed time in milliseconds. */
-	async run(limitMs: number, isDone: () => boolean): Promise<number> {
+	readonly run = async (limitMs: number, isDone: () => boolean): Promise<number> => {
 		const startedAt = this.clock.now();
 		while (!isDone() && this.clock.now() - startedAt < limitMs) {
 			this.clock.advance(stepMs);
@@ -307,7 +309,7 @@
 		}
 
 		return this.clock.now() - startedAt;
-	}
+	};
 
 	/** Publishes a configuration; returns the time until it is active at all hosts, in milliseconds. */
 	async publish(): Promise<number> {
@@ -483,6 +485,70 @@
 	});
 });
 
+/** Several faults in a row; the last one strikes just before a configuration is published. */
+type FaultSeries = {
+	readonly name: string;
+	readonly inject: (fleet: SimulatedFleet) => Promise<void>;
+};
+
+const repeatedFaults = 6;
+/** Time between two faults of a series in milliseconds: connections that replace dead ones die while they are new. */
+const repeatMs = 600;
+/** Duration of each partition in milliseconds: longer than hosts take to suspect each other. */
+const partitionMs = 4000;
+/** Time after a partition until a host counts as reachable, in milliseconds. */
+const contactMs = 3000;
+
+/** Partitions the first host from its peers, then from the directory; it stays partitioned from the directory. */
+async function partitionInTurn({network, directory, hosts, run}: SimulatedFleet): Promise<void> {
+	const name = hosts[0]?.name ?? '';
+	network.partitioned.add(name);
+	await run(partitionMs, () => false);
+	directory.reject(name, 'silent');
+	network.partitioned.delete(name);
+	await run(contactMs, () => false);
+}
+
+const series: readonly FaultSeries[] = [
+	{
+		name: 'one direction of all connections dies, six times',
+		async inject(fleet) {
+			for (let count = 0; count < repeatedFaults; count += 1) {
+				fleet.network.dropTraffic(1, fleet.random, true);
+				fleet.directory.dropPendingCalls();
+				await fleet.run(count === repeatedFaults - 1 ? 0 : repeatMs, () => false);
+			}
+		},
+	},
+	{
+		name: 'all connections die in both directions, six times',
+		async inject(fleet) {
+			for (let count = 0; count < repeatedFaults; count += 1) {
+				fleet.network.dropTraffic(1, fleet.random);
+				fleet.directory.dropPendingCalls();
+				await fleet.run(count === repeatedFaults - 1 ? 0 : repeatMs, () => false);
+			}
+		},
+	},
+	{name: 'a host is partitioned from its peers, then from the directory', inject: partitionInTurn},
+];
+
+describe('propagation of a configuration after several faults in a row', () => {
+	for (const {name, inject} of series) {
+		for (const size of [4, 9, 30, 90, 300]) {
+			it(`${name}: ${size} hosts`, async () => {
+				const fleet = new SimulatedFleet(size, 1);
+				await fleet.start();
+				await inject(fleet);
+				const tookMs = await fleet.publish();
+				fleet.close();
+				console.log(`${name}, ${size} hosts: ${tookMs} ms`);
+				expect(tookMs <= maxPropagationMs(size)).toEqual(true);
+			});
+		}
+	}
+});
+
 /** Duration of the outage in milliseconds: the longest that operators plan for. */
 const outageMs = 9000;
 /** Maximum calls during an outage for each host that is not a reader. */
