Observability: a host without links to a service says so

The incident's logs do not tell a failed endpoint from a host that has lost its links: pauses and refusals look the same for both. Change: each exchange with an endpoint is recorded as evidence of contact (policy/relay/endpoint-contacts.ts). Lines 5044 and 5045, gatehead_services_unreachable, gatehead_link_probes_total and `gateheadctl status` show it. No request is treated differently. A timeout that waited for a free connection of the pool is no evidence.

--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -171,12 +171,13 @@
 
 function relayOf(name: string, change: Partial<RelayStatus> = {}): RelayStatus {
 	return {
-		host: name, incarnation: 1, hall: 'a', isReady: true, routingVersion: 7, directoryRevision: 40, isDirectoryDown: false, open: 0, waiting: 0, retryLeft: 3, subset: {own: 0, count: 1}, members: [], services: [{service: 'm', ready: 2, paused: 0}], signals: [], ...change,
+		host: name, incarnation: 1, hall: 'a', isReady: true, routingVersion: 7, directoryRevision: 40, isDirectoryDown: false, open: 0, waiting: 0, retryLeft: 3, subset: {own: 0, count: 1}, members: [], services: [{service: 'm', ready: 2, paused: 0}], unreachable: [], signals: [], ...change,
 	};
 }
 
 const relayDisagreements: ReadonlyArray<{readonly name: string; readonly relays: readonly RelayStatus[]; readonly found: readonly string[]}> = [
 	{name: 'nothing if all relays agree', relays: [relayOf('a'), relayOf('b')], found: []},
+	{name: 'a host without links to a service', relays: [relayOf('a', {unreachable: ['m']}), relayOf('b')], found: ['a has lost its links to m']},
 	{name: 'two configurations in force', relays: [relayOf('a'), relayOf('b', {routingVersion: 8})], found: ['configurations in force differ: 7, 8']},
 	{name: 'a relay that is not ready and cannot read the directory', relays: [relayOf('a', {isReady: false, isDirectoryDown: true})], found: ['a is not ready', 'a cannot read the directory']},
 	{name: 'a service without an endpoint', relays: [relayOf('a', {services: [{service: 'm', ready: 2, paused: 2}]})], found: ['a has no endpoint for m: 2 of 2 paused']},
--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -16,7 +16,11 @@
 		found.push(`configurations in force differ: ${[...versions].join(', ')}`);
 	}
 
-	for (const {host, isReady, isDirectoryDown, services} of statuses) {
+	for (const {host, isReady, isDirectoryDown, services, unreachable} of statuses) {
+		for (const service of unreachable) {
+			found.push(`${host} has lost its links to ${service}`);
+		}
+
 		if (!isReady) {
 			found.push(`${host} is not ready`);
 		}
--- a/packages/relay/src/peer/load-gossip.test.ts
+++ b/packages/relay/src/peer/load-gossip.test.ts
@@ -64,7 +64,7 @@
 			dealt.push(code);
 		});
 		const endpoints = new Endpoints(context, {
-			onPause: ignore, onLimit: ignore, onDrain: ignore, onCapacityFreed: ignore, onGone: ignore, subset: () => wholeFleet,
+			onPause: ignore, onLimit: ignore, onDrain: ignore, onLinkFailure: ignore, onCapacityFreed: ignore, onGone: ignore, subset: () => wholeFleet,
 		});
 		const gossip = new LoadGossip({context, endpoints, send: ignore});
 		for (let hosts = 1; hosts <= 195; hosts += 1) {
@@ -85,7 +85,7 @@
 			const received = new Map<string, string[]>();
 			const gossip = new LoadGossip({
 				context, endpoints: new Endpoints(context, {
-					onPause: ignore, onLimit: ignore, onDrain: ignore, onCapacityFreed: ignore, onGone: ignore, subset: () => wholeFleet,
+					onPause: ignore, onLimit: ignore, onDrain: ignore, onLinkFailure: ignore, onCapacityFreed: ignore, onGone: ignore, subset: () => wholeFleet,
 				}), send(host, {kind}) {
 					received.set(host, [...received.get(host) ?? [], kind]);
 				},
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,6 +2,7 @@
  * Composition root of a relay process: creates its components, connects them,
  * and starts and stops them in order. Safety rests on the components.
  */
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
@@ -15,6 +16,7 @@
 import {CrashGuard} from './upstream/crash-guard.js';
 import {CrashCheck} from './upstream/crash-check.js';
 import {Endpoints} from './upstream/endpoints.js';
+import {Reachability} from './upstream/reachability.js';
 import {ControlCalls} from './upstream/control-calls.js';
 import {Sender} from './upstream/sender.js';
 import {RetryBudgets} from './work/retry-budgets.js';
@@ -39,6 +41,7 @@
 	readonly routing: RoutingState;
 	readonly fleet: Fleet;
 	readonly guard: CrashGuard;
+	readonly reachability: Reachability;
 	readonly #watch: DirectoryWatch;
 	readonly #callerServer: CallerServer;
 	readonly #auxiliaryServers: AuxiliaryServers;
@@ -63,6 +66,9 @@
 			onDrain: endpoint => {
 				this.fleet.announceDrain(endpoint);
 			},
+			onLinkFailure: ({service}) => {
+				this.reachability.check(service);
+			},
 			onCapacityFreed: service => {
 				this.#handlerParts.admission.handleCapacityFreed(service);
 			},
@@ -71,6 +77,9 @@
 		this.routing = new RoutingState(context, routing => {
 			this.#callerServer.applyLimits(routing.callerLimits);
 		});
+		this.reachability = new Reachability({
+			context, endpoints: this.endpoints, routing: this.routing, onChange: ignore,
+		});
 		const endCheck = new CrashCheck(context, this.endpoints);
 		this.guard = new CrashGuard({
 			context,
@@ -153,6 +162,7 @@
 			subset: this.fleet.load.subset,
 			members: this.fleet.membership.members.list().map(({host, state}) => ({host, state})),
 			services: this.#describeServices(),
+			unreachable: this.reachability.unreachable,
 			signals: this.endpoints.signals.list(this.context.clock.now()),
 		};
 	}
@@ -164,6 +174,7 @@
 		await this.#auxiliaryServers.listen();
 		await this.fleet.start();
 		this.endpoints.start();
+		this.reachability.start();
 		this.guard.start();
 		this.#watch.start();
 		this.#stageOrders.start();
@@ -200,6 +211,7 @@
 	async close(): Promise<void> {
 		this.#watch.stop();
 		this.#stageOrders.stop();
+		this.reachability.close();
 		this.guard.close();
 		this.fleet.close();
 		this.#handlerParts.admission.close();
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -8,7 +8,8 @@
 import {type BaseContext, type RelayContext} from '../core/context.js';
 import {setIdleTimeout, preventReuse} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
-import {exchange, ExchangeError, readBody} from './exchange.js';
+import {exchangeWith} from './endpoint-exchange.js';
+import {ExchangeError, readBody} from './exchange.js';
 
 /** Size limit of a control call's response, in bytes. */
 const maxResponseBytes = 65_536;
@@ -106,9 +107,9 @@
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
-		const response = await exchange({
-			address: endpoint.address, method, target: path, headers: fields, body: bytes,
-		}, this.#endpoints.connectionsOf(endpoint), {
+		const response = await exchangeWith(this.#endpoints, endpoint, {
+			method, target: path, headers: fields, body: bytes,
+		}, {
 			clock, connectMs: settings.timing.connectMs, headMs, signal,
 		});
 		const status = response.statusCode ?? 0;
--- a/packages/relay/src/upstream/crash-check.ts
+++ b/packages/relay/src/upstream/crash-check.ts
@@ -4,18 +4,19 @@
  * and accepts no new ones. A false positive may hold back one content's
  * requests for a minute.
  */
-import {connect} from 'node:net';
-import {splitAddress} from '@gatehead/schema/address';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
+import {probeConnection, type ProbeResult} from './connection-probe.js';
 import {type Endpoints} from './endpoints.js';
 
 /** Time until all connections of a crashed endpoint are seen to be closed, in milliseconds: twice the longest latency between regions, and one event-loop turn of a busy host. */
 const settleMs = 30;
 
-/** Result of a check. */
+/** Result of a check; `connected`: this host still has a connection. */
 type Finding = 'connected' | 'takesConnections' | 'refused' | 'silent';
 
+const probeFindings: Readonly<Record<ProbeResult, Finding>> = {connected: 'takesConnections', refused: 'refused', silent: 'silent'};
+
 const crashFindings: ReadonlySet<Finding> = new Set(['refused', 'silent']);
 
 /** Crash checks of one host. */
@@ -55,28 +56,8 @@
 		return crashFindings.has(finding);
 	}
 
-	/** Opens and closes a connection. */
 	async #probe({address}: Endpoint): Promise<Finding> {
-		const {ip, port} = splitAddress(address);
 		const {clock, settings: {timing: {connectMs}}} = this.#context;
-		return new Promise<Finding>(resolve => {
-			const socket = connect({host: ip, port});
-			const timer = clock.after(connectMs, () => {
-				socket.destroy();
-				resolve('silent');
-			});
-			const finish = (finding: Finding) => {
-				timer.stop();
-				socket.destroy();
-				resolve(finding);
-			};
-
-			socket.once('connect', () => {
-				finish('takesConnections');
-			});
-			socket.once('error', () => {
-				finish('refused');
-			});
-		});
+		return probeFindings[await probeConnection({clock, address, connectMs})];
 	}
 }
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -3,6 +3,7 @@
  * sends in flight and connections. Safety: an endpoint that is leaving is not
  * selected for new requests.
  */
+import {EndpointContacts} from '@gatehead/policy/relay/endpoint-contacts';
 import {EndpointBook} from '@gatehead/policy/relay/endpoint-book';
 import {type EndpointChange} from '@gatehead/policy/relay/endpoint-change';
 import {
@@ -51,6 +52,8 @@
 	onLimit(endpoint: string): void;
 	/** An endpoint has announced to this host that it is draining. */
 	onDrain(endpoint: string): void;
+	/** An attempt of this host to connect to an endpoint has failed. */
+	onLinkFailure(endpoint: Endpoint): void;
 	/** A service may have free capacity again. */
 	onCapacityFreed(service: string): void;
 	/** This host's subset among the fleet's. */
@@ -62,6 +65,7 @@
 	readonly signals = new SignalBook();
 	readonly book = new EndpointBook(id => this.signals.isDraining(id));
 	readonly health = new EndpointHealth();
+	readonly contacts = new EndpointContacts();
 	readonly #context: EndpointContext;
 	readonly #listener: EndpointListener;
 	readonly #changeHandlers: Readonly<Record<EndpointChange['change'], (endpoint: Endpoint) => void>> = {
@@ -228,6 +232,12 @@
 		}
 	}
 
+	/** Records a failed attempt to connect that began at `from`. */
+	recordLinkFailure(endpoint: Endpoint, from: number): void {
+		this.contacts.recordFailure(endpoint.id, from);
+		this.#listener.onLinkFailure(endpoint);
+	}
+
 	/** Applies the signals in an endpoint's response. */
 	noteSignals(endpoint: Endpoint, statement: Statement): void {
 		const {clock, log, metrics} = this.#context;
@@ -355,6 +365,7 @@
 	#forget(id: string): void {
 		const use = this.#uses.get(id);
 		this.health.forget(id);
+		this.contacts.forget(id);
 		this.signals.forgetLimit(id);
 		this.#queues.delete(id);
 		this.#peerUse.forget(id);
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -26,15 +26,17 @@
 
 export type ExchangeFault = 'connect' | 'reset' | 'silent' | 'aborted' | 'tooLarge';
 
-/** A failed exchange. `mayHaveBeenSent`: a byte of the request may have reached the endpoint. */
+/** A failed exchange. `mayHaveBeenSent`: a byte of the request may have reached the endpoint. `isLinkFailure`: an attempt to connect failed. */
 export class ExchangeError extends Error {
 	readonly mayHaveBeenSent: boolean;
 	readonly fault: ExchangeFault;
+	readonly isLinkFailure: boolean;
 
-	constructor(fault: ExchangeFault, mayHaveBeenSent: boolean, cause?: unknown) {
+	constructor(fault: ExchangeFault, mayHaveBeenSent: boolean, cause?: unknown, isLinkFailure = false) {
 		super(`${fault}${cause instanceof Error ? `: ${cause.message}` : ''}`, {cause});
 		this.fault = fault;
 		this.mayHaveBeenSent = mayHaveBeenSent;
+		this.isLinkFailure = isLinkFailure;
 	}
 }
 
@@ -86,12 +88,16 @@
 	readonly signal: AbortSignal;
 	/** Called right before the first byte is written; if it returns false, nothing is sent. */
 	readonly maySend?: () => boolean;
+	/** Called when a new connection is established. */
+	readonly onConnected?: () => void;
 };
 
 type ExchangeState = {
 	mayHaveBeenSent: boolean;
 	fault: ExchangeFault;
 	timer: Timer | undefined;
+	/** Whether a new connection was attempted; false while all connections of the pool are in use. */
+	isConnecting: boolean;
 };
 
 /** Writes the request to its established connection. */
@@ -126,7 +132,9 @@
 /** Sends a request and resolves once the response headers arrive; rejects with an `ExchangeError`. */
 export async function exchange(outgoing: OutgoingRequest, connections: ConnectionPool, options: ExchangeOptions): Promise<IncomingMessage> {
 	const {ip, port} = splitAddress(outgoing.address);
-	const state: ExchangeState = {mayHaveBeenSent: false, fault: 'connect', timer: undefined};
+	const state: ExchangeState = {
+		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
+	};
 	return new Promise<IncomingMessage>((resolve, reject) => {
 		const clientRequest = httpRequest({
 			host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
@@ -142,7 +150,9 @@
 		options.signal.addEventListener('abort', abort, {once: true});
 		clientRequest.once('socket', socket => {
 			if (socket.connecting) {
+				state.isConnecting = true;
 				socket.once('connect', () => {
+					options.onConnected?.();
 					sendRequest(clientRequest, socket, outgoing, options, state);
 				});
 			} else {
@@ -167,7 +177,7 @@
 		clientRequest.on('error', error => {
 			state.timer?.stop();
 			options.signal.removeEventListener('abort', abort);
-			reject(new ExchangeError(state.fault, state.mayHaveBeenSent, error));
+			reject(new ExchangeError(state.fault, state.mayHaveBeenSent, error, state.isConnecting && state.fault === 'connect'));
 		});
 	});
 }
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -14,7 +14,8 @@
 import {timeLeft, type Job} from '../work/job.js';
 import {setIdleTimeout, preventReuse} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
-import {exchange, ExchangeError, type ExchangeFault} from './exchange.js';
+import {exchangeWith} from './endpoint-exchange.js';
+import {ExchangeError, type ExchangeFault} from './exchange.js';
 import {type CrashGuard, type LostSend} from './crash-guard.js';
 import {type RateLimiter} from './rate-limiter.js';
 
@@ -103,9 +104,9 @@
 		}
 
 		try {
-			const response = await exchange({
-				address: endpoint.address, method: job.method, target: job.target, headers: this.#buildHeaders(send), body: job.body,
-			}, this.#endpoints.connectionsOf(endpoint), {
+			const response = await exchangeWith(this.#endpoints, endpoint, {
+				method: job.method, target: job.target, headers: this.#buildHeaders(send), body: job.body,
+			}, {
 				clock,
 				connectMs: settings.timing.connectMs,
 				headMs,
@@ -210,6 +211,7 @@
 			facts,
 			touch: () => {
 				answeredAt ??= this.#context.clock.now();
+				this.#endpoints.contacts.recordContact(endpoint.id, this.#context.clock.now());
 				this.#crashGuard.recordData(endpoint, sentAt);
 			},
 			end: (outcome, reason = '') => {
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -22,6 +22,7 @@
 	budgetSpent: {name: 'gatehead_retry_budget_spent_total', help: 'Second sends that the retry budget did not allow.', labels: []},
 	prefillTokens: {name: 'gatehead_prefill_tokens_total', help: 'Prompt tokens read, by whether a decode endpoint used the result.', labels: ['use']},
 	pauses: {name: 'gatehead_endpoint_pauses_total', help: 'Endpoints set aside because sends to them failed, by who saw it.', labels: ['source']},
+	linkProbes: {name: 'gatehead_link_probes_total', help: 'Connections opened to find out whether an endpoint can be reached, by outcome.', labels: ['outcome']},
 	signals: {name: 'gatehead_endpoint_signals_total', help: 'Rate limits, drain notices and backoff periods of endpoints that began, changed or ended, by who received them.', labels: ['signal', 'change', 'source']},
 	ratePermits: {name: 'gatehead_rate_permits_total', help: 'Permits asked for at rate-limited endpoints, by outcome.', labels: ['outcome']},
 	signalsMalformed: {name: 'gatehead_endpoint_signals_malformed_total', help: 'Headers of endpoints that could not be parsed, by header.', labels: ['header']},
@@ -53,6 +54,7 @@
 	limitedEndpoints: {name: 'gatehead_endpoints_limited', help: 'Endpoints with a rate limit in force.'},
 	drainingEndpoints: {name: 'gatehead_endpoints_draining', help: 'Endpoints listed by the directory that have announced their drain in a response.'},
 	backingOffEndpoints: {name: 'gatehead_endpoints_backing_off', help: 'Endpoints that asked this host for backoff and get nothing from it now.'},
+	unreachableServices: {name: 'gatehead_services_unreachable', help: 'Services to whose endpoints this host has lost its links.'},
 	heldContents: {name: 'gatehead_held_contents', help: 'Contents of requests that are refused because endpoints ended as they ran them.'},
 	retryLeft: {name: 'gatehead_retry_budget_left', help: 'Second sends left to this host, least of all services.'},
 } as const satisfies Record<string, {readonly name: string; readonly help: string}>;
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -271,6 +271,12 @@
 	routingRejected: {
 		number: 5043, status: 0, ran: 'no', advice: 'A published configuration cannot be used and was left alone; the last one stays in force. Mend what the line names and publish a new version.',
 	},
+	endpointsUnreachable: {
+		number: 5044, status: 0, ran: 'no', advice: 'This host has lost its links to all endpoints of a service, or of one stage of it. Look at the network between this host and them.',
+	},
+	endpointsReachable: {
+		number: 5045, status: 0, ran: 'no', advice: 'This host reaches the endpoints of a service again.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/relay-status.ts
+++ b/packages/schema/src/relay-status.ts
@@ -36,6 +36,8 @@
 	members: z.array(z.object({host: z.string(), state: memberState})),
 	/** Ready endpoints by service, and how many of them are paused. */
 	services: z.array(z.object({service: z.string(), ready: z.number(), paused: z.number()})),
+	/** Services to whose endpoints this host has lost its links. */
+	unreachable: z.array(z.string()).default([]),
 	/** Active signals of endpoints. */
 	signals: z.array(signalState).default([]),
 });
