Tests: hosts without links to endpoints must serve their callers (fails)

Links are cut for single hosts: a proxy per host stands before all endpoints, in a thread of its own. While the thread is blocked, open connections are silent and the kernel leaves new ones unanswered; it can also reset and refuse, or refuse new connections alone.

--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -5,6 +5,7 @@
 import {wireDialect} from '@gatehead/platform/wire-dialect';
 import {systemClock, type Clock} from '@gatehead/policy/utils/clock';
 import {seedRandom} from '@gatehead/policy/utils/random';
+import {type Changes, type Directory} from '@gatehead/relay/core/directory';
 import {Relay} from '@gatehead/relay/relay';
 import {Metrics} from '@gatehead/relay/utils/metrics';
 import {type LogFields} from '@gatehead/host/utils/log';
@@ -55,6 +56,8 @@
 	readonly clock?: Clock;
 	/** Where a host, by its number, reaches the store, given the store's own address; absent: there. */
 	readonly storePath?: (store: string, host: number) => Promise<string>;
+	/** Where a host reaches the endpoints, given their own addresses; called for one host after the other. Absent: there. */
+	readonly endpointPaths?: (endpoints: readonly string[]) => Promise<readonly string[]>;
 	/** Where other hosts reach one, given its own address; absent: there. */
 	readonly peerPath?: (peer: string, host: number) => Promise<string>;
 };
@@ -169,9 +172,27 @@
 	readonly revokeMs: number | undefined;
 	readonly clock: Clock | undefined;
 	readonly advertisedPeer: string | undefined;
+	/** Addresses of this host's own paths to endpoints, by the endpoints' addresses. */
+	readonly endpointPaths: ReadonlyMap<string, string>;
 };
 
-async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer}: RelayStart): Promise<RunningRelay> {
+/** A directory in which one host finds its own paths to endpoints. */
+function withPaths(directory: Directory, paths: ReadonlyMap<string, string>): Directory {
+	const translate = ({position, changes}: Changes): Changes => ({
+		position,
+		changes: changes.map(change => change.kind === 'endpoint' ? {...change, endpoint: {...change.endpoint, address: paths.get(change.endpoint.address) ?? change.endpoint.address}} : change),
+	});
+	return {
+		list: async signal => translate(await directory.list(signal)),
+		watch: async (after, waitMs, signal) => translate(await directory.watch(after, waitMs, signal)),
+		readPosition: async signal => directory.readPosition(signal),
+		close() {
+			directory.close();
+		},
+	};
+}
+
+async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer, endpointPaths}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = parseBootSettings(makeBoot({
 		name, ip: ownAddress, ports, seeds, store, retryAllowance, revokeMs,
@@ -188,7 +209,7 @@
 		},
 		metrics: new Metrics(undefined, {}),
 		dialect: wireDialect,
-		directory: new Store(store),
+		directory: withPaths(new Store(store), endpointPaths),
 	});
 	await relay.start();
 	const {caller, ready, lookup} = settings.listen;
@@ -205,7 +226,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, clock}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, clock, endpointPaths}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
@@ -228,9 +249,15 @@
 	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
 	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
 	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
+	const ownPaths: Array<ReadonlyMap<string, string>> = [];
+	for (let index = 0; index < hosts; index += 1) {
+		const addresses = await endpointPaths?.(replicas.map(({address}) => address));
+		ownPaths.push(new Map(addresses?.map((address, at) => [replicas[at]?.address ?? '', address])));
+	}
+
 	const seeds = [advertised[0] ?? peers[0] ?? ''];
 	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
-		index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index],
+		index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index], endpointPaths: ownPaths[index] ?? new Map(),
 	})));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
 	return {
