--- a/packages/policy/src/relay/admission-queue.ts
+++ b/packages/policy/src/relay/admission-queue.ts
@@ -56,6 +56,11 @@
 export class AdmissionQueue<Item extends Waiter> {
 	readonly #waiters = new Set<Item>();
 
+	/** All waiters, in the order of their arrival. */
+	list(): Item[] {
+		return [...this.#waiters];
+	}
+
 	get size(): number {
 		return this.#waiters.size;
 	}
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -69,6 +69,11 @@
 		return this.#find(id) !== undefined;
 	}
 
+	/** The service of an endpoint; undefined if it is not known. */
+	serviceOf(id: string): string | undefined {
+		return this.#find(id)?.endpoint.service;
+	}
+
 	/** The stage that an endpoint serves; undefined if it is not known or has none. */
 	stageOf(id: string): Endpoint['stage'] {
 		return this.#find(id)?.endpoint.stage;
--- a/packages/relay/src/access/request-resolver.ts
+++ b/packages/relay/src/access/request-resolver.ts
@@ -10,6 +10,7 @@
 import {fail, Failure} from '@gatehead/schema/failure';
 import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
+import {type ForwardFacts} from '../core/forward-headers.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Freshness} from './freshness.js';
 import {type Credential, type AccessControl} from './access-control.js';
@@ -19,6 +20,9 @@
 /** Maximum wait as a share of the caller's timeout; the rest is left for a retry. */
 const maxWaitShare = 1 / 4;
 
+/** `Retry-After` of a forwarded request that this host cannot resolve, in milliseconds; the host that forwarded it asks another one first. */
+const forwardRetryAfterMs = 100;
+
 /** The parts of a request that decide how it resolves. */
 export type IncomingRequest = Credential & {
 	readonly authority: string;
@@ -76,6 +80,26 @@
 		return this.#refuse(second, request.arrivedAt);
 	}
 
+	/**
+	 * Resolves a request that another host has resolved and forwarded, and whose
+	 * key it has checked. Throws `notReady` unless this host has the same
+	 * configuration or a newer one that still allows the request.
+	 */
+	resolveForwarded({authority, target}: IncomingRequest, {routingVersion, service: serviceName, workspace: workspaceName}: ForwardFacts): ResolvedRequest {
+		const {table, version} = this.#parts.routing;
+		const route = table?.match(authority, target);
+		const service = route?.shares.some(share => share.service === serviceName) ? table?.service(serviceName) : undefined;
+		const workspace = workspaceName === undefined ? undefined : table?.routing.workspaces?.find(({name}) => name === workspaceName);
+		const isKeyMissing = workspaceName !== undefined && workspace === undefined;
+		if (table === undefined || version < routingVersion || route === undefined || service === undefined || isKeyMissing) {
+			return fail('notReady', {retryAfterMs: forwardRetryAfterMs, detail: `configuration ${version}, resolved by ${routingVersion}`});
+		}
+
+		return {
+			table, route, service, workspace,
+		};
+	}
+
 	#refuse(failure: Failure, arrivedAt: number): never {
 		const {context: {metrics}, freshness} = this.#parts;
 		if (!isFinal(failure.code) || freshness.mayRefuse(arrivedAt)) {
--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -37,6 +37,13 @@
 	readonly workspace?: string | undefined;
 };
 
+/** Metadata sent to another host besides the caller's own headers. */
+export type ForwardedFacts = {
+	/** Time until the request's deadline, in milliseconds. */
+	readonly remainingMs: number;
+	readonly lastEventId: string | undefined;
+};
+
 /** Metadata of an endpoint's response. */
 export type ResponseFacts = {
 	/** Id of the request that it responds to. */
@@ -81,6 +88,8 @@
 	isForwarded(header: string): boolean;
 	/** Headers to send to an endpoint, as a flat list of alternating names and values. */
 	sendHeaders(facts: SendFacts): string[];
+	/** Headers to send to another host that forwards the request in place of this one, as a flat list of alternating names and values. */
+	forwardHeaders(facts: ForwardedFacts): string[];
 	readResponse(status: number, headers: IncomingHttpHeaders): ResponseFacts;
 	/** Call that reserves memory for a request of `tokens` tokens for `lifeMs` milliseconds. */
 	reserve(tokens: number, lifeMs: number): EndpointCall;
--- /dev/null
+++ b/packages/relay/src/core/forward-headers.ts
@@ -0,0 +1,68 @@
+/**
+ * Headers of requests that one host forwards to another, and of the errors
+ * that come back. Safety: these headers are read on the listener for hosts
+ * alone, and are removed from whatever callers and endpoints send.
+ */
+import {type IncomingHttpHeaders} from 'node:http';
+import {fail} from '@gatehead/schema/failure';
+import {z} from 'zod';
+
+const prefix = 'gatehead-';
+/** Response header with the number of the error code, if the response is the other host's own error. */
+export const errorCodeHeader = 'gatehead-error';
+
+/** What the host that a request entered at tells the host that it forwards it to. */
+export const forwardFacts = z.object({
+	/** Host that the request entered at. */
+	entryHost: z.string().min(1).max(200),
+	/** Version of the configuration that the request was resolved by. */
+	routingVersion: z.coerce.number().int().nonnegative(),
+	service: z.string().min(1).max(200),
+	/** Workspace whose key was checked at the entry host. */
+	workspace: z.string().min(1).max(200).optional(),
+	/** Endpoints that may run the request. */
+	attempts: z.coerce.number().int().min(1),
+	isCallerRetry: z.enum(['0', '1']),
+});
+
+export type ForwardFacts = z.infer<typeof forwardFacts>;
+
+const headerNames: Readonly<Record<keyof ForwardFacts, string>> = {
+	entryHost: 'gatehead-entry-host', routingVersion: 'gatehead-version', service: 'gatehead-service', workspace: 'gatehead-workspace', attempts: 'gatehead-attempts', isCallerRetry: 'gatehead-caller-retry',
+};
+
+/** Whether a header (lower-case name) is reserved for requests between hosts. */
+export function isReservedHeader(name: string): boolean {
+	return name.startsWith(prefix);
+}
+
+/** Headers to send, as alternating names and values. Names of services and workspaces may hold any characters. */
+export function writeForwardFacts(facts: ForwardFacts): string[] {
+	const headers: string[] = [];
+	for (const [field, value] of Object.entries(facts)) {
+		if (value !== undefined) {
+			headers.push(headerNames[field as keyof ForwardFacts], encodeURIComponent(String(value))); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a key of the facts
+		}
+	}
+
+	return headers;
+}
+
+/** Reads the headers of a forwarded request. Throws `headerInvalid`. */
+export function readForwardFacts(headers: IncomingHttpHeaders): ForwardFacts {
+	const values = Object.entries(headerNames).map(([field, name]) => [field, decode(headers[name])]);
+	const read = forwardFacts.safeParse(Object.fromEntries(values));
+	return read.success ? read.data : fail('headerInvalid', {detail: read.error.message});
+}
+
+function decode(value: string | string[] | undefined): string | undefined {
+	if (typeof value !== 'string') {
+		return undefined;
+	}
+
+	try {
+		return decodeURIComponent(value);
+	} catch {
+		return undefined;
+	}
+}
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -14,11 +14,12 @@
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
-import {RequestResolver, type IncomingRequest} from '../access/request-resolver.js';
+import {RequestResolver, type IncomingRequest, type ResolvedRequest} from '../access/request-resolver.js';
 import {type Freshness} from '../access/freshness.js';
 import {type AccessControl} from '../access/access-control.js';
 import {type RelayContext} from '../core/context.js';
 import {type RequestFacts} from '../core/dialect.js';
+import {isReservedHeader, readForwardFacts} from '../core/forward-headers.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
@@ -59,6 +60,8 @@
 	readonly reply: Reply;
 	readonly controller: AbortController;
 	readonly arrivedAt: number;
+	/** Whether another host forwarded the request. */
+	readonly isForwarded: boolean;
 	/** Aborts the request at its deadline. */
 	deadlineTimer: Timer | undefined;
 };
@@ -119,10 +122,15 @@
 		await this.#connections.close();
 	}
 
-	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+	/** Handles a request that another host has forwarded. */
+	async handleForwarded(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		return this.#handleRequest(request, response, true);
+	}
+
+	async #handleRequest(request: IncomingMessage, response: ServerResponse, isForwarded = false): Promise<void> {
 		const {context: {clock, metrics}} = this.#parts;
 		const arrivedAt = clock.now();
-		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections);
+		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections, isForwarded);
 		const controller = new AbortController();
 		this.#activeRequests += 1;
 		metrics.set('open', this.#activeRequests);
@@ -137,7 +145,7 @@
 			// The caller disconnected; the `close` event that follows aborts the request
 		});
 		const pending: PendingRequest = {
-			request, reply, controller, arrivedAt, deadlineTimer: undefined,
+			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined,
 		};
 		try {
 			const job = await this.#prepareJob(pending);
@@ -166,16 +174,18 @@
 
 	/** Reads the request, resolves its route, and charges its quota. */
 	async #prepareJob(pending: PendingRequest): Promise<Job> {
-		const {request, reply, controller, arrivedAt} = pending;
-		const {context: {clock, dialect, settings: {limits}}, budgets, accessControl, guard} = this.#parts;
+		const {request, reply, controller, arrivedAt, isForwarded} = pending;
+		const {context: {clock, dialect, settings: {limits}}, guard} = this.#parts;
 		this.#checkCapacity();
 		const body = await readBody(request, limits.bodyBytes);
 		const facts = dialect.readRequest(request.headers);
 		const target = request.url ?? '/';
 		const authority = request.headers.host ?? '';
-		const {table, route, service, workspace} = await this.#resolver.resolve({
+		const incoming: IncomingRequest = {
 			authority, target, keyDigest: dialect.readKeyDigest(request.rawHeaders), arrivedAt, timeoutMs: facts.timeoutMs,
-		});
+		};
+		const forwarded = isForwarded ? readForwardFacts(request.headers) : undefined;
+		const {table, route, service, workspace} = forwarded === undefined ? await this.#resolver.resolve(incoming) : this.#resolver.resolveForwarded(incoming, forwarded);
 		const content = new RequestContent({
 			authority, method: request.method ?? 'GET', target, workspace: workspace?.name, body,
 		});
@@ -185,15 +195,14 @@
 		}
 
 		const timeoutMs = Math.min(facts.timeoutMs ?? route.timeoutMs, route.timeoutMs);
-		const cost = await accessControl.charge(workspace, facts);
-		budgets.recordRequest(service.name);
+		const cost = await this.#admit({service, workspace}, facts, isForwarded);
 		pending.deadlineTimer = clock.after(arrivedAt + timeoutMs - clock.now(), () => {
 			controller.abort('timeUp');
 		});
 		return {
 			id: facts.id ?? this.#makeId(),
 			facts,
-			route,
+			route: forwarded === undefined ? route : {...route, maxAttempts: Math.min(route.maxAttempts, forwarded.attempts)},
 			service,
 			method: request.method ?? 'GET',
 			target,
@@ -204,7 +213,8 @@
 			content,
 			arrivedAt,
 			deadlineAt: arrivedAt + timeoutMs,
-			isCallerRetry: this.#isCallerRetry(route.name, facts),
+			entryHost: forwarded?.entryHost,
+			isCallerRetry: forwarded === undefined ? this.#isCallerRetry(route.name, facts) : forwarded.isCallerRetry === '1',
 			signal: controller.signal,
 			reply,
 			mayHaveRun: false,
@@ -215,6 +225,17 @@
 		};
 	}
 
+	/** Charges the request's quota and adds it to the retry budget; both were done where a forwarded request entered. Returns the cost. */
+	async #admit({service, workspace}: Pick<ResolvedRequest, 'service' | 'workspace'>, facts: RequestFacts, isForwarded: boolean): Promise<number> {
+		if (isForwarded) {
+			return 0;
+		}
+
+		const cost = await this.#parts.accessControl.charge(workspace, facts);
+		this.#parts.budgets.recordRequest(service.name);
+		return cost;
+	}
+
 	/** Retry-After while no configuration is loaded. Uses the request's own timeout, as the route and its timeout are unknown. */
 	#notReadyRetryAfterMs({timeoutMs}: IncomingRequest): number {
 		return retryAfter(notReadyRetryAfterMs, timeoutMs ?? notReadyRetryAfterMs, this.#parts.context.random);
@@ -229,7 +250,7 @@
 	/** Headers for the endpoint. Where workspaces have keys, those that identify the caller are removed. */
 	#forwardedHeaders(request: IncomingMessage, hasWorkspaces: boolean): string[] {
 		const {dialect} = this.#parts.context;
-		return forwardHeaders(request, name => name !== 'content-length' && name !== 'expect' && dialect.isForwarded(name) && !(hasWorkspaces && dialect.identifiesCaller(name)));
+		return forwardHeaders(request, name => name !== 'content-length' && name !== 'expect' && !isReservedHeader(name) && dialect.isForwarded(name) && !(hasWorkspaces && dialect.identifiesCaller(name)));
 	}
 
 	/** Generates an id for a request without one, for the log. */
@@ -255,7 +276,7 @@
 
 	#recordEnd(job: Job, {outcome, code, endpoint, detail, longestGapMs}: JobEnd): void {
 		const {context: {clock, log, metrics}, routing} = this.#parts;
-		const {id, route, service, workspace, reply, arrivedAt, sends, runs, isCallerRetry} = job;
+		const {id, route, service, workspace, reply, arrivedAt, sends, runs, isCallerRetry, entryHost} = job;
 		const now = clock.now();
 		metrics.add('requests', {kind: route.kind, outcome: code ?? outcome});
 		if (reply.firstByteAt !== undefined && outcome === 'answered') {
@@ -271,6 +292,7 @@
 			outcome,
 			status: reply.status,
 			endpoint,
+			entryHost,
 			detail,
 			sends,
 			runs,
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -6,6 +6,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {Failure} from '@gatehead/schema/failure';
+import {errorCodeHeader, isReservedHeader} from '../core/forward-headers.js';
 import {forwardHeaders} from './headers.js';
 
 const millisecondsPerSecond = 1000;
@@ -24,7 +25,7 @@
 
 /** An endpoint's headers without the hop-by-hop ones. */
 function forwardedHeaders(endpointResponse: IncomingMessage, omitsContentLength: boolean): string[] {
-	return forwardHeaders(endpointResponse, name => !(omitsContentLength && name === 'content-length'));
+	return forwardHeaders(endpointResponse, name => !(omitsContentLength && name === 'content-length') && !isReservedHeader(name));
 }
 
 export class Reply {
@@ -35,12 +36,14 @@
 	readonly #response: ServerResponse;
 	readonly #now: () => number;
 	readonly #closesConnection: () => boolean;
+	readonly #isToHost: boolean;
 
-	/** `closesConnection` tells whether to close the connection after this response, as during a planned stop. */
-	constructor(response: ServerResponse, now: () => number, closesConnection: () => boolean) {
+	/** `closesConnection` tells whether to close the connection after this response, as during a planned stop; `isToHost`: the request was forwarded by another host, which has to tell this host's errors from an endpoint's. */
+	constructor(response: ServerResponse, now: () => number, closesConnection: () => boolean, isToHost = false) {
 		this.#response = response;
 		this.#now = now;
 		this.#closesConnection = closesConnection;
+		this.#isToHost = isToHost;
 	}
 
 	/** Whether the head has been sent. */
@@ -123,6 +126,10 @@
 			headers.push('Retry-After', (retryAfterMs / millisecondsPerSecond).toFixed(2));
 		}
 
+		if (this.#isToHost) {
+			headers.push(errorCodeHeader, String(codes[code].number));
+		}
+
 		if (status === unauthorizedStatus) {
 			headers.push('WWW-Authenticate', 'Bearer');
 		}
--- a/packages/relay/src/peer/fleet-parts.ts
+++ b/packages/relay/src/peer/fleet-parts.ts
@@ -5,6 +5,7 @@
 import {type RoutingState} from '../core/routing-state.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type Endpoints} from '../upstream/endpoints.js';
+import {type Reachability} from '../upstream/reachability.js';
 
 /** Transport to the other hosts. */
 export type HostLinks = Pick<PeerLinks<RelayMessage>, 'listen' | 'send' | 'contact' | 'resetLink' | 'close'>;
@@ -17,6 +18,8 @@
 	readonly routing: RoutingState;
 	readonly watch: () => DirectoryWatch;
 	readonly measureLoad: () => number;
+	/** Services to whose endpoints this host has lost its links. */
+	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 	/** Creates the transport; defaults to gRPC streams. */
 	readonly makeLinks?: (listener: LinkListener<RelayMessage>) => HostLinks;
 };
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -84,7 +84,7 @@
 			this.#parts.guard.mergeReports(reports);
 		},
 		paused: (from, {pause}) => {
-			this.#parts.endpoints.mergePause(pause, from.host);
+			this.#mergePause(from.host, pause);
 		},
 		draining: (from, {endpoints}) => {
 			this.#parts.endpoints.receiveDrains(endpoints, from.host);
@@ -276,6 +276,12 @@
 		this.membership.announceNow();
 	}
 
+	/** Tells all hosts to which services this host has lost its links. */
+	announceUnreachable(services: readonly string[]): void {
+		this.membership.members.updateSelf({unreachable: services.length === 0 ? undefined : [...services]});
+		this.announce();
+	}
+
 	/** Sends the pause of a failing endpoint to all reachable hosts. */
 	announcePause(pause: Pause): void {
 		this.#broadcast({kind: 'paused', pause});
@@ -328,6 +334,23 @@
 		return this.membership.members.list().filter(({state}) => state === 'alive');
 	}
 
+	/** Merges a pause from a host, unless that host has lost its own links to the service. */
+	#mergePause(host: string, pause: Pause): void {
+		const {endpoints} = this.#parts;
+		const service = endpoints.book.serviceOf(pause.endpoint);
+		const {unreachable} = this.membership.members.recordOf(host) ?? {};
+		if (service === undefined || !unreachable?.includes(service)) {
+			endpoints.mergePause(pause, host);
+		}
+	}
+
+	/** Pauses for heartbeats, without those of endpoints to which this host has lost its links. */
+	#listPauses(): Pause[] {
+		const {context: {clock}, endpoints, reachability} = this.#parts;
+		const pauses = endpoints.health.listPauses(clock.now());
+		return pauses.filter(({endpoint}) => !reachability.isUnreachable(endpoints.book.serviceOf(endpoint) ?? ''));
+	}
+
 	#broadcast(message: RelayMessage): void {
 		for (const {host} of this.membership.members.listReachable()) {
 			if (host !== this.#parts.context.self.host) {
@@ -349,7 +372,7 @@
 					directoryRevision: watch().revision,
 					directoryEpoch: watch().position?.epoch,
 					departures: endpoints.book.listDepartures(context.clock.now()),
-					pauses: endpoints.health.listPauses(context.clock.now()),
+					pauses: this.#listPauses(),
 					heldContents: guard.listHeld(),
 					draining: endpoints.listDraining(),
 				});
@@ -385,5 +408,6 @@
 		peerAddress: listen.advertisedPeer ?? listen.peer,
 		adminAddress: listen.metrics ?? '',
 		load: 0,
+		...(listen.forward === undefined ? {} : {forwardAddress: listen.forward}),
 	};
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,15 +2,18 @@
  * Composition root of a relay process: creates its components, connects them,
  * and starts and stops them in order. Safety rests on the components.
  */
-import {ignore} from '@gatehead/policy/utils/ignore';
+import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
+import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayStatus} from '@gatehead/schema/relay-status';
 import {AccessControl} from './access/access-control.js';
+import {isOff} from './core/experiment.js';
 import {makeRelayContext, type RelayContext, type RelayContextParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
 import {RoutingState} from './core/routing-state.js';
 import {CallerServer} from './front/caller-server.js';
+import {ForwardServer} from './front/forward-server.js';
 import {AuxiliaryServers} from './front/auxiliary-servers.js';
 import {Fleet} from './peer/fleet.js';
 import {CrashGuard} from './upstream/crash-guard.js';
@@ -18,6 +21,7 @@
 import {Endpoints} from './upstream/endpoints.js';
 import {Reachability} from './upstream/reachability.js';
 import {ControlCalls} from './upstream/control-calls.js';
+import {PeerForwarder} from './upstream/peer-forwarder.js';
 import {Sender} from './upstream/sender.js';
 import {RetryBudgets} from './work/retry-budgets.js';
 import {runGeneration} from './work/generation.js';
@@ -44,6 +48,8 @@
 	readonly reachability: Reachability;
 	readonly #watch: DirectoryWatch;
 	readonly #callerServer: CallerServer;
+	readonly #forwardServer: ForwardServer;
+	readonly #forwarder: PeerForwarder;
 	readonly #auxiliaryServers: AuxiliaryServers;
 	readonly #handlerParts: WorkParts;
 	readonly #stageOrders: StageOrders;
@@ -54,7 +60,7 @@
 		this.context = context;
 		this.endpoints = new Endpoints(context, {
 			onPause: pause => {
-				this.fleet.announcePause(pause);
+				void this.#announcePause(pause);
 			},
 			onGone: endpoint => {
 				this.guard.handleGone(endpoint);
@@ -78,19 +84,24 @@
 			this.#callerServer.applyLimits(routing.callerLimits);
 		});
 		this.reachability = new Reachability({
-			context, endpoints: this.endpoints, routing: this.routing, onChange: ignore,
+			context,
+			endpoints: this.endpoints,
+			routing: this.routing,
+			onChange: unreachable => {
+				this.#handleLinkChange(unreachable);
+			},
 		});
 		const endCheck = new CrashCheck(context, this.endpoints);
 		this.guard = new CrashGuard({
 			context,
-			hasCrashed: async endpoint => endCheck.hasCrashed(endpoint),
+			hasCrashed: async endpoint => await endCheck.hasCrashed(endpoint) && !(await this.#isPartitionedFrom(endpoint)),
 			broadcast: reports => {
 				this.fleet.announceCrashes(reports);
 			},
 			isTrialHost: content => this.fleet.isCoordinator(content),
 		});
 		this.fleet = new Fleet({
-			context, guard: this.guard, endpoints: this.endpoints, routing: this.routing, watch: () => this.#watch, measureLoad: () => Math.min(1, this.#callerServer.activeRequests / context.settings.limits.requests),
+			context, guard: this.guard, endpoints: this.endpoints, routing: this.routing, watch: () => this.#watch, reachability: this.reachability, measureLoad: () => Math.min(1, this.#callerServer.activeRequests / context.settings.limits.requests),
 		});
 		this.#watch = new DirectoryWatch({
 			context,
@@ -108,19 +119,24 @@
 		const ownCalls = new ControlCalls(context, this.endpoints);
 		const budgets = new RetryBudgets(context, () => this.fleet.countHosts());
 		this.#stageOrders = new StageOrders({
-			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
+			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, reachability: this.reachability, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
 		});
 		const news = this.fleet.load;
+		this.#forwarder = new PeerForwarder({
+			context, reachability: this.reachability, routingVersion: () => this.routing.version, listMembers: () => this.fleet.membership.members.list(),
+		});
 		this.#handlerParts = {
 			context,
 			endpoints: this.endpoints,
 			sender: new Sender({
 				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter,
 			}),
+			forwarder: this.#forwarder,
+			reachability: this.reachability,
 			guard: this.guard,
 			budgets,
 			admission: new Admission({
-				context, endpoints: this.endpoints, calls: ownCalls, news, limiter: this.fleet.limiter,
+				context, endpoints: this.endpoints, calls: ownCalls, news, limiter: this.fleet.limiter, reachability: this.reachability,
 			}),
 			ownCalls,
 			orders: this.#stageOrders,
@@ -129,6 +145,7 @@
 		this.#callerServer = new CallerServer({
 			context, routing: this.routing, budgets, guard: this.guard, freshness: this.fleet.freshness, accessControl: new AccessControl({routing: this.routing, freshness: this.fleet.freshness, quotas: this.fleet.quotas}), processJob: async job => this.#processJob(job),
 		});
+		this.#forwardServer = new ForwardServer(context, async (request, response) => this.#callerServer.handleForwarded(request, response));
 		this.#auxiliaryServers = new AuxiliaryServers({
 			context,
 			isReady: () => this.isReady,
@@ -171,6 +188,10 @@
 	async start(): Promise<void> {
 		const {log, settings: {listen, seeds}} = this.context;
 		await this.#callerServer.listen();
+		if (listen.forward !== undefined) {
+			await this.#forwardServer.listen(listen.forward);
+		}
+
 		await this.#auxiliaryServers.listen();
 		await this.fleet.start();
 		this.endpoints.start();
@@ -217,17 +238,48 @@
 		this.#handlerParts.admission.close();
 		this.#auxiliaryServers.close();
 		await this.#callerServer.close();
+		await this.#forwardServer.close();
+		this.#forwarder.close();
 		this.endpoints.close();
 		this.context.directory.close();
 		this.context.metrics.close();
 	}
 
-	/** Members for lookups. Without this host while it must reject requests with keys, provided that another host is alive. */
+	/** Members for lookups: hosts with links to all services, and without this one while it must reject requests with keys. All members if no host alive would remain. */
 	#listLookupMembers(): readonly MemberRecord[] {
 		const members = this.fleet.membership.members.list();
-		const others = members.filter(({host}) => host !== this.context.self.host);
-		const hasOthers = others.some(({state}) => state === 'alive');
-		return this.fleet.freshness.isUnconfirmed && hasOthers ? others : members;
+		const isOwnExcluded = this.fleet.freshness.isUnconfirmed;
+		const isSteering = !isOff(this.context, 'steering');
+		const preferred = members.filter(({host, unreachable}) => !(isOwnExcluded && host === this.context.self.host) && !(isSteering && (unreachable?.length ?? 0) > 0));
+		return preferred.some(({state}) => state === 'alive') ? preferred : members;
+	}
+
+	/** Tells other hosts of a pause, unless its failures were those of this host's links. */
+	async #announcePause(pause: Pause): Promise<void> {
+		const service = this.endpoints.book.serviceOf(pause.endpoint);
+		if (service !== undefined) {
+			await this.reachability.settle(service);
+		}
+
+		if (service === undefined || !this.reachability.isUnreachable(service)) {
+			this.fleet.announcePause(pause);
+		}
+	}
+
+	/** Whether a lost connection to an endpoint may be due to this host's links: it reaches no endpoint of any service. */
+	async #isPartitionedFrom({service}: Endpoint): Promise<boolean> {
+		this.reachability.check(service);
+		await this.reachability.settle(service);
+		return this.reachability.isPartitioned;
+	}
+
+	#handleLinkChange(unreachable: readonly string[]): void {
+		this.fleet.announceUnreachable(unreachable);
+		for (const {name} of this.routing.table?.routing.services ?? []) {
+			if (unreachable.includes(name)) {
+				this.#handlerParts.admission.refuseAll(name);
+			}
+		}
 	}
 
 	async #processJob(job: Job): Promise<JobEnd> {
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -6,6 +6,8 @@
 import {Agent, type ClientRequest} from 'node:http';
 import {Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {connect as connectSecurely} from 'node:tls';
+import {type PeerTls} from '../core/peer-tls.js';
 
 /** Idle timeout where the endpoint states none, in milliseconds: such an endpoint closes idle connections within a second. */
 const defaultIdleMs = 300;
@@ -48,13 +50,15 @@
 /** Connection pool of one endpoint. */
 export class ConnectionPool extends Agent {
 	readonly #onOpen: () => void;
+	readonly #tls: PeerTls | undefined;
 
-	/** `onOpen` is called for each new connection. */
-	constructor(socketLimit: number, onOpen: () => void) {
+	/** `onOpen` is called for each new connection; with `tls`, connections are encrypted and both sides show a certificate. */
+	constructor(socketLimit: number, onOpen: () => void, tls?: PeerTls) {
 		super({
 			keepAlive: true, maxSockets: socketLimit, maxFreeSockets: socketLimit, scheduling: 'lifo', noDelay: true,
 		});
 		this.#onOpen = onOpen;
+		this.#tls = tls;
 	}
 
 	/** Whether an idle connection is available. */
@@ -70,7 +74,8 @@
 
 	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
 		this.#onOpen();
-		return super.createConnection(...parameters);
+		const [{host, port}] = parameters;
+		return this.#tls === undefined ? super.createConnection(...parameters) : connectSecurely({...this.#tls, host: host ?? undefined, port: Number(port)});
 	}
 
 	/** Called by Node when a request is done; returns whether the connection stays in the pool. */
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -249,6 +249,13 @@
 		this.#reportSignalChanges(endpoint.id, this.signals.note(endpoint.id, statement, clock.now()), ownSource);
 	}
 
+	/** Forgets the failures of a service's endpoints, which were those of this host's links. */
+	forgetFailures(service: string): void {
+		for (const {id} of this.book.listReady(service)) {
+			this.health.forget(id);
+		}
+	}
+
 	/** Merges rate limits from another host. */
 	receiveLimits(limits: readonly RateLimit[], from: string): void {
 		for (const limit of limits) {
--- a/packages/relay/src/upstream/reachability.ts
+++ b/packages/relay/src/upstream/reachability.ts
@@ -60,6 +60,13 @@
 		return this.#losses.has(service);
 	}
 
+	/** Whether this host reaches no endpoint of any service that has some. */
+	get isPartitioned(): boolean {
+		const services = this.#parts.routing.table?.routing.services ?? [];
+		const populated = services.filter(({name}) => this.#parts.endpoints.book.listReady(name).length > 0);
+		return populated.length > 0 && populated.every(({name}) => this.#losses.has(name));
+	}
+
 	/** Starts the periodic checks. */
 	start(): void {
 		const {clock, random} = this.#parts.context;
@@ -185,6 +192,7 @@
 		const {context: {clock, log, metrics}, endpoints} = this.#parts;
 		const since = this.#losses.get(service)?.since ?? clock.now();
 		this.#losses.delete(service);
+		endpoints.forgetFailures(service);
 		metrics.set('unreachableServices', this.#losses.size);
 		log('endpointsReachable', {service, endpoints: endpoints.book.listReady(service).length, lostMs: Math.round(clock.now() - since)});
 		this.#parts.onChange(this.unreachable);
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -8,6 +8,7 @@
 import {retryAfterWait} from '@gatehead/policy/relay/retry-after';
 import {jitter} from '@gatehead/policy/utils/random';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {defaultRetryAfterMs} from './generation-failure.js';
 import {timeLeft} from './job.js';
 import {ReplicaSearch, type ReservationRequest} from './replica-search.js';
 import {ServiceQueue, type AdmissionResult, type AdmissionParts} from './service-queue.js';
@@ -48,7 +49,8 @@
 
 	/** Reserves decode memory, waiting for it if necessary. Resolves with `refused` if the request cannot be served in time, and with `aborted` if its signal fires first. */
 	async reserve(request: ReservationRequest): Promise<AdmissionResult> {
-		const queue = this.#queueOf(request.job.service.name);
+		const service = request.job.service.name;
+		const queue = this.#queueOf(service);
 		const reservation = await queue.tryReserve(request);
 		if (reservation !== undefined) {
 			return {kind: 'granted', reservation};
@@ -58,6 +60,12 @@
 			return {kind: 'aborted'};
 		}
 
+		if (this.#parts.reachability.isUnreachable(service)) {
+			return {
+				kind: 'refused', code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'this host has lost its links to the replicas',
+			};
+		}
+
 		const waitMs = this.#retryAfterPastTarget(request);
 		if (waitMs !== undefined) {
 			return {
@@ -87,6 +95,11 @@
 		}
 	}
 
+	/** Refuses the waiting requests of a service to which this host has lost its links. */
+	refuseAll(service: string): void {
+		this.#queues.get(service)?.refuseAll();
+	}
+
 	/** Estimated rate at which the service's decode memory is released. */
 	releaseRateOf(service: string): ReleaseRate {
 		return this.#queueOf(service).rate;
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -5,13 +5,15 @@
  * a request that may have run.
  */
 import {type Code} from '@gatehead/schema/codes';
-import {type Endpoint} from '@gatehead/schema/routing';
 import {type Job} from './job.js';
 import {type JobEnd} from './job-end.js';
 
 /** Default `Retry-After` after a failure, in milliseconds; the failed endpoint is out of rotation by then. */
 export const defaultRetryAfterMs = 800;
 
+/** Endpoint, or other host, that a request was sent to. */
+export type Via = {readonly id: string};
+
 /** Error for the caller. */
 export type Refusal = {
 	readonly code: Code;
@@ -20,32 +22,32 @@
 };
 
 /** Sends an error to the caller. `Reply` may replace the code by one that holds for a request that may have run. */
-export function refuseJob({reply, mayHaveRun, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, endpoint?: Endpoint): JobEnd {
+export function refuseJob({reply, mayHaveRun, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
 	const code = reply.sendError(wanted, {
 		retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
 	});
 	return {
-		outcome: 'refused', code, endpoint: endpoint?.id, detail,
+		outcome: 'refused', code, endpoint: via?.id, detail,
 	};
 }
 
 /** Ends a job whose signal fired: the caller disconnected or the deadline passed. */
-export function abortJob(job: Job, endpoint?: Endpoint): JobEnd {
+export function abortJob(job: Job, via?: Via): JobEnd {
 	if (job.signal.reason === 'callerLeft') {
-		return {outcome: 'callerLeft', endpoint: endpoint?.id};
+		return {outcome: 'callerLeft', endpoint: via?.id};
 	}
 
-	return refuseJob(job, {code: job.mayHaveRun ? 'timeoutSpent' : 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'time is up'}, endpoint);
+	return refuseJob(job, {code: job.mayHaveRun ? 'timeoutSpent' : 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'time is up'}, via);
 }
 
 /** Ends a job whose run failed at a replica and cannot continue at another. */
-export function failJob(job: Job, endpoint: Endpoint, reason: string): JobEnd {
+export function failJob(job: Job, via: Via, reason: string): JobEnd {
 	if (job.reply.headersSent) {
 		job.reply.destroy();
 		return {
-			outcome: 'brokenOff', code: 'streamBroken', endpoint: endpoint.id, detail: reason,
+			outcome: 'brokenOff', code: 'streamBroken', endpoint: via.id, detail: reason,
 		};
 	}
 
-	return refuseJob(job, {code: 'answerLost', retryAfterMs: defaultRetryAfterMs, detail: reason}, endpoint);
+	return refuseJob(job, {code: 'answerLost', retryAfterMs: defaultRetryAfterMs, detail: reason}, via);
 }
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -5,15 +5,17 @@
  * resumable, and then after the last complete event that the caller received.
  * A stream that cannot continue is broken off.
  */
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {
 	ExchangeError, isTruncated, readBody, awaitPendingReset,
 } from '../upstream/exchange.js';
+import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {stallReason, type SendResult} from '../upstream/sender.js';
 import {DecodePrefill} from './decode-prefill.js';
 import {
-	defaultRetryAfterMs, failJob, refuseJob, abortJob,
+	defaultRetryAfterMs, failJob, refuseJob, abortJob, type Via,
 } from './generation-failure.js';
 import {EventForwarder} from './event-forwarder.js';
 import {timeLeft, type Job} from './job.js';
@@ -40,6 +42,9 @@
 const okStatus = 200;
 const minServerErrorStatus = 500;
 
+/** A response to forward, from an endpoint or from another host. */
+type ForwardableResponse = Pick<Extract<SendResult, {kind: 'answer'}>, 'response' | 'touch' | 'end'>;
+
 /** Outcome of one round. */
 type DecodeResult
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
@@ -61,6 +66,8 @@
 	#reservedAt = 0;
 	#rounds = 0;
 	#isStartRecorded = false;
+	/** Whether other hosts were asked and none took the request. */
+	#isForwardingSpent = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
@@ -72,6 +79,15 @@
 
 	async run(): Promise<JobEnd> {
 		for (;;) {
+			const forwarded = await this.#forwardIfUnreachable();
+			if (forwarded?.kind === 'ended') {
+				return forwarded.end;
+			}
+
+			if (forwarded?.kind === 'retry') {
+				continue;
+			}
+
 			this.#rounds += 1;
 			const {admission, context: {clock}} = this.#parts;
 			const answer = await admission.reserve({
@@ -83,6 +99,10 @@
 				isContinuation: this.#job.reply.headersSent,
 			});
 			if (answer.kind === 'refused') {
+				if (this.#mayForward()) {
+					continue;
+				}
+
 				return refuseJob(this.#job, answer);
 			}
 
@@ -108,6 +128,51 @@
 		return Math.max(blockTokens, Math.ceil(tokens / blockTokens) * blockTokens);
 	}
 
+	/** Whether another host has to serve the request because this one cannot reach its service. */
+	#mayForward(): boolean {
+		const job = this.#job;
+		return !this.#isForwardingSpent && !job.signal.aborted && this.#parts.forwarder.isNeeded(job) && job.runs < job.route.maxAttempts && this.#rounds < maxRounds;
+	}
+
+	/** Has another host serve the request, or the rest of its stream; undefined if it stays here. Each round forwards one attempt, so that a stream that breaks off can continue. */
+	async #forwardIfUnreachable(): Promise<DecodeResult | undefined> {
+		if (!this.#mayForward()) {
+			return undefined;
+		}
+
+		const job = this.#job;
+		const {forwarder, context: {clock}} = this.#parts;
+		this.#rounds += 1;
+		const result = await forwarder.send(job, {attempts: 1, lastEventId: this.#events.lastId, headMs: timeLeft(job, clock.now()) + 1});
+		if (result.kind === 'unavailable') {
+			this.#isForwardingSpent = true;
+			return job.mayHaveRun ? undefined : {kind: 'ended', end: refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
+		}
+
+		const via: Via = {id: result.host};
+		if (job.signal.aborted) {
+			return {kind: 'ended', end: abortJob(job, via)};
+		}
+
+		if (result.kind === 'answer') {
+			return this.#forwardAnswer(result, via);
+		}
+
+		if (result.kind === 'refused') {
+			return {kind: 'ended', end: refuseJob(job, {code: result.code, retryAfterMs: result.retryAfterMs ?? defaultRetryAfterMs, detail: `refused by ${result.host}`}, via)};
+		}
+
+		return this.#continueOrFail(via, result.detail);
+	}
+
+	async #forwardAnswer({response, end}: Extract<ForwardResult, {kind: 'answer'}>, via: Via): Promise<DecodeResult> {
+		const sent = {
+			response, touch: ignore, end,
+		};
+		const status = response.statusCode ?? 0;
+		return status === okStatus ? this.#forwardStream(sent, via) : this.#forwardError(sent, via, status);
+	}
+
 	async #runAt(reservation: Reservation): Promise<DecodeResult> {
 		const result = await this.#prefill.run(reservation.endpoint);
 		// A restarted replica may use the same handle for another request's result
@@ -179,6 +244,10 @@
 			this.#parts.ownCalls.cancelReservation(endpoint, reservation);
 		}
 
+		if (sent.reason === 'connect') {
+			await this.#parts.reachability.settle(this.#job.service.name);
+		}
+
 		const mayRetry = this.#rounds < maxRounds && (!hasArrived || this.#parts.budgets.take(this.#job, 'refused'));
 		return mayRetry ? {kind: 'retry'} : {kind: 'ended', end: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: sent.reason}, endpoint)};
 	}
@@ -192,12 +261,12 @@
 	}
 
 	/** Continues at another replica if possible; otherwise ends the job. */
-	async #continueOrFail(endpoint: Endpoint, reason: string): Promise<DecodeResult> {
+	async #continueOrFail(endpoint: Via, reason: string): Promise<DecodeResult> {
 		return await this.#prepareContinuation(endpoint, reason) ? {kind: 'retry'} : {kind: 'ended', end: failJob(this.#job, endpoint, reason)};
 	}
 
 	/** Prepares a continuation at another replica; false if the route, the attempts or the budget do not allow one. */
-	async #prepareContinuation(endpoint: Endpoint, reason: string): Promise<boolean> {
+	async #prepareContinuation(endpoint: Via, reason: string): Promise<boolean> {
 		const job = this.#job;
 		const {budgets, guard, context: {log}} = this.#parts;
 		const mayContinue = !isOff(this.#parts.context, 'continuing') && job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < maxRounds;
@@ -213,7 +282,7 @@
 		return true;
 	}
 
-	async #forwardError(sent: Extract<SendResult, {kind: 'answer'}>, endpoint: Endpoint, status: number): Promise<DecodeResult> {
+	async #forwardError(sent: ForwardableResponse, endpoint: Via, status: number): Promise<DecodeResult> {
 		try {
 			const body = await readBody(sent.response, maxBodyBytes);
 			sent.end(status >= minServerErrorStatus ? 'error' : 'good');
@@ -235,7 +304,7 @@
 		}
 	}
 
-	async #forwardStream(sent: Extract<SendResult, {kind: 'answer'}>, endpoint: Endpoint): Promise<DecodeResult> {
+	async #forwardStream(sent: ForwardableResponse, endpoint: Via): Promise<DecodeResult> {
 		const {admission, context: {clock, metrics}} = this.#parts;
 		const {response} = sent;
 		// A stream that cannot continue elsewhere has no idle timeout
@@ -279,7 +348,7 @@
 		}
 	}
 
-	async #handleStreamError(sent: Extract<SendResult, {kind: 'answer'}>, endpoint: Endpoint, reason: string): Promise<DecodeResult> {
+	async #handleStreamError(sent: ForwardableResponse, endpoint: Via, reason: string): Promise<DecodeResult> {
 		sent.response.destroy();
 		if (this.#job.signal.aborted) {
 			sent.end('cancelled');
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -29,6 +29,8 @@
 	readonly arrivedAt: number;
 	/** Deadline: the earlier of the caller's timeout and the route's. */
 	readonly deadlineAt: number;
+	/** Host that forwarded the request here; undefined: it came from its caller. */
+	readonly entryHost: string | undefined;
 	/** Whether the caller has sent this request here before, as its shorter timeout indicates. */
 	readonly isCallerRetry: boolean;
 	/** Aborts when the caller disconnects or the deadline passes. */
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -4,6 +4,8 @@
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
+import {type PeerForwarder} from '../upstream/peer-forwarder.js';
+import {type Reachability} from '../upstream/reachability.js';
 import {type Sender} from '../upstream/sender.js';
 import {type RetryBudgets} from './retry-budgets.js';
 import {type Admission} from './admission.js';
@@ -13,6 +15,8 @@
 	readonly context: RelayContext;
 	readonly endpoints: Endpoints;
 	readonly sender: Sender;
+	readonly forwarder: PeerForwarder;
+	readonly reachability: Reachability;
 	readonly guard: CrashGuard;
 	readonly budgets: RetryBudgets;
 	readonly admission: Admission;
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -11,7 +11,9 @@
 import {type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {readBody} from '../upstream/exchange.js';
+import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {answeredElsewhere, type SendResult} from '../upstream/sender.js';
+import {type Via} from './generation-failure.js';
 import {type RetryCause} from './retry-budgets.js';
 import {timeLeft, type Job} from './job.js';
 import {type JobEnd} from './job-end.js';
@@ -37,7 +39,8 @@
 
 /** A response with its complete body. */
 type BufferedResponse = {
-	readonly endpoint: Endpoint;
+	/** Endpoint, or other host, that it came from. */
+	readonly endpoint: Via;
 	readonly response: IncomingMessage;
 	readonly body: Uint8Array;
 };
@@ -69,6 +72,8 @@
 	readonly #parts: WorkParts;
 	readonly #job: Job;
 	readonly #triedEndpoints = new Set<string>();
+	/** Whether other hosts were asked and none took the request. */
+	#isForwardingSpent = false;
 	/** Attempts so far, not counting endpoints that had no permit for the request. */
 	#attempts = 0;
 
@@ -81,6 +86,11 @@
 	async sendOnce(): Promise<JobEnd> {
 		let cause: RetryCause | undefined;
 		while (this.#attempts < maxEndpoints) {
+			const forwarded = await this.#forwardIfUnreachable();
+			if (forwarded !== undefined) {
+				return forwarded;
+			}
+
 			const endpoint = this.#chooseEndpoint();
 			if (endpoint === undefined || (cause !== undefined && !this.#mayRetry(cause))) {
 				break;
@@ -96,6 +106,7 @@
 			}
 
 			cause = causeByReason[result.reason] ?? 'refused';
+			await this.#settleLinks(cause);
 		}
 
 		return this.#refuse();
@@ -110,6 +121,11 @@
 		try {
 			for (;;) {
 				if (!isExhausted && inFlight.size < 2 && (inFlight.size === 0 || cause === 'slow')) {
+					const forwarded = await this.#forwardIfUnreachable(cause);
+					if (forwarded !== undefined) {
+						return forwarded;
+					}
+
 					const hedge = this.#startAttempt(cause);
 					isExhausted = hedge === undefined;
 					if (hedge !== undefined) {
@@ -139,6 +155,7 @@
 
 				failed = result.kind === 'response' ? result.answer : failed;
 				cause = retryCauseOf(result);
+				await this.#settleLinks(cause);
 				if (cause === 'broken') {
 					await this.#parts.guard.mayRetry(this.#job);
 				}
@@ -150,6 +167,59 @@
 		}
 	}
 
+	/** Waits until it is known whether a connection failed for its endpoint's fault or this host's. */
+	async #settleLinks(cause: RetryCause): Promise<void> {
+		if (cause === 'connect') {
+			await this.#parts.reachability.settle(this.#job.service.name);
+		}
+	}
+
+	/** Has another host serve the request if this one cannot reach its service, and the request may run there; undefined if it stays here. */
+	async #forwardIfUnreachable(cause?: RetryCause): Promise<JobEnd | undefined> {
+		const {forwarder, context: {clock}} = this.#parts;
+		const job = this.#job;
+		const attempts = job.route.maxAttempts - job.runs;
+		const isRepeat = job.mayHaveRun && cause !== undefined;
+		if (this.#isForwardingSpent || !forwarder.isNeeded(job) || attempts < 1 || (isRepeat && !this.#mayRetry(cause))) {
+			return undefined;
+		}
+
+		const result = await forwarder.send(job, {attempts, headMs: timeLeft(job, clock.now()) + 1});
+		if (result.kind === 'unavailable') {
+			this.#isForwardingSpent = true;
+			return job.mayHaveRun ? undefined : this.#refuse();
+		}
+
+		return result.kind === 'answer' ? this.#forwardFrom(result) : this.#passOnError(result);
+	}
+
+	async #forwardFrom({host, response, end}: Extract<ForwardResult, {kind: 'answer'}>): Promise<JobEnd> {
+		try {
+			const body = await readBody(response, maxBodyBytes);
+			return this.#forward({endpoint: {id: host}, response, body});
+		} catch (error) {
+			this.#parts.context.log('sendFailed', {
+				request: this.#job.id, step: 'plain', endpoint: host, outcome: 'unknown', reason: 'cut', detail: String(error),
+			});
+			return this.#passOnError({
+				kind: 'unknown', host, code: 'answerLost', detail: String(error),
+			});
+		} finally {
+			end('');
+		}
+	}
+
+	#passOnError({host, code: wanted, ...result}: Extract<ForwardResult, {kind: 'refused' | 'unknown'}>): JobEnd {
+		const {reply, route, mayHaveRun, signal} = this.#job;
+		if (signal.aborted && signal.reason === 'callerLeft') {
+			return {outcome: 'callerLeft', endpoint: host};
+		}
+
+		const retryAfterMs = result.kind === 'refused' ? result.retryAfterMs : undefined;
+		const code = reply.sendError(wanted, {retryAfterMs: retryAfterMs ?? defaultRetryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
+		return {outcome: 'refused', code, endpoint: host};
+	}
+
 	/** Starts another attempt; undefined if no endpoint, attempt or budget is left. */
 	#startAttempt(cause: RetryCause | undefined): Hedge | undefined {
 		const endpoint = this.#chooseEndpoint();
--- a/packages/relay/src/work/replica-search.ts
+++ b/packages/relay/src/work/replica-search.ts
@@ -11,6 +11,7 @@
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
 import {type RateLimiter} from '../upstream/rate-limiter.js';
+import {type Reachability} from '../upstream/reachability.js';
 import {type Job} from './job.js';
 
 /** Maximum replicas asked per search; each costs a network round trip. */
@@ -47,6 +48,7 @@
 	readonly endpoints: Endpoints;
 	readonly calls: ControlCalls;
 	readonly limiter: RateLimiter;
+	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 };
 
 /** Reserves memory at the decode replicas of all services. */
@@ -56,12 +58,14 @@
 	readonly #calls: ControlCalls;
 
 	readonly #limiter: RateLimiter;
+	readonly #reachability: ReplicaSearchParts['reachability'];
 
-	constructor({context, endpoints, calls, limiter}: ReplicaSearchParts) {
+	constructor({context, endpoints, calls, limiter, reachability}: ReplicaSearchParts) {
 		this.#context = context;
 		this.#endpoints = endpoints;
 		this.#calls = calls;
 		this.#limiter = limiter;
+		this.#reachability = reachability;
 	}
 
 	/** Asks replicas in order of preference; undefined if none grants a reservation. */
@@ -77,7 +81,7 @@
 
 		let tried = 0;
 		for (const endpoint of this.#filterCandidates(ordered, avoid)) {
-			if (tried >= maxReplicasTried || job.signal.aborted) {
+			if (tried >= maxReplicasTried || job.signal.aborted || this.#reachability.isUnreachable(job.service.name)) {
 				return undefined;
 			}
 
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -10,6 +10,7 @@
 import {type LoadGossip} from '../peer/load-gossip.js';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type RateLimiter} from '../upstream/rate-limiter.js';
+import {type Reachability} from '../upstream/reachability.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
 import {defaultRetryAfterMs} from './generation-failure.js';
 import {type Reservation, type ReplicaSearch, type ReservationRequest} from './replica-search.js';
@@ -37,6 +38,7 @@
 	readonly calls: ControlCalls;
 	readonly news: LoadGossip;
 	readonly limiter: RateLimiter;
+	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 };
 
 export class ServiceQueue {
@@ -113,6 +115,15 @@
 		});
 	}
 
+	/** Refuses all waiting requests, because this host has lost its links to the replicas. */
+	refuseAll(): void {
+		for (const waiter of this.#queue.list()) {
+			waiter.resolve({
+				kind: 'refused', code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'this host has lost its links to the replicas',
+			});
+		}
+	}
+
 	/** Records the time from a request's reservation to its first event, in milliseconds. */
 	recordStartLatency(startMs: number): void {
 		this.#start.note(startMs);
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -21,6 +21,7 @@
 import {type Fleet} from '../peer/fleet.js';
 import {ownOrderSource, type Endpoints} from '../upstream/endpoints.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
+import {type Reachability} from '../upstream/reachability.js';
 
 /** Interval between checks of the split, in milliseconds; short compared with a stage change. */
 const checkIntervalMs = 500;
@@ -45,6 +46,7 @@
 	readonly fleet: Fleet;
 	readonly watch: DirectoryWatch;
 	readonly ownCalls: ControlCalls;
+	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 	/** Estimated rate at which a service's decode memory is released. */
 	readonly releaseRateOf: (service: string) => ReleaseRate;
 	/** Time at which a request last waited for a service's memory, at this host or at a peer. */
@@ -89,14 +91,14 @@
 	}
 
 	#rebalance(): void {
-		const {context: {clock}, routing, endpoints} = this.#parts;
+		const {context: {clock}, routing, endpoints, reachability} = this.#parts;
 		if (!this.#isActiveLeader(clock.now()) || isOff(this.#parts.context, 'stageOrders')) {
 			return;
 		}
 
 		for (const {name, engine} of routing.table?.routing.services ?? []) {
 			const isDue = clock.now() - (this.#orderedAt.get(name) ?? Number.NEGATIVE_INFINITY) >= minOrderIntervalMs;
-			if (engine === undefined || !isDue) {
+			if (engine === undefined || !isDue || reachability.isUnreachable(name)) {
 				continue;
 			}
 
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -322,6 +322,9 @@
 	resultFreed: {
 		number: 7008, status: 0, ran: 'no', advice: 'A prefill result that nobody will use is freed.',
 	},
+	forwarded: {
+		number: 7010, status: 0, ran: 'unknown', advice: 'A request was forwarded to another host, since this one has lost its links to the service. Lines of both hosts have the same request id.',
+	},
 	runLost: {
 		number: 7009, status: 0, ran: 'unknown', advice: 'An endpoint broke off or fell silent under a request. Lines with the same content are about the same request, whatever its id.',
 	},
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -24,6 +24,10 @@
 	load: z.number(),
 	/** `away`: the directory rejects this host, which should read it for others; `answers`: it has answered this host since another host reported `away`. */
 	directory: z.enum(['away', 'answers']).optional(),
+	/** Where it takes forwarded requests; absent if it takes none. */
+	forwardAddress: z.string().optional(),
+	/** Services to whose endpoints it has lost its links. */
+	unreachable: z.array(z.string()).max(1000).optional(),
 });
 
 /** A request for a lease, queued at a cell's keeper. */
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -6,9 +6,9 @@
 const milliseconds = z.number().nonnegative().max(3_600_000);
 const count = z.number().int().positive().max(100_000_000);
 
-/** Listen addresses. `advertisedPeer`: the address at which other hosts reach `peer`, if it differs. */
+/** Listen addresses. `advertisedPeer`: the address at which other hosts reach `peer`, if it differs; `forward`: where other hosts forward requests to, for hosts alone; without it this host takes none. */
 const listen = z.strictObject({
-	caller: address, ready: address, lookup: address, peer: address, advertisedPeer: address.optional(), metrics: address.optional(),
+	caller: address, ready: address, lookup: address, peer: address, advertisedPeer: address.optional(), forward: address.optional(), metrics: address.optional(),
 });
 
 const timing = z.strictObject({
@@ -77,7 +77,7 @@
 
 /** Mechanisms that an ablation experiment can disable. */
 export const mechanism = z.enum([
-	'reservations', 'readingApart', 'earlyRefusal', 'secondTries', 'resumedTurns', 'comeBackTimes', 'peerUse', 'peerReadings', 'peerWaiting', 'pauses', 'pauseNews', 'errorRetries', 'slowCopies', 'continuing', 'stageOrders', 'nearHalls', 'quotaKeepers', 'peerEvidence', 'crashGuard',
+	'reservations', 'readingApart', 'earlyRefusal', 'secondTries', 'resumedTurns', 'comeBackTimes', 'peerUse', 'peerReadings', 'peerWaiting', 'pauses', 'pauseNews', 'errorRetries', 'slowCopies', 'continuing', 'stageOrders', 'nearHalls', 'quotaKeepers', 'peerEvidence', 'crashGuard', 'forwarding', 'steering',
 ]);
 
 /** Settings of one relay process. */
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -16,6 +16,8 @@
 
 const anyPort = '127.0.0.1:0';
 const readyPollMs = 10;
+/** Callers, readiness, peers, lookups, forwarded requests. */
+const portsPerHost = 5;
 
 /** A line of a relay's log. */
 export type LoggedLine = {
@@ -86,7 +88,7 @@
 
 /** The settings file as the platform writes it. */
 export function makeBoot({name, ip, ports, seeds, store, retryAllowance, revokeMs}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
-	const [front, ready, control, directory] = ports.map(port => `${ip}:${port}`);
+	const [front, ready, control, directory, forward] = ports.map(port => `${ip}:${port}`);
 	return {
 		nodeName: name,
 		role: 'gatehead',
@@ -97,6 +99,7 @@
 			front, ready, control, directory,
 		},
 		seeds,
+		internalPorts: forward === undefined ? [] : [Number(forward.split(':').at(-1)), Number(forward.split(':').at(-1))],
 		limits: {maxFds: 4100},
 		bounds: {
 			graceS: 8, retryBudgetRatio: retryAllowance === undefined ? 0.2 : 0, budgetSlack: retryAllowance ?? 58, budgetWindowS: 10, ttl_max_s: 5, configApplyMs: 2000, ...(revokeMs === undefined
@@ -245,8 +248,8 @@
 		publish(replica, 'ready');
 	}
 
-	const ports = await findPorts(4 * hosts);
-	const portsOf = (index: number) => ports.slice(4 * index, (4 * index) + 4);
+	const ports = await findPorts(portsPerHost * hosts);
+	const portsOf = (index: number) => ports.slice(portsPerHost * index, portsPerHost * (index + 1));
 	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
 	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
 	const ownPaths: Array<ReadonlyMap<string, string>> = [];
