Soak: hosts lose their links to replicas

A host of the soak sees the replicas at its own proxies (store-view.ts), so that its links alone can be cut: silent, refused, or refused for new connections.

--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -10,13 +10,17 @@
 import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
 import {startStore, type StandinStore} from '../wire/store-server.js';
 import {makeConfig, makeEntry} from '../wire/world.js';
+import {LinkProxy} from '../wire/link-proxy.js';
 import {startProxy, type FaultyProxy} from './faulty-proxy.js';
 import {HostProcess} from './host-process.js';
+import {startStoreView, type StoreView} from './store-view.js';
 
 const anyPort = '127.0.0.1:0';
 /** Each host has an address of its own, since all serve their figures at one port. */
 const firstIp = 11;
 const readyPollMs = 200;
+/** Callers, readiness, peers, lookups, forwarded requests. */
+const portsPerHost = 5;
 const stages = [undefined, undefined, undefined, 'prefill', 'prefill', 'decode', 'decode', 'decode'] as const;
 
 /** A running deployment. */
@@ -27,6 +31,9 @@
 	readonly replicas: readonly StandinReplica[];
 	readonly proxies: readonly FaultyProxy[];
 	readonly hosts: readonly HostProcess[];
+	/** The links of each host to the replicas. */
+	readonly links: readonly LinkProxy[];
+	readonly views: readonly StoreView[];
 	readonly log: ReplicaLog;
 	readonly folder: string;
 	version: number;
@@ -44,13 +51,16 @@
 		id: `${stage ?? 'plain'}-${index}`, stage, slots: 16, log,
 	}, anyPort)));
 	const proxies = await Promise.all(replicas.map(async ({address}) => startProxy(address)));
-	const ports = await findPorts(4 * hostCount);
+	const published = proxies.map(({address}) => address);
+	const links = await Promise.all(Array.from({length: hostCount}, async () => LinkProxy.start(published)));
+	const views = await Promise.all(links.map(async ({addresses}) => startStoreView(storeProxy.address, new Map(published.map((address, index) => [address, addresses[index] ?? address])))));
+	const ports = await findPorts(portsPerHost * hostCount);
 	const seedAddress = `${ownNetwork}.${firstIp}:${ports[2]}`;
 	const hosts = Array.from({length: hostCount}, (_, index) => new HostProcess({
-		name: `host-${index}`, ip: `${ownNetwork}.${firstIp + index}`, ports: ports.slice(4 * index, (4 * index) + 4), seeds: [seedAddress], store: storeProxy.address, folder,
+		name: `host-${index}`, ip: `${ownNetwork}.${firstIp + index}`, ports: ports.slice(portsPerHost * index, portsPerHost * (index + 1)), seeds: [seedAddress], store: views[index]?.address ?? storeProxy.address, folder,
 	}));
 	const bed = {
-		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, log, folder, version: 1,
+		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, links, views, log, folder, version: 1,
 	};
 	store.put('op/config', makeConfig(bed.version));
 	for (const [index] of replicas.entries()) {
@@ -89,7 +99,7 @@
 }
 
 /** Ends all that was started. */
-export async function endBed({hosts, replicas, proxies, storeProxy, store}: Bed): Promise<void> {
+export async function endBed({hosts, replicas, proxies, links, views, storeProxy, store}: Bed): Promise<void> {
 	for (const host of hosts) {
 		host.signal('SIGKILL');
 		await host.ended();
@@ -99,6 +109,11 @@
 		proxy.close();
 	}
 
+	await Promise.all(links.map(async link => link.close()));
+	for (const view of views) {
+		view.close();
+	}
+
 	await Promise.all(replicas.map(async each => each.kill()));
 	await store.kill();
 }
--- a/packages/standin/src/soak/faulty-proxy.ts
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -16,6 +16,8 @@
 	silenceOpen(): void;
 	/** Resets all open connections. */
 	reset(): void;
+	/** Refuses new connections from now on; open ones live on. */
+	refuseNew(): void;
 	close(): void;
 };
 
@@ -35,8 +37,16 @@
 	});
 }
 
+/** Where a proxy listens. */
+export type ProxyListener = {
+	/** 0: a free port. */
+	readonly port?: number;
+	/** Connections that wait to be accepted, at most. */
+	readonly backlog?: number;
+};
+
 /** Starts a proxy before an address. */
-export async function startProxy(target: string): Promise<FaultyProxy> {
+export async function startProxy(target: string, {port: ownPort = 0, backlog}: ProxyListener = {}): Promise<FaultyProxy> {
 	const {ip, port} = splitAddress(target);
 	const sockets = new Set<Socket>();
 	const silenced = new WeakSet<Socket>();
@@ -89,7 +99,7 @@
 			}
 		});
 	});
-	server.listen(0, '127.0.0.1');
+	server.listen({port: ownPort, host: '127.0.0.1', backlog});
 	await once(server, 'listening');
 	const bound = server.address();
 	return {
@@ -110,6 +120,9 @@
 				socket.resetAndDestroy();
 			}
 		},
+		refuseNew() {
+			server.close();
+		},
 		close() {
 			server.close();
 			for (const socket of sockets) {
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -14,7 +14,7 @@
 	readonly name: string;
 	/** An address of its own in the loopback range. */
 	readonly ip: string;
-	/** Ports for callers, readiness, peers and lookups. */
+	/** Ports for callers, readiness, peers, lookups and forwarded requests. */
 	readonly ports: readonly number[];
 	readonly seeds: readonly string[];
 	readonly store: string;
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -6,6 +6,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {jitter, pick} from '@gatehead/policy/utils/random';
 import {sendRequest} from '../wire/client.js';
+import {type LinkCut} from '../wire/link-proxy.js';
 import {type ReplicaFault} from '../wire/replica-server.js';
 import {type StoreFault} from '../wire/store-server.js';
 import {makeConfig} from '../wire/world.js';
@@ -26,6 +27,10 @@
 const storeFaults: readonly StoreFault[] = ['silent', 'busy', 'reset'];
 const proxyModes: readonly ProxyMode[] = ['delay', 'silence', 'dropAnswers'];
 
+const linkCuts: readonly LinkCut[] = ['silent', 'refused', 'newRefused'];
+/** Chance of a host to lose its links where some do. */
+const cutShare = 0.6;
+
 /** What one seed played and found. */
 export type SoakReport = {
 	readonly seed: number;
@@ -155,6 +160,14 @@
 			publish(bed, index, 'ready');
 		}
 	},
+	/** Some or all hosts lose their links to the replicas. */
+	async cutLinks({random, links}, lastsMs) {
+		const how = pick(random, linkCuts) ?? 'silent';
+		const cut = links.filter(() => random.next() < cutShare);
+		await Promise.all(cut.map(async link => link.cut(how)));
+		await pause(2 * lastsMs);
+		await Promise.all(cut.map(async link => link.heal()));
+	},
 };
 
 async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
--- a/packages/standin/src/wire/link-proxy.ts
+++ b/packages/standin/src/wire/link-proxy.ts
@@ -25,14 +25,20 @@
 	readonly #worker: Worker;
 	#gate = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
 	#fillers: Socket[] = [];
+	#isCut = false;
 
 	private constructor(worker: Worker, addresses: readonly string[]) {
 		this.#worker = worker;
 		this.addresses = addresses;
 	}
 
-	/** Cuts all links. */
+	/** Cuts all links, unless they are cut. */
 	async cut(how: LinkCut): Promise<void> {
+		if (this.#isCut) {
+			return;
+		}
+
+		this.#isCut = true;
 		if (how !== 'silent') {
 			this.#worker.postMessage({kind: 'refuse', resetsOpen: how === 'refused'});
 			await once(this.#worker, 'message');
@@ -57,6 +63,11 @@
 
 	/** Restores all links. */
 	async heal(): Promise<void> {
+		if (!this.#isCut) {
+			return;
+		}
+
+		this.#isCut = false;
 		for (const filler of this.#fillers) {
 			filler.destroy();
 		}
