Reachability: endpoints that are down for all hosts do not count as lost links for longer

Seen in a test: with all prefill replicas of a model gone, every stream was refused (503) though decode replicas can read prompts; with one endpoint of several back, the service stayed unreachable at all hosts. Cause: one stage without links made the whole service unreachable, and the way back asked that no probe fails, of any endpoint. Change: only endpoints that requests cannot do without are judged, and one endpoint that stays reachable for 300 ms ends the loss. endpoint-outage.test.ts: did not end before, passes now.

--- a/packages/relay/src/upstream/reachability.ts
+++ b/packages/relay/src/upstream/reachability.ts
@@ -1,10 +1,12 @@
 /**
  * Finds out which services this host has lost its links to. Where nothing is
  * heard from a service, the links to its endpoints are probed by connections;
- * the way back is found by probes alone, so that no request is lost on it.
+ * the way back is found by probes alone, so that no request is lost on it. One
+ * endpoint that stays reachable is enough: the others may be down for all.
  */
 import {type GroupVerdict} from '@gatehead/policy/relay/endpoint-contacts';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {jitter, pick} from '@gatehead/policy/utils/random';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -16,17 +18,14 @@
 const checkIntervalMs = 200;
 /** Jitter as a share of the interval, so that hosts do not reconnect in step. */
 const checkJitter = 0.4;
-/** Time for which a service must stay reachable before it counts as such again, in milliseconds; keeps a flapping link from taking requests. */
+/** Time for which an endpoint must stay reachable before its service counts as such again, in milliseconds; keeps a flapping link from taking requests. */
 const returnMs = 300;
 
-/** Endpoints that can stand in for each other: all of a plain service, or one stage of a model. */
-type EndpointGroup = readonly Endpoint[];
-
 /** A service that this host cannot reach. */
 type Loss = {
 	readonly since: number;
-	/** Time of the first contact after the loss, as long as no probe has failed since. */
-	returnedAt: number | undefined;
+	/** The first endpoint that a probe has reached since, and when; undefined again once a probe of it fails. */
+	returned: {readonly endpoint: string; readonly at: number} | undefined;
 };
 
 /** Dependencies of `Reachability`. */
@@ -38,6 +37,13 @@
 	readonly onChange: (unreachable: readonly string[]) => void;
 };
 
+type VerdictHandlers = {readonly [Kind in GroupVerdict['kind']]: (verdict: Extract<GroupVerdict, {kind: Kind}>) => void};
+
+function handleVerdict<Kind extends GroupVerdict['kind']>(handlers: VerdictHandlers, verdict: Extract<GroupVerdict, {kind: Kind}> & {readonly kind: Kind}): void {
+	const handle: (each: Extract<GroupVerdict, {kind: Kind}>) => void = handlers[verdict.kind];
+	handle(verdict);
+}
+
 /** This host's links to the endpoints of each service. */
 export class Reachability {
 	readonly #parts: ReachabilityParts;
@@ -55,7 +61,7 @@
 		return [...this.#losses.keys()];
 	}
 
-	/** Whether this host has lost its links to a service, or to one stage of it. */
+	/** Whether this host has lost its links to all endpoints of a service that requests cannot do without. */
 	isUnreachable(service: string): boolean {
 		return this.#losses.has(service);
 	}
@@ -82,21 +88,30 @@
 
 	/** Checks a service after a failed connection. */
 	check(service: string): void {
-		const {context: {clock}, endpoints} = this.#parts;
-		const groups = this.#listGroups(service);
-		const verdicts = groups.map(group => ({group, verdict: endpoints.contacts.judge(group.map(({id}) => id), clock.now())}));
-		for (const {group, verdict} of verdicts) {
-			if (verdict.kind === 'doubtful') {
-				this.#probeAll(group.filter(({id}) => verdict.candidates.includes(id)));
-			}
+		if (this.#losses.has(service)) {
+			return;
 		}
 
-		this.#update(service, verdicts.map(({verdict}) => verdict));
+		const {context: {clock}, endpoints} = this.#parts;
+		const essential = this.#listEssential(service);
+		const verdict = endpoints.contacts.judge(essential.map(({id}) => id), clock.now());
+		const act: VerdictHandlers = {
+			reachable: ignore,
+			doubtful: ({candidates}) => {
+				for (const endpoint of essential.filter(({id}) => candidates.includes(id))) {
+					this.#probe(endpoint);
+				}
+			},
+			unreachable: () => {
+				this.#begin(service);
+			},
+		};
+		handleVerdict(act, verdict);
 	}
 
 	/** Resolves when the probes of a service in progress have ended, so that a request can tell a failed endpoint from lost links. */
 	async settle(service: string): Promise<void> {
-		await Promise.all(this.#listGroups(service).flat().map(async ({id}) => this.#probes.get(id)));
+		await Promise.all(this.#listEssential(service).map(async ({id}) => this.#probes.get(id)));
 	}
 
 	#checkAll(): void {
@@ -114,59 +129,57 @@
 		}
 	}
 
-	/** Groups of a service that have any endpoint. */
-	#listGroups(service: string): EndpointGroup[] {
-		const ready = this.#parts.endpoints.book.listReady(service);
-		const stages = new Set(ready.map(({stage}) => stage));
-		return [...stages].map(stage => ready.filter(each => each.stage === stage));
+	/** Endpoints that requests of a service cannot do without. Decode replicas can prefill prompts themselves. */
+	#listEssential(service: string): Endpoint[] {
+		return this.#parts.endpoints.book.listReady(service).filter(({stage}) => stage !== 'prefill');
 	}
 
-	#update(service: string, verdicts: readonly GroupVerdict[]): void {
-		const {clock} = this.#parts.context;
-		const isLost = verdicts.some(({kind}) => kind === 'unreachable');
+	/** Probes an endpoint of a lost service: the one that was reached last, or any. */
+	#probeLost(service: string): void {
 		const loss = this.#losses.get(service);
 		if (loss === undefined) {
-			if (isLost) {
-				this.#begin(service);
-			}
-
 			return;
 		}
 
-		if (isLost || verdicts.some(({kind}) => kind === 'doubtful')) {
-			loss.returnedAt = undefined;
+		const essential = this.#listEssential(service);
+		const endpoint = essential.find(({id}) => id === loss.returned?.endpoint) ?? pick(this.#parts.context.random, essential);
+		if (endpoint === undefined) {
+			this.#end(service);
 			return;
 		}
 
-		loss.returnedAt ??= clock.now();
-		if (clock.now() - loss.returnedAt >= returnMs) {
-			this.#end(service);
-		}
+		this.#probe(endpoint);
 	}
 
-	/** Probes one endpoint of each group of a lost service. */
-	#probeLost(service: string): void {
+	/** Ends a loss once an endpoint has been reachable for long enough. */
+	#recordProbe({id, service}: Endpoint, isReached: boolean): void {
 		const loss = this.#losses.get(service);
 		if (loss === undefined) {
 			return;
 		}
 
-		for (const group of this.#listGroups(service)) {
-			const endpoint = pick(this.#parts.context.random, [...group]);
-			this.#probeAll(endpoint === undefined ? [] : [endpoint]);
+		const now = this.#parts.context.clock.now();
+		if (!isReached) {
+			loss.returned = loss.returned?.endpoint === id ? undefined : loss.returned;
+			return;
+		}
+
+		loss.returned ??= {endpoint: id, at: now};
+		if (loss.returned.endpoint === id && now - loss.returned.at >= returnMs) {
+			this.#end(service);
 		}
 	}
 
-	#probeAll(endpoints: readonly Endpoint[]): void {
-		for (const endpoint of endpoints) {
-			if (!this.#probes.has(endpoint.id)) {
-				this.#probes.set(endpoint.id, this.#probe(endpoint));
-			}
+	/** Starts a probe, unless one of the same endpoint is in progress. */
+	#probe(endpoint: Endpoint): void {
+		if (!this.#probes.has(endpoint.id)) {
+			this.#probes.set(endpoint.id, this.#runProbe(endpoint));
 		}
 	}
 
-	async #probe({id, address, service}: Endpoint): Promise<void> {
+	async #runProbe(endpoint: Endpoint): Promise<void> {
 		const {context: {clock, metrics, settings: {timing: {connectMs}}}, endpoints: {contacts}} = this.#parts;
+		const {id, address, service} = endpoint;
 		const startedAt = clock.now();
 		const result = await probeConnection({clock, address, connectMs});
 		this.#probes.delete(id);
@@ -177,12 +190,13 @@
 			contacts.recordFailure(id, startedAt);
 		}
 
+		this.#recordProbe(endpoint, result === 'connected');
 		this.check(service);
 	}
 
 	#begin(service: string): void {
 		const {context: {clock, log, metrics}, endpoints} = this.#parts;
-		this.#losses.set(service, {since: clock.now(), returnedAt: undefined});
+		this.#losses.set(service, {since: clock.now(), returned: undefined});
 		metrics.set('unreachableServices', this.#losses.size);
 		log('endpointsUnreachable', {service, endpoints: endpoints.book.listReady(service).length});
 		this.#parts.onChange(this.unreachable);
