--- a/packages/policy/src/relay/stage-split.ts
+++ b/packages/policy/src/relay/stage-split.ts
@@ -5,9 +5,9 @@
  */
 import {type Endpoint} from '@gatehead/schema/routing';
 
-/** Prefill time on a decode replica relative to a prefill replica; its own streams stall meanwhile. */
+/** Prefill time on a decode replica relative to a prefill replica; its own streams stall meanwhile. Engines read a prompt at half the pace between the tokens of other requests. */
 export const decodePrefillFactor = 2;
-/** Maximum planned utilization of a prefill replica: queueing delays grow close to full utilization. */
+/** Maximum planned utilization of a prefill replica: queueing delays grow close to full utilization. At 0.8, six replicas keep two for prefill; at 0.9, one. */
 const maxPrefillUtilization = 0.9;
 /** Minimum number of prefill replicas; decode replicas prefill the prompts that exceed their capacity. */
 const minPrefill = 1;
--- a/packages/policy/src/relay/subsets.ts
+++ b/packages/policy/src/relay/subsets.ts
@@ -9,7 +9,7 @@
 import {hashText} from '@gatehead/schema/hash-text';
 import {rank} from '../core/rendezvous.js';
 
-/** Minimum number of hosts per subset; a subset with twice as many is split. */
+/** Minimum number of hosts per subset; a subset with twice as many is split. The hosts of a subset report every request to each other: 20 hosts cost each of them about 15 messages a second. */
 const minHosts = 16;
 /** Minimum average number of endpoints of one kind per subset, so that one can fail; with fewer, all hosts share them. */
 const minEndpoints = 2;
--- a/packages/policy/src/utils/clock.ts
+++ b/packages/policy/src/utils/clock.ts
@@ -38,7 +38,7 @@
 
 /** Change of the wall clock against the monotonic clock that is checked for a suspend, in milliseconds; three times the resolution of the uptime. */
 const minSuspendMs = 30;
-/** Interval at which the clocks are compared if the wall clock has not jumped, in milliseconds. */
+/** Interval at which the clocks are compared if the wall clock has not jumped, in milliseconds. A comparison reads a file, so it is not made at every call. */
 const compareIntervalMs = 250;
 /** Change of the uptime against the monotonic clock from which the uptime is unreliable, in milliseconds; it may only run ahead, and only during a suspend. */
 const maxUptimeDriftMs = 50;
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -20,7 +20,7 @@
 const maxBackoffDoublings = 8;
 /** Delay before the list after a gap, in milliseconds; only yields to other pending work. */
 const gapPauseMs = 1;
-/** Response timeout of a watch with a short wait, in addition to its wait, in milliseconds; doubles with each failure. */
+/** Response timeout of a watch with a short wait, in addition to its wait, in milliseconds; doubles with each failure. Twice the response time of a directory that is fifty times slower than usual. */
 const shortWatchTimeoutMs = 400;
 /** Wait of a watch that only checks whether the directory is available, in milliseconds: the minimum that the directory accepts. */
 const probeWaitMs = 1;
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -38,7 +38,7 @@
 const requestTimeoutMs = 30_000;
 /** Retry-After of a stopping host, in milliseconds: short, as other hosts can serve the retry. */
 const stoppingRetryAfterMs = 50;
-/** Retry-After of a host at its request limit, in milliseconds: longer, as the other hosts may be overloaded too. */
+/** Retry-After of a host at its request limit, in milliseconds: about as long as half of the active requests last, as the other hosts may be overloaded too. */
 const overloadRetryAfterMs = 500;
 /** Retry-After before a configuration is loaded, in milliseconds: loading that does not finish at once waits for an unavailable directory, which takes seconds, and an early retry would be rejected again. */
 const notReadyRetryAfterMs = 3000;
--- a/packages/relay/src/peer/directory-sync.ts
+++ b/packages/relay/src/peer/directory-sync.ts
@@ -10,7 +10,7 @@
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type FleetParts} from './fleet-parts.js';
 
-/** Time that this host's own watch has to deliver a change that a peer already knows, before it is requested from the peer, in milliseconds. */
+/** Time that this host's own watch has to deliver a change that a peer already knows, before it is requested from the peer, in milliseconds: a hundred times the directory's latency, and a fifth of the shortest time in which endpoints that left may get requests. */
 export const watchGraceMs = 400;
 /** Time for which a host reads the directory itself after a peer sent a position that cannot be compared, in milliseconds: three heartbeat intervals. */
 const incomparableMs = 2100;
--- a/packages/relay/src/peer/load-gossip.ts
+++ b/packages/relay/src/peer/load-gossip.ts
@@ -17,7 +17,7 @@
 
 /** Number of peers up to which waiting counts are sent immediately; each waiting request changes its count twice, so more peers would cost too much CPU time. */
 const maxImmediatePeers = 12;
-/** Time for which waiting counts are batched with more peers, in milliseconds. */
+/** Time for which waiting counts are batched with more peers, in milliseconds: about as long as a request waits before its admission is decided. */
 const countBatchMs = 200;
 
 /** Dependencies of the gossip. */
--- a/packages/relay/src/upstream/crash-check.ts
+++ b/packages/relay/src/upstream/crash-check.ts
@@ -1,7 +1,8 @@
 /**
  * Distinguishes a crashed endpoint from one that closed a single connection,
  * as overloaded endpoints do: a crashed process has no open connections left
- * and accepts no new ones. A false positive may hold back one content's
+ * and accepts no new ones. Without the check, requests whose connections two
+ * endpoints closed would be held although neither crashed. A false positive may hold back one content's
  * requests for a minute.
  */
 import {type Endpoint} from '@gatehead/schema/routing';
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -20,7 +20,7 @@
 	lateWakeMs: milliseconds.default(1000),
 	/** Maximum duration of a long poll of the directory, and so of the time to detect that it does not respond. */
 	watchMs: milliseconds.default(6000),
-	/** `watchMs` of the primary reader: bounds the delay of a configuration when the connections of all hosts stall at once. */
+	/** `watchMs` of the primary reader: bounds the delay of a configuration when the connections of all hosts stall at once. Costs two calls a second, and none while something changes more often. */
 	shortWatchMs: milliseconds.default(500),
 	/** Timeout of a list request to the directory, and of a watch request beyond its wait. */
 	directoryAnswerMs: milliseconds.default(1500),
@@ -47,7 +47,7 @@
 	/** Buffered bytes of a response beyond which its caller is considered gone. */
 	unreadBytes: count.default(1_048_576),
 	peerMessageBytes: count.default(8_000_000),
-	/** Load messages to peers per second, with a burst of three seconds; further ones are batched. */
+	/** Load messages to peers per second, with a burst of three seconds; further ones are batched. A message costs 0.5 ms of processor time. */
 	loadMessages: count.default(48),
 	timelineEvents: count.default(1024),
 	/** Log lines per second of one code; further ones are counted only. */
@@ -91,7 +91,7 @@
 	keys: z.strictObject({tls: tls.optional()}).prefault({}),
 	/** Address of a StatsD server for counters and durations. */
 	statsd: address.optional(),
-	/** Initial fraction of a model's replicas for prefill, until the duration of both stages is known from requests. */
+	/** Initial fraction of a model's replicas for prefill, until the duration of both stages is known from requests. A quarter suits prompts that occupy a prefill replica for a quarter to a third of the time for which they hold their share of decode memory. */
 	prefillShare: z.number().min(0.05).max(0.95).default(0.25),
 	logLevel: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 	timing: timing.prefault({}),
