--- a/packages/policy/src/relay/endpoint-contacts.ts
+++ b/packages/policy/src/relay/endpoint-contacts.ts
@@ -47,22 +47,6 @@
 		record.failedFrom = Math.max(record.failedFrom, from);
 	}
 
-	/** Whether this host has heard from any endpoint at or after a time. */
-	hasContactSince(at: number): boolean {
-		for (const {contactAt} of this.#records.values()) {
-			if (contactAt >= at) {
-				return true;
-			}
-		}
-
-		return false;
-	}
-
-	/** Whether an endpoint has been heard from at or after a time. */
-	isHeardSince(id: string, at: number): boolean {
-		return (this.#records.get(id)?.contactAt ?? Number.NEGATIVE_INFINITY) >= at;
-	}
-
 	/** Judges a group of endpoints that serve the same requests. Failures count only if nothing was heard from the group since the attempt began. */
 	judge(ids: readonly string[], now: number): GroupVerdict {
 		const records = ids.map(id => ({id, record: this.#records.get(id)}));
--- a/packages/relay/src/access/request-resolver.ts
+++ b/packages/relay/src/access/request-resolver.ts
@@ -10,7 +10,7 @@
 import {fail, Failure} from '@gatehead/schema/failure';
 import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
-import {type ForwardFacts} from '../core/forward-headers.js';
+import {type ForwardFacts} from '../core/forward-facts.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Freshness} from './freshness.js';
 import {type Credential, type AccessControl} from './access-control.js';
--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -38,7 +38,7 @@
 };
 
 /** Metadata sent to another host besides the caller's own headers. */
-export type ForwardedFacts = {
+export type HandOverFacts = {
 	/** Time until the request's deadline, in milliseconds. */
 	readonly remainingMs: number;
 	readonly lastEventId: string | undefined;
@@ -88,8 +88,8 @@
 	isForwarded(header: string): boolean;
 	/** Headers to send to an endpoint, as a flat list of alternating names and values. */
 	sendHeaders(facts: SendFacts): string[];
-	/** Headers to send to another host that forwards the request in place of this one, as a flat list of alternating names and values. */
-	forwardHeaders(facts: ForwardedFacts): string[];
+	/** Headers to send to another host that serves the request in place of this one, as a flat list of alternating names and values. */
+	handOverHeaders(facts: HandOverFacts): string[];
 	readResponse(status: number, headers: IncomingHttpHeaders): ResponseFacts;
 	/** Call that reserves memory for a request of `tokens` tokens for `lifeMs` milliseconds. */
 	reserve(tokens: number, lifeMs: number): EndpointCall;
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -19,7 +19,7 @@
 import {type AccessControl} from '../access/access-control.js';
 import {type RelayContext} from '../core/context.js';
 import {type RequestFacts} from '../core/dialect.js';
-import {isReservedHeader, readForwardFacts} from '../core/forward-headers.js';
+import {isReservedHeader, readForwardFacts} from '../core/forward-facts.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -6,7 +6,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {Failure} from '@gatehead/schema/failure';
-import {errorCodeHeader, isReservedHeader} from '../core/forward-headers.js';
+import {errorCodeHeader, isReservedHeader} from '../core/forward-facts.js';
 import {forwardHeaders} from './headers.js';
 
 const millisecondsPerSecond = 1000;
--- a/packages/relay/src/peer/config-propagation.test.ts
+++ b/packages/relay/src/peer/config-propagation.test.ts
@@ -376,7 +376,7 @@
 }
 
 const dialect: Dialect = {
-	readyPath: '', lookupPath: '', readRequest: unused, readKeyDigest: unused, identifiesCaller: unused, isForwarded: unused, sendHeaders: unused, forwardHeaders: unused, readResponse: unused, reserve: unused, readReservation: unused, cancelReservation: unused, readPrefill: unused, freeResult: unused, orderStage: unused, readLookup: unused, writeLookup: unused,
+	readyPath: '', lookupPath: '', readRequest: unused, readKeyDigest: unused, identifiesCaller: unused, isForwarded: unused, sendHeaders: unused, handOverHeaders: unused, readResponse: unused, reserve: unused, readReservation: unused, cancelReservation: unused, readPrefill: unused, freeResult: unused, orderStage: unused, readLookup: unused, writeLookup: unused,
 };
 
 /** Fault injected just before a configuration is published. */
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -11,7 +11,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayContext} from '../core/context.js';
 import {isOff} from '../core/experiment.js';
-import {errorCodeHeader, writeForwardFacts} from '../core/forward-headers.js';
+import {errorCodeHeader, writeForwardFacts} from '../core/forward-facts.js';
 import {readPeerTls, type PeerTls} from '../core/peer-tls.js';
 import {notRunStatuses} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
@@ -208,7 +208,7 @@
 		return [
 			...job.headers,
 			...length,
-			...dialect.forwardHeaders({remainingMs: Math.floor(timeLeft(job, clock.now())), lastEventId: lastEventId ?? job.facts.lastEventId}),
+			...dialect.handOverHeaders({remainingMs: Math.floor(timeLeft(job, clock.now())), lastEventId: lastEventId ?? job.facts.lastEventId}),
 			...writeForwardFacts({
 				entryHost: self.host, routingVersion: routingVersion(), service: job.service.name, workspace: job.workspace?.name, attempts, isCallerRetry: job.isCallerRetry ? '1' : '0',
 			}),
--- a/packages/relay/src/upstream/reachability.ts
+++ b/packages/relay/src/upstream/reachability.ts
@@ -4,9 +4,7 @@
  * the way back is found by probes alone, so that no request is lost on it. One
  * endpoint that stays reachable is enough: the others may be down for all.
  */
-import {type GroupVerdict} from '@gatehead/policy/relay/endpoint-contacts';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {ignore} from '@gatehead/policy/utils/ignore';
 import {jitter, pick} from '@gatehead/policy/utils/random';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -37,13 +35,6 @@
 	readonly onChange: (unreachable: readonly string[]) => void;
 };
 
-type VerdictHandlers = {readonly [Kind in GroupVerdict['kind']]: (verdict: Extract<GroupVerdict, {kind: Kind}>) => void};
-
-function handleVerdict<Kind extends GroupVerdict['kind']>(handlers: VerdictHandlers, verdict: Extract<GroupVerdict, {kind: Kind}> & {readonly kind: Kind}): void {
-	const handle: (each: Extract<GroupVerdict, {kind: Kind}>) => void = handlers[verdict.kind];
-	handle(verdict);
-}
-
 /** This host's links to the endpoints of each service. */
 export class Reachability {
 	readonly #parts: ReachabilityParts;
@@ -95,18 +86,18 @@
 		const {context: {clock}, endpoints} = this.#parts;
 		const essential = this.#listEssential(service);
 		const verdict = endpoints.contacts.judge(essential.map(({id}) => id), clock.now());
-		const act: VerdictHandlers = {
-			reachable: ignore,
-			doubtful: ({candidates}) => {
-				for (const endpoint of essential.filter(({id}) => candidates.includes(id))) {
-					this.#probe(endpoint);
-				}
-			},
-			unreachable: () => {
-				this.#begin(service);
-			},
-		};
-		handleVerdict(act, verdict);
+		if (verdict.kind === 'unreachable') {
+			this.#begin(service);
+			return;
+		}
+
+		if (verdict.kind === 'reachable') {
+			return;
+		}
+
+		for (const endpoint of essential.filter(({id}) => verdict.candidates.includes(id))) {
+			this.#probe(endpoint);
+		}
 	}
 
 	/** Resolves when the probes of a service in progress have ended, so that a request can tell a failed endpoint from lost links. */
