Tests: a refusing link keeps its port

Cause: its listener is closed meanwhile, and its port at 127.0.0.1 may go to a connection that another process opens. Change: the proxies of a LinkProxy listen at the address of their process.

--- a/packages/standin/src/soak/faulty-proxy.ts
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -39,6 +39,8 @@
 
 /** Where a proxy listens. */
 export type ProxyListener = {
+	/** Absent: 127.0.0.1. */
+	readonly ip?: string;
 	/** 0: a free port. */
 	readonly port?: number;
 	/** Connections that wait to be accepted, at most. */
@@ -46,7 +48,7 @@
 };
 
 /** Starts a proxy before an address. */
-export async function startProxy(target: string, {port: ownPort = 0, backlog}: ProxyListener = {}): Promise<FaultyProxy> {
+export async function startProxy(target: string, {ip: ownIp = '127.0.0.1', port: ownPort = 0, backlog}: ProxyListener = {}): Promise<FaultyProxy> {
 	const {ip, port} = splitAddress(target);
 	const sockets = new Set<Socket>();
 	const silenced = new WeakSet<Socket>();
@@ -99,11 +101,11 @@
 			}
 		});
 	});
-	server.listen({port: ownPort, host: '127.0.0.1', backlog});
+	server.listen({port: ownPort, host: ownIp, backlog});
 	await once(server, 'listening');
 	const bound = server.address();
 	return {
-		address: `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`,
+		address: `${ownIp}:${typeof bound === 'object' && bound !== null ? bound.port : 0}`,
 		get mode() {
 			return proxy.mode;
 		},
--- a/packages/standin/src/wire/link-proxy-worker.ts
+++ b/packages/standin/src/wire/link-proxy-worker.ts
@@ -1,7 +1,8 @@
-/** The thread of a `LinkProxy`: one proxy before each endpoint. While its event loop is blocked, open connections are silent and the kernel leaves new ones unanswered. */
+/** The thread of a `LinkProxy`: one proxy before each endpoint, at an address of this process alone, so that no other takes the port of a listener that refuses. While its event loop is blocked, open connections are silent and the kernel leaves new ones unanswered. */
 import {parentPort} from 'node:worker_threads';
 import {splitAddress} from '@gatehead/schema/address';
 import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
+import {ownAddress} from '../utils/ports.js';
 
 /** Connections that the kernel accepts for a blocked thread; Linux adds one. */
 const backlog = 1;
@@ -24,7 +25,7 @@
 
 const handlers: Handlers = {
 	async open({targets}) {
-		paths = await Promise.all(targets.map(async target => ({target, proxy: await startProxy(target, {backlog}), isRefusing: false})));
+		paths = await Promise.all(targets.map(async target => ({target, proxy: await startProxy(target, {ip: ownAddress, backlog}), isRefusing: false})));
 		parentPort?.postMessage(paths.map(({proxy}) => proxy.address));
 	},
 	block({gate}) {
@@ -45,7 +46,7 @@
 	async heal() {
 		for (const path of paths.filter(({isRefusing}) => isRefusing)) {
 			const {port} = splitAddress(path.proxy.address);
-			path.proxy = await startProxy(path.target, {port, backlog});
+			path.proxy = await startProxy(path.target, {ip: ownAddress, port, backlog});
 			path.isRefusing = false;
 		}
 
