--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -155,7 +155,7 @@
 		}
 
 		if (result.kind === 'answer') {
-			return this.#forwardAnswer(result, via);
+			return this.#forwardHostResponse(result, via);
 		}
 
 		if (result.kind === 'refused') {
@@ -165,7 +165,7 @@
 		return this.#continueOrFail(via, result.detail);
 	}
 
-	async #forwardAnswer({response, end}: Extract<ForwardResult, {kind: 'answer'}>, via: Via): Promise<DecodeResult> {
+	async #forwardHostResponse({response, end}: Extract<ForwardResult, {kind: 'answer'}>, via: Via): Promise<DecodeResult> {
 		const sent = {
 			response, touch: ignore, end,
 		};
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -190,10 +190,10 @@
 			return job.mayHaveRun ? undefined : this.#refuse();
 		}
 
-		return result.kind === 'answer' ? this.#forwardFrom(result) : this.#passOnError(result);
+		return result.kind === 'answer' ? this.#forwardHostResponse(result) : this.#passOnError(result);
 	}
 
-	async #forwardFrom({host, response, end}: Extract<ForwardResult, {kind: 'answer'}>): Promise<JobEnd> {
+	async #forwardHostResponse({host, response, end}: Extract<ForwardResult, {kind: 'answer'}>): Promise<JobEnd> {
 		try {
 			const body = await readBody(response, maxBodyBytes);
 			return this.#forward({endpoint: {id: host}, response, body});
