--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -248,16 +248,17 @@
 		publish(replica, 'ready');
 	}
 
-	const ports = await findPorts(portsPerHost * hosts);
-	const portsOf = (index: number) => ports.slice(portsPerHost * index, portsPerHost * (index + 1));
-	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
-	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
 	const ownPaths: Array<ReadonlyMap<string, string>> = [];
 	for (let index = 0; index < hosts; index += 1) {
 		const addresses = await endpointPaths?.(replicas.map(({address}) => address));
 		ownPaths.push(new Map(addresses?.map((address, at) => [replicas[at]?.address ?? '', address])));
 	}
 
+	// After all listeners on free ports, which could take a port that was found
+	const ports = await findPorts(portsPerHost * hosts);
+	const portsOf = (index: number) => ports.slice(portsPerHost * index, portsPerHost * (index + 1));
+	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
+	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
 	const seeds = [advertised[0] ?? peers[0] ?? ''];
 	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => startRelay({
 		index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index], endpointPaths: ownPaths[index] ?? new Map(),
