--- a/packages/policy/src/relay/directory-readers.ts
+++ b/packages/policy/src/relay/directory-readers.ts
@@ -52,7 +52,7 @@
 	return listFirst(self.hall, alive, halls.size).includes(self.host);
 }
 
-/** Whether one of the silent hosts is a reader. Its neighbours then read the directory until it is heard again or replaced, so that readers that fail together leave no gap: by default it takes 3.4 s to replace them (suspicion 2.1 s, heartbeat 0.8 s, check 0.5 s) and 1.7 s until their neighbours read, while endpoints that left may get requests for 3 s only. */
+/** Whether one of the hosts with overdue heartbeats is a directory watcher. Its neighbours then watch as well until its heartbeats resume or it is replaced. By default a replacement takes 3.4 s (suspicion 2.1 s, heartbeat 0.8 s, check 0.5 s), longer than the 3 s in which endpoints that left may get requests; the neighbours watch after 1.7 s. */
 export function isReaderSilent(silent: ReadonlySet<string>, alive: readonly FleetHost[]): boolean {
 	return silent.size > 0 && alive.some(each => silent.has(each.host) && isDirectoryReader(each, alive));
 }
--- a/packages/policy/src/relay/endpoint-contacts.test.ts
+++ b/packages/policy/src/relay/endpoint-contacts.test.ts
@@ -1,4 +1,4 @@
-/** A host must tell the loss of its own links from the failure of single endpoints, and must not take a slow endpoint for either. */
+/** Distinguishes a partitioned host from failed endpoints; a slow endpoint counts as neither. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {EndpointContacts, type GroupVerdict} from './endpoint-contacts.js';
--- a/packages/relay/src/core/forward-facts.ts
+++ b/packages/relay/src/core/forward-facts.ts
@@ -11,7 +11,7 @@
 /** Response header with the number of the error code, if the response is the other host's own error. */
 export const errorCodeHeader = 'gatehead-error';
 
-/** What the host that a request entered at tells the host that it forwards it to. */
+/** Metadata of a forwarded request, set by its entry host. */
 export const forwardFacts = z.object({
 	/** Host that the request entered at. */
 	entryHost: z.string().min(1).max(200),
