Observability: framing, events and trailing bytes of responses in logs and metrics

Truncated streams that looked complete could not be told from complete ones: no line had the framing of a response, nor what followed its last event.

7001 has framing (length, chunks, connection, none), events and restBytes now; gatehead_response_ends_total counts complete responses by step and framing. The decision whether a method or status excludes a body moves to one function.

--- a/packages/policy/src/relay/event-splitter.ts
+++ b/packages/policy/src/relay/event-splitter.ts
@@ -62,6 +62,11 @@
 		return {bytes: whole, count};
 	}
 
+	/** Number of bytes after the last complete event. */
+	get restBytes(): number {
+		return this.#rest.length;
+	}
+
 	/** Removes and returns the bytes after the last complete event. */
 	takeRest(): Uint8Array {
 		const rest = this.#rest;
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -306,7 +306,7 @@
 		}
 	}
 
-	#recordEnd(job: Job, {outcome, code, endpoint, softwareVersion, detail, longestGapMs}: JobEnd): void {
+	#recordEnd(job: Job, {outcome, code, endpoint, softwareVersion, detail, longestGapMs, framing, events, restBytes}: JobEnd): void {
 		const {context: {clock, log, metrics}, routing} = this.#parts;
 		const {id, route, service, workspace, reply, arrivedAt, sends, runs, isCallerRetry, entryHost} = job;
 		const now = clock.now();
@@ -336,6 +336,9 @@
 			targetMs: route.targetMs,
 			gapTargetMs: route.gapTargetMs,
 			longestGapMs,
+			framing,
+			events,
+			restBytes,
 			firstByteMs: reply.firstByteAt === undefined ? undefined : Math.round(reply.firstByteAt - arrivedAt),
 			tookMs: Math.round(now - arrivedAt),
 			version: routing.version,
--- a/packages/relay/src/work/event-forwarder.ts
+++ b/packages/relay/src/work/event-forwarder.ts
@@ -13,6 +13,8 @@
 export class EventForwarder {
 	/** Longest interval between two forwarded events so far, in milliseconds. */
 	longestGapMs = 0;
+	/** Number of forwarded events. */
+	count = 0;
 	readonly #reply: Reply;
 	readonly #clock: Clock;
 	readonly #maxUnreadBytes: number;
@@ -30,6 +32,11 @@
 		return this.#splitter.lastId;
 	}
 
+	/** Number of bytes received after the last complete event. */
+	get restBytes(): number {
+		return this.#splitter.restBytes;
+	}
+
 	/** Forwards the events that the chunk completes, from an endpoint of the given software version. */
 	forward(response: IncomingMessage, chunk: Uint8Array, softwareVersion: string): void {
 		const {bytes, count} = this.#splitter.push(chunk);
@@ -43,6 +50,7 @@
 		}
 
 		this.#lastEventAt = now;
+		this.count += count;
 		this.#begin(response, softwareVersion);
 		this.#reply.write(bytes);
 		if (this.#reply.bufferedBytes > this.#maxUnreadBytes) {
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -6,6 +6,7 @@
  * A stream that cannot continue is broken off. All events of a stream come from
  * endpoints of one software version, which its first event decides.
  */
+import {framingOf} from '@gatehead/host/utils/response-framing';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
@@ -334,14 +335,17 @@
 				throw new ExchangeError('reset', true, new Error('the stream was cut'));
 			}
 
+			const {restBytes} = this.#events;
 			sent.end('good');
 			admission.recordHold(this.#job.service.name, this.#tokensToReserve(), clock.now() - this.#reservedAt);
 			this.#events.finish(response, versionOf(endpoint));
-			const {longestGapMs} = this.#events;
+			const {longestGapMs, count} = this.#events;
 			metrics.time('gap', longestGapMs);
+			const framing = framingOf(response, this.#job.method);
+			metrics.add('responseEnds', {step: 'decode', framing});
 			return {
 				kind: 'ended', end: {
-					outcome: 'answered', endpoint: endpoint.id, softwareVersion: endpoint.softwareVersion, longestGapMs: Math.round(longestGapMs),
+					outcome: 'answered', endpoint: endpoint.id, softwareVersion: endpoint.softwareVersion, longestGapMs: Math.round(longestGapMs), framing, events: count, restBytes,
 				},
 			};
 		} catch (error) {
--- a/packages/relay/src/work/job-end.ts
+++ b/packages/relay/src/work/job-end.ts
@@ -1,3 +1,4 @@
+import {type Framing} from '@gatehead/host/utils/response-framing';
 import {type Code} from '@gatehead/schema/codes';
 
 /** Outcome of a job, for the log and the metrics. */
@@ -10,4 +11,10 @@
 	readonly detail?: string;
 	/** Longest interval between two events of a stream, in milliseconds. */
 	readonly longestGapMs?: number;
+	/** How the endpoint marked the end of the response. */
+	readonly framing?: Framing;
+	/** Events of a stream that were forwarded. */
+	readonly events?: number;
+	/** Bytes that followed the last event of a stream. */
+	readonly restBytes?: number;
 };
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -5,6 +5,7 @@
  * or is slow.
  */
 import {type IncomingMessage} from 'node:http';
+import {framingOf, isBodiless} from '@gatehead/host/utils/response-framing';
 import {retryAfterWait} from '@gatehead/policy/relay/retry-after';
 import {type PlacementWeights} from '@gatehead/policy/relay/placement';
 import {type Mechanism} from '@gatehead/schema/relay-settings';
@@ -32,7 +33,6 @@
 const maxEndpoints = 4;
 const okStatus = 200;
 const minServerErrorStatus = 500;
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 /** Placement weights for plain services: the endpoint in the own hall is preferred until it has work in progress, so that its connections are reused. */
 const weights: PlacementWeights = {
@@ -293,6 +293,7 @@
 
 		try {
 			const body = await readBody(sent.response, maxBodyBytes);
+			this.#parts.context.metrics.add('responseEnds', {step: 'plain', framing: framingOf(sent.response, this.#job.method)});
 			sent.end('good');
 			return {kind: 'response', answer: {endpoint, response: sent.response, body}};
 		} catch (error) {
@@ -310,7 +311,7 @@
 			await this.#parts.streams.record(this.#job, endpoint);
 		}
 
-		if (method === 'HEAD' || bodilessStatuses.has(response.statusCode ?? 0)) {
+		if (isBodiless(method, response.statusCode)) {
 			reply.forwardHead(response, versionOf(endpoint));
 			reply.end();
 		} else {
@@ -318,7 +319,7 @@
 			reply.end(body);
 		}
 
-		return {outcome: 'answered', endpoint: endpoint.id};
+		return {outcome: 'answered', endpoint: endpoint.id, framing: framingOf(response, method)};
 	}
 
 	/** `Retry-After` in milliseconds if all endpoints are paused; undefined if none is. */
