Tests: truncated streams must not look complete (fails)

The stand-in's replicas frame their responses by the connection or in chunks and cut them at a given byte, by the end of the response, a reset or their own crash.

--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -4,6 +4,7 @@
 import {
 	readBody, sendJson, startServer, type RunningServer,
 } from '../utils/http.js';
+import {BodyWriter, type ResponseCut, type ResponseFraming} from './body-writer.js';
 
 /** Events of a whole stream. */
 export const streamEvents = 6;
@@ -86,6 +87,10 @@
 	signals: StatedSignals;
 	/** Time that a plain call takes, in milliseconds. */
 	workMs: number;
+	/** How its responses to callers are framed. */
+	framing: ResponseFraming;
+	/** Cuts of its next responses, in order; then they are whole. */
+	readonly cuts: ResponseCut[];
 	/** Ends the server; `revive` starts it on the same address. */
 	kill(): Promise<void>;
 	revive(): Promise<void>;
@@ -112,6 +117,8 @@
 	fault: ReplicaFault = 'none';
 	signals: StatedSignals = {};
 	workMs = 0;
+	framing: ResponseFraming = 'chunks';
+	readonly cuts: ResponseCut[] = [];
 	softwareVersion: string | undefined;
 	id: string;
 	#taken = 0;
@@ -317,9 +324,10 @@
 	}
 
 	#answerWhole({response, id, request}: Exchange, body: string): void {
+		const cut = this.cuts.shift();
 		if (this.parts.stage === undefined) {
 			const answer = () => {
-				response.writeHead(200, {'Request-Id': id, 'Server-Seal': 'seal', 'Keep-Alive': 'timeout=5'}).end(body);
+				this.#answerPlain(response, id, body, cut);
 			};
 
 			if (this.workMs > 0) {
@@ -335,19 +343,42 @@
 		response.once('close', () => {
 			this.#taken -= 1;
 		});
+		const writer = this.#makeWriter(response, cut);
 		response.writeHead(200, {'Request-Id': id, 'Server-Seal': 'seal', 'Content-Type': 'text/event-stream'});
-		this.#writeEvents(response, Number(headerOf(request, 'last-event-id') ?? 0));
+		this.#writeEvents(writer, Number(headerOf(request, 'last-event-id') ?? 0));
 	}
 
-	#writeEvents(response: ServerResponse, after: number): void {
-		if (after >= streamEvents || response.destroyed) {
-			response.end();
+	#answerPlain(response: ServerResponse, id: string, body: string, cut: ResponseCut | undefined): void {
+		const head = {'Request-Id': id, 'Server-Seal': 'seal', 'Keep-Alive': 'timeout=5'};
+		if (this.framing === 'chunks' && cut === undefined) {
+			response.writeHead(200, head).end(body);
 			return;
 		}
 
-		response.write(`id: ${after + 1}\n${this.#versionField}data: piece ${after + 1}\n\n`);
+		const writer = this.#makeWriter(response, cut);
+		response.writeHead(200, head);
+		writer.write(body);
+		writer.end();
+	}
+
+	#makeWriter(response: ServerResponse, cut: ResponseCut | undefined): BodyWriter {
+		return new BodyWriter({
+			response, framing: this.framing, cut, crash: () => {
+				this.parts.log.ended.push(this.id);
+				this.#end();
+			},
+		});
+	}
+
+	#writeEvents(writer: BodyWriter, after: number): void {
+		if (after >= streamEvents || writer.isOver) {
+			writer.end();
+			return;
+		}
+
+		writer.write(`id: ${after + 1}\n${this.#versionField}data: piece ${after + 1}\n\n`);
 		setTimeout(() => {
-			this.#writeEvents(response, after + 1);
+			this.#writeEvents(writer, after + 1);
 		}, this.parts.eventGapMs ?? eventGapMs);
 	}
 
@@ -399,6 +430,13 @@
 		set signals(signals) {
 			replica.signals = signals;
 		},
+		get framing() {
+			return replica.framing;
+		},
+		set framing(framing) {
+			replica.framing = framing;
+		},
+		cuts: replica.cuts,
 		get id() {
 			return replica.id;
 		},
--- /dev/null
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -0,0 +1,80 @@
+/** Guards against streams that a replica broke off and that reach their callers framed as complete. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {expect} from 'earl';
+import {type ResponseCut, type ResponseFraming} from './body-writer.js';
+import {sendRequest} from './client.js';
+import {streamEvents} from './replica-server.js';
+import {startWorld, type World} from './world.js';
+
+/** Streams of each case. */
+const streams = 10;
+const eventTexts = Array.from({length: streamEvents}, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`);
+const wholeStream = eventTexts.join('');
+const eventBytes = eventTexts[0]?.length ?? 0;
+
+type Case = {
+	readonly name: string;
+	readonly framing: ResponseFraming;
+	readonly cut: ResponseCut | undefined;
+};
+
+const cuts: readonly Case[] = [
+	{name: 'closed inside an event', framing: 'connection', cut: {bytes: (2 * eventBytes) + 8, end: 'end'}},
+	{name: 'closed one line feed short of the end of an event', framing: 'connection', cut: {bytes: (3 * eventBytes) - 1, end: 'end'}},
+	{name: 'closed after a whole line of an event', framing: 'connection', cut: {bytes: (2 * eventBytes) + 'id: 3\n'.length, end: 'end'}},
+	{name: 'closed inside the first event', framing: 'connection', cut: {bytes: 8, end: 'end'}},
+	{name: 'closed inside the last event', framing: 'connection', cut: {bytes: wholeStream.length - 3, end: 'end'}},
+	{name: 'closed some time after the last bytes', framing: 'connection', cut: {bytes: (2 * eventBytes) + 8, end: 'end', afterMs: 20}},
+	{name: 'reset inside an event', framing: 'connection', cut: {bytes: (2 * eventBytes) + 8, end: 'reset'}},
+	{name: 'framed in chunks and ended inside an event', framing: 'chunks', cut: {bytes: (2 * eventBytes) + 8, end: 'end'}},
+];
+
+describe('truncated streams', () => {
+	let world: World;
+
+	before(async () => {
+		world = await startWorld({
+			hosts: 1, plain: 0, prefill: 1, decode: 4, slots: 16,
+		});
+	});
+
+	after(async () => {
+		await world.stop();
+	});
+
+	/** Sends a stream whose first response is cut as given. */
+	async function play(path: string, {framing, cut}: Case, index: number) {
+		for (const replica of world.replicas) {
+			replica.framing = framing;
+			replica.cuts.length = 0;
+			if (cut !== undefined) {
+				replica.cuts.push(cut);
+			}
+		}
+
+		const [host] = world.relays;
+		const answer = await sendRequest({address: host?.caller ?? '', id: `${path}-${index}`, path});
+		return {...answer, isFramedAsComplete: answer.status === 200 && answer.isWhole};
+	}
+
+	for (const {name, ...how} of cuts) {
+		it(`${name}: the caller sees the cut`, async () => {
+			for (let index = 0; index < streams; index += 1) {
+				const {isFramedAsComplete, body, status} = await play('/stream/1', {name, ...how}, index);
+				expect(isFramedAsComplete).toEqual(false);
+				expect(status === 200 ? wholeStream.startsWith(body) && body.length % eventBytes === 0 : status === 502).toEqual(true);
+			}
+		});
+	}
+
+	for (const framing of ['connection', 'chunks'] as const) {
+		it(`complete streams are passed on, ended by: ${framing}`, async () => {
+			for (let index = 0; index < streams; index += 1) {
+				const {isFramedAsComplete, body} = await play('/stream/1', {name: '', framing, cut: undefined}, index);
+				expect({isFramedAsComplete, body}).toEqual({isFramedAsComplete: true, body: wholeStream});
+			}
+		});
+	}
+});
