Fix: a stream that ends inside an event is truncated, whatever marks its end

Callers received streams with status 200 and a well-formed end whose replica had broken them off. A response with neither length nor chunks ends with its connection, and Node reports it complete whatever was received; what followed the last event was passed on and the response ended.

EventSplitter knows whether an event or a line is incomplete (LF, CR and CR LF, comments, empty lines); a stream that ends so is treated as broken off: continued on a resumable route, otherwise the caller's connection is closed. So is a stream without framing or any event. Generated streams cut at every byte are inside an event unless cut at the end of one. Streams whose events end with CR were held until their end before.

--- a/packages/policy/src/relay/event-splitter.ts
+++ b/packages/policy/src/relay/event-splitter.ts
@@ -1,12 +1,15 @@
 /**
  * Splits a byte stream of server-sent events at event boundaries, so that a
  * stream that fails in the middle of an event can be resumed at another
- * endpoint. Safety: only complete events are forwarded.
+ * endpoint. Safety: only complete events are forwarded. A stream that ends
+ * inside an event is truncated, whatever marks its end. Source: the event
+ * stream format of the HTML standard, section 9.2.
  */
 import {Buffer} from 'node:buffer';
 
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
+const colon = 0x3A;
 const noBytes = new Uint8Array();
 
 /** Complete events, as sent, and their number. */
@@ -15,7 +18,7 @@
 	readonly count: number;
 };
 
-/** The last `id:` field; undefined if there is noBytes. */
+/** The last `id:` field; undefined if there is none. */
 function findLastId(bytes: Uint8Array): string | undefined {
 	let found: string | undefined;
 	for (const [, id] of Buffer.from(bytes).toString('latin1').matchAll(/^id: ?(?<id>[^\r\n]*)/gmv)) {
@@ -25,57 +28,88 @@
 	return found;
 }
 
-/** Index after the empty line that ends the event at `from`; -1 if the event is incomplete. */
-function findEnd(bytes: Uint8Array, from: number): number {
-	for (let index = bytes.indexOf(lineFeed, from); index !== -1; index = bytes.indexOf(lineFeed, index + 1)) {
-		if (bytes[index + 1] === lineFeed) {
-			return index + 2;
-		}
-
-		if (bytes[index + 1] === carriageReturn && bytes[index + 2] === lineFeed) {
-			return index + 3;
-		}
-	}
-
-	return -1;
-}
-
 /** Splitter for one response stream. */
 export class EventSplitter {
 	/** Id of the last complete event, from which a stream is resumed. */
 	lastId: string | undefined;
 	#rest: Uint8Array = noBytes;
+	/** Bytes of the rest that were scanned before. */
+	#scannedBytes = 0;
+	#isLineEmpty = true;
+	#followsCarriageReturn = false;
+	/** Whether any line, and whether a line other than a comment, has begun since the last event. */
+	#hasLines = false;
+	#hasFields = false;
+
+	/** Number of bytes after the last complete event. */
+	get restBytes(): number {
+		return this.#rest.length;
+	}
+
+	/** Whether an event, or a line, has begun and is incomplete. Empty lines and whole comments may follow the last event. */
+	get isInsideEvent(): boolean {
+		return this.#hasFields || !this.#isLineEmpty;
+	}
 
 	/** Appends a chunk and returns the events that it completes. */
 	push(chunk: Uint8Array): CompleteEvents {
 		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
 		let end = 0;
 		let count = 0;
-		for (let next = findEnd(bytes, 0); next !== -1; next = findEnd(bytes, end)) {
-			end = next;
-			count += 1;
+		for (let index = this.#scannedBytes; index < bytes.length; index += 1) {
+			const byte = bytes[index] ?? 0;
+			if (byte === lineFeed && this.#followsCarriageReturn) {
+				// The second half of a line end, which may be that of the last event
+				this.#followsCarriageReturn = false;
+				end += Number(end > 0 && end === index);
+			} else if (this.#endsEvent(byte)) {
+				end = index + 1;
+				count += 1;
+			}
 		}
 
 		const whole = bytes.subarray(0, end);
 		this.#rest = bytes.subarray(end);
+		this.#scannedBytes = this.#rest.length;
 		this.lastId = findLastId(whole) ?? this.lastId;
 		return {bytes: whole, count};
 	}
 
-	/** Number of bytes after the last complete event. */
-	get restBytes(): number {
-		return this.#rest.length;
-	}
-
 	/** Removes and returns the bytes after the last complete event. */
 	takeRest(): Uint8Array {
 		const rest = this.#rest;
-		this.#rest = noBytes;
+		this.reset();
 		return rest;
 	}
 
 	/** Discards an incomplete event, before the stream is resumed elsewhere. */
 	reset(): void {
 		this.#rest = noBytes;
+		this.#scannedBytes = 0;
+		this.#isLineEmpty = true;
+		this.#followsCarriageReturn = false;
+		this.#hasLines = false;
+		this.#hasFields = false;
+	}
+
+	/** Scans the next byte; returns whether it ends an event. A line ends with LF, CR or CR LF, an event with an empty line. */
+	#endsEvent(byte: number): boolean {
+		this.#followsCarriageReturn = byte === carriageReturn;
+		if (byte !== lineFeed && byte !== carriageReturn) {
+			this.#hasLines = true;
+			this.#hasFields ||= this.#isLineEmpty && byte !== colon;
+			this.#isLineEmpty = false;
+			return false;
+		}
+
+		if (!this.#isLineEmpty) {
+			this.#isLineEmpty = true;
+			return false;
+		}
+
+		const isEvent = this.#hasLines;
+		this.#hasLines = false;
+		this.#hasFields = false;
+		return isEvent;
 	}
 }
--- a/packages/relay/src/work/event-forwarder.ts
+++ b/packages/relay/src/work/event-forwarder.ts
@@ -5,9 +5,13 @@
  * does not read is disconnected before its buffered bytes exhaust memory.
  */
 import {type IncomingMessage} from 'node:http';
+import {type Framing} from '@gatehead/host/utils/response-framing';
 import {EventSplitter} from '@gatehead/policy/relay/event-splitter';
 import {type Clock} from '@gatehead/policy/utils/clock';
 import {type Reply} from '../front/reply.js';
+import {ExchangeError} from '../upstream/exchange.js';
+
+const eventStreamType = 'text/event-stream';
 
 /** Forwards the events of one request. */
 export class EventForwarder {
@@ -58,6 +62,22 @@
 		}
 	}
 
+	/** Throws an `ExchangeError` if a response that has ended is truncated. `countBefore`: events that were forwarded before this response. */
+	checkEnd(response: IncomingMessage, framing: Framing, countBefore: number): void {
+		if (!isEventStream(response)) {
+			return;
+		}
+
+		if (this.#splitter.isInsideEvent) {
+			throw new ExchangeError('reset', true, new Error('the stream ended inside an event'));
+		}
+
+		// Without any event, a closed connection is no sign that the stream was complete
+		if (framing === 'connection' && this.count === countBefore) {
+			throw new ExchangeError('reset', true, new Error('the connection closed before any event'));
+		}
+	}
+
 	/** Ends the reply after a complete stream, with any bytes that follow its last event. */
 	finish(response: IncomingMessage, softwareVersion: string): void {
 		this.#begin(response, softwareVersion);
@@ -75,3 +95,8 @@
 		}
 	}
 }
+
+/** Whether a generation's response consists of events; an error or a plain result states another type. */
+function isEventStream({headers: {'content-type': type = eventStreamType}}: IncomingMessage): boolean {
+	return type.toLowerCase().startsWith(eventStreamType);
+}
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -318,6 +318,8 @@
 	async #forwardStream(sent: ForwardableResponse, endpoint: Via): Promise<DecodeResult> {
 		const {admission, context: {clock, metrics}} = this.#parts;
 		const {response} = sent;
+		const framing = framingOf(response, this.#job.method);
+		const countBefore = this.#events.count;
 		// A stream that cannot continue elsewhere has no idle timeout
 		const idleTimeout = new IdleTimeout(response, clock, this.#job.route.isResumable ? idleTimeoutMs : undefined);
 		try {
@@ -335,13 +337,13 @@
 				throw new ExchangeError('reset', true, new Error('the stream was cut'));
 			}
 
+			this.#events.checkEnd(response, framing, countBefore);
 			const {restBytes} = this.#events;
 			sent.end('good');
 			admission.recordHold(this.#job.service.name, this.#tokensToReserve(), clock.now() - this.#reservedAt);
 			this.#events.finish(response, versionOf(endpoint));
 			const {longestGapMs, count} = this.#events;
 			metrics.time('gap', longestGapMs);
-			const framing = framingOf(response, this.#job.method);
 			metrics.add('responseEnds', {step: 'decode', framing});
 			return {
 				kind: 'ended', end: {
