Fix: events that arrived before a reset reach the caller

A caller whose stream was reset while its first event waited for the record of its version got 502 although events had arrived: Node's iterator discards the chunks that it has buffered when a response fails, and a destroyed response what was written in the same turn.

receiveChunks takes all bytes as they arrive and fails behind them; it checks the end of the response as readBody does, both through one module. Reply.destroy lets what was written go out first.

--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -37,6 +37,7 @@
 	readonly #now: () => number;
 	readonly #closesConnection: () => boolean;
 	readonly #isToHost: boolean;
+	#isDestroyed = false;
 
 	/** `closesConnection` tells whether to close the connection after this response, as during a planned stop; `isToHost`: the request was forwarded by another host, which has to tell this host's errors from an endpoint's. */
 	constructor(response: ServerResponse, now: () => number, closesConnection: () => boolean, isToHost = false) {
@@ -53,7 +54,7 @@
 
 	/** Whether the response can still be written: neither ended nor closed by the caller. */
 	get isOpen(): boolean {
-		return !this.#response.destroyed && !this.#response.writableEnded;
+		return !this.#isDestroyed && !this.#response.destroyed && !this.#response.writableEnded;
 	}
 
 	/** Bytes buffered for a caller that reads slowly. */
@@ -92,9 +93,12 @@
 		}
 	}
 
-	/** Destroys the connection, so that the truncated response does not look complete. */
+	/** Destroys the connection, so that the truncated response does not look complete. What was written before goes out first. */
 	destroy(): void {
-		this.#response.destroy();
+		this.#isDestroyed = true;
+		setImmediate(() => {
+			this.#response.destroy();
+		});
 	}
 
 	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead. */
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -7,11 +7,12 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
+import {framingOf} from '@gatehead/host/utils/response-framing';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {readBytes} from '../utils/read-bytes.js';
 import {preventReuse, type ConnectionPool} from './connection-pool.js';
+import {checkEnd, markTruncated, probeForReset} from './response-end.js';
 
 /** A request to an endpoint. */
 export type OutgoingRequest = {
@@ -40,45 +41,6 @@
 	}
 }
 
-/** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
-const truncatedResponses = new WeakSet<IncomingMessage>();
-
-/** Whether an ended response is incomplete. */
-export function isTruncated(response: IncomingMessage): boolean {
-	return !response.complete || truncatedResponses.has(response);
-}
-
-/** Whether only the end of the connection ends the response's body. */
-function isCloseDelimited({headers}: IncomingMessage): boolean {
-	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
-
-/**
- * Distinguishes a reset connection from a closed one. Where a reset arrives
- * with the last bytes, libuv reports a normal end; a write then fails with the
- * error. The endpoint has closed the connection and ignores the written bytes.
- */
-function probeForReset(response: IncomingMessage): void {
-	const {socket} = response;
-	socket.prependOnceListener('end', () => {
-		if (socket.writable) {
-			socket.write('\r\n', error => {
-				if (error) {
-					truncatedResponses.add(response);
-				}
-			});
-		}
-	});
-}
-
-/** Waits until a reset that arrived with a response's last bytes is reported. */
-export async function awaitPendingReset(response: IncomingMessage): Promise<void> {
-	if (isCloseDelimited(response)) {
-		await setImmediate();
-		await setImmediate();
-	}
-}
-
 /** Timeouts and cancellation of an exchange. */
 export type ExchangeOptions = {
 	readonly clock: Clock;
@@ -162,9 +124,9 @@
 		clientRequest.once('response', response => {
 			state.timer?.stop();
 			clientRequest.once('error', () => {
-				truncatedResponses.add(response);
+				markTruncated(response);
 			});
-			if (isCloseDelimited(response)) {
+			if (framingOf(response, outgoing.method) === 'connection') {
 				probeForReset(response);
 			}
 
@@ -184,13 +146,11 @@
 
 /** Reads a body of at most `maxBytes` bytes; rejects with an `ExchangeError` if it is truncated or larger. */
 export async function readBody(response: IncomingMessage, maxBytes: number): Promise<Uint8Array> {
-	const body = await readBytes(response, maxBytes, () => new ExchangeError('tooLarge', true)).catch((error: unknown) => {
+	try {
+		const body = await readBytes(response, maxBytes, () => new ExchangeError('tooLarge', true));
+		await checkEnd(response);
+		return body;
+	} catch (error) {
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
-	});
-	await awaitPendingReset(response);
-	if (isTruncated(response)) {
-		throw new ExchangeError('reset', true, new Error('the response was truncated'));
 	}
-
-	return body;
 }
--- /dev/null
+++ b/packages/relay/src/upstream/response-end.ts
@@ -0,0 +1,45 @@
+/** Tells a response that has ended from one whose connection failed. Safety: a response is complete only if nothing failed up to its end. */
+import {type IncomingMessage} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
+
+/** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
+const truncatedResponses = new WeakSet<IncomingMessage>();
+
+/** Responses that only the end of their connection ends. */
+const probedResponses = new WeakSet<IncomingMessage>();
+
+/** Records that a response's connection has failed. */
+export function markTruncated(response: IncomingMessage): void {
+	truncatedResponses.add(response);
+}
+
+/**
+ * Distinguishes a reset connection from a closed one. Where a reset arrives
+ * with the last bytes, libuv reports a normal end; a write then fails with the
+ * error. The endpoint has closed the connection and ignores the written bytes.
+ */
+export function probeForReset(response: IncomingMessage): void {
+	const {socket} = response;
+	probedResponses.add(response);
+	socket.prependOnceListener('end', () => {
+		if (socket.writable) {
+			socket.write('\r\n', error => {
+				if (error) {
+					markTruncated(response);
+				}
+			});
+		}
+	});
+}
+
+/** Throws if a response that has ended is truncated. Waits until a reset that arrived with its last bytes is reported. */
+export async function checkEnd(response: IncomingMessage): Promise<void> {
+	if (probedResponses.has(response)) {
+		await setImmediate();
+		await setImmediate();
+	}
+
+	if (!response.complete || truncatedResponses.has(response)) {
+		throw new Error('the response was truncated');
+	}
+}
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -11,9 +11,8 @@
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {readSoftwareVersion} from '../core/forward-facts.js';
-import {
-	ExchangeError, isTruncated, readBody, awaitPendingReset,
-} from '../upstream/exchange.js';
+import {readBody} from '../upstream/exchange.js';
+import {receiveChunks} from '../upstream/receive-chunks.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {stallReason, type SendResult} from '../upstream/sender.js';
 import {DecodePrefill} from './decode-prefill.js';
@@ -326,7 +325,7 @@
 		// A stream that cannot continue elsewhere has no idle timeout
 		const idleTimeout = new IdleTimeout(response, clock, this.#job.route.isResumable ? idleTimeoutMs : undefined);
 		try {
-			for await (const chunk of response as AsyncIterable<Uint8Array>) {
+			for await (const chunk of receiveChunks(response)) {
 				idleTimeout.reset();
 				sent.touch();
 				await this.#recordSource(endpoint);
@@ -335,11 +334,6 @@
 				this.#recordStartLatency();
 			}
 
-			await awaitPendingReset(response);
-			if (isTruncated(response)) {
-				throw new ExchangeError('reset', true, new Error('the stream was cut'));
-			}
-
 			this.#events.checkEnd(response, framing, countBefore);
 			await sent.confirmEnd();
 			const {restBytes} = this.#events;
--- a/packages/standin/src/wire/truncated-streams.test.ts
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -36,7 +36,7 @@
 
 	before(async () => {
 		world = await startWorld({
-			hosts: 1, plain: 0, prefill: 1, decode: 4, slots: 16,
+			hosts: 2, plain: 0, prefill: 1, decode: 4, slots: 16, eventGapMs: 0,
 		});
 	});
 
@@ -69,6 +69,16 @@
 		});
 	}
 
+	for (const framing of ['connection', 'chunks'] as const) {
+		it(`the events that arrived before a reset reach the caller, framed by: ${framing}`, async () => {
+			for (let index = 0; index < streams; index += 1) {
+				// Its first event waits for the record of its version; both attempts are cut
+				const {isFramedAsComplete, body} = await play('/resumable/1', {name: '', framing, cut: {bytes: 2 * eventBytes, end: 'reset', afterMs: 1}}, index);
+				expect({isFramedAsComplete, body}).toEqual({isFramedAsComplete: false, body: eventTexts.slice(0, 4).join('')});
+			}
+		});
+	}
+
 	for (const framing of ['connection', 'chunks'] as const) {
 		it(`complete streams are passed on, ended by: ${framing}`, async () => {
 			for (let index = 0; index < streams; index += 1) {
