Fix: own front checks how a plain service's response ended

A plain service's response without framing whose connection was reset was taken for complete by the own front, as by the relay before: the class is the end of a connection taken for the end of a response, found by looking at each use of response.complete. Not affected: own engines, whose streams name their token count at the end; prefill results, reservations and the directory, whose JSON objects do not parse when cut.

--- a/packages/host/src/core/http-call.ts
+++ b/packages/host/src/core/http-call.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '@gatehead/schema/address';
+import {checkEnd, watchEnd} from '../utils/response-end.js';
 
 const maxIdleSockets = 64;
 
@@ -39,8 +40,12 @@
 
 async function sendRequest(call: ClientRequest, body: Call['body']): Promise<IncomingMessage> {
 	return new Promise((resolve, reject) => {
-		call.once('response', resolve);
-		call.once('error', error => {
+		call.once('response', response => {
+			watchEnd(call, response);
+			resolve(response);
+		});
+		// Never removed: errors may follow the response headers, and are handled by the response's reader
+		call.on('error', error => {
 			reject(new CallError(true, error));
 		});
 		call.end(body);
@@ -93,7 +98,7 @@
 	return sendRequest(httpRequest({...makeRequestOptions(call), agent: false, createConnection: () => socket}), call.body);
 }
 
-/** Reads a response body as text; throws `CallError` if it has more than `maxLength` UTF-16 code units. */
+/** Reads a response body as text; throws `CallError` if it is truncated or has more than `maxLength` UTF-16 code units. */
 export async function readText(response: IncomingMessage, maxLength: number): Promise<string> {
 	response.setEncoding('utf8');
 	let text = '';
@@ -105,5 +110,8 @@
 		}
 	}
 
+	await checkEnd(response).catch((error: unknown) => {
+		throw new CallError(true, error);
+	});
 	return text;
 }
--- a/packages/host/src/front/service-call.ts
+++ b/packages/host/src/front/service-call.ts
@@ -99,10 +99,6 @@
 	};
 	const response = service.repeatable ? await sendCall(httpCall, agent) : await sendOnce(httpCall, () => acceptsWork(service.name, replica.name));
 	const text = await readText(response, maxResponseBytes);
-	if (!response.complete) {
-		throw new CallError(true, new Error('response was truncated'));
-	}
-
 	if (response.headers[ranHeader] === 'no') {
 		return {kind: 'failed', failure: new Failure('endpointRefused', {retryAfterMs})};
 	}
--- a/packages/relay/src/upstream/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -1,6 +1,7 @@
 /** Tells a response that has ended from one whose connection failed. Safety: a response is complete only if nothing failed up to its end. */
-import {type IncomingMessage} from 'node:http';
+import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {setImmediate} from 'node:timers/promises';
+import {framingOf} from './response-framing.js';
 
 /** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
 const truncatedResponses = new WeakSet<IncomingMessage>();
@@ -8,9 +9,14 @@
 /** Responses that only the end of their connection ends. */
 const probedResponses = new WeakSet<IncomingMessage>();
 
-/** Records that a response's connection has failed. */
-export function markTruncated(response: IncomingMessage): void {
-	truncatedResponses.add(response);
+/** Observes how a response ends; called as soon as its headers arrive. */
+export function watchEnd(request: ClientRequest, response: IncomingMessage): void {
+	request.once('error', () => {
+		truncatedResponses.add(response);
+	});
+	if (framingOf(response, request.method) === 'connection') {
+		probeForReset(response);
+	}
 }
 
 /**
@@ -18,14 +24,14 @@
  * with the last bytes, libuv reports a normal end; a write then fails with the
  * error. The endpoint has closed the connection and ignores the written bytes.
  */
-export function probeForReset(response: IncomingMessage): void {
+function probeForReset(response: IncomingMessage): void {
 	const {socket} = response;
 	probedResponses.add(response);
 	socket.prependOnceListener('end', () => {
 		if (socket.writable) {
 			socket.write('\r\n', error => {
 				if (error) {
-					markTruncated(response);
+					truncatedResponses.add(response);
 				}
 			});
 		}
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -7,12 +7,11 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {framingOf} from '@gatehead/host/utils/response-framing';
+import {checkEnd, watchEnd} from '@gatehead/host/utils/response-end';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {readBytes} from '../utils/read-bytes.js';
 import {preventReuse, type ConnectionPool} from './connection-pool.js';
-import {checkEnd, markTruncated, probeForReset} from './response-end.js';
 
 /** A request to an endpoint. */
 export type OutgoingRequest = {
@@ -123,13 +122,7 @@
 		});
 		clientRequest.once('response', response => {
 			state.timer?.stop();
-			clientRequest.once('error', () => {
-				markTruncated(response);
-			});
-			if (framingOf(response, outgoing.method) === 'connection') {
-				probeForReset(response);
-			}
-
+			watchEnd(clientRequest, response);
 			response.once('close', () => {
 				options.signal.removeEventListener('abort', abort);
 			});
--- a/packages/relay/src/upstream/receive-chunks.ts
+++ b/packages/relay/src/upstream/receive-chunks.ts
@@ -1,7 +1,7 @@
 /** Receives a response's body without losing what arrived before its connection failed. */
 import {type IncomingMessage} from 'node:http';
 import {ignore} from '@gatehead/policy/utils/ignore';
-import {checkEnd} from './response-end.js';
+import {checkEnd} from '@gatehead/host/utils/response-end';
 
 /** Bytes received and not yet taken above which the response is paused. */
 const maxQueuedBytes = 65_536;
