Fix: a call that must run once goes out on the connection that was checked

sendOnce opens a connection, asks whether it may still send, and hands the connection to Node's client together with 'agent: false'. With that option Node makes an agent of its own, which ignores createConnection: the call went out on a second connection, opened after the check, and the first one stayed open.

Found by a test that did not end. http-call.test.ts counts connections: 2 in each of 6 cases before, 1 after. Not seen in the fault matrix, whose services do not count connections.

--- a/packages/host/src/core/http-call.test.ts
+++ b/packages/host/src/core/http-call.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {
-	CallError, makeKeepAliveAgent, readText, sendCall,
+	CallError, makeKeepAliveAgent, readText, sendCall, sendOnce,
 } from './http-call.js';
 
 const maxLength = 1000;
@@ -46,13 +46,16 @@
 
 const senders = {
 	'over a pooled connection': sendCall,
+	'over a new connection': async (call: Parameters<typeof sendOnce>[0]) => sendOnce(call, () => true),
 } as const;
 
 describe('http calls', () => {
 	for (const [how, send] of Object.entries(senders)) {
 		for (const {name, text, end, body} of cases) {
 			it(`a response ${name}, ${how}, is ${body === undefined ? 'truncated' : 'complete'}`, async () => {
+				let connections = 0;
 				const server = createServer(socket => {
+					connections += 1;
 					socket.on('error', () => {
 						// The caller may close the connection first
 					});
@@ -70,6 +73,8 @@
 					const call = {address: `127.0.0.1:${port}`, method: 'GET', path: '/'};
 					const result = await send(call, agent).then(async response => readText(response, maxLength)).catch((error: unknown) => error);
 					expect(body === undefined ? result instanceof Error && (!(result instanceof CallError) || result.mayHaveBeenSent) : result === body).toEqual(true);
+					// A call that is checked on one connection must not go out on another
+					expect(connections).toEqual(1);
 				} finally {
 					agent.destroy();
 					server.close();
--- a/packages/host/src/core/http-call.ts
+++ b/packages/host/src/core/http-call.ts
@@ -95,7 +95,7 @@
 		throw new CallError(false, new Error('the request was withdrawn before it was sent'));
 	}
 
-	return sendRequest(httpRequest({...makeRequestOptions(call), agent: false, createConnection: () => socket}), call.body);
+	return sendRequest(httpRequest({...makeRequestOptions(call), createConnection: () => socket}), call.body);
 }
 
 /** Reads a response body as text; throws `CallError` if it is truncated or has more than `maxLength` UTF-16 code units. */
