--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -20,6 +20,8 @@
 	readonly lastEventId: string | undefined;
 	/** Id of the attempt that brought the stream's first event, if it resumes a stream and its caller states it. */
 	readonly resumedId: string | undefined;
+	/** Ids of the prompt's parts that other requests may share, in order; without the last part, which is the request's own. */
+	readonly sharedParts: readonly string[];
 	/** Tokens charged to quotas: prompt plus longest possible response; undefined if the request states none. */
 	readonly countedTokens: number | undefined;
 };
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -191,7 +191,7 @@
 		const forwarded = isForwarded ? readForwardFacts(request.headers) : undefined;
 		const {table, route, service: chosenService, workspace} = forwarded === undefined ? await this.#resolver.resolve(incoming) : this.#resolver.resolveForwarded(incoming, forwarded);
 		const content = new RequestContent({
-			authority, method: request.method ?? 'GET', target, workspace: workspace?.name, body,
+			authority, method: request.method ?? 'GET', target, workspace: workspace?.name, body, sharedParts: facts.sharedParts,
 		});
 		const holdMs = guard.holdMs(content);
 		if (holdMs !== undefined) {
--- a/packages/relay/src/upstream/crash-guard.test.ts
+++ b/packages/relay/src/upstream/crash-guard.test.ts
@@ -50,7 +50,7 @@
 
 	createJob(text = 'harmful'): Job {
 		const job = {
-			id: 'r', route: {name: 'route'}, content: new RequestContent({
+			id: 'r', route: {name: 'route'}, service: {name: 's'}, content: new RequestContent({
 				authority: 'a', method: 'POST', target: '/x', workspace: undefined, body: new TextEncoder().encode(text),
 			}), isContentHeld: false, isProbe: false,
 		};
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -24,6 +24,8 @@
 const restartMs = 1000;
 /** Time for which later data can refute a crash, in milliseconds: longer than any stream. */
 const refutableMs = 15_000;
+/** Length of a part's digest in a log line, in characters: enough to tell parts apart. */
+const loggedDigestLength = 12;
 /** Interval at which expired state is removed, in milliseconds. */
 const cleanupIntervalMs = 60_000;
 
@@ -146,7 +148,7 @@
 		if (isConnectionLost) {
 			metrics.add('runsLost', {step, answer: answeredAt === undefined ? 'none' : 'begun'});
 			log('runLost', {
-				request: job.id, content: content.digest, bytes: content.bytes, route: job.route.name, step, endpoint: endpoint.id, inWork: inFlight, reason, sentMs: Math.round(now - sentAt), answeredMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt),
+				request: job.id, content: content.digest, parts: job.content.listPartDigests(job.service.name).map(digest => digest.slice(0, loggedDigestLength)).join(' '), bytes: content.bytes, route: job.route.name, step, endpoint: endpoint.id, inWork: inFlight, reason, sentMs: Math.round(now - sentAt), answeredMs: answeredAt === undefined ? undefined : Math.round(now - answeredAt),
 			});
 		}
 
--- a/packages/relay/src/work/request-content.ts
+++ b/packages/relay/src/work/request-content.ts
@@ -17,11 +17,15 @@
 	/** Undefined if the route needs no key; such callers are not distinguished. */
 	readonly workspace: string | undefined;
 	readonly body: Uint8Array | undefined;
+	/** Ids of the prompt's parts that other requests may share. */
+	readonly sharedParts?: readonly string[];
 };
 
 export class RequestContent {
 	readonly #parts: ContentParts;
 	#digest: string | undefined;
+	#partDigests: readonly string[] | undefined;
+	#service = '';
 
 	constructor(parts: ContentParts) {
 		this.#parts = parts;
@@ -38,6 +42,16 @@
 		return this.#digest;
 	}
 
+	/** Hexadecimal digests of the prompt's shared parts at a service, each once. The ids stay out of logs and messages. */
+	listPartDigests(service: string): readonly string[] {
+		if (this.#partDigests === undefined || this.#service !== service) {
+			this.#service = service;
+			this.#partDigests = [...new Set(this.#parts.sharedParts)].map(id => createHash('sha256').update(JSON.stringify([service, id])).digest('hex'));
+		}
+
+		return this.#partDigests;
+	}
+
 	#computeDigest(): string {
 		const {authority, method, target, workspace, body} = this.#parts;
 		// The query identifies a request only if there is no body
