--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -71,6 +71,10 @@
 	readonly eventGapMs?: number | undefined;
 	/** A request with this body ends the replica that begins to run it. */
 	readonly crashingBody?: string | undefined;
+	/** Ids of prompt parts that end the replica that begins to run them. */
+	readonly crashingParts?: readonly string[] | undefined;
+	/** Events that are out before such a part ends the replica; absent: none. */
+	readonly eventsBeforeCrash?: number | undefined;
 };
 
 /** A running replica. */
@@ -194,7 +198,7 @@
 				this.parts.log.closed.push(id);
 			}
 		});
-		if (exchange.body === this.parts.crashingBody) {
+		if (exchange.body === this.parts.crashingBody || this.#hasCrashingPart(request)) {
 			this.#crash(exchange);
 			return;
 		}
@@ -221,9 +225,16 @@
 		}
 	}
 
-	/** The head of the answer is out, and no event of it, when the replica ends. */
+	#hasCrashingPart(request: IncomingMessage): boolean {
+		const shared = (headerOf(request, 'prompt-prefix') ?? '').split(',').slice(0, -1).map(part => part.split(':', 1)[0] ?? '');
+		return shared.some(part => this.parts.crashingParts?.includes(part));
+	}
+
+	/** The head of the answer is out, and at most some events of it, when the replica ends. */
 	#crash({request: {socket}, id}: Exchange): void {
-		socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n`);
+		const events = Array.from({length: this.parts.eventsBeforeCrash ?? 0}, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`).join('');
+		const chunk = events === '' ? '' : `${events.length.toString(hexadecimal)}\r\n${events}\r\n`;
+		socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`);
 		setTimeout(() => {
 			if (!this.parts.log.ended.includes(this.id)) {
 				this.parts.log.ended.push(this.id);
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -54,6 +54,10 @@
 	readonly revokeMs?: number;
 	/** A request with this body ends each replica that begins to run it; absent: none does. */
 	readonly crashingBody?: string;
+	/** Ids of prompt parts that end each decode replica that begins to run them; absent: none do. */
+	readonly crashingParts?: readonly string[];
+	/** Events that are out before such a part ends its replica; absent: none. */
+	readonly eventsBeforeCrash?: number;
 	/** Software versions of the engines, which the replicas of each stage have by turns; absent: all have one. */
 	readonly softwareVersions?: readonly string[];
 	/** Time between two events of a stream, in milliseconds; absent: as the replica's own. */
@@ -235,7 +239,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, softwareVersions, eventGapMs, clock, endpointPaths}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, crashingParts, eventsBeforeCrash, softwareVersions, eventGapMs, clock, endpointPaths}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
@@ -243,7 +247,7 @@
 	const store = await startStore(anyPort);
 	const stages = [...Array.from({length: plain}, () => undefined), ...Array.from({length: prefill}, () => 'prefill' as const), ...Array.from({length: decode}, () => 'decode' as const)];
 	const replicas = await Promise.all(stages.map(async (stage, index) => startReplica({
-		id: `${stage ?? 'plain'}-${index}`, stage, slots, log, crashingBody, eventGapMs, softwareVersion: stage === undefined ? undefined : softwareVersions?.[index % softwareVersions.length],
+		id: `${stage ?? 'plain'}-${index}`, stage, slots, log, crashingBody, crashingParts, eventsBeforeCrash, eventGapMs, softwareVersion: stage === undefined ? undefined : softwareVersions?.[index % softwareVersions.length],
 	}, anyPort)));
 	const publish = (replica: StandinReplica, state: 'ready' | 'draining') => {
 		store.put(`servers/${replica.id}`, makeEntry(replica, state));
