Fix: a part of prompts that crashes endpoints is held back

Requests with one part in their prompts, no two alike, ended replica after replica. The guard told requests apart by their whole body, so that each of them was new.

Ruled out: a whole route or caller (served between the ends), the hosts' own retries (one run each).

Class: a bound kept for an identity that is finer than the cause. Now a crash accuses all shared parts of the requests that had just begun there, and a run that survives its beginning (0.3 s of events, or a good end) clears all of its parts, for 10 s in advance. After one crash requests with the part run one at a time at one host, for 10 s; after three none runs for a minute, doubled with each further one. Contents and parts share the guard, the check before the first byte of every send (also prefills), reports and trials. A report that a host knows to be wrong is answered to its sender alone, which passes it on. Part ids leave a host as digests.

Two tests name the report's new field.

--- a/packages/policy/src/relay/crash-suspects.test.ts
+++ b/packages/policy/src/relay/crash-suspects.test.ts
@@ -28,7 +28,9 @@
 
 function receive(report: Pick<CrashReport, 'ends' | 'refuted'>): Step[1] {
 	return (suspects, at) => {
-		suspects.merge({content: content.digest, bytes: content.bytes, ...report}, at);
+		suspects.merge({
+			suspect: 'content', content: content.digest, bytes: content.bytes, ...report,
+		}, at);
 	};
 }
 
@@ -113,7 +115,7 @@
 	it('reports merge to the same verdict in any order and when repeated', () => {
 		const end = fc.record({end: fc.constantFrom('a', 'b', 'c', 'd'), ageMs: fc.integer({min: 0, max: 50_000})});
 		const report = fc.record({
-			content: fc.constant('guilty'), bytes: fc.constant(100), ends: fc.uniqueArray(end, {selector: each => each.end, maxLength: 4}), refuted: fc.array(fc.constantFrom('a', 'b', 'c', 'd'), {maxLength: 2}),
+			suspect: fc.constant('content'), content: fc.constant('guilty'), bytes: fc.constant(100), ends: fc.uniqueArray(end, {selector: each => each.end, maxLength: 4}), refuted: fc.array(fc.constantFrom('a', 'b', 'c', 'd'), {maxLength: 2}),
 		});
 		fc.assert(fc.property(fc.array(report, {maxLength: 6}), fc.integer(), (reports: readonly CrashReport[], seed) => {
 			const shuffled = shuffle(seedRandom(seed), [...reports, ...reports]);
--- a/packages/policy/src/relay/crash-suspects.ts
+++ b/packages/policy/src/relay/crash-suspects.ts
@@ -10,6 +10,11 @@
 
 /** How crashes are counted. Only tests replace the default. */
 export type CrashRule = {
+	/** What is suspected, for reports; absent: contents. */
+	readonly suspect?: CrashReport['suspect'];
+	/** Number of crashes from which a content is on trial, and for how long after the last of them, in milliseconds; absent: it is not before it is held. */
+	readonly trialThreshold?: number;
+	readonly trialMs?: number;
 	/** Number of crashes from which a content is held. */
 	readonly crashThreshold: number;
 	/** Crashes within this time of each other count as one, in milliseconds. */
@@ -41,12 +46,15 @@
 	readonly bytes: number;
 };
 
-/** Whether a request may run. `trial`: the hold has expired, and one run may show whether the content still crashes endpoints. */
+/** Whether a request may run. `trial`: before a hold or after it has expired, one run may show whether the content crashes endpoints. */
 export type CrashVerdict
 	= | {readonly kind: 'free'}
 		| {readonly kind: 'trial'}
 		| {readonly kind: 'held'; readonly leftMs: number};
 
+/** What keeps a request from running freely. */
+export type CrashRestriction = Exclude<CrashVerdict, {kind: 'free'}>;
+
 const defaultRule: CrashRule = {crashThreshold, coincidenceMs};
 
 type Suspect = {
@@ -146,7 +154,7 @@
 
 		const ends = [...suspect.ends].map(([end, at]) => ({end, ageMs: Math.max(0, now - at)}));
 		return {
-			content: digest, bytes: suspect.bytes, ends, refuted: [...suspect.refuted],
+			suspect: this.#rule.suspect ?? 'content', content: digest, bytes: suspect.bytes, ends, refuted: [...suspect.refuted],
 		};
 	}
 
@@ -178,10 +186,14 @@
 	#judge(suspect: Suspect, now: number): CrashVerdict {
 		const counted = listCountedTimes(suspect, this.#rule.coincidenceMs, now);
 		const latest = counted.at(-1);
-		if (latest === undefined || counted.length < this.#rule.crashThreshold) {
+		if (latest === undefined || counted.length < (this.#rule.trialThreshold ?? this.#rule.crashThreshold)) {
 			return free;
 		}
 
+		if (counted.length < this.#rule.crashThreshold) {
+			return now - latest < (this.#rule.trialMs ?? 0) ? {kind: 'trial'} : free;
+		}
+
 		const holdMs = Math.min(maxHoldMs, minHoldMs * (2 ** (counted.length - this.#rule.crashThreshold)));
 		const leftMs = latest + holdMs - now;
 		return leftMs > 0 ? {kind: 'held', leftMs} : {kind: 'trial'};
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -21,7 +21,7 @@
 import {type RequestFacts} from '../core/dialect.js';
 import {isReservedHeader, readForwardFacts} from '../core/forward-facts.js';
 import {type RoutingState} from '../core/routing-state.js';
-import {type CrashGuard} from '../upstream/crash-guard.js';
+import {describeHold, type CrashGuard} from '../upstream/crash-guard.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
 import {type Job} from '../work/job.js';
 import {isResumption, toStreamKey, type StreamVersions} from '../work/stream-versions.js';
@@ -154,6 +154,7 @@
 		try {
 			const job = await this.#prepareJob(pending);
 			const end = await this.#parts.processJob(job);
+			void this.#parts.guard.endTrials(job);
 			if (!job.mayHaveRun) {
 				this.#parts.accessControl.refund(job.workspace, job.cost);
 			}
@@ -193,9 +194,9 @@
 		const content = new RequestContent({
 			authority, method: request.method ?? 'GET', target, workspace: workspace?.name, body, sharedParts: facts.sharedParts,
 		});
-		const holdMs = guard.holdMs(content);
-		if (holdMs !== undefined) {
-			fail('contentHeld', {retryAfterMs: holdMs, detail: content.digest});
+		const hold = guard.findHold({content, service: chosenService});
+		if (hold !== undefined) {
+			fail('contentHeld', {retryAfterMs: hold.leftMs, detail: describeHold(hold)});
 		}
 
 		const stream = forwarded === undefined
@@ -233,7 +234,7 @@
 			runs: 0,
 			sends: 0,
 			isContentHeld: false,
-			isProbe: false,
+			trials: new Set(),
 		};
 	}
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -73,7 +73,7 @@
 		heartbeat: (from, message) => {
 			this.#parts.context.hybrid.receive(message.clock);
 			this.membership.handleHeartbeat(from, message);
-			this.#parts.guard.mergeReports(message.heldContents);
+			this.#mergeCrashReports(from.host, message.heldContents);
 			this.#parts.endpoints.receiveDrains(message.draining, from.host);
 			this.#directorySync.receiveHeartbeat(from.host, message);
 		},
@@ -83,8 +83,8 @@
 		directory: (from, message) => {
 			this.#directorySync.applyUpdate(from.host, message);
 		},
-		crashes: (_from, {reports}) => {
-			this.#parts.guard.mergeReports(reports);
+		crashes: (from, {reports}) => {
+			this.#mergeCrashReports(from.host, reports);
 		},
 		paused: (from, {pause}) => {
 			this.#mergePause(from.host, pause);
@@ -342,6 +342,14 @@
 		}
 	}
 
+	/** Merges crash reports; only their sender gets the answer, as many hosts may know better at once. */
+	#mergeCrashReports(host: string, reports: readonly CrashReport[]): void {
+		const contradictions = this.#parts.guard.mergeReports(reports);
+		if (contradictions.length > 0) {
+			this.#links.send(host, {kind: 'crashes', reports: contradictions});
+		}
+	}
+
 	/** Announces membership changes in a batch, before the next heartbeat. */
 	#scheduleAnnounce(): void {
 		this.#announceTimer ??= this.#parts.context.clock.after(announceDelayMs, () => {
--- a/packages/relay/src/upstream/crash-guard.test.ts
+++ b/packages/relay/src/upstream/crash-guard.test.ts
@@ -52,7 +52,7 @@
 		const job = {
 			id: 'r', route: {name: 'route'}, service: {name: 's'}, content: new RequestContent({
 				authority: 'a', method: 'POST', target: '/x', workspace: undefined, body: new TextEncoder().encode(text),
-			}), isContentHeld: false, isProbe: false,
+			}), isContentHeld: false, trials: new Set<string>(),
 		};
 		return job as unknown as Job; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the guard reads no other properties of a job
 	}
@@ -210,7 +210,7 @@
 			const harness = new GuardHarness();
 			await run(harness);
 			expect(harness.isHeld).toEqual(isHeld);
-			expect(harness.guard.holdMs(harness.createJob().content) !== undefined).toEqual(isHeld);
+			expect(harness.guard.findHold(harness.createJob()) !== undefined).toEqual(isHeld);
 			expect(harness.guard.maySend(harness.createJob('harmless'))).toEqual(true);
 			expect(harness.codes.includes('contentHeldSince') || !isHeld).toEqual(true);
 		});
@@ -246,7 +246,7 @@
 		expect(harness.isHeld).toEqual(true);
 		harness.isTrialHost = true;
 		const trial = harness.createJob();
-		expect([harness.guard.holdMs(trial.content), harness.guard.maySend(trial), harness.isHeld, harness.guard.maySend(trial)]).toEqual([undefined, true, true, true]);
+		expect([harness.guard.findHold(trial), harness.guard.maySend(trial), harness.isHeld, harness.guard.maySend(trial)]).toEqual([undefined, true, true, true]);
 		await harness.crash('e3');
 		expect([harness.guard.maySend(trial), harness.isHeld]).toEqual([false, true]);
 	});
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -1,12 +1,15 @@
 /**
- * Holds back requests whose content has crashed endpoints, as seen by this
- * host or reported by others. Safety: the bound on the endpoints that one
- * content crashes rests on `maySend`, which every send calls right before its
- * first byte. A false suspicion is refuted when the endpoint sends data, or
- * when a request with the content succeeds.
+ * Holds back requests whose content, or a part of whose prompt, has crashed
+ * endpoints, as seen by this host or reported by others. Safety: the bound on
+ * the endpoints that one content or part crashes rests on `maySend`, which
+ * every send calls right before its first byte. A false suspicion is refuted
+ * when the endpoint sends data, when a request with the content succeeds, or
+ * when a run with the part survives its beginning.
  */
-import {CrashSuspects, type ContentId} from '@gatehead/policy/relay/crash-suspects';
+import {CrashSuspects, type ContentId, type CrashRestriction} from '@gatehead/policy/relay/crash-suspects';
+import {PartSuspects} from '@gatehead/policy/relay/part-suspects';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {RecentMap} from '@gatehead/policy/utils/recent-map';
 import {type CrashReport} from '@gatehead/schema/relay-message';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -14,10 +17,11 @@
 import {type Job} from '../work/job.js';
 import {CrashReportBatcher} from './crash-report-batcher.js';
 import {AbandonedSends} from './abandoned-sends.js';
+import {HoldLog} from './hold-log.js';
 import {Trials, trialTimeoutMs} from './trials.js';
 
 /** A request whose response had been arriving for this long before its loss is not suspected, in milliseconds: harmful content crashes an endpoint as it starts to run. */
-const crashWindowMs = 300;
+export const crashWindowMs = 300;
 /** Data read within this time after a crash may have been received before it, in milliseconds: longer than a busy host leaves data unread. */
 const bufferedDataMs = 250;
 /** A send that starts later than this after a crash may be answered by the restarted endpoint under the same id, in milliseconds: restarts take seconds. */
@@ -26,6 +30,10 @@
 const refutableMs = 15_000;
 /** Length of a part's digest in a log line, in characters: enough to tell parts apart. */
 const loggedDigestLength = 12;
+/** Largest number of parts remembered as accused by this host. */
+const maxAccusedParts = 512;
+/** Retry-After while another request runs on trial, in milliseconds: a part is cleared as soon as the run has survived its beginning, a content when it has ended. */
+const trialRetryMs: Readonly<Record<CrashReport['suspect'], number>> = {content: trialTimeoutMs, part: 1000};
 /** Interval at which expired state is removed, in milliseconds. */
 const cleanupIntervalMs = 60_000;
 
@@ -54,15 +62,38 @@
 	readonly isTrialHost: (content: string) => boolean;
 };
 
+/** What holds a request back. */
+export type Hold = {
+	readonly digest: string;
+	readonly suspect: CrashReport['suspect'];
+	readonly leftMs: number;
+};
+
 /** Identifies one start of an endpoint. Where a platform reuses the id for the next start, the new directory entry's time tells them apart. */
 function startIdOf({id, listedSince}: Endpoint): string {
 	return listedSince === undefined ? id : `${id}#${listedSince}`;
 }
 
+/** A content or part that keeps a request from running freely. */
+type Suspicion = Pick<Hold, 'digest' | 'suspect'> & {readonly restriction: CrashRestriction};
+
+/** For operators: the part's id and the content stay out of it. */
+export function describeHold({suspect, digest}: Pick<Hold, 'suspect' | 'digest'>): string {
+	return suspect === 'part' ? `part ${digest}` : digest;
+}
+
+/** Digests of the parts of a request's prompt. */
+function listParts({content, service}: Pick<Job, 'content' | 'service'>): readonly string[] {
+	return content.listPartDigests(service.name);
+}
+
 /** Crash guard of one host. */
 export class CrashGuard {
 	readonly #options: CrashGuardOptions;
 	readonly #suspects = new CrashSuspects();
+	readonly #partSuspects = new PartSuspects();
+	/** Parts that this host has accused itself; it passes on what clears them. */
+	readonly #accusedParts = new RecentMap<string, true>(maxAccusedParts);
 	/** When starts of endpoints seem to have crashed, by start id, while later data can refute it. */
 	readonly #crashedStarts = new Map<string, number>();
 	readonly #abandonedSends = new AbandonedSends();
@@ -70,13 +101,13 @@
 	readonly #pendingChecks = new Map<string, Promise<void>>();
 	readonly #batcher: CrashReportBatcher;
 	readonly #trials: Trials;
-	/** Contents last logged as held back. */
-	readonly #loggedHolds = new Set<string>();
+	readonly #holdLog: HoldLog;
 	#cleanupTimer: Timer | undefined;
 
 	constructor(options: CrashGuardOptions) {
 		const {context: {clock}, broadcast, isTrialHost} = options;
 		this.#options = options;
+		this.#holdLog = new HoldLog(options.context);
 		this.#batcher = new CrashReportBatcher({clock, broadcast, createReports: digests => this.#createReports(digests)});
 		this.#trials = new Trials(clock, isTrialHost);
 	}
@@ -86,6 +117,7 @@
 		const {clock} = this.#options.context;
 		this.#cleanupTimer = clock.after(cleanupIntervalMs, () => {
 			this.#suspects.sweep(clock.now());
+			this.#partSuspects.sweep(clock.now());
 			this.#expireCrashedStarts(clock.now());
 			this.#trials.sweep();
 			this.#logHoldChanges();
@@ -99,41 +131,55 @@
 		this.#cleanupTimer?.stop();
 	}
 
-	/** How long a request is still held back, in milliseconds; undefined: it is not held back. */
-	holdMs(content: ContentId): number | undefined {
-		if (this.#suspects.isClear(content.bytes) || isOff(this.#options.context, 'crashGuard')) {
-			return undefined;
-		}
+	/** Why a request is held back, and for how long; undefined: it is not. */
+	findHold(request: Pick<Job, 'content' | 'service'>): Hold | undefined {
+		for (const {digest, suspect, restriction} of this.#judge(request)) {
+			if (restriction.kind === 'held') {
+				return {digest, suspect, leftMs: restriction.leftMs};
+			}
 
-		const verdict = this.#suspects.judge(content, this.#options.context.clock.now());
-		if (verdict.kind !== 'trial') {
-			return verdict.kind === 'held' ? verdict.leftMs : undefined;
+			if (!this.#trials.mayBegin(digest)) {
+				return {digest, suspect, leftMs: trialRetryMs[suspect]};
+			}
 		}
 
-		return this.#trials.mayBegin(content.digest) ? undefined : trialTimeoutMs;
+		return undefined;
 	}
 
 	/** Whether a request may be sent now; a job that was refused once stays refused. */
 	maySend(job: Job): boolean {
-		const {content} = job;
 		if (job.isContentHeld) {
 			return false;
 		}
 
-		if (this.#suspects.isClear(content.bytes) || isOff(this.#options.context, 'crashGuard')) {
-			return true;
+		for (const {digest, restriction} of this.#judge(job)) {
+			if (restriction.kind === 'trial' && !job.trials.has(digest) && this.#trials.begin(digest)) {
+				job.trials.add(digest);
+			}
+
+			job.isContentHeld ||= restriction.kind === 'held' || !job.trials.has(digest);
 		}
 
-		const {kind} = this.#suspects.judge(content, this.#options.context.clock.now());
-		job.isProbe ||= kind === 'trial' && this.#trials.begin(content.digest);
-		job.isContentHeld = kind === 'held' || (kind === 'trial' && !job.isProbe);
 		return !job.isContentHeld;
 	}
 
+	/** Ends the trials of a request that has ended, once it is known whether it crashed an endpoint. */
+	async endTrials({content, trials}: Pick<Job, 'content' | 'trials'>): Promise<void> {
+		if (trials.size === 0) {
+			return;
+		}
+
+		await this.#pendingChecks.get(content.digest);
+		for (const digest of trials) {
+			this.#trials.end(digest);
+		}
+	}
+
 	/** Whether a request whose connection was just lost may be sent to another endpoint. For a suspected content this waits for the pending crash check, so that a crash found by it prevents the retry. */
 	async mayRetry(job: Job): Promise<boolean> {
 		const {content} = job;
-		if (this.#suspects.isSuspect(content, this.#options.context.clock.now())) {
+		const now = this.#options.context.clock.now();
+		if (this.#suspects.isSuspect(content, now) || (this.#partSuspects.size > 0 && this.#partSuspects.isSuspect(listParts(job), now))) {
 			await this.#pendingChecks.get(content.digest);
 		}
 
@@ -157,13 +203,16 @@
 		}
 
 		const startId = startIdOf(endpoint);
+		// Reading a prompt crashes no endpoint
+		const parts = step === 'prefill' ? [] : listParts(job);
 		if (this.#abandonedSends.isGone(startId) || this.#crashedStarts.has(startId)) {
 			this.#recordCrash(content, startId, now);
+			this.#accuseParts(isConnectionLost ? parts : [], startId, now);
 			return;
 		}
 
 		if (isConnectionLost) {
-			this.#pendingChecks.set(content.digest, this.#checkCrash(content, endpoint, now));
+			this.#pendingChecks.set(content.digest, this.#checkCrash(content, parts, endpoint, now));
 			return;
 		}
 
@@ -195,51 +244,127 @@
 		}
 
 		this.#crashedStarts.delete(startId);
-		for (const digest of this.#suspects.refuteCrash(startId)) {
+		for (const digest of [...this.#suspects.refuteCrash(startId), ...this.#partSuspects.refuteCrash(startId)]) {
 			this.#batcher.add(digest);
 		}
 
 		this.#logHoldChanges();
 	}
 
-	/** Records a successful request, which clears its content. */
-	recordSuccess({content, isProbe}: Job): void {
+	/** Records a successful request, which clears its content and its parts. */
+	recordSuccess(job: Job): void {
+		const {content} = job;
 		if (this.#suspects.recordSuccess(content)) {
 			this.#batcher.add(content.digest);
 			this.#logHoldChanges();
 		}
 
-		if (isProbe) {
+		this.recordSurvival(job);
+		if (job.trials.has(content.digest)) {
 			this.#trials.end(content.digest);
 		}
 	}
 
-	/** Merges crash reports from another host. */
-	mergeReports(reports: readonly CrashReport[]): void {
-		const {clock, metrics} = this.#options.context;
+	/** Records that a run has survived its beginning, which clears the parts of its prompt. */
+	recordSurvival(job: Pick<Job, 'content' | 'service' | 'trials'>): void {
+		const parts = listParts(job);
+		const cleared = this.#partSuspects.recordSurvival(parts, this.#options.context.clock.now());
+		for (const digest of cleared) {
+			this.#batcher.add(digest);
+			this.#trials.end(digest);
+		}
+
+		if (cleared.length > 0) {
+			this.#logHoldChanges();
+		}
+	}
+
+	/** Merges crash reports from another host; returns reports that contradict them. */
+	mergeReports(reports: readonly CrashReport[]): CrashReport[] {
+		const {clock} = this.#options.context;
 		const now = clock.now();
+		const contradicted: string[] = [];
 		for (const report of reports) {
-			for (const startId of this.#suspects.merge(report, now)) {
-				metrics.add('crashEnds', {source: 'peer'});
-				this.#recordCrashedStart(startId, now - (report.ends.find(each => each.end === startId)?.ageMs ?? 0));
+			const isContradicted = this.#mergeReport(report, now);
+			if (isContradicted) {
+				contradicted.push(report.content);
 			}
 		}
 
 		if (reports.length > 0) {
 			this.#logHoldChanges();
 		}
+
+		return this.#createReports(contradicted);
 	}
 
 	/** Reports of all held contents, for heartbeats: hosts that missed the first report, or are new, learn of them. */
 	listHeld(): CrashReport[] {
-		return this.#suspects.size === 0 ? [] : this.#createReports(this.#suspects.listHeld(this.#options.context.clock.now()));
+		const now = this.#options.context.clock.now();
+		return this.#createReports([...this.#suspects.listHeld(now), ...this.#partSuspects.listHeld(now)]);
+	}
+
+	/** What speaks against a request: its content, and parts of its prompt. Digests are computed only if something is suspected. */
+	#judge({content, service}: Pick<Job, 'content' | 'service'>): Suspicion[] {
+		if (isOff(this.#options.context, 'crashGuard')) {
+			return [];
+		}
+
+		const now = this.#options.context.clock.now();
+		const parts = this.#partSuspects.size === 0 ? [] : this.#partSuspects.judge(listParts({content, service}), now);
+		const found: Suspicion[] = parts.map(part => ({...part, suspect: 'part'}));
+		const restriction = this.#suspects.isClear(content.bytes) ? undefined : this.#suspects.judge(content, now);
+		if (restriction !== undefined && restriction.kind !== 'free') {
+			found.push({digest: content.digest, suspect: 'content', restriction});
+		}
+
+		return found;
+	}
+
+	/** Returns whether this host knows better. */
+	#mergeReport(report: CrashReport, now: number): boolean {
+		if (report.suspect === 'content') {
+			this.#recordPeerCrashes(this.#suspects.merge(report, now), report, now);
+			return false;
+		}
+
+		const wasSuspect = this.#partSuspects.isSuspect([report.content], now);
+		const {added, isContradicted} = this.#partSuspects.merge(report, now);
+		this.#recordPeerCrashes(added, report, now);
+		if (wasSuspect && this.#accusedParts.has(report.content) && !this.#partSuspects.isSuspect([report.content], now)) {
+			// The sender told only this host
+			this.#accusedParts.delete(report.content);
+			this.#batcher.add(report.content);
+		}
+
+		return isContradicted;
 	}
 
-	async #checkCrash(content: ContentId, endpoint: Endpoint, at: number): Promise<void> {
+	#recordPeerCrashes(startIds: readonly string[], {ends}: CrashReport, now: number): void {
+		for (const startId of startIds) {
+			this.#options.context.metrics.add('crashEnds', {source: 'peer'});
+			this.#recordCrashedStart(startId, now - (ends.find(({end}) => end === startId)?.ageMs ?? 0));
+		}
+	}
+
+	async #checkCrash(content: ContentId, parts: readonly string[], endpoint: Endpoint, at: number): Promise<void> {
 		const hasCrashed = await this.#options.hasCrashed(endpoint);
 		this.#pendingChecks.delete(content.digest);
 		if (hasCrashed) {
 			this.#recordCrash(content, startIdOf(endpoint), at);
+			this.#accuseParts(parts, startIdOf(endpoint), at);
+		}
+	}
+
+	#accuseParts(parts: readonly string[], startId: string, at: number): void {
+		const accused = this.#partSuspects.recordCrash(parts, startId, at);
+		for (const digest of accused) {
+			this.#accusedParts.set(digest, true);
+			this.#batcher.add(digest);
+		}
+
+		if (accused.length > 0) {
+			this.#logHoldChanges();
 		}
 	}
 
@@ -273,27 +398,11 @@
 
 	#createReports(digests: readonly string[]): CrashReport[] {
 		const now = this.#options.context.clock.now();
-		return digests.map(digest => this.#suspects.report(digest, now)).filter(report => report !== undefined);
+		return digests.map(digest => this.#suspects.report(digest, now) ?? this.#partSuspects.report(digest, now)).filter(report => report !== undefined);
 	}
 
-	/** Logs which contents are newly held back, and which no longer. */
 	#logHoldChanges(): void {
-		const {clock, log, metrics} = this.#options.context;
-		const held = this.#suspects.listHeld(clock.now());
-		for (const report of this.#createReports(held.filter(digest => !this.#loggedHolds.has(digest)))) {
-			this.#loggedHolds.add(report.content);
-			const {refuted, ends} = report;
-			const unrefuted = ends.filter(({end}) => !refuted.includes(end));
-			log('contentHeldSince', {content: report.content, bytes: report.bytes, ends: unrefuted.map(({end, ageMs}) => `${end} ${Math.round(ageMs)} ms ago`).join(', ')});
-		}
-
-		for (const digest of this.#loggedHolds) {
-			if (!held.includes(digest)) {
-				this.#loggedHolds.delete(digest);
-				log('contentCleared', {content: digest});
-			}
-		}
-
-		metrics.set('heldContents', this.#loggedHolds.size);
+		const now = this.#options.context.clock.now();
+		this.#holdLog.update(this.#createReports([...this.#suspects.listHeld(now), ...this.#partSuspects.listHeld(now)]));
 	}
 }
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -17,7 +17,7 @@
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
 import {ExchangeError, type ExchangeFault} from './exchange.js';
-import {type CrashGuard, type LostSend} from './crash-guard.js';
+import {crashWindowMs, type CrashGuard, type LostSend} from './crash-guard.js';
 import {type RateLimiter} from './rate-limiter.js';
 
 const minServerErrorStatus = 500;
@@ -210,14 +210,20 @@
 
 		this.#crashGuard.recordData(endpoint, sentAt);
 		let answeredAt: number | undefined;
+		let hasSurvived = step === 'prefill';
 		return {
 			kind: 'answer',
 			response,
 			facts,
 			touch: () => {
-				answeredAt ??= this.#context.clock.now();
-				this.#endpoints.contacts.recordContact(endpoint.id, this.#context.clock.now());
+				const now = this.#context.clock.now();
+				answeredAt ??= now;
+				this.#endpoints.contacts.recordContact(endpoint.id, now);
 				this.#crashGuard.recordData(endpoint, sentAt);
+				if (!hasSurvived && now - answeredAt >= crashWindowMs) {
+					hasSurvived = true;
+					this.#crashGuard.recordSurvival(job);
+				}
 			},
 			confirmEnd: async () => this.#confirmEnd(send, response),
 			end: (outcome, reason = '') => {
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -11,6 +11,7 @@
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {readSoftwareVersion} from '../core/forward-facts.js';
+import {describeHold} from '../upstream/crash-guard.js';
 import {readBody} from '../upstream/exchange.js';
 import {receiveChunks} from '../upstream/receive-chunks.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
@@ -267,9 +268,10 @@
 	/** Refuses a request whose content is held because it crashes endpoints. */
 	#refuseHeldContent(endpoint: Endpoint): JobEnd {
 		const job = this.#job;
+		const hold = this.#parts.guard.findHold(job);
 		return job.reply.headersSent
 			? failJob(job, endpoint, 'content held')
-			: refuseJob(job, {code: 'contentHeld', retryAfterMs: this.#parts.guard.holdMs(job.content) ?? defaultRetryAfterMs, detail: job.content.digest}, endpoint);
+			: refuseJob(job, {code: 'contentHeld', retryAfterMs: hold?.leftMs ?? defaultRetryAfterMs, detail: hold === undefined ? 'held until just now' : describeHold(hold)}, endpoint);
 	}
 
 	/** Continues at another replica if possible; otherwise ends the job. */
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -48,8 +48,8 @@
 	sends: number;
 	/** Whether a send was suppressed because the content is held. */
 	isContentHeld: boolean;
-	/** Whether this run is the probe that decides if the content, held until recently, stays held. */
-	isProbe: boolean;
+	/** Digests of the content and prompt parts that this request runs on trial. */
+	readonly trials: Set<string>;
 };
 
 /** Time until the deadline, in milliseconds; never negative. */
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -12,6 +12,7 @@
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
 import {readSoftwareVersion} from '../core/forward-facts.js';
+import {describeHold} from '../upstream/crash-guard.js';
 import {readBody} from '../upstream/exchange.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {answeredElsewhere, type SendResult} from '../upstream/sender.js';
@@ -331,15 +332,16 @@
 	}
 
 	#refuse(endpoint?: Endpoint): JobEnd {
-		const {reply, route, signal, mayHaveRun, sends, isContentHeld, content} = this.#job;
+		const {reply, route, signal, mayHaveRun, sends, isContentHeld} = this.#job;
 		if (signal.aborted && signal.reason === 'callerLeft') {
 			return {outcome: 'callerLeft', endpoint: endpoint?.id};
 		}
 
 		if (isContentHeld && !signal.aborted) {
-			const code = reply.sendError('contentHeld', {retryAfterMs: this.#parts.guard.holdMs(content) ?? defaultRetryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
+			const hold = this.#parts.guard.findHold(this.#job);
+			const code = reply.sendError('contentHeld', {retryAfterMs: hold?.leftMs ?? defaultRetryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
 			return {
-				outcome: 'refused', code, endpoint: endpoint?.id, detail: content.digest,
+				outcome: 'refused', code, endpoint: endpoint?.id, detail: hold === undefined ? undefined : describeHold(hold),
 			};
 		}
 
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -140,7 +140,7 @@
 		number: 2008, status: 503, ran: 'no', advice: 'This host cannot tell whether its list of keys is the newest. Use another address.',
 	},
 	contentHeld: {
-		number: 2009, status: 503, ran: 'no', advice: 'Endpoints ended, one after the other, as they ran requests with this path and body. It is held back everywhere until Retry-After; change it, or come back then.',
+		number: 2009, status: 503, ran: 'no', advice: 'Endpoints ended, one after the other, as they ran requests with this path and body, or with one part of this prompt. Such requests are held back everywhere until Retry-After; change it, or come back then.',
 	},
 	streamVersionUnknown: {
 		number: 2011, status: 503, ran: 'no', advice: 'This host cannot tell which software version began the stream that the request resumes. With Retry-After, another host may know; without, start the stream anew.',
@@ -251,10 +251,10 @@
 		number: 5034, status: 0, ran: 'no', advice: 'The directory did not say whether it knows more than this host. It is asked again when that is needed.',
 	},
 	contentHeldSince: {
-		number: 5035, status: 0, ran: 'no', advice: 'Endpoints ended as they ran one content. It is refused (2009) until its time is over; the line names the content and the ends.',
+		number: 5035, status: 0, ran: 'no', advice: 'Endpoints ended as they ran one content, or prompts with one part. Requests with it are refused (2009) until its time is over, or run one at a time; the line names its digest and the ends.',
 	},
 	contentCleared: {
-		number: 5036, status: 0, ran: 'no', advice: 'A content is held back no longer: a run of it went well, an endpoint turned out to live, or all is long ago.',
+		number: 5036, status: 0, ran: 'no', advice: 'A content or part is held back no longer: a run of it went well, an endpoint turned out to live, or all is long ago.',
 	},
 	directoryRestored: {
 		number: 5037, status: 0, ran: 'no', advice: 'The directory has come back from a copy: its revisions are given out again. It is listed anew; what is known to have left stays so until it is written anew.',
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -18,8 +18,9 @@
 /** A quota's level as last received from a keeper, and its age; a new keeper starts from it. */
 export const quotaLevel = z.object({level: z.number(), keeper: z.string(), ageMs: z.number().nonnegative()});
 
-/** Endpoints that terminated while they ran requests of one content, with ages; `refuted` lists those that do not count against it. */
+/** Endpoints that terminated while they ran requests of one content, or with one part in their prompts, with ages; `refuted` lists those that do not count against it. */
 export const crashReport = z.object({
+	suspect: z.enum(['content', 'part']).default('content'),
 	content: z.string().length(64),
 	bytes: z.number().int().nonnegative(),
 	ends: z.array(z.object({end: z.string().max(400), ageMs: z.number().nonnegative()})).max(32),
--- a/packages/standin/src/wire/crashing-request.test.ts
+++ b/packages/standin/src/wire/crashing-request.test.ts
@@ -14,6 +14,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
 import {codes} from '@gatehead/schema/codes';
+import {RequestContent} from '@gatehead/relay/work/request-content';
 import {sendRequest, type CallerAnswer} from './client.js';
 import {startWorld, until, type World} from './world.js';
 
@@ -99,12 +100,14 @@
 			...parts, plain: 1, decode: 1, hosts: 2,
 		});
 		try {
-			const content = {digest: 'a'.repeat(64), bytes: crashingBody.length};
+			const content = new RequestContent({
+				authority: 'calls.example', method: 'POST', target: '/once/1', workspace: undefined, body: new TextEncoder().encode(crashingBody),
+			});
 			const [first, second] = world.relays;
 			first?.relay.guard.mergeReports([{
-				content: content.digest, bytes: content.bytes, ends: [{end: 'e1', ageMs: 2000}, {end: 'e2', ageMs: 1000}], refuted: [],
+				suspect: 'content', content: content.digest, bytes: content.bytes, ends: [{end: 'e1', ageMs: 2000}, {end: 'e2', ageMs: 1000}], refuted: [],
 			}]);
-			await until(() => second?.relay.guard.holdMs(content) !== undefined);
+			await until(() => second?.relay.guard.findHold({content, service: {name: 'plain', maxConnections: 1}}) !== undefined);
 			expect(world.lines.filter(({code}) => code === 'contentHeldSince').map(({host}) => host)).toEqual(['host-0', 'host-1']);
 		} finally {
 			await world.stop();
