Soak and tests: responses without framing; parts that crash endpoints beside restarts and accidents

A replica's own crash cannot be told from a close behind the soak's proxies, which accept connections by themselves, so requests that crash replicas stay in the wire tests.

--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -4,10 +4,13 @@
  * and replicas see. One seed gives one schedule of faults.
  */
 import {setTimeout as pause} from 'node:timers/promises';
-import {jitter, pick, shuffle} from '@gatehead/policy/utils/random';
+import {
+	jitter, pick, shuffle, type Random,
+} from '@gatehead/policy/utils/random';
+import {type ResponseCut} from '../wire/body-writer.js';
 import {sendRequest} from '../wire/client.js';
 import {type LinkCut} from '../wire/link-proxy.js';
-import {type ReplicaFault} from '../wire/replica-server.js';
+import {writeEvent, type ReplicaFault} from '../wire/replica-server.js';
 import {type StoreFault} from '../wire/store-server.js';
 import {makeConfig} from '../wire/world.js';
 import {
@@ -218,8 +221,38 @@
 			host.start();
 		}
 	},
+	/** Replicas answer without framing, and end or reset a part of their streams inside an event. */
+	async unframeReplicas({random, replicas}, lastsMs) {
+		const unframed = replicas.filter(() => random.next() < 0.5);
+		for (const replica of unframed) {
+			replica.framing = 'connection';
+			if (replica.stage === 'decode') {
+				const {length} = writeEvent(1, replica.softwareVersion);
+				replica.cuts.push(...Array.from({length: cutsPerReplica}, () => makeCut(random, length)));
+			}
+		}
+
+		await pause(lastsMs);
+		for (const replica of unframed) {
+			replica.framing = 'chunks';
+			replica.cuts.length = 0;
+		}
+	},
 };
 
+/** Streams of one replica that are cut, one after the other. */
+const cutsPerReplica = 20;
+const mostCutBytes = 120;
+const mostCutAfterMs = 30;
+
+/** A cut inside an event: a close between two of them cannot be told from the end of the stream. */
+function makeCut(random: Random, eventBytes: number): ResponseCut {
+	const bytes = 1 + Math.floor(random.next() * mostCutBytes);
+	return {
+		bytes: bytes % eventBytes === 0 ? bytes + 1 : bytes, end: random.next() < 0.5 ? 'end' : 'reset', afterMs: random.next() * mostCutAfterMs,
+	};
+}
+
 /** Number of kinds of fault before streams were resumed; seeds that were played with these have no such streams. */
 const kindsWithoutStreams = 17;
 /** Time between two events where streams are resumed, in milliseconds: long enough to be broken. */
--- a/packages/standin/src/wire/crashing-part.test.ts
+++ b/packages/standin/src/wire/crashing-part.test.ts
@@ -28,6 +28,8 @@
 	readonly crashing: readonly string[];
 	readonly sound: readonly string[];
 	readonly eventsBeforeCrash?: number;
+	/** Beside the requests with the part, hosts are restarted in turn, or replicas end by themselves. */
+	readonly beside?: 'restarts' | 'accidents';
 };
 
 const cases: readonly Case[] = [
@@ -43,8 +45,25 @@
 	{
 		name: 'the second part, behind its first event', path: '/stream/1', crashing: ['aa', 'bad'], sound: ['aa', 'cc'], eventsBeforeCrash: 1,
 	},
+	{
+		name: 'the second part, while hosts are restarted in turn', path: '/stream/1', crashing: ['aa', 'bad'], sound: ['aa', 'cc'], beside: 'restarts',
+	},
+	{
+		name: 'the second part, while replicas also end by themselves', path: '/resumable/1', crashing: ['aa', 'bad'], sound: ['aa', 'cc'], beside: 'accidents',
+	},
 ];
 
+/** Interval between two restarts of hosts, or two accidents, in milliseconds. */
+const disruptionGapMs = 1500;
+
+type LoadParts = {
+	readonly path: string;
+	readonly kind: string;
+	readonly parts: readonly string[];
+	/** Whether hosts are restarted meanwhile. */
+	readonly isHostLost?: boolean;
+};
+
 /** Requests of one kind, at evenly spaced times and at all hosts in turn. */
 class Load {
 	readonly statuses: number[] = [];
@@ -53,16 +72,20 @@
 	readonly #kind: string;
 	readonly #parts: readonly string[];
 	#sent = 0;
+	readonly #statusOfCut: number;
 
-	constructor(world: World, path: string, kind: string, parts: readonly string[]) {
+	constructor(world: World, {path, kind, parts, isHostLost = false}: LoadParts) {
+		this.#statusOfCut = isHostLost ? 0 : 502;
 		this.#world = world;
 		this.#path = path;
 		this.#kind = kind;
 		this.#parts = parts;
 	}
 
+	/** Share of served requests, of those that their host has answered. */
 	get share(): number {
-		return this.statuses.filter(status => status === 200).length / Math.max(1, this.statuses.length);
+		const answered = this.statuses.filter(status => status !== 0);
+		return answered.filter(status => status === 200).length / Math.max(1, answered.length);
 	}
 
 	async run(perS: number, forMs: number): Promise<void> {
@@ -82,7 +105,8 @@
 		const {status, isWhole} = await sendRequest({
 			address: this.#world.relays[this.#sent % hosts]?.caller ?? '', id, path: this.#path, body: `question ${id}`, headers: {'Prompt-Prefix': parts},
 		});
-		this.statuses.push(status === 200 && !isWhole ? 0 : status);
+		// A restart of the host cuts its responses, too
+		this.statuses.push(status === 200 && !isWhole ? this.#statusOfCut : status);
 	}
 }
 
@@ -108,8 +132,37 @@
 	}
 }
 
+/** Ids of replicas that end by themselves. */
+const accidentIds = new Set<string>();
+
+const disruptions: Readonly<Record<NonNullable<Case['beside']>, (world: World, count: number) => Promise<void>>> = {
+	async restarts(world, count) {
+		await world.restart(count % hosts);
+	},
+	async accidents({replicas, log}, count) {
+		const decoding = replicas.filter(({stage, id}) => stage === 'decode' && !log.ended.includes(id));
+		const replica = decoding[(5 * count) % decoding.length];
+		if (replica !== undefined) {
+			accidentIds.add(replica.id);
+			log.ended.push(replica.id);
+			await replica.kill();
+		}
+	},
+};
+
+async function disrupt(world: World, beside: Case['beside'], signal: AbortSignal): Promise<void> {
+	if (beside === undefined) {
+		return;
+	}
+
+	for (let count = 0; !signal.aborted; count += 1) {
+		await pause(disruptionGapMs);
+		await disruptions[beside](world, count);
+	}
+}
+
 describe('a part of prompts that ends the endpoints that run it', () => {
-	for (const {name, path, crashing, sound, eventsBeforeCrash} of cases) {
+	for (const {name, path, crashing, sound, eventsBeforeCrash, beside: disruption} of cases) {
 		it(`${name}: ends at most ${mostEnds}, and sound requests are served`, {timeout: 60_000}, async context => {
 			const world = await startWorld({
 				hosts, plain: 0, prefill: 3, decode: 12, slots: 16, eventGapMs: 30, crashingParts: ['bad'], eventsBeforeCrash,
@@ -117,24 +170,29 @@
 			const stopped = new AbortController();
 			try {
 				const restarts = restartEnded(world, stopped.signal);
-				const before = new Load(world, path, 'before', sound);
+				const before = new Load(world, {path, kind: 'before', parts: sound});
 				await before.run(soundPerS, soundMs);
-				const beside = new Load(world, path, 'sound', sound);
-				const harmful = new Load(world, path, 'harmful', crashing);
+				const beside = new Load(world, {
+					path, kind: 'sound', parts: sound, isHostLost: disruption === 'restarts',
+				});
+				const harmful = new Load(world, {path, kind: 'harmful', parts: crashing});
+				const listEnds = () => world.log.ended.filter(id => !accidentIds.has(id));
 				let lastEndAt = Number.POSITIVE_INFINITY;
 				const watch = setInterval(() => {
-					if (world.log.ended.length >= mostEnds) {
+					if (listEnds().length >= mostEnds) {
 						lastEndAt = Math.min(lastEndAt, performance.now());
 					}
 				}, 5);
+				const disrupted = disrupt(world, disruption, stopped.signal);
 				await Promise.all([beside.run(soundPerS, bothMs), harmful.run(crashingPerS, bothMs)]);
+				stopped.abort();
+				await disrupted;
 				clearInterval(watch);
 				const late = world.log.arrivals.filter(({request, at}) => request.startsWith('harmful') && at > lastEndAt + knownMs).length;
-				context.diagnostic(`${world.log.ended.length} ends, ${late} late sends, sound ${before.share.toFixed(2)} before, ${beside.share.toFixed(2)} beside`);
-				expect(world.log.ended.length).toBeLessThanOrEqual(mostEnds);
+				context.diagnostic(`${listEnds().length} ends, ${late} late sends, sound ${before.share.toFixed(2)} before, ${beside.share.toFixed(2)} beside`);
+				expect(listEnds().length).toBeLessThanOrEqual(mostEnds);
 				expect(late).toEqual(0);
 				expect(beside.share).toBeGreaterThanOrEqual(leastSoundShare * before.share);
-				stopped.abort();
 				await restarts;
 			} finally {
 				stopped.abort();
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -116,6 +116,15 @@
 	return rawHeaders.map((each, index) => index % 2 === 0 ? each.toLowerCase() : each);
 }
 
+function writeVersionField(softwareVersion: string | undefined): string {
+	return softwareVersion === undefined ? '' : `event: ${softwareVersion}\n`;
+}
+
+/** An event of a stream. */
+export function writeEvent(id: number, softwareVersion: string | undefined): string {
+	return `id: ${id}\n${writeVersionField(softwareVersion)}data: piece ${id}\n\n`;
+}
+
 class Replica {
 	readonly parts: ReplicaParts;
 	fault: ReplicaFault = 'none';
@@ -232,7 +241,7 @@
 
 	/** The head of the answer is out, and at most some events of it, when the replica ends. */
 	#crash({request: {socket}, id}: Exchange): void {
-		const events = Array.from({length: this.parts.eventsBeforeCrash ?? 0}, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`).join('');
+		const events = Array.from({length: this.parts.eventsBeforeCrash ?? 0}, (_, index) => writeEvent(index + 1, undefined)).join('');
 		const chunk = events === '' ? '' : `${events.length.toString(hexadecimal)}\r\n${events}\r\n`;
 		socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`);
 		setTimeout(() => {
@@ -387,14 +396,14 @@
 			return;
 		}
 
-		writer.write(`id: ${after + 1}\n${this.#versionField}data: piece ${after + 1}\n\n`);
+		writer.write(writeEvent(after + 1, this.softwareVersion));
 		setTimeout(() => {
 			this.#writeEvents(writer, after + 1);
 		}, this.parts.eventGapMs ?? eventGapMs);
 	}
 
 	get #versionField(): string {
-		return this.softwareVersion === undefined ? '' : `event: ${this.softwareVersion}\n`;
+		return writeVersionField(this.softwareVersion);
 	}
 }
 
