Matrix: plain services reset their responses inside a body without framing

With the check of the end taken out, the cell at 'lookup' breaks (a cut body is passed on); with it all 21 tests pass.

--- a/packages/standin/src/matrix/faults.ts
+++ b/packages/standin/src/matrix/faults.ts
@@ -83,6 +83,18 @@
 			}
 		});
 	},
+	'reset without framing'(scene) {
+		scene.hasFault = true;
+		for (const {faults: own} of scene.stage.services) {
+			own.cutsUnframed = true;
+		}
+
+		scene.mends.push(() => {
+			for (const {faults: own} of scene.stage.services) {
+				own.cutsUnframed = false;
+			}
+		});
+	},
 	stall(scene) {
 		scene.hasFault = true;
 		for (const {faults: own} of scene.stage.engines) {
@@ -151,7 +163,7 @@
 };
 
 /** Faults after which a model request's answer is still whole, as long as its caller stays. */
-export const survivable: ReadonlySet<string> = new Set(['keeper dies', 'endpoint dies', 'reset before', 'reset after', 'stall', 'configuration down', 'configuration stale', 'duplicated delivery', 'endpoint leaves']);
+export const survivable: ReadonlySet<string> = new Set(['keeper dies', 'endpoint dies', 'reset before', 'reset after', 'reset without framing', 'stall', 'configuration down', 'configuration stale', 'duplicated delivery', 'endpoint leaves']);
 
 /** Pairs that strike together or one after the other. */
 export const pairs: ReadonlyArray<readonly [string, string]> = [
--- a/packages/standin/src/service/service-server.ts
+++ b/packages/standin/src/service/service-server.ts
@@ -10,6 +10,8 @@
 	isSilent: boolean;
 	/** Runs the call and resets the connection in place of an answer. */
 	resetsAfterRun: boolean;
+	/** Runs the call, and resets the connection inside an answer that only the connection's end would end. */
+	cutsUnframed: boolean;
 	/** Refuses the call without running it. */
 	refuses: boolean;
 };
@@ -31,7 +33,7 @@
 export async function startService(clock: Clock, address: string): Promise<StandinService> {
 	const runs = new Map<string, number>();
 	const faults: ServiceFaults = {
-		delayMs: 0, isSilent: false, resetsAfterRun: false, refuses: false,
+		delayMs: 0, isSilent: false, resetsAfterRun: false, cutsUnframed: false, refuses: false,
 	};
 	const server = await startServer({}, address, async (request, response, url) => {
 		const body = await readBody(request);
@@ -52,6 +54,12 @@
 			return;
 		}
 
+		if (faults.cutsUnframed) {
+			request.socket.write('HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"path":');
+			request.socket.resetAndDestroy();
+			return;
+		}
+
 		clock.after(faults.delayMs, () => {
 			sendJson(response, 200, {path: url.pathname, echo: body, run: runs.get(name)});
 		});
