Fix: HTTP/1.0 callers get a stream whole, or no response

A stream to an HTTP/1.0 caller has no chunks and ends with its connection, so that its caller took a cut for the end: the same class as truncated streams, on the side of callers. Such a stream is kept until it is complete and sent with its length; one that is broken off sends nothing.

--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -3,6 +3,7 @@
  * relay. Safety: a status that means "not run" is never sent when the request
  * may have run, and a truncated response never looks complete.
  */
+import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {Failure} from '@gatehead/schema/failure';
@@ -37,6 +38,9 @@
 	readonly #now: () => number;
 	readonly #closesConnection: () => boolean;
 	readonly #isToHost: boolean;
+	/** The body so far, for a caller to whom only a length can show the end of a stream; undefined: it is sent as it comes. */
+	#buffered: Uint8Array[] | undefined;
+	#bufferedHeaders: string[] = [];
 	#isDestroyed = false;
 
 	/** `closesConnection` tells whether to close the connection after this response, as during a planned stop; `isToHost`: the request was forwarded by another host, which has to tell this host's errors from an endpoint's. */
@@ -49,7 +53,7 @@
 
 	/** Whether the head has been sent. */
 	get headersSent(): boolean {
-		return this.#response.headersSent;
+		return this.#buffered !== undefined || this.#response.headersSent;
 	}
 
 	/** Whether the response can still be written: neither ended nor closed by the caller. */
@@ -59,7 +63,7 @@
 
 	/** Bytes buffered for a caller that reads slowly. */
 	get bufferedBytes(): number {
-		return this.#response.writableLength;
+		return this.#response.writableLength + (this.#buffered ?? []).reduce((sum, {length}) => sum + length, 0);
 	}
 
 	/** Forwards the head of a response by an endpoint of the given software version; `length` sets Content-Length when the body is already buffered. */
@@ -68,15 +72,28 @@
 		this.#forwardHead(endpointResponse, softwareVersion, headers);
 	}
 
-	/** Forwards the head of a stream without Content-Length, as the length can change when the stream continues at another endpoint. */
+	/** Forwards the head of a stream without Content-Length, as the length can change when the stream continues at another endpoint. To an HTTP/1.0 caller the stream is sent when it is complete. */
 	forwardStreamHead(endpointResponse: IncomingMessage, softwareVersion: string): void {
+		if (this.#response.req.httpVersion === '1.0') {
+			this.#buffered = [];
+			this.status = endpointResponse.statusCode ?? badGateway;
+			this.#bufferedHeaders = forwardedHeaders(endpointResponse, true);
+			return;
+		}
+
 		this.#forwardHead(endpointResponse, softwareVersion, forwardedHeaders(endpointResponse, true));
 	}
 
 	/** Writes a part of the body; does nothing after the caller disconnected. */
 	write(bytes: Uint8Array): void {
-		if (bytes.length > 0 && this.isOpen) {
+		if (bytes.length === 0 || !this.isOpen) {
+			return;
+		}
+
+		if (this.#buffered === undefined) {
 			this.#response.write(bytes);
+		} else {
+			this.#buffered.push(bytes);
 		}
 	}
 
@@ -86,6 +103,13 @@
 			return;
 		}
 
+		if (this.#buffered !== undefined) {
+			const body = Buffer.concat([...this.#buffered, bytes ?? new Uint8Array()]);
+			this.#writeHead(this.status, [...this.#bufferedHeaders, 'Content-Length', String(body.length)]);
+			this.#response.end(body);
+			return;
+		}
+
 		if (bytes === undefined) {
 			this.#response.end();
 		} else {
--- a/packages/standin/src/wire/truncated-streams.test.ts
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -1,7 +1,9 @@
 /** Guards against streams that a replica broke off and that reach their callers framed as complete. */
+import {connect} from 'node:net';
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {splitAddress} from '@gatehead/schema/address';
 import {expect} from 'earl';
 import {type ResponseCut, type ResponseFraming} from './body-writer.js';
 import {sendRequest, type CallerAnswer} from './client.js';
@@ -89,6 +91,54 @@
 	}
 });
 
+/** Sends a request as an HTTP/1.0 caller does; resolves with the bytes up to the end of the connection. */
+async function sendOld(address: string, path: string, id: string): Promise<string> {
+	const {ip, port} = splitAddress(address);
+	const body = 'question';
+	return new Promise(resolve => {
+		let received = '';
+		const socket = connect({host: ip, port});
+		socket.setEncoding('utf8');
+		socket.on('data', (text: string) => {
+			received += text;
+		});
+		socket.once('error', () => {
+			resolve(received);
+		});
+		socket.once('close', () => {
+			resolve(received);
+		});
+		socket.write(`POST ${path} HTTP/1.0\r\nHost: calls.example\r\nRequest-Id: ${id}\r\nToken-Counts: 1000,40\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+	});
+}
+
+const oldCalls: ReadonlyArray<{readonly name: string; readonly cut: ResponseCut | undefined; readonly isExpected: (text: string) => boolean}> = [
+	{name: 'a whole stream has its length', cut: undefined, isExpected: text => text.includes(`Content-Length: ${wholeStream.length}\r\n`) && text.endsWith(wholeStream)},
+	{name: 'a stream that is reset is no response', cut: {bytes: 2 * eventBytes, end: 'reset', afterMs: 2}, isExpected: text => !text.includes(' 200 ')},
+	{name: 'a stream that is closed inside an event is no response', cut: {bytes: (2 * eventBytes) + 8, end: 'end'}, isExpected: text => !text.includes(' 200 ')},
+];
+
+describe('callers that speak HTTP/1.0', () => {
+	for (const {name, cut, isExpected} of oldCalls) {
+		it(name, async () => {
+			const world = await startWorld({
+				hosts: 1, plain: 0, prefill: 1, decode: 1, slots: 16,
+			});
+			try {
+				for (const replica of world.replicas) {
+					replica.framing = 'connection';
+					replica.cuts.push(...(cut === undefined ? [] : [cut]));
+				}
+
+				const text = await sendOld(world.relays[0]?.caller ?? '', '/stream/1', name.replaceAll(' ', '-'));
+				expect([text, isExpected(text)]).toEqual([text, true]);
+			} finally {
+				await world.stop();
+			}
+		});
+	}
+});
+
 type CrashCase = {
 	readonly name: string;
 	readonly path: string;
