Fix: a host that is late itself does not take an endpoint for silent

A timeout whose timer fired late, because this process had no turn, ended an exchange whose response had arrived and was not read yet; the endpoint was paused. Traced before for drain-notice.test.ts beside load: turns of 0.1 to 0.2 s make reservations run into their 250 ms, and all decode replicas are paused.

A timer that fires 20 ms late or more is extended once, by its lateness or by its own length up to 0.5 s.

exchange.test.ts, 'although this process is late': failed before, passes.

--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -116,6 +116,25 @@
 		});
 	}
 
+	it('a response that arrives in time counts although this process is late', async () => {
+		const {server, address} = await listen(socket => {
+			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
+			// The timeout is over before the response is read
+			const until = performance.now() + 150;
+			while (performance.now() < until) {
+				// Blocks the event loop
+			}
+		});
+		const connections = new ConnectionPool(1, ignore);
+		try {
+			const response = await exchange(createRequest(address), connections, {...createOptions(), headMs: 100});
+			expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
+		} finally {
+			connections.destroy();
+			server.close();
+		}
+	});
+
 	it('a refused connection proves that nothing was sent', async () => {
 		const {server, address} = await listen(() => {
 			// Never called
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -40,6 +40,30 @@
 	}
 }
 
+/** Lateness of a timer above which this process, not the endpoint, may have been slow, in milliseconds; several event-loop turns of a busy host. */
+const lateTimerMs = 20;
+
+/** Largest extension of a timeout whose timer was less late than that, in milliseconds. */
+const maxExtensionMs = 500;
+
+/** Calls back after a timeout. One whose timer fires late is extended once: what arrived meanwhile has not been read, and the request may have been written late, too. */
+function startTimeout(clock: Clock, ms: number, onTimeout: () => void, isExtension = false): Timer {
+	const dueAt = clock.now() + ms;
+	let timer: Timer = clock.after(ms, () => {
+		const lateMs = clock.now() - dueAt;
+		if (lateMs < lateTimerMs || isExtension) {
+			onTimeout();
+		} else {
+			timer = startTimeout(clock, Math.max(lateMs, Math.min(ms, maxExtensionMs)), onTimeout, true);
+		}
+	});
+	return {
+		stop() {
+			timer.stop();
+		},
+	};
+}
+
 /** Timeouts and cancellation of an exchange. */
 export type ExchangeOptions = {
 	readonly clock: Clock;
@@ -72,7 +96,7 @@
 	state.mayHaveBeenSent = true;
 	state.fault = 'reset';
 	state.timer?.stop();
-	state.timer = options.clock.after(options.headMs, () => {
+	state.timer = startTimeout(options.clock, options.headMs, () => {
 		state.fault = 'silent';
 		clientRequest.destroy(new Error('timed out waiting for the response headers'));
 	});
@@ -100,7 +124,7 @@
 		const clientRequest = httpRequest({
 			host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
 		});
-		state.timer = options.clock.after(options.connectMs, () => {
+		state.timer = startTimeout(options.clock, options.connectMs, () => {
 			clientRequest.destroy(new Error('timed out waiting for a connection'));
 		});
 		const abort = () => {
