--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -6,10 +6,9 @@
  * when the endpoint sends data, when a request with the content succeeds, or
  * when a run with the part survives its beginning.
  */
-import {CrashSuspects, type ContentId, type CrashRestriction} from '@gatehead/policy/relay/crash-suspects';
-import {PartSuspects} from '@gatehead/policy/relay/part-suspects';
+import {type ContentId} from '@gatehead/policy/relay/crash-suspects';
+import {SuspectBook, type SuspectRequest, type Suspicion} from '@gatehead/policy/relay/suspect-book';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {RecentMap} from '@gatehead/policy/utils/recent-map';
 import {type CrashReport} from '@gatehead/schema/relay-message';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -30,8 +29,6 @@
 const refutableMs = 15_000;
 /** Length of a part's digest in a log line, in characters: enough to tell parts apart. */
 const loggedDigestLength = 12;
-/** Largest number of parts remembered as accused by this host. */
-const maxAccusedParts = 512;
 /** Retry-After while another request runs on trial, in milliseconds: a part is cleared as soon as the run has survived its beginning, a content when it has ended. */
 const trialRetryMs: Readonly<Record<CrashReport['suspect'], number>> = {content: trialTimeoutMs, part: 1000};
 /** Interval at which expired state is removed, in milliseconds. */
@@ -74,9 +71,6 @@
 	return listedSince === undefined ? id : `${id}#${listedSince}`;
 }
 
-/** A content or part that keeps a request from running freely. */
-type Suspicion = Pick<Hold, 'digest' | 'suspect'> & {readonly restriction: CrashRestriction};
-
 /** For operators: the part's id and the content stay out of it. */
 export function describeHold({suspect, digest}: Pick<Hold, 'suspect' | 'digest'>): string {
 	return suspect === 'part' ? `part ${digest}` : digest;
@@ -87,13 +81,14 @@
 	return content.listPartDigests(service.name);
 }
 
+function toSuspect({content, service}: Pick<Job, 'content' | 'service'>): SuspectRequest {
+	return {content, listParts: () => listParts({content, service})};
+}
+
 /** Crash guard of one host. */
 export class CrashGuard {
 	readonly #options: CrashGuardOptions;
-	readonly #suspects = new CrashSuspects();
-	readonly #partSuspects = new PartSuspects();
-	/** Parts that this host has accused itself; it passes on what clears them. */
-	readonly #accusedParts = new RecentMap<string, true>(maxAccusedParts);
+	readonly #suspects = new SuspectBook();
 	/** When starts of endpoints seem to have crashed, by start id, while later data can refute it. */
 	readonly #crashedStarts = new Map<string, number>();
 	readonly #abandonedSends = new AbandonedSends();
@@ -108,7 +103,7 @@
 		const {context: {clock}, broadcast, isTrialHost} = options;
 		this.#options = options;
 		this.#holdLog = new HoldLog(options.context);
-		this.#batcher = new CrashReportBatcher({clock, broadcast, createReports: digests => this.#createReports(digests)});
+		this.#batcher = new CrashReportBatcher({clock, broadcast, createReports: digests => this.#suspects.createReports(digests, clock.now())});
 		this.#trials = new Trials(clock, isTrialHost);
 	}
 
@@ -117,7 +112,6 @@
 		const {clock} = this.#options.context;
 		this.#cleanupTimer = clock.after(cleanupIntervalMs, () => {
 			this.#suspects.sweep(clock.now());
-			this.#partSuspects.sweep(clock.now());
 			this.#expireCrashedStarts(clock.now());
 			this.#trials.sweep();
 			this.#logHoldChanges();
@@ -179,7 +173,7 @@
 	async mayRetry(job: Job): Promise<boolean> {
 		const {content} = job;
 		const now = this.#options.context.clock.now();
-		if (this.#suspects.isSuspect(content, now) || (this.#partSuspects.size > 0 && this.#partSuspects.isSuspect(listParts(job), now))) {
+		if (this.#suspects.isSuspect(toSuspect(job), now)) {
 			await this.#pendingChecks.get(content.digest);
 		}
 
@@ -244,7 +238,7 @@
 		}
 
 		this.#crashedStarts.delete(startId);
-		for (const digest of [...this.#suspects.refuteCrash(startId), ...this.#partSuspects.refuteCrash(startId)]) {
+		for (const digest of this.#suspects.refuteCrash(startId)) {
 			this.#batcher.add(digest);
 		}
 
@@ -268,7 +262,7 @@
 	/** Records that a run has survived its beginning, which clears the parts of its prompt. */
 	recordSurvival(job: Pick<Job, 'content' | 'service' | 'trials'>): void {
 		const parts = listParts(job);
-		const cleared = this.#partSuspects.recordSurvival(parts, this.#options.context.clock.now());
+		const cleared = this.#suspects.recordSurvival(parts, this.#options.context.clock.now());
 		for (const digest of cleared) {
 			this.#batcher.add(digest);
 			this.#trials.end(digest);
@@ -281,70 +275,41 @@
 
 	/** Merges crash reports from another host; returns reports that contradict them. */
 	mergeReports(reports: readonly CrashReport[]): CrashReport[] {
-		const {clock} = this.#options.context;
+		const {clock, metrics} = this.#options.context;
 		const now = clock.now();
 		const contradicted: string[] = [];
 		for (const report of reports) {
-			const isContradicted = this.#mergeReport(report, now);
+			const {added, isContradicted, isClearing} = this.#suspects.merge(report, now);
+			for (const startId of added) {
+				metrics.add('crashEnds', {source: 'peer'});
+				this.#recordCrashedStart(startId, now - (report.ends.find(({end}) => end === startId)?.ageMs ?? 0));
+			}
+
 			if (isContradicted) {
 				contradicted.push(report.content);
 			}
+
+			if (isClearing) {
+				this.#batcher.add(report.content);
+			}
 		}
 
 		if (reports.length > 0) {
 			this.#logHoldChanges();
 		}
 
-		return this.#createReports(contradicted);
+		return this.#suspects.createReports(contradicted, now);
 	}
 
 	/** Reports of all held contents, for heartbeats: hosts that missed the first report, or are new, learn of them. */
 	listHeld(): CrashReport[] {
-		const now = this.#options.context.clock.now();
-		return this.#createReports([...this.#suspects.listHeld(now), ...this.#partSuspects.listHeld(now)]);
-	}
-
-	/** What speaks against a request: its content, and parts of its prompt. Digests are computed only if something is suspected. */
-	#judge({content, service}: Pick<Job, 'content' | 'service'>): Suspicion[] {
-		if (isOff(this.#options.context, 'crashGuard')) {
-			return [];
-		}
-
-		const now = this.#options.context.clock.now();
-		const parts = this.#partSuspects.size === 0 ? [] : this.#partSuspects.judge(listParts({content, service}), now);
-		const found: Suspicion[] = parts.map(part => ({...part, suspect: 'part'}));
-		const restriction = this.#suspects.isClear(content.bytes) ? undefined : this.#suspects.judge(content, now);
-		if (restriction !== undefined && restriction.kind !== 'free') {
-			found.push({digest: content.digest, suspect: 'content', restriction});
-		}
-
-		return found;
-	}
-
-	/** Returns whether this host knows better. */
-	#mergeReport(report: CrashReport, now: number): boolean {
-		if (report.suspect === 'content') {
-			this.#recordPeerCrashes(this.#suspects.merge(report, now), report, now);
-			return false;
-		}
-
-		const wasSuspect = this.#partSuspects.isSuspect([report.content], now);
-		const {added, isContradicted} = this.#partSuspects.merge(report, now);
-		this.#recordPeerCrashes(added, report, now);
-		if (wasSuspect && this.#accusedParts.has(report.content) && !this.#partSuspects.isSuspect([report.content], now)) {
-			// The sender told only this host
-			this.#accusedParts.delete(report.content);
-			this.#batcher.add(report.content);
-		}
-
-		return isContradicted;
+		return this.#suspects.listHeld(this.#options.context.clock.now());
 	}
 
-	#recordPeerCrashes(startIds: readonly string[], {ends}: CrashReport, now: number): void {
-		for (const startId of startIds) {
-			this.#options.context.metrics.add('crashEnds', {source: 'peer'});
-			this.#recordCrashedStart(startId, now - (ends.find(({end}) => end === startId)?.ageMs ?? 0));
-		}
+	/** What speaks against a request. */
+	#judge(request: Pick<Job, 'content' | 'service'>): Suspicion[] {
+		const {context} = this.#options;
+		return isOff(context, 'crashGuard') ? [] : this.#suspects.judge(toSuspect(request), context.clock.now());
 	}
 
 	async #checkCrash(content: ContentId, parts: readonly string[], endpoint: Endpoint, at: number): Promise<void> {
@@ -357,9 +322,8 @@
 	}
 
 	#accuseParts(parts: readonly string[], startId: string, at: number): void {
-		const accused = this.#partSuspects.recordCrash(parts, startId, at);
+		const accused = this.#suspects.accuseParts(parts, startId, at);
 		for (const digest of accused) {
-			this.#accusedParts.set(digest, true);
 			this.#batcher.add(digest);
 		}
 
@@ -396,13 +360,7 @@
 		}
 	}
 
-	#createReports(digests: readonly string[]): CrashReport[] {
-		const now = this.#options.context.clock.now();
-		return digests.map(digest => this.#suspects.report(digest, now) ?? this.#partSuspects.report(digest, now)).filter(report => report !== undefined);
-	}
-
 	#logHoldChanges(): void {
-		const now = this.#options.context.clock.now();
-		this.#holdLog.update(this.#createReports([...this.#suspects.listHeld(now), ...this.#partSuspects.listHeld(now)]));
+		this.#holdLog.update(this.listHeld());
 	}
 }
