Fix: digests of bodies are not computed while nothing is suspected

CrashSuspects took a content apart in its parameters, which read the digest, and so hashed the whole body, at the end of each successful request. The length is compared first now. crash-suspects.test.ts, 'reads no digest': failed before, passes.

--- a/packages/policy/src/relay/crash-suspects.test.ts
+++ b/packages/policy/src/relay/crash-suspects.test.ts
@@ -112,6 +112,22 @@
 		expect([suspects.size, suspects.isClear(100)]).toEqual([0, true]);
 	});
 
+	it('reads no digest while nothing of the length is suspected', () => {
+		const suspects = new CrashSuspects();
+		suspects.recordCrash({digest: 'other', bytes: 99}, 'a', 0);
+		let reads = 0;
+		const unread = {
+			bytes: 100, get digest() {
+				reads += 1;
+				return 'unread';
+			},
+		};
+		suspects.judge(unread, 10);
+		suspects.isSuspect(unread, 10);
+		suspects.recordSuccess(unread);
+		expect(reads).toEqual(0);
+	});
+
 	it('reports merge to the same verdict in any order and when repeated', () => {
 		const end = fc.record({end: fc.constantFrom('a', 'b', 'c', 'd'), ageMs: fc.integer({min: 0, max: 50_000})});
 		const report = fc.record({
--- a/packages/policy/src/relay/crash-suspects.ts
+++ b/packages/policy/src/relay/crash-suspects.ts
@@ -84,8 +84,8 @@
 	}
 
 	/** Whether a content has at least one crash that counts. */
-	isSuspect({digest, bytes}: ContentId, now: number): boolean {
-		const suspect = this.isClear(bytes) ? undefined : this.#suspects.get(digest);
+	isSuspect(content: ContentId, now: number): boolean {
+		const suspect = this.#find(content);
 		return suspect !== undefined && listCountedTimes(suspect, this.#rule.coincidenceMs, now).length > 0;
 	}
 
@@ -105,8 +105,8 @@
 	}
 
 	/** Records that a run of a content succeeded, which refutes all its known crashes. Returns whether any of them was not refuted before. */
-	recordSuccess({digest, bytes}: ContentId): boolean {
-		const suspect = this.isClear(bytes) ? undefined : this.#suspects.get(digest);
+	recordSuccess(content: ContentId): boolean {
+		const suspect = this.#find(content);
 		return suspect !== undefined && refute(suspect, suspect.ends.keys());
 	}
 
@@ -140,8 +140,8 @@
 	}
 
 	/** Whether a request with this content may run. */
-	judge({digest, bytes}: ContentId, now: number): CrashVerdict {
-		const suspect = this.isClear(bytes) ? undefined : this.#suspects.get(digest);
+	judge(content: ContentId, now: number): CrashVerdict {
+		const suspect = this.#find(content);
 		return suspect === undefined ? free : this.#judge(suspect, now);
 	}
 
@@ -183,6 +183,11 @@
 		return this.#suspects.size;
 	}
 
+	/** Reads the digest only if a content of that length is suspected, as it may be computed then. */
+	#find(content: ContentId): Suspect | undefined {
+		return this.isClear(content.bytes) ? undefined : this.#suspects.get(content.digest);
+	}
+
 	#judge(suspect: Suspect, now: number): CrashVerdict {
 		const counted = listCountedTimes(suspect, this.#rule.coincidenceMs, now);
 		const latest = counted.at(-1);
--- a/packages/policy/src/relay/suspect-book.ts
+++ b/packages/policy/src/relay/suspect-book.ts
@@ -40,8 +40,8 @@
 	judge({content, listParts}: SuspectRequest, now: number): Suspicion[] {
 		const parts = this.#parts.size === 0 ? [] : this.#parts.judge(listParts(), now);
 		const found: Suspicion[] = parts.map(part => ({...part, suspect: 'part'}));
-		const restriction = this.#contents.isClear(content.bytes) ? undefined : this.#contents.judge(content, now);
-		if (restriction !== undefined && restriction.kind !== 'free') {
+		const restriction = this.#contents.judge(content, now);
+		if (restriction.kind !== 'free') {
 			found.push({digest: content.digest, suspect: 'content', restriction});
 		}
 
