--- a/packages/policy/src/relay/part-suspects.ts
+++ b/packages/policy/src/relay/part-suspects.ts
@@ -23,7 +23,7 @@
 export type MergedReport = {
 	/** Crashes that were new. */
 	readonly added: readonly string[];
-	/** Whether this host knows of a surviving run that the other does not. */
+	/** Whether this host has recorded a surviving run that the other has not. */
 	readonly isContradicted: boolean;
 };
 
@@ -52,7 +52,7 @@
 		return parts.filter(digest => !this.#isTrusted(digest, at) && this.#suspects.recordCrash(toContent(digest), crash, at));
 	}
 
-	/** Records that a run survived its beginning; returns the parts for which that was news. */
+	/** Records that a run survived its beginning; returns the parts whose crashes it newly refutes. */
 	recordSurvival(parts: readonly string[], at: number): string[] {
 		for (const digest of parts) {
 			this.#survivals.set(digest, at);
--- a/packages/policy/src/relay/suspect-book.ts
+++ b/packages/policy/src/relay/suspect-book.ts
@@ -24,9 +24,9 @@
 export type ReportOutcome = {
 	/** Crashes that were new. */
 	readonly added: readonly string[];
-	/** Whether this host knows better; the sender has to be told. */
+	/** Whether this host has evidence to the contrary, which the sender needs. */
 	readonly isContradicted: boolean;
-	/** Whether the report clears a part that this host has accused; the other hosts have to be told. */
+	/** Whether the report clears a part that this host has accused; the other hosts need it, too. */
 	readonly isClearing: boolean;
 };
 
@@ -36,7 +36,7 @@
 	/** Parts that this host has accused itself; only it gets what clears them. */
 	readonly #accusedParts = new RecentMap<string, true>(maxAccusedParts);
 
-	/** What speaks against a request. */
+	/** Restrictions that apply to a request. */
 	judge({content, listParts}: SuspectRequest, now: number): Suspicion[] {
 		const parts = this.#parts.size === 0 ? [] : this.#parts.judge(listParts(), now);
 		const found: Suspicion[] = parts.map(part => ({...part, suspect: 'part'}));
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -342,7 +342,7 @@
 		}
 	}
 
-	/** Merges crash reports; only their sender gets the answer, as many hosts may know better at once. */
+	/** Merges crash reports. Evidence to the contrary goes to their sender alone, since many hosts may have some at once. */
 	#mergeCrashReports(host: string, reports: readonly CrashReport[]): void {
 		const contradictions = this.#parts.guard.mergeReports(reports);
 		if (contradictions.length > 0) {
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -306,7 +306,7 @@
 		return this.#suspects.listHeld(this.#options.context.clock.now());
 	}
 
-	/** What speaks against a request. */
+	/** Restrictions that apply to a request. */
 	#judge(request: Pick<Job, 'content' | 'service'>): Suspicion[] {
 		const {context} = this.#options;
 		return isOff(context, 'crashGuard') ? [] : this.#suspects.judge(toSuspect(request), context.clock.now());
--- a/packages/standin/src/wire/severed-connections.test.ts
+++ b/packages/standin/src/wire/severed-connections.test.ts
@@ -1,4 +1,4 @@
-/** Guards against hosts that wait for good on open connections that went silent, while new ones work: a change of the configuration and a drain must still reach them, and requests be served. */
+/** Guards against hosts that wait without end on open connections that went silent, while new ones work: a change of the configuration and a drain must still reach them, and requests be served. */
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {seedRandom} from '@gatehead/policy/utils/random';
@@ -54,7 +54,7 @@
 	return answers.filter(({status, isWhole}) => status === okStatus && isWhole).length;
 }
 
-describe('open connections that go silent for good', {concurrency: true}, () => {
+describe('open connections that go silent', {concurrency: true}, () => {
 	for (const {name, links, share, seed} of cases) {
 		it(`${name}, ${share} of them`, {timeout: hangMs}, async () => {
 			const proxies: Array<{readonly link: Link; readonly proxy: FaultyProxy}> = [];
