Fix: connections lost at the same moment show that an endpoint crashed

In the hosts' lines other connections to it end inside a response at the same instant.

A response without framing is truncated, too, if since it was sent, and within 30 ms of its end, another connection of this host to the endpoint was lost with a request in flight, and none is left. Ruled out: any other connection that ended (honest ends of one batch coincide), and losses before the request was sent (the endpoint lived).

--- a/packages/relay/src/upstream/endpoint-use.ts
+++ b/packages/relay/src/upstream/endpoint-use.ts
@@ -11,6 +11,8 @@
 	readonly connections: ConnectionPool;
 	/** When the last send started, on this process's clock. */
 	lastSentAt = Number.NEGATIVE_INFINITY;
+	/** When the last connection with a request in flight was lost, on this process's clock. */
+	lastLostAt = Number.NEGATIVE_INFINITY;
 	#inFlight = 0;
 	#tokens = 0;
 	#refusedAt = Number.NEGATIVE_INFINITY;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -209,6 +209,20 @@
 		return this.#uses.get(id)?.inFlight ?? 0;
 	}
 
+	/** Records that a connection with a request in flight was lost. */
+	noteLostConnection(id: string): void {
+		const use = this.#uses.get(id);
+		if (use !== undefined) {
+			use.lastLostAt = this.#context.clock.now();
+		}
+	}
+
+	/** Whether a connection was lost at or after a time, and none is left. */
+	hasLostConnections(endpoint: Endpoint, since: number): boolean {
+		const lostAt = this.#uses.get(endpoint.id)?.lastLostAt ?? Number.NEGATIVE_INFINITY;
+		return lostAt >= since && !this.connectionsOf(endpoint).isConnected;
+	}
+
 	/** Queue of prompts to be prefilled by a replica: all prompts of a prefill replica; of a decode replica, those without a prefill result. */
 	queueOf(id: string): PrefillQueue {
 		let queue = this.#queues.get(id);
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -24,6 +24,9 @@
 const minSuccessStatus = 200;
 const minRedirectStatus = 300;
 
+/** Connections of a crashed endpoint end within this time of each other, in milliseconds. */
+const coincidenceMs = 30;
+
 /** Processing step that a send is for. */
 export type SendStep = 'plain' | 'prefill' | 'decode';
 
@@ -225,7 +228,7 @@
 					this.#crashGuard.recordSurvival(job);
 				}
 			},
-			confirmEnd: async () => this.#confirmEnd(send, response),
+			confirmEnd: async () => this.#confirmEnd(send, response, sentAt),
 			end: (outcome, reason = '') => {
 				if (outcome === 'broken' || outcome === 'cancelled') {
 					this.#recordLoss(send, {
@@ -241,13 +244,17 @@
 	}
 
 	/** Throws if only a closed connection ended the response and the endpoint has crashed: a process that crashes closes its connections too. One that is leaving may exit behind its last response. */
-	async #confirmEnd({job, endpoint}: Send, response: IncomingMessage): Promise<void> {
+	async #confirmEnd({job, endpoint}: Send, response: IncomingMessage, sentAt: number): Promise<void> {
 		const isLeaving = () => !this.#endpoints.book.isReady(endpoint.id);
 		if (framingOf(response, job.method) !== 'connection' || isLeaving()) {
 			return;
 		}
 
-		if (await this.#hasCrashed(endpoint) && !isLeaving()) {
+		const endedAt = this.#context.clock.now();
+		const hasCrashed = await this.#hasCrashed(endpoint);
+		// A proxy in front of a crashed endpoint may accept connections
+		const areOthersLost = this.#endpoints.hasLostConnections(endpoint, Math.max(sentAt, endedAt - coincidenceMs));
+		if ((hasCrashed || areOthersLost) && !isLeaving()) {
 			throw new ExchangeError('reset', true, new Error('the endpoint crashed as its response ended'));
 		}
 	}
@@ -270,6 +277,10 @@
 	}
 
 	#recordLoss({job, step, endpoint}: Send, loss: Pick<LostSend, 'sentAt' | 'answeredAt' | 'isConnectionLost' | 'reason'>): void {
+		if (loss.isConnectionLost) {
+			this.#endpoints.noteLostConnection(endpoint.id);
+		}
+
 		this.#crashGuard.recordLoss({
 			job, step, endpoint, inFlight: this.#endpoints.countOpen(endpoint.id), ...loss,
 		});
--- a/packages/standin/src/wire/truncated-streams.test.ts
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -5,6 +5,7 @@
 } from 'node:test';
 import {splitAddress} from '@gatehead/schema/address';
 import {expect} from 'earl';
+import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
 import {type ResponseCut, type ResponseFraming} from './body-writer.js';
 import {sendRequest, type CallerAnswer} from './client.js';
 import {streamEvents} from './replica-server.js';
@@ -173,6 +174,38 @@
 ];
 
 describe('an endpoint that crashes closes all its connections', () => {
+	it('behind a proxy that accepts connections for it, with one stream inside an event: the callers of the others see the cut', async () => {
+		const proxies: FaultyProxy[] = [];
+		const world = await startWorld({
+			hosts: 1, plain: 0, prefill: 1, decode: 1, slots: 16, eventGapMs: 30, async endpointPaths(endpoints) {
+				proxies.push(...await Promise.all(endpoints.map(async endpoint => startProxy(endpoint))));
+				return proxies.map(({address}) => address);
+			},
+		});
+		try {
+			for (const replica of world.replicas) {
+				replica.framing = 'connection';
+			}
+
+			const send = async (index: number) => sendRequest({
+				address: world.relays[0]?.caller ?? '', id: `proxied-${index}`, path: '/stream/1', body: `question ${index}`,
+			});
+			const others = [send(0), send(1)];
+			await until(() => world.log.runs.length === others.length);
+			for (const replica of world.replicas) {
+				replica.cuts.push({bytes: eventBytes + 8, end: 'crash', afterMs: 5});
+			}
+
+			const answers = await Promise.all([...others, send(2)]);
+			expect(answers.map(answer => isCut(answer))).toEqual([true, true, true]);
+		} finally {
+			await world.stop();
+			for (const proxy of proxies) {
+				proxy.close();
+			}
+		}
+	});
+
 	for (const {name, path, bytes, isLeaving = false, isExpected} of crashes) {
 		it(name, async () => {
 			const world = await startWorld({
