Observability: arrivals at endpoints, by request and by order

The lines and metrics counted granted extra sends only, so a send that was never charged left no trace, and nobody could tell grants of a new process from others.

No decision changes.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -233,6 +233,7 @@
 			mayHaveRun: false,
 			runs: 0,
 			sends: 0,
+			arrivals: 0,
 			isContentHeld: false,
 			trials: new Set(),
 		};
@@ -309,7 +310,7 @@
 
 	#recordEnd(job: Job, {outcome, code, endpoint, softwareVersion, detail, longestGapMs, framing, events, restBytes}: JobEnd): void {
 		const {context: {clock, log, metrics}, routing} = this.#parts;
-		const {id, route, service, workspace, reply, arrivedAt, sends, runs, isCallerRetry, entryHost} = job;
+		const {id, route, service, workspace, reply, arrivedAt, sends, runs, arrivals, isCallerRetry, entryHost} = job;
 		const now = clock.now();
 		metrics.add('requests', {kind: route.kind, outcome: code ?? outcome});
 		if (reply.firstByteAt !== undefined && outcome === 'answered') {
@@ -330,6 +331,7 @@
 			detail,
 			sends,
 			runs,
+			arrivals,
 			secondTry: isCallerRetry,
 			resumedId: abbreviate(job.facts.resumedId),
 			lastEventId: abbreviate(job.facts.lastEventId),
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -144,6 +144,7 @@
 
 	/** Called once the connection is established; after it returns true the request may run. */
 	#maySend({job, step, endpoint}: Send): boolean {
+		const {metrics} = this.#context;
 		const {book, signals} = this.#endpoints;
 		const isOpen = book.isReady(endpoint.id) && !signals.isBackingOff(endpoint.id, this.#context.clock.now());
 		// The content may have become held since the first check
@@ -151,6 +152,8 @@
 			return false;
 		}
 
+		metrics.add('arrivals', {step, order: job.arrivals === 0 ? 'first' : 'repeat'});
+		job.arrivals += 1;
 		if (step !== 'prefill') {
 			job.mayHaveRun = true;
 			job.runs += 1;
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -14,6 +14,7 @@
 export const counterRows = {
 	requests: {name: 'gatehead_requests_total', help: 'Requests that ended, by kind of route and outcome.', labels: ['kind', 'outcome']},
 	sends: {name: 'gatehead_sends_total', help: 'Requests sent to endpoints, by step and outcome.', labels: ['step', 'outcome']},
+	arrivals: {name: 'gatehead_arrivals_total', help: 'Sends that may have reached an endpoint, by step and by whether they were the first of their request.', labels: ['step', 'order']},
 	runsLost: {name: 'gatehead_runs_lost_total', help: 'Sends whose endpoint broke off or fell silent under them, by step and by whether a part of the answer had come.', labels: ['step', 'answer']},
 	endChecks: {name: 'gatehead_end_checks_total', help: 'Looks at endpoints that cut a connection before any answer, by what was found.', labels: ['finding']},
 	crashEnds: {name: 'gatehead_crash_ends_total', help: 'Ends of endpoints noted against the contents of requests, by who saw them.', labels: ['source']},
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -46,6 +46,8 @@
 	runs: number;
 	/** Number of sends so far, without prefills. */
 	sends: number;
+	/** Sends that may have reached an endpoint, without the first prefill that one accepted. */
+	arrivals: number;
 	/** Whether a send was suppressed because the content is held. */
 	isContentHeld: boolean;
 	/** Digests of the content and prompt parts that this request runs on trial. */
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -37,6 +37,7 @@
 	readonly #job: Job;
 	/** Sends that may have reached a replica, over all rounds; all but the first need retry budget. */
 	#attempts = 0;
+	#isAccepted = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
@@ -114,6 +115,14 @@
 		return usable.slice(0, maxAttempts);
 	}
 
+	/** The first prefill that a replica accepts does not count as an arrival. */
+	#recordAcceptance(result: string | undefined): void {
+		if (result !== undefined && !this.#isAccepted) {
+			this.#isAccepted = true;
+			this.#job.arrivals -= 1;
+		}
+	}
+
 	async #runAt(endpoint: Endpoint): Promise<string | undefined> {
 		const {sender, context: {dialect}} = this.#parts;
 		const sent = await sender.send({
@@ -133,6 +142,7 @@
 		try {
 			const body = new TextDecoder().decode(await readBody(sent.response, maxBodyBytes));
 			const result = sent.response.statusCode === okStatus ? dialect.readPrefill(body) : undefined;
+			this.#recordAcceptance(result);
 			sent.end(result === undefined ? 'error' : 'good');
 			return result;
 		} catch (error) {
--- a/packages/relay/src/work/retry-budgets.ts
+++ b/packages/relay/src/work/retry-budgets.ts
@@ -13,10 +13,12 @@
 	readonly #context: RelayContext;
 	readonly #countHosts: () => number;
 	readonly #budgets = new Map<string, RetryBudget>();
+	readonly #startedAt: number;
 
 	constructor(context: RelayContext, countHosts: () => number) {
 		this.#context = context;
 		this.#countHosts = countHosts;
+		this.#startedAt = context.clock.now();
 	}
 
 	/** Counts an incoming request, which adds to the service's budget. */
@@ -31,7 +33,7 @@
 		const left = Math.floor(budget.left(clock.now()));
 		const isGranted = left >= (budgetFloors[cause] ?? 0) && budget.take(clock.now());
 		log('sentAgain', {
-			request: id, service: service.name, cause, budgetLeft: left, hosts: this.#countHosts(), outcome: isGranted ? 'sent' : 'no budget',
+			request: id, service: service.name, cause, budgetLeft: left, hosts: this.#countHosts(), processAgeMs: Math.round(clock.now() - this.#startedAt), outcome: isGranted ? 'sent' : 'no budget',
 		});
 		if (isGranted) {
 			metrics.add('extraSends', {cause});
