--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -1,6 +1,7 @@
 /** A replica of the platform as a stand-in: plain, prefill or decode, with faults. Written from the platform's pages. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {seedRandom} from '@gatehead/policy/utils/random';
 import {
 	readBody, sendJson, startServer, type RunningServer,
 } from '../utils/http.js';
@@ -42,6 +43,8 @@
 	readonly at: number;
 	/** Whether it was answered with a `Retry-After`. */
 	readonly isBackedOff: boolean;
+	/** Whether the replica accepted it to prefill its prompt only. */
+	readonly isAcceptedPrefill: boolean;
 };
 
 /** What all replicas of one test share. */
@@ -91,6 +94,8 @@
 	signals: StatedSignals;
 	/** Time that a plain call takes, in milliseconds. */
 	workMs: number;
+	/** Share of its requests that it rejects, from 0 to 1; reservations are accepted. */
+	rejectedShare: number;
 	/** How its responses to callers are framed. */
 	framing: ResponseFraming;
 	/** Cuts of its next responses, in order; then they are whole. */
@@ -130,6 +135,7 @@
 	fault: ReplicaFault = 'none';
 	signals: StatedSignals = {};
 	workMs = 0;
+	rejectedShare = 0;
 	framing: ResponseFraming = 'chunks';
 	readonly cuts: ResponseCut[] = [];
 	softwareVersion: string | undefined;
@@ -137,6 +143,7 @@
 	#taken = 0;
 	#made = 0;
 	readonly #holds = new Set<string>();
+	readonly #random = seedRandom(1);
 	readonly #end: () => void;
 
 	/** `end` ends the whole replica at once. */
@@ -179,8 +186,9 @@
 			return;
 		}
 
-		this.#state(exchange);
-		if (this.fault === 'full' || this.signals.backoffS !== undefined) {
+		const isRejected = this.fault === 'full' || this.signals.backoffS !== undefined || this.#random.next() < this.rejectedShare;
+		this.#state(exchange, isRejected);
+		if (isRejected) {
 			response.setHeader('Not-Executed', '1');
 			sendJson(response, 503, {});
 			return;
@@ -216,10 +224,10 @@
 	}
 
 	/** Notes the request, and puts this replica's signals on its answer. */
-	#state({response, id}: Exchange): void {
+	#state({request, response, id}: Exchange, isRejected: boolean): void {
 		const {limitPerS, isLeaving, backoffS} = this.signals;
 		this.parts.log.arrivals.push({
-			request: id, replica: this.id, at: performance.now(), isBackedOff: backoffS !== undefined,
+			request: id, replica: this.id, at: performance.now(), isBackedOff: backoffS !== undefined, isAcceptedPrefill: headerOf(request, 'stage') === 'prefill' && !isRejected && this.fault === 'none',
 		});
 		if (limitPerS !== undefined) {
 			response.setHeader('Server-Limit', String(limitPerS));
@@ -475,6 +483,12 @@
 		set workMs(milliseconds) {
 			replica.workMs = milliseconds;
 		},
+		get rejectedShare() {
+			return replica.rejectedShare;
+		},
+		set rejectedShare(share) {
+			replica.rejectedShare = share;
+		},
 		kill: server.kill,
 		revive: server.revive,
 	};
