Fix: shares of the retry allowance add up to one in any view of the fleet

Replicas saw 149 repeats in 10 s where 85 were allowed after hosts had restarted, and hosts granted 80 by their own lines, more than the fraction at which they stop.

Cause: a bound of the whole fleet rested on what each host sees. The allowance was divided by the hosts thought to be alive, so a host that has just started took all of it, and both sides of a partition took the same parts; a process that starts anew had a whole share again within the window in which its predecessor had spent one; and the requests of different hosts were counted in windows that differ. The margin of a quarter hid this in calm times.

Now the part that requests pay for is bounded by both sides of a sum that adds up over hosts and restarts (request-credit.ts), and the share of the allowance comes from a census: one over all hosts ever heard of, used only once all of them have stated that they count the same hosts, one of them uses its share already, and what a predecessor took has left the window (fleet-census.ts, allowance-share.ts). A first start of the whole fleet needs most of the seeds instead; without any sign of another host, a minute. Permits last a second. The margin is 0.05 in place of 0.25.

Ruled out: a larger margin (the sum of shares has no bound under restarts), counting lost hosts for a time alone (a host that starts sees none), waiting at each start alone (partitions).

--- a/packages/policy/src/relay/retry-budget.test.ts
+++ b/packages/policy/src/relay/retry-budget.test.ts
@@ -1,78 +1,167 @@
-/** Extra sends of all hosts together must stay within the bound of any window. */
+/** Repeats of all hosts together must stay within the bound of any window. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {RetryBudget} from './retry-budget.js';
+import {permitLifetimeMs} from './allowance-share.js';
+import {RequestCredit} from './request-credit.js';
+import {RetryBudget, type RetryPermit} from './retry-budget.js';
 
 const rule = {ratio: 0.2, allowance: 40, windowMs: 10_000};
+const transitMs = 500;
 
 type Case = {
 	readonly name: string;
 	readonly hosts: number;
 	readonly requests: number;
-	/** Time from the requests to the extra sends. */
+	/** Time from the requests to the repeats. */
 	readonly laterMs: number;
 	readonly granted: number;
 };
 
 const cases: readonly Case[] = [
 	{
-		name: 'gives a single host the whole allowance, less the margin', hosts: 1, requests: 0, laterMs: 0, granted: 30,
+		name: 'gives a single host the whole allowance, less the margin', hosts: 1, requests: 0, laterMs: 0, granted: 38,
 	},
 	{
 		name: 'divides the allowance among ten hosts', hosts: 10, requests: 0, laterMs: 0, granted: 3,
 	},
 	{
-		name: 'adds a fraction of the requests', hosts: 10, requests: 100, laterMs: 0, granted: 18,
+		name: 'adds half a fraction of the requests at once', hosts: 10, requests: 100, laterMs: 0, granted: 13,
 	},
 	{
 		name: 'ignores requests of an earlier window', hosts: 10, requests: 100, laterMs: 11_100, granted: 3,
 	},
 ];
 
-function takeAll(budget: RetryBudget, now: number): number {
-	let granted = 0;
-	while (budget.take(now)) {
-		granted += 1;
+function takeAll(budget: RetryBudget, now: number): RetryPermit[] {
+	const permits: RetryPermit[] = [];
+	for (let permit = budget.take(now); permit !== undefined; permit = budget.take(now)) {
+		permits.push(permit);
 	}
 
-	return granted;
+	return permits;
+}
+
+/** Requests that count for a window: those in it, in the one before it or in the one half a window earlier, whichever are most. */
+function countRequests(requests: readonly number[], from: number): number {
+	const {windowMs} = rule;
+	return Math.max(...[0, windowMs / 2, windowMs].map(shift => requests.filter(at => at >= from - shift && at < from - shift + windowMs).length));
 }
 
 describe('retry budget', () => {
 	for (const {name, hosts, requests, laterMs, granted} of cases) {
 		it(name, () => {
-			const budget = new RetryBudget(rule, () => hosts);
+			const budget = new RetryBudget(rule, () => 1 / hosts);
 			for (let request = 0; request < requests; request += 1) {
 				budget.recordRequest(0);
 			}
 
-			expect(takeAll(budget, laterMs)).toEqual(granted);
+			expect(takeAll(budget, laterMs).length).toEqual(granted);
 		});
 	}
 
-	it('keeps the bound of all hosts together in any window', () => {
-		const step = fc.record({host: fc.nat({max: 4}), waitMs: fc.nat({max: 900}), isRequest: fc.boolean()});
-		fc.assert(fc.property(fc.array(step, {maxLength: 400}), steps => {
-			const budgets = Array.from({length: 5}, () => new RetryBudget(rule, () => 5));
+	it('sustains most of what steady requests allow, without any share', () => {
+		const budget = new RetryBudget(rule, () => 0);
+		let granted = 0;
+		for (let now = 0; now < 60_000; now += 10) {
+			budget.recordRequest(now);
+			granted += now < 30_000 ? 0 : takeAll(budget, now).length;
+		}
+
+		expect(granted).toBeGreaterThan(0.8 * rule.ratio * 3000);
+	});
+
+	it('returns permits that were not used', () => {
+		const budget = new RetryBudget(rule, () => 0.5);
+		const permits = takeAll(budget, 0);
+		for (const permit of permits) {
+			budget.refund(permit);
+		}
+
+		expect(takeAll(budget, 900).length).toEqual(permits.length);
+	});
+
+	it('uses parts of other hosts before they expire, and no longer', () => {
+		const budget = new RetryBudget(rule, () => 0);
+		budget.receive(0.6, 1000);
+		budget.receive(0.6, 800);
+		expect(budget.take(0)?.sendBy).toEqual(800);
+		expect(budget.take(0)).toEqual(undefined);
+		budget.receive(1, 1000);
+		expect(budget.take(1000)).toEqual(undefined);
+	});
+
+	it('keeps the bound of all hosts together in any window, with parts that move between hosts', () => {
+		const hosts = 5;
+		const step = fc.record({
+			host: fc.nat({max: hosts - 1}), other: fc.nat({max: hosts - 1}), waitMs: fc.nat({max: 900}), act: fc.constantFrom('request', 'requests', 'repeat', 'repeats', 'lend', 'restart'), transitMs: fc.nat({max: permitLifetimeMs + transitMs - 1}),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 300}), steps => {
+			const settledAt = Array.from({length: hosts}, () => 0);
+			let now = 0;
+			const make = (host: number) => new RetryBudget(rule, () => now >= (settledAt[host] ?? 0) ? 1 / hosts : 0);
+			const budgets = settledAt.map((_, host) => make(host));
+			const requests: number[] = [];
+			const arrivals: number[] = [];
+			for (const {host, other, waitMs, act, transitMs: delayMs} of steps) {
+				now += waitMs;
+				const budget = budgets[host];
+				const count = act === 'requests' || act === 'repeats' ? 10 : 1;
+				for (let index = 0; index < count; index += 1) {
+					if (act.startsWith('request')) {
+						budget?.recordRequest(now);
+						requests.push(now);
+					} else if (act.startsWith('repeat') && budget?.take(now) !== undefined) {
+						arrivals.push(now + delayMs);
+					}
+				}
+
+				if (act === 'lend') {
+					budgets[other]?.receive(budget?.give(3, now) ?? 0, now + permitLifetimeMs);
+				} else if (act === 'restart') {
+					settledAt[host] = now + rule.windowMs + permitLifetimeMs + transitMs;
+					budgets[host] = make(host);
+				}
+			}
+
+			for (const from of arrivals) {
+				const repeats = arrivals.filter(at => at >= from && at < from + rule.windowMs).length;
+				expect(repeats <= (rule.ratio * countRequests(requests, from)) + rule.allowance).toEqual(true);
+			}
+		}), {seed: 3, numRuns: 300});
+	});
+});
+
+describe('request credit', () => {
+	it('keeps the bound of all hosts together for any requests', () => {
+		const hosts = 3;
+		const step = fc.record({
+			host: fc.nat({max: hosts - 1}), waitMs: fc.nat({max: 3000}), requests: fc.nat({max: 60}), transitMs: fc.nat({max: permitLifetimeMs + transitMs - 1}),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+			const credits = Array.from({length: hosts}, () => new RequestCredit(rule));
 			const requests: number[] = [];
-			const extras: number[] = [];
+			const arrivals: number[] = [];
 			let now = 0;
-			for (const {host, waitMs, isRequest} of steps) {
+			for (const {host, waitMs, requests: count, transitMs: delayMs} of steps) {
 				now += waitMs;
-				if (isRequest) {
-					budgets[host]?.recordRequest(now);
+				for (let index = 0; index < count; index += 1) {
+					credits[host]?.recordRequest(now);
 					requests.push(now);
-				} else if (budgets[host]?.take(now)) {
-					extras.push(now);
+				}
+
+				for (const credit of credits) {
+					while (credit.left(now) >= 1) {
+						credit.take(now);
+						arrivals.push(now + delayMs);
+					}
 				}
 			}
 
-			for (const end of extras) {
-				const inWindow = (at: number) => at <= end && at > end - rule.windowMs;
-				const before = (at: number) => at <= end && at > end - (2 * rule.windowMs);
-				expect(extras.filter(at => inWindow(at)).length <= (rule.ratio * requests.filter(at => before(at)).length) + rule.allowance).toEqual(true);
+			for (const from of arrivals) {
+				const repeats = arrivals.filter(at => at >= from && at < from + rule.windowMs).length;
+				expect(repeats <= rule.ratio * countRequests(requests, from)).toEqual(true);
 			}
-		}), {seed: 3});
+		}), {seed: 4, numRuns: 300});
 	});
 });
--- a/packages/policy/src/relay/retry-budget.ts
+++ b/packages/policy/src/relay/retry-budget.ts
@@ -1,91 +1,167 @@
 /**
- * Limits one host's extra sends, meaning those beyond the first of each
- * request. The bound of a service is shared by all hosts: a fraction of the
- * requests in a window, plus a fixed allowance that is divided among the hosts.
- * Safety: the bound relies on every host staying within its own share, based
- * on an upper estimate of the number of hosts.
+ * One host's part of a service's retry budget. The bound holds for all hosts
+ * together: a fraction of the requests in a window, plus a fixed allowance.
+ *
+ * Safety: each host pays for its repeats with what its own requests allow
+ * (request-credit.ts), with its share of the allowance (allowance-share.ts),
+ * or with parts of the shares of other hosts. A repeat arrives within
+ * `permitLifetimeMs` and its transit time of when it was paid for.
  */
+import {AllowanceShare, permitLifetimeMs} from './allowance-share.js';
+import {RequestCredit} from './request-credit.js';
 
-/** Buckets per window: the window's length is accurate to a tenth. */
-const bucketCount = 10;
-/** Fraction of the bound that is used, as a margin for a wrong host count and requests in flight. */
-const safetyFactor = 0.75;
+/** Fraction of the allowance that is used; the rest covers a new host whose records cross those of a host that starts anew (fleet-census.ts). */
+const usedFraction = 0.95;
+/** Allows for rounding in sums of parts of repeats. */
+const epsilon = 1e-9;
 
 /** Bound for all hosts together. */
 export type RetryRule = {
-	/** Extra sends allowed per request in the window. */
+	/** Repeats allowed per request in the window. */
 	readonly ratio: number;
-	/** Additional extra sends allowed per window, for all hosts together. */
+	/** Additional repeats allowed per window, for all hosts together. */
 	readonly allowance: number;
 	readonly windowMs: number;
 };
 
-type Bucket = {
-	readonly index: number;
-	requests: number;
-	extras: number;
+/** Permission to send one repeat, and what paid for it. */
+export type RetryPermit = {
+	readonly takenAt: number;
+	/** Deadline for sending its first byte, in milliseconds. */
+	readonly sendBy: number;
+	/** Whether requests of this host paid for it. */
+	readonly isFromRequests: boolean;
+	readonly own: number;
+	readonly borrowed: number;
+};
+
+/** A part of another host's share. */
+type Loan = {
+	amount: number;
+	readonly until: number;
+};
+
+/** State of a budget on one host, in repeats. */
+export type RetryBudgetState = {
+	readonly requests: number;
+	/** Repeats that this host paid for within the window. */
+	readonly repeats: number;
+	readonly left: number;
+	readonly share: number;
+	readonly given: number;
+	readonly borrowed: number;
 };
 
 /** One service's budget on one host; times are in milliseconds. */
 export class RetryBudget {
 	readonly #rule: RetryRule;
-	readonly #countHosts: () => number;
-	#buckets: Bucket[] = [];
+	readonly #credit: RequestCredit;
+	readonly #share: AllowanceShare;
+	readonly #size: () => number;
+	#loans: Loan[] = [];
 
-	constructor(rule: RetryRule, countHosts: () => number) {
+	/** `fractionOf` returns this host's fraction of the allowance; 0 while it may not use any. */
+	constructor(rule: RetryRule, fractionOf: () => number) {
 		this.#rule = rule;
-		this.#countHosts = countHosts;
+		this.#credit = new RequestCredit(rule);
+		this.#size = () => usedFraction * rule.allowance * fractionOf();
+		this.#share = new AllowanceShare(rule.windowMs, this.#size);
 	}
 
 	/** Records a new request. */
 	recordRequest(now: number): void {
-		this.#bucketAt(now).requests += 1;
+		this.#credit.recordRequest(now);
 	}
 
-	/** Spends one extra send. Returns false if none is left. */
-	take(now: number): boolean {
-		if (this.left(now) < 1) {
-			return false;
+	/** Takes a permit for one repeat; undefined if too little is left. */
+	take(now: number): RetryPermit | undefined {
+		const permit = {takenAt: now, sendBy: now + permitLifetimeMs};
+		if (this.#credit.left(now) >= 1) {
+			this.#credit.take(now);
+			return {
+				...permit, isFromRequests: true, own: 0, borrowed: 0,
+			};
 		}
 
-		this.#bucketAt(now).extras += 1;
-		return true;
-	}
+		const borrowed = Math.min(1, this.#borrowed(now));
+		const own = 1 - borrowed;
+		if (own > this.#share.left(now) + epsilon) {
+			return undefined;
+		}
 
-	/** Returns extra sends that were taken and not made. */
-	refund(extras: number, now: number): void {
-		this.#bucketAt(now).extras -= extras;
+		const sendBy = Math.min(permit.sendBy, this.#takeLoans(borrowed, now));
+		this.#share.take(own, now);
+		return {
+			...permit, sendBy, isFromRequests: false, own, borrowed,
+		};
 	}
 
-	/** Returns the extra sends left in the current window. */
-	left(now: number): number {
-		this.#dropExpired(now);
-		let requests = 0;
-		let extras = 0;
-		for (const bucket of this.#buckets) {
-			requests += bucket.requests;
-			extras += bucket.extras;
+	/** Returns a permit whose repeat was not sent, or does not count. */
+	refund({takenAt, sendBy, isFromRequests, own, borrowed}: RetryPermit): void {
+		if (isFromRequests) {
+			this.#credit.refund(takenAt);
+			return;
 		}
 
-		const {ratio, allowance} = this.#rule;
-		return (safetyFactor * ((ratio * requests) + (allowance / Math.max(1, this.#countHosts())))) - extras;
+		if (own > 0) {
+			this.#share.refund(own, takenAt);
+		}
+
+		this.receive(borrowed, sendBy);
+	}
+
+	/** Gives another host up to `wanted` of this host's share; returns the amount. */
+	give(wanted: number, now: number): number {
+		return this.#share.give(wanted, now);
 	}
 
-	#bucketAt(now: number): Bucket {
-		this.#dropExpired(now);
-		const index = Math.floor(now * bucketCount / this.#rule.windowMs);
-		const last = this.#buckets.at(-1);
-		if (last?.index === index) {
-			return last;
+	/** Adds a part of another host's share, to be used before `until`. */
+	receive(amount: number, until: number): void {
+		if (amount > 0) {
+			this.#loans.push({amount, until});
+			this.#loans.sort((left, right) => left.until - right.until);
 		}
+	}
+
+	/** Returns the repeats that may be taken now. */
+	left(now: number): number {
+		return Math.max(0, this.#credit.left(now)) + this.#share.left(now) + this.#borrowed(now);
+	}
 
-		const bucket = {index, requests: 0, extras: 0};
-		this.#buckets.push(bucket);
-		return bucket;
+	/** Describes the budget, over the last window. */
+	describe(now: number): RetryBudgetState {
+		const from = now - this.#rule.windowMs;
+		return {
+			requests: this.#credit.requestsSince(from),
+			repeats: this.#credit.repeatsSince(from) + this.#share.spent(now),
+			left: this.left(now),
+			share: this.#size(),
+			given: this.#share.given(now),
+			borrowed: this.#borrowed(now),
+		};
 	}
 
-	#dropExpired(now: number): void {
-		const first = Math.floor(now * bucketCount / this.#rule.windowMs) - bucketCount;
-		this.#buckets = this.#buckets.filter(({index}) => index >= first);
+	#borrowed(now: number): number {
+		this.#loans = this.#loans.filter(({until}) => now < until);
+		return this.#loans.reduce((sum, {amount}) => sum + amount, 0);
+	}
+
+	/** Takes an amount from the loans that expire first; returns the first expiry. */
+	#takeLoans(wanted: number, now: number): number {
+		let missing = wanted;
+		let sendBy = now + permitLifetimeMs;
+		for (const loan of this.#loans) {
+			if (missing <= epsilon) {
+				break;
+			}
+
+			const taken = Math.min(missing, loan.amount);
+			loan.amount -= taken;
+			missing -= taken;
+			sendBy = Math.min(sendBy, loan.until);
+		}
+
+		this.#loans = this.#loans.filter(({amount}) => amount > epsilon);
+		return sendBy;
 	}
 }
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -236,7 +236,8 @@
 			runs: 0,
 			sends: 0,
 			arrivals: 0,
-			retryPermits: 0,
+			retryPermits: [],
+			usedPermit: undefined,
 			isContentHeld: false,
 			trials: new Set(),
 		};
--- /dev/null
+++ b/packages/relay/src/peer/census-task.ts
@@ -0,0 +1,81 @@
+/** Keeps this host's census up to date and states it to the other hosts. */
+import {settleMsOf} from '@gatehead/policy/relay/allowance-share';
+import {FleetCensus} from '@gatehead/policy/relay/fleet-census';
+import {type Timer} from '@gatehead/policy/utils/clock';
+import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {type RelayContext} from '../core/context.js';
+
+/** Interval of updates without any change of the members, in milliseconds. */
+const intervalMs = 1000;
+/** Delay from a change to the update, as a constant and for each member, in milliseconds: batches the changes while a fleet starts. */
+const changeDelayMs = 50;
+const changeDelayMsPerHost = 5;
+
+export type CensusTaskParts = {
+	readonly context: Pick<RelayContext, 'clock' | 'log' | 'self' | 'settings'>;
+	readonly listMembers: () => readonly MemberRecord[];
+	/** Puts the census into this host's record and sends it to the other hosts. */
+	readonly announce: (census: MemberRecord['census']) => void;
+};
+
+/** The census of one host. */
+export class CensusTask {
+	readonly census: FleetCensus;
+	readonly #parts: CensusTaskParts;
+	#announced = '';
+	#timer: Timer | undefined;
+	#dueAt = Number.POSITIVE_INFINITY;
+	#isStopped = false;
+
+	constructor(parts: CensusTaskParts) {
+		const {clock, self, settings: {seeds, start, retry}} = parts.context;
+		this.#parts = parts;
+		this.census = new FleetCensus({
+			self: self.host, seeds, start, startedAt: clock.now(), settleMs: settleMsOf(retry.windowMs),
+		});
+	}
+
+	start(): void {
+		this.#update();
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+		this.#timer?.stop();
+	}
+
+	/** Updates the census soon. */
+	handleMembershipChange(): void {
+		this.#schedule(changeDelayMs + (changeDelayMsPerHost * this.#parts.listMembers().length));
+	}
+
+	#update(): void {
+		const {context: {clock, log}, listMembers, announce} = this.#parts;
+		this.census.update(listMembers(), clock.now());
+		const stated = this.census.describe();
+		const text = JSON.stringify(stated);
+		if (text !== this.#announced) {
+			this.#announced = text;
+			log('censusChanged', {hosts: this.census.count, digest: stated.digest, isEstablished: stated.isEstablished});
+			announce(stated);
+		}
+
+		this.#schedule(intervalMs);
+	}
+
+	/** Schedules an update, unless an earlier one is due. */
+	#schedule(delayMs: number): void {
+		const {clock} = this.#parts.context;
+		const dueAt = clock.now() + delayMs;
+		if (this.#isStopped || dueAt >= this.#dueAt) {
+			return;
+		}
+
+		this.#timer?.stop();
+		this.#dueAt = dueAt;
+		this.#timer = clock.after(delayMs, () => {
+			this.#dueAt = Number.POSITIVE_INFINITY;
+			this.#update();
+		});
+	}
+}
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -10,6 +10,7 @@
 } from '@gatehead/policy/relay/directory-readers';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
+import {type FleetCensus} from '@gatehead/policy/relay/fleet-census';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
@@ -20,6 +21,7 @@
 import {WorkspaceQuotas} from '../access/workspace-quotas.js';
 import {type RelayContext} from '../core/context.js';
 import {RateLimiter} from '../upstream/rate-limiter.js';
+import {CensusTask} from './census-task.js';
 import {DirectorySync} from './directory-sync.js';
 import {type FleetParts, type HostLinks} from './fleet-parts.js';
 import {SeedContact} from './seed-contact.js';
@@ -63,6 +65,7 @@
 	#knownStates = '';
 	readonly #directorySync: DirectorySync;
 	readonly #knownHosts: KnownHosts;
+	readonly #censusTask: CensusTask;
 	readonly #handlers: MessageHandlers = {
 		hello: (_from, {record}) => {
 			this.membership.handleHello(record);
@@ -145,6 +148,14 @@
 	constructor(parts: FleetParts) {
 		const {context} = parts;
 		this.#parts = parts;
+		this.#censusTask = new CensusTask({
+			context,
+			listMembers: () => this.membership.members.list(),
+			announce: census => {
+				this.membership.members.updateSelf({census});
+				this.announce();
+			},
+		});
 		this.#knownHosts = new KnownHosts(context.clock);
 		this.changedAt = context.clock.now();
 		const makeLinks = parts.makeLinks ?? (listener => new PeerLinks<RelayMessage>(context, relayBatch, listener));
@@ -223,6 +234,7 @@
 			onChange: () => {
 				context.metrics.set('hosts', this.countHosts());
 				this.#handleMembershipChange();
+				this.#censusTask.handleMembershipChange();
 				this.watcherFailover.handleMembershipChange();
 				this.#scheduleAnnounce();
 			},
@@ -236,6 +248,11 @@
 		}, makeOwnRecord(context));
 	}
 
+	/** The fraction of bounds that this host may use. */
+	get census(): FleetCensus {
+		return this.#censusTask.census;
+	}
+
 	/** Number of hosts, including this one, that are not considered dead. */
 	countHosts(): number {
 		return this.membership.members.list().filter(({state}) => state !== 'dead').length;
@@ -276,6 +293,7 @@
 		this.membership.members.updateSelf({peerAddress: this.#parts.context.settings.listen.advertisedPeer ?? boundAddress});
 		this.membership.start();
 		this.streams.start();
+		this.#censusTask.start();
 		this.#seedContact.start();
 	}
 
@@ -287,6 +305,7 @@
 	/** Replaces the seeds. */
 	reload(seeds: readonly string[]): void {
 		this.#seedContact.setSeeds(seeds);
+		this.census.setSeeds(seeds);
 	}
 
 	/** Sends a heartbeat to all neighbours at once. */
@@ -319,6 +338,7 @@
 	close(): void {
 		this.#seedContact.stop();
 		this.#directorySync.close();
+		this.#censusTask.stop();
 		this.watcherFailover.stop();
 		this.load.close();
 		this.streams.close();
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -119,7 +119,7 @@
 			},
 		});
 		const ownCalls = new ControlCalls(context, this.endpoints);
-		const budgets = new RetryBudgets(context, () => this.fleet.countHosts());
+		const budgets = new RetryBudgets({context, census: this.fleet.census});
 		this.#stageOrders = new StageOrders({
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, reachability: this.reachability, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
 		});
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -4,6 +4,7 @@
  * itself confirms that it did not run the request; every error response
  * depends on it.
  */
+import {type RetryPermit} from '@gatehead/policy/relay/retry-budget';
 import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type Reply} from '../front/reply.js';
 import {type RequestFacts} from '../core/dialect.js';
@@ -48,8 +49,10 @@
 	sends: number;
 	/** Sends that may have reached an endpoint, without the first prefill that one accepted. */
 	arrivals: number;
-	/** Repeats that are paid for and not sent yet. */
-	retryPermits: number;
+	/** Permits for repeats that are not sent yet. */
+	readonly retryPermits: RetryPermit[];
+	/** Permit of the last send; undefined if it was free. */
+	usedPermit: RetryPermit | undefined;
 	/** Whether a send was suppressed because the content is held. */
 	isContentHeld: boolean;
 	/** Digests of the content and prompt parts that this request runs on trial. */
--- a/packages/relay/src/work/retry-budgets.ts
+++ b/packages/relay/src/work/retry-budgets.ts
@@ -4,6 +4,7 @@
  * first of its request goes uncharged, whatever caused it. `RetryBudget`
  * enforces the bound on retries.
  */
+import {type FleetCensus} from '@gatehead/policy/relay/fleet-census';
 import {RetryBudget} from '@gatehead/policy/relay/retry-budget';
 import {type RelayContext} from '../core/context.js';
 import {type Job} from './job.js';
@@ -14,102 +15,136 @@
 /** Minimum remaining budget by cause, so that less urgent retries leave the rest to urgent ones. */
 const budgetFloors: Readonly<Partial<Record<RetryCause, number>>> = {slow: 6, error: 3};
 
+/** Steps per repeat in log lines. */
+const amountSteps = 100;
+
 /** The parts of a job that its charges depend on. */
-export type ChargedJob = Pick<Job, 'id' | 'arrivals' | 'retryPermits'> & {readonly service: Pick<Job['service'], 'name'>};
+export type ChargedJob = Pick<Job, 'id' | 'arrivals' | 'retryPermits' | 'usedPermit'> & {readonly service: Pick<Job['service'], 'name'>};
+
+export type RetryBudgetsOptions = {
+	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'settings'>;
+	readonly census: Pick<FleetCensus, 'count' | 'fraction'>;
+};
 
 export class RetryBudgets {
-	readonly #context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'settings'>;
-	readonly #countHosts: () => number;
+	readonly #options: RetryBudgetsOptions;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #startedAt: number;
 
-	constructor(context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'settings'>, countHosts: () => number) {
-		this.#context = context;
-		this.#countHosts = countHosts;
-		this.#startedAt = context.clock.now();
+	constructor(options: RetryBudgetsOptions) {
+		this.#options = options;
+		this.#startedAt = options.context.clock.now();
 	}
 
 	/** Counts an incoming request, which adds to the service's budget. */
 	recordRequest(service: string): void {
-		this.#budgetOf(service).recordRequest(this.#context.clock.now());
+		this.#budgetOf(service).recordRequest(this.#now);
 	}
 
 	/** Acquires a permit for one repeat of a job; false if too little is left. Either outcome is logged and counted. */
 	async acquire(job: ChargedJob, cause: RetryCause): Promise<boolean> {
-		const {clock, log, metrics} = this.#context;
-		const budget = this.#budgetOf(job.service.name);
-		const left = Math.floor(budget.left(clock.now()));
-		const isGranted = left >= (budgetFloors[cause] ?? 0) && budget.take(clock.now());
+		const {context: {log, metrics}, census} = this.#options;
+		const {service} = job;
+		const budget = this.#budgetOf(service.name);
+		const left = budget.left(this.#now);
+		const permit = left >= (budgetFloors[cause] ?? 0) ? budget.take(this.#now) : undefined;
 		log('sentAgain', {
-			request: job.id, service: job.service.name, cause, budgetLeft: left, hosts: this.#countHosts(), processAgeMs: Math.round(clock.now() - this.#startedAt), outcome: isGranted ? 'sent' : 'no budget',
+			request: job.id, service: service.name, cause, budgetLeft: roundAmount(left), share: roundAmount(census.fraction(this.#now)), hosts: census.count, processAgeMs: Math.round(this.#now - this.#startedAt), outcome: permit === undefined ? 'no budget' : 'sent',
 		});
-		if (isGranted) {
-			job.retryPermits += 1;
-			metrics.add('extraSends', {cause});
-		} else {
+		if (permit === undefined) {
 			metrics.add('budgetSpent');
+			return false;
 		}
 
-		return isGranted;
+		job.retryPermits.push(permit);
+		metrics.add('extraSends', {cause});
+		return true;
 	}
 
 	/** Makes sure that the job's next send is paid for: the first that reaches an endpoint is free. */
 	async ensure(job: ChargedJob, cause: RetryCause): Promise<boolean> {
-		return job.arrivals === 0 || job.retryPermits > 0 || this.acquire(job, cause);
+		this.#dropExpired(job);
+		return job.arrivals === 0 || job.retryPermits.length > 0 || this.acquire(job, cause);
 	}
 
 	/** Charges a send that is about to reach an endpoint; false if it must not be sent. */
 	admit(job: ChargedJob): boolean {
-		if (job.arrivals > 0) {
-			if (job.retryPermits === 0 && !this.#budgetOf(job.service.name).take(this.#context.clock.now())) {
-				this.#context.metrics.add('budgetSpent');
-				return false;
-			}
-
-			job.retryPermits = Math.max(0, job.retryPermits - 1);
+		this.#dropExpired(job);
+		const isFree = job.arrivals === 0;
+		const permit = isFree ? undefined : job.retryPermits.shift() ?? this.#budgetOf(job.service.name).take(this.#now);
+		if (!isFree && permit === undefined) {
+			this.#options.context.metrics.add('budgetSpent');
+			return false;
 		}
 
+		job.usedPermit = permit;
 		job.arrivals += 1;
 		return true;
 	}
 
-	/** Takes back the charge of a send that does not count; its permit pays for the job's next send. */
+	/** Takes back the charge of the job's last send, which does not count; it pays for the next one. */
 	discount(job: ChargedJob): void {
+		const budget = this.#budgetOf(job.service.name);
 		job.arrivals -= 1;
-		if (job.arrivals > 0) {
-			job.retryPermits += 1;
+		if (job.usedPermit === undefined) {
+			return;
+		}
+
+		budget.refund(job.usedPermit);
+		job.usedPermit = undefined;
+		const permit = job.arrivals > 0 ? budget.take(this.#now) : undefined;
+		if (permit !== undefined) {
+			job.retryPermits.push(permit);
 		}
 	}
 
 	/** Returns the unused permits of a job that has ended. */
 	release(job: ChargedJob): void {
-		this.#budgetOf(job.service.name).refund(job.retryPermits, this.#context.clock.now());
-		job.retryPermits = 0;
+		for (const permit of job.retryPermits.splice(0)) {
+			this.#budgetOf(job.service.name).refund(permit);
+		}
 	}
 
 	/** Whether a service has budget left for another repeat. */
 	hasLeft(service: string): boolean {
-		return this.#budgetOf(service).left(this.#context.clock.now()) >= 1;
+		return this.#budgetOf(service).left(this.#now) >= 1;
 	}
 
 	/** Smallest remaining budget over all services; 0 before the first request. */
 	lowestLeft(): number {
-		const now = this.#context.clock.now();
 		let lowest = Number.POSITIVE_INFINITY;
 		for (const budget of this.#budgets.values()) {
-			lowest = Math.min(lowest, budget.left(now));
+			lowest = Math.min(lowest, budget.left(this.#now));
 		}
 
 		return Number.isFinite(lowest) ? lowest : 0;
 	}
 
+	get #now(): number {
+		return this.#options.context.clock.now();
+	}
+
+	/** Returns the permits that were not used in time. */
+	#dropExpired({retryPermits, service}: ChargedJob): void {
+		while (retryPermits[0] !== undefined && retryPermits[0].sendBy <= this.#now) {
+			this.#budgetOf(service.name).refund(retryPermits[0]);
+			retryPermits.shift();
+		}
+	}
+
 	#budgetOf(service: string): RetryBudget {
+		const {context: {settings: {retry}}, census} = this.#options;
 		let budget = this.#budgets.get(service);
 		if (budget === undefined) {
-			budget = new RetryBudget(this.#context.settings.retry, this.#countHosts);
+			budget = new RetryBudget(retry, () => census.fraction(this.#now));
 			this.#budgets.set(service, budget);
 		}
 
 		return budget;
 	}
 }
+
+/** Rounds down, so that a line never shows more than there is. */
+function roundAmount(amount: number): number {
+	return Math.floor(amount * amountSteps) / amountSteps;
+}
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -286,6 +286,9 @@
 	streamRecordsFull: {
 		number: 5046, status: 0, ran: 'no', advice: 'This host holds as many records of streams as it may and drops the oldest; their callers may not be able to resume them.',
 	},
+	censusChanged: {
+		number: 5047, status: 0, ran: 'no', advice: 'The number of hosts that this one divides the retry allowance among, or whether it may use its part.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -10,6 +10,11 @@
 /** Membership state of a host; `leaving` during a planned stop. */
 export const memberState = z.enum(['alive', 'leaving', 'suspect', 'dead']);
 
+/** What a host states about the hosts that it counts; a host divides bounds among as many. `digest` stands for their names. `formedDigest`: the digest with which it began to use its share, if it was among the first to do so. */
+export const censusRecord = z.object({
+	digest: z.string().max(32), isEstablished: z.boolean(), isFirstStart: z.boolean(), formedDigest: z.string().max(32).optional(),
+});
+
 /** A host in the membership list. The record with the higher incarnation, then the higher counter, wins. */
 export const memberRecord = z.object({
 	host: z.string(),
@@ -28,6 +33,8 @@
 	forwardAddress: z.string().optional(),
 	/** Services to whose endpoints it has lost its links. */
 	unreachable: z.array(z.string()).max(1000).optional(),
+	/** Absent: it divides no bound this way. */
+	census: censusRecord.optional(),
 });
 
 /** A request for a lease, queued at a cell's keeper. */
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -63,6 +63,9 @@
 	windowMs: milliseconds.default(10_000),
 });
 
+/** How a process begins: with the first start of the whole fleet, or in a fleet that has been running. */
+const start = z.enum(['first', 'again', 'unknown']);
+
 /** Guarantees over all hosts on configurations, keys and quotas. */
 const access = z.strictObject({
 	/** Time after the revocation of a key by which every host rejects it, even without having received the revocation, in milliseconds. If absent, only hosts that have received it do. */
@@ -97,12 +100,14 @@
 	timing: timing.prefault({}),
 	limits: limits.prefault({}),
 	retry: retry.prefault({}),
+	start: start.default('unknown'),
 	access: access.prefault({}),
 	/** Disabled mechanisms, for ablation experiments only (scripts/ablate.mjs). */
 	experiments: z.strictObject({off: z.array(mechanism).default([])}).prefault({}),
 });
 
 export type Mechanism = z.infer<typeof mechanism>;
+export type Start = z.infer<typeof start>;
 /** Validated settings. */
 export type RelaySettings = z.infer<typeof relaySettings>;
 /** Settings as written, before defaults are applied. */
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -97,7 +97,7 @@
 };
 
 /** The settings file as the platform writes it. */
-export function makeBoot({name, ip, ports, seeds, store, retryAllowance, revokeMs}: {readonly name: string; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
+export function makeBoot({name, ip, ports, seeds, store, retryAllowance, revokeMs, isFirstStart}: {readonly name: string; readonly isFirstStart?: boolean | undefined; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
 	const [front, ready, control, directory, forward] = ports.map(port => `${ip}:${port}`);
 	return {
 		nodeName: name,
@@ -109,6 +109,7 @@
 			front, ready, control, directory,
 		},
 		seeds,
+		...(isFirstStart === undefined ? {} : {bootstrap: isFirstStart}),
 		internalPorts: forward === undefined ? [] : [Number(forward.split(':').at(-1)), Number(forward.split(':').at(-1))],
 		limits: {maxFds: 4100},
 		bounds: {
@@ -185,6 +186,7 @@
 	readonly revokeMs: number | undefined;
 	readonly clock: Clock | undefined;
 	readonly advertisedPeer: string | undefined;
+	readonly isFirstStart: boolean;
 	/** Addresses of this host's own paths to endpoints, by the endpoints' addresses. */
 	readonly endpointPaths: ReadonlyMap<string, string>;
 };
@@ -205,10 +207,10 @@
 	};
 }
 
-async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer, endpointPaths}: RelayStart): Promise<RunningRelay> {
+async function startRelay({index, store, ports, seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer, endpointPaths, isFirstStart}: RelayStart): Promise<RunningRelay> {
 	const name = `host-${index}`;
 	const {settings} = parseBootSettings(makeBoot({
-		name, ip: ownAddress, ports, seeds, store, retryAllowance, revokeMs,
+		name, ip: ownAddress, ports, seeds, store, retryAllowance, revokeMs, isFirstStart,
 	}));
 	const relay = new Relay({
 		settings: {...settings, listen: {...settings.listen, metrics: undefined, advertisedPeer}, timing: {...settings.timing, watchMs: watchMs ?? settings.timing.watchMs}},
@@ -270,11 +272,11 @@
 	const peers = Array.from({length: hosts}, (_, index) => `${ownAddress}:${portsOf(index)[2]}`);
 	const advertised = await Promise.all(peers.map(async (peer, index) => peerPath?.(peer, index)));
 	const seeds = [advertised[0] ?? peers[0] ?? ''];
-	const start = async (index: number) => startRelay({
-		index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index], endpointPaths: ownPaths[index] ?? new Map(),
+	const start = async (index: number, isFirstStart = false) => startRelay({
+		isFirstStart, index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, clock, advertisedPeer: advertised[index], endpointPaths: ownPaths[index] ?? new Map(),
 	});
-	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => start(index)));
-	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts));
+	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => start(index, true)));
+	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts && relay.fleet.census.fraction(relay.context.clock.now()) > 0));
 	return {
 		store,
 		replicas,
