Retry budget: unused loans return, and parts of repeats add up

Cause: what a host had borrowed and not used expired, while its owner counted it for a window; one repeat had to be paid from one source, so parts below one lay idle at all hosts; and a host that asked too few others asked as few again.

Loans go back to their owners after half a second; a permit adds up parts of all sources; after a round that brought too little, twice as many hosts are asked.

--- a/packages/policy/src/relay/allowance-share.ts
+++ b/packages/policy/src/relay/allowance-share.ts
@@ -77,6 +77,11 @@
 
 		return given;
 	}
+
+	/** Takes back a part that another host was given at `givenAt` and has not used. */
+	takeBack(amount: number, givenAt: number): void {
+		this.#given.add(-amount, latestArrival(givenAt));
+	}
 }
 
 function latestArrival(takenAt: number): number {
--- a/packages/policy/src/relay/request-credit.ts
+++ b/packages/policy/src/relay/request-credit.ts
@@ -54,14 +54,14 @@
 		return least;
 	}
 
-	/** Takes a repeat; the caller has checked that one is left. */
-	take(now: number): void {
-		this.#repeats.add(1, now);
+	/** Takes a repeat, or a part of one; the caller has checked that it is left. */
+	take(amount: number, now: number): void {
+		this.#repeats.add(amount, now);
 	}
 
-	/** Takes back a repeat that was taken at `takenAt` and did not arrive. */
-	refund(takenAt: number): void {
-		this.#repeats.add(-1, takenAt);
+	/** Takes back what was taken at `takenAt` for a repeat that did not arrive. */
+	refund(amount: number, takenAt: number): void {
+		this.#repeats.add(-amount, takenAt);
 	}
 
 	/** Returns the repeats taken within `windowMs`. */
--- a/packages/policy/src/relay/retry-budget.test.ts
+++ b/packages/policy/src/relay/retry-budget.test.ts
@@ -2,12 +2,13 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
-import {permitLifetimeMs} from './allowance-share.js';
+import {permitLifetimeMs, settleMsOf} from './allowance-share.js';
 import {RequestCredit} from './request-credit.js';
 import {RetryBudget, type RetryPermit} from './retry-budget.js';
 
 const rule = {ratio: 0.2, allowance: 40, windowMs: 10_000};
 const transitMs = 500;
+const loan = {origin: {lender: 'other', ask: 1}};
 
 type Case = {
 	readonly name: string;
@@ -48,6 +49,68 @@
 	return Math.max(...[0, windowMs / 2, windowMs].map(shift => requests.filter(at => at >= from - shift && at < from - shift + windowMs).length));
 }
 
+const hostCount = 5;
+const actNames = ['request', 'requests', 'repeat', 'repeats', 'lend', 'return', 'restart'] as const;
+const batch = 10;
+
+type Step = {
+	readonly host: number;
+	readonly other: number;
+	/** Time from a repeat to its arrival. */
+	readonly delayMs: number;
+};
+
+/** Budgets of hosts that each have an equal share, and that restart. */
+class PlayedBudgets {
+	now = 0;
+	readonly requests: number[] = [];
+	readonly arrivals: number[] = [];
+	readonly acts: Readonly<Record<typeof actNames[number], (step: Step) => void>> = {
+		request: ({host}) => {
+			this.#budgets[host]?.recordRequest(this.now);
+			this.requests.push(this.now);
+		},
+		requests: step => {
+			for (let count = 0; count < batch; count += 1) {
+				this.acts.request(step);
+			}
+		},
+		repeat: ({host, delayMs}) => {
+			if (this.#budgets[host]?.take(this.now) !== undefined) {
+				this.arrivals.push(this.now + delayMs);
+			}
+		},
+		repeats: step => {
+			for (let count = 0; count < batch; count += 1) {
+				this.acts.repeat(step);
+			}
+		},
+		lend: ({host, other}) => {
+			const lender = this.#budgets[host];
+			this.#budgets[other]?.receive({amount: lender?.give(3, this.now) ?? 0, until: this.now + permitLifetimeMs, origin: {lender: '', ask: this.#gifts.length}});
+			this.#gifts.push({lender, at: this.now});
+		},
+		return: ({host}) => {
+			for (const {amount, origin} of this.#budgets[host]?.removeLoans(Number.POSITIVE_INFINITY) ?? []) {
+				const gift = this.#gifts[origin?.ask ?? -1];
+				gift?.lender?.takeBack(amount, gift.at);
+			}
+		},
+		restart: ({host}) => {
+			this.#settledAt[host] = this.now + settleMsOf(rule.windowMs);
+			this.#budgets[host] = this.#make(host);
+		},
+	};
+
+	readonly #settledAt = Array.from({length: hostCount}, () => 0);
+	readonly #gifts: Array<{readonly lender: RetryBudget | undefined; readonly at: number}> = [];
+	readonly #budgets = Array.from({length: hostCount}, (_, host) => this.#make(host));
+
+	#make(host: number): RetryBudget {
+		return new RetryBudget(rule, () => this.now >= (this.#settledAt[host] ?? 0) ? 1 / hostCount : 0);
+	}
+}
+
 describe('retry budget', () => {
 	for (const {name, hosts, requests, laterMs, granted} of cases) {
 		it(name, () => {
@@ -83,47 +146,26 @@
 
 	it('uses parts of other hosts before they expire, and no longer', () => {
 		const budget = new RetryBudget(rule, () => 0);
-		budget.receive(0.6, 1000);
-		budget.receive(0.6, 800);
+		budget.receive({...loan, amount: 0.6, until: 1000});
+		budget.receive({...loan, amount: 0.6, until: 800});
 		expect(budget.take(0)?.sendBy).toEqual(800);
 		expect(budget.take(0)).toEqual(undefined);
-		budget.receive(1, 1000);
+		budget.receive({...loan, amount: 1, until: 1000});
 		expect(budget.take(1000)).toEqual(undefined);
 	});
 
 	it('keeps the bound of all hosts together in any window, with parts that move between hosts', () => {
-		const hosts = 5;
 		const step = fc.record({
-			host: fc.nat({max: hosts - 1}), other: fc.nat({max: hosts - 1}), waitMs: fc.nat({max: 900}), act: fc.constantFrom('request', 'requests', 'repeat', 'repeats', 'lend', 'restart'), transitMs: fc.nat({max: permitLifetimeMs + transitMs - 1}),
+			host: fc.nat({max: hostCount - 1}), other: fc.nat({max: hostCount - 1}), waitMs: fc.nat({max: 900}), act: fc.constantFrom(...actNames), delayMs: fc.nat({max: permitLifetimeMs + transitMs - 1}),
 		});
 		fc.assert(fc.property(fc.array(step, {maxLength: 300}), steps => {
-			const settledAt = Array.from({length: hosts}, () => 0);
-			let now = 0;
-			const make = (host: number) => new RetryBudget(rule, () => now >= (settledAt[host] ?? 0) ? 1 / hosts : 0);
-			const budgets = settledAt.map((_, host) => make(host));
-			const requests: number[] = [];
-			const arrivals: number[] = [];
-			for (const {host, other, waitMs, act, transitMs: delayMs} of steps) {
-				now += waitMs;
-				const budget = budgets[host];
-				const count = act === 'requests' || act === 'repeats' ? 10 : 1;
-				for (let index = 0; index < count; index += 1) {
-					if (act.startsWith('request')) {
-						budget?.recordRequest(now);
-						requests.push(now);
-					} else if (act.startsWith('repeat') && budget?.take(now) !== undefined) {
-						arrivals.push(now + delayMs);
-					}
-				}
-
-				if (act === 'lend') {
-					budgets[other]?.receive(budget?.give(3, now) ?? 0, now + permitLifetimeMs);
-				} else if (act === 'restart') {
-					settledAt[host] = now + rule.windowMs + permitLifetimeMs + transitMs;
-					budgets[host] = make(host);
-				}
+			const fleet = new PlayedBudgets();
+			for (const each of steps) {
+				fleet.now += each.waitMs;
+				fleet.acts[each.act](each);
 			}
 
+			const {arrivals, requests} = fleet;
 			for (const from of arrivals) {
 				const repeats = arrivals.filter(at => at >= from && at < from + rule.windowMs).length;
 				expect(repeats <= (rule.ratio * countRequests(requests, from)) + rule.allowance).toEqual(true);
@@ -152,7 +194,7 @@
 
 				for (const credit of credits) {
 					while (credit.left(now) >= 1) {
-						credit.take(now);
+						credit.take(1, now);
 						arrivals.push(now + delayMs);
 					}
 				}
--- a/packages/policy/src/relay/retry-budget.ts
+++ b/packages/policy/src/relay/retry-budget.ts
@@ -30,16 +30,19 @@
 	readonly takenAt: number;
 	/** Deadline for sending its first byte, in milliseconds. */
 	readonly sendBy: number;
-	/** Whether requests of this host paid for it. */
-	readonly isFromRequests: boolean;
+	/** Parts paid by requests of this host, by its own share and by shares of other hosts; their sum is one. */
+	readonly requests: number;
 	readonly own: number;
 	readonly borrowed: number;
 };
 
 /** A part of another host's share. */
-type Loan = {
+export type Loan = {
 	amount: number;
+	/** Time by which it must be used, in milliseconds. */
 	readonly until: number;
+	/** Where it can be returned; undefined for what was borrowed for a permit that was refunded. */
+	readonly origin: {readonly lender: string; readonly ask: number} | undefined;
 };
 
 /** One service's budget on one host; times are in milliseconds. */
@@ -65,39 +68,26 @@
 
 	/** Takes a permit for one repeat; undefined if too little is left. */
 	take(now: number): RetryPermit | undefined {
-		const permit = {takenAt: now, sendBy: now + permitLifetimeMs};
-		if (this.#credit.left(now) >= 1) {
-			this.#credit.take(now);
-			return {
-				...permit, isFromRequests: true, own: 0, borrowed: 0,
-			};
-		}
-
-		const borrowed = Math.min(1, this.borrowed(now));
-		const own = 1 - borrowed;
+		const requests = Math.min(1, Math.max(0, this.#credit.left(now)));
+		const borrowed = Math.min(1 - requests, this.borrowed(now));
+		const own = Math.max(0, 1 - requests - borrowed);
 		if (own > this.#share.left(now) + epsilon) {
 			return undefined;
 		}
 
-		const sendBy = Math.min(permit.sendBy, this.#takeLoans(borrowed, now));
+		const sendBy = this.#takeLoans(borrowed, now);
+		this.#credit.take(requests, now);
 		this.#share.take(own, now);
 		return {
-			...permit, sendBy, isFromRequests: false, own, borrowed,
+			takenAt: now, sendBy, requests, own, borrowed,
 		};
 	}
 
 	/** Returns a permit whose repeat was not sent, or does not count. */
-	refund({takenAt, sendBy, isFromRequests, own, borrowed}: RetryPermit): void {
-		if (isFromRequests) {
-			this.#credit.refund(takenAt);
-			return;
-		}
-
-		if (own > 0) {
-			this.#share.refund(own, takenAt);
-		}
-
-		this.receive(borrowed, sendBy);
+	refund({takenAt, sendBy, requests, own, borrowed}: RetryPermit): void {
+		this.#credit.refund(requests, takenAt);
+		this.#share.refund(own, takenAt);
+		this.receive({amount: borrowed, until: sendBy, origin: undefined});
 	}
 
 	/** Gives another host up to `wanted` of this host's share; returns the amount. */
@@ -105,14 +95,26 @@
 		return this.#share.give(wanted, now);
 	}
 
-	/** Adds a part of another host's share, to be used before `until`. */
-	receive(amount: number, until: number): void {
-		if (amount > 0) {
-			this.#loans.push({amount, until});
+	/** Takes back a part that another host was given at `givenAt` and has not used. */
+	takeBack(amount: number, givenAt: number): void {
+		this.#share.takeBack(amount, givenAt);
+	}
+
+	/** Adds a part of another host's share. */
+	receive(loan: Loan): void {
+		if (loan.amount > 0) {
+			this.#loans.push(loan);
 			this.#loans.sort((left, right) => left.until - right.until);
 		}
 	}
 
+	/** Removes and returns the unused loans that expire before `until`. */
+	removeLoans(until: number): Loan[] {
+		const removed = this.#loans.filter(loan => loan.until < until);
+		this.#loans = this.#loans.filter(loan => loan.until >= until);
+		return removed;
+	}
+
 	/** Returns the repeats that may be taken now. */
 	left(now: number): number {
 		return Math.max(0, this.#credit.left(now)) + this.#share.left(now) + this.borrowed(now);
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -137,6 +137,9 @@
 		retriesWanted: (from, message) => {
 			this.retries.receiveWanted(from.host, message);
 		},
+		retriesReturned: (from, message) => {
+			this.retries.receiveReturned(from.host, message);
+		},
 		retriesGranted: (_from, message) => {
 			this.retries.receiveGranted(message);
 		},
--- a/packages/relay/src/peer/retry-exchange.ts
+++ b/packages/relay/src/peer/retry-exchange.ts
@@ -7,6 +7,7 @@
 import {permitLifetimeMs} from '@gatehead/policy/relay/allowance-share';
 import {type RetryBudget, type RetryPermit} from '@gatehead/policy/relay/retry-budget';
 import {AverageRate} from '@gatehead/policy/utils/average-rate';
+import {RecentMap} from '@gatehead/policy/utils/recent-map';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
 import {PeerRequests} from '../access/peer-requests.js';
@@ -16,8 +17,10 @@
 const timeoutMs = 60;
 /** Maximum hosts asked at once. */
 const maxLenders = 16;
-/** Expected use that a request covers, in milliseconds: less than the lifetime of a loan, so that little expires unused. */
-const prefetchMs = 400;
+/** Expected use that a request covers, in milliseconds: less than the time for which loans are kept, so that little is returned. */
+const prefetchMs = 300;
+/** Time after which the unused rest of a loan is returned, in milliseconds. */
+const keptMs = 500;
 /** Fraction of the expected use below which the next request is sent ahead of need. */
 const renewFraction = 0.5;
 /** Time constant of the average use, in milliseconds. */
@@ -26,8 +29,12 @@
 const excessFactor = 1.25;
 /** Fraction of the requested amount below which a host is not asked again for a while. */
 const minYield = 0.5;
+/** Factor by which more hosts are asked after a round that brought too little. */
+const spreadFactor = 2;
 /** Time for which a host that gave little or did not answer is not asked, in milliseconds. */
-const exclusionMs = 1000;
+const exclusionMs = 500;
+/** Maximum parts of this host's share that are remembered while they may come back. */
+const maxGifts = 5000;
 
 /** What the host holds of a service's budget, and how much the lender of an average share has. */
 export type RetryExchangeParts = {
@@ -50,6 +57,14 @@
 	readonly use: AverageRate;
 	waiters: Waiter[];
 	isRequesting: boolean;
+	/** Multiple of the hosts that would be asked if each had its whole share. */
+	spread: number;
+};
+
+/** A part of this host's share that another host was given. */
+type Gift = {
+	readonly amount: number;
+	readonly at: number;
 };
 
 /** The exchange of one host; amounts are in repeats. */
@@ -59,6 +74,8 @@
 	readonly #states = new Map<string, ServiceState>();
 	/** Hosts that are not asked, by service and host, and until when. */
 	readonly #excludedUntil = new Map<string, number>();
+	/** By the borrower and the number of its request. */
+	readonly #gifts = new RecentMap<string, Gift>(maxGifts);
 
 	constructor(parts: RetryExchangeParts) {
 		this.#parts = parts;
@@ -92,9 +109,20 @@
 	/** Gives another host a part of this host's share. */
 	receiveWanted(from: string, {ask, service, wanted}: RelayMessageOf<'retriesWanted'>): void {
 		const granted = this.#parts.budgetOf(service).give(wanted, this.#now);
+		this.#gifts.set(giftKeyOf(from, ask, service), {amount: granted, at: this.#now});
 		this.#parts.send(from, {kind: 'retriesGranted', ask, granted});
 	}
 
+	/** Takes back what another host has not used. */
+	receiveReturned(from: string, {ask, service, unused}: RelayMessageOf<'retriesReturned'>): void {
+		const key = giftKeyOf(from, ask, service);
+		const gift = this.#gifts.get(key);
+		if (gift !== undefined) {
+			this.#gifts.delete(key);
+			this.#parts.budgetOf(service).takeBack(Math.min(unused, gift.amount), gift.at);
+		}
+	}
+
 	/** Handles another host's answer. */
 	receiveGranted({ask, granted}: RelayMessageOf<'retriesGranted'>): void {
 		this.#questions.settle(ask, granted);
@@ -107,7 +135,9 @@
 	#stateOf(service: string): ServiceState {
 		let state = this.#states.get(service);
 		if (state === undefined) {
-			state = {use: new AverageRate(averagingMs), waiters: [], isRequesting: false};
+			state = {
+				use: new AverageRate(averagingMs), waiters: [], isRequesting: false, spread: 1,
+			};
 			this.#states.set(service, state);
 		}
 
@@ -137,7 +167,7 @@
 
 	async #requestOnce(service: string, state: ServiceState): Promise<void> {
 		const wanted = excessFactor * Math.max(1, state.waiters.length + this.#expectedUse(state));
-		const lenders = this.#chooseLenders(service, wanted);
+		const lenders = this.#chooseLenders(service, wanted, state.spread);
 		if (lenders.length === 0) {
 			return;
 		}
@@ -146,12 +176,15 @@
 			await this.#ask(host, service, wanted / lenders.length);
 			this.#serve(service, state);
 		}));
+		state.spread = state.waiters.length > 0 ? Math.min(maxLenders, spreadFactor * state.spread) : Math.max(1, state.spread / spreadFactor);
 	}
 
 	async #ask(host: string, service: string, wanted: number): Promise<void> {
-		const {context: {metrics}, budgetOf, send} = this.#parts;
+		const {context: {clock, metrics}, budgetOf, send} = this.#parts;
 		const askedAt = this.#now;
+		let number = 0;
 		const granted = await this.#questions.send(timeoutMs, ask => {
+			number = ask;
 			send(host, {
 				kind: 'retriesWanted', ask, service, wanted,
 			});
@@ -163,11 +196,30 @@
 			this.#excludedUntil.set(keyOf(service, host), this.#now + exclusionMs);
 		}
 
-		budgetOf(service).receive(granted ?? 0, askedAt + permitLifetimeMs);
+		if (granted !== undefined && granted > 0) {
+			budgetOf(service).receive({
+				amount: granted, until: askedAt + permitLifetimeMs, origin: {lender: host, ask: number},
+			});
+			clock.after(keptMs, () => {
+				this.#returnUnused(service);
+			});
+		}
+	}
+
+	/** Returns loans that have been kept for `keptMs`. */
+	#returnUnused(service: string): void {
+		const {budgetOf, send} = this.#parts;
+		for (const {amount, origin} of budgetOf(service).removeLoans(this.#now + permitLifetimeMs - keptMs + 1)) {
+			if (origin !== undefined) {
+				send(origin.lender, {
+					kind: 'retriesReturned', ask: origin.ask, service, unused: amount,
+				});
+			}
+		}
 	}
 
 	/** Chooses hosts at random, as many as are likely to have the amount between them. */
-	#chooseLenders(service: string, wanted: number): string[] {
+	#chooseLenders(service: string, wanted: number, spread: number): string[] {
 		const {context: {random, self}, averageShare, listReachable} = this.#parts;
 		const now = this.#now;
 		for (const [key, until] of this.#excludedUntil) {
@@ -178,7 +230,8 @@
 
 		// A host without a census is of an earlier version and does not know the message
 		const candidates = listReachable().filter(({host, census}) => host !== self.host && census?.isEstablished && !this.#excludedUntil.has(keyOf(service, host)));
-		const count = Math.min(maxLenders, Math.max(1, Math.ceil(2 * wanted / Math.max(Number.EPSILON, averageShare()))));
+		const likely = 2 * wanted / Math.max(Number.EPSILON, averageShare());
+		const count = Math.min(maxLenders, Math.max(1, Math.ceil(spread * likely)));
 		return candidates.map(({host}) => ({host, rank: random.next()})).toSorted((left, right) => left.rank - right.rank).slice(0, count).map(({host}) => host);
 	}
 
@@ -197,6 +250,10 @@
 	}
 }
 
+function giftKeyOf(borrower: string, ask: number, service: string): string {
+	return `${borrower} ${ask} ${service}`;
+}
+
 function keyOf(service: string, host: string): string {
 	return `${service} ${host}`;
 }
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -109,6 +109,10 @@
 	}),
 	/** Response to `retriesWanted`. */
 	z.object({kind: z.literal('retriesGranted'), ask: z.number(), granted: z.number().nonnegative()}),
+	/** Returns a part that the sender was granted and no longer uses. */
+	z.object({
+		kind: z.literal('retriesReturned'), ask: z.number(), service: serviceName, unused: z.number().nonnegative(),
+	}),
 	/** Records of streams that the receiver is to hold; with `ask`, it acknowledges them. */
 	z.object({kind: z.literal('streamRecords'), ask: z.number().optional(), records: z.array(streamRecord.extend({key: streamKey})).max(2000)}),
 	/** Acknowledges `streamRecords`. */
