Soak: repeats stay within the retry budget, with replicas that reject

The soak counts arrivals beyond the first of each request at the replicas, by service and window, and has replicas that reject a share of their requests (kind 22). A process that is started again says so in its settings.

They lapse after 2 s now, as the configuration states.

--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -25,16 +25,17 @@
 export class HostProcess {
 	readonly name: string;
 	readonly caller: string;
+	readonly #parts: HostParts;
 	readonly #settingsFile: string;
 	readonly #logFile: number;
 	#child: ChildProcess | undefined;
 
 	constructor(parts: HostParts) {
+		this.#parts = parts;
 		this.name = parts.name;
 		this.caller = `${parts.ip}:${parts.ports[0]}`;
 		this.#settingsFile = join(parts.folder, `${parts.name}.json`);
 		this.#logFile = openSync(join(parts.folder, `${parts.name}.log`), 'a');
-		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot(parts)));
 	}
 
 	/** Whether the process is there. */
@@ -48,6 +49,7 @@
 			return;
 		}
 
+		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot({...this.#parts, isFirstStart: this.#child === undefined})));
 		this.#child = spawn(process.execPath, [binary], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
 	}
 
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -19,7 +19,7 @@
 import {type ProxyMode} from './faulty-proxy.js';
 import {type HostProcess} from './host-process.js';
 import {
-	countRuns, findLostStreams, judge, playStreams, sendUntil, type StreamReport,
+	countRuns, findExcessRepeats, findLostStreams, judge, playStreams, sendUntil, type StreamReport,
 } from './traffic.js';
 
 const faultGapMs = 260;
@@ -238,6 +238,19 @@
 			replica.cuts.length = 0;
 		}
 	},
+	/** Replicas reject a share of what they are sent. */
+	async rejectRequests({random, replicas}, lastsMs) {
+		const share = random.next();
+		const rejecting = replicas.filter(() => random.next() < 0.7);
+		for (const replica of rejecting) {
+			replica.rejectedShare = share;
+		}
+
+		await pause(4 * lastsMs);
+		for (const replica of rejecting) {
+			replica.rejectedShare = 0;
+		}
+	},
 };
 
 /** Streams of one replica that are cut, one after the other. */
@@ -258,7 +271,7 @@
 /** Time between two events where streams are resumed, in milliseconds: long enough to be broken. */
 const resumedEventGapMs = 15;
 const noStreams: StreamReport = {
-	streams: 0, resumed: 0, goneOn: 0, broken: [],
+	streams: 0, resumed: 0, goneOn: 0, sentAt: [], broken: [],
 };
 
 async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
@@ -324,7 +337,7 @@
 		const runs = countRuns(bed);
 		const broken = sent.map(each => judge(each, runs.get(each.id) ?? 0)).filter(text => text !== undefined);
 		return {
-			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unserved, ...lost],
+			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unserved, ...lost, ...findExcessRepeats(bed, sent, streams.sentAt)],
 		};
 	} finally {
 		await endBed(bed);
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -4,6 +4,7 @@
 import {
 	jitter, pick, seedRandom, shuffle, type Random,
 } from '@gatehead/policy/utils/random';
+import {findWorstWindow} from '../utils/repeat-count.js';
 import {sendRequest, type CallerAnswer} from '../wire/client.js';
 import {StreamCaller} from '../wire/stream-caller.js';
 import {type Bed} from './bed.js';
@@ -18,13 +19,18 @@
 export type Sent = {
 	readonly id: string;
 	readonly path: string;
+	/** On the process's steady clock, in milliseconds. */
+	readonly sentAt: number;
 	readonly answer: CallerAnswer;
 };
 
 async function send({hosts, random}: Bed, id: string): Promise<Sent> {
 	const path = pick(random, paths) ?? '';
 	const address = pick(random, hosts)?.caller ?? '';
-	return {id, path, answer: await sendRequest({address, id, path})};
+	const sentAt = performance.now();
+	return {
+		id, path, sentAt, answer: await sendRequest({address, id, path}),
+	};
 }
 
 /** Sends requests at a steady pace until told that it is over. */
@@ -79,6 +85,23 @@
 	return runs;
 }
 
+/** As the settings of the hosts have it. */
+const retryBound = {ratio: 0.2, allowance: 58, windowMs: 10_000};
+/** Requests of these callers; those of the checks behind the last fault are not counted. */
+const countedId = /^[rs]\d/v;
+
+/** Services whose repeats exceed the retry budget in some window. */
+export function findExcessRepeats({log, replicas}: Bed, sent: readonly Sent[], streamsSentAt: readonly number[]): string[] {
+	const plainIds = new Set(replicas.filter(({stage}) => stage === undefined).map(({id}) => id));
+	return ['plain', 'model'].flatMap(service => {
+		const isPlain = service === 'plain';
+		const arrivals = log.arrivals.filter(({replica, request}) => plainIds.has(replica) === isPlain && countedId.test(request));
+		const requests = sent.filter(({path}) => (path === '/once/1' || path === '/repeatable/1') === isPlain).map(({sentAt}) => sentAt);
+		const {repeats, allowed} = findWorstWindow(arrivals, isPlain ? requests : [...requests, ...streamsSentAt], retryBound);
+		return repeats > allowed ? [`${service}: ${repeats} repeats in ${retryBound.windowMs} ms, ${allowed} allowed`] : [];
+	});
+}
+
 /** Interval between two streams that their callers resume, in milliseconds. */
 const streamGapMs = 25;
 /** Chance of a caller to close its connection in the middle of a stream. */
@@ -91,6 +114,8 @@
 	/** Attempts that resumed a stream, and those after which it had more events or was complete. */
 	readonly resumed: number;
 	readonly goneOn: number;
+	/** When their attempts were sent. */
+	readonly sentAt: readonly number[];
 	/** Each broken promise, in a sentence. */
 	readonly broken: readonly string[];
 };
@@ -121,7 +146,9 @@
 		...(caller.versions.size > 1 ? [`${name} has events of the versions ${[...caller.versions].join(', ')}`] : []),
 		...(caller.isInOrder ? [] : [`${name} has lost or doubled events: ${caller.events.map(({id}) => id).join(' ')}`]),
 	];
-	return {resumed, goneOn, broken};
+	return {
+		resumed, goneOn, sentAt: caller.sentAt, broken,
+	};
 }
 
 /** Plays streams at a steady pace until told that it is over. */
@@ -138,7 +165,7 @@
 	agent.destroy();
 	const sum = (count: (each: Omit<StreamReport, 'streams'>) => number) => played.reduce((total, each) => total + count(each), 0);
 	return {
-		streams: played.length, resumed: sum(each => each.resumed), goneOn: sum(each => each.goneOn), broken: played.flatMap(each => each.broken),
+		streams: played.length, resumed: sum(each => each.resumed), goneOn: sum(each => each.goneOn), sentAt: played.flatMap(each => each.sentAt), broken: played.flatMap(each => each.broken),
 	};
 }
 
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -11,6 +11,8 @@
 export const streamEvents = 6;
 const eventGapMs = 2;
 const hexadecimal = 16;
+/** Lifetime of a reservation, in milliseconds, as the configuration states it. */
+const holdMs = 2000;
 
 /** How a replica misbehaves with the requests that it is sent. */
 export type ReplicaFault = 'none' | 'full' | 'reset' | 'silent' | 'error' | 'foreign' | 'unmarked' | 'cut' | 'doubled' | 'emptyPromise' | 'unframedReset';
@@ -142,7 +144,8 @@
 	id: string;
 	#taken = 0;
 	#made = 0;
-	readonly #holds = new Set<string>();
+	/** Reservations by name, with the time at which each lapses. */
+	readonly #holds = new Map<string, number>();
 	readonly #random = seedRandom(1);
 	readonly #end: () => void;
 
@@ -155,6 +158,7 @@
 	}
 
 	reserve(response: ServerResponse): void {
+		this.#dropLapsed();
 		if (this.fault === 'full' || this.#taken + this.#holds.size >= this.parts.slots) {
 			sendJson(response, 503, {});
 			return;
@@ -162,7 +166,7 @@
 
 		this.#made += 1;
 		const hold = `hold${this.#made}`;
-		this.#holds.add(hold);
+		this.#holds.set(hold, performance.now() + holdMs);
 		sendJson(response, 200, {hold});
 	}
 
@@ -223,6 +227,14 @@
 		this.#answer(exchange);
 	}
 
+	#dropLapsed(): void {
+		for (const [hold, lapsesAt] of this.#holds) {
+			if (lapsesAt <= performance.now()) {
+				this.#holds.delete(hold);
+			}
+		}
+	}
+
 	/** Notes the request, and puts this replica's signals on its answer. */
 	#state({request, response, id}: Exchange, isRejected: boolean): void {
 		const {limitPerS, isLeaving, backoffS} = this.signals;
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -34,6 +34,8 @@
 export class StreamCaller {
 	readonly events: ReceivedEvent[] = [];
 	readonly ends: AttemptEnd[] = [];
+	/** When each attempt was sent, on the process's steady clock, in milliseconds. */
+	readonly sentAt: number[] = [];
 	/** Number of events at which it closes its connection. */
 	leavesAt = Number.POSITIVE_INFINITY;
 	/** The end of the latest attempt. */
@@ -124,6 +126,7 @@
 		const id = `${this.#name}-${this.#attempts}`;
 		this.#attempts += 1;
 		const sentAt = performance.now();
+		this.sentAt.push(sentAt);
 		const {ip, port} = splitAddress(address);
 		const body = 'question';
 		const end = await new Promise<Omit<AttemptEnd, 'tookMs'>>(resolve => {
