Census: hosts that left in a planned stop are counted as long as lost ones

They may start anew on the other side of a partition, where others count them; those that forgot them after a window would use more than leaves room.

--- a/packages/policy/src/relay/fleet-census.ts
+++ b/packages/policy/src/relay/fleet-census.ts
@@ -36,8 +36,6 @@
 	record: MemberRecord;
 	/** Undefined while it is reachable. */
 	lostAt: number | undefined;
-	/** Whether it announced its end before it was lost. */
-	hasLeft: boolean;
 };
 
 export type FleetCensusOptions = {
@@ -107,20 +105,18 @@
 	#note(record: MemberRecord, now: number): void {
 		const known = this.#known.get(record.host);
 		if (known === undefined) {
-			this.#known.set(record.host, {record, lostAt: record.state === 'dead' ? now : undefined, hasLeft: false});
+			this.#known.set(record.host, {record, lostAt: record.state === 'dead' ? now : undefined});
 			return;
 		}
 
-		known.hasLeft = record.state === 'leaving' || (record.state === 'dead' && known.hasLeft);
 		known.lostAt = record.state === 'dead' ? known.lostAt ?? now : undefined;
 		known.record = record;
 	}
 
 	#listCounted(now: number): MemberRecord[] {
 		const counted: MemberRecord[] = [];
-		for (const {record, lostAt, hasLeft} of this.#known.values()) {
-			const keptMs = hasLeft ? this.#options.settleMs : lostMs;
-			if (lostAt === undefined || now - lostAt < keptMs) {
+		for (const {record, lostAt} of this.#known.values()) {
+			if (lostAt === undefined || now - lostAt < lostMs) {
 				counted.push(record);
 			}
 		}
