Tests: drain notices and backoff do not depend on targets and deadlines

Traced in three runs: endpoint-backoff.test.ts has requests on their way when the event loop that hosts, endpoints and callers share stands still for longer than the callers' 3 s. drain-notice.test.ts, since hosts no longer take their own lateness for silence, has requests refused early: nine waited elsewhere, and their first event would have been late (2001). Both are right for a machine that is too busy, and neither is what the tests check: nothing reaches an endpoint within its backoff, or later than 1 s after the first drain notice, and every request is answered.

--- a/packages/standin/src/wire/steady-load.ts
+++ b/packages/standin/src/wire/steady-load.ts
@@ -11,6 +11,8 @@
 	readonly rounds: number;
 	/** Hosts that receive requests, by their place; absent: all. */
 	readonly entryHosts?: number;
+	/** Time that callers give a request, in milliseconds; absent: 3000. */
+	readonly patienceMs?: number;
 };
 
 /** The host that a request was sent to. */
@@ -19,13 +21,15 @@
 }
 
 /** Sends the load; resolves with all answers. `sentAt` takes the instant at which each request was sent, by its id. */
-export async function sendSteadily({relays}: World, {path, intervalMs, rounds, entryHosts = relays.length}: SteadyLoad, sentAt = new Map<string, number>()): Promise<CallerAnswer[]> {
+export async function sendSteadily({relays}: World, {path, intervalMs, rounds, entryHosts = relays.length, patienceMs}: SteadyLoad, sentAt = new Map<string, number>()): Promise<CallerAnswer[]> {
 	const answers: Array<Promise<CallerAnswer>> = [];
 	for (let round = 0; round < rounds; round += 1) {
 		for (const {caller, name} of relays.slice(0, entryHosts)) {
 			const id = `${name}-${round}`;
 			sentAt.set(id, performance.now());
-			answers.push(sendRequest({address: caller, id, path}));
+			answers.push(sendRequest({
+				address: caller, id, path, headers: patienceMs === undefined ? {} : {'Deadline-Ms': String(patienceMs)},
+			}));
 		}
 
 		await pause(intervalMs);
