--- a/packages/policy/src/relay/fleet-census.ts
+++ b/packages/policy/src/relay/fleet-census.ts
@@ -124,22 +124,22 @@
 		return counted;
 	}
 
+	/** Makes this host established if all hosts that it counts agree with it. */
 	#establish(counted: readonly MemberRecord[], now: number): void {
 		const {self, start, startedAt, settleMs} = this.#options;
 		const others = counted.filter(({host}) => host !== self);
-		if (this.#usableFrom !== undefined || others.some(({census}) => census?.digest !== this.#digest)) {
+		const isAgreed = others.every(({census}) => census?.digest === this.#digest);
+		if (this.#usableFrom !== undefined || !isAgreed) {
 			return;
 		}
 
 		const established = others.filter(({census}) => census?.isEstablished);
-		// Hosts that counted this one when they formed the fleet have never used more than leaves room for it
-		const isFounder = established.length > 0
-			? established.every(({census}) => census?.formedDigest === this.#digest)
-			: this.#mayForm(counted, now);
-		if (established.length === 0 && !isFounder) {
+		if (established.length === 0 && !this.#mayForm(counted, now)) {
 			return;
 		}
 
+		// Founders that counted this host from the start have never used its part, and need no time to leave it
+		const isFounder = established.every(({census}) => census?.formedDigest === this.#digest);
 		const ownSettledAt = start === 'first' ? startedAt : startedAt + settleMs;
 		this.#formedDigest = isFounder ? this.#digest : undefined;
 		this.#usableFrom = isFounder ? ownSettledAt : now + settleMs;
--- a/packages/relay/src/peer/retry-exchange.ts
+++ b/packages/relay/src/peer/retry-exchange.ts
@@ -17,13 +17,13 @@
 const timeoutMs = 60;
 /** Maximum hosts asked at once. */
 const maxLenders = 16;
-/** Expected use that a request covers, in milliseconds: less than the time for which loans are kept, so that little is returned. */
+/** Expected demand that a request covers, in milliseconds: less than the time for which loans are kept, so that little is returned. */
 const prefetchMs = 300;
 /** Time after which the unused rest of a loan is returned, in milliseconds. */
 const keptMs = 500;
-/** Fraction of the expected use below which the next request is sent ahead of need. */
+/** Fraction of the expected demand below which the next request is sent ahead of need. */
 const renewFraction = 0.5;
-/** Time constant of the average use, in milliseconds. */
+/** Time constant of the average demand, in milliseconds. */
 const averagingMs = 1000;
 /** Requested excess, since some hosts have less left than asked for. */
 const excessFactor = 1.25;
@@ -36,7 +36,6 @@
 /** Maximum parts of this host's share that are remembered while they may come back. */
 const maxGifts = 5000;
 
-/** What the host holds of a service's budget, and how much the lender of an average share has. */
 export type RetryExchangeParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'metrics' | 'random' | 'self'>;
 	readonly budgetOf: (service: string) => RetryBudget;
@@ -54,7 +53,8 @@
 };
 
 type ServiceState = {
-	readonly use: AverageRate;
+	/** Repeats that this host has asked for beyond its own part. */
+	readonly demand: AverageRate;
 	waiters: Waiter[];
 	isRequesting: boolean;
 	/** Multiple of the hosts that would be asked if each had its whole share. */
@@ -85,7 +85,7 @@
 	/** Takes a permit from what other hosts give; undefined after one round of requests that brought none. */
 	async borrow(service: string, floor: number): Promise<RetryPermit | undefined> {
 		const state = this.#stateOf(service);
-		state.use.record(this.#now);
+		state.demand.record(this.#now);
 		return new Promise(resolve => {
 			state.waiters.push({floor, resolve});
 			this.#serve(service, state);
@@ -100,8 +100,8 @@
 			return;
 		}
 
-		state.use.record(this.#now);
-		if (this.#parts.budgetOf(service).left(this.#now) < renewFraction * this.#expectedUse(state)) {
+		state.demand.record(this.#now);
+		if (this.#parts.budgetOf(service).left(this.#now) < renewFraction * this.#expectedDemand(state)) {
 			void this.#request(service, state);
 		}
 	}
@@ -136,7 +136,7 @@
 		let state = this.#states.get(service);
 		if (state === undefined) {
 			state = {
-				use: new AverageRate(averagingMs), waiters: [], isRequesting: false, spread: 1,
+				demand: new AverageRate(averagingMs), waiters: [], isRequesting: false, spread: 1,
 			};
 			this.#states.set(service, state);
 		}
@@ -144,11 +144,11 @@
 		return state;
 	}
 
-	#expectedUse({use}: ServiceState): number {
-		return use.at(this.#now) * prefetchMs;
+	#expectedDemand({demand}: ServiceState): number {
+		return demand.at(this.#now) * prefetchMs;
 	}
 
-	/** Sends one round of requests at a time; at its end, waiters that got nothing are refused. */
+	/** Sends one round of requests at a time. At its end, all waiters that got nothing are refused, so that none waits for longer than a round. */
 	async #request(service: string, state: ServiceState): Promise<void> {
 		if (state.isRequesting) {
 			return;
@@ -166,7 +166,7 @@
 	}
 
 	async #requestOnce(service: string, state: ServiceState): Promise<void> {
-		const wanted = excessFactor * Math.max(1, state.waiters.length + this.#expectedUse(state));
+		const wanted = excessFactor * Math.max(1, state.waiters.length + this.#expectedDemand(state));
 		const lenders = this.#chooseLenders(service, wanted, state.spread);
 		if (lenders.length === 0) {
 			return;
