Refactor: comments and names of the retry budget in the field's terms

Comments described hosts as hearing, stating, giving and coming back. They use the usual terms now: records, loans, lenders, exclusion, restart. Renamed: give to lend, given to lent, takeBack to reclaim, gifts to loans; the column of gateheadctl status and its field are lent.

--- a/packages/control/src/commands/commands.test.ts
+++ b/packages/control/src/commands/commands.test.ts
@@ -187,7 +187,7 @@
 describe('status of relays', () => {
 	it('sums retry budgets over hosts', () => {
 		const state = {
-			service: 'm', requests: 10, repeats: 1, left: 4, share: 5, given: 0.5, borrowed: 0,
+			service: 'm', requests: 10, repeats: 1, left: 4, share: 5, lent: 0.5, borrowed: 0,
 		};
 		const results = [{host: 'a', ok: true, answer: relayOf('a', {retries: [state]})}, {host: 'b', ok: true, answer: relayOf('b', {retries: [state]})}] as const;
 		expect(listRetries(results)).toEqual([
--- a/packages/control/src/commands/relay-status.ts
+++ b/packages/control/src/commands/relay-status.ts
@@ -65,7 +65,7 @@
 	])).toSorted((left, right) => (left.join(' ') < right.join(' ') ? -1 : 1));
 }
 
-const retryAmounts = ['requests', 'repeats', 'left', 'share', 'given', 'borrowed'] as const;
+const retryAmounts = ['requests', 'repeats', 'left', 'share', 'lent', 'borrowed'] as const;
 
 /** Table rows of the retry budgets: for each service all hosts together, then each host. */
 export function listRetries(results: ReadonlyArray<HostResult<RelayStatus>>): string[][] {
--- a/packages/policy/src/relay/fleet-census.test.ts
+++ b/packages/policy/src/relay/fleet-census.test.ts
@@ -119,9 +119,9 @@
 	/** Spends or gives away a random part of what is left, or all of it. */
 	#spend({share}: PlayedHost): void {
 		const wanted = share.left(this.now) * (this.#random.next() < 0.1 ? 1 : this.#random.next());
-		const isGiven = this.#random.next() < 0.5;
-		const amount = isGiven ? share.give(wanted, this.now) : wanted;
-		if (!isGiven) {
+		const isLent = this.#random.next() < 0.5;
+		const amount = isLent ? share.lend(wanted, this.now) : wanted;
+		if (!isLent) {
 			share.take(amount, this.now);
 		}
 
--- a/packages/policy/src/relay/fleet-census.ts
+++ b/packages/policy/src/relay/fleet-census.ts
@@ -1,32 +1,32 @@
 /**
- * Determines which fraction of a bound this host may use, where the bound is
- * divided among all hosts: one over the number of hosts that it counts.
+ * Determines the fraction of a fleet-wide bound that this host may use: one
+ * over the number of hosts in its membership history.
  *
- * Safety: the fractions of all hosts add up to at most one, whatever each host
- * sees of the others. A host that uses its fraction is established. It counts
- * every host that it has ever heard of, also unreachable ones, and it becomes
- * established only once each host that it counts has stated, by a digest, that
- * it counts the same hosts, and one of them is established. So of any two
- * established hosts each counts the other: the later one was counted by all
- * others before, and has learnt of the earlier one from the host that was
- * established. What a process used before it restarted, or before the others
- * counted the new host, has left the window by the time that a host begins.
+ * Safety: the fractions of all hosts add up to at most one for any membership
+ * views. A host that may use its fraction is established. It counts every host
+ * of which it ever received a record, also unreachable ones. It becomes
+ * established only if the latest record of each counted host carries the digest
+ * of the same set of hosts, and one of them is established. Hence any two
+ * established hosts count each other: all others had counted the later one,
+ * and it received the earlier one's record from an established host. Before a
+ * host uses its fraction, one window passes, so that usage by its previous
+ * process, or by others before they counted it, has expired.
  *
- * The first established hosts of a fleet need another proof that there are no
- * others: the first start of the whole fleet with most of the seeds, or a
- * minute without any sign of another host. The second fails if a network
- * partition lasts longer than that and all hosts on one side restart. Hosts
- * that are lost for ten minutes are no longer counted.
+ * The first established hosts of a fleet require other evidence that no host is
+ * established: the first start of the fleet and a majority of the seeds, or a
+ * minute without a record of an established host. The latter fails if a network
+ * partition lasts longer and all hosts on one side restart. Hosts unreachable
+ * for ten minutes are not counted.
  */
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type Start} from '@gatehead/schema/relay-settings';
 import {hashText} from '@gatehead/schema/hash-text';
 
-/** Time for which a lost host is counted, in milliseconds; limited, so that hosts replaced under new names do not reduce the fractions for good. */
+/** Time for which an unreachable host is counted, in milliseconds; limited because hosts replaced under new names would otherwise reduce the fractions permanently. */
 const lostMs = 600_000;
-/** Process age at which hosts that know no established one may form a fleet without most of the seeds, in milliseconds; longer than a network partition is expected to last. */
+/** Process age at which hosts without a record of an established one may form a fleet without a majority of the seeds, in milliseconds; longer than the longest expected network partition. */
 const isolationMs = 60_000;
-/** Process age at which the hosts of a first start have found each other, in milliseconds. */
+/** Process age at which the hosts of a first start have exchanged records, in milliseconds. */
 const firstStartMs = 500;
 const hexadecimal = 16;
 
@@ -44,7 +44,7 @@
 	readonly seeds: readonly string[];
 	readonly start: Start;
 	readonly startedAt: number;
-	/** Time after which nothing that a process used can count together with what is used now, in milliseconds. */
+	/** Time until usage by a previous process has expired, in milliseconds. */
 	readonly settleMs: number;
 };
 
@@ -90,7 +90,7 @@
 		this.#establish(counted, now);
 	}
 
-	/** Returns what this host states to the others. */
+	/** Returns the census for this host's membership record. */
 	describe(): Census {
 		return {
 			digest: this.#digest, isEstablished: this.#usableFrom !== undefined, isFirstStart: this.#options.start === 'first', formedDigest: this.#formedDigest,
@@ -124,7 +124,7 @@
 		return counted;
 	}
 
-	/** Makes this host established if all hosts that it counts agree with it. */
+	/** Makes this host established if all counted hosts have the same digest. */
 	#establish(counted: readonly MemberRecord[], now: number): void {
 		const {self, start, startedAt, settleMs} = this.#options;
 		const others = counted.filter(({host}) => host !== self);
@@ -138,7 +138,7 @@
 			return;
 		}
 
-		// Founders that counted this host from the start have never used its part, and need no time to leave it
+		// Founders that counted this host from the beginning never used its fraction, so their usage need not expire
 		const isFounder = established.every(({census}) => census?.formedDigest === this.#digest);
 		const ownSettledAt = start === 'first' ? startedAt : startedAt + settleMs;
 		this.#formedDigest = isFounder ? this.#digest : undefined;
@@ -154,7 +154,7 @@
 			return true;
 		}
 
-		// A seed that has started anew may belong to a fleet that this host has not heard of
+		// A restarted seed may belong to a fleet from which this host has no record
 		const candidates = counted.filter(({host, census}) => start !== 'first' || host === self || census?.isFirstStart);
 		const found = this.#seeds.filter(seed => candidates.some(({peerAddress}) => peerAddress === seed)).length;
 		return ageMs >= formingMs[start] && (this.#seeds.length === 0 || 2 * found > this.#seeds.length);
--- a/packages/policy/src/relay/request-credit.ts
+++ b/packages/policy/src/relay/request-credit.ts
@@ -3,8 +3,8 @@
  *
  * Safety: for every time s, the repeats since s are at most half of `ratio`
  * times the requests since one window before s. Both sides add up over hosts
- * and over processes of one host, so no host needs to know of any other, and a
- * process that starts anew owes nothing. The requests since one window before
+ * and over successive processes of a host, so the rule needs no coordination and
+ * no state from before a restart. The requests since one window before
  * s are those of the window that begins at s and of the one before it, of
  * which the bound counts the larger; half of their sum is never more.
  */
@@ -59,12 +59,12 @@
 		this.#repeats.add(amount, now);
 	}
 
-	/** Takes back what was taken at `takenAt` for a repeat that did not arrive. */
+	/** Refunds an amount taken at `takenAt` for a repeat that did not arrive. */
 	refund(amount: number, takenAt: number): void {
 		this.#repeats.add(-amount, takenAt);
 	}
 
-	/** Returns the repeats taken within `windowMs`. */
+	/** Returns the repeats taken since a time. */
 	repeatsSince(from: number): number {
 		return this.#repeats.sumSince(from);
 	}
--- a/packages/policy/src/relay/retry-budget.test.ts
+++ b/packages/policy/src/relay/retry-budget.test.ts
@@ -87,13 +87,13 @@
 		},
 		lend: ({host, other}) => {
 			const lender = this.#budgets[host];
-			this.#budgets[other]?.receive({amount: lender?.give(3, this.now) ?? 0, until: this.now + permitLifetimeMs, origin: {lender: '', ask: this.#gifts.length}});
-			this.#gifts.push({lender, at: this.now});
+			this.#budgets[other]?.receive({amount: lender?.lend(3, this.now) ?? 0, until: this.now + permitLifetimeMs, origin: {lender: '', ask: this.#loans.length}});
+			this.#loans.push({lender, at: this.now});
 		},
 		return: ({host}) => {
 			for (const {amount, origin} of this.#budgets[host]?.removeLoans(Number.POSITIVE_INFINITY) ?? []) {
-				const gift = this.#gifts[origin?.ask ?? -1];
-				gift?.lender?.takeBack(amount, gift.at);
+				const loan = this.#loans[origin?.ask ?? -1];
+				loan?.lender?.reclaim(amount, loan.at);
 			}
 		},
 		restart: ({host}) => {
@@ -103,7 +103,7 @@
 	};
 
 	readonly #settledAt = Array.from({length: hostCount}, () => 0);
-	readonly #gifts: Array<{readonly lender: RetryBudget | undefined; readonly at: number}> = [];
+	readonly #loans: Array<{readonly lender: RetryBudget | undefined; readonly at: number}> = [];
 	readonly #budgets = Array.from({length: hostCount}, (_, host) => this.#make(host));
 
 	#make(host: number): RetryBudget {
--- a/packages/policy/src/relay/retry-budget.ts
+++ b/packages/policy/src/relay/retry-budget.ts
@@ -11,7 +11,7 @@
 import {AllowanceShare, permitLifetimeMs} from './allowance-share.js';
 import {RequestCredit} from './request-credit.js';
 
-/** Fraction of the allowance that is used; the rest covers a new host whose records cross those of a host that starts anew (fleet-census.ts). */
+/** Fraction of the allowance that is used; the rest covers a new host and a restarted one that become established from crossing records (fleet-census.ts). */
 const usedFraction = 0.95;
 /** Allows for rounding in sums of parts of repeats. */
 const epsilon = 1e-9;
@@ -41,7 +41,7 @@
 	amount: number;
 	/** Time by which it must be used, in milliseconds. */
 	readonly until: number;
-	/** Where it can be returned; undefined for what was borrowed for a permit that was refunded. */
+	/** Lender and request to return it to; undefined if it comes from a refunded permit. */
 	readonly origin: {readonly lender: string; readonly ask: number} | undefined;
 };
 
@@ -90,14 +90,14 @@
 		this.receive({amount: borrowed, until: sendBy, origin: undefined});
 	}
 
-	/** Gives another host up to `wanted` of this host's share; returns the amount. */
-	give(wanted: number, now: number): number {
-		return this.#share.give(wanted, now);
+	/** Lends up to `wanted` of this host's share; returns the amount. */
+	lend(wanted: number, now: number): number {
+		return this.#share.lend(wanted, now);
 	}
 
-	/** Takes back a part that another host was given at `givenAt` and has not used. */
-	takeBack(amount: number, givenAt: number): void {
-		this.#share.takeBack(amount, givenAt);
+	/** Reclaims an unused amount lent at `lentAt`. */
+	reclaim(amount: number, lentAt: number): void {
+		this.#share.reclaim(amount, lentAt);
 	}
 
 	/** Adds a part of another host's share. */
@@ -120,7 +120,7 @@
 		return Math.max(0, this.#credit.left(now)) + this.#share.left(now) + this.borrowed(now);
 	}
 
-	/** Returns what other hosts gave and this one has not used. */
+	/** Returns the unused amount borrowed from other hosts. */
 	borrowed(now: number): number {
 		this.#loans = this.#loans.filter(({until}) => now < until);
 		return this.#loans.reduce((sum, {amount}) => sum + amount, 0);
@@ -134,7 +134,7 @@
 			repeats: this.#credit.repeatsSince(from) + this.#share.spent(now),
 			left: this.left(now),
 			share: this.#size(),
-			given: this.#share.given(now),
+			lent: this.#share.lent(now),
 			borrowed: this.borrowed(now),
 		};
 	}
--- a/packages/relay/src/peer/census-task.ts
+++ b/packages/relay/src/peer/census-task.ts
@@ -1,4 +1,4 @@
-/** Keeps this host's census up to date and states it to the other hosts. */
+/** Updates this host's census and publishes it in its membership record. */
 import {settleMsOf} from '@gatehead/policy/relay/allowance-share';
 import {FleetCensus} from '@gatehead/policy/relay/fleet-census';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -14,7 +14,7 @@
 export type CensusTaskParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'self' | 'settings'>;
 	readonly listMembers: () => readonly MemberRecord[];
-	/** Puts the census into this host's record and sends it to the other hosts. */
+	/** Publishes the census in this host's membership record. */
 	readonly announce: (census: MemberRecord['census']) => void;
 };
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -267,7 +267,7 @@
 		}, makeOwnRecord(context));
 	}
 
-	/** The fraction of bounds that this host may use. */
+	/** Fraction of fleet-wide bounds that this host may use. */
 	get census(): FleetCensus {
 		return this.#censusTask.census;
 	}
--- a/packages/relay/src/peer/retry-exchange.ts
+++ b/packages/relay/src/peer/retry-exchange.ts
@@ -1,8 +1,8 @@
 /**
- * Moves unused parts of the retry allowance to the hosts that need them. A
- * host whose own part is spent asks a few others, which give what they have
- * left. Safety: policy/relay/allowance-share.ts; a part counts at the host that
- * gave it, and expires here first.
+ * Lends unused parts of the retry allowance between hosts. A host whose share
+ * is spent requests parts from a few others. Safety:
+ * policy/relay/allowance-share.ts; a loan counts at its lender and expires at
+ * the borrower first.
  */
 import {permitLifetimeMs} from '@gatehead/policy/relay/allowance-share';
 import {type RetryBudget, type RetryPermit} from '@gatehead/policy/relay/retry-budget';
@@ -15,26 +15,26 @@
 
 /** Timeout of a request, in milliseconds; several round trips between regions. */
 const timeoutMs = 60;
-/** Maximum hosts asked at once. */
+/** Maximum number of lenders per round. */
 const maxLenders = 16;
 /** Expected demand that a request covers, in milliseconds: less than the time for which loans are kept, so that little is returned. */
 const prefetchMs = 300;
-/** Time after which the unused rest of a loan is returned, in milliseconds. */
+/** Time after which the unused part of a loan is returned, in milliseconds. */
 const keptMs = 500;
 /** Fraction of the expected demand below which the next request is sent ahead of need. */
 const renewFraction = 0.5;
 /** Time constant of the average demand, in milliseconds. */
 const averagingMs = 1000;
-/** Requested excess, since some hosts have less left than asked for. */
+/** Factor by which the requested amount exceeds the demand, since some lenders have less left. */
 const excessFactor = 1.25;
-/** Fraction of the requested amount below which a host is not asked again for a while. */
+/** Fraction of the requested amount below which a lender is excluded. */
 const minYield = 0.5;
-/** Factor by which more hosts are asked after a round that brought too little. */
+/** Growth factor of the number of lenders after a round with too little. */
 const spreadFactor = 2;
-/** Time for which a host that gave little or did not answer is not asked, in milliseconds. */
+/** Exclusion of a lender that lent too little or did not respond, in milliseconds. */
 const exclusionMs = 500;
-/** Maximum parts of this host's share that are remembered while they may come back. */
-const maxGifts = 5000;
+/** Maximum number of outstanding loans that can be reclaimed. */
+const maxOutstandingLoans = 5000;
 
 export type RetryExchangeParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'metrics' | 'random' | 'self'>;
@@ -53,16 +53,16 @@
 };
 
 type ServiceState = {
-	/** Repeats that this host has asked for beyond its own part. */
+	/** Average demand beyond this host's own share. */
 	readonly demand: AverageRate;
 	waiters: Waiter[];
 	isRequesting: boolean;
-	/** Multiple of the hosts that would be asked if each had its whole share. */
+	/** Factor on the number of lenders that suffices if each has its whole share left. */
 	spread: number;
 };
 
-/** A part of this host's share that another host was given. */
-type Gift = {
+/** A part of this host's share that was lent. */
+type LentPart = {
 	readonly amount: number;
 	readonly at: number;
 };
@@ -72,17 +72,17 @@
 	readonly #parts: RetryExchangeParts;
 	readonly #questions: PeerRequests<number>;
 	readonly #states = new Map<string, ServiceState>();
-	/** Hosts that are not asked, by service and host, and until when. */
+	/** End of each lender's exclusion, by service and host. */
 	readonly #excludedUntil = new Map<string, number>();
 	/** By the borrower and the number of its request. */
-	readonly #gifts = new RecentMap<string, Gift>(maxGifts);
+	readonly #lent = new RecentMap<string, LentPart>(maxOutstandingLoans);
 
 	constructor(parts: RetryExchangeParts) {
 		this.#parts = parts;
 		this.#questions = new PeerRequests(parts.context.clock);
 	}
 
-	/** Takes a permit from what other hosts give; undefined after one round of requests that brought none. */
+	/** Acquires a permit from loans; undefined if one round of requests does not suffice. */
 	async borrow(service: string, floor: number): Promise<RetryPermit | undefined> {
 		const state = this.#stateOf(service);
 		state.demand.record(this.#now);
@@ -93,7 +93,7 @@
 		});
 	}
 
-	/** Called after a permit was taken here; requests the next part ahead of need. */
+	/** Records that a permit was taken; requests the next loan if little is left. */
 	noteTaken(service: string): void {
 		const state = this.#states.get(service);
 		if (state === undefined) {
@@ -106,24 +106,24 @@
 		}
 	}
 
-	/** Gives another host a part of this host's share. */
+	/** Handles another host's request for a loan. */
 	receiveWanted(from: string, {ask, service, wanted}: RelayMessageOf<'retriesWanted'>): void {
-		const granted = this.#parts.budgetOf(service).give(wanted, this.#now);
-		this.#gifts.set(giftKeyOf(from, ask, service), {amount: granted, at: this.#now});
+		const granted = this.#parts.budgetOf(service).lend(wanted, this.#now);
+		this.#lent.set(loanKeyOf(from, ask, service), {amount: granted, at: this.#now});
 		this.#parts.send(from, {kind: 'retriesGranted', ask, granted});
 	}
 
-	/** Takes back what another host has not used. */
+	/** Handles the return of the unused part of a loan. */
 	receiveReturned(from: string, {ask, service, unused}: RelayMessageOf<'retriesReturned'>): void {
-		const key = giftKeyOf(from, ask, service);
-		const gift = this.#gifts.get(key);
-		if (gift !== undefined) {
-			this.#gifts.delete(key);
-			this.#parts.budgetOf(service).takeBack(Math.min(unused, gift.amount), gift.at);
+		const key = loanKeyOf(from, ask, service);
+		const loan = this.#lent.get(key);
+		if (loan !== undefined) {
+			this.#lent.delete(key);
+			this.#parts.budgetOf(service).reclaim(Math.min(unused, loan.amount), loan.at);
 		}
 	}
 
-	/** Handles another host's answer. */
+	/** Handles the response to a request of this host. */
 	receiveGranted({ask, granted}: RelayMessageOf<'retriesGranted'>): void {
 		this.#questions.settle(ask, granted);
 	}
@@ -148,7 +148,7 @@
 		return demand.at(this.#now) * prefetchMs;
 	}
 
-	/** Sends one round of requests at a time. At its end, all waiters that got nothing are refused, so that none waits for longer than a round. */
+	/** Sends one round of requests at a time. All waiters still left at its end are rejected, so that none waits longer than a round. */
 	async #request(service: string, state: ServiceState): Promise<void> {
 		if (state.isRequesting) {
 			return;
@@ -218,7 +218,7 @@
 		}
 	}
 
-	/** Chooses hosts at random, as many as are likely to have the amount between them. */
+	/** Chooses random lenders, enough to have the amount between them if each has half of its share left. */
 	#chooseLenders(service: string, wanted: number, spread: number): string[] {
 		const {context: {random, self}, averageShare, listReachable} = this.#parts;
 		const now = this.#now;
@@ -228,14 +228,14 @@
 			}
 		}
 
-		// A host without a census is of an earlier version and does not know the message
+		// Earlier versions publish no census and cannot parse the message
 		const candidates = listReachable().filter(({host, census}) => host !== self.host && census?.isEstablished && !this.#excludedUntil.has(keyOf(service, host)));
 		const likely = 2 * wanted / Math.max(Number.EPSILON, averageShare());
 		const count = Math.min(maxLenders, Math.max(1, Math.ceil(spread * likely)));
 		return candidates.map(({host}) => ({host, rank: random.next()})).toSorted((left, right) => left.rank - right.rank).slice(0, count).map(({host}) => host);
 	}
 
-	/** Gives waiters permits in order, while there is enough. */
+	/** Resolves waiters in order while enough is left. */
 	#serve(service: string, state: ServiceState): void {
 		const budget = this.#parts.budgetOf(service);
 		for (let [waiter] = state.waiters; waiter !== undefined; [waiter] = state.waiters) {
@@ -250,7 +250,7 @@
 	}
 }
 
-function giftKeyOf(borrower: string, ask: number, service: string): string {
+function loanKeyOf(borrower: string, ask: number, service: string): string {
 	return `${borrower} ${ask} ${service}`;
 }
 
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -31,7 +31,7 @@
 /** Errors of another host after which a third one may serve the request. */
 const handOverCodes: ReadonlySet<Code> = new Set(['hostStopping', 'notReady', 'tooManyRequests', 'endpointsDown']);
 
-/** Errors of another host that has sent the request to no endpoint. */
+/** Errors after which the other host has sent nothing to an endpoint. */
 const unsentCodes: ReadonlySet<Code> = new Set(['hostStopping', 'notReady', 'tooManyRequests']);
 
 /** Outcome of forwarding a request. */
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -196,7 +196,7 @@
 			return {kind: 'ended', end: abortJob(this.#job)};
 		}
 
-		// A rejected prefill has arrived, and the decode is a repeat then
+		// After a rejected prefill, the decode is a repeat
 		if (!(await this.#parts.budgets.ensure(this.#job, 'prefill'))) {
 			this.#prefill.release(prefilled);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -264,7 +264,7 @@
 		return ordered.find(({id}) => !this.#triedEndpoints.has(id));
 	}
 
-	/** Whether another attempt is allowed and paid for. A hedge needs a permit even if nothing has reached an endpoint, as both attempts may. */
+	/** Whether another attempt is allowed and has a permit. A hedge always needs one, as the first attempt may reach an endpoint later. */
 	async #mayRetry(cause: RetryCause | undefined): Promise<boolean> {
 		if (cause === undefined) {
 			return true;
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -122,14 +122,14 @@
 		}
 	}
 
-	/** Whether a prefill may be sent: besides its own permit, the decode needs one. */
+	/** Whether a prefill may be sent: after the first arrival, both it and the decode need a permit. */
 	async #maySend(): Promise<boolean> {
 		const {budgets} = this.#parts;
 		const job = this.#job;
 		return job.arrivals === 0 || (await budgets.ensure(job, 'prefill') && budgets.acquire(job, 'prefill'));
 	}
 
-	/** Whether a rejection is likely, and could not be followed by a decode: a request whose first send is its decode needs no permit. */
+	/** Whether the prefill is likely to be rejected with no budget left for the decode. Without the prefill, the decode is the first send and free. */
 	#isRisky(endpoint: Endpoint): boolean {
 		const {endpoints, budgets, context: {clock}} = this.#parts;
 		return endpoints.queueOf(endpoint.id).hasRejectedSince(clock.now() - rejectionMemoryMs) && !budgets.hasLeft(this.#job.service.name);
--- a/packages/relay/src/work/retry-budgets.ts
+++ b/packages/relay/src/work/retry-budgets.ts
@@ -64,7 +64,7 @@
 		return true;
 	}
 
-	/** Makes sure that the job's next send is paid for: the first that reaches an endpoint is free. */
+	/** Acquires a permit unless the job's next send is free or already has one; only the first send to reach an endpoint is free. */
 	async ensure(job: ChargedJob, cause: RetryCause): Promise<boolean> {
 		this.#dropExpired(job);
 		return job.arrivals === 0 || job.retryPermits.length > 0 || this.acquire(job, cause);
@@ -85,7 +85,7 @@
 		return true;
 	}
 
-	/** Takes back the charge of the job's last send, which does not count; it pays for the next one. */
+	/** Moves the charge of the job's last send, which does not count, to the next one. */
 	discount(job: ChargedJob): void {
 		const budget = this.budgetOf(job.service.name);
 		job.arrivals -= 1;
@@ -144,7 +144,7 @@
 		return this.#options.context.clock.now();
 	}
 
-	/** Takes a permit here, or from other hosts if the cause is urgent. */
+	/** Takes a permit from the local budget, or borrows one if the cause is urgent. */
 	async #take(service: string, cause: RetryCause): Promise<RetryPermit | undefined> {
 		const {exchange} = this.#options;
 		const budget = this.budgetOf(service);
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -10,7 +10,7 @@
 /** Membership state of a host; `leaving` during a planned stop. */
 export const memberState = z.enum(['alive', 'leaving', 'suspect', 'dead']);
 
-/** What a host states about the hosts that it counts; a host divides bounds among as many. `digest` stands for their names. `formedDigest`: the digest with which it began to use its share, if it was among the first to do so. */
+/** The hosts among which a host divides fleet-wide bounds, as a digest of their names. `formedDigest`: the digest at which a founder became established. */
 export const censusRecord = z.object({
 	digest: z.string().max(32), isEstablished: z.boolean(), isFirstStart: z.boolean(), formedDigest: z.string().max(32).optional(),
 });
@@ -33,7 +33,7 @@
 	forwardAddress: z.string().optional(),
 	/** Services to whose endpoints it has lost its links. */
 	unreachable: z.array(z.string()).max(1000).optional(),
-	/** Absent: it divides no bound this way. */
+	/** Absent in earlier versions. */
 	census: censusRecord.optional(),
 });
 
--- a/packages/schema/src/relay-settings.ts
+++ b/packages/schema/src/relay-settings.ts
@@ -63,7 +63,7 @@
 	windowMs: milliseconds.default(10_000),
 });
 
-/** How a process begins: with the first start of the whole fleet, or in a fleet that has been running. */
+/** Whether the process is part of the first start of the fleet or a later start. */
 const start = z.enum(['first', 'again', 'unknown']);
 
 /** Guarantees over all hosts on configurations, keys and quotas. */
--- a/packages/schema/src/relay-status.ts
+++ b/packages/schema/src/relay-status.ts
@@ -12,9 +12,9 @@
 	source: z.string(),
 });
 
-/** A host's part of a service's retry budget, over the last window: requests that entered there, and amounts in repeats. `share`: its part of the allowance, of which `given` went to other hosts; `borrowed`: what others gave and it has not used. */
+/** A host's part of a service's retry budget, over the last window: requests that entered there, and amounts in repeats. `share`: its part of the allowance, of which `lent` is lent to other hosts; `borrowed`: unused loans of other hosts. */
 export const retryBudgetState = z.object({
-	service: z.string(), requests: z.number(), repeats: z.number(), left: z.number(), share: z.number(), given: z.number(), borrowed: z.number(),
+	service: z.string(), requests: z.number(), repeats: z.number(), left: z.number(), share: z.number(), lent: z.number(), borrowed: z.number(),
 });
 
 /** Status of a relay, and of the other hosts and endpoints as it sees them. */
--- a/packages/standin/src/limits/retry-fleet.ts
+++ b/packages/standin/src/limits/retry-fleet.ts
@@ -1,8 +1,7 @@
 /**
  * A fleet of real retry budgets, censuses and exchanges on a clock that the
  * caller moves, with a network that stands in for theirs. Hosts restart and
- * lose sight of each other; messages take some milliseconds. Nothing here
- * decides: it carries messages and counts repeats.
+ * are partitioned; messages take some milliseconds.
  */
 import {setImmediate} from 'node:timers/promises';
 import {Members} from '@gatehead/policy/core/members';
@@ -45,9 +44,9 @@
 	readonly entryHosts?: number;
 	readonly seconds: number;
 	readonly seed: number;
-	/** Every so often a part of the hosts starts anew. */
+	/** Interval of restarts, and the share of the hosts that restart. */
 	readonly restarts?: {readonly everyMs: number; readonly share: number};
-	/** When no host hears another, as begin and end. */
+	/** Partitions between all hosts, as begin and end. */
 	readonly partitions?: ReadonlyArray<readonly [number, number]>;
 };
 
@@ -179,7 +178,7 @@
 		});
 	}
 
-	/** All hosts that reach each other exchange what they know. */
+	/** Exchanges membership records between all hosts that reach each other. */
 	#gossip(): void {
 		const now = this.#clock.now();
 		const isSplit = this.#isPartitioned;
@@ -206,7 +205,7 @@
 		}
 	}
 
-	/** Records that a partition marked as dead are alive again. */
+	/** Refutes the records of hosts marked as dead during a partition. */
 	#refute({members}: PlayedHost): void {
 		for (const record of members.list().filter(({state}) => state === 'dead')) {
 			const alive = this.#hosts.find(({name}) => name === record.host)?.members;
--- a/packages/standin/src/wire/retry-budget.test.ts
+++ b/packages/standin/src/wire/retry-budget.test.ts
@@ -18,7 +18,7 @@
 const bound = {ratio: 0.2, allowance: 58, windowMs: 10_000};
 const runMs = 22_000;
 const restartIntervalMs = 3000;
-/** When no host hears another, by its begin and end, in milliseconds. */
+/** Partitions between all hosts, by begin and end, in milliseconds. */
 const partitions: ReadonlyArray<readonly [number, number]> = [[1000, 9000], [12_000, 20_000]];
 const hangMs = 120_000;
 
@@ -29,7 +29,7 @@
 	readonly requestsPerS: number;
 	/** Share of requests that replicas reject, by the begin of their ids. */
 	readonly rejected: Readonly<Record<string, number>>;
-	/** Hosts that end and start anew each three seconds. */
+	/** Hosts that restart each three seconds. */
 	readonly restarted: number;
 	readonly isPartitioned: boolean;
 	/** Hosts that requests enter at. */
