--- a/packages/policy/src/relay/quota-account.ts
+++ b/packages/policy/src/relay/quota-account.ts
@@ -6,6 +6,7 @@
  * limited by what all hosts together may take.
  */
 import {type QuotaLevel} from '@gatehead/schema/relay-message';
+import {AverageRate} from '../utils/average-rate.js';
 import {type QuotaGrant} from './quota-window.js';
 
 /** Lifetime of a grant, in milliseconds: a busy host requests one or two a second. What is unused then is lost. */
@@ -26,8 +27,7 @@
 	#expiresAt = Number.NEGATIVE_INFINITY;
 	#refusedUntil = Number.NEGATIVE_INFINITY;
 	#lastReport: {readonly level: number; readonly keeper: string; readonly at: number} | undefined;
-	#useRate = 0;
-	#usedAt = 0;
+	readonly #use = new AverageRate(averagingMs);
 
 	/** Returns the unexpired balance; negative after use on credit. */
 	balance(now: number): number {
@@ -88,16 +88,10 @@
 
 	#charge(cost: number, now: number): void {
 		this.#balance = this.balance(now) - cost;
-		this.#useRate = this.#averageRate(now) + (cost / averagingMs);
-		this.#usedAt = now;
-	}
-
-	/** Average use per millisecond. */
-	#averageRate(now: number): number {
-		return this.#useRate * Math.exp(-(now - this.#usedAt) / averagingMs);
+		this.#use.record(now, cost);
 	}
 
 	#expectedUse(now: number): number {
-		return this.#averageRate(now) * prefetchMs;
+		return this.#use.at(now) * prefetchMs;
 	}
 }
--- a/packages/policy/src/relay/rate-permits.ts
+++ b/packages/policy/src/relay/rate-permits.ts
@@ -4,6 +4,7 @@
  * within a second of its request by this host's monotonic clock, however late
  * the answer arrives.
  */
+import {AverageRate} from '../utils/average-rate.js';
 import {type RateGrant} from './rate-granter.js';
 
 /** Time after the request in which a permit may be taken, in milliseconds; the rest of its lifetime is for opening a connection. */
@@ -27,13 +28,11 @@
 /** Unused permits and the average demand; times are in milliseconds. */
 export class RatePermits {
 	#permits: Permit[] = [];
-	#demand = 0;
-	#demandAt = 0;
+	readonly #demand = new AverageRate(averagingMs);
 
 	/** Records a request for the endpoint. */
 	recordDemand(now: number): void {
-		this.#demand = this.#averageDemand(now) + 1;
-		this.#demandAt = now;
+		this.#demand.record(now);
 	}
 
 	/** Takes a permit, or returns undefined if none is left. */
@@ -44,7 +43,7 @@
 
 	/** Returns the number of permits to request for `waiting` requests and the expected demand. */
 	wanted(waiting: number, now: number): number {
-		return waiting + Math.floor(this.#averageDemand(now) * prefetchMs / averagingMs);
+		return waiting + Math.floor(this.#demand.at(now) * prefetchMs);
 	}
 
 	/** Adds the permits of an answer to a request made at `askedAt`. */
@@ -58,9 +57,4 @@
 	putBack(permit: Permit): void {
 		this.#permits.unshift(permit);
 	}
-
-	/** Average number of requests per second. */
-	#averageDemand(now: number): number {
-		return this.#demand * Math.exp((this.#demandAt - now) / averagingMs);
-	}
 }
--- a/packages/relay/src/peer/retry-exchange.ts
+++ b/packages/relay/src/peer/retry-exchange.ts
@@ -29,6 +29,8 @@
 const excessFactor = 1.25;
 /** Fraction of the requested amount below which a lender is excluded. */
 const minYield = 0.5;
+/** Number of lenders as a multiple of those that would suffice with their whole shares: on average half is left. */
+const lenderMargin = 2;
 /** Growth factor of the number of lenders after a round with too little. */
 const spreadFactor = 2;
 /** Exclusion of a lender that lent too little or did not respond, in milliseconds. */
@@ -230,8 +232,8 @@
 
 		// Earlier versions publish no census and cannot parse the message
 		const candidates = listReachable().filter(({host, census}) => host !== self.host && census?.isEstablished && !this.#excludedUntil.has(keyOf(service, host)));
-		const likely = 2 * wanted / Math.max(Number.EPSILON, averageShare());
-		const count = Math.min(maxLenders, Math.max(1, Math.ceil(spread * likely)));
+		const sufficient = wanted / Math.max(Number.EPSILON, averageShare());
+		const count = Math.min(maxLenders, Math.max(1, Math.ceil(spread * lenderMargin * sufficient)));
 		return candidates.map(({host}) => ({host, rank: random.next()})).toSorted((left, right) => left.rank - right.rank).slice(0, count).map(({host}) => host);
 	}
 
