--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -7,7 +7,7 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {
-	describeOutcomes, makeConfig, Record, Replica, runCase, seedRandom, sendOpenLoop, withDeployment,
+	describeOutcomes, makeConfig, makeWindows, Record, Replica, runCase, seedRandom, sendOpenLoop, withDeployment,
 } from '../standins.mjs';
 
 const service = 'boia-api';
@@ -16,12 +16,16 @@
 /** Share of the replicas that are faulty, and of their answers that they send twice. */
 const faultyShare = 0.6;
 const surplusShare = 0.05;
+/** The fault lasts for six seconds and comes five times. */
+const windows = makeWindows({
+	firstMs: 1000, windowMs: 6000, everyMs: 7000, count: 5,
+});
 const promises = new Set([408, 421, 429, 503]);
 
 /** A surplus answer goes out in the slot where the next one is due. */
 function makeSpoil(random, record, counts) {
 	return ({call, bytes, connection}) => {
-		if (random() < surplusShare) {
+		if (windows.isOn && random() < surplusShare) {
 			counts.surplus += 1;
 			connection.surplus = bytes;
 			record.add(`the answer to ${call.id} (${bytes.slice(9, 12)}) will be sent once more`);
@@ -39,9 +43,12 @@
 	}));
 	const answers = await withDeployment({
 		hostCount: 3, replicas, record, seed, config: makeConfig({service, timeoutMs, targetLatencyMs: 386}),
-	}, async ({clients, random: arrivals}) => sendOpenLoop({
-		perS: 170, forMs: 30_000, random: arrivals, send: async index => clients.send({target: `/once/${index}`, deadlineMs: timeoutMs, body: 'x'.repeat(600)}),
-	}));
+	}, async ({clients, random: arrivals}) => {
+		windows.start();
+		return sendOpenLoop({
+			perS: 170, forMs: 37_000, random: arrivals, send: async index => clients.send({target: `/once/${index}`, deadlineMs: timeoutMs, body: 'x'.repeat(600)}),
+		});
+	});
 	const runs = new Map();
 	for (const id of replicas.flatMap(replica => replica.runs)) {
 		runs.set(id, (runs.get(id) ?? 0) + 1);
--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -239,6 +239,7 @@
 			return;
 		}
 
+		const body = this.#received.subarray(end + headEnd.length, bodyEnd).toString('utf8');
 		this.#received = this.#received.subarray(bodyEnd);
 		this.#isBusy = true;
 		if (this.surplus !== undefined) {
@@ -246,39 +247,22 @@
 			this.surplus = undefined;
 		}
 
-		this.#replica.serve(request, this);
+		this.#replica.serve({...request, body}, this);
 	}
 }
 
-/**
- * A replica of a plain service. It works on `slots` requests at once, queues
- * `queue` more and rejects the others with `Not-Executed`. Each of its answers
- * to a request carries the request's id. `spoil` may replace what goes out for
- * an answer, or return undefined.
- */
-export class Replica {
+/** Listens on an address of its own and hands its connections' requests to `serve` of the replica that extends it. */
+class Listener {
 	address = '';
-	id;
-	/** Requests that it has begun to work on, by id. */
-	runs = [];
-	rejected = 0;
-	#parts;
+	id = `i-${Math.floor(Math.random() * (2 ** 32)).toString(16)}`;
+	#sockets = new Set();
 	#server = createServer(socket => {
 		this.#sockets.add(socket);
 		socket.once('close', () => {
 			this.#sockets.delete(socket);
 		});
-		this.#connections.add(new Connection(socket, this));
+		return new Connection(socket, this);
 	});
-	#sockets = new Set();
-	#connections = new Set();
-	#working = 0;
-	#waiting = [];
-
-	constructor(parts) {
-		this.id = `i-${Math.floor(Math.random() * (2 ** 32)).toString(16)}`;
-		this.#parts = parts;
-	}
 
 	async start() {
 		this.address = await listen(this.#server, nextAddress());
@@ -291,6 +275,26 @@
 
 		this.#server.close();
 	}
+}
+
+/**
+ * A replica of a plain service. It works on `slots` requests at once, queues
+ * `queue` more and rejects the others with `Not-Executed`. Each of its answers
+ * to a request carries the request's id. `spoil` may replace what goes out for
+ * an answer, or return undefined.
+ */
+export class Replica extends Listener {
+	/** Requests that it has begun to work on, by id. */
+	runs = [];
+	rejected = 0;
+	#parts;
+	#working = 0;
+	#waiting = [];
+
+	constructor(parts) {
+		super();
+		this.#parts = parts;
+	}
 
 	/** What it keeps in the store. */
 	get entry() {
@@ -370,6 +374,196 @@
 	}
 }
 
+/** Paces of a model replica: prompt tokens read in a millisecond, and the time of one event of a stream. */
+const promptTokensPerMs = 33;
+const eventMs = 45;
+const handleLifeMs = 500;
+const roleSwitchMs = 6000;
+const modelSlots = 64;
+
+/**
+ * A replica of a model: it reads prompts (`stage` prefill) or makes streams
+ * (decode), within `kvTokens` tokens of memory. `handles` holds what all
+ * replicas of the model have read and nobody has taken. `publish` writes its
+ * entry to the store.
+ */
+export class ModelReplica extends Listener {
+	/** Requests that it has begun to run, by id. */
+	runs = [];
+	#parts;
+	#stage;
+	#isSwitching = false;
+	#holds = new Map();
+	#usedTokens = 0;
+	#running = 0;
+	#readUntil = 0;
+	#calls = {
+		'/api/hold-take': call => {
+			this.#hold(call);
+		},
+		'/api/hold-drop': ({name, ...call}) => {
+			this.#holds.delete(name);
+			this.#answerJson(call, 200, {});
+		},
+		'/api/kv-handle': ({name, ...call}) => {
+			this.#parts.handles.delete(name);
+			this.#answerJson(call, 200, {});
+		},
+		'/api/order': call => {
+			this.#order(call);
+		},
+	};
+
+	constructor(parts) {
+		super();
+		this.#parts = parts;
+		this.#stage = parts.stage;
+	}
+
+	get entry() {
+		const {service} = this.#parts;
+		return {
+			service, address: this.address, zone, version: 'v1', slots: modelSlots, state: 'ready', coldRemainingMs: 0, stage: this.#stage, models: [{name: 'm', version: 1, adapters: []}], callSeq: 0,
+		};
+	}
+
+	serve({method, target, headers, body}, connection) {
+		const id = headers.get('request-id');
+		const call = {
+			id, method, target, headers, body, connection,
+		};
+		const [, api, name, rest] = target.split('/');
+		const handle = this.#calls[`/${api}/${name}`];
+		if (handle !== undefined) {
+			handle({...call, name: rest});
+			return;
+		}
+
+		if (headers.get('expect-instance') !== this.id || (headers.get('stage') ?? 'decode') !== this.#stage) {
+			this.#answerJson(call, 421, {}, {'Replica-Id': this.id});
+			return;
+		}
+
+		if (this.#isSwitching) {
+			this.#reject(call);
+		} else if (this.#stage === 'prefill') {
+			this.#read(call);
+		} else {
+			this.#decode(call);
+		}
+	}
+
+	get #freeTokens() {
+		let held = 0;
+		for (const [name, {tokens, lapsesAt}] of this.#holds) {
+			if (lapsesAt <= now()) {
+				this.#holds.delete(name);
+			} else {
+				held += tokens;
+			}
+		}
+
+		return this.#running + this.#holds.size < modelSlots ? this.#parts.kvTokens - this.#usedTokens - held : 0;
+	}
+
+	#hold(call) {
+		const {tokens, ttlMs} = JSON.parse(call.body);
+		if (this.#isSwitching || this.#freeTokens < tokens) {
+			this.#answerJson(call, 503, {});
+			return;
+		}
+
+		const hold = Math.floor(Math.random() * (2 ** 48)).toString(16);
+		this.#holds.set(hold, {tokens, lapsesAt: now() + ttlMs});
+		this.#answerJson(call, 200, {hold});
+	}
+
+	#order(call) {
+		const {stage} = JSON.parse(call.body);
+		if (stage === this.#stage) {
+			this.#answerJson(call, 200, {});
+			return;
+		}
+
+		this.#isSwitching = true;
+		setTimeout(() => {
+			this.#isSwitching = false;
+			this.#stage = stage;
+			this.#parts.publish(this);
+		}, roleSwitchMs);
+		this.#answerJson(call, 202, {});
+	}
+
+	#reject(call) {
+		this.#parts.record.add(`replica ${this.id} rejects ${call.id}`);
+		this.#answerJson(call, 503, {}, {'Not-Executed': '1'});
+	}
+
+	/** Reads prompts one after the other. */
+	#read(call) {
+		const tokens = Number(call.headers.get('token-counts').split(',')[0]);
+		this.#readUntil = Math.max(now(), this.#readUntil) + (tokens / promptTokensPerMs);
+		setTimeout(() => {
+			const prefillHandle = Math.floor(Math.random() * (2 ** 48)).toString(16);
+			this.#parts.handles.set(prefillHandle, now() + handleLifeMs);
+			this.#answerJson(call, 200, {prefillHandle, tokens, version: 1});
+		}, this.#readUntil - now());
+	}
+
+	#decode(call) {
+		const [promptTokens, answerTokens] = call.headers.get('token-counts').split(',').map(Number);
+		const tokens = promptTokens + answerTokens;
+		const handle = call.headers.get('kv-source')?.split('/')[1];
+		const hasHandle = handle === undefined || (this.#parts.handles.get(handle) ?? 0) > now();
+		this.#parts.handles.delete(handle);
+		const isHeld = this.#holds.delete(call.headers.get('kv-hold'));
+		if (!hasHandle || (!isHeld && this.#freeTokens < tokens)) {
+			this.#reject(call);
+			return;
+		}
+
+		this.runs.push(call.id);
+		this.#parts.record.add(`replica ${this.id} runs ${call.id}`);
+		this.#usedTokens += tokens;
+		this.#running += 1;
+		// A replica reads the prompt itself at half the pace
+		setTimeout(() => {
+			this.#stream(call, tokens);
+		}, handle === undefined ? 2 * promptTokens / promptTokensPerMs : 0);
+	}
+
+	#stream(call, tokens) {
+		const {connection, id} = call;
+		const events = this.#parts.eventCount();
+		connection.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`);
+		const writeNext = number => {
+			if (number > events || !connection.isOpen) {
+				this.#usedTokens -= tokens;
+				this.#running -= 1;
+				connection.write('0\r\n\r\n');
+				connection.release();
+				return;
+			}
+
+			const event = `id: ${number}\ndata: piece ${number} of ${events} of ${id}\n\n`;
+			connection.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+			setTimeout(writeNext, eventMs, number + 1);
+		};
+
+		writeNext(1);
+	}
+
+	/** Answers a call or a prompt; those of requests carry their ids. */
+	#answerJson(call, status, value, headers = {}) {
+		const {connection, id} = call;
+		const bytes = makeAnswer(status, {
+			...(id === undefined ? {} : {'Request-Id': id}), 'Content-Type': 'application/json', 'Keep-Alive': 'timeout=5', ...headers,
+		}, JSON.stringify(value));
+		connection.write(this.#parts.spoil?.({call, bytes, connection}) ?? bytes);
+		connection.release();
+	}
+}
+
 function readDeployCommand() {
 	const [, line] = /^run = "(?<line>[^"]+)"$/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8'));
 	return line.split(' ');
@@ -548,7 +742,7 @@
 	}
 
 	/** Sends one request; resolves with what came of it. */
-	async send({method = 'POST', target, deadlineMs, body = '', address = this.#choose()}) {
+	async send({method = 'POST', target, deadlineMs, body = '', headers = {}, address = this.#choose()}) {
 		this.#sent += 1;
 		const id = `${this.#sent.toString(16).padStart(4, '0')}${Math.floor(this.#random() * (2 ** 48)).toString(16)}`;
 		const [host, port] = address.split(':');
@@ -557,7 +751,7 @@
 		const answer = await new Promise(resolve => {
 			const call = httpRequest({
 				host, port, method, path: target, agent: this.#agentOf(address), headers: {
-					Host: hostName, 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), ...(method === 'GET' ? {} : {'Content-Length': Buffer.byteLength(body)}),
+					Host: hostName, 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), ...(method === 'GET' ? {} : {'Content-Length': Buffer.byteLength(body)}), ...headers,
 				},
 			});
 			const timer = setTimeout(() => {
@@ -623,8 +817,11 @@
 	}
 }
 
-/** The configuration: one route that may be repeated and one that may not, to one plain service. */
-export function makeConfig({service, timeoutMs, targetLatencyMs, slots}) {
+/** Memory of a model replica, in tokens. */
+export const kvTokens = 34_221;
+
+/** The configuration: one route that may be repeated and one that may not, to one plain service, and one of streams where there is a model. */
+export function makeConfig({service, timeoutMs, targetLatencyMs, model}) {
 	const route = {
 		host: hostName, timeoutMs, targetLatencyMs, priority: 2, service, sticky: false, resumable: false,
 	};
@@ -637,10 +834,24 @@
 			{
 				...route, name: 'r-repeatable', pathPrefix: '/repeatable/', kind: 'idempotent', maxAttempts: 2,
 			},
+			...(model === undefined
+				? []
+				: [{
+					...route, name: 'r-stream', pathPrefix: '/stream/', kind: 'streaming', service: model, maxAttempts: 1, timeoutMs: 14_000, targetLatencyMs: 900, gapTargetMs: 300, priority: 1, sticky: true,
+				}]),
+		],
+		services: [
+			{
+				name: service, healthPath: '/health', maxConns: 110, protocol: 'h1', tls: false,
+			},
+			...(model === undefined
+				? []
+				: [{
+					name: model, healthPath: '/health', maxConns: 370, protocol: 'h1', tls: false, engine: {
+						slots: modelSlots, kvCapacityTokens: kvTokens, kvTokenBytes: 35_136, linkMbps: 1_100_000, moves: true, backups: true, stride: 13, most: 12, handleTtlS: 0.5, roleSwitchS: 6, pinMs: 4000, holdMs: 2000, models: [{name: 'm'}],
+					},
+				}]),
 		],
-		services: [{
-			name: service, healthPath: '/health', maxConns: 110, protocol: 'h1', tls: false, slots,
-		}],
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
@@ -659,7 +870,7 @@
 }
 
 /** Starts a small deployment, runs `play` in it and ends all that was started. Resolves with the result of `play`. */
-export async function withDeployment({hostCount, replicas, config, record, seed}, play) {
+export async function withDeployment({hostCount, replicas, config, record, seed, onStore}, play) {
 	const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	const store = new Store();
 	const hosts = Array.from({length: hostCount}, (_, index) => new Host(`front-${zone}-${index + 1}`, folder));
@@ -673,6 +884,7 @@
 			store.put(`servers/${replica.id}`, replica.entry);
 		}
 
+		onStore?.(store);
 		await Promise.all(hosts.map(async host => host.prepare()));
 		const seeds = hosts.map(({control}) => control);
 		for (const host of hosts) {
@@ -724,6 +936,24 @@
 	await pause(3000);
 }
 
+/** Tells whether a fault that comes in windows is on. `firstMs`: start of the first window; `windowMs`: its length; `everyMs`: time from one start to the next. */
+export function makeWindows({firstMs, windowMs, everyMs, count}) {
+	let startedAt;
+	return {
+		start() {
+			startedAt = now();
+		},
+		/** Time since the start, in milliseconds. */
+		get elapsedMs() {
+			return startedAt === undefined ? 0 : now() - startedAt;
+		},
+		get isOn() {
+			const passedMs = startedAt === undefined ? -1 : now() - startedAt - firstMs;
+			return passedMs >= 0 && passedMs < everyMs * count && passedMs % everyMs < windowMs;
+		},
+	};
+}
+
 /** Sends requests at a rate, with exponential pauses, for a time; resolves with what came of each. */
 export async function sendOpenLoop({perS, forMs, random, send}) {
 	const calls = [];
