--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -18,6 +18,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
+/** Names that the project keeps out of code outside its adapter and simulators. */
+export const wire = JSON.parse(readFileSync(new URL('wire.json', import.meta.url), 'utf8'));
 const root = fileURLToPath(new URL('..', import.meta.url));
 const headEnd = '\r\n\r\n';
 const startTimeoutMs = 15_000;
@@ -141,7 +143,7 @@
 
 	#serve(url, response) {
 		const prefix = url.searchParams.get('pathPrefix') ?? '';
-		if (url.pathname === '/api/kv-range') {
+		if (url.pathname === wire.listPath) {
 			const after = url.searchParams.get('after') ?? '';
 			const items = [...this.#items.values()].filter(({key}) => key.startsWith(prefix) && key > after);
 			sendJson(response, 200, {items, hasMore: false, asOf: this.#revision});
@@ -350,7 +352,7 @@
 			this.#working -= 1;
 			this.#answer(call, workMs > leftMs
 				? makeAnswer(504, {'Request-Id': call.id})
-				: makeAnswer(200, {'Request-Id': call.id, 'Server-Seal': `seal.${call.id}`, 'Keep-Alive': 'timeout=5'}, `answer to ${call.id}`));
+				: makeAnswer(200, {'Request-Id': call.id, [wire.seal]: `seal.${call.id}`, 'Keep-Alive': 'timeout=5'}, `answer to ${call.id}`));
 			this.#takeNext();
 		}, Math.min(workMs, leftMs));
 	}
@@ -398,7 +400,7 @@
 	#running = 0;
 	#readUntil = 0;
 	#calls = {
-		'/api/hold-take': call => {
+		[wire.reservationPath]: call => {
 			this.#hold(call);
 		},
 		'/api/hold-drop': ({name, ...call}) => {
@@ -504,9 +506,9 @@
 		const tokens = Number(call.headers.get('token-counts').split(',')[0]);
 		this.#readUntil = Math.max(now(), this.#readUntil) + (tokens / promptTokensPerMs);
 		setTimeout(() => {
-			const prefillHandle = Math.floor(Math.random() * (2 ** 48)).toString(16);
-			this.#parts.handles.set(prefillHandle, now() + handleLifeMs);
-			this.#answerJson(call, 200, {prefillHandle, tokens, version: 1});
+			const handle = Math.floor(Math.random() * (2 ** 48)).toString(16);
+			this.#parts.handles.set(handle, now() + handleLifeMs);
+			this.#answerJson(call, 200, {[wire.prefillResult]: handle, tokens, version: 1});
 		}, this.#readUntil - now());
 	}
 
@@ -535,7 +537,7 @@
 	#stream(call, tokens) {
 		const {connection, id} = call;
 		const events = this.#parts.eventCount();
-		connection.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Seal: seal.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`);
+		connection.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${wire.seal}: seal.${id}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`);
 		const writeNext = number => {
 			if (number > events || !connection.isOpen) {
 				this.#usedTokens -= tokens;
@@ -623,7 +625,7 @@
 		const {PATH, HOME, LANG} = process.env;
 		this.#child = spawn(program, options, {
 			cwd: root, env: {
-				PATH, HOME, LANG, GATEHEAD_BOOT: file,
+				PATH, HOME, LANG, [wire.settingsVariable]: file,
 			}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		for (const stream of [this.#child.stdout, this.#child.stderr]) {
@@ -751,7 +753,7 @@
 		const answer = await new Promise(resolve => {
 			const call = httpRequest({
 				host, port, method, path: target, agent: this.#agentOf(address), headers: {
-					Host: hostName, 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), ...(method === 'GET' ? {} : {'Content-Length': Buffer.byteLength(body)}), ...headers,
+					Host: hostName, 'Request-Id': id, [wire.deadline]: String(deadlineMs), ...(method === 'GET' ? {} : {'Content-Length': Buffer.byteLength(body)}), ...headers,
 				},
 			});
 			const timer = setTimeout(() => {
