--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -589,7 +589,12 @@
 	/** Chooses its addresses. */
 	async prepare() {
 		for (const role of ['front', 'ready', 'control', 'directory']) {
-			this.#addresses[role] = await findPort(this.ip);
+			let address = await findPort(this.ip);
+			while (Object.values(this.#addresses).includes(address)) {
+				address = await findPort(this.ip);
+			}
+
+			this.#addresses[role] = address;
 		}
 
 		this.front = this.#addresses.front;
