Logs, metrics: which request a response names, and on what connection

Lines of 7004 for a response have `responseId` and `earlierRequests`; gatehead_responses_total counts the responses to sends by the request that they name.

--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -19,6 +19,8 @@
 type ConnectionState = {
 	idleMs: number;
 	isUnusable: boolean;
+	/** Requests sent before the current one. */
+	earlierRequests: number;
 };
 
 const states = new WeakMap<Duplex, ConnectionState>();
@@ -26,7 +28,7 @@
 function stateOf(socket: Duplex): ConnectionState {
 	let state = states.get(socket);
 	if (state === undefined) {
-		state = {idleMs: defaultIdleMs, isUnusable: false};
+		state = {idleMs: defaultIdleMs, isUnusable: false, earlierRequests: 0};
 		states.set(socket, state);
 	}
 
@@ -43,6 +45,11 @@
 	stateOf(socket).isUnusable = true;
 }
 
+/** Number of requests that a connection carried before the current one. */
+export function countEarlierRequests(socket: Duplex): number {
+	return stateOf(socket).earlierRequests;
+}
+
 function destroyOnData(this: Socket): void {
 	this.destroy();
 }
@@ -96,6 +103,7 @@
 		// Removes the error listener that Node's agent adds to idle connections
 		super.reuseSocket(socket, request);
 		socket.off('data', destroyOnData);
+		stateOf(socket).earlierRequests += 1;
 		if (socket instanceof Socket) {
 			socket.setTimeout(0);
 		}
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -14,7 +14,7 @@
 import {notRunStatuses} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
-import {setIdleTimeout, preventReuse} from './connection-pool.js';
+import {countEarlierRequests, setIdleTimeout, preventReuse} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
 import {ExchangeError, type ExchangeFault} from './exchange.js';
@@ -66,6 +66,15 @@
 /** Reason for ending a stream that stalled on an open connection. */
 export const stallReason = 'silent';
 
+/** What the log tells of a response that is not passed on. */
+type ResponseTrace = {
+	readonly status: number;
+	/** Request that the response names; empty: none. */
+	readonly responseId: string;
+	/** Requests that the connection carried before this one. */
+	readonly earlierRequests: number;
+};
+
 export type SenderOptions = {
 	readonly context: RelayContext;
 	readonly endpoints: Endpoints;
@@ -182,13 +191,16 @@
 		const status = response.statusCode ?? 0;
 		const facts = this.#context.dialect.readResponse(status, response.headers);
 		const {socket} = response;
+		const {metrics} = this.#context;
 		setIdleTimeout(socket, facts.keepAliveMs);
 		const end = (outcome: Outcome) => {
 			finish();
 			this.#endpoints.judge(endpoint, outcome);
 		};
 
+		const trace = {status, responseId: facts.id ?? '', earlierRequests: countEarlierRequests(socket)};
 		const isForeign = facts.id !== undefined && facts.id !== job.id;
+		metrics.add('responses', {step, identity: identityOf(facts, job)});
 		if (!facts.isAddressReassigned && !isForeign) {
 			// A garbled response may lack any header, so only one that names the request shows that a limit has ended
 			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: facts.id === job.id});
@@ -205,7 +217,7 @@
 				this.#crashGuard.recordData(endpoint, sentAt);
 			}
 
-			return this.#handleRefusal(send, facts, status);
+			return this.#handleRefusal(send, facts, trace);
 		}
 
 		// These statuses tell the caller that the request did not run, which the endpoint did not say
@@ -218,7 +230,7 @@
 				// Destroyed above
 			});
 			end('broken');
-			return this.#logFailure(send, {kind: 'unknown', reason: isForeign ? 'foreignAnswer' : 'unmarked'}, {status});
+			return this.#logFailure(send, {kind: 'unknown', reason: isForeign ? 'foreignAnswer' : 'unmarked'}, trace);
 		}
 
 		this.#crashGuard.recordData(endpoint, sentAt);
@@ -269,13 +281,13 @@
 		}
 	}
 
-	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number): SendResult {
+	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, trace: ResponseTrace): SendResult {
 		const {endpoint} = send;
 		if (isAddressReassigned) {
 			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id, this.#context.clock.now()), 'endpoint');
 		}
 
-		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, {status});
+		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status: trace.status}, trace);
 	}
 
 	/** Takes a run off the count after the endpoint said that the request did not run. */
@@ -336,3 +348,12 @@
 function isUnmarkedSuccess(step: SendStep, status: number, {isMarked, id}: ResponseFacts): boolean {
 	return step !== 'prefill' && status >= minSuccessStatus && status < minRedirectStatus && (!isMarked || id === undefined);
 }
+
+/** Whether a response names the request, another one, or none. */
+function identityOf({id}: ResponseFacts, job: Job): 'own' | 'other' | 'none' {
+	if (id === undefined) {
+		return 'none';
+	}
+
+	return id === job.id ? 'own' : 'other';
+}
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -18,6 +18,7 @@
 	runsLost: {name: 'gatehead_runs_lost_total', help: 'Sends whose endpoint broke off or fell silent under them, by step and by whether a part of the answer had come.', labels: ['step', 'answer']},
 	endChecks: {name: 'gatehead_end_checks_total', help: 'Looks at endpoints that cut a connection before any answer, by what was found.', labels: ['finding']},
 	crashEnds: {name: 'gatehead_crash_ends_total', help: 'Ends of endpoints noted against the contents of requests, by who saw them.', labels: ['source']},
+	responses: {name: 'gatehead_responses_total', help: 'Responses of endpoints to sends, by step and by the request that they name: `own`, `other` or `none`.', labels: ['step', 'identity']},
 	responseEnds: {name: 'gatehead_response_ends_total', help: 'Responses of endpoints that ended completely, by step and framing; `connection`: neither a length nor chunks.', labels: ['step', 'framing']},
 	reservations: {name: 'gatehead_reservations_total', help: 'Reservations of decode memory asked for, by outcome.', labels: ['outcome']},
 	callAdmissions: {name: 'gatehead_call_admissions_total', help: 'Calls to plain services whose load is managed, by whether they were sent at once, after a wait, or rejected.', labels: ['outcome']},
