Fix: a response is used only once it names the request that was sent

Cause: `Sender.#classifyResponse` believed "not run" (and 421, signals, the idle timeout, contact, crash evidence) before it compared the response's id, and a missing id passed for rejections and failures. A duplicate of a rejection of another request, in the place of the next response on its connection, was taken for the present request's.

Change: `exchange` returns a response only with the facts that its `verify` reads from one that names this request; else it closes the connection and fails with `foreign`, outcome unknown. A request uses a connection once, so that a duplicate of an earlier response to it cannot arrive in its place. An idle connection that closes leaves its pool at once: until its close was reported, a request could be assigned to it and count as sent.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -241,6 +241,7 @@
 			runs: 0,
 			sends: 0,
 			arrivals: 0,
+			connections: new WeakSet(),
 			retryPermits: [],
 			usedPermit: undefined,
 			isContentHeld: false,
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -50,8 +50,14 @@
 	return stateOf(socket).earlierRequests;
 }
 
-function destroyOnData(this: Socket): void {
-	this.destroy();
+/** Closes an idle connection. Its agent must forget it first: a destroyed connection stays in the agent's list until it reports its close, and a request would fail on it. */
+function closeIdleSocket(socket: Socket): void {
+	socket.emit('agentRemove');
+	socket.destroy();
+}
+
+function closeOnData(this: Socket): void {
+	closeIdleSocket(this);
 }
 
 /** Connection pool of one endpoint. */
@@ -79,6 +85,16 @@
 		return sockets.some(socket => socket !== undefined && !socket.destroyed && !socket.connecting);
 	}
 
+	/** Closes the idle connections that match. */
+	closeIdle(isMatch: (socket: Socket) => boolean): void {
+		for (const sockets of Object.values(this.freeSockets)) {
+			// Closing a connection changes the list
+			for (const socket of [...sockets ?? []].filter(each => isMatch(each))) {
+				closeIdleSocket(socket);
+			}
+		}
+	}
+
 	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
 		this.#onOpen();
 		const [{host, port}] = parameters;
@@ -94,7 +110,7 @@
 
 		socket.setTimeout(idleMs);
 		// Bytes on an idle connection belong to no request
-		socket.on('data', destroyOnData);
+		socket.on('data', closeOnData);
 		return true;
 	}
 
@@ -102,7 +118,7 @@
 	override reuseSocket(socket: Duplex, request: ClientRequest): void {
 		// Removes the error listener that Node's agent adds to idle connections
 		super.reuseSocket(socket, request);
-		socket.off('data', destroyOnData);
+		socket.off('data', closeOnData);
 		stateOf(socket).earlierRequests += 1;
 		if (socket instanceof Socket) {
 			socket.setTimeout(0);
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -6,7 +6,7 @@
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type EndpointCall} from '../core/dialect.js';
 import {type BaseContext, type RelayContext} from '../core/context.js';
-import {setIdleTimeout, preventReuse} from './connection-pool.js';
+import {setIdleTimeout} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
 import {ExchangeError, readBody} from './exchange.js';
@@ -107,21 +107,21 @@
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
-		const response = await exchangeWith(this.#endpoints, endpoint, {
+		const {response, facts} = await exchangeWith(this.#endpoints, endpoint, {
 			method, target: path, headers: fields, body: bytes,
 		}, {
-			clock, connectMs: settings.timing.connectMs, headMs, signal,
+			clock,
+			connectMs: settings.timing.connectMs,
+			headMs,
+			signal,
+			verify(response) {
+				const facts = dialect.readResponse(response.statusCode ?? 0, response.headers);
+				// The response to a request of a caller, late or duplicated
+				return facts.id === undefined ? facts : undefined;
+			},
 		});
 		const status = response.statusCode ?? 0;
-		const facts = dialect.readResponse(status, response.headers);
 		setIdleTimeout(response.socket, facts.keepAliveMs);
-		if (facts.id !== undefined) {
-			// The response to a request of a caller, late or duplicated
-			preventReuse(response.socket);
-			response.destroy();
-			throw new ExchangeError('reset', true, new Error('the response belongs to another request'));
-		}
-
 		if (!facts.isAddressReassigned) {
 			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt: clock.now(), isComplete: false});
 		}
--- a/packages/relay/src/upstream/endpoint-exchange.ts
+++ b/packages/relay/src/upstream/endpoint-exchange.ts
@@ -1,13 +1,12 @@
 /** Exchanges with endpoints, recorded as evidence of this host's links to them. */
-import {type IncomingMessage} from 'node:http';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type Endpoints} from './endpoints.js';
 import {
-	exchange, ExchangeError, type ExchangeOptions, type OutgoingRequest,
+	exchange, ExchangeError, type ExchangeOptions, type OutgoingRequest, type VerifiedResponse,
 } from './exchange.js';
 
 /** Makes an exchange over the endpoint's connection pool; rejects with an `ExchangeError`. */
-export async function exchangeWith(endpoints: Endpoints, endpoint: Endpoint, outgoing: Omit<OutgoingRequest, 'address'>, options: ExchangeOptions): Promise<IncomingMessage> {
+export async function exchangeWith<Facts>(endpoints: Endpoints, endpoint: Endpoint, outgoing: Omit<OutgoingRequest, 'address'>, options: ExchangeOptions<Facts>): Promise<VerifiedResponse<Facts>> {
 	const {clock} = options;
 	const startedAt = clock.now();
 	endpoints.contacts.recordSend(endpoint.id, startedAt);
@@ -16,9 +15,9 @@
 	};
 
 	try {
-		const response = await exchange({...outgoing, address: endpoint.address}, endpoints.connectionsOf(endpoint), {...options, releasesBody: endpoints.isLoadManaged, onConnected: recordContact});
+		const verified = await exchange({...outgoing, address: endpoint.address}, endpoints.connectionsOf(endpoint), {...options, releasesBody: endpoints.isLoadManaged, onConnected: recordContact});
 		recordContact();
-		return response;
+		return verified;
 	} catch (error) {
 		if (error instanceof ExchangeError && error.isLinkFailure) {
 			endpoints.recordLinkFailure(endpoint, startedAt);
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -89,12 +89,12 @@
 
 function createOptions(signal = new AbortController().signal) {
 	return {
-		clock: systemClock, connectMs: 5000, headMs: 5000, signal,
+		clock: systemClock, connectMs: 5000, headMs: 5000, signal, verify: () => ({}),
 	};
 }
 
 async function fetchBody(address: string, connections: ConnectionPool): Promise<string> {
-	const response = await exchange(createRequest(address), connections, createOptions());
+	const {response} = await exchange(createRequest(address), connections, createOptions());
 	return Buffer.from(await readBody(response, 1000)).toString('utf8');
 }
 
@@ -128,7 +128,7 @@
 				const outgoing = {
 					...createRequest(address), method: 'POST', headers: ['Host', address, 'Content-Length', String(bodyBytes)], body: new Uint8Array(bodyBytes),
 				};
-				const response = await exchange(outgoing, connections, {...createOptions(), releasesBody});
+				const {response} = await exchange(outgoing, connections, {...createOptions(), releasesBody});
 				expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
 				await new Promise(resolve => {
 					setTimeout(resolve, 50);
@@ -197,7 +197,7 @@
 		});
 		const connections = new ConnectionPool(1, ignore);
 		try {
-			const response = await exchange(createRequest(address), connections, {...createOptions(), headMs: 100});
+			const {response} = await exchange(createRequest(address), connections, {...createOptions(), headMs: 100});
 			expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
 		} finally {
 			connections.destroy();
@@ -227,7 +227,7 @@
 		const connections = new ConnectionPool(2, ignore);
 		try {
 			for (let time = 0; time < 2; time += 1) {
-				const response = await exchange(createRequest(address), connections, createOptions());
+				const {response} = await exchange(createRequest(address), connections, createOptions());
 				setIdleTimeout(response.socket, 5000);
 				expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
 				await new Promise(resolve => {
@@ -250,7 +250,7 @@
 		const counts: number[] = [];
 		try {
 			for (let time = 0; time < 4; time += 1) {
-				const response = await exchange(createRequest(address), connections, createOptions());
+				const {response} = await exchange(createRequest(address), connections, createOptions());
 				const {socket} = response;
 				setIdleTimeout(socket, 5000);
 				await readBody(response, 1000);
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -1,15 +1,19 @@
 /**
  * One HTTP exchange with an endpoint. Safety: `mayHaveBeenSent` is true as
  * soon as a byte of the request may have reached the endpoint. Only an error
- * with `mayHaveBeenSent` false proves that the request did not run.
+ * with `mayHaveBeenSent` false proves that the request did not run. No part of
+ * a response is used before it is known to answer the request.
  */
 import {
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
 import {checkEnd, watchEnd} from '@gatehead/host/utils/response-end';
+import {receiveHead} from '@gatehead/host/utils/response-head';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {readBytes} from '../utils/read-bytes.js';
 import {preventReuse, type ConnectionPool} from './connection-pool.js';
 
@@ -24,7 +28,8 @@
 	readonly body: Uint8Array | undefined;
 };
 
-export type ExchangeFault = 'connect' | 'reset' | 'silent' | 'aborted' | 'tooLarge';
+/** `foreign`: the response does not answer the request. */
+export type ExchangeFault = 'connect' | 'reset' | 'silent' | 'aborted' | 'tooLarge' | 'foreign';
 
 /** A failed exchange. `mayHaveBeenSent`: a byte of the request may have reached the endpoint. `isLinkFailure`: an attempt to connect failed. */
 export class ExchangeError extends Error {
@@ -64,13 +69,17 @@
 	};
 }
 
-/** Timeouts and cancellation of an exchange. */
-export type ExchangeOptions = {
+/** Timeouts, cancellation and verification of an exchange. */
+export type ExchangeOptions<Facts> = {
 	readonly clock: Clock;
 	readonly connectMs: number;
 	/** Time until the response headers, from when the request is written, in milliseconds. */
 	readonly headMs: number;
 	readonly signal: AbortSignal;
+	/** Reads what the response states; undefined if it does not answer this request. Nothing else of a response is used before. */
+	readonly verify: (response: IncomingMessage) => Facts | undefined;
+	/** Connections that carried the request before; the one used is added. A duplicate of an earlier response to the request could not be told from a new one there. */
+	readonly usedConnections?: WeakSet<Duplex>;
 	/** Called right before the first byte is written; if it returns false, nothing is sent. */
 	readonly maySend?: () => boolean;
 	/** Whether the connection is closed once the response has ended while a part of the body is unread; otherwise both stay until the endpoint closes the connection. */
@@ -79,6 +88,12 @@
 	readonly onConnected?: () => void;
 };
 
+/** A response that answers the request, and what it states. */
+export type VerifiedResponse<Facts> = {
+	readonly response: IncomingMessage;
+	readonly facts: Facts;
+};
+
 type ExchangeState = {
 	mayHaveBeenSent: boolean;
 	fault: ExchangeFault;
@@ -88,13 +103,14 @@
 };
 
 /** Writes the request to its established connection. */
-function sendRequest(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions, state: ExchangeState): void {
-	if (options.signal.aborted || options.maySend?.() === false) {
+function sendRequest<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): void {
+	if (options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.() === false) {
 		state.fault = 'aborted';
 		clientRequest.destroy(new Error('canceled before the request was sent'));
 		return;
 	}
 
+	options.usedConnections?.add(socket);
 	state.mayHaveBeenSent = true;
 	state.fault = 'reset';
 	state.timer?.stop();
@@ -130,51 +146,67 @@
 	}
 }
 
-/** Sends a request and resolves once the response headers arrive; rejects with an `ExchangeError`. */
-export async function exchange(outgoing: OutgoingRequest, connections: ConnectionPool, options: ExchangeOptions): Promise<IncomingMessage> {
+/** Sends a request and resolves once the headers of its response arrive; rejects with an `ExchangeError`. */
+export async function exchange<Facts>(outgoing: OutgoingRequest, connections: ConnectionPool, options: ExchangeOptions<Facts>): Promise<VerifiedResponse<Facts>> {
 	const {ip, port} = splitAddress(outgoing.address);
+	const {clock, signal, usedConnections} = options;
 	const state: ExchangeState = {
 		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
 	};
-	return new Promise<IncomingMessage>((resolve, reject) => {
-		const clientRequest = httpRequest({
-			host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
-		});
-		state.timer = startTimeout(options.clock, options.connectMs, () => {
-			clientRequest.destroy(new Error('timed out waiting for a connection'));
-		});
-		const abort = () => {
-			state.fault = 'aborted';
-			clientRequest.destroy(new Error('aborted'));
-		};
-
-		options.signal.addEventListener('abort', abort, {once: true});
-		clientRequest.once('socket', socket => {
-			if (socket.connecting) {
-				state.isConnecting = true;
-				socket.once('connect', () => {
-					options.onConnected?.();
-					sendRequest(clientRequest, socket, outgoing, options, state);
-				});
-			} else {
+	if (usedConnections !== undefined) {
+		connections.closeIdle(socket => usedConnections.has(socket));
+	}
+
+	const clientRequest = httpRequest({
+		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
+	});
+	state.timer = startTimeout(clock, options.connectMs, () => {
+		clientRequest.destroy(new Error('timed out waiting for a connection'));
+	});
+	const abort = () => {
+		state.fault = 'aborted';
+		clientRequest.destroy(new Error('aborted'));
+	};
+
+	signal.addEventListener('abort', abort, {once: true});
+	clientRequest.once('socket', socket => {
+		if (socket.connecting) {
+			state.isConnecting = true;
+			socket.once('connect', () => {
+				options.onConnected?.();
 				sendRequest(clientRequest, socket, outgoing, options, state);
-			}
-		});
-		clientRequest.once('response', response => {
-			state.timer?.stop();
-			watchEnd(clientRequest, response);
-			response.once('close', () => {
-				options.signal.removeEventListener('abort', abort);
 			});
-			resolve(response);
-		});
-		// Never removed: errors may follow the response headers, and are handled by the response's reader
-		clientRequest.on('error', error => {
-			state.timer?.stop();
-			options.signal.removeEventListener('abort', abort);
-			reject(new ExchangeError(state.fault, state.mayHaveBeenSent, error, state.isConnecting && state.fault === 'connect'));
+		} else {
+			sendRequest(clientRequest, socket, outgoing, options, state);
+		}
+	});
+	clientRequest.once('response', response => {
+		state.timer?.stop();
+		watchEnd(clientRequest, response);
+		response.once('close', () => {
+			signal.removeEventListener('abort', abort);
 		});
 	});
+	try {
+		return verifyResponse(await receiveHead(clientRequest), options);
+	} catch (error) {
+		state.timer?.stop();
+		signal.removeEventListener('abort', abort);
+		throw error instanceof ExchangeError ? error : new ExchangeError(state.fault, state.mayHaveBeenSent, error, state.isConnecting && state.fault === 'connect');
+	}
+}
+
+/** Returns what a response states. Closes the connection and throws if the response does not answer the request: what follows on the connection cannot be attributed either. */
+function verifyResponse<Facts>(response: IncomingMessage, {verify}: Pick<ExchangeOptions<Facts>, 'verify'>): VerifiedResponse<Facts> {
+	response.on('error', ignore);
+	const facts = verify(response);
+	if (facts === undefined) {
+		preventReuse(response.socket);
+		response.destroy();
+		throw new ExchangeError('foreign', true, new Error('the response does not answer this request'));
+	}
+
+	return {response, facts};
 }
 
 /** Reads a body of at most `maxBytes` bytes; rejects with an `ExchangeError` if it is truncated or larger. */
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -10,6 +10,7 @@
 import {findCode, type Code} from '@gatehead/schema/codes';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayContext} from '../core/context.js';
+import {type ResponseFacts} from '../core/dialect.js';
 import {isOff} from '../core/experiment.js';
 import {errorCodeHeader, writeForwardFacts} from '../core/forward-facts.js';
 import {readPeerTls, type PeerTls} from '../core/peer-tls.js';
@@ -135,7 +136,7 @@
 	}
 
 	async #sendTo({host}: MemberRecord, address: string, job: Job, options: ForwardOptions): Promise<ForwardResult> {
-		const {budgets, context: {clock, settings: {timing}}} = this.#parts;
+		const {budgets, context: {clock, dialect, settings: {timing}}} = this.#parts;
 		const before = {runs: job.runs, mayHaveRun: job.mayHaveRun};
 		const undoRuns = () => {
 			job.runs = before.runs;
@@ -144,10 +145,10 @@
 
 		const finish = this.#begin(host);
 		try {
-			const response = await exchange({
+			const {response, facts} = await exchange({
 				address, method: job.method, target: job.target, headers: this.#buildHeaders(job, options), body: job.body,
 			}, this.#poolOf(address), {
-				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, maySend() {
+				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, usedConnections: job.connections, verify: response => dialect.readResponse(response.statusCode ?? 0, response.headers), maySend() {
 					if (!budgets.admit(job)) {
 						return false;
 					}
@@ -157,7 +158,7 @@
 					return true;
 				},
 			});
-			const result = this.#classify(host, job, response, finish);
+			const result = this.#classify(host, job, response, facts, finish);
 			if (result.kind === 'refused') {
 				undoRuns();
 				if (unsentCodes.has(result.code)) {
@@ -179,10 +180,8 @@
 		}
 	}
 
-	#classify(host: string, job: Job, response: IncomingMessage, finish: () => void): ForwardResult {
-		const {dialect} = this.#parts.context;
+	#classify(host: string, job: Job, response: IncomingMessage, facts: ResponseFacts, finish: () => void): ForwardResult {
 		const status = response.statusCode ?? 0;
-		const facts = dialect.readResponse(status, response.headers);
 		setIdleTimeout(response.socket, facts.keepAliveMs);
 		const code = readErrorCode(response);
 		const isForeign = facts.id !== undefined && facts.id !== job.id;
--- a/packages/relay/src/upstream/receive-chunks.test.ts
+++ b/packages/relay/src/upstream/receive-chunks.test.ts
@@ -86,10 +86,10 @@
 			const address = `127.0.0.1:${port}`;
 			const connections = new ConnectionPool(1, ignore);
 			try {
-				const response = await exchange({
+				const {response} = await exchange({
 					address, method: 'GET', target: '/', headers: ['Host', address], body: undefined,
 				}, connections, {
-					clock: systemClock, connectMs: 5000, headMs: 5000, signal: new AbortController().signal,
+					clock: systemClock, connectMs: 5000, headMs: 5000, signal: new AbortController().signal, verify: () => ({}),
 				});
 				expect(await receiveSlowly(response)).toEqual({body, fails});
 			} finally {
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -1,8 +1,8 @@
 /**
  * Sends one request to one endpoint and classifies the outcome. Safety:
  * `notRun` is returned only if no byte was sent or the endpoint itself says
- * that the request did not run; a response that names another request is
- * never used.
+ * that the request did not run; a response that does not name this request,
+ * or may be a duplicate of an earlier response to it, is never used.
  */
 import {type IncomingMessage} from 'node:http';
 import {framingOf} from '@gatehead/host/utils/response-framing';
@@ -38,7 +38,7 @@
 	/** The request did not run there. */
 		| {readonly kind: 'notRun'; readonly reason: ExchangeFault | 'refused' | 'otherEndpoint' | 'held' | 'limited'; readonly status: number}
 	/** The request may have run. */
-		| {readonly kind: 'unknown'; readonly reason: ExchangeFault | 'foreignAnswer' | 'unmarked'};
+		| {readonly kind: 'unknown'; readonly reason: ExchangeFault | 'unmarked'};
 
 export type Send = {
 	readonly job: Job;
@@ -58,7 +58,7 @@
 
 /** Outcome of each fault in terms of the endpoint's health; an abort has none. */
 const faultOutcomes: Readonly<Record<ExchangeFault, Outcome | undefined>> = {
-	connect: 'silent', reset: 'broken', silent: 'silent', aborted: undefined, tooLarge: 'broken',
+	connect: 'silent', reset: 'broken', silent: 'silent', aborted: undefined, tooLarge: 'broken', foreign: 'broken',
 };
 
 /** Abort reason of a send whose request was answered by another endpoint. */
@@ -66,7 +66,7 @@
 /** Reason for ending a stream that stalled on an open connection. */
 export const stallReason = 'silent';
 
-/** What the log tells of a response that is not passed on. */
+/** What the log tells of the response to a failed send. */
 type ResponseTrace = {
 	readonly status: number;
 	/** Request that the response names; empty: none. */
@@ -124,21 +124,29 @@
 			job.sends += 1;
 		}
 
+		let trace: ResponseTrace | undefined;
 		try {
-			const response = await exchangeWith(this.#endpoints, endpoint, {
+			const {response, facts} = await exchangeWith(this.#endpoints, endpoint, {
 				method: job.method, target: job.target, headers: this.#buildHeaders(send), body: job.body,
 			}, {
 				clock,
 				connectMs: settings.timing.connectMs,
 				headMs,
 				signal,
+				usedConnections: job.connections,
+				verify: response => {
+					const facts = this.#context.dialect.readResponse(response.statusCode ?? 0, response.headers);
+					trace = {status: response.statusCode ?? 0, responseId: facts.id ?? '', earlierRequests: countEarlierRequests(response.socket)};
+					metrics.add('responses', {step, identity: identityOf(facts, job)});
+					return facts.id === job.facts.id ? facts : undefined;
+				},
 				maySend: () => clock.now() <= permit.sendBy && this.#maySend(send),
 			});
-			const sent = this.#classifyResponse(send, response, finish, startedAt);
+			const sent = this.#classifyResponse(send, response, facts, finish, startedAt);
 			metrics.add('sends', {step, outcome: sent.kind === 'answer' ? `status${Math.floor((response.statusCode ?? 0) / 100)}` : sent.reason});
 			return sent;
 		} catch (error) {
-			const sent = this.#classifyFailure(send, error, startedAt);
+			const sent = this.#classifyFailure(send, error, startedAt, trace);
 			finish();
 			metrics.add('sends', {step, outcome: sent.reason});
 			return sent;
@@ -186,24 +194,19 @@
 		})];
 	}
 
-	#classifyResponse(send: Send, response: IncomingMessage, finish: () => void, sentAt: number): SendResult {
+	#classifyResponse(send: Send, response: IncomingMessage, facts: ResponseFacts, finish: () => void, sentAt: number): SendResult {
 		const {job, step, endpoint} = send;
 		const status = response.statusCode ?? 0;
-		const facts = this.#context.dialect.readResponse(status, response.headers);
 		const {socket} = response;
-		const {metrics} = this.#context;
 		setIdleTimeout(socket, facts.keepAliveMs);
 		const end = (outcome: Outcome) => {
 			finish();
 			this.#endpoints.judge(endpoint, outcome);
 		};
 
-		const trace = {status, responseId: facts.id ?? '', earlierRequests: countEarlierRequests(socket)};
-		const isForeign = facts.id !== undefined && facts.id !== job.id;
-		metrics.add('responses', {step, identity: identityOf(facts, job)});
-		if (!facts.isAddressReassigned && !isForeign) {
+		if (!facts.isAddressReassigned) {
 			// A garbled response may lack any header, so only one that names the request shows that a limit has ended
-			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: facts.id === job.id});
+			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt, isComplete: facts.id !== undefined});
 		}
 
 		if (facts.isNotRun || facts.isAddressReassigned) {
@@ -217,20 +220,20 @@
 				this.#crashGuard.recordData(endpoint, sentAt);
 			}
 
-			return this.#handleRefusal(send, facts, trace);
+			return this.#handleRefusal(send, facts, status);
 		}
 
 		// These statuses tell the caller that the request did not run, which the endpoint did not say
 		const isUnbackedPromise = notRunStatuses.has(status);
 		const isUnmarked = isUnbackedPromise || isUnmarkedSuccess(step, status, facts);
-		if (isForeign || isUnmarked || response.headers['content-encoding'] !== undefined) {
+		if (isUnmarked || response.headers['content-encoding'] !== undefined) {
 			preventReuse(socket);
 			response.destroy();
 			response.on('error', () => {
 				// Destroyed above
 			});
 			end('broken');
-			return this.#logFailure(send, {kind: 'unknown', reason: isForeign ? 'foreignAnswer' : 'unmarked'}, trace);
+			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, {status});
 		}
 
 		this.#crashGuard.recordData(endpoint, sentAt);
@@ -281,13 +284,13 @@
 		}
 	}
 
-	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, trace: ResponseTrace): SendResult {
+	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number): SendResult {
 		const {endpoint} = send;
 		if (isAddressReassigned) {
 			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id, this.#context.clock.now()), 'endpoint');
 		}
 
-		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status: trace.status}, trace);
+		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, {status});
 	}
 
 	/** Takes a run off the count after the endpoint said that the request did not run. */
@@ -308,7 +311,7 @@
 		});
 	}
 
-	#classifyFailure(send: Send, error: unknown, sentAt: number): Exclude<SendResult, {kind: 'answer'}> {
+	#classifyFailure(send: Send, error: unknown, sentAt: number, trace: ResponseTrace | undefined): Exclude<SendResult, {kind: 'answer'}> {
 		const {job} = send;
 		const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 		// An endpoint that exceeded the target time before the abort may be unresponsive, or the request long
@@ -320,7 +323,8 @@
 			this.#endpoints.judge(send.endpoint, outcome);
 		}
 
-		if (fault.mayHaveBeenSent && send.signal.reason !== answeredElsewhere) {
+		// A response that cannot be attributed tells nothing of the run
+		if (fault.mayHaveBeenSent && fault.fault !== 'foreign' && send.signal.reason !== answeredElsewhere) {
 			this.#recordLoss(send, {
 				sentAt, answeredAt: undefined, isConnectionLost: fault.fault === 'reset', reason: fault.fault,
 			});
@@ -330,7 +334,7 @@
 			return this.#logFailure(send, {kind: 'notRun', reason: 'held', status: 0}, {});
 		}
 
-		const facts = {detail: fault.message};
+		const facts = {detail: fault.message, ...trace};
 		return fault.mayHaveBeenSent
 			? this.#logFailure(send, {kind: 'unknown', reason: fault.fault}, facts)
 			: this.#logFailure(send, {kind: 'notRun', reason: fault.fault, status: 0}, facts);
--- a/packages/standin/src/wire/forward-tls.test.ts
+++ b/packages/standin/src/wire/forward-tls.test.ts
@@ -54,8 +54,8 @@
 				const text = await exchange({
 					address, method: 'POST', target: '/', headers: ['Host', 'calls.example', 'Content-Length', '1'], body: new TextEncoder().encode('x'),
 				}, pool, {
-					clock: systemClock, connectMs, headMs: connectMs, signal: new AbortController().signal,
-				}).then(async response => new TextDecoder().decode(await readBody(response, maxBytes)), () => 'refused');
+					clock: systemClock, connectMs, headMs: connectMs, signal: new AbortController().signal, verify: () => ({}),
+				}).then(async ({response}) => new TextDecoder().decode(await readBody(response, maxBytes)), () => 'refused');
 				expect({text, count}).toEqual({text: handled === 1 ? 'served' : 'refused', count: handled});
 			} finally {
 				pool.destroy();
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -184,6 +184,10 @@
 	/** Answers a caller's request that the relay sent here. */
 	serve(exchange: Exchange): void {
 		const {request, response, id} = exchange;
+		if (id !== '') {
+			response.setHeader('Request-Id', id);
+		}
+
 		if (headerOf(request, 'expect-instance') !== this.id) {
 			response.setHeader('Replica-Id', this.id);
 			sendJson(response, 421, {});
@@ -295,7 +299,6 @@
 		this.#made += 1;
 		const handle = `${this.id}-${this.#made}`;
 		this.parts.log.results.set(handle, id);
-		response.setHeader('Request-Id', id);
 		sendJson(response, 200, {prefillHandle: handle, tokens: 1, version: 1});
 	}
 
--- /dev/null
+++ b/packages/standin/src/wire/scripted-endpoint.ts
@@ -0,0 +1,100 @@
+/** An endpoint of the platform on raw connections, so that a test decides on every byte that it sends. */
+import {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {ownAddress} from '../utils/ports.js';
+
+const headEnd = '\r\n\r\n';
+
+/** A call as it reached the endpoint. */
+export type ScriptedCall = {
+	/** Id of the request; empty: a control call. */
+	readonly id: string;
+	readonly target: string;
+	/** Values by name in small letters. */
+	readonly headers: ReadonlyMap<string, string>;
+	readonly socket: Socket;
+	/** Ids of the calls that came before on the connection. */
+	readonly earlierIds: readonly string[];
+};
+
+/** A running endpoint. */
+export type ScriptedEndpoint = {
+	readonly address: string;
+	/** Connections that are open. */
+	readonly sockets: ReadonlySet<Socket>;
+	stop(): void;
+};
+
+/** Bytes of a response whose body has a length. */
+export function writeResponse(status: number, headers: Readonly<Record<string, string>>, body = ''): string {
+	const fields = Object.entries({...headers, 'Content-Length': String(body.length)}).map(([name, value]) => `${name}: ${value}\r\n`);
+	return `HTTP/1.1 ${status} Status\r\n${fields.join('')}\r\n${body}`;
+}
+
+function readHead(head: string): Pick<ScriptedCall, 'target' | 'headers'> {
+	const [line = '', ...fields] = head.split('\r\n');
+	return {
+		target: line.split(' ')[1] ?? '',
+		headers: new Map(fields.map(field => {
+			const colon = field.indexOf(':');
+			return [field.slice(0, colon).toLowerCase(), field.slice(colon + 1).trim()];
+		})),
+	};
+}
+
+/** Passes each whole request on a connection to `answer`. */
+function serve(socket: Socket, answer: (call: ScriptedCall) => void): void {
+	const earlierIds: string[] = [];
+	let received = '';
+	socket.setNoDelay(true);
+	socket.on('error', () => {
+		// The host closes connections that it does not use any more
+	});
+	socket.on('data', (chunk: Uint8Array) => {
+		received += Buffer.from(chunk).toString('latin1');
+		const end = received.indexOf(headEnd);
+		if (end === -1) {
+			return;
+		}
+
+		const {target, headers} = readHead(received.slice(0, end));
+		const bodyEnd = end + headEnd.length + Number(headers.get('content-length') ?? 0);
+		if (received.length < bodyEnd) {
+			return;
+		}
+
+		received = received.slice(bodyEnd);
+		const id = headers.get('request-id') ?? '';
+		answer({
+			id, target, headers, socket, earlierIds: [...earlierIds],
+		});
+		earlierIds.push(id);
+	});
+}
+
+/** Starts an endpoint that calls `answer` for each request; what it writes to the connection is the response. */
+export async function startScriptedEndpoint(answer: (call: ScriptedCall) => void): Promise<ScriptedEndpoint> {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+		serve(socket, answer);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, ownAddress, resolve);
+	});
+	const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
+	return {
+		address: `${ownAddress}:${port}`,
+		sockets,
+		stop() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			server.close();
+		},
+	};
+}
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -189,7 +189,7 @@
 }
 
 /** What a replica writes under its id. */
-export function makeEntry({address, stage, slots, born, softwareVersion}: StandinReplica, state: 'ready' | 'draining'): unknown {
+export function makeEntry({address, stage, slots, born, softwareVersion}: Pick<StandinReplica, 'address' | 'stage' | 'slots' | 'born' | 'softwareVersion'>, state: 'ready' | 'draining'): unknown {
 	return {
 		...(born === undefined ? {} : {born}), service: stage === undefined ? 'plain' : 'model', address, zone: 'a', version: softwareVersion ?? 'v1', slots, state, coldRemainingMs: 0, callSeq: 0, ...(stage === undefined ? {} : {stage}),
 	};
