Fix: every exchange settles, whatever arrives in place of a response

Cause: the promise of an exchange settled on `response` and `error`. For a 101 Node's request emits `close` alone, and destroying it later does nothing.

Change: `receiveHead` has a table of all that may arrive and settles once; the relay's exchanges, the directory's client, the own front's clients and forwards, and gateheadctl use it. The operators' client has no test of its own.

--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -3,6 +3,7 @@
 import {request as httpRequest, type IncomingMessage, type RequestOptions} from 'node:http';
 import {request as httpsRequest} from 'node:https';
 import process from 'node:process';
+import {receiveHead} from '@gatehead/host/utils/response-head';
 import {splitAddress} from '@gatehead/schema/address';
 import {codes} from '@gatehead/schema/codes';
 import {fail} from '@gatehead/schema/failure';
@@ -34,16 +35,13 @@
 	const options: RequestOptions = {
 		host: ip, port, path, agent: false, signal: AbortSignal.timeout(requestTimeoutMs), headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
 	};
-	const response = await new Promise<IncomingMessage>((resolve, reject) => {
-		const call = tls === undefined
-			? httpRequest(options)
-			: httpsRequest({
-				...options, ca: readFileSync(tls.ca), cert: readFileSync(tls.certificate), key: readFileSync(tls.key),
-			});
-		call.once('response', resolve);
-		call.once('error', reject);
-		call.end();
-	});
+	const call = tls === undefined
+		? httpRequest(options)
+		: httpsRequest({
+			...options, ca: readFileSync(tls.ca), cert: readFileSync(tls.certificate), key: readFileSync(tls.key),
+		});
+	call.end();
+	const response = await receiveHead(call);
 	return {status: response.statusCode ?? 0, text: await readBody(response)};
 }
 
--- a/packages/host/src/core/http-call.ts
+++ b/packages/host/src/core/http-call.ts
@@ -9,6 +9,7 @@
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '@gatehead/schema/address';
 import {checkEnd, watchEnd} from '../utils/response-end.js';
+import {receiveHead} from '../utils/response-head.js';
 
 const maxIdleSockets = 64;
 
@@ -39,16 +40,12 @@
 }
 
 async function sendRequest(call: ClientRequest, body: Call['body']): Promise<IncomingMessage> {
-	return new Promise((resolve, reject) => {
-		call.once('response', response => {
-			watchEnd(call, response);
-			resolve(response);
-		});
-		// Never removed: errors may follow the response headers, and are handled by the response's reader
-		call.on('error', error => {
-			reject(new CallError(true, error));
-		});
-		call.end(body);
+	call.once('response', response => {
+		watchEnd(call, response);
+	});
+	call.end(body);
+	return receiveHead(call).catch((error: unknown) => {
+		throw new CallError(true, error);
 	});
 }
 
--- a/packages/host/src/front/forward.ts
+++ b/packages/host/src/front/forward.ts
@@ -10,6 +10,7 @@
 import {callerHeaders} from '@gatehead/schema/caller-protocol';
 import {Failure} from '@gatehead/schema/failure';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {receiveHead} from '../utils/response-head.js';
 import {type Call, type FrontParts} from './parts.js';
 import {sendFailure} from './reply.js';
 
@@ -39,11 +40,11 @@
 	const {ip, port} = splitAddress(member.callerAddress);
 	const proxyRequest = httpRequest({
 		host: ip, port, method: request.method, path: url.pathname + url.search, headers: selectHeaders(request, body.length), agent: false,
-	}, proxyResponse => {
+	});
+	receiveHead(proxyRequest).then(proxyResponse => {
 		response.writeHead(proxyResponse.statusCode ?? 502, proxyResponse.headers);
 		pipeline(proxyResponse, response, ignore);
-	});
-	proxyRequest.once('error', error => {
+	}, (error: unknown) => {
 		sendFailure(response, new Failure('ownerUnreachable', {cause: error}));
 	});
 	response.once('close', () => {
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -2,7 +2,8 @@
  * One HTTP exchange with an endpoint. Safety: `mayHaveBeenSent` is true as
  * soon as a byte of the request may have reached the endpoint. Only an error
  * with `mayHaveBeenSent` false proves that the request did not run. No part of
- * a response is used before it is known to answer the request.
+ * a response is used before it is known to answer the request, and every
+ * exchange settles exactly once, whatever arrives.
  */
 import {
 	request as httpRequest, type ClientRequest, type IncomingMessage,
--- /dev/null
+++ b/packages/standin/src/wire/unexpected-responses.test.ts
@@ -0,0 +1,102 @@
+/** Guards against bytes in place of a response that leave a request pending: callers that never get a response, and hosts whose streams wait behind it. */
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {expect} from 'earl';
+import {sendRequest} from './client.js';
+import {responseReaders} from './response-readers.js';
+import {startScriptedEndpoint} from './scripted-endpoint.js';
+import {startScriptedWorld, type CallKind, type ScriptedWorld} from './scripted-world.js';
+
+const okStatus = 200;
+/** Short, so that what ends with the route's timeout ends soon. */
+const routeTimes = {timeoutMs: 2000, targetLatencyMs: 900};
+
+/** Time after which a client is given up, in milliseconds. */
+const readTimeoutMs = 1000;
+
+const unexpected: ReadonlyArray<{readonly name: string; readonly bytes: string; readonly isClosed?: boolean}> = [
+	{name: 'another protocol', bytes: 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n'},
+	{name: 'another protocol that is not named', bytes: 'HTTP/1.1 101 Switching Protocols\r\n\r\n'},
+	{name: 'an informational response, then the end of the connection', bytes: 'HTTP/1.1 103 Early Hints\r\n\r\n', isClosed: true},
+	{name: 'the end of the connection', bytes: '', isClosed: true},
+	{name: 'bytes that are not HTTP', bytes: '\0\u0001nonsense\r\n\r\n'},
+	{name: 'a head that breaks off', bytes: 'HTTP/1.1 200 OK\r\nKeep-', isClosed: true},
+];
+
+const places: ReadonlyArray<{readonly name: string; readonly kind: CallKind; readonly path: string}> = [
+	{name: 'a call that may run once', kind: 'run', path: '/once/1'},
+	{name: 'a repeatable call', kind: 'run', path: '/repeatable/1'},
+	{name: 'a stream that may run once', kind: 'run', path: '/stream/1'},
+	{name: 'a resumable stream', kind: 'run', path: '/resumable/1'},
+	{name: 'a prefill', kind: 'prefill', path: '/stream/1'},
+	{name: 'a reservation', kind: 'reservation', path: '/stream/1'},
+];
+
+describe('unexpected responses', () => {
+	let scripted: ScriptedWorld;
+	let sent = 0;
+
+	before(async () => {
+		scripted = await startScriptedWorld({
+			plain: 2, prefill: 1, decode: 2, routeTimes,
+		});
+	});
+
+	after(async () => {
+		await scripted.stop();
+	});
+
+	async function send(path: string) {
+		sent += 1;
+		return sendRequest({address: scripted.caller, id: `request-${sent}`, path});
+	}
+
+	async function check({kind, path}: typeof places[number], {bytes, isClosed = false}: typeof unexpected[number]): Promise<void> {
+		await scripted.publish();
+		let isPending = true;
+		scripted.intercept = ({socket}, callKind) => {
+			if (callKind !== kind || !isPending) {
+				return false;
+			}
+
+			isPending = false;
+			socket.write(bytes);
+			if (isClosed) {
+				socket.end();
+			}
+
+			return true;
+		};
+
+		const [disturbed, other] = await Promise.all([send(path), send(path)]);
+		expect({isPending, isGivenUp: disturbed.isGivenUp || other.isGivenUp}).toEqual({isPending: false, isGivenUp: false});
+		expect([disturbed, other].some(({status}) => status === okStatus)).toEqual(true);
+		await scripted.publish();
+		const {status} = await send(path);
+		expect(status).toEqual(okStatus);
+	}
+
+	for (const place of places) {
+		for (const response of unexpected) {
+			it(`${place.name} that gets ${response.name} ends, and others are served`, async () => check(place, response));
+		}
+	}
+});
+
+describe('unexpected responses to other clients', () => {
+	for (const {name, read} of responseReaders) {
+		for (const {name: response, bytes} of unexpected.filter(({isClosed}) => isClosed !== true)) {
+			it(`${name} that gets ${response} ends`, async () => {
+				const endpoint = await startScriptedEndpoint(({socket}) => {
+					socket.write(bytes);
+				});
+				try {
+					await expect(read(endpoint.address, AbortSignal.timeout(readTimeoutMs))).toBeRejected();
+				} finally {
+					endpoint.stop();
+				}
+			});
+		}
+	}
+});
