Fix: responses without end are bounded in bytes and in time

What was unbounded: blank lines and informational responses before a head, the discarded body of a rejection, the time of a body behind the head of a reservation (later streams wait behind it), order or prefill, an event without its end (bytes, and each counted as progress), a line of an engine's stream at the own front, an operator's response.

`readBody` takes a time limit, `discardBody` replaces `resume()`, `receiveHead` bounds bytes and informational responses, the splitter joins the parts of an event once. Errors on routes that cannot be resumed keep the deadline alone.

--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -10,6 +10,8 @@
 import {readFleet, type FleetFile} from './files.js';
 
 const requestTimeoutMs = 3000;
+/** Maximum length of a response, in characters. */
+const maxResponseLength = 16_777_216;
 
 /** A host's response, or the error code and reason of a failed query. */
 export type HostResult<Answer>
@@ -23,6 +25,10 @@
 	let text = '';
 	for await (const chunk of response) {
 		text += String(chunk);
+		if (text.length > maxResponseLength) {
+			response.destroy();
+			throw new Error('the response is larger than the size limit');
+		}
 	}
 
 	return text;
--- a/packages/host/src/core/engine-client.ts
+++ b/packages/host/src/core/engine-client.ts
@@ -4,7 +4,6 @@
  * attempt of stream lines.
  */
 import {type Agent, type IncomingMessage} from 'node:http';
-import {createInterface} from 'node:readline';
 import {type z} from 'zod';
 import {
 	cancelResult, engineRefusal, enginePaths, engineReport, orderResult, prefillResult, streamLine,
@@ -17,6 +16,8 @@
 } from './http-call.js';
 
 const maxResponseLength = 4_000_000;
+/** Maximum length of a line of a stream, in UTF-16 code units; a line holds one token. */
+const maxLineLength = 65_536;
 const refusalStatus = 409;
 
 /** A result, or a refusal, by which the engine states that it neither runs the request nor holds resources for it. */
@@ -102,11 +103,26 @@
 }
 
 async function * readLines(response: IncomingMessage): AsyncGenerator<StreamLine> {
-	for await (const line of createInterface({input: response, crlfDelay: Number.POSITIVE_INFINITY})) {
-		yield check(streamLine, JSON.parse(line), 'endpointFault');
+	let rest = '';
+	response.setEncoding('utf8');
+	for await (const chunk of response) {
+		const lines = (rest + String(chunk)).split('\n');
+		rest = lines.pop() ?? '';
+		if (rest.length > maxLineLength) {
+			response.destroy();
+			fail('endpointFault', {detail: 'a line of the stream exceeds the size limit'});
+		}
+
+		for (const line of lines) {
+			yield check(streamLine, JSON.parse(line), 'endpointFault');
+		}
 	}
 
 	if (!response.complete) {
 		fail('endpointFault', {detail: 'the connection closed before the response was complete'});
 	}
+
+	if (rest !== '') {
+		yield check(streamLine, JSON.parse(rest), 'endpointFault');
+	}
 }
--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -1,11 +1,18 @@
 /**
  * Waits for the head of the response to a request. Safety: settles exactly
  * once, whatever arrives; an endpoint that sends anything but a response
- * cannot leave its request pending.
+ * cannot leave its request pending, nor occupy this process with bytes that
+ * never become one.
  */
 import {type ClientRequest, type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 
+/** Informational responses accepted before the final one. Endpoints send `100` at most. */
+const maxInformational = 8;
+/** Bytes accepted until the final response's head has ended. Node bounds one head, but neither their number nor blank lines before them. */
+const maxHeadBytes = 131_072;
+
 /** Delivered by Node as a final response if it names no protocol. */
 const switchingProtocols = 101;
 
@@ -14,6 +21,8 @@
 	readonly response: (response: IncomingMessage) => void;
 	readonly upgrade: (response: IncomingMessage, socket: Duplex) => void;
 	readonly connect: (response: IncomingMessage, socket: Duplex) => void;
+	readonly information: () => void;
+	readonly socket: (socket: Socket) => void;
 	readonly error: (error: Error) => void;
 	readonly close: () => void;
 };
@@ -21,6 +30,7 @@
 /** Resolves with the final response of a request that was created just now; rejects if there will be none. Errors that follow the head are left to the response's reader. */
 export async function receiveHead(request: ClientRequest): Promise<IncomingMessage> {
 	return new Promise<IncomingMessage>((resolve, reject) => {
+		let informational = 0;
 		// Node hands the connection over, and destroying the request no longer closes it
 		const rejectSwitch = (_response: IncomingMessage, socket: Duplex) => {
 			socket.destroy();
@@ -37,6 +47,15 @@
 			},
 			upgrade: rejectSwitch,
 			connect: rejectSwitch,
+			information() {
+				informational += 1;
+				if (informational > maxInformational) {
+					request.destroy(new Error('too many informational responses'));
+				}
+			},
+			socket(socket) {
+				limitHead(request, socket);
+			},
 			error: reject,
 			close() {
 				reject(new Error('the connection closed without a response'));
@@ -47,3 +66,21 @@
 		}
 	});
 }
+
+/** Destroys a request whose connection delivers too much before the head of its response has ended. */
+function limitHead(request: ClientRequest, socket: Socket): void {
+	const bytesBefore = socket.bytesRead;
+	const check = () => {
+		if (socket.bytesRead - bytesBefore > maxHeadBytes) {
+			request.destroy(new Error('the response head exceeds the size limit'));
+		}
+	};
+
+	const stop = () => {
+		socket.off('data', check);
+	};
+
+	socket.on('data', check);
+	request.once('response', stop);
+	request.once('close', stop);
+}
--- a/packages/policy/src/relay/event-splitter.ts
+++ b/packages/policy/src/relay/event-splitter.ts
@@ -32,9 +32,9 @@
 export class EventSplitter {
 	/** Id of the last complete event, from which a stream is resumed. */
 	lastId: string | undefined;
-	#rest: Uint8Array = noBytes;
-	/** Bytes of the rest that were scanned before. */
-	#scannedBytes = 0;
+	/** What follows the last complete event. Joined only when an event is complete: endpoints may send one in many small parts. */
+	#rest: Uint8Array[] = [];
+	#restBytes = 0;
 	#isLineEmpty = true;
 	#followsCarriageReturn = false;
 	/** Whether any line, and whether a line other than a comment, has begun since the last event. */
@@ -43,7 +43,7 @@
 
 	/** Number of bytes after the last complete event. */
 	get restBytes(): number {
-		return this.#rest.length;
+		return this.#restBytes;
 	}
 
 	/** Whether an event, or a line, has begun and is incomplete. Empty lines and whole comments may follow the last event. */
@@ -53,11 +53,10 @@
 
 	/** Appends a chunk and returns the events that it completes. */
 	push(chunk: Uint8Array): CompleteEvents {
-		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
 		let end = 0;
 		let count = 0;
-		for (let index = this.#scannedBytes; index < bytes.length; index += 1) {
-			const byte = bytes[index] ?? 0;
+		let index = 0;
+		for (const byte of chunk) {
 			if (byte === lineFeed && this.#followsCarriageReturn) {
 				// The second half of a line end, which may be that of the last event
 				this.#followsCarriageReturn = false;
@@ -66,32 +65,47 @@
 				end = index + 1;
 				count += 1;
 			}
+
+			index += 1;
+		}
+
+		const whole = end === 0 ? noBytes : this.#joinRest(chunk.subarray(0, end));
+		if (end > 0) {
+			this.#rest = [];
+			this.#restBytes = 0;
+		}
+
+		if (end < chunk.length) {
+			this.#rest.push(chunk.subarray(end));
+			this.#restBytes += chunk.length - end;
 		}
 
-		const whole = bytes.subarray(0, end);
-		this.#rest = bytes.subarray(end);
-		this.#scannedBytes = this.#rest.length;
 		this.lastId = findLastId(whole) ?? this.lastId;
 		return {bytes: whole, count};
 	}
 
 	/** Removes and returns the bytes after the last complete event. */
 	takeRest(): Uint8Array {
-		const rest = this.#rest;
+		const rest = this.#joinRest();
 		this.reset();
 		return rest;
 	}
 
 	/** Discards an incomplete event, before the stream is resumed elsewhere. */
 	reset(): void {
-		this.#rest = noBytes;
-		this.#scannedBytes = 0;
+		this.#rest = [];
+		this.#restBytes = 0;
 		this.#isLineEmpty = true;
 		this.#followsCarriageReturn = false;
 		this.#hasLines = false;
 		this.#hasFields = false;
 	}
 
+	#joinRest(...more: readonly Uint8Array[]): Uint8Array {
+		const parts = [...this.#rest, ...more];
+		return parts.length === 1 ? parts[0] ?? noBytes : Buffer.concat(parts);
+	}
+
 	/** Scans the next byte; returns whether it ends an event. A line ends with LF, CR or CR LF, an event with an empty line. */
 	#endsEvent(byte: number): boolean {
 		this.#followsCarriageReturn = byte === carriageReturn;
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -103,7 +103,8 @@
 		this.#context.log('resultFreed', {endpoint: endpoint.id, what, outcome});
 	}
 
-	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, headMs: number, signal: AbortSignal): Promise<{readonly status: number; readonly body: string}> {
+	/** `timeoutMs` holds for the head of the response, and again for its body. */
+	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal): Promise<{readonly status: number; readonly body: string}> {
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
@@ -112,7 +113,7 @@
 		}, {
 			clock,
 			connectMs: settings.timing.connectMs,
-			headMs,
+			headMs: timeoutMs,
 			signal,
 			verify(response) {
 				const facts = dialect.readResponse(response.statusCode ?? 0, response.headers);
@@ -126,6 +127,6 @@
 			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt: clock.now(), isComplete: false});
 		}
 
-		return {status, body: new TextDecoder().decode(await readBody(response, maxResponseBytes))};
+		return {status, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes: maxResponseBytes, timeoutMs}))};
 	}
 }
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -95,7 +95,7 @@
 
 async function fetchBody(address: string, connections: ConnectionPool): Promise<string> {
 	const {response} = await exchange(createRequest(address), connections, createOptions());
-	return Buffer.from(await readBody(response, 1000)).toString('utf8');
+	return Buffer.from(await readBody(response, systemClock, {maxBytes: 1000})).toString('utf8');
 }
 
 /** An endpoint that answers the first part of a request and reads no more of it. */
@@ -129,7 +129,7 @@
 					...createRequest(address), method: 'POST', headers: ['Host', address, 'Content-Length', String(bodyBytes)], body: new Uint8Array(bodyBytes),
 				};
 				const {response} = await exchange(outgoing, connections, {...createOptions(), releasesBody});
-				expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
+				expect(Buffer.from(await readBody(response, systemClock, {maxBytes: 1000})).toString('utf8')).toEqual('hello');
 				await new Promise(resolve => {
 					setTimeout(resolve, 50);
 				});
@@ -198,7 +198,7 @@
 		const connections = new ConnectionPool(1, ignore);
 		try {
 			const {response} = await exchange(createRequest(address), connections, {...createOptions(), headMs: 100});
-			expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
+			expect(Buffer.from(await readBody(response, systemClock, {maxBytes: 1000})).toString('utf8')).toEqual('hello');
 		} finally {
 			connections.destroy();
 			server.close();
@@ -229,7 +229,7 @@
 			for (let time = 0; time < 2; time += 1) {
 				const {response} = await exchange(createRequest(address), connections, createOptions());
 				setIdleTimeout(response.socket, 5000);
-				expect(Buffer.from(await readBody(response, 1000)).toString('utf8')).toEqual('hello');
+				expect(Buffer.from(await readBody(response, systemClock, {maxBytes: 1000})).toString('utf8')).toEqual('hello');
 				await new Promise(resolve => {
 					setImmediate(resolve);
 				});
@@ -253,7 +253,7 @@
 				const {response} = await exchange(createRequest(address), connections, createOptions());
 				const {socket} = response;
 				setIdleTimeout(socket, 5000);
-				await readBody(response, 1000);
+				await readBody(response, systemClock, {maxBytes: 1000});
 				await new Promise(resolve => {
 					setImmediate(resolve);
 				});
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -210,13 +210,49 @@
 	return {response, facts};
 }
 
-/** Reads a body of at most `maxBytes` bytes; rejects with an `ExchangeError` if it is truncated or larger. */
-export async function readBody(response: IncomingMessage, maxBytes: number): Promise<Uint8Array> {
+/** Bounds of a response's body. */
+export type BodyLimits = {
+	readonly maxBytes: number;
+	/** Time from the head to the end of the body, in milliseconds; undefined: as long as the exchange may take. */
+	readonly timeoutMs?: number | undefined;
+};
+
+/** Reads a body; rejects with an `ExchangeError` if it is truncated, too large or late. */
+export async function readBody(response: IncomingMessage, clock: Clock, {maxBytes, timeoutMs}: BodyLimits): Promise<Uint8Array> {
+	const timer = timeoutMs === undefined
+		? undefined
+		: startTimeout(clock, timeoutMs, () => {
+			response.destroy(new ExchangeError('silent', true, new Error('timed out waiting for the end of the body')));
+		});
 	try {
 		const body = await readBytes(response, maxBytes, () => new ExchangeError('tooLarge', true));
 		await checkEnd(response);
 		return body;
 	} catch (error) {
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
+	} finally {
+		timer?.stop();
 	}
 }
+
+/** Largest body of a response that is discarded so that its connection can be reused, in bytes. */
+const maxDiscardedBytes = 16_384;
+/** Time for such a body to end, in milliseconds. */
+const discardTimeoutMs = 250;
+
+/** Discards the body of a response whose head was enough. Closes the connection if the body is long or late. */
+export function discardBody(response: IncomingMessage, clock: Clock): void {
+	let size = 0;
+	const timer = clock.after(discardTimeoutMs, () => {
+		response.destroy();
+	});
+	response.on('data', (chunk: Uint8Array) => {
+		size += chunk.length;
+		if (size > maxDiscardedBytes) {
+			response.destroy();
+		}
+	});
+	response.once('close', () => {
+		timer.stop();
+	});
+}
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -18,7 +18,7 @@
 import {timeLeft, type Job} from '../work/job.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
 import {ConnectionPool, preventReuse, setIdleTimeout} from './connection-pool.js';
-import {exchange, ExchangeError} from './exchange.js';
+import {discardBody, exchange, ExchangeError} from './exchange.js';
 import {type Reachability} from './reachability.js';
 
 /** Hosts tried for one request while none has taken it. */
@@ -194,9 +194,6 @@
 		}
 
 		finish();
-		response.on('error', () => {
-			// The headers were enough
-		});
 		if (code === undefined) {
 			preventReuse(response.socket);
 			response.destroy();
@@ -205,7 +202,7 @@
 			};
 		}
 
-		response.resume();
+		discardBody(response, this.#parts.context.clock);
 		return notRunStatuses.has(status)
 			? {
 				kind: 'refused', host, code, retryAfterMs: readRetryAfterMs(response),
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -17,7 +17,7 @@
 import {countEarlierRequests, setIdleTimeout, preventReuse} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
-import {ExchangeError, type ExchangeFault} from './exchange.js';
+import {discardBody, ExchangeError, type ExchangeFault} from './exchange.js';
 import {crashWindowMs, type CrashGuard, type LostSend} from './crash-guard.js';
 import {type RateLimiter} from './rate-limiter.js';
 
@@ -211,10 +211,7 @@
 
 		if (facts.isNotRun || facts.isAddressReassigned) {
 			this.#undoRun(send);
-			response.resume();
-			response.on('error', () => {
-				// The headers were enough; the body may be truncated
-			});
+			discardBody(response, this.#context.clock);
 			end('refused');
 			if (!facts.isAddressReassigned) {
 				this.#crashGuard.recordData(endpoint, sentAt);
@@ -229,9 +226,6 @@
 		if (isUnmarked || response.headers['content-encoding'] !== undefined) {
 			preventReuse(socket);
 			response.destroy();
-			response.on('error', () => {
-				// Destroyed above
-			});
 			end('broken');
 			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, {status});
 		}
--- a/packages/relay/src/work/event-forwarder.ts
+++ b/packages/relay/src/work/event-forwarder.ts
@@ -14,6 +14,9 @@
 /** Buffered bytes below which reading goes on, since the end of a response may arrive meanwhile. */
 const minPauseBytes = 65_536;
 
+/** Bytes kept of an event that is incomplete; an event holds a few tokens. */
+const maxEventBytes = 262_144;
+
 const eventStreamType = 'text/event-stream';
 /** Longest pause, in milliseconds; an endpoint closes a response that stays unread for some seconds. */
 const maxPauseMs = 1000;
@@ -48,11 +51,15 @@
 		return this.#splitter.restBytes;
 	}
 
-	/** Forwards the events that the chunk completes, from an endpoint of the given software version. */
-	forward(response: IncomingMessage, chunk: Uint8Array, softwareVersion: string): void {
+	/** Forwards the events that the chunk completes, from an endpoint of the given software version, and returns their number. Throws an `ExchangeError` if an event is too long. */
+	forward(response: IncomingMessage, chunk: Uint8Array, softwareVersion: string): number {
 		const {bytes, count} = this.#splitter.push(chunk);
+		if (this.#splitter.restBytes > maxEventBytes) {
+			throw new ExchangeError('tooLarge', true, new Error('an event exceeds the size limit'));
+		}
+
 		if (count === 0) {
-			return;
+			return count;
 		}
 
 		const now = this.#clock.now();
@@ -65,7 +72,7 @@
 		this.#begin(response, softwareVersion);
 		this.#reply.write(bytes);
 		if (this.#reply.bufferedBytes <= this.#maxUnreadBytes) {
-			return;
+			return count;
 		}
 
 		if (this.#reply.isWatched) {
@@ -73,6 +80,8 @@
 		} else {
 			response.destroy(new Error('the caller does not read the stream'));
 		}
+
+		return count;
 	}
 
 	/** Whether reading from the endpoint has to wait for the caller. */
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -334,10 +334,12 @@
 
 	async #forwardError(sent: ForwardableResponse, endpoint: Via, status: number): Promise<DecodeResult> {
 		try {
-			const body = await readBody(sent.response, maxBodyBytes);
+			const job = this.#job;
+			// As for streams, a body that cannot come from elsewhere has no timeout but the deadline
+			const timeoutMs = job.route.isResumable ? idleTimeoutMs : undefined;
+			const body = await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes, timeoutMs});
 			await sent.confirmEnd();
 			sent.end(status >= minServerErrorStatus ? 'error' : 'good');
-			const job = this.#job;
 			if (status >= minServerErrorStatus && await this.#prepareContinuation(endpoint, `status ${status}`)) {
 				return {kind: 'retry'};
 			}
@@ -367,10 +369,13 @@
 		const idleTimeout = new IdleTimeout(response, clock, this.#job.route.isResumable ? idleTimeoutMs : undefined);
 		try {
 			for await (const chunk of receiveChunks(response)) {
-				idleTimeout.reset();
 				sent.touch();
 				await this.#recordSource(endpoint);
-				this.#events.forward(response, chunk, versionOf(endpoint));
+				if (this.#events.forward(response, chunk, versionOf(endpoint)) > 0) {
+					// Bytes that complete no event are no progress to the caller
+					idleTimeout.reset();
+				}
+
 				this.#forecast.progress(this.#events.count);
 				pace.note(this.#events.count - countBefore);
 				this.#decodePrefill.finish();
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -203,7 +203,7 @@
 
 	async #forwardHostResponse({host, response, end}: Extract<ForwardResult, {kind: 'answer'}>): Promise<JobEnd> {
 		try {
-			const body = await readBody(response, maxBodyBytes);
+			const body = await readBody(response, this.#parts.context.clock, {maxBytes: maxBodyBytes});
 			return await this.#forward({endpoint: {id: host, softwareVersion: readSoftwareVersion(response.headers)}, response, body});
 		} catch (error) {
 			this.#parts.context.log('sendFailed', {
@@ -344,7 +344,7 @@
 		}
 
 		try {
-			const body = await readBody(sent.response, maxBodyBytes);
+			const body = await readBody(sent.response, clock, {maxBytes: maxBodyBytes});
 			await sent.confirmEnd();
 			this.#parts.context.metrics.add('responseEnds', {step: 'plain', framing: framingOf(sent.response, this.#job.method)});
 			sent.end('good');
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -16,6 +16,8 @@
 const maxAttempts = 3;
 /** Time until a prefill replica counts as unresponsive, in milliseconds. Covers waiting in its queue, since prefilling a prompt twice costs more than the wait. */
 const prefillTimeoutMs = 2500;
+/** Time from a response's headers to its end, in milliseconds: its body is short and ready. */
+const bodyTimeoutMs = 500;
 /** Maximum response size; a regular response holds a result handle and two numbers. */
 const maxBodyBytes = 1_048_576;
 const okStatus = 200;
@@ -151,7 +153,7 @@
 		}
 
 		try {
-			const body = new TextDecoder().decode(await readBody(sent.response, maxBodyBytes));
+			const body = new TextDecoder().decode(await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs}));
 			const result = sent.response.statusCode === okStatus ? dialect.readPrefill(body) : undefined;
 			this.#recordAcceptance(result);
 			sent.end(result === undefined ? 'error' : 'good');
--- a/packages/standin/src/wire/forward-tls.test.ts
+++ b/packages/standin/src/wire/forward-tls.test.ts
@@ -55,7 +55,7 @@
 					address, method: 'POST', target: '/', headers: ['Host', 'calls.example', 'Content-Length', '1'], body: new TextEncoder().encode('x'),
 				}, pool, {
 					clock: systemClock, connectMs, headMs: connectMs, signal: new AbortController().signal, verify: () => ({}),
-				}).then(async ({response}) => new TextDecoder().decode(await readBody(response, maxBytes)), () => 'refused');
+				}).then(async ({response}) => new TextDecoder().decode(await readBody(response, systemClock, {maxBytes})), () => 'refused');
 				expect({text, count}).toEqual({text: handled === 1 ? 'served' : 'refused', count: handled});
 			} finally {
 				pool.destroy();
--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -31,7 +31,7 @@
 	readonly endpoints: ReadonlyMap<string, ScriptedEndpoint>;
 	/** Answers a call before the sound endpoint does; returns whether it did. Tests replace it. */
 	intercept: (call: EndpointCall, kind: CallKind) => boolean;
-	/** Writes the entries of all endpoints anew, and waits until the host uses them. */
+	/** Writes the entries of all endpoints as those of new starts, of which the host knows nothing yet, and waits until it uses them. */
 	publish(): Promise<void>;
 	/** Endpoints that the host does not use. */
 	listUnready(): string[];
@@ -75,6 +75,7 @@
 		hosts: 1, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance,
 	});
 	let made = 0;
+	let starts = 0;
 	const answers: Readonly<Record<CallKind, (call: EndpointCall) => string>> = {
 		reservation() {
 			made += 1;
@@ -106,19 +107,16 @@
 		endpoints,
 		intercept: () => false,
 		async publish() {
+			starts += 1;
 			for (const [index, [id, {address}]] of [...endpoints].entries()) {
 				world.store.put(`servers/${id}`, makeEntry({
-					address, stage: stages[index], slots: 8, born: undefined, softwareVersion: undefined,
+					address, stage: stages[index], slots: 8, born: starts, softwareVersion: undefined,
 				}, 'ready'));
 			}
 
-			const {book, health} = endpointsOf(world);
-			await until(() => [...endpoints.keys()].every(id => book.isReady(id)));
-			for (const id of endpoints.keys()) {
-				health.forget(id);
-			}
+			await until(() => scripted.listUnready().length === 0);
 		},
-		listUnready: () => [...endpoints.keys()].filter(id => !endpointsOf(world).book.isReady(id)),
+		listUnready: () => [...endpoints.keys()].map(id => `${id}@${starts}`).filter(id => !endpointsOf(world).book.isReady(id)),
 		answerSoundly(call) {
 			call.socket.write(answers[kindOf(call)](call));
 		},
