Fix: another host's response is used only if it answers this forward

Change: each forward has an id (`gatehead-forward-id`), which the other host repeats in errors and endpoints' responses alike; the entry host uses nothing without it. Hosts of earlier versions do not repeat it, so that forwards to them end with an unknown outcome while both versions run.

--- a/packages/relay/src/core/forward-facts.ts
+++ b/packages/relay/src/core/forward-facts.ts
@@ -14,6 +14,10 @@
 /** Request header with the software version that the endpoint must run, and response header with the one that it runs. */
 const softwareVersionHeader = 'gatehead-software-version';
 
+/** Header with the id of the forward, unlike any other of the entry host. Responses repeat it, which shows what they answer. */
+const forwardIdHeader = 'gatehead-forward-id';
+const maxForwardIdLength = 64;
+
 /** Metadata of a forwarded request, set by its entry host. */
 export const forwardFacts = z.object({
 	/** Host that the request entered at. */
@@ -60,6 +64,17 @@
 	return read.success ? read.data : fail('headerInvalid', {detail: read.error.message});
 }
 
+/** Header with the id of a forward, as name and value. */
+export function writeForwardId(id: string): [string, string] {
+	return [forwardIdHeader, id];
+}
+
+/** Id of the forward that a message belongs to; undefined if it states none. */
+export function readForwardId(headers: IncomingHttpHeaders): string | undefined {
+	const id = headers[forwardIdHeader];
+	return typeof id === 'string' && id.length <= maxForwardIdLength ? id : undefined;
+}
+
 /** Header that tells another host which software version the endpoint runs, as name and value. */
 export function writeSoftwareVersion(version: string): [string, string] {
 	return [softwareVersionHeader, encodeURIComponent(version)];
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -9,7 +9,9 @@
 import {type Clock} from '@gatehead/policy/utils/clock';
 import {codes, type Code} from '@gatehead/schema/codes';
 import {Failure} from '@gatehead/schema/failure';
-import {errorCodeHeader, isReservedHeader, writeSoftwareVersion} from '../core/forward-facts.js';
+import {
+	errorCodeHeader, isReservedHeader, readForwardId, writeForwardId, writeSoftwareVersion,
+} from '../core/forward-facts.js';
 import {forwardHeaders} from './headers.js';
 
 const millisecondsPerSecond = 1000;
@@ -290,6 +292,11 @@
 	#writeHead(status: number, headers: string[]): void {
 		this.firstByteAt = this.#now();
 		this.status = status;
+		const forwardId = this.#isToHost ? readForwardId(this.#response.req.headers) : undefined;
+		if (forwardId !== undefined) {
+			headers.push(...writeForwardId(forwardId));
+		}
+
 		if (this.#closesConnection()) {
 			headers.push('Connection', 'close');
 		}
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -12,7 +12,9 @@
 import {type RelayContext} from '../core/context.js';
 import {type ResponseFacts} from '../core/dialect.js';
 import {isOff} from '../core/experiment.js';
-import {errorCodeHeader, writeForwardFacts} from '../core/forward-facts.js';
+import {
+	errorCodeHeader, readForwardId, writeForwardFacts, writeForwardId,
+} from '../core/forward-facts.js';
 import {readPeerTls, type PeerTls} from '../core/peer-tls.js';
 import {notRunStatuses} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
@@ -74,6 +76,8 @@
 	readonly #inFlight = new Map<string, number>();
 	/** Hosts that did not take a request, and until when they get none. */
 	readonly #excludedUntil = new Map<string, number>();
+	/** Forwards so far; numbers their ids. */
+	#forwards = 0;
 
 	constructor(parts: PeerForwarderParts) {
 		this.#parts = parts;
@@ -144,11 +148,13 @@
 		};
 
 		const finish = this.#begin(host);
+		this.#forwards += 1;
+		const forwardId = String(this.#forwards);
 		try {
 			const {response, facts} = await exchange({
-				address, method: job.method, target: job.target, headers: this.#buildHeaders(job, options), body: job.body,
+				address, method: job.method, target: job.target, headers: [...this.#buildHeaders(job, options), ...writeForwardId(forwardId)], body: job.body,
 			}, this.#poolOf(address), {
-				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, usedConnections: job.connections, verify: response => dialect.readResponse(response.statusCode ?? 0, response.headers), maySend() {
+				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, usedConnections: job.connections, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend() {
 					if (!budgets.admit(job)) {
 						return false;
 					}
--- /dev/null
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -0,0 +1,87 @@
+/** Guards against a response of another host that answers another forward and is taken for the present one's: a request that is reported as not run, or sent again, although it runs. */
+import {describe, it} from 'node:test';
+import {parseBootSettings} from '@gatehead/platform/boot-settings';
+import {wireDialect} from '@gatehead/platform/wire-dialect';
+import {systemClock} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {seedRandom} from '@gatehead/policy/utils/random';
+import {PeerForwarder, type PeerForwarderParts} from '@gatehead/relay/upstream/peer-forwarder';
+import {Metrics} from '@gatehead/relay/utils/metrics';
+import {type Job} from '@gatehead/relay/work/job';
+import {codes} from '@gatehead/schema/codes';
+import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {expect} from 'earl';
+import {ownAddress} from '../utils/ports.js';
+import {startScriptedEndpoint, writeResponse, type ScriptedCall} from './scripted-endpoint.js';
+import {makeBoot} from './world.js';
+
+const headMs = 5000;
+
+type Case = {
+	readonly name: string;
+	readonly respond: (call: ScriptedCall) => string;
+	readonly outcome: 'answer' | 'refused' | 'unknown';
+};
+
+function nameForward({headers}: ScriptedCall): Record<string, string> {
+	return {'gatehead-forward-id': headers.get('gatehead-forward-id') ?? ''};
+}
+
+const ownError = {'gatehead-error': String(codes.overloaded.number), 'Content-Type': 'application/json'};
+
+const cases: readonly Case[] = [
+	{
+		name: 'an error that repeats the forward\'s id', outcome: 'refused', respond: call => writeResponse(503, {...ownError, ...nameForward(call)}),
+	},
+	{
+		name: 'an error that repeats another id', outcome: 'unknown', respond: () => writeResponse(503, {...ownError, 'gatehead-forward-id': 'another'}),
+	},
+	{
+		name: 'an error without an id', outcome: 'unknown', respond: () => writeResponse(503, ownError),
+	},
+	{
+		name: 'an endpoint\'s response that repeats the forward\'s id', outcome: 'answer', respond: call => writeResponse(200, {...nameForward(call), 'Request-Id': call.id, 'Server-Seal': 'seal'}, 'whole'),
+	},
+	{
+		name: 'an endpoint\'s response to another request', outcome: 'unknown', respond: call => writeResponse(200, {...nameForward(call), 'Request-Id': 'another', 'Server-Seal': 'seal'}, 'whole'),
+	},
+];
+
+const member: MemberRecord = {
+	host: 'b', hall: 'a', region: 'r', incarnation: 1, counter: 1, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0,
+};
+
+describe('responses to forwarded requests', () => {
+	for (const {name, respond, outcome} of cases) {
+		it(`${name}: ${outcome}`, async () => {
+			const peer = await startScriptedEndpoint(call => {
+				call.socket.write(respond(call));
+			});
+			const {settings} = parseBootSettings(makeBoot({
+				name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
+			}));
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+			const parts = {
+				context: {
+					clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
+				},
+				reachability: {isUnreachable: () => true},
+				budgets: {admit: () => true, discount: ignore},
+				routingVersion: () => 1,
+				listMembers: () => [{...member, hall: settings.hall, forwardAddress: peer.address}],
+			} as unknown as PeerForwarderParts;
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+			const job = {
+				id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, connections: new WeakSet(), deadlineAt: systemClock.now() + headMs, mayHaveRun: false, runs: 0,
+			} as unknown as Job;
+			const forwarder = new PeerForwarder(parts);
+			try {
+				const result = await forwarder.send(job, {attempts: 1, headMs});
+				expect({kind: result.kind, mayHaveRun: job.mayHaveRun}).toEqual({kind: outcome, mayHaveRun: outcome !== 'refused'});
+			} finally {
+				forwarder.close();
+				peer.stop();
+			}
+		});
+	}
+});
