Fix: a duplicate grant does not give one reservation to two streams

Change: a grant whose reservation came before on its connection is a duplicate; the call fails and the connection is closed. The names are kept with the connection, which carries 1,024 grants at the most.

--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -21,14 +21,21 @@
 	isUnusable: boolean;
 	/** Requests sent before the current one. */
 	earlierRequests: number;
+	/** Names of reservations granted on the connection; undefined: none. */
+	reservations: Set<string> | undefined;
 };
 
+/** Reservations granted on one connection after which it is not reused; bounds the names kept. */
+const maxReservations = 1024;
+
 const states = new WeakMap<Duplex, ConnectionState>();
 
 function stateOf(socket: Duplex): ConnectionState {
 	let state = states.get(socket);
 	if (state === undefined) {
-		state = {idleMs: defaultIdleMs, isUnusable: false, earlierRequests: 0};
+		state = {
+			idleMs: defaultIdleMs, isUnusable: false, earlierRequests: 0, reservations: undefined,
+		};
 		states.set(socket, state);
 	}
 
@@ -50,14 +57,28 @@
 	return stateOf(socket).earlierRequests;
 }
 
-/** Closes an idle connection. Its agent must forget it first: a destroyed connection stays in the agent's list until it reports its close, and a request would fail on it. */
-function closeIdleSocket(socket: Socket): void {
+/** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
+export function recordReservation(socket: Duplex, reservation: string): boolean {
+	const state = stateOf(socket);
+	state.reservations ??= new Set();
+	if (state.reservations.has(reservation)) {
+		closeConnection(socket);
+		return false;
+	}
+
+	state.reservations.add(reservation);
+	state.isUnusable ||= state.reservations.size >= maxReservations;
+	return true;
+}
+
+/** Closes a connection that is not in use. Its agent must forget it first: a destroyed connection stays in the agent's list until it reports its close, and a request would fail on it. */
+function closeConnection(socket: Duplex): void {
 	socket.emit('agentRemove');
 	socket.destroy();
 }
 
 function closeOnData(this: Socket): void {
-	closeIdleSocket(this);
+	closeConnection(this);
 }
 
 /** Connection pool of one endpoint. */
@@ -90,7 +111,7 @@
 		for (const sockets of Object.values(this.freeSockets)) {
 			// Closing a connection changes the list
 			for (const socket of [...sockets ?? []].filter(each => isMatch(each))) {
-				closeIdleSocket(socket);
+				closeConnection(socket);
 			}
 		}
 	}
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -1,12 +1,14 @@
 /**
  * Control calls from the relay to endpoints: reserve memory, cancel a
  * reservation, free a prefill result, change an engine's stage. None of them
- * runs a request.
+ * runs a request. Safety: endpoints do not name these calls in their responses,
+ * so a grant is used only if its reservation is new on its connection.
  */
+import {type Duplex} from 'node:stream';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type EndpointCall} from '../core/dialect.js';
 import {type BaseContext, type RelayContext} from '../core/context.js';
-import {setIdleTimeout} from './connection-pool.js';
+import {recordReservation, setIdleTimeout} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
 import {ExchangeError, readBody} from './exchange.js';
@@ -30,6 +32,13 @@
 		| {readonly kind: 'full'}
 		| {readonly kind: 'failed'; readonly reason: string};
 
+/** Response to a control call, and its connection. */
+type CallResult = {
+	readonly status: number;
+	readonly body: string;
+	readonly socket: Duplex;
+};
+
 type ControlCallContext = BaseContext & Pick<RelayContext, 'dialect' | 'settings'>;
 
 /** Makes control calls. */
@@ -46,8 +55,12 @@
 	async reserve(endpoint: Endpoint, tokens: number, lifeMs: number, signal: AbortSignal): Promise<ReservationAnswer> {
 		const {dialect, clock, metrics} = this.#context;
 		try {
-			const {status, body} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal);
+			const {status, body, socket} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal);
 			const reservation = status === okStatus ? dialect.readReservation(body) : undefined;
+			if (reservation !== undefined && !recordReservation(socket, reservation)) {
+				throw new ExchangeError('foreign', true, new Error('the reservation was granted before on this connection'));
+			}
+
 			metrics.add('reservations', {outcome: reservation === undefined ? 'full' : 'granted'});
 			if (reservation === undefined) {
 				this.#endpoints.noteFull(endpoint.id, tokens);
@@ -104,7 +117,7 @@
 	}
 
 	/** `timeoutMs` holds for the head of the response, and again for its body. */
-	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal): Promise<{readonly status: number; readonly body: string}> {
+	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal): Promise<CallResult> {
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
@@ -127,6 +140,7 @@
 			this.#endpoints.noteSignals(endpoint, {signals: facts.signals, sentAt: clock.now(), isComplete: false});
 		}
 
-		return {status, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes: maxResponseBytes, timeoutMs}))};
+		const {socket} = response;
+		return {status, socket, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes: maxResponseBytes, timeoutMs}))};
 	}
 }
--- a/packages/standin/src/wire/duplicate-responses.test.ts
+++ b/packages/standin/src/wire/duplicate-responses.test.ts
@@ -238,3 +238,39 @@
 		expect(new Set(scripted.takenResults).size).toEqual(2);
 	});
 });
+
+/** Guards against a duplicate of an earlier grant, by which two streams would use one reservation. */
+describe('duplicate grants of reservations', () => {
+	let scripted: ScriptedWorld;
+
+	before(async () => {
+		scripted = await startScriptedWorld({decode: 1});
+	});
+
+	after(async () => {
+		await scripted.stop();
+	});
+
+	it('two streams use two reservations', async () => {
+		let grants = 0;
+		scripted.intercept = ({socket, earlierIds}, kind) => {
+			if (kind !== 'reservation') {
+				return false;
+			}
+
+			grants += 1;
+			const name = earlierIds.length > 0 ? 'first' : `grant${grants}`;
+			socket.write(writeResponse(okStatus, {'Keep-Alive': 'timeout=5'}, JSON.stringify({hold: grants === 1 ? 'first' : name})));
+			return true;
+		};
+
+		const statuses = [];
+		for (const id of ['first', 'second']) {
+			const {status} = await sendRequest({address: scripted.caller, id, path: '/stream/1'});
+			statuses.push(status);
+		}
+
+		expect(statuses).toEqual([okStatus, okStatus]);
+		expect(new Set(scripted.takenReservations).size).toEqual(2);
+	});
+});
