Fix: a second stop signal does not end a draining process

`onStopSignal` handles every signal, and stops once.

The processes themselves were not sent two signals here.

--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -9,6 +9,7 @@
 import {checkJson} from '@gatehead/schema/check';
 import {fail, toFailure} from '@gatehead/schema/failure';
 import {settings, type Settings} from '@gatehead/schema/settings';
+import {onStopSignal} from './utils/stop-signals.js';
 import {Host} from './host.js';
 import {createLog} from './utils/log.js';
 
@@ -36,11 +37,9 @@
 		process.exit(0);
 	};
 
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.once(signal, () => {
-			void stop();
-		});
-	}
+	onStopSignal(process, () => {
+		void stop();
+	});
 
 	await host.start();
 }
