Fix: a stopping host begins only what can end before it closes

Cause: nothing compared how long a request takes with what is left of the grace period.

Change: `StopWindow` compares the deadline, or the longest of the last responses of the route, with the time left, as requests arrive and as waiting streams get their memory; others are refused at once, not run.

--- /dev/null
+++ b/packages/policy/src/relay/stop-window.test.ts
@@ -0,0 +1,59 @@
+/** Guards against requests that a stopping host begins and then cuts. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {StopWindow} from './stop-window.js';
+
+const closesAt = 7500;
+
+type Case = {
+	readonly name: string;
+	readonly now: number;
+	readonly durations: readonly number[];
+	readonly timeoutMs: number;
+	readonly isStopping?: boolean;
+	readonly mayBegin: boolean;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a host that is not stopping begins everything', now: 0, durations: [], timeoutMs: 14_000, isStopping: false, mayBegin: true,
+	},
+	{
+		name: 'a short request begins while there is time', now: 3000, durations: [100, 120], timeoutMs: 14_000, mayBegin: true,
+	},
+	{
+		name: 'a request whose deadline comes first begins', now: 6000, durations: [], timeoutMs: 1500, mayBegin: true,
+	},
+	{
+		name: 'a stream that may outlast the host does not begin', now: 3500, durations: [3700, 3900], timeoutMs: 14_000, mayBegin: false,
+	},
+	{
+		name: 'the same stream begins earlier', now: 2000, durations: [3700, 3900], timeoutMs: 14_000, mayBegin: true,
+	},
+	{
+		name: 'the longest of the last requests counts', now: 2000, durations: [6000, 100, 100], timeoutMs: 14_000, mayBegin: false,
+	},
+	{
+		name: 'a request that took long some time ago does not', now: 2000, durations: [6000, ...Array.from({length: 32}, () => 100)], timeoutMs: 14_000, mayBegin: true,
+	},
+	{
+		name: 'a call with a long timeout of an unknown duration does not begin', now: 100, durations: [], timeoutMs: 14_000, mayBegin: false,
+	},
+];
+
+describe('requests at a stopping host', () => {
+	for (const {name, now, durations, timeoutMs, isStopping = true, mayBegin} of cases) {
+		it(name, () => {
+			const window = new StopWindow();
+			for (const duration of durations) {
+				window.recordDuration('route', duration);
+			}
+
+			if (isStopping) {
+				window.begin(closesAt);
+			}
+
+			expect(window.mayBegin('route', now + timeoutMs, now)).toEqual(mayBegin);
+		});
+	}
+});
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -11,6 +11,7 @@
 import {retryAfter} from '@gatehead/policy/relay/retry-after';
 import {isDecidedByConfiguration} from '@gatehead/policy/relay/final-refusals';
 import {callerTimeoutSpread, RetryDetector} from '@gatehead/policy/relay/retry-detector';
+import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
@@ -29,6 +30,7 @@
 import {RequestContent} from '../work/request-content.js';
 import {readBytes} from '../utils/read-bytes.js';
 import {type JobEnd} from '../work/job-end.js';
+import {stoppingRetryAfterMs} from '../work/generation-failure.js';
 import {forwardHeaders} from './headers.js';
 import {Reply} from './reply.js';
 import {type UnreadLimiter} from './unread-limiter.js';
@@ -39,8 +41,6 @@
 const minKeepAliveMs = 5000;
 /** Timeout for receiving a whole request, in milliseconds: twice as long as callers wait for a response. */
 const requestTimeoutMs = 30_000;
-/** Retry-After of a stopping host, in milliseconds: short, as other hosts can serve the retry. */
-const stoppingRetryAfterMs = 50;
 /** Retry-After of a host at its request limit, in milliseconds: about as long as half of the active requests last, as the other hosts may be overloaded too. */
 const overloadRetryAfterMs = 500;
 /** Retry-After before a configuration is loaded, in milliseconds: loading that does not finish at once waits for an unavailable directory, which takes seconds, and an early retry would be rejected again. */
@@ -59,6 +59,7 @@
 	readonly streams: Pick<StreamVersions, 'resolve'>;
 	readonly unread: Pick<UnreadLimiter, 'watch'>;
 	readonly refusals: Pick<RefusalCounts, 'note'>;
+	readonly stopWindow: Pick<StopWindow, 'mayBegin' | 'recordDuration'>;
 	readonly processJob: (job: Job) => Promise<JobEnd>;
 };
 
@@ -213,6 +214,10 @@
 			: {service: chosenService, resumedVersion: forwarded.softwareVersion, streamKey: undefined};
 		const {service, resumedVersion, streamKey} = stream;
 		const timeoutMs = Math.min(facts.timeoutMs ?? route.timeoutMs, route.timeoutMs);
+		if (!this.#parts.stopWindow.mayBegin(route.name, arrivedAt + timeoutMs, clock.now())) {
+			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
+		}
+
 		const cost = await this.#admit({service, workspace}, facts, isForwarded);
 		pending.deadlineTimer = clock.after(arrivedAt + timeoutMs - clock.now(), () => {
 			controller.abort('timeUp');
@@ -330,6 +335,7 @@
 		if (reply.firstByteAt !== undefined && outcome === 'answered') {
 			metrics.time('firstByte', reply.firstByteAt - arrivedAt, {kind: route.kind});
 			metrics.time('whole', now - arrivedAt, {kind: route.kind});
+			this.#parts.stopWindow.recordDuration(route.name, now - arrivedAt);
 		}
 
 		log(outcome === 'answered' || code === undefined ? 'requestEnded' : code, {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type PaceState, type RelayStatus} from '@gatehead/schema/relay-status';
+import {StopWindow} from '@gatehead/policy/relay/stop-window';
 import {AccessControl} from './access/access-control.js';
 import {isOff} from './core/experiment.js';
 import {makeRelayContext, type RelayContext, type RelayContextParts} from './core/context.js';
@@ -68,6 +69,7 @@
 		service => (this.routing.isLoadManaged ? {unreadBytes: this.#unread.bytesByService.get(service) ?? 0} : {}),
 	];
 
+	readonly #stopWindow = new StopWindow();
 	#isStopping = false;
 
 	constructor(parts: RelayContextParts) {
@@ -181,10 +183,11 @@
 			orders: this.#stageOrders,
 			news,
 			streams,
+			stopWindow: this.#stopWindow,
 		};
 		this.#unread = new UnreadLimiter({context, isLoadManaged: () => this.routing.isLoadManaged});
 		this.#callerServer = new CallerServer({
-			context, routing: this.routing, budgets, guard: this.guard, streams, unread: this.#unread, refusals: this.#refusals, freshness: this.fleet.freshness, accessControl: new AccessControl({routing: this.routing, freshness: this.fleet.freshness, quotas: this.fleet.quotas}), processJob: async job => this.#processJob(job),
+			context, routing: this.routing, budgets, guard: this.guard, streams, unread: this.#unread, refusals: this.#refusals, stopWindow: this.#stopWindow, freshness: this.fleet.freshness, accessControl: new AccessControl({routing: this.routing, freshness: this.fleet.freshness, quotas: this.fleet.quotas}), processJob: async job => this.#processJob(job),
 		});
 		this.#forwardServer = new ForwardServer(context, async (request, response) => this.#callerServer.handleForwarded(request, response));
 		this.#auxiliaryServers = new AuxiliaryServers({
@@ -252,11 +255,12 @@
 		this.context.log('settingsReloaded', {seeds: seeds.join(' ')});
 	}
 
-	/** Stops gracefully: leaves the lookups, accepts requests until cached lookups have expired, then drains active requests within the grace period. */
+	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, then drains active requests within the grace period. */
 	async stop(): Promise<void> {
 		const {clock, log, settings: {timing}} = this.context;
 		const startedAt = clock.now();
 		this.#isStopping = true;
+		this.#stopWindow.begin(startedAt + timing.graceMs - closeMarginMs);
 		this.#stageOrders.stop();
 		log('stopping', {open: this.#callerServer.activeRequests});
 		this.fleet.leave();
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -8,6 +8,8 @@
 import {type Job} from './job.js';
 import {type JobEnd} from './job-end.js';
 
+/** Retry-After of a stopping host, in milliseconds: short, as other hosts can serve the retry. */
+export const stoppingRetryAfterMs = 50;
 /** Default `Retry-After` after a failure, in milliseconds; the failed endpoint is out of rotation by then. */
 export const defaultRetryAfterMs = 800;
 
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -18,7 +18,7 @@
 import {stallReason, type SendResult} from '../upstream/sender.js';
 import {DecodePrefill} from './decode-prefill.js';
 import {
-	defaultRetryAfterMs, failJob, refuseJob, abortJob, type Via,
+	defaultRetryAfterMs, stoppingRetryAfterMs, failJob, refuseJob, abortJob, type Via,
 } from './generation-failure.js';
 import {EventForwarder} from './event-forwarder.js';
 import {timeLeft, type Job} from './job.js';
@@ -124,6 +124,13 @@
 				return abortJob(this.#job);
 			}
 
+			if (this.#isTooLate()) {
+				const {reservation: {endpoint, name, stream}} = answer;
+				stream?.end();
+				this.#parts.ownCalls.cancelReservation(endpoint, name);
+				return refuseJob(this.#job, {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: 'the stream would outlast this host'});
+			}
+
 			this.#reservedAt = clock.now();
 			const outcome = await this.#runForecast(answer.reservation);
 			if (outcome.kind === 'ended') {
@@ -132,6 +139,13 @@
 		}
 	}
 
+	/** Whether a stream that has waited may not end before this host does. One that its caller has a part of goes on as long as it can. */
+	#isTooLate(): boolean {
+		const {route, deadlineAt, reply} = this.#job;
+		const {stopWindow, context: {clock}} = this.#parts;
+		return !reply.headersSent && !stopWindow.mayBegin(route.name, deadlineAt, clock.now());
+	}
+
 	/** Runs a round, during which its memory counts in the forecast of the replica. */
 	async #runForecast(reservation: Reservation): Promise<DecodeResult> {
 		this.#forecast.begin(reservation);
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -1,4 +1,5 @@
 /** Dependencies that the request handlers share. */
+import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type RelayContext} from '../core/context.js';
 import {type LoadGossip} from '../peer/load-gossip.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
@@ -27,4 +28,5 @@
 	readonly orders: StageOrders;
 	readonly streams: Pick<StreamVersions, 'record'>;
 	readonly news: LoadGossip;
+	readonly stopWindow: Pick<StopWindow, 'mayBegin'>;
 };
