Fix: the position of a resumed stream reaches services without an engine

Responses of such services are still buffered whole (open).

resumed-calls.test.ts: one of two cases failed before, none does now.

--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -331,7 +331,7 @@
 		this.#triedEndpoints.add(endpoint.id);
 		this.#attempts += 1;
 		const sent = await sender.send({
-			job: this.#job, step: 'plain', endpoint, facts: {}, tokens: 0, headMs: timeLeft(this.#job, clock.now()) + 1, signal,
+			job: this.#job, step: 'plain', endpoint, facts: {lastEventId: this.#job.facts.lastEventId}, tokens: 0, headMs: timeLeft(this.#job, clock.now()) + 1, signal,
 		});
 		if (sent.kind !== 'answer') {
 			if (sent.reason === 'refused') {
