--- a/packages/standin/src/wire/resumed-calls.test.ts
+++ b/packages/standin/src/wire/resumed-calls.test.ts
@@ -22,17 +22,23 @@
 		await scripted.stop();
 	});
 
-	for (const {name, headers, arrived} of cases) {
-		it(name, async () => {
-			const positions: Array<string | undefined> = [];
-			scripted.intercept = call => {
-				positions.push(call.headers.get('last-event-id'));
-				return false;
-			};
+	/** Positions that arrive at the endpoint for a request with the given headers. */
+	async function listArrived(id: string, headers: Readonly<Record<string, string>>): Promise<Array<string | undefined>> {
+		const positions: Array<string | undefined> = [];
+		scripted.intercept = call => {
+			positions.push(call.headers.get('last-event-id'));
+			return false;
+		};
 
-			await sendRequest({
-				address: scripted.caller, id: name.length.toString(), path: '/repeatable/1', headers,
-			});
+		await sendRequest({
+			address: scripted.caller, id, path: '/repeatable/1', headers,
+		});
+		return positions;
+	}
+
+	for (const [index, {name, headers, arrived}] of cases.entries()) {
+		it(name, async () => {
+			const positions = await listArrived(`request-${index}`, headers);
 			expect(positions).toEqual([arrived]);
 		});
 	}
