Tests: the places of the relay's reads stand once

Two tests had the same table of sends (duplicates); send-places.ts has it now. One comment in the field's terms.

--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -66,7 +66,7 @@
 /** Reason for ending a stream that stalled on an open connection. */
 export const stallReason = 'silent';
 
-/** What the log tells of the response to a failed send. */
+/** Fields of the response in the log line of a failed send. */
 type ResponseTrace = {
 	readonly status: number;
 	/** Request that the response names; empty: none. */
--- a/packages/standin/src/wire/endless-responses.test.ts
+++ b/packages/standin/src/wire/endless-responses.test.ts
@@ -8,6 +8,7 @@
 import {sendRequest} from './client.js';
 import {sendFlood, type Flood} from './flood.js';
 import {responseReaders} from './response-readers.js';
+import {sendPlaces, type SendPlace} from './send-places.js';
 import {startScriptedEndpoint} from './scripted-endpoint.js';
 import {startScriptedWorld, type CallKind, type ScriptedWorld} from './scripted-world.js';
 
@@ -59,31 +60,6 @@
 	name: 'an event', make: head => ({head: `${head}Content-Type: text/event-stream\r\n\r\n`, repeated: 'data: x\n'}),
 };
 
-type Place = {
-	readonly name: string;
-	readonly kind: CallKind;
-	readonly path: string;
-	/** Whether responses come a byte at a time too; one place for each way to read a response. */
-	readonly isDripped?: boolean;
-};
-
-const places: readonly Place[] = [
-	{
-		name: 'a call that may run once', kind: 'run', path: '/once/1', isDripped: true,
-	},
-	{name: 'a repeatable call', kind: 'run', path: '/repeatable/1'},
-	{name: 'a stream that may run once', kind: 'run', path: '/stream/1'},
-	{
-		name: 'a resumable stream', kind: 'run', path: '/resumable/1', isDripped: true,
-	},
-	{
-		name: 'a prefill', kind: 'prefill', path: '/stream/1', isDripped: true,
-	},
-	{
-		name: 'a reservation', kind: 'reservation', path: '/stream/1', isDripped: true,
-	},
-];
-
 const speeds = [{name: 'fast', isDrip: false}, {name: 'a byte at a time', isDrip: true}] as const;
 
 /** Largest growth of the buffers of this process while `run` goes on, in bytes. */
@@ -136,7 +112,7 @@
 		return sendRequest({address: scripted.caller, id: `request-${sent}`, path});
 	}
 
-	async function check({kind, path}: Place, {make}: Endless, isDrip: boolean): Promise<void> {
+	async function check({kind, path}: SendPlace, {make}: Endless, isDrip: boolean): Promise<void> {
 		await scripted.publish();
 		let flooded: Socket | undefined;
 		scripted.intercept = ({socket, id}, callKind) => {
@@ -162,7 +138,7 @@
 		expect(status).toEqual(okStatus);
 	}
 
-	for (const place of places) {
+	for (const place of sendPlaces) {
 		for (const response of place.path === '/resumable/1' || (place.path === '/stream/1' && place.kind === 'run') ? [...endless, endlessEvent] : endless) {
 			for (const {name, isDrip} of speeds.filter(speed => !speed.isDrip || place.isDripped === true)) {
 				it(`${place.name} that gets ${response.name} without end, ${name}`, async () => check(place, response, isDrip));
--- a/packages/standin/src/wire/unexpected-responses.test.ts
+++ b/packages/standin/src/wire/unexpected-responses.test.ts
@@ -5,8 +5,9 @@
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
 import {responseReaders} from './response-readers.js';
+import {sendPlaces, type SendPlace} from './send-places.js';
 import {startScriptedEndpoint} from './scripted-endpoint.js';
-import {startScriptedWorld, type CallKind, type ScriptedWorld} from './scripted-world.js';
+import {startScriptedWorld, type ScriptedWorld} from './scripted-world.js';
 
 const okStatus = 200;
 /** Short, so that what ends with the route's timeout ends soon. */
@@ -24,15 +25,6 @@
 	{name: 'a head that breaks off', bytes: 'HTTP/1.1 200 OK\r\nKeep-', isClosed: true},
 ];
 
-const places: ReadonlyArray<{readonly name: string; readonly kind: CallKind; readonly path: string}> = [
-	{name: 'a call that may run once', kind: 'run', path: '/once/1'},
-	{name: 'a repeatable call', kind: 'run', path: '/repeatable/1'},
-	{name: 'a stream that may run once', kind: 'run', path: '/stream/1'},
-	{name: 'a resumable stream', kind: 'run', path: '/resumable/1'},
-	{name: 'a prefill', kind: 'prefill', path: '/stream/1'},
-	{name: 'a reservation', kind: 'reservation', path: '/stream/1'},
-];
-
 describe('unexpected responses', () => {
 	let scripted: ScriptedWorld;
 	let sent = 0;
@@ -52,7 +44,7 @@
 		return sendRequest({address: scripted.caller, id: `request-${sent}`, path});
 	}
 
-	async function check({kind, path}: typeof places[number], {bytes, isClosed = false}: typeof unexpected[number]): Promise<void> {
+	async function check({kind, path}: SendPlace, {bytes, isClosed = false}: typeof unexpected[number]): Promise<void> {
 		await scripted.publish();
 		let isPending = true;
 		scripted.intercept = ({socket}, callKind) => {
@@ -77,7 +69,7 @@
 		expect(status).toEqual(okStatus);
 	}
 
-	for (const place of places) {
+	for (const place of sendPlaces) {
 		for (const response of unexpected) {
 			it(`${place.name} that gets ${response.name} ends, and others are served`, async () => check(place, response));
 		}
