Fix: a stopping host needs 16 durations of a route to trust them

Cause there: the four durations that the host had seen were 2.9 s at the most, while the stream took 4.2 s, as responses of a route differ in length.

The cases of stop-window.test.ts are padded to a sample, planned-stop.test.ts sends 16 streams first; both check what they did.

--- a/packages/policy/src/relay/stop-window.test.ts
+++ b/packages/policy/src/relay/stop-window.test.ts
@@ -4,11 +4,15 @@
 import {StopWindow} from './stop-window.js';
 
 const closesAt = 7500;
+/** Repetitions that make any duration a sample. */
+const sampleSize = 16;
 
 type Case = {
 	readonly name: string;
 	readonly now: number;
+	/** Durations, repeated until there are enough for a sample unless `isSmallSample`. */
 	readonly durations: readonly number[];
+	readonly isSmallSample?: boolean;
 	readonly timeoutMs: number;
 	readonly isStopping?: boolean;
 	readonly mayBegin: boolean;
@@ -34,10 +38,10 @@
 		name: 'the longest of the last requests counts', now: 2000, durations: [6000, 100, 100, 100], timeoutMs: 14_000, mayBegin: false,
 	},
 	{
-		name: 'a request that took long some time ago does not', now: 2000, durations: [6000, ...Array.from({length: 32}, () => 100)], timeoutMs: 14_000, mayBegin: true,
+		name: 'a request that took long some time ago does not', now: 2000, durations: [6000, ...Array.from({length: 32}, () => 100)], isSmallSample: true, timeoutMs: 14_000, mayBegin: true,
 	},
 	{
-		name: 'too few requests are no sample', now: 100, durations: [100, 100, 100], timeoutMs: 14_000, mayBegin: false,
+		name: 'too few requests are no sample', now: 100, durations: Array.from({length: 15}, () => 100), isSmallSample: true, timeoutMs: 14_000, mayBegin: false,
 	},
 	{
 		name: 'a stream as long as the time left does not begin, since it may take longer', now: 3200, durations: [3700, 3900, 3900, 3800], timeoutMs: 14_000, mayBegin: false,
@@ -48,10 +52,11 @@
 ];
 
 describe('requests at a stopping host', () => {
-	for (const {name, now, durations, timeoutMs, isStopping = true, mayBegin} of cases) {
+	for (const {name, now, durations, isSmallSample = false, timeoutMs, isStopping = true, mayBegin} of cases) {
 		it(name, () => {
 			const window = new StopWindow();
-			for (const duration of durations) {
+			const sample = isSmallSample ? durations : Array.from({length: sampleSize}, () => durations).flat();
+			for (const duration of sample) {
 				window.recordDuration('route', duration);
 			}
 
--- a/packages/policy/src/relay/stop-window.ts
+++ b/packages/policy/src/relay/stop-window.ts
@@ -6,8 +6,8 @@
 
 /** Requests of a route by whose durations the next one is judged. */
 const sampleSize = 32;
-/** Fewer are no sample. */
-const minSampleSize = 4;
+/** Fewer are no sample, since responses of a route differ in length. */
+const minSampleSize = 16;
 /** Factor by which a request may last longer than the longest of them: endpoints slow down while hosts restart. */
 const durationMargin = 1.5;
 
--- a/packages/standin/src/wire/planned-stop.test.ts
+++ b/packages/standin/src/wire/planned-stop.test.ts
@@ -9,13 +9,15 @@
 const unavailableStatus = 503;
 /** Makes a stream last about half of the time that a host has to stop. */
 const eventGapMs = 700;
+/** Responses by which a host judges how long the next one takes. */
+const sampleSize = 16;
 /** Times after the start of the stop at which streams arrive, in milliseconds. */
 const arrivalsMs = [0, 1000, 2000, 3000, 3400, 3600];
 
 describe('planned stops', () => {
 	it('a stream that reaches a stopping host is whole, or refused and not run', {timeout: 60_000}, async () => {
 		const world = await startWorld({
-			hosts: 1, plain: 0, prefill: 1, decode: 2, slots: 16, eventGapMs, routeTimes: patientTimes,
+			hosts: 1, plain: 0, prefill: 1, decode: 2, slots: 32, eventGapMs, routeTimes: patientTimes,
 		});
 		try {
 			const [{caller, relay}] = world.relays as [typeof world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
@@ -23,7 +25,7 @@
 				address: caller, id, path: '/stream/1', headers: {'Deadline-Ms': patientTimes.timeoutMs},
 			});
 			// Durations that the host judges later streams by
-			const before = await Promise.all(['a', 'b', 'c', 'd'].map(async id => send(id)));
+			const before = await Promise.all(Array.from({length: sampleSize}, async (_, index) => send(`before-${index}`)));
 			expect(before.map(({status}) => status)).toEqual(before.map(() => okStatus));
 			const stopped = relay.stop();
 			const answers = await Promise.all(arrivalsMs.map(async atMs => {
