Fix: a connection closed while idle was used again, and its request never settled

Callers saw: no response at all, not even after their timeout, and a connection that stayed open. Other requests got 502 for a send that never left.

Cause: the pool closed idle connections in the wrong order. Node's agent looks for a connection that leaves among the idle ones only if it is destroyed already; `closeConnection` let the agent forget it first. The connection thus stayed in the list for good, without a listener for its close. Of idle connections the agent checks only the first one and uses the last one, so the next request was assigned to a connection whose close had been reported. Node emits nothing for such a request, whatever destroys it, and neither the timeouts nor the deadline settled the exchange. All paths that close idle connections were concerned: sends of a request that goes to the same endpoint again, unsolicited bytes, duplicate grants. An idle connection closed by its timeout could be used until its close was reported; the request then counted as sent.

Change: connections are destroyed first. Destroyed ones are removed before a request is assigned. A request that still gets one is not sent, and `receiveHead` rejects.

Tests: exchange.test.ts, five cases.

--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -54,6 +54,13 @@
 				}
 			},
 			socket(socket) {
+				if (socket.destroyed) {
+					// Its close may have been reported before, and no other event follows
+					request.destroy();
+					reject(new Error('the connection was closed before the request was assigned to it'));
+					return;
+				}
+
 				limitHead(request, socket);
 			},
 			error: reject,
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -71,10 +71,10 @@
 	return true;
 }
 
-/** Closes a connection that is not in use. Its agent must forget it first: a destroyed connection stays in the agent's list until it reports its close, and a request would fail on it. */
+/** Closes a connection and removes it from its agent at once. The agent looks for it among the idle ones only once it is destroyed; a connection that stays there is used again after its last event, and the request on it never settles. */
 function closeConnection(socket: Duplex): void {
-	socket.emit('agentRemove');
 	socket.destroy();
+	socket.emit('agentRemove');
 }
 
 function closeOnData(this: Socket): void {
@@ -106,11 +106,11 @@
 		return sockets.some(socket => socket !== undefined && !socket.destroyed && !socket.connecting);
 	}
 
-	/** Closes the idle connections that match. */
+	/** Closes the idle connections that match, and removes those whose timeout has closed them: Node's agent uses them until their close is reported. */
 	closeIdle(isMatch: (socket: Socket) => boolean): void {
 		for (const sockets of Object.values(this.freeSockets)) {
 			// Closing a connection changes the list
-			for (const socket of [...sockets ?? []].filter(each => isMatch(each))) {
+			for (const socket of [...sockets ?? []].filter(each => each.destroyed || isMatch(each))) {
 				closeConnection(socket);
 			}
 		}
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -1,8 +1,7 @@
 /** Complete, truncated and duplicate responses, from raw sockets. */
 import {Buffer} from 'node:buffer';
-import {
-	createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
+import {once} from 'node:events';
+import {createServer, Socket, type Server} from 'node:net';
 import process from 'node:process';
 import {describe, it} from 'node:test';
 import {systemClock} from '@gatehead/policy/utils/clock';
@@ -65,6 +64,49 @@
 	},
 ];
 
+type ClosedCase = {
+	readonly name: string;
+	/** Closes the idle connection. */
+	readonly close: (connections: ConnectionPool, socket: Socket) => Promise<void> | void;
+};
+
+const closedCases: readonly ClosedCase[] = [
+	{
+		name: 'an idle connection that the pool has closed', async close(connections, socket) {
+			const closed = once(socket, 'close');
+			connections.closeIdle(each => each === socket);
+			await closed;
+		},
+	},
+	{
+		name: 'an idle connection that the pool is closing', close(connections, socket) {
+			connections.closeIdle(each => each === socket);
+		},
+	},
+	{
+		name: 'an idle connection that delivered unsolicited bytes', async close(_connections, socket) {
+			const closed = once(socket, 'close');
+			// As they arrive
+			socket.push('HTTP/1.1 200 OK\r\n\r\n');
+			await closed;
+		},
+	},
+	{
+		name: 'an idle connection whose timeout has just expired', close(_connections, socket) {
+			socket.emit('timeout');
+		},
+	},
+];
+
+/** A pool whose connections are closed when a request is assigned to them. */
+class ClosedPool extends ConnectionPool {
+	override createConnection(): Socket {
+		const socket = new Socket();
+		socket.destroy();
+		return socket;
+	}
+}
+
 async function listen(answer: Case['answer']): Promise<{readonly server: Server; readonly address: string}> {
 	const server = createServer(socket => {
 		socket.on('error', () => {
@@ -242,6 +284,47 @@
 		}
 	});
 
+	for (const {name, close} of closedCases) {
+		it(`${name} is not used for the next request`, {timeout: 5000}, async () => {
+			const {server, address} = await listen(socket => {
+				socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
+			});
+			const connections = new ConnectionPool(2, ignore);
+			try {
+				const responses = await Promise.all([1, 2].map(async () => exchange(createRequest(address), connections, createOptions())));
+				for (const {response: {socket}} of responses) {
+					setIdleTimeout(socket, 5000);
+				}
+
+				for (const {response} of responses) {
+					await readBody(response, systemClock, {maxBytes: 1000});
+				}
+
+				await new Promise(resolve => {
+					setImmediate(resolve);
+				});
+				const [first, last = new Socket()] = Object.values(connections.freeSockets).flat();
+				await close(connections, last);
+				expect(await fetchBody(address, connections)).toEqual('hello');
+				expect([first?.destroyed, last.destroyed]).toEqual([false, true]);
+			} finally {
+				connections.destroy();
+				server.close();
+			}
+		});
+	}
+
+	it('settles where the connection had closed before the request was assigned to it', {timeout: 5000}, async () => {
+		const {server, address} = await listen(ignore);
+		const connections = new ClosedPool(1, ignore);
+		try {
+			const result = await fetchBody(address, connections).catch((error: unknown) => error);
+			expect(result instanceof ExchangeError && result.mayHaveBeenSent).toEqual(false);
+		} finally {
+			server.close();
+		}
+	});
+
 	it('a reused connection does not accumulate listeners', async () => {
 		const {server, address} = await listen(socket => {
 			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -105,7 +105,7 @@
 
 /** Writes the request to its established connection. */
 function sendRequest<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): void {
-	if (options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.() === false) {
+	if (socket.destroyed || options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.() === false) {
 		state.fault = 'aborted';
 		clientRequest.destroy(new Error('canceled before the request was sent'));
 		return;
@@ -154,10 +154,7 @@
 	const state: ExchangeState = {
 		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
 	};
-	if (usedConnections !== undefined) {
-		connections.closeIdle(socket => usedConnections.has(socket));
-	}
-
+	connections.closeIdle(socket => usedConnections?.has(socket) === true);
 	const clientRequest = httpRequest({
 		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
 	});
