Fix: an exchange that waits for a connection settles at its timeout

Callers saw: a request whose endpoint had all of its connections in use (64) got no response when its time to connect or its deadline was over, but only once one of the connections was free.

Cause: Node reports that a request was destroyed only when it is given a connection.

Change: `exchange` reports it itself while the request has none. Nothing was sent, and it is no failure of the link.

Tests: exchange.test.ts, a timeout and an abort while the one connection of a pool is in use.

--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -98,6 +98,15 @@
 	},
 ];
 
+const waitingCases = [
+	{
+		name: 'times out', connectMs: 50, abortMs: 10_000, fault: 'connect',
+	},
+	{
+		name: 'is aborted', connectMs: 10_000, abortMs: 50, fault: 'aborted',
+	},
+] as const;
+
 /** A pool whose connections are closed when a request is assigned to them. */
 class ClosedPool extends ConnectionPool {
 	override createConnection(): Socket {
@@ -325,6 +334,29 @@
 		}
 	});
 
+	for (const {name, connectMs, abortMs, fault} of waitingCases) {
+		it(`${name} while all connections are in use`, {timeout: 5000}, async () => {
+			const {server, address} = await listen(ignore);
+			const connections = new ConnectionPool(1, ignore);
+			const controller = new AbortController();
+			const first = exchange(createRequest(address), connections, createOptions()).catch(ignore);
+			try {
+				const waiting = exchange(createRequest(address), connections, {...createOptions(controller.signal), connectMs}).catch((error: unknown) => error);
+				const timer = setTimeout(() => {
+					controller.abort();
+				}, abortMs);
+				const result = await waiting;
+				clearTimeout(timer);
+				const error = result instanceof ExchangeError ? result : undefined;
+				expect([error?.mayHaveBeenSent, error?.fault, error?.isLinkFailure]).toEqual([false, fault, false]);
+			} finally {
+				connections.destroy();
+				await first;
+				server.close();
+			}
+		});
+	}
+
 	it('a reused connection does not accumulate listeners', async () => {
 		const {server, address} = await listen(socket => {
 			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -140,6 +140,15 @@
 	});
 }
 
+/** Destroys a request. Node reports this only once the request has a connection, for which it may wait as long as the pool's are in use. */
+function destroyRequest(clientRequest: ClientRequest, error: Error): void {
+	const isWaiting = clientRequest.socket === null;
+	clientRequest.destroy(error);
+	if (isWaiting) {
+		clientRequest.emit('error', error);
+	}
+}
+
 /** Closes the connection of a request whose body the endpoint has not read. */
 function releaseBody(clientRequest: ClientRequest): void {
 	if (!clientRequest.writableFinished) {
@@ -159,11 +168,11 @@
 		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
 	});
 	state.timer = startTimeout(clock, options.connectMs, () => {
-		clientRequest.destroy(new Error('timed out waiting for a connection'));
+		destroyRequest(clientRequest, new Error('timed out waiting for a connection'));
 	});
 	const abort = () => {
 		state.fault = 'aborted';
-		clientRequest.destroy(new Error('aborted'));
+		destroyRequest(clientRequest, new Error('aborted'));
 	};
 
 	signal.addEventListener('abort', abort, {once: true});
