Tests: streams that callers do not read, on an injected clock

The relay is right: the cases slept for a fixed time (0.4 to 2.5 s) and then asked for what had happened, and on a busy machine filling and moving 16 MiB takes longer.

Each case now waits for the event that it is about: reading from the endpoint is paused and the kernel takes no more, or the endpoint's response has ended. The pause is on a manual clock. The checks are as before or stricter: the endpoint waits for exactly 1,000 ms of that clock (less than 1,300 ms before), no pause ends as unread 1 ms earlier, no caller is closed before the pause is over, and an endpoint that is read on is not cut.

--- a/packages/relay/src/work/event-forwarder.test.ts
+++ b/packages/relay/src/work/event-forwarder.test.ts
@@ -8,8 +8,8 @@
 import {afterEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type LogFields} from '@gatehead/host/utils/log';
-import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
+import {ManualClock} from '@gatehead/policy/utils/manual-clock';
 import {expect} from 'earl';
 import {Reply} from '../front/reply.js';
 import {UnreadLimiter} from '../front/unread-limiter.js';
@@ -20,6 +20,13 @@
 /** Larger than what the kernel buffers on both connections. */
 const eventCount = 256;
 const mebibyte = 1_048_576;
+/** Longest pause, in milliseconds. */
+const pauseMs = 1000;
+/** Interval at which a stream is observed, in milliseconds, and observations without a change after which it stands still. */
+const observationMs = 10;
+const unchangedObservations = 20;
+/** Time after which a case that stands still fails, in milliseconds. */
+const timeout = 60_000;
 const event = `data: ${'x'.repeat(eventBytes - 8)}\n\n`;
 
 const servers: Server[] = [];
@@ -41,26 +48,32 @@
 class Endpoint {
 	/** Longest time for which a write waited, in milliseconds. */
 	longestWaitMs = 0;
-	/** Times of writes that waited. */
-	waits = 0;
 	isCut = false;
+	/** Resolves when the response has been read or is cut. */
+	readonly ended: Promise<void>;
+	readonly #clock: ManualClock;
+	#onEnd: () => void = ignore;
+
+	constructor(clock: ManualClock) {
+		this.#clock = clock;
+		this.ended = new Promise(resolve => {
+			this.#onEnd = resolve;
+		});
+	}
 
 	async stream(response: ServerResponse): Promise<void> {
-		const closed = new Promise<void>(resolve => {
-			response.once('close', () => {
-				this.isCut = !response.writableFinished;
-				resolve();
-			});
+		response.once('close', () => {
+			this.isCut = !response.writableFinished;
+			this.#onEnd();
 		});
 		response.writeHead(200, {'Content-Type': 'text/event-stream'});
 		for (let index = 0; index < eventCount && !response.destroyed; index += 1) {
 			if (!response.write(event)) {
-				const startedAt = systemClock.now();
+				const startedAt = this.#clock.now();
 				await Promise.race([new Promise<void>(resolve => {
 					response.once('drain', resolve);
-				}), closed]);
-				this.waits += 1;
-				this.longestWaitMs = Math.max(this.longestWaitMs, systemClock.now() - startedAt);
+				}), this.ended]);
+				this.longestWaitMs = Math.max(this.longestWaitMs, this.#clock.now() - startedAt);
 			}
 		}
 
@@ -70,11 +83,14 @@
 
 /** A relay that forwards one endpoint's stream, as a generation does. */
 class Forwarding {
-	readonly endpoint = new Endpoint();
+	readonly clock = new ManualClock();
+	readonly endpoint = new Endpoint(this.clock);
 	readonly closed: LogFields[] = [];
 	readonly pauses: string[] = [];
 	mostBytes = 0;
 	port = 0;
+	#receivedBytes = 0;
+	#reply: Reply | undefined;
 
 	async start(isLoadManaged: boolean, maxUnreadBytes: number): Promise<void> {
 		const endpointPort = await listen((_request, response) => {
@@ -82,7 +98,7 @@
 		});
 		const limiter = new UnreadLimiter({
 			context: {
-				clock: systemClock,
+				clock: this.clock,
 				log: (_code, fields = {}) => {
 					this.closed.push(fields);
 				},
@@ -102,7 +118,8 @@
 			response.once('close', () => {
 				controller.abort();
 			});
-			const reply = new Reply(response, () => systemClock.now(), () => true);
+			const reply = new Reply(response, () => this.clock.now(), () => true);
+			this.#reply = reply;
 			limiter.watch({
 				id: 'r', reply, service: {name: 'm'}, workspace: undefined,
 			});
@@ -123,9 +140,22 @@
 		return socket;
 	}
 
+	/** Resolves once reading from the endpoint is paused and the kernel takes no more of what was forwarded. */
+	async standstill(): Promise<void> {
+		let last = '';
+		for (let unchanged = 0; unchanged < unchangedObservations;) {
+			await sleep(observationMs);
+			const isPaused = this.clock.nextAt() !== undefined;
+			const observed = `${this.#receivedBytes} ${this.#reply?.bufferedBytes}`;
+			unchanged = isPaused && observed === last ? unchanged + 1 : 0;
+			last = observed;
+		}
+	}
+
 	async #forward(source: IncomingMessage, reply: Reply, maxUnreadBytes: number, signal: AbortSignal): Promise<void> {
-		const events = new EventForwarder(reply, systemClock, maxUnreadBytes);
+		const events = new EventForwarder(reply, this.clock, maxUnreadBytes);
 		for await (const chunk of receiveChunks(source)) {
+			this.#receivedBytes += chunk.length;
 			events.forward(source, chunk, '');
 			this.mostBytes = Math.max(this.mostBytes, reply.bufferedBytes);
 			if (events.needsPause) {
@@ -156,41 +186,49 @@
 		}
 	});
 
-	it('holds back the endpoint of a caller that reads slowly, and delivers the whole stream', async () => {
+	it('holds back the endpoint of a caller that reads slowly, and delivers the whole stream', {timeout}, async () => {
 		const forwarding = new Forwarding();
 		await forwarding.start(true, mebibyte);
 		const socket = await forwarding.connect();
-		await sleep(600);
+		await forwarding.standstill();
 		expect(await readEventBytes(socket)).toEqual(eventCount * (eventBytes - 8));
 		expect(forwarding.mostBytes < mebibyte).toEqual(true);
 		expect([forwarding.closed.length, forwarding.pauses.includes('read')]).toEqual([0, true]);
 	});
 
-	it('reads on from the endpoint after 1 s, before it closes the response', async () => {
+	it('reads on from the endpoint after 1 s, before it closes the response', {timeout}, async () => {
 		const forwarding = new Forwarding();
 		await forwarding.start(true, 64 * mebibyte);
 		const socket = await forwarding.connect();
-		await sleep(2500);
-		expect(forwarding.pauses.filter(each => each === 'unread')).toEqual(['unread']);
-		expect(forwarding.endpoint.longestWaitMs < 1300).toEqual(true);
+		await forwarding.standstill();
+		forwarding.clock.advance(pauseMs - 1);
+		await forwarding.standstill();
+		expect(forwarding.pauses.includes('unread')).toEqual(false);
+		forwarding.clock.advance(1);
+		await forwarding.endpoint.ended;
+		expect([forwarding.endpoint.isCut, forwarding.endpoint.longestWaitMs]).toEqual([false, pauseMs]);
 		expect(await readEventBytes(socket)).toEqual(eventCount * (eventBytes - 8));
+		expect(forwarding.pauses.filter(each => each === 'unread')).toEqual(['unread']);
 	});
 
-	it('closes a caller that reads nothing beyond the bound of one connection, and its endpoint', async () => {
+	it('closes a caller that reads nothing beyond the bound of one connection, and its endpoint', {timeout}, async () => {
 		const forwarding = new Forwarding();
 		await forwarding.start(true, mebibyte);
 		await forwarding.connect();
-		await sleep(1600);
+		await forwarding.standstill();
+		expect(forwarding.closed.length).toEqual(0);
+		forwarding.clock.advance(pauseMs);
+		await forwarding.endpoint.ended;
 		expect(forwarding.closed.map(({bound, request}) => [bound, request])).toEqual([['connection', 'r']]);
 		expect(forwarding.mostBytes < 2 * mebibyte).toEqual(true);
 		expect(forwarding.endpoint.isCut).toEqual(true);
 	});
 
-	it('neither pauses nor closes the caller where load is not managed, but ends the endpoint\'s response', async () => {
+	it('neither pauses nor closes the caller where load is not managed, but ends the endpoint\'s response', {timeout}, async () => {
 		const forwarding = new Forwarding();
 		await forwarding.start(false, mebibyte);
 		await forwarding.connect();
-		await sleep(400);
+		await forwarding.endpoint.ended;
 		expect([forwarding.pauses.length, forwarding.closed.length, forwarding.endpoint.isCut]).toEqual([0, 0, true]);
 	});
 });
