Fix: a stopping host truncated responses that callers were still reading

Callers saw: at a planned stop, the end of a complete response that its caller reads slowly is missing (LOST: the request was passed on and its connection closed without a complete answer).

Cause: `rejectNewRequests` called Node's `closeIdleConnections`, which takes a connection for idle as soon as `end()` was called on its response, although most of the body may still wait in this process.

Change: `CallerConnections` counts the responses of each connection until they are delivered, and closes only connections without one.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -1,16 +1,26 @@
 /**
  * Tracks the connections of an HTTP server, rejects malformed requests and
- * closes all connections on shutdown. Safety: a malformed request is rejected
- * before anything is sent to an endpoint.
+ * closes connections on shutdown. Safety: a malformed request is rejected
+ * before anything is sent to an endpoint, and an idle connection is one whose
+ * responses have all been delivered.
  */
-import {type Server} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {rejectMalformedRequest} from './malformed-request.js';
 
+/** Use of a connection that has carried a request. */
+type ConnectionUse = {
+	/** Responses that are not delivered yet. */
+	openResponses: number;
+	/** Bytes read by the time the last response was delivered. */
+	bytesRead: number;
+};
+
 /** Open connections of one server. */
 export class CallerConnections {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #uses = new Map<Socket, ConnectionUse>();
 
 	constructor(server: Server) {
 		this.#server = server;
@@ -23,6 +33,18 @@
 				this.#sockets.delete(socket);
 			});
 		});
+		server.prependListener('request', ({socket}: IncomingMessage, response: ServerResponse) => {
+			this.#trackResponse(socket, response);
+		});
+	}
+
+	/** Closes idle connections. Node's `closeIdleConnections` also closes those on which a complete response is still being delivered. */
+	closeIdle(): void {
+		for (const [socket, {openResponses, bytesRead}] of this.#uses) {
+			if (openResponses === 0 && socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		}
 	}
 
 	/** Stops listening and destroys all open connections. */
@@ -38,4 +60,26 @@
 
 		await closed;
 	}
+
+	#trackResponse(socket: Socket, response: ServerResponse): void {
+		const use = this.#useOf(socket);
+		use.openResponses += 1;
+		response.once('close', () => {
+			use.openResponses -= 1;
+			use.bytesRead = socket.bytesRead;
+		});
+	}
+
+	#useOf(socket: Socket): ConnectionUse {
+		let use = this.#uses.get(socket);
+		if (use === undefined) {
+			use = {openResponses: 0, bytesRead: 0};
+			this.#uses.set(socket, use);
+			socket.once('close', () => {
+				this.#uses.delete(socket);
+			});
+		}
+
+		return use;
+	}
 }
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -123,7 +123,7 @@
 	/** Rejects new requests with `hostStopping` and closes idle connections. */
 	rejectNewRequests(): void {
 		this.#isRejectingNew = true;
-		this.#server.closeIdleConnections();
+		this.#connections.closeIdle();
 	}
 
 	/** Stops listening and closes all connections. */
