Fix: a busy host closed callers' connections on which a request had arrived

Callers saw: a reset in place of a response to a request that they sent on a kept connection within its idle timeout.

Cause: a host whose event loop was blocked runs its timers before it reads. An idle timer that fell due meanwhile destroyed the connection although the next request waited in the kernel. A planned stop did the same when it closes idle connections.

Change: connections are closed only after one more read of the event loop, and only if nothing arrived. A process that is stopped while it waits for events reads first when it wakes, so this concerns blocked event loops.

Measured: caller-connections.test.ts, a request that arrives at a blocked host within the idle timeout.

--- /dev/null
+++ b/packages/host/src/front/caller-connections.test.ts
@@ -0,0 +1,92 @@
+/** Guards against connections that a host closes while a caller may still use them. */
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {
+	connect, type AddressInfo, type Socket,
+} from 'node:net';
+import {describe, it} from 'node:test';
+import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
+import {expect} from 'earl';
+import {CallerConnections} from './caller-connections.js';
+
+const address = '127.0.0.1';
+const request = 'GET / HTTP/1.1\r\nHost: calls.example\r\n\r\n';
+const idleMs = 300;
+/** Node closes an idle connection up to this much after the timeout, in milliseconds. */
+const marginMs = 1000;
+const closedMs = idleMs + marginMs;
+/** Longer than timers are late, in milliseconds. */
+const lateMs = 700;
+/** A test that waits for a closed connection ends, in milliseconds. */
+const hangMs = 10_000;
+
+/** Blocks the event loop, as a busy host does. */
+function block(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+type Case = {
+	readonly name: string;
+	/** Runs while the connection is idle, after its first response. */
+	readonly rest: (caller: Socket) => Promise<void>;
+	readonly isAnswered: boolean;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'within the idle timeout', rest: async () => pause(idleMs / 2), isAnswered: true,
+	},
+	{
+		name: 'after the idle timeout', rest: async () => pause(closedMs + lateMs), isAnswered: false,
+	},
+	{
+		name: 'that arrives within the idle timeout, at a host that is blocked until after it',
+		async rest(caller) {
+			await pause(closedMs - idleMs);
+			// Timers that fall due run before the next read only if the loop is blocked after its last one
+			await nextTurn();
+			caller.write(request);
+			block(2 * idleMs);
+		},
+		isAnswered: true,
+	},
+];
+
+describe('idle connections of callers', () => {
+	for (const {name, rest, isAnswered} of cases) {
+		it(`a request ${name} is ${isAnswered ? '' : 'not '}answered`, {timeout: hangMs}, async () => {
+			const server = createServer({keepAliveTimeout: idleMs}, (_request, response) => {
+				response.end('answer');
+			});
+			const connections = new CallerConnections(server);
+			server.listen(0, address);
+			await once(server, 'listening');
+			const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
+			const caller = connect(port, address);
+			caller.on('error', () => {
+				// A request on a closed connection fails
+			});
+			try {
+				caller.write(request);
+				await once(caller, 'data');
+				const isServed = new Promise<boolean>(resolve => {
+					caller.once('data', () => {
+						resolve(true);
+					});
+					caller.once('close', () => {
+						resolve(false);
+					});
+				});
+				await rest(caller);
+				if (!caller.destroyed) {
+					caller.write(request);
+				}
+
+				expect(await isServed).toEqual(isAnswered);
+			} finally {
+				caller.destroy();
+				await connections.close();
+			}
+		});
+	}
+});
--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -1,8 +1,8 @@
 /**
  * Tracks the connections of an HTTP server, rejects malformed requests and
- * closes connections on shutdown. Safety: a malformed request is rejected
- * before anything is sent to an endpoint, and an idle connection is one whose
- * responses have all been delivered.
+ * closes idle connections. Safety: a malformed request is rejected before
+ * anything is sent to an endpoint, and an idle connection is one whose
+ * responses have all been delivered and on which nothing else has arrived.
  */
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
@@ -36,14 +36,16 @@
 		server.prependListener('request', ({socket}: IncomingMessage, response: ServerResponse) => {
 			this.#trackResponse(socket, response);
 		});
+		// Without a listener Node closes the connection
+		server.on('timeout', (socket: Socket) => {
+			this.#closeIfUnused(socket, socket.bytesRead);
+		});
 	}
 
 	/** Closes idle connections. Node's `closeIdleConnections` also closes those on which a complete response is still being delivered. */
 	closeIdle(): void {
-		for (const [socket, {openResponses, bytesRead}] of this.#uses) {
-			if (openResponses === 0 && socket.bytesRead === bytesRead) {
-				socket.destroy();
-			}
+		for (const [socket, {bytesRead}] of this.#uses) {
+			this.#closeIfUnused(socket, bytesRead);
 		}
 	}
 
@@ -70,6 +72,15 @@
 		});
 	}
 
+	/** Closes a connection without a response, unless more than `bytesRead` has arrived. On a busy host timers can run before a request that arrived in time is read. */
+	#closeIfUnused(socket: Socket, bytesRead: number): void {
+		setImmediate(() => {
+			if (this.#uses.get(socket)?.openResponses === 0 && socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		});
+	}
+
 	#useOf(socket: Socket): ConnectionUse {
 		let use = this.#uses.get(socket);
 		if (use === undefined) {
