Fix: connections that were idle when the idle timeout was raised closed early

Callers saw: a connection closes although it was idle for less than four fifths of the idle timeout of the newest configuration, so a request sent meanwhile is lost. Also at hosts whose first configuration arrives after their first callers (5 s before, 16.5 s after).

Cause: `applyLimits` sets the server's keep-alive timeout, which Node applies after later responses only.

Change: when an idle timer fires and the timeout was raised since, the connection stays open for the new one. It may then be idle for the old and the new timeout together, which callers do not notice.

--- a/packages/host/src/front/caller-connections.test.ts
+++ b/packages/host/src/front/caller-connections.test.ts
@@ -1,6 +1,6 @@
 /** Guards against connections that a host closes while a caller may still use them. */
 import {once} from 'node:events';
-import {createServer} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {
 	connect, type AddressInfo, type Socket,
 } from 'node:net';
@@ -28,7 +28,7 @@
 type Case = {
 	readonly name: string;
 	/** Runs while the connection is idle, after its first response. */
-	readonly rest: (caller: Socket) => Promise<void>;
+	readonly rest: (server: Server, caller: Socket) => Promise<void>;
 	readonly isAnswered: boolean;
 };
 
@@ -39,9 +39,25 @@
 	{
 		name: 'after the idle timeout', rest: async () => pause(closedMs + lateMs), isAnswered: false,
 	},
+	{
+		name: 'after the earlier idle timeout, within a longer one that was set meanwhile',
+		async rest(server) {
+			server.keepAliveTimeout = 10 * closedMs;
+			await pause(closedMs + lateMs);
+		},
+		isAnswered: true,
+	},
+	{
+		name: 'after a longer idle timeout that was set meanwhile',
+		async rest(server) {
+			server.keepAliveTimeout = idleMs + 1;
+			await pause(2 * (closedMs + lateMs));
+		},
+		isAnswered: false,
+	},
 	{
 		name: 'that arrives within the idle timeout, at a host that is blocked until after it',
-		async rest(caller) {
+		async rest(_server, caller) {
 			await pause(closedMs - idleMs);
 			// Timers that fall due run before the next read only if the loop is blocked after its last one
 			await nextTurn();
@@ -77,7 +93,7 @@
 						resolve(false);
 					});
 				});
-				await rest(caller);
+				await rest(server, caller);
 				if (!caller.destroyed) {
 					caller.write(request);
 				}
--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -14,6 +14,8 @@
 	openResponses: number;
 	/** Bytes read by the time the last response was delivered. */
 	bytesRead: number;
+	/** Idle timeout that was in effect then, in milliseconds. */
+	idleTimeoutMs: number;
 };
 
 /** Open connections of one server. */
@@ -38,7 +40,7 @@
 		});
 		// Without a listener Node closes the connection
 		server.on('timeout', (socket: Socket) => {
-			this.#closeIfUnused(socket, socket.bytesRead);
+			this.#handleIdleTimeout(socket);
 		});
 	}
 
@@ -69,9 +71,22 @@
 		response.once('close', () => {
 			use.openResponses -= 1;
 			use.bytesRead = socket.bytesRead;
+			use.idleTimeoutMs = this.#server.keepAliveTimeout;
 		});
 	}
 
+	/** Keeps a connection open for longer if the idle timeout was raised while it was idle: callers rely on the newest one. */
+	#handleIdleTimeout(socket: Socket): void {
+		const use = this.#useOf(socket);
+		const {keepAliveTimeout} = this.#server;
+		if (keepAliveTimeout > use.idleTimeoutMs) {
+			use.idleTimeoutMs = keepAliveTimeout;
+			socket.setTimeout(keepAliveTimeout);
+		} else {
+			this.#closeIfUnused(socket, socket.bytesRead);
+		}
+	}
+
 	/** Closes a connection without a response, unless more than `bytesRead` has arrived. On a busy host timers can run before a request that arrived in time is read. */
 	#closeIfUnused(socket: Socket, bytesRead: number): void {
 		setImmediate(() => {
@@ -84,7 +99,7 @@
 	#useOf(socket: Socket): ConnectionUse {
 		let use = this.#uses.get(socket);
 		if (use === undefined) {
-			use = {openResponses: 0, bytesRead: 0};
+			use = {openResponses: 0, bytesRead: 0, idleTimeoutMs: this.#server.keepAliveTimeout};
 			this.#uses.set(socket, use);
 			socket.once('close', () => {
 				this.#uses.delete(socket);
