Fix: rejections of malformed and late requests replaced and promised too much

Callers saw: - 400 or 408 in place of the response to a request that ran, if malformed bytes or an incomplete request followed it on its connection. 408 promises that the request does not run (REFUSED). - 408 for a request that ran afterwards, when the rest of it arrived behind the rejection, or all of it on a connection that had been silent.

Cause: Node reports both as `clientError` of the connection. The handler wrote its response at once and ended the host's side only, so requests went on being read and processed.

Change: the rejection follows the responses to the requests before it. From the fault on, no request of that connection runs or is answered by its handler: those that are incomplete are marked, and the readers of bodies and the writers of responses check the mark. The connection closes 2 s later at the latest. A caller that closes its side in the middle of a request has left, as before.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -1,23 +1,35 @@
 /**
  * Tracks the connections of an HTTP server, rejects malformed requests and
- * closes idle connections. Safety: a malformed request is rejected before
- * anything is sent to an endpoint, and an idle connection is one whose
- * responses have all been delivered and on which nothing else has arrived.
+ * closes idle connections. Safety: the rejection of a malformed or late
+ * request follows the responses to earlier ones, and the request never runs;
+ * an idle connection is one whose responses have all been delivered and on
+ * which nothing else has arrived.
  */
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {rejectMalformedRequest} from './malformed-request.js';
+import {isRejected, markRejected} from './rejected-requests.js';
 
-/** Use of a connection that has carried a request. */
+/** Time for which a caller can read a rejection and go on sending, in milliseconds; closing earlier could reset the connection before the rejection is read. */
+const lingerMs = 2000;
+
+/** Use of a connection. */
 type ConnectionUse = {
 	/** Responses that are not delivered yet. */
-	openResponses: number;
+	readonly openResponses: Set<ServerResponse>;
 	/** Bytes read by the time the last response was delivered. */
 	bytesRead: number;
 	/** Idle timeout that was in effect then, in milliseconds. */
 	idleTimeoutMs: number;
+	/** Why nothing that arrives from now on is processed; undefined: it is. */
+	fault: NodeJS.ErrnoException | undefined;
 };
 
+/** Whether a request that may be running has no complete response yet. */
+function isAwaitingResponse({openResponses}: ConnectionUse): boolean {
+	return [...openResponses].some(({req}) => !isRejected(req));
+}
+
 /** Open connections of one server. */
 export class CallerConnections {
 	readonly #server: Server;
@@ -27,7 +39,7 @@
 	constructor(server: Server) {
 		this.#server = server;
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			rejectMalformedRequest(error, socket);
+			this.#handleFault(error, socket);
 		});
 		server.on('connection', socket => {
 			this.#sockets.add(socket);
@@ -35,8 +47,8 @@
 				this.#sockets.delete(socket);
 			});
 		});
-		server.prependListener('request', ({socket}: IncomingMessage, response: ServerResponse) => {
-			this.#trackResponse(socket, response);
+		server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+			this.#trackResponse(request, response);
 		});
 		// Without a listener Node closes the connection
 		server.on('timeout', (socket: Socket) => {
@@ -65,13 +77,62 @@
 		await closed;
 	}
 
-	#trackResponse(socket: Socket, response: ServerResponse): void {
+	#trackResponse(request: IncomingMessage, response: ServerResponse): void {
+		const {socket} = request;
 		const use = this.#useOf(socket);
-		use.openResponses += 1;
+		if (use.fault !== undefined) {
+			markRejected(request);
+		}
+
+		use.openResponses.add(response);
 		response.once('close', () => {
-			use.openResponses -= 1;
+			use.openResponses.delete(response);
 			use.bytesRead = socket.bytesRead;
 			use.idleTimeoutMs = this.#server.keepAliveTimeout;
+			this.#rejectFault(socket, use);
+		});
+	}
+
+	/** Handles malformed bytes, or a request that is not complete in time. */
+	#handleFault(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (this.#uses.get(socket)?.fault !== undefined) {
+			return;
+		}
+
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const use = this.#useOf(socket);
+		for (const {req} of use.openResponses) {
+			if (!req.complete) {
+				markRejected(req);
+			}
+		}
+
+		// A caller that closes its side in the middle of a request has left
+		if (socket.readableEnded && isAwaitingResponse(use)) {
+			socket.end();
+			return;
+		}
+
+		use.fault = error;
+		this.#rejectFault(socket, use);
+	}
+
+	/** Responds to malformed bytes once the responses to the requests before them are delivered. */
+	#rejectFault(socket: Socket, use: ConnectionUse): void {
+		if (use.fault === undefined || isAwaitingResponse(use) || !socket.writable) {
+			return;
+		}
+
+		rejectMalformedRequest(use.fault, socket);
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
 		});
 	}
 
@@ -90,7 +151,7 @@
 	/** Closes a connection without a response, unless more than `bytesRead` has arrived. On a busy host timers can run before a request that arrived in time is read. */
 	#closeIfUnused(socket: Socket, bytesRead: number): void {
 		setImmediate(() => {
-			if (this.#uses.get(socket)?.openResponses === 0 && socket.bytesRead === bytesRead) {
+			if (this.#uses.get(socket)?.openResponses.size === 0 && socket.bytesRead === bytesRead) {
 				socket.destroy();
 			}
 		});
@@ -99,7 +160,9 @@
 	#useOf(socket: Socket): ConnectionUse {
 		let use = this.#uses.get(socket);
 		if (use === undefined) {
-			use = {openResponses: 0, bytesRead: 0, idleTimeoutMs: this.#server.keepAliveTimeout};
+			use = {
+				openResponses: new Set(), bytesRead: 0, idleTimeoutMs: this.#server.keepAliveTimeout, fault: undefined,
+			};
 			this.#uses.set(socket, use);
 			socket.once('close', () => {
 				this.#uses.delete(socket);
--- a/packages/host/src/front/reply.ts
+++ b/packages/host/src/front/reply.ts
@@ -6,6 +6,7 @@
 import {codes} from '@gatehead/schema/codes';
 import {type ErrorBody} from '@gatehead/schema/caller-protocol';
 import {type Failure} from '@gatehead/schema/failure';
+import {isRejected} from './rejected-requests.js';
 
 const millisecondsPerSecond = 1000;
 
@@ -19,9 +20,9 @@
 	};
 }
 
-/** Sends a JSON response, unless headers were already sent or the connection is closed. */
+/** Sends a JSON response, unless headers were already sent, the connection is closed, or the request was rejected as malformed. */
 export function sendJson(response: ServerResponse, status: number, value: unknown): void {
-	if (response.headersSent || response.destroyed) {
+	if (response.headersSent || response.destroyed || isRejected(response.req)) {
 		return;
 	}
 
--- a/packages/host/src/front/request-reader.ts
+++ b/packages/host/src/front/request-reader.ts
@@ -9,6 +9,7 @@
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
 import {type Limits} from '@gatehead/schema/settings';
+import {isRejected} from './rejected-requests.js';
 
 const bearerPattern = /^Bearer (?<token>\S{1,500})$/v;
 
@@ -28,8 +29,8 @@
 	return new Map(callers.map(each => [each.tokenDigest, each]));
 }
 
-/** Reads the whole body; throws `bodyTooLarge` above `bodyBytes`. */
-export async function readBody(request: IncomingMessage, {bodyBytes}: Limits): Promise<Uint8Array> {
+/** Reads the whole body; throws `bodyTooLarge` above `bodyBytes`, or `requestSlow`. */
+export async function readBody(request: IncomingMessage, {bodyBytes}: Pick<Limits, 'bodyBytes'>): Promise<Uint8Array> {
 	if (Number(request.headers['content-length'] ?? 0) > bodyBytes) {
 		fail('bodyTooLarge', {detail: `at most ${bodyBytes} bytes`});
 	}
@@ -46,6 +47,10 @@
 		chunks.push(part);
 	}
 
+	if (isRejected(request)) {
+		fail('requestSlow');
+	}
+
 	return Buffer.concat(chunks);
 }
 
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -13,7 +13,7 @@
 import {callerTimeoutSpread, RetryDetector} from '@gatehead/policy/relay/retry-detector';
 import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {fail, Failure, toFailure} from '@gatehead/schema/failure';
+import {fail, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
 import {RequestResolver, type IncomingRequest, type ResolvedRequest} from '../access/request-resolver.js';
 import {type Freshness} from '../access/freshness.js';
@@ -28,11 +28,11 @@
 import {type Job} from '../work/job.js';
 import {isResumption, toStreamKey, type StreamVersions} from '../work/stream-versions.js';
 import {RequestContent} from '../work/request-content.js';
-import {readBytes} from '../utils/read-bytes.js';
 import {type JobEnd} from '../work/job-end.js';
 import {stoppingRetryAfterMs} from '../work/generation-failure.js';
 import {forwardHeaders} from './headers.js';
 import {Reply} from './reply.js';
+import {readRequestBody} from './request-body.js';
 import {type UnreadLimiter} from './unread-limiter.js';
 
 /** Added to the configured idle and header timeouts, in milliseconds: a request sent while the server closes the connection would be lost. */
@@ -190,7 +190,7 @@
 		const {request, reply, controller, arrivedAt, isForwarded} = pending;
 		const {context: {clock, dialect, settings: {limits}}, guard} = this.#parts;
 		this.#checkCapacity();
-		const body = await readBody(request, limits.bodyBytes);
+		const body = await readRequestBody(request, limits.bodyBytes);
 		const facts = dialect.readRequest(request.headers);
 		const target = request.url ?? '/';
 		const authority = request.headers.host ?? '';
@@ -373,16 +373,3 @@
 function abbreviate(text: string | undefined): string | undefined {
 	return text === undefined || text.length <= maxLoggedLength ? text : `${text.slice(0, maxLoggedLength)}…`;
 }
-
-/** Reads a request's body; undefined if it has none. Throws `bodyTooLarge` or `callerGone`. */
-async function readBody(request: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> {
-	const {'content-length': length, 'transfer-encoding': coding} = request.headers;
-	if (length === undefined && coding === undefined) {
-		request.resume();
-		return undefined;
-	}
-
-	return readBytes(request, maxBytes, () => new Failure('bodyTooLarge')).catch((error: unknown) => {
-		throw error instanceof Failure ? error : new Failure('callerGone', {cause: error});
-	});
-}
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {isRejected} from '@gatehead/host/front/rejected-requests';
 import {type UnreadSample} from '@gatehead/policy/relay/unread-budget';
 import {type Clock} from '@gatehead/policy/utils/clock';
 import {codes, type Code} from '@gatehead/schema/codes';
@@ -81,9 +82,9 @@
 		return this.#buffered !== undefined || this.#response.headersSent;
 	}
 
-	/** Whether the response can still be written: neither ended nor closed by the caller. */
+	/** Whether the response can still be written: neither ended, nor closed by the caller, nor replaced by the rejection of a malformed request. */
 	get isOpen(): boolean {
-		return !this.#isDestroyed && this.#unwrittenBytes === 0 && !this.#response.destroyed && !this.#response.writableEnded;
+		return !this.#isDestroyed && this.#unwrittenBytes === 0 && !this.#response.destroyed && !this.#response.writableEnded && !isRejected(this.#response.req);
 	}
 
 	/** Bytes buffered for a caller that reads slowly. */
