--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -1,21 +1,45 @@
 /**
  * Tracks the connections of an HTTP server, rejects malformed requests and
- * closes all connections on shutdown. Safety: a malformed request is rejected
- * before anything is sent to an endpoint.
+ * closes idle connections. Safety: the rejection of a malformed or late
+ * request follows the responses to earlier ones, and the request never runs;
+ * an idle connection is one whose responses have all been delivered and on
+ * which nothing else has arrived.
  */
-import {type Server} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {rejectMalformedRequest} from './malformed-request.js';
+import {isRejected, markRejected} from './rejected-requests.js';
+
+/** Time for which a caller can read a rejection and go on sending, in milliseconds; closing earlier could reset the connection before the rejection is read. */
+const lingerMs = 2000;
+
+/** Use of a connection. */
+type ConnectionUse = {
+	/** Responses that are not delivered yet. */
+	readonly openResponses: Set<ServerResponse>;
+	/** Bytes read by the time the last response was delivered. */
+	bytesRead: number;
+	/** Idle timeout that was in effect then, in milliseconds. */
+	idleTimeoutMs: number;
+	/** Why nothing that arrives from now on is processed; undefined: it is. */
+	fault: NodeJS.ErrnoException | undefined;
+};
+
+/** Whether a request that may be running has no complete response yet. */
+function isAwaitingResponse({openResponses}: ConnectionUse): boolean {
+	return [...openResponses].some(({req}) => !isRejected(req));
+}
 
 /** Open connections of one server. */
 export class CallerConnections {
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #uses = new Map<Socket, ConnectionUse>();
 
 	constructor(server: Server) {
 		this.#server = server;
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			rejectMalformedRequest(error, socket);
+			this.#handleFault(error, socket);
 		});
 		server.on('connection', socket => {
 			this.#sockets.add(socket);
@@ -23,6 +47,20 @@
 				this.#sockets.delete(socket);
 			});
 		});
+		server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+			this.#trackResponse(request, response);
+		});
+		// Without a listener Node closes the connection
+		server.on('timeout', (socket: Socket) => {
+			this.#handleIdleTimeout(socket);
+		});
+	}
+
+	/** Closes idle connections. Node's `closeIdleConnections` also closes those on which a complete response is still being delivered. */
+	closeIdle(): void {
+		for (const [socket, {bytesRead}] of this.#uses) {
+			this.#closeIfUnused(socket, bytesRead);
+		}
 	}
 
 	/** Stops listening and destroys all open connections. */
@@ -38,4 +76,99 @@
 
 		await closed;
 	}
+
+	#trackResponse(request: IncomingMessage, response: ServerResponse): void {
+		const {socket} = request;
+		const use = this.#useOf(socket);
+		if (use.fault !== undefined) {
+			markRejected(request);
+		}
+
+		use.openResponses.add(response);
+		response.once('close', () => {
+			use.openResponses.delete(response);
+			use.bytesRead = socket.bytesRead;
+			use.idleTimeoutMs = this.#server.keepAliveTimeout;
+			this.#rejectFault(socket, use);
+		});
+	}
+
+	/** Handles malformed bytes, or a request that is not complete in time. */
+	#handleFault(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (this.#uses.get(socket)?.fault !== undefined) {
+			return;
+		}
+
+		if (!socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const use = this.#useOf(socket);
+		for (const {req} of use.openResponses) {
+			if (!req.complete) {
+				markRejected(req);
+			}
+		}
+
+		// A caller that closes its side in the middle of a request has left
+		if (socket.readableEnded && isAwaitingResponse(use)) {
+			socket.end();
+			return;
+		}
+
+		use.fault = error;
+		this.#rejectFault(socket, use);
+	}
+
+	/** Responds to malformed bytes once the responses to the requests before them are delivered. */
+	#rejectFault(socket: Socket, use: ConnectionUse): void {
+		if (use.fault === undefined || isAwaitingResponse(use) || !socket.writable) {
+			return;
+		}
+
+		rejectMalformedRequest(use.fault, socket);
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
+	/** Keeps a connection open for longer if the idle timeout was raised while it was idle: callers rely on the newest one. */
+	#handleIdleTimeout(socket: Socket): void {
+		const use = this.#useOf(socket);
+		const {keepAliveTimeout} = this.#server;
+		if (keepAliveTimeout > use.idleTimeoutMs) {
+			use.idleTimeoutMs = keepAliveTimeout;
+			socket.setTimeout(keepAliveTimeout);
+		} else {
+			this.#closeIfUnused(socket, socket.bytesRead);
+		}
+	}
+
+	/** Closes a connection without a response, unless more than `bytesRead` has arrived. On a busy host timers can run before a request that arrived in time is read. */
+	#closeIfUnused(socket: Socket, bytesRead: number): void {
+		setImmediate(() => {
+			if (this.#uses.get(socket)?.openResponses.size === 0 && socket.bytesRead === bytesRead) {
+				socket.destroy();
+			}
+		});
+	}
+
+	#useOf(socket: Socket): ConnectionUse {
+		let use = this.#uses.get(socket);
+		if (use === undefined) {
+			use = {
+				openResponses: new Set(), bytesRead: 0, idleTimeoutMs: this.#server.keepAliveTimeout, fault: undefined,
+			};
+			this.#uses.set(socket, use);
+			socket.once('close', () => {
+				this.#uses.delete(socket);
+			});
+		}
+
+		return use;
+	}
 }
