--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -7,7 +7,8 @@
 import {fileURLToPath} from 'node:url';
 import {makeBoot} from '../wire/world.js';
 
-const binary = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
+/** The host's program in this repository. */
+export const hostProgram = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
 
 /** Where a process listens and keeps its files. */
 export type HostParts = {
@@ -19,6 +20,10 @@
 	readonly seeds: readonly string[];
 	readonly store: string;
 	readonly folder: string;
+	/** The hall that it stands in; absent: the one of all hosts. */
+	readonly hall?: string;
+	/** Path of its program; absent: this repository's. */
+	readonly program?: string | undefined;
 };
 
 /** A host process that comes and goes. */
@@ -50,7 +55,7 @@
 		}
 
 		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot({...this.#parts, isFirstStart: this.#child === undefined})));
-		this.#child = spawn(process.execPath, [binary], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
+		this.#child = spawn(process.execPath, [this.#parts.program ?? hostProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
 	}
 
 	/** Sends a signal to this process alone. */
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -113,13 +113,13 @@
 };
 
 /** The settings file as the platform writes it. */
-export function makeBoot({name, ip, ports, seeds, store, retryAllowance, revokeMs, isFirstStart}: {readonly name: string; readonly isFirstStart?: boolean | undefined; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
+export function makeBoot({name, hall = 'a', ip, ports, seeds, store, retryAllowance, revokeMs, isFirstStart}: {readonly name: string; readonly hall?: string; readonly isFirstStart?: boolean | undefined; readonly ip: string; readonly ports: readonly number[]; readonly seeds: readonly string[]; readonly store: string; readonly retryAllowance?: number | undefined; readonly revokeMs?: number | undefined}): unknown {
 	const [front, ready, control, directory, forward] = ports.map(port => `${ip}:${port}`);
 	return {
 		nodeName: name,
 		role: 'gatehead',
 		ip,
-		zone: 'a',
+		zone: hall,
 		region: 'r',
 		listen: {
 			front, ready, control, directory,
