Log: each failed send shows when it was written, and on which connection

Operators' logs could not tell a rejection of another request from a send whose bytes were still on the way: 7004 had responseId and earlierRequests only behind a response that could not be used, not for rejections (the case in question), and no connection and no moment at all.

7004 has connection (this host's port), earlierRequests (0: a new connection) and sentMs for each send that was written, and none of them otherwise; rejections have responseId too. A response that is cut, also of a stream, has one line with reason=cut and the same fields. 7010 has them for each host that was tried, 7004 of a reservation the connection. No line for a send that succeeds.

Prompts whose decode was cut do not count as wasted, as before (losses.test.ts).

The whole of npm test was not run.

--- a/packages/control/src/commands/losses.test.ts
+++ b/packages/control/src/commands/losses.test.ts
@@ -66,6 +66,7 @@
 	{name: 'none if no prompt was read', lines: [line('prefilled', {outcome: 'left to the decode replica'}), end('overloaded', {outcome: 'refused'})], wastes: []},
 	{name: 'none if the stream moved after it began', lines: [read, line('continued'), end('streamBroken', {outcome: 'brokenOff'})], wastes: []},
 	{name: 'the decode replica refused', lines: [read, line('sendFailed', {step: 'decode', outcome: 'notRun'}), end('overloaded', {outcome: 'refused'})], wastes: ['decodeRefused']},
+	{name: 'the decode replica was lost after it had begun', lines: [read, line('sendFailed', {step: 'decode', outcome: 'unknown', reason: 'cut'}), line('continued'), answered({})], wastes: []},
 	{name: 'the decode replica was lost', lines: [read, line('sendFailed', {step: 'decode', outcome: 'unknown'}), read, answered({})], wastes: ['decodeLost']},
 	{name: 'the caller disconnected', lines: [read, end('requestEnded', {outcome: 'callerLeft'})], wastes: ['callerLeft']},
 	{name: 'time was up', lines: [read, end('overloaded', {outcome: 'refused'})], wastes: ['notDecoded']},
--- a/packages/control/src/commands/losses.ts
+++ b/packages/control/src/commands/losses.ts
@@ -141,7 +141,8 @@
 
 /** Undefined if a decode replica used the result, or the lines do not show what came of it. */
 function classifyPrefill(later: readonly LogLine[]): PrefillWaste | undefined {
-	const failed = later.find(({name, step}) => name === 'sendFailed' && step === 'decode');
+	// A replica whose response began has used the result
+	const failed = later.find(({name, step, reason}) => name === 'sendFailed' && step === 'decode' && reason !== 'cut');
 	if (failed !== undefined) {
 		return failed.outcome === 'notRun' ? 'decodeRefused' : 'decodeLost';
 	}
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -52,9 +52,17 @@
 	stateOf(socket).isUnusable = true;
 }
 
-/** Number of requests that a connection carried before the current one. */
-export function countEarlierRequests(socket: Duplex): number {
-	return stateOf(socket).earlierRequests;
+/** What log lines show of a connection. */
+export type ConnectionTrace = {
+	/** Port of this host. */
+	readonly connection: number;
+	/** Requests that the connection carried before the current one; 0: it is new. */
+	readonly earlierRequests: number;
+};
+
+/** Describes an open connection that a request is assigned to. */
+export function traceConnection(socket: Socket): ConnectionTrace {
+	return {connection: socket.localPort ?? 0, earlierRequests: stateOf(socket).earlierRequests};
 }
 
 /** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -5,10 +5,13 @@
  * so a grant is used only if its reservation is new on its connection.
  */
 import {type Duplex} from 'node:stream';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type EndpointCall} from '../core/dialect.js';
 import {type BaseContext, type RelayContext} from '../core/context.js';
-import {recordReservation, setIdleTimeout} from './connection-pool.js';
+import {
+	recordReservation, setIdleTimeout, traceConnection, type ConnectionTrace,
+} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
 import {ExchangeError, readBody} from './exchange.js';
@@ -54,8 +57,11 @@
 	/** Reserves memory for `tokens` tokens at an endpoint, for `lifeMs` milliseconds. */
 	async reserve(endpoint: Endpoint, tokens: number, lifeMs: number, signal: AbortSignal): Promise<ReservationAnswer> {
 		const {dialect, clock, metrics} = this.#context;
+		let trace: ConnectionTrace | undefined;
 		try {
-			const {status, body, socket} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal);
+			const {status, body, socket} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal, connection => {
+				trace = connection;
+			});
 			const reservation = status === okStatus ? dialect.readReservation(body) : undefined;
 			if (reservation !== undefined && !recordReservation(socket, reservation)) {
 				throw new ExchangeError('foreign', true, new Error('the reservation was granted before on this connection'));
@@ -74,7 +80,7 @@
 			if (reason !== 'aborted') {
 				this.#endpoints.judge(endpoint, reason === 'silent' || reason === 'connect' ? 'silent' : 'broken');
 				this.#context.log('sendFailed', {
-					step: 'reserve', endpoint: endpoint.id, outcome: 'failed', reason, detail: String(error), at: Math.round(clock.now()),
+					step: 'reserve', endpoint: endpoint.id, outcome: 'failed', reason, detail: String(error), ...trace, at: Math.round(clock.now()),
 				});
 			}
 
@@ -116,8 +122,8 @@
 		this.#context.log('resultFreed', {endpoint: endpoint.id, what, outcome});
 	}
 
-	/** `timeoutMs` holds for the head of the response, and again for its body. */
-	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal): Promise<CallResult> {
+	/** `timeoutMs` holds for the head of the response, and again for its body; `onSent` is called right before the call is written. */
+	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal, onSent: (connection: ConnectionTrace) => void = ignore): Promise<CallResult> {
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
@@ -128,6 +134,10 @@
 			connectMs: settings.timing.connectMs,
 			headMs: timeoutMs,
 			signal,
+			maySend(socket) {
+				onSent(traceConnection(socket));
+				return true;
+			},
 			verify(response) {
 				const facts = dialect.readResponse(response.statusCode ?? 0, response.headers);
 				// The response to a request of a caller, late or duplicated
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -81,8 +81,8 @@
 	readonly verify: (response: IncomingMessage) => Facts | undefined;
 	/** Connections that carried the request before; the one used is added. A duplicate of an earlier response to the request could not be told from a new one there. */
 	readonly usedConnections?: WeakSet<Duplex>;
-	/** Called right before the first byte is written; if it returns false, nothing is sent. */
-	readonly maySend?: () => boolean;
+	/** Called with the connection right before the first byte is written; if it returns false, nothing is sent. */
+	readonly maySend?: (socket: Socket) => boolean;
 	/** Whether the connection is closed once the response has ended while a part of the body is unread; otherwise both stay until the endpoint closes the connection. */
 	readonly releasesBody?: boolean;
 	/** Called when a new connection is established. */
@@ -105,7 +105,7 @@
 
 /** Writes the request to its established connection. */
 function sendRequest<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): void {
-	if (options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.() === false) {
+	if (options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.(socket) === false) {
 		state.fault = 'aborted';
 		clientRequest.destroy(new Error('canceled before the request was sent'));
 		return;
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -19,7 +19,9 @@
 import {notRunStatuses} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
-import {ConnectionPool, preventReuse, setIdleTimeout} from './connection-pool.js';
+import {
+	ConnectionPool, preventReuse, setIdleTimeout, traceConnection, type ConnectionTrace,
+} from './connection-pool.js';
 import {discardBody, exchange, ExchangeError} from './exchange.js';
 import {type Reachability} from './reachability.js';
 
@@ -68,6 +70,15 @@
 	readonly headMs: number;
 };
 
+/** What the log line of a forward shows of its course. */
+type ForwardTrace = {
+	/** Host that was tried; absent: none. */
+	readonly to?: string;
+	/** When the request was written. */
+	writtenAt?: number;
+	connection?: ConnectionTrace;
+};
+
 /** Forwards requests to other hosts. */
 export class PeerForwarder {
 	readonly #parts: PeerForwarderParts;
@@ -92,16 +103,22 @@
 
 	/** Forwards a request to a host that takes it. */
 	async send(job: Job, options: ForwardOptions): Promise<ForwardResult> {
-		const {context: {log, metrics, clock}} = this.#parts;
+		const {context: {metrics, clock}} = this.#parts;
 		const startedAt = clock.now();
 		let result: ForwardResult = {kind: 'unavailable'};
+		let trace: ForwardTrace = {};
 		for (let tried = 0; tried < maxHosts && !job.signal.aborted; tried += 1) {
 			const target = this.#choose(job);
 			if (target?.forwardAddress === undefined) {
 				break;
 			}
 
-			result = await this.#sendTo(target, target.forwardAddress, job, options);
+			if (trace.to !== undefined) {
+				this.#log(job, result, trace, startedAt);
+			}
+
+			trace = {to: target.host};
+			result = await this.#sendTo(target, target.forwardAddress, job, options, trace);
 			const isHandedOver = result.kind === 'refused' && handOverCodes.has(result.code);
 			if (result.kind !== 'unavailable' && !isHandedOver) {
 				break;
@@ -112,9 +129,7 @@
 
 		metrics.add('forwarded', {outcome: result.kind});
 		metrics.time('forward', clock.now() - startedAt, {outcome: result.kind});
-		log('forwarded', {
-			request: job.id, service: job.service.name, outcome: result.kind, ...describe(result), tookMs: Math.round(clock.now() - startedAt), ageMs: Math.round(clock.now() - job.arrivedAt),
-		});
+		this.#log(job, result, trace, startedAt);
 		return result;
 	}
 
@@ -125,6 +140,15 @@
 		}
 	}
 
+	/** Logs what came of one host. */
+	#log(job: Job, result: ForwardResult, {to, writtenAt, connection}: ForwardTrace, startedAt: number): void {
+		const {context: {log, clock}} = this.#parts;
+		const now = clock.now();
+		log('forwarded', {
+			request: job.id, service: job.service.name, outcome: result.kind, to, ...describe(result), ...connection, sentMs: writtenAt === undefined ? undefined : Math.round(now - writtenAt), tookMs: Math.round(now - startedAt), ageMs: Math.round(now - job.arrivedAt),
+		});
+	}
+
 	#choose({service}: Job): MemberRecord | undefined {
 		const {context: {clock, random, self, settings: {hall}}, listMembers} = this.#parts;
 		const now = clock.now();
@@ -139,7 +163,7 @@
 		}, random);
 	}
 
-	async #sendTo({host}: MemberRecord, address: string, job: Job, options: ForwardOptions): Promise<ForwardResult> {
+	async #sendTo({host}: MemberRecord, address: string, job: Job, options: ForwardOptions, trace: ForwardTrace): Promise<ForwardResult> {
 		const {budgets, context: {clock, dialect, settings: {timing}}} = this.#parts;
 		const before = {runs: job.runs, mayHaveRun: job.mayHaveRun};
 		const undoRuns = () => {
@@ -154,11 +178,13 @@
 			const {response, facts} = await exchange({
 				address, method: job.method, target: job.target, headers: [...this.#buildHeaders(job, options), ...writeForwardId(forwardId)], body: job.body,
 			}, this.#poolOf(address), {
-				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, usedConnections: job.connections, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend() {
+				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, usedConnections: job.connections, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
 					if (!budgets.admit(job)) {
 						return false;
 					}
 
+					trace.writtenAt = clock.now();
+					trace.connection = traceConnection(socket);
 					job.mayHaveRun = true;
 					job.runs += options.attempts;
 					return true;
@@ -271,7 +297,5 @@
 		return {};
 	}
 
-	return result.kind === 'answer'
-		? {to: result.host, status: result.response.statusCode}
-		: {to: result.host, reason: result.code};
+	return result.kind === 'answer' ? {status: result.response.statusCode} : {reason: result.code};
 }
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -14,10 +14,12 @@
 import {notRunStatuses} from '../front/reply.js';
 import {timeLeft, type Job} from '../work/job.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
-import {countEarlierRequests, setIdleTimeout, preventReuse} from './connection-pool.js';
+import {setIdleTimeout, preventReuse, traceConnection} from './connection-pool.js';
 import {type Endpoints} from './endpoints.js';
 import {exchangeWith} from './endpoint-exchange.js';
-import {discardBody, ExchangeError, type ExchangeFault} from './exchange.js';
+import {
+	discardBody, ExchangeError, type ExchangeFault, type VerifiedResponse,
+} from './exchange.js';
 import {crashWindowMs, type CrashGuard, type LostSend} from './crash-guard.js';
 import {type RateLimiter} from './rate-limiter.js';
 
@@ -40,6 +42,9 @@
 	/** The request may have run. */
 		| {readonly kind: 'unknown'; readonly reason: ExchangeFault | 'unmarked'};
 
+/** Outcome in a log line; `cut`: the response ended early. */
+type FailedSend = Pick<Exclude<SendResult, {kind: 'answer'}>, 'kind'> & {readonly reason: Exclude<SendResult, {kind: 'answer'}>['reason'] | 'cut'};
+
 export type Send = {
 	readonly job: Job;
 	readonly step: SendStep;
@@ -66,13 +71,13 @@
 /** Reason for ending a stream that stalled on an open connection. */
 export const stallReason = 'silent';
 
-/** Fields of the response in the log line of a failed send. */
-type ResponseTrace = {
-	readonly status: number;
-	/** Request that the response names; empty: none. */
-	readonly responseId: string;
-	/** Requests that the connection carried before this one. */
-	readonly earlierRequests: number;
+/** What the log line of a failed send shows of its course. */
+type SendTrace = {
+	readonly startedAt: number;
+	/** When the request was written; undefined: it was not. */
+	writtenAt: number | undefined;
+	/** Fields of the connection and of the response. `responseId`: request that the response names; empty: none. */
+	fields: Readonly<Record<string, string | number>>;
 };
 
 export type SenderOptions = {
@@ -124,7 +129,7 @@
 			job.sends += 1;
 		}
 
-		let trace: ResponseTrace | undefined;
+		const trace: SendTrace = {startedAt, writtenAt: undefined, fields: {}};
 		try {
 			const {response, facts} = await exchangeWith(this.#endpoints, endpoint, {
 				method: job.method, target: job.target, headers: this.#buildHeaders(send), body: job.body,
@@ -136,17 +141,25 @@
 				usedConnections: job.connections,
 				verify: response => {
 					const facts = this.#context.dialect.readResponse(response.statusCode ?? 0, response.headers);
-					trace = {status: response.statusCode ?? 0, responseId: facts.id ?? '', earlierRequests: countEarlierRequests(response.socket)};
+					trace.fields = {...trace.fields, status: response.statusCode ?? 0, responseId: facts.id ?? ''};
 					metrics.add('responses', {step, identity: identityOf(facts, job)});
 					return facts.id === job.facts.id ? facts : undefined;
 				},
-				maySend: () => clock.now() <= permit.sendBy && this.#maySend(send),
+				maySend: socket => {
+					if (clock.now() > permit.sendBy || !this.#maySend(send)) {
+						return false;
+					}
+
+					trace.writtenAt = clock.now();
+					trace.fields = traceConnection(socket);
+					return true;
+				},
 			});
-			const sent = this.#classifyResponse(send, response, facts, finish, startedAt);
+			const sent = this.#classifyResponse(send, {response, facts}, finish, trace);
 			metrics.add('sends', {step, outcome: sent.kind === 'answer' ? `status${Math.floor((response.statusCode ?? 0) / 100)}` : sent.reason});
 			return sent;
 		} catch (error) {
-			const sent = this.#classifyFailure(send, error, startedAt, trace);
+			const sent = this.#classifyFailure(send, error, trace);
 			finish();
 			metrics.add('sends', {step, outcome: sent.reason});
 			return sent;
@@ -194,7 +207,8 @@
 		})];
 	}
 
-	#classifyResponse(send: Send, response: IncomingMessage, facts: ResponseFacts, finish: () => void, sentAt: number): SendResult {
+	#classifyResponse(send: Send, {response, facts}: VerifiedResponse<ResponseFacts>, finish: () => void, trace: SendTrace): SendResult {
+		const {startedAt: sentAt} = trace;
 		const {job, step, endpoint} = send;
 		const status = response.statusCode ?? 0;
 		const {socket} = response;
@@ -217,7 +231,7 @@
 				this.#crashGuard.recordData(endpoint, sentAt);
 			}
 
-			return this.#handleRefusal(send, facts, status);
+			return this.#handleRefusal(send, facts, status, trace);
 		}
 
 		// These statuses tell the caller that the request did not run, which the endpoint did not say
@@ -227,7 +241,7 @@
 			preventReuse(socket);
 			response.destroy();
 			end('broken');
-			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, {status});
+			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, trace);
 		}
 
 		this.#crashGuard.recordData(endpoint, sentAt);
@@ -253,6 +267,7 @@
 					this.#recordLoss(send, {
 						sentAt, answeredAt, isConnectionLost: outcome === 'broken' && reason !== stallReason, reason: reason || outcome,
 					});
+					this.#logFailure(send, {kind: 'unknown', reason: 'cut'}, trace, reason || outcome);
 				} else if (outcome === 'good' && step !== 'prefill' && status < minRedirectStatus) {
 					this.#crashGuard.recordSuccess(job);
 				}
@@ -278,13 +293,13 @@
 		}
 	}
 
-	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number): SendResult {
+	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number, trace: SendTrace): SendResult {
 		const {endpoint} = send;
 		if (isAddressReassigned) {
 			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id, this.#context.clock.now()), 'endpoint');
 		}
 
-		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, {status});
+		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, trace);
 	}
 
 	/** Takes a run off the count after the endpoint said that the request did not run. */
@@ -305,8 +320,9 @@
 		});
 	}
 
-	#classifyFailure(send: Send, error: unknown, sentAt: number, trace: ResponseTrace | undefined): Exclude<SendResult, {kind: 'answer'}> {
+	#classifyFailure(send: Send, error: unknown, trace: SendTrace): Exclude<SendResult, {kind: 'answer'}> {
 		const {job} = send;
+		const {startedAt: sentAt} = trace;
 		const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 		// An endpoint that exceeded the target time before the abort may be unresponsive, or the request long
 		const isOverdue = fault.mayHaveBeenSent && this.#context.clock.now() - sentAt > job.route.targetMs;
@@ -325,18 +341,19 @@
 		}
 
 		if (job.isContentHeld && !fault.mayHaveBeenSent) {
-			return this.#logFailure(send, {kind: 'notRun', reason: 'held', status: 0}, {});
+			return this.#logFailure(send, {kind: 'notRun', reason: 'held', status: 0}, trace);
 		}
 
-		const facts = {detail: fault.message, ...trace};
 		return fault.mayHaveBeenSent
-			? this.#logFailure(send, {kind: 'unknown', reason: fault.fault}, facts)
-			: this.#logFailure(send, {kind: 'notRun', reason: fault.fault, status: 0}, facts);
+			? this.#logFailure(send, {kind: 'unknown', reason: fault.fault}, trace, fault.message)
+			: this.#logFailure(send, {kind: 'notRun', reason: fault.fault, status: 0}, trace, fault.message);
 	}
 
-	#logFailure<Result extends Exclude<SendResult, {kind: 'answer'}>>({job, step, endpoint}: Send, sent: Result, facts: Readonly<Record<string, string | number>>): Result {
+	#logFailure<Result extends FailedSend>({job, step, endpoint}: Send, sent: Result, {writtenAt, fields}: SendTrace, detail?: string): Result {
+		const now = this.#context.clock.now();
+		const sentMs = writtenAt === undefined ? undefined : Math.round(now - writtenAt);
 		this.#context.log('sendFailed', {
-			request: job.id, step, endpoint: endpoint.id, outcome: sent.kind, reason: sent.reason, ...facts, ageMs: Math.round(this.#context.clock.now() - job.arrivedAt),
+			request: job.id, step, endpoint: endpoint.id, outcome: sent.kind, reason: sent.reason, detail, ...fields, sentMs, ageMs: Math.round(now - job.arrivedAt),
 		});
 		return sent;
 	}
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -351,9 +351,6 @@
 			return {kind: 'response', answer: {endpoint, response: sent.response, body}};
 		} catch (error) {
 			sent.end(signal.aborted ? 'cancelled' : 'broken', String(error));
-			this.#parts.context.log('sendFailed', {
-				request: this.#job.id, step: 'plain', endpoint: endpoint.id, outcome: 'unknown', reason: 'cut', detail: String(error),
-			});
 			return {kind: 'unknown', reason: 'reset'};
 		}
 	}
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -160,9 +160,6 @@
 			return result;
 		} catch (error) {
 			sent.end('broken', String(error));
-			this.#parts.context.log('sendFailed', {
-				request: this.#job.id, step: 'prefill', endpoint: endpoint.id, outcome: 'unknown', reason: 'cut', detail: String(error),
-			});
 			return undefined;
 		}
 	}
--- a/packages/standin/src/wire/scripted-endpoint.ts
+++ b/packages/standin/src/wire/scripted-endpoint.ts
@@ -13,6 +13,8 @@
 	/** Values by name in small letters. */
 	readonly headers: ReadonlyMap<string, string>;
 	readonly socket: Socket;
+	/** The caller's port. */
+	readonly port: number | undefined;
 	/** Ids of the calls that came before on the connection. */
 	readonly earlierIds: readonly string[];
 };
@@ -66,7 +68,7 @@
 		received = received.slice(bodyEnd);
 		const id = headers.get('request-id') ?? '';
 		answer({
-			id, target, headers, socket, earlierIds: [...earlierIds],
+			id, target, headers, socket, port: socket.remotePort, earlierIds: [...earlierIds],
 		});
 		earlierIds.push(id);
 	});
