Fix: unusable connections passed on to requests that wait for one

While all connections of a pool are in use, as when an endpoint is silent, Node's agent passes a connection that becomes free to the next request without calling keepSocketAlive or reuseSocket. It thus carried that request although it was marked unusable, had delivered its response before the whole body was written, or belongs to an endpoint that keeps no idle connections; and earlierRequests of 7004 stayed 0.

The pool now decides before the agent does whenever a connection becomes free, and requests are counted as they are written. connection-pool.test.ts (pool of one connection): 4 of its 5 cases failed before (three of them used 1 connection in place of 2, one counted 0 earlier requests in place of 1), none does now. A whole surplus response in the same segment was noticed before, too.

This did not make a host state that a request had not run: a response that names another request was refused on such connections as on all others.

--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -19,8 +19,8 @@
 type ConnectionState = {
 	idleMs: number;
 	isUnusable: boolean;
-	/** Requests sent before the current one. */
-	earlierRequests: number;
+	/** Requests written so far. */
+	requests: number;
 	/** Names of reservations granted on the connection; undefined: none. */
 	reservations: Set<string> | undefined;
 };
@@ -34,7 +34,7 @@
 	let state = states.get(socket);
 	if (state === undefined) {
 		state = {
-			idleMs: defaultIdleMs, isUnusable: false, earlierRequests: 0, reservations: undefined,
+			idleMs: defaultIdleMs, isUnusable: false, requests: 0, reservations: undefined,
 		};
 		states.set(socket, state);
 	}
@@ -60,9 +60,14 @@
 	readonly earlierRequests: number;
 };
 
-/** Describes an open connection that a request is assigned to. */
+/** Describes an open connection that a request is about to be written to. */
 export function traceConnection(socket: Socket): ConnectionTrace {
-	return {connection: socket.localPort ?? 0, earlierRequests: stateOf(socket).earlierRequests};
+	return {connection: socket.localPort ?? 0, earlierRequests: stateOf(socket).requests};
+}
+
+/** Records that a request is written to a connection. */
+export function recordRequest(socket: Duplex): void {
+	stateOf(socket).requests += 1;
 }
 
 /** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
@@ -89,6 +94,12 @@
 	closeConnection(this);
 }
 
+/** Whether a connection that is done with a request may carry another one. */
+function isReusable(socket: Duplex): boolean {
+	const {idleMs, isUnusable} = stateOf(socket);
+	return !isUnusable && idleMs > 0 && socket.readableLength === 0;
+}
+
 /** Connection pool of one endpoint. */
 export class ConnectionPool extends Agent {
 	readonly #onOpen: () => void;
@@ -101,6 +112,12 @@
 		});
 		this.#onOpen = onOpen;
 		this.#tls = tls;
+		// While all connections are in use, Node passes one that becomes free to the next request without calling `keepSocketAlive`
+		this.prependListener('free', (socket: Duplex) => {
+			if (!isReusable(socket)) {
+				socket.destroy();
+			}
+		});
 	}
 
 	/** Whether an idle connection is available. */
@@ -132,12 +149,11 @@
 
 	/** Called by Node when a request is done; returns whether the connection stays in the pool. */
 	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node reads the value, its types do not say so
-		const {idleMs, isUnusable} = stateOf(socket);
-		if (isUnusable || idleMs <= 0 || socket.readableLength > 0 || !(socket instanceof Socket)) {
+		if (!isReusable(socket) || !(socket instanceof Socket)) {
 			return false;
 		}
 
-		socket.setTimeout(idleMs);
+		socket.setTimeout(stateOf(socket).idleMs);
 		// Bytes on an idle connection belong to no request
 		socket.on('data', closeOnData);
 		return true;
@@ -148,7 +164,6 @@
 		// Removes the error listener that Node's agent adds to idle connections
 		super.reuseSocket(socket, request);
 		socket.off('data', closeOnData);
-		stateOf(socket).earlierRequests += 1;
 		if (socket instanceof Socket) {
 			socket.setTimeout(0);
 		}
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -16,7 +16,7 @@
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {readBytes} from '../utils/read-bytes.js';
-import {preventReuse, type ConnectionPool} from './connection-pool.js';
+import {preventReuse, recordRequest, type ConnectionPool} from './connection-pool.js';
 
 /** A request to an endpoint. */
 export type OutgoingRequest = {
@@ -112,6 +112,7 @@
 	}
 
 	options.usedConnections?.add(socket);
+	recordRequest(socket);
 	state.mayHaveBeenSent = true;
 	state.fault = 'reset';
 	state.timer?.stop();
