Fix: a refused forward took back runs of sends made meanwhile

A repeatable call whose first endpoint is slow may be forwarded while its send is under way. PeerForwarder restored the counts that it had found before, so that a refusal by the other host took back a send that had been written in between: the job then had no run, its caller's quota was given back, the error could say ran: no, and one more attempt than maxAttempts was possible. Calls that may run once have one send or forward at a time and are not concerned.

Each send and forward now enters its runs in the job's RunLedger and keeps the function that takes just these back, once; mayHaveRun is derived from it.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -29,6 +29,7 @@
 import {isResumption, toStreamKey, type StreamVersions} from '../work/stream-versions.js';
 import {RequestContent} from '../work/request-content.js';
 import {readBytes} from '../utils/read-bytes.js';
+import {RunLedger} from '../work/run-ledger.js';
 import {type JobEnd} from '../work/job-end.js';
 import {stoppingRetryAfterMs} from '../work/generation-failure.js';
 import {forwardHeaders} from './headers.js';
@@ -163,7 +164,7 @@
 				this.#parts.budgets.release(job);
 			});
 			void this.#parts.guard.endTrials(job);
-			if (!job.mayHaveRun) {
+			if (!job.runs.mayHaveRun) {
 				this.#parts.accessControl.refund(job.workspace, job.cost);
 			}
 
@@ -242,8 +243,7 @@
 			isCallerRetry: forwarded === undefined ? this.#isCallerRetry(route.name, facts) : forwarded.isCallerRetry === '1',
 			signal: controller.signal,
 			reply,
-			mayHaveRun: false,
-			runs: 0,
+			runs: new RunLedger(),
 			sends: 0,
 			arrivals: 0,
 			connections: new WeakSet(),
@@ -350,7 +350,7 @@
 			entryHost,
 			detail,
 			sends,
-			runs,
+			runs: runs.count,
 			arrivals,
 			secondTry: isCallerRetry,
 			resumedId: abbreviate(job.facts.resumedId),
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -7,6 +7,7 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {chooseForwardTarget} from '@gatehead/policy/relay/forward-target';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {findCode, type Code} from '@gatehead/schema/codes';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayContext} from '../core/context.js';
@@ -165,12 +166,7 @@
 
 	async #sendTo({host}: MemberRecord, address: string, job: Job, options: ForwardOptions, trace: ForwardTrace): Promise<ForwardResult> {
 		const {budgets, context: {clock, dialect, settings: {timing}}} = this.#parts;
-		const before = {runs: job.runs, mayHaveRun: job.mayHaveRun};
-		const undoRuns = () => {
-			job.runs = before.runs;
-			job.mayHaveRun = before.mayHaveRun;
-		};
-
+		let undoRuns = ignore;
 		const finish = this.#begin(host);
 		this.#forwards += 1;
 		const forwardId = String(this.#forwards);
@@ -185,8 +181,7 @@
 
 					trace.writtenAt = clock.now();
 					trace.connection = traceConnection(socket);
-					job.mayHaveRun = true;
-					job.runs += options.attempts;
+					undoRuns = job.runs.enter(options.attempts);
 					return true;
 				},
 			});
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -6,6 +6,7 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {framingOf} from '@gatehead/host/utils/response-framing';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Outcome} from '@gatehead/policy/relay/endpoint-health';
 import {type Permit} from '@gatehead/policy/relay/rate-permits';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -71,12 +72,14 @@
 /** Reason for ending a stream that stalled on an open connection. */
 export const stallReason = 'silent';
 
-/** What the log line of a failed send shows of its course. */
-type SendTrace = {
+/** Course of a send. */
+type SendCourse = {
 	readonly startedAt: number;
 	/** When the request was written; undefined: it was not. */
 	writtenAt: number | undefined;
-	/** Fields of the connection and of the response. `responseId`: request that the response names; empty: none. */
+	/** Takes back the run that the send may cause. */
+	undoRun: () => void;
+	/** Fields of the connection and of the response for the log. `responseId`: request that the response names; empty: none. */
 	fields: Readonly<Record<string, string | number>>;
 };
 
@@ -129,7 +132,9 @@
 			job.sends += 1;
 		}
 
-		const trace: SendTrace = {startedAt, writtenAt: undefined, fields: {}};
+		const course: SendCourse = {
+			startedAt, writtenAt: undefined, undoRun: ignore, fields: {},
+		};
 		try {
 			const {response, facts} = await exchangeWith(this.#endpoints, endpoint, {
 				method: job.method, target: job.target, headers: this.#buildHeaders(send), body: job.body,
@@ -141,7 +146,7 @@
 				usedConnections: job.connections,
 				verify: response => {
 					const facts = this.#context.dialect.readResponse(response.statusCode ?? 0, response.headers);
-					trace.fields = {...trace.fields, status: response.statusCode ?? 0, responseId: facts.id ?? ''};
+					course.fields = {...course.fields, status: response.statusCode ?? 0, responseId: facts.id ?? ''};
 					metrics.add('responses', {step, identity: identityOf(facts, job)});
 					return facts.id === job.facts.id ? facts : undefined;
 				},
@@ -150,16 +155,20 @@
 						return false;
 					}
 
-					trace.writtenAt = clock.now();
-					trace.fields = traceConnection(socket);
+					if (step !== 'prefill') {
+						course.undoRun = job.runs.enter();
+					}
+
+					course.writtenAt = clock.now();
+					course.fields = traceConnection(socket);
 					return true;
 				},
 			});
-			const sent = this.#classifyResponse(send, {response, facts}, finish, trace);
+			const sent = this.#classifyResponse(send, {response, facts}, finish, course);
 			metrics.add('sends', {step, outcome: sent.kind === 'answer' ? `status${Math.floor((response.statusCode ?? 0) / 100)}` : sent.reason});
 			return sent;
 		} catch (error) {
-			const sent = this.#classifyFailure(send, error, trace);
+			const sent = this.#classifyFailure(send, error, course);
 			finish();
 			metrics.add('sends', {step, outcome: sent.reason});
 			return sent;
@@ -191,11 +200,6 @@
 		}
 
 		metrics.add('arrivals', {step, order: job.arrivals === 1 ? 'first' : 'repeat'});
-		if (step !== 'prefill') {
-			job.mayHaveRun = true;
-			job.runs += 1;
-		}
-
 		return true;
 	}
 
@@ -207,8 +211,8 @@
 		})];
 	}
 
-	#classifyResponse(send: Send, {response, facts}: VerifiedResponse<ResponseFacts>, finish: () => void, trace: SendTrace): SendResult {
-		const {startedAt: sentAt} = trace;
+	#classifyResponse(send: Send, {response, facts}: VerifiedResponse<ResponseFacts>, finish: () => void, course: SendCourse): SendResult {
+		const {startedAt: sentAt} = course;
 		const {job, step, endpoint} = send;
 		const status = response.statusCode ?? 0;
 		const {socket} = response;
@@ -224,14 +228,14 @@
 		}
 
 		if (facts.isNotRun || facts.isAddressReassigned) {
-			this.#undoRun(send);
+			course.undoRun();
 			discardBody(response, this.#context.clock);
 			end('refused');
 			if (!facts.isAddressReassigned) {
 				this.#crashGuard.recordData(endpoint, sentAt);
 			}
 
-			return this.#handleRefusal(send, facts, status, trace);
+			return this.#handleRefusal(send, facts, status, course);
 		}
 
 		// These statuses tell the caller that the request did not run, which the endpoint did not say
@@ -241,7 +245,7 @@
 			preventReuse(socket);
 			response.destroy();
 			end('broken');
-			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, trace);
+			return this.#logFailure(send, {kind: 'unknown', reason: 'unmarked'}, course);
 		}
 
 		this.#crashGuard.recordData(endpoint, sentAt);
@@ -267,7 +271,7 @@
 					this.#recordLoss(send, {
 						sentAt, answeredAt, isConnectionLost: outcome === 'broken' && reason !== stallReason, reason: reason || outcome,
 					});
-					this.#logFailure(send, {kind: 'unknown', reason: 'cut'}, trace, reason || outcome);
+					this.#logFailure(send, {kind: 'unknown', reason: 'cut'}, course, reason || outcome);
 				} else if (outcome === 'good' && step !== 'prefill' && status < minRedirectStatus) {
 					this.#crashGuard.recordSuccess(job);
 				}
@@ -293,21 +297,13 @@
 		}
 	}
 
-	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number, trace: SendTrace): SendResult {
+	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number, course: SendCourse): SendResult {
 		const {endpoint} = send;
 		if (isAddressReassigned) {
 			this.#endpoints.note(this.#endpoints.book.drop(endpoint.id, this.#context.clock.now()), 'endpoint');
 		}
 
-		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, trace);
-	}
-
-	/** Takes a run off the count after the endpoint said that the request did not run. */
-	#undoRun({job, step}: Send): void {
-		if (step !== 'prefill') {
-			job.runs -= 1;
-			job.mayHaveRun = job.runs > 0;
-		}
+		return this.#logFailure(send, {kind: 'notRun', reason: isAddressReassigned ? 'otherEndpoint' : 'refused', status}, course);
 	}
 
 	#recordLoss({job, step, endpoint}: Send, loss: Pick<LostSend, 'sentAt' | 'answeredAt' | 'isConnectionLost' | 'reason'>): void {
@@ -320,9 +316,9 @@
 		});
 	}
 
-	#classifyFailure(send: Send, error: unknown, trace: SendTrace): Exclude<SendResult, {kind: 'answer'}> {
+	#classifyFailure(send: Send, error: unknown, course: SendCourse): Exclude<SendResult, {kind: 'answer'}> {
 		const {job} = send;
-		const {startedAt: sentAt} = trace;
+		const {startedAt: sentAt} = course;
 		const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 		// An endpoint that exceeded the target time before the abort may be unresponsive, or the request long
 		const isOverdue = fault.mayHaveBeenSent && this.#context.clock.now() - sentAt > job.route.targetMs;
@@ -341,15 +337,15 @@
 		}
 
 		if (job.isContentHeld && !fault.mayHaveBeenSent) {
-			return this.#logFailure(send, {kind: 'notRun', reason: 'held', status: 0}, trace);
+			return this.#logFailure(send, {kind: 'notRun', reason: 'held', status: 0}, course);
 		}
 
 		return fault.mayHaveBeenSent
-			? this.#logFailure(send, {kind: 'unknown', reason: fault.fault}, trace, fault.message)
-			: this.#logFailure(send, {kind: 'notRun', reason: fault.fault, status: 0}, trace, fault.message);
+			? this.#logFailure(send, {kind: 'unknown', reason: fault.fault}, course, fault.message)
+			: this.#logFailure(send, {kind: 'notRun', reason: fault.fault, status: 0}, course, fault.message);
 	}
 
-	#logFailure<Result extends FailedSend>({job, step, endpoint}: Send, sent: Result, {writtenAt, fields}: SendTrace, detail?: string): Result {
+	#logFailure<Result extends FailedSend>({job, step, endpoint}: Send, sent: Result, {writtenAt, fields}: SendCourse, detail?: string): Result {
 		const now = this.#context.clock.now();
 		const sentMs = writtenAt === undefined ? undefined : Math.round(now - writtenAt);
 		this.#context.log('sendFailed', {
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -28,7 +28,7 @@
 };
 
 /** Sends an error to the caller. `Reply` may replace the code by one that holds for a request that may have run. */
-export function refuseJob({reply, mayHaveRun, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
+export function refuseJob({reply, runs: {mayHaveRun}, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
 	const code = reply.sendError(wanted, {
 		retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
 	});
@@ -43,7 +43,7 @@
 		return {outcome: 'callerLeft', endpoint: via?.id};
 	}
 
-	return refuseJob(job, {code: job.mayHaveRun ? 'timeoutSpent' : 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'time is up'}, via);
+	return refuseJob(job, {code: job.runs.mayHaveRun ? 'timeoutSpent' : 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'time is up'}, via);
 }
 
 /** Ends a job whose run failed at a replica and cannot continue at another. */
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -174,7 +174,7 @@
 	/** Whether another host has to serve the request because this one cannot reach its service. */
 	#mayForward(): boolean {
 		const job = this.#job;
-		return !this.#isForwardingSpent && !job.signal.aborted && this.#parts.forwarder.isNeeded(job) && job.runs < job.route.maxAttempts && this.#rounds < maxRounds;
+		return !this.#isForwardingSpent && !job.signal.aborted && this.#parts.forwarder.isNeeded(job) && job.runs.count < job.route.maxAttempts && this.#rounds < maxRounds;
 	}
 
 	/** Has another host serve the request, or the rest of its stream; undefined if it stays here. Each round forwards one attempt, so that a stream that breaks off can continue. */
@@ -191,7 +191,7 @@
 		});
 		if (result.kind === 'unavailable') {
 			this.#isForwardingSpent = true;
-			return job.mayHaveRun ? undefined : {kind: 'ended', end: refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
+			return job.runs.mayHaveRun ? undefined : {kind: 'ended', end: refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
 		}
 
 		const via: Via = {id: result.host};
@@ -333,7 +333,7 @@
 	async #prepareContinuation(endpoint: Via, reason: string): Promise<boolean> {
 		const job = this.#job;
 		const {budgets, guard, context: {log}} = this.#parts;
-		const mayContinue = !isOff(this.#parts.context, 'continuing') && job.route.isResumable && job.runs < job.route.maxAttempts && this.#rounds < maxRounds;
+		const mayContinue = !isOff(this.#parts.context, 'continuing') && job.route.isResumable && job.runs.count < job.route.maxAttempts && this.#rounds < maxRounds;
 		if (!mayContinue || !(await guard.mayRetry(job)) || job.signal.aborted || !(await budgets.ensure(job, 'continue'))) {
 			return false;
 		}
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -1,8 +1,8 @@
 /**
- * A caller's request while it is processed. Safety: `mayHaveRun` is set before
- * the first byte can reach an endpoint and is cleared only when the endpoint
- * itself confirms that it did not run the request; every error response
- * depends on it.
+ * A caller's request while it is processed. Safety: a run is entered in `runs`
+ * before the first byte can reach an endpoint and is taken back only when the
+ * endpoint itself confirms that it did not run the request; every error
+ * response depends on it.
  */
 import {type Duplex} from 'node:stream';
 import {type RetryPermit} from '@gatehead/policy/relay/retry-budget';
@@ -10,6 +10,7 @@
 import {type Reply} from '../front/reply.js';
 import {type RequestFacts} from '../core/dialect.js';
 import {type RequestContent} from './request-content.js';
+import {type RunLedger} from './run-ledger.js';
 
 /** A request with its buffered body, its route and its state. */
 export type Job = {
@@ -42,10 +43,8 @@
 	/** Aborts when the caller disconnects or the deadline passes. */
 	readonly signal: AbortSignal;
 	readonly reply: Reply;
-	/** Whether an endpoint may have started to run the request. */
-	mayHaveRun: boolean;
-	/** Number of endpoints that may have run the request, without prefills. */
-	runs: number;
+	/** Endpoints that may have run the request, without prefills. */
+	readonly runs: RunLedger;
 	/** Number of sends so far, without prefills. */
 	sends: number;
 	/** Sends that may have reached an endpoint, without the first prefill that one accepted. */
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -187,7 +187,7 @@
 	async #forwardIfUnreachable(cause?: RetryCause): Promise<JobEnd | undefined> {
 		const {forwarder, context: {clock}} = this.#parts;
 		const job = this.#job;
-		const attempts = job.route.maxAttempts - job.runs;
+		const attempts = job.route.maxAttempts - job.runs.count;
 		if (this.#isForwardingSpent || !forwarder.isNeeded(job) || attempts < 1 || !(await this.#mayRetry(cause))) {
 			return undefined;
 		}
@@ -195,7 +195,7 @@
 		const result = await forwarder.send(job, {attempts, softwareVersion: job.resumedVersion, headMs: timeLeft(job, clock.now()) + 1});
 		if (result.kind === 'unavailable') {
 			this.#isForwardingSpent = true;
-			return job.mayHaveRun ? undefined : this.#refuse();
+			return job.runs.mayHaveRun ? undefined : this.#refuse();
 		}
 
 		return result.kind === 'answer' ? this.#forwardHostResponse(result) : this.#passOnError(result);
@@ -218,7 +218,7 @@
 	}
 
 	#passOnError({host, code: wanted, ...result}: Extract<ForwardResult, {kind: 'refused' | 'unknown'}>): JobEnd {
-		const {reply, route, mayHaveRun, signal} = this.#job;
+		const {reply, route, runs: {mayHaveRun}, signal} = this.#job;
 		if (signal.aborted && signal.reason === 'callerLeft') {
 			return {outcome: 'callerLeft', endpoint: host};
 		}
@@ -231,7 +231,7 @@
 	/** Starts another attempt; undefined if no endpoint, attempt or budget is left. */
 	async #startAttempt(cause: RetryCause | undefined): Promise<Hedge | undefined> {
 		const endpoint = await this.#admit(cause);
-		if (endpoint === undefined || this.#attempts >= maxEndpoints || this.#job.isContentHeld || this.#job.runs >= this.#job.route.maxAttempts || !(await this.#mayRetry(cause))) {
+		if (endpoint === undefined || this.#attempts >= maxEndpoints || this.#job.isContentHeld || this.#job.runs.count >= this.#job.route.maxAttempts || !(await this.#mayRetry(cause))) {
 			return undefined;
 		}
 
@@ -381,13 +381,13 @@
 
 	/** Rejects a call that no endpoint has run and for which none had a place in time. */
 	#refuseWithoutPlace(retryAfterMs: number): JobEnd {
-		const {reply, route, mayHaveRun} = this.#job;
+		const {reply, route, runs: {mayHaveRun}} = this.#job;
 		const code = reply.sendError('overloaded', {retryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
 		return {outcome: 'refused', code, detail: noPlaceDetail};
 	}
 
 	#refuse(endpoint?: Endpoint): JobEnd {
-		const {reply, route, signal, mayHaveRun, sends, isContentHeld} = this.#job;
+		const {reply, route, signal, runs: {mayHaveRun}, sends, isContentHeld} = this.#job;
 		if (signal.aborted && signal.reason === 'callerLeft') {
 			return {outcome: 'callerLeft', endpoint: endpoint?.id};
 		}
--- a/packages/standin/src/wire/forward-answers.test.ts
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -5,9 +5,10 @@
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {seedRandom} from '@gatehead/policy/utils/random';
-import {PeerForwarder, type PeerForwarderParts} from '@gatehead/relay/upstream/peer-forwarder';
+import {PeerForwarder, type ForwardResult, type PeerForwarderParts} from '@gatehead/relay/upstream/peer-forwarder';
 import {Metrics} from '@gatehead/relay/utils/metrics';
 import {type Job} from '@gatehead/relay/work/job';
+import {RunLedger} from '@gatehead/relay/work/run-ledger';
 import {codes} from '@gatehead/schema/codes';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {expect} from 'earl';
@@ -52,36 +53,55 @@
 };
 
 describe('responses to forwarded requests', () => {
+	/** Forwards a job to another host, which responds to each call as given. */
+	async function forward(respond: Case['respond'], job: Job): Promise<ForwardResult['kind']> {
+		const peer = await startScriptedEndpoint(call => {
+			call.socket.write(respond(call));
+		});
+		const {settings} = parseBootSettings(makeBoot({
+			name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
+		}));
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+		const parts = {
+			context: {
+				clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
+			},
+			reachability: {isUnreachable: () => true},
+			budgets: {admit: () => true, discount: ignore},
+			routingVersion: () => 1,
+			listMembers: () => [{...member, hall: settings.hall, forwardAddress: peer.address}],
+		} as unknown as PeerForwarderParts;
+		const forwarder = new PeerForwarder(parts);
+		try {
+			const {kind} = await forwarder.send(job, {attempts: 2, headMs});
+			return kind;
+		} finally {
+			forwarder.close();
+			peer.stop();
+		}
+	}
+
+	function createJob(): Job {
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+		return {
+			id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, connections: new WeakSet(), deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
+		} as unknown as Job;
+	}
+
 	for (const {name, respond, outcome} of cases) {
 		it(`${name}: ${outcome}`, async () => {
-			const peer = await startScriptedEndpoint(call => {
-				call.socket.write(respond(call));
-			});
-			const {settings} = parseBootSettings(makeBoot({
-				name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
-			}));
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-			const parts = {
-				context: {
-					clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
-				},
-				reachability: {isUnreachable: () => true},
-				budgets: {admit: () => true, discount: ignore},
-				routingVersion: () => 1,
-				listMembers: () => [{...member, hall: settings.hall, forwardAddress: peer.address}],
-			} as unknown as PeerForwarderParts;
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-			const job = {
-				id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, connections: new WeakSet(), deadlineAt: systemClock.now() + headMs, mayHaveRun: false, runs: 0,
-			} as unknown as Job;
-			const forwarder = new PeerForwarder(parts);
-			try {
-				const result = await forwarder.send(job, {attempts: 1, headMs});
-				expect({kind: result.kind, mayHaveRun: job.mayHaveRun}).toEqual({kind: outcome, mayHaveRun: outcome !== 'refused'});
-			} finally {
-				forwarder.close();
-				peer.stop();
-			}
+			const job = createJob();
+			const kind = await forward(respond, job);
+			expect({kind, mayHaveRun: job.runs.mayHaveRun}).toEqual({kind: outcome, mayHaveRun: outcome !== 'refused'});
 		});
 	}
+
+	it('a refusal does not take back a send that was written meanwhile', async () => {
+		const job = createJob();
+		const kind = await forward(call => {
+			job.runs.enter();
+			return writeResponse(503, {...ownError, ...nameForward(call)});
+		}, job);
+		expect({kind, mayHaveRun: job.runs.mayHaveRun, runs: job.runs.count}).toEqual({kind: 'refused', mayHaveRun: true, runs: 1});
+	});
 });
