Soak: a resumed stream that gets no answer is a broken promise

It closes its connection after the 30 s of silence that the other callers have, and the soak reports it.

--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -143,6 +143,7 @@
 	}
 
 	const broken = [
+		...(caller.hasGivenUp ? [`${name} had neither an answer nor its end`] : []),
 		...(caller.versions.size > 1 ? [`${name} has events of the versions ${[...caller.versions].join(', ')}`] : []),
 		...(caller.isInOrder ? [] : [`${name} has lost or doubled events: ${caller.events.map(({id}) => id).join(' ')}`]),
 	];
--- a/packages/standin/src/wire/client.ts
+++ b/packages/standin/src/wire/client.ts
@@ -27,7 +27,7 @@
 };
 
 /** Time without a byte after which a caller leaves, in milliseconds: ten times its patience, so that a request that nobody answers ends its test and is told of. */
-const longestSilenceMs = 30_000;
+export const longestSilenceMs = 30_000;
 
 const none: CallerAnswer = {
 	status: 0, headers: {}, body: '', isWhole: false, isGivenUp: false,
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -2,6 +2,7 @@
 import {request as httpRequest, type Agent, type ClientRequest} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {splitAddress} from '@gatehead/schema/address';
+import {longestSilenceMs} from './client.js';
 import {streamEvents} from './replica-server.js';
 
 /** Time in which a caller wants its whole stream, in milliseconds. */
@@ -38,10 +39,14 @@
 	readonly sentAt: number[] = [];
 	/** Number of events at which it closes its connection. */
 	leavesAt = Number.POSITIVE_INFINITY;
+	/** Time without a byte after which it closes its connection, in milliseconds. */
+	silenceMs = longestSilenceMs;
 	/** The end of the latest attempt. */
 	ended: Promise<AttemptEnd> | undefined;
 	/** Attempt that brought the first event. */
 	firstAttempt: string | undefined;
+	/** Whether nothing came for so long that it closed its connection: more than any promise allows. */
+	hasGivenUp = false;
 	readonly #name: string;
 	readonly #path: string;
 	readonly #agent: Agent | false;
@@ -136,6 +141,11 @@
 				},
 			});
 			this.#call = call;
+			call.setTimeout(this.silenceMs, () => {
+				this.hasGivenUp = true;
+				resolve({status: 0, retryAfterMs: undefined});
+				call.destroy();
+			});
 			call.once('response', response => {
 				const {statusCode: status = 0, headers: {'retry-after': retryAfter}} = response;
 				const done = () => {
