Fix: an error thrown after a send could promise "not run"

No caller is known to have seen it: today's codes of such errors are 500.

Cause: `CallerServer.#reject` answers every error thrown while a request is processed as if nothing had been sent. The same call also destroyed a complete response that its caller was still reading.

Change: the pending request holds its job once it can be sent, and `#reject` uses the job's state. `Reply.sendError` leaves a complete response alone.

Measured: unexpected-errors.test.ts, errors injected into a host. Before: 503 for a request that an endpoint had received, and a truncated 200.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -73,6 +73,8 @@
 	readonly isForwarded: boolean;
 	/** Aborts the request at its deadline. */
 	deadlineTimer: Timer | undefined;
+	/** The request once it can be sent; undefined: it has not run. */
+	job: Job | undefined;
 };
 
 export class CallerServer {
@@ -154,10 +156,11 @@
 			// The caller disconnected; the `close` event that follows aborts the request
 		});
 		const pending: PendingRequest = {
-			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined,
+			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined,
 		};
 		try {
 			const job = await this.#prepareJob(pending);
+			pending.job = job;
 			this.#parts.unread.watch(job);
 			const end = await this.#parts.processJob(job).finally(() => {
 				this.#parts.budgets.release(job);
@@ -308,13 +311,15 @@
 		return `${this.#parts.context.self.host}-${this.#generatedIds}`;
 	}
 
-	#reject({request, reply, controller: {signal}, arrivedAt}: PendingRequest, error: unknown): void {
+	/** Responds to a request whose processing threw an error, before or after it was sent. */
+	#reject({request, reply, controller: {signal}, arrivedAt, job}: PendingRequest, error: unknown): void {
 		const {context: {clock, log, metrics, dialect}, routing} = this.#parts;
-		const {code, message, retryAfterMs} = toFailure(error);
-		reply.sendError(code, {retryAfterMs, mayHaveRun: false, isRepeatable: false});
+		const failure = toFailure(error);
+		const {message, retryAfterMs} = failure;
+		const code = reply.sendError(failure.code, {retryAfterMs, mayHaveRun: job?.mayHaveRun ?? false, isRepeatable: job?.route.kind === 'repeatable'});
 		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
 		metrics.add('requests', {kind: 'none', outcome});
-		log(code === 'internal' ? 'internal' : 'requestEnded', {
+		log(failure.code === 'internal' ? 'internal' : 'requestEnded', {
 			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, evidenceAgeMs: isDecidedByConfiguration(code) ? Math.round(routing.ageMs()) : undefined, tookMs: Math.round(clock.now() - arrivedAt),
 		});
 		// An unread body would block the connection
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -84,7 +84,12 @@
 
 	/** Whether the response can still be written: neither ended, nor closed by the caller, nor replaced by the rejection of a malformed request. */
 	get isOpen(): boolean {
-		return !this.#isDestroyed && this.#unwrittenBytes === 0 && !this.#response.destroyed && !this.#response.writableEnded && !isRejected(this.#response.req);
+		return !this.#isDestroyed && !this.#isEnded && !this.#response.destroyed && !isRejected(this.#response.req);
+	}
+
+	/** Whether the response is complete, though a part may not be written yet. */
+	get #isEnded(): boolean {
+		return this.#unwrittenBytes > 0 || this.#response.writableEnded;
 	}
 
 	/** Bytes buffered for a caller that reads slowly. */
@@ -205,10 +210,14 @@
 		});
 	}
 
-	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead. */
+	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead, unless the response is complete. */
 	sendError(requested: Code, {retryAfterMs, mayHaveRun, isRepeatable, detail}: ErrorResponseOptions): Code {
 		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && !isRepeatable;
 		const code = wouldMislead ? 'answerLost' : requested;
+		if (this.#isEnded) {
+			return code;
+		}
+
 		if (this.headersSent) {
 			this.destroy();
 			return code;
