Fix: a duplicate rejection taken for that of a request sent again

A caller that sends a rejected request again with the same id, to the same host, could be answered 503 although the request ran, and it could run twice: an endpoint that repeated its earlier rejection on the kept connection was taken at its word, since the response names the request. Only connections that the same job had used were avoided, and the second try is another job.

A connection now remembers the ids of the requests that it carried and carries none of them twice, whichever job sends it; after 256 requests of callers it is not reused, which bounds the ids. Job.connections is gone.

The platform's pages give each try an id of its own, so this needs callers that do not.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -246,7 +246,6 @@
 			runs: new RunLedger(),
 			sends: 0,
 			arrivals: 0,
-			connections: new WeakSet(),
 			retryPermits: [],
 			usedPermit: undefined,
 			isContentHeld: false,
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -1,7 +1,7 @@
 /**
  * Keep-alive connections to one endpoint, pooled by Node's HTTP agent. Safety:
  * a connection that delivered unsolicited bytes, or a response before the
- * whole request was written, is never reused.
+ * whole request was written, is never reused, and carries no request id twice.
  */
 import {Agent, type ClientRequest} from 'node:http';
 import {Socket} from 'node:net';
@@ -21,6 +21,8 @@
 	isUnusable: boolean;
 	/** Requests written so far. */
 	requests: number;
+	/** Ids of those of callers. */
+	requestIds: Set<string>;
 	/** Names of reservations granted on the connection; undefined: none. */
 	reservations: Set<string> | undefined;
 };
@@ -28,13 +30,16 @@
 /** Reservations granted on one connection after which it is not reused; bounds the names kept. */
 const maxReservations = 1024;
 
+/** Requests of callers on one connection after which it is not reused; bounds the ids kept. */
+const maxRequestIds = 256;
+
 const states = new WeakMap<Duplex, ConnectionState>();
 
 function stateOf(socket: Duplex): ConnectionState {
 	let state = states.get(socket);
 	if (state === undefined) {
 		state = {
-			idleMs: defaultIdleMs, isUnusable: false, requests: 0, reservations: undefined,
+			idleMs: defaultIdleMs, isUnusable: false, requests: 0, requestIds: new Set(), reservations: undefined,
 		};
 		states.set(socket, state);
 	}
@@ -65,9 +70,19 @@
 	return {connection: socket.localPort ?? 0, earlierRequests: stateOf(socket).requests};
 }
 
-/** Records that a request is written to a connection. */
-export function recordRequest(socket: Duplex): void {
-	stateOf(socket).requests += 1;
+/** Records that a request is written to a connection; `id`: the caller's, which responses repeat. */
+export function recordRequest(socket: Duplex, id: string | undefined): void {
+	const state = stateOf(socket);
+	state.requests += 1;
+	if (id !== undefined) {
+		state.requestIds.add(id);
+		state.isUnusable ||= state.requestIds.size >= maxRequestIds;
+	}
+}
+
+/** Whether a connection has carried a request with this id. */
+export function hasCarried(socket: Duplex, id: string | undefined): boolean {
+	return id !== undefined && stateOf(socket).requestIds.has(id);
 }
 
 /** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -9,14 +9,15 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {type Duplex} from 'node:stream';
 import {checkEnd, watchEnd} from '@gatehead/host/utils/response-end';
 import {receiveHead} from '@gatehead/host/utils/response-head';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {readBytes} from '../utils/read-bytes.js';
-import {preventReuse, recordRequest, type ConnectionPool} from './connection-pool.js';
+import {
+	hasCarried, preventReuse, recordRequest, type ConnectionPool,
+} from './connection-pool.js';
 
 /** A request to an endpoint. */
 export type OutgoingRequest = {
@@ -79,8 +80,8 @@
 	readonly signal: AbortSignal;
 	/** Reads what the response states; undefined if it does not answer this request. Nothing else of a response is used before. */
 	readonly verify: (response: IncomingMessage) => Facts | undefined;
-	/** Connections that carried the request before; the one used is added. A duplicate of an earlier response to the request could not be told from a new one there. */
-	readonly usedConnections?: WeakSet<Duplex>;
+	/** Id of the request, which responses repeat. Connections that carried it before, also for a caller that sends it again, are not used: a duplicate of the earlier response could not be told from a new one there. */
+	readonly requestId?: string;
 	/** Called with the connection right before the first byte is written; if it returns false, nothing is sent. */
 	readonly maySend?: (socket: Socket) => boolean;
 	/** Whether the connection is closed once the response has ended while a part of the body is unread; otherwise both stay until the endpoint closes the connection. */
@@ -105,14 +106,13 @@
 
 /** Writes the request to its established connection. */
 function sendRequest<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): void {
-	if (options.signal.aborted || options.usedConnections?.has(socket) === true || options.maySend?.(socket) === false) {
+	if (options.signal.aborted || hasCarried(socket, options.requestId) || options.maySend?.(socket) === false) {
 		state.fault = 'aborted';
 		clientRequest.destroy(new Error('canceled before the request was sent'));
 		return;
 	}
 
-	options.usedConnections?.add(socket);
-	recordRequest(socket);
+	recordRequest(socket, options.requestId);
 	state.mayHaveBeenSent = true;
 	state.fault = 'reset';
 	state.timer?.stop();
@@ -151,12 +151,12 @@
 /** Sends a request and resolves once the headers of its response arrive; rejects with an `ExchangeError`. */
 export async function exchange<Facts>(outgoing: OutgoingRequest, connections: ConnectionPool, options: ExchangeOptions<Facts>): Promise<VerifiedResponse<Facts>> {
 	const {ip, port} = splitAddress(outgoing.address);
-	const {clock, signal, usedConnections} = options;
+	const {clock, signal, requestId} = options;
 	const state: ExchangeState = {
 		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
 	};
-	if (usedConnections !== undefined) {
-		connections.closeIdle(socket => usedConnections.has(socket));
+	if (requestId !== undefined) {
+		connections.closeIdle(socket => hasCarried(socket, requestId));
 	}
 
 	const clientRequest = httpRequest({
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -143,7 +143,7 @@
 				connectMs: settings.timing.connectMs,
 				headMs,
 				signal,
-				usedConnections: job.connections,
+				requestId: job.id,
 				verify: response => {
 					const facts = this.#context.dialect.readResponse(response.statusCode ?? 0, response.headers);
 					course.fields = {...course.fields, status: response.statusCode ?? 0, responseId: facts.id ?? ''};
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -4,7 +4,6 @@
  * endpoint itself confirms that it did not run the request; every error
  * response depends on it.
  */
-import {type Duplex} from 'node:stream';
 import {type RetryPermit} from '@gatehead/policy/relay/retry-budget';
 import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type Reply} from '../front/reply.js';
@@ -49,8 +48,6 @@
 	sends: number;
 	/** Sends that may have reached an endpoint, without the first prefill that one accepted. */
 	arrivals: number;
-	/** Connections on which the request was sent, to endpoints or other hosts. */
-	readonly connections: WeakSet<Duplex>;
 	/** Permits for repeats that are not sent yet. */
 	readonly retryPermits: RetryPermit[];
 	/** Permit of the last send; undefined if it was free. */
--- a/packages/standin/src/wire/duplicate-responses.test.ts
+++ b/packages/standin/src/wire/duplicate-responses.test.ts
@@ -239,6 +239,61 @@
 	});
 });
 
+/** Guards against a duplicate of an earlier rejection where the caller sends a rejected request again with the same id. */
+describe('duplicate rejections of a request that its caller sends again', () => {
+	let scripted: ScriptedWorld;
+
+	before(async () => {
+		scripted = await startScriptedWorld({plain: 2});
+	});
+
+	after(async () => {
+		await scripted.stop();
+	});
+
+	/** Has a request rejected by all endpoints, sends `between` others, then sends it again; endpoints repeat their rejection where they can. */
+	async function sendAgain(between: number): Promise<void> {
+		await scripted.publish();
+		scripted.runs.length = 0;
+		const id = `returned-${between}`;
+		const rejection = writeResponse(503, {'Request-Id': id, 'Not-Executed': '1', 'Keep-Alive': 'timeout=5'});
+		let isRejecting = true;
+		scripted.intercept = call => {
+			if (call.id !== id) {
+				return false;
+			}
+
+			if (isRejecting || call.earlierIds.includes(id)) {
+				call.socket.write(rejection);
+			}
+
+			if (!isRejecting) {
+				setTimeout(() => {
+					scripted.answerSoundly(call);
+				}, responseDelayMs);
+			}
+
+			return true;
+		};
+
+		const {status: first} = await sendRequest({address: scripted.caller, id, path: '/once/1'});
+		isRejecting = false;
+		for (let other = 0; other < between; other += 1) {
+			await sendRequest({address: scripted.caller, id: `${id}-${other}`, path: '/once/1'});
+		}
+
+		const {status: second} = await sendRequest({address: scripted.caller, id, path: '/once/1'});
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, 2 * responseDelayMs);
+		});
+		expect({first, second, runs: scripted.runs.filter(run => run === id)}).toEqual({first: 503, second: okStatus, runs: [id]});
+	}
+
+	for (const between of [0, 1, 3]) {
+		it(`it runs once, and is not reported as not run, behind ${between} other requests`, async () => sendAgain(between));
+	}
+});
+
 /** Guards against a duplicate of an earlier grant, by which two streams would use one reservation. */
 describe('duplicate grants of reservations', () => {
 	let scripted: ScriptedWorld;
--- a/packages/standin/src/wire/forward-answers.test.ts
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -84,7 +84,7 @@
 	function createJob(): Job {
 		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
 		return {
-			id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, connections: new WeakSet(), deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
+			id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
 		} as unknown as Job;
 	}
 
