--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -315,7 +315,7 @@
 		const {context: {clock, log, metrics, dialect}, routing} = this.#parts;
 		const failure = toFailure(error);
 		const {message, retryAfterMs} = failure;
-		const code = reply.sendError(failure.code, {retryAfterMs, mayHaveRun: job?.mayHaveRun ?? false, isRepeatable: job?.route.kind === 'repeatable'});
+		const code = reply.sendError(failure.code, {retryAfterMs, mayHaveRun: job?.runs.mayHaveRun ?? false, isRepeatable: job?.route.kind === 'repeatable'});
 		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
 		metrics.add('requests', {kind: 'none', outcome});
 		log(failure.code === 'internal' ? 'internal' : 'requestEnded', {
