--- a/packages/standin/src/silence/callers.ts
+++ b/packages/standin/src/silence/callers.ts
@@ -36,9 +36,6 @@
 	/** Whether the caller left first. */
 	readonly hasLeft: boolean;
 	readonly body: string;
-	readonly isWhole: boolean;
-	/** Whether all of the request was written. */
-	readonly isSent: boolean;
 };
 
 /** Kept connections, taken up again in the order in which they came to rest. */
@@ -113,7 +110,7 @@
 		const end = (seen: Partial<Attempt> & {readonly retryAfterMs?: number}) => {
 			clearTimeout(leaving);
 			resolve({
-				id, isOnce: !path.startsWith('/repeatable/'), host, sentAt, endedAt: Date.now(), status: 0, isKeptConnection, hasLeft, body: '', isWhole: false, isSent: call.writableFinished, retryAfterMs: 0, ...seen,
+				id, isOnce: !path.startsWith('/repeatable/'), host, sentAt, endedAt: Date.now(), status: 0, isKeptConnection, hasLeft, body: '', retryAfterMs: 0, ...seen,
 			});
 		};
 
@@ -135,7 +132,7 @@
 			});
 			response.once('close', () => {
 				end({
-					status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8'), isWhole: response.complete, retryAfterMs: Number(response.headers['retry-after'] ?? 0) * millisecondsPerSecond,
+					status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString('utf8'), retryAfterMs: Number(response.headers['retry-after'] ?? 0) * millisecondsPerSecond,
 				});
 			});
 		});
--- a/packages/standin/src/silence/silence.ts
+++ b/packages/standin/src/silence/silence.ts
@@ -55,7 +55,7 @@
 	staggered: {isStaggered: true},
 	/** All endpoints of the service fall silent, so that hosts think themselves cut off and forward to each other. */
 	together: {stopsAll: true},
-	/** Queues fill up, and deadlines pass in them. */
+	/** Queues are full while another endpoint is silent, and hold expired requests on waking. */
 	crowded: {endpoint: {slots: 1, workMs: 28, queue: 8}},
 	/** A rejection leaves no time for a second attempt. */
 	lateRejections: {endpoint: {lateRejectionShare: 0.1}},
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -7,8 +7,7 @@
 import {fileURLToPath} from 'node:url';
 import {makeBoot} from '../wire/world.js';
 
-/** The host's program in this repository. */
-export const hostProgram = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
+const ownProgram = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url));
 
 /** Where a process listens and keeps its files. */
 export type HostParts = {
@@ -55,7 +54,7 @@
 		}
 
 		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot({...this.#parts, isFirstStart: this.#child === undefined})));
-		this.#child = spawn(process.execPath, [this.#parts.program ?? hostProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
+		this.#child = spawn(process.execPath, [this.#parts.program ?? ownProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
 	}
 
 	/** Sends a signal to this process alone. */
