Fix: rejections were lost on callers that were still sending a body

Callers saw: a reset connection in place of 503 (too many requests, host stopping), if their body was longer than what had arrived. They were not told to wait, and a request that may run once could not be retried on a promise.

Cause: `CallerServer.#reject` destroyed the request right after writing the response. Closing a connection with unread bytes resets it, and a caller that writes meets the reset before it reads.

Such requests do not count towards the limit of requests; a planned stop waits for them.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -75,6 +75,8 @@
 	deadlineTimer: Timer | undefined;
 	/** The request once it can be sent; undefined: it has not run. */
 	job: Job | undefined;
+	/** Whether the request is rejected and its body is still being read. */
+	isDraining: boolean;
 };
 
 export class CallerServer {
@@ -84,6 +86,8 @@
 	readonly #retryDetector = new RetryDetector();
 	readonly #resolver: RequestResolver;
 	#activeRequests = 0;
+	/** Active requests that are rejected, but whose body is still being read. */
+	#drainingRequests = 0;
 	#generatedIds = 0;
 	#closesConnections = false;
 	#isRejectingNew = false;
@@ -143,10 +147,14 @@
 		const arrivedAt = clock.now();
 		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections, isForwarded);
 		const controller = new AbortController();
+		const pending: PendingRequest = {
+			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isDraining: false,
+		};
 		this.#activeRequests += 1;
 		metrics.set('open', this.#activeRequests);
 		response.once('close', () => {
 			this.#activeRequests -= 1;
+			this.#drainingRequests -= pending.isDraining ? 1 : 0;
 			metrics.set('open', this.#activeRequests);
 			if (!response.writableFinished) {
 				controller.abort('callerLeft');
@@ -155,9 +163,6 @@
 		response.on('error', () => {
 			// The caller disconnected; the `close` event that follows aborts the request
 		});
-		const pending: PendingRequest = {
-			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined,
-		};
 		try {
 			const job = await this.#prepareJob(pending);
 			pending.job = job;
@@ -183,7 +188,7 @@
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
 		}
 
-		if (this.#activeRequests > this.#parts.context.settings.limits.requests) {
+		if (this.#activeRequests - this.#drainingRequests > this.#parts.context.settings.limits.requests) {
 			fail('tooManyRequests', {retryAfterMs: overloadRetryAfterMs});
 		}
 	}
@@ -312,20 +317,22 @@
 	}
 
 	/** Responds to a request whose processing threw an error, before or after it was sent. */
-	#reject({request, reply, controller: {signal}, arrivedAt, job}: PendingRequest, error: unknown): void {
+	#reject(pending: PendingRequest, error: unknown): void {
+		const {request, reply, controller: {signal}, arrivedAt, job} = pending;
 		const {context: {clock, log, metrics, dialect}, routing} = this.#parts;
 		const failure = toFailure(error);
 		const {message, retryAfterMs} = failure;
 		const code = reply.sendError(failure.code, {retryAfterMs, mayHaveRun: job?.mayHaveRun ?? false, isRepeatable: job?.route.kind === 'repeatable'});
+		if (reply.isOpen) {
+			pending.isDraining = true;
+			this.#drainingRequests += 1;
+		}
+
 		const outcome = signal.aborted && code === 'callerGone' ? 'callerLeft' : 'refused';
 		metrics.add('requests', {kind: 'none', outcome});
 		log(failure.code === 'internal' ? 'internal' : 'requestEnded', {
 			request: dialect.readRequest(request.headers).id, outcome, reason: code, detail: message, version: routing.version, evidenceAgeMs: isDecidedByConfiguration(code) ? Math.round(routing.ageMs()) : undefined, tookMs: Math.round(clock.now() - arrivedAt),
 		});
-		// An unread body would block the connection
-		if (!request.complete) {
-			request.destroy();
-		}
 	}
 
 	#recordEnd(job: Job, {outcome, code, endpoint, softwareVersion, detail, longestGapMs, framing, events, restBytes}: JobEnd): void {
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -14,6 +14,7 @@
 	errorCodeHeader, isReservedHeader, readForwardId, writeForwardId, writeSoftwareVersion,
 } from '../core/forward-facts.js';
 import {forwardHeaders} from './headers.js';
+import {drainRequest} from './request-drain.js';
 
 const millisecondsPerSecond = 1000;
 const badGateway = 502;
@@ -248,10 +249,27 @@
 		}
 
 		this.#writeHead(status, headers);
-		this.#response.end(body);
+		void this.#endWithRequest(body);
 		return code;
 	}
 
+	/** Sends a complete body, and ends the response once its request has been read: the end may close the connection. */
+	async #endWithRequest(body: string): Promise<void> {
+		const {req} = this.#response;
+		if (req.complete || req.destroyed) {
+			this.#response.end(body);
+			return;
+		}
+
+		this.#response.write(body);
+		await drainRequest(req);
+		this.#response.end();
+		// An unread body would block the connection
+		if (!req.complete) {
+			req.destroy();
+		}
+	}
+
 	#endWith(bytes: Uint8Array | undefined): void {
 		if (this.#buffered !== undefined) {
 			const body = Buffer.concat([...this.#buffered, bytes ?? new Uint8Array()]);
