Fix: a busy host reused connections that endpoints had closed

Callers saw: 502 although nothing ran, for a request that may run once.

Cause: a host whose event loop was blocked, or whose process was stopped, can process a caller's request before the idle timer of a pooled connection and before the endpoint's end of it. The request was then written to a closed connection and counted as sent.

Change: the pool keeps the time at which the idle timeout of a connection passes; an exchange closes overdue connections before it takes one.

Measured: exchange.test.ts, the loop blocked beyond the idle timeout and the endpoint's close unread.

--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -18,6 +18,8 @@
 
 type ConnectionState = {
 	idleMs: number;
+	/** Time at which the idle timeout passes, by `performance.now()`. */
+	idleUntil: number;
 	isUnusable: boolean;
 	/** Requests sent before the current one. */
 	earlierRequests: number;
@@ -34,7 +36,7 @@
 	let state = states.get(socket);
 	if (state === undefined) {
 		state = {
-			idleMs: defaultIdleMs, isUnusable: false, earlierRequests: 0, reservations: undefined,
+			idleMs: defaultIdleMs, idleUntil: Number.POSITIVE_INFINITY, isUnusable: false, earlierRequests: 0, reservations: undefined,
 		};
 		states.set(socket, state);
 	}
@@ -52,6 +54,11 @@
 	stateOf(socket).isUnusable = true;
 }
 
+/** Whether an idle connection's timeout has passed. On a busy host a request can come before the timer, when the endpoint may have closed the connection already. */
+export function isOverdue(socket: Duplex): boolean {
+	return stateOf(socket).idleUntil <= performance.now();
+}
+
 /** Number of requests that a connection carried before the current one. */
 export function countEarlierRequests(socket: Duplex): number {
 	return stateOf(socket).earlierRequests;
@@ -129,6 +136,7 @@
 			return false;
 		}
 
+		stateOf(socket).idleUntil = performance.now() + idleMs;
 		socket.setTimeout(idleMs);
 		// Bytes on an idle connection belong to no request
 		socket.on('data', closeOnData);
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -5,6 +5,7 @@
 } from 'node:net';
 import process from 'node:process';
 import {describe, it} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
@@ -81,6 +82,14 @@
 	return {server, address: `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`};
 }
 
+/** Blocks the event loop, in milliseconds. */
+function block(milliseconds: number): void {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		// Busy
+	}
+}
+
 function createRequest(address: string) {
 	return {
 		address, method: 'GET', target: '/', headers: ['Host', address], body: undefined,
@@ -190,10 +199,7 @@
 		const {server, address} = await listen(socket => {
 			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
 			// The timeout is over before the response is read
-			const until = performance.now() + 150;
-			while (performance.now() < until) {
-				// Blocks the event loop
-			}
+			block(150);
 		});
 		const connections = new ConnectionPool(1, ignore);
 		try {
@@ -218,6 +224,28 @@
 		expect(result instanceof ExchangeError && result.mayHaveBeenSent).toEqual(false);
 	});
 
+	it('a connection whose idle timeout has passed is not reused, although this process is late', async () => {
+		const sockets: Socket[] = [];
+		const {server, address} = await listen(socket => {
+			sockets.push(socket);
+			socket.write(`${head}Content-Length: 5\r\n\r\nhello`);
+		});
+		const connections = new ConnectionPool(1, ignore);
+		try {
+			await fetchBody(address, connections);
+			await pause(20);
+			expect(connections.hasIdle).toEqual(true);
+			block(500);
+			// The endpoint closes the connection, and neither that nor the timeout is processed before the next request
+			sockets[0]?.destroy();
+			expect(await fetchBody(address, connections)).toEqual('hello');
+			expect(new Set(sockets).size).toEqual(2);
+		} finally {
+			connections.destroy();
+			server.close();
+		}
+	});
+
 	it('a connection with a duplicate response is not reused', async () => {
 		let connected = 0;
 		const {server, address} = await listen(socket => {
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -16,7 +16,7 @@
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {readBytes} from '../utils/read-bytes.js';
-import {preventReuse, type ConnectionPool} from './connection-pool.js';
+import {isOverdue, preventReuse, type ConnectionPool} from './connection-pool.js';
 
 /** A request to an endpoint. */
 export type OutgoingRequest = {
@@ -154,10 +154,7 @@
 	const state: ExchangeState = {
 		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
 	};
-	if (usedConnections !== undefined) {
-		connections.closeIdle(socket => usedConnections.has(socket));
-	}
-
+	connections.closeIdle(socket => isOverdue(socket) || usedConnections?.has(socket) === true);
 	const clientRequest = httpRequest({
 		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
 	});
