Fix: between hosts, repeatable requests were reported as not run

No caller is known to have seen it: it needs a forward while the kind of its route changes.

Cause: a host that serves a forwarded request may answer a repeatable one with a status that promises, although it may have run. Whether it is repeatable follows from that host's configuration; the entry host takes the status for "not run" and may hold the request for one that may run once.

Change: an error response to another host promises only if the request has not run.

Measured: reply.test.ts, one of five cases failed before (503 in place of 502), none does now. forwarding.test.ts (9) and forward-answers.test.ts (5) pass.

--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -213,7 +213,9 @@
 
 	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead, unless the response is complete. */
 	sendError(requested: Code, {retryAfterMs, mayHaveRun, isRepeatable, detail}: ErrorResponseOptions): Code {
-		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && !isRepeatable;
+		// The entry host's configuration may differ on whether the request is repeatable
+		const needsTruth = !isRepeatable || this.#isToHost;
+		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && needsTruth;
 		const code = wouldMislead ? 'answerLost' : requested;
 		if (this.#isEnded) {
 			return code;
