--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -14,6 +14,7 @@
 	errorCodeHeader, isReservedHeader, readForwardId, writeForwardId, writeSoftwareVersion,
 } from '../core/forward-facts.js';
 import {forwardHeaders} from './headers.js';
+import {drainRequest} from './request-drain.js';
 
 const millisecondsPerSecond = 1000;
 const badGateway = 502;
@@ -212,7 +213,9 @@
 
 	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead, unless the response is complete. */
 	sendError(requested: Code, {retryAfterMs, mayHaveRun, isRepeatable, detail}: ErrorResponseOptions): Code {
-		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && !isRepeatable;
+		// The entry host's configuration may differ on whether the request is repeatable
+		const needsTruth = !isRepeatable || this.#isToHost;
+		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && needsTruth;
 		const code = wouldMislead ? 'answerLost' : requested;
 		if (this.#isEnded) {
 			return code;
@@ -248,10 +251,27 @@
 		}
 
 		this.#writeHead(status, headers);
-		this.#response.end(body);
+		void this.#endWithRequest(body);
 		return code;
 	}
 
+	/** Sends a complete body, and ends the response once its request has been read: the end may close the connection. */
+	async #endWithRequest(body: string): Promise<void> {
+		const {req} = this.#response;
+		if (req.complete || req.destroyed) {
+			this.#response.end(body);
+			return;
+		}
+
+		this.#response.write(body);
+		await drainRequest(req);
+		this.#response.end();
+		// An unread body would block the connection
+		if (!req.complete) {
+			req.destroy();
+		}
+	}
+
 	#endWith(bytes: Uint8Array | undefined): void {
 		if (this.#buffered !== undefined) {
 			const body = Buffer.concat([...this.#buffered, bytes ?? new Uint8Array()]);
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -18,6 +18,8 @@
 
 type ConnectionState = {
 	idleMs: number;
+	/** Time at which the idle timeout passes, by `performance.now()`. */
+	idleUntil: number;
 	isUnusable: boolean;
 	/** Requests written so far. */
 	requests: number;
@@ -39,7 +41,7 @@
 	let state = states.get(socket);
 	if (state === undefined) {
 		state = {
-			idleMs: defaultIdleMs, isUnusable: false, requests: 0, requestIds: new Set(), reservations: undefined,
+			idleMs: defaultIdleMs, idleUntil: Number.POSITIVE_INFINITY, isUnusable: false, requests: 0, requestIds: new Set(), reservations: undefined,
 		};
 		states.set(socket, state);
 	}
@@ -85,6 +87,11 @@
 	return id !== undefined && stateOf(socket).requestIds.has(id);
 }
 
+/** Whether an idle connection's timeout has passed. On a busy host a request can come before the timer, when the endpoint may have closed the connection already. */
+function isOverdue(socket: Duplex): boolean {
+	return stateOf(socket).idleUntil <= performance.now();
+}
+
 /** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
 export function recordReservation(socket: Duplex, reservation: string): boolean {
 	const state = stateOf(socket);
@@ -146,11 +153,11 @@
 		return sockets.some(socket => socket !== undefined && !socket.destroyed && !socket.connecting);
 	}
 
-	/** Closes the idle connections that match, and removes those whose timeout has closed them: Node's agent uses them until their close is reported. */
+	/** Closes the idle connections that match or are overdue, and removes those whose timeout has closed them: Node's agent uses them until their close is reported. */
 	closeIdle(isMatch: (socket: Socket) => boolean): void {
 		for (const sockets of Object.values(this.freeSockets)) {
 			// Closing a connection changes the list
-			for (const socket of [...sockets ?? []].filter(each => each.destroyed || isMatch(each))) {
+			for (const socket of [...sockets ?? []].filter(each => each.destroyed || isOverdue(each) || isMatch(each))) {
 				closeConnection(socket);
 			}
 		}
@@ -168,7 +175,9 @@
 			return false;
 		}
 
-		socket.setTimeout(stateOf(socket).idleMs);
+		const state = stateOf(socket);
+		state.idleUntil = performance.now() + state.idleMs;
+		socket.setTimeout(state.idleMs);
 		// Bytes on an idle connection belong to no request
 		socket.on('data', closeOnData);
 		return true;
