Fix: a request written to an idle connection that its endpoint had just ended

Node's agent assigns such a connection until its close is reported. The write fails, though no byte leaves, and the request counts as one that may have run: a request that may run once got 502. Test: exchange.test.ts, closedCases (before: 'reset: socket hang up').

--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -146,11 +146,11 @@
 		return sockets.some(socket => socket !== undefined && !socket.destroyed && !socket.connecting);
 	}
 
-	/** Closes the idle connections that match, and removes those whose timeout has closed them: Node's agent uses them until their close is reported. */
+	/** Closes the idle connections that match, and removes those that their timeout has closed or the endpoint has ended: Node's agent uses them until their close is reported. */
 	closeIdle(isMatch: (socket: Socket) => boolean): void {
 		for (const sockets of Object.values(this.freeSockets)) {
 			// Closing a connection changes the list
-			for (const socket of [...sockets ?? []].filter(each => each.destroyed || isMatch(each))) {
+			for (const socket of [...sockets ?? []].filter(each => each.destroyed || each.readableEnded || isMatch(each))) {
 				closeConnection(socket);
 			}
 		}
--- a/packages/relay/src/upstream/exchange.test.ts
+++ b/packages/relay/src/upstream/exchange.test.ts
@@ -91,6 +91,14 @@
 			await closed;
 		},
 	},
+	{
+		name: 'an idle connection that the endpoint has just ended', async close(_connections, socket) {
+			const ended = once(socket, 'end');
+			// As the end of the bytes arrives
+			socket.push(null);
+			await ended;
+		},
+	},
 	{
 		name: 'an idle connection whose timeout has just expired', close(_connections, socket) {
 			socket.emit('timeout');
