Fix: responses behind an open one were never closed when their caller left

Node reports the close of a connection only to the response that occupies it. Pipelined requests behind it kept running and stayed in the counts of open requests, which limit new requests and delay a planned stop. Test: caller-connections.test.ts (before: 2 of 3 responses stay open).

--- a/packages/host/src/front/caller-connections.test.ts
+++ b/packages/host/src/front/caller-connections.test.ts
@@ -106,3 +106,35 @@
 		});
 	}
 });
+
+describe('responses to callers that disconnect', () => {
+	it('all are closed, also those behind one that is not complete', {timeout: hangMs}, async () => {
+		let pending = 0;
+		const server = createServer((_request, response) => {
+			pending += 1;
+			response.once('close', () => {
+				pending -= 1;
+			});
+		});
+		const connections = new CallerConnections(server);
+		server.listen(0, address);
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
+		const caller = connect(port, address);
+		try {
+			const [connection] = await once(server, 'connection') as [Socket]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the event's parameter
+			const closed = once(connection, 'close');
+			const received = once(server, 'request');
+			caller.write(request.repeat(3));
+			await received;
+			expect(pending).toEqual(3);
+			caller.destroy();
+			await closed;
+			await nextTurn();
+			expect(pending).toEqual(0);
+		} finally {
+			caller.destroy();
+			await connections.close();
+		}
+	});
+});
--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -30,6 +30,14 @@
 	return [...openResponses].some(({req}) => !isRejected(req));
 }
 
+/** Closes the responses of a closed connection that wait for an earlier one. Node reports the close of the earlier one only. */
+function closeQueued(responses: ReadonlySet<ServerResponse>): void {
+	for (const response of [...responses].filter(({socket}) => socket === null)) {
+		response.destroy();
+		response.emit('close');
+	}
+}
+
 /** Open connections of one server. */
 export class CallerConnections {
 	readonly #server: Server;
@@ -164,8 +172,10 @@
 				openResponses: new Set(), bytesRead: 0, idleTimeoutMs: this.#server.keepAliveTimeout, fault: undefined,
 			};
 			this.#uses.set(socket, use);
+			const {openResponses} = use;
 			socket.once('close', () => {
 				this.#uses.delete(socket);
+				closeQueued(openResponses);
 			});
 		}
 
