--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -87,9 +87,9 @@
 	return id !== undefined && stateOf(socket).requestIds.has(id);
 }
 
-/** Whether an idle connection's timeout has passed. On a busy host a request can come before the timer, when the endpoint may have closed the connection already. */
-function isOverdue(socket: Duplex): boolean {
-	return stateOf(socket).idleUntil <= performance.now();
+/** Whether an idle connection is closed by either side. On a busy host a request can come before the timer of the idle timeout, when the endpoint may have closed the connection already. */
+function isClosing(socket: Socket): boolean {
+	return socket.destroyed || socket.readableEnded || stateOf(socket).idleUntil <= performance.now();
 }
 
 /** Records a reservation granted on a connection. Returns false for a duplicate of an earlier grant; the connection is then closed, since later responses on it are displaced too. */
@@ -153,11 +153,11 @@
 		return sockets.some(socket => socket !== undefined && !socket.destroyed && !socket.connecting);
 	}
 
-	/** Closes the idle connections that match or are overdue, and removes those whose timeout has closed them: Node's agent uses them until their close is reported. */
+	/** Closes the idle connections that match or that Node's agent would use although they are closed: it keeps them until their close is reported. */
 	closeIdle(isMatch: (socket: Socket) => boolean): void {
 		for (const sockets of Object.values(this.freeSockets)) {
 			// Closing a connection changes the list
-			for (const socket of [...sockets ?? []].filter(each => each.destroyed || isOverdue(each) || isMatch(each))) {
+			for (const socket of [...sockets ?? []].filter(each => isClosing(each) || isMatch(each))) {
 				closeConnection(socket);
 			}
 		}
