Fix: the own front answered 503 for requests that may have run

A request that may run once and is forwarded to the host that its ticket names was answered 503 (3001 ownerUnreachable) when that host was lost, also after all of it was sent. Its body says ran: unknown, but callers that go by the status take 503 for "not run" and send the request again.

It is 502 now.

--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -77,7 +77,7 @@
 		number: 2005, status: 503, ran: 'no', advice: 'This host holds as many requests as it may. Use another address.',
 	},
 	ownerUnreachable: {
-		number: 3001, status: 503, ran: 'unknown', advice: 'The host that may know of this request cannot be reached. It ran at most once; whether it ran is not known.',
+		number: 3001, status: 502, ran: 'unknown', advice: 'The host that may know of this request cannot be reached. It ran at most once; whether it ran is not known.',
 	},
 	ticketLapsed: {
 		number: 3002, status: 410, ran: 'unknown', advice: 'The ticket has lapsed and what ran under it is forgotten. For a new request ask for a new ticket.',
