--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -7,6 +7,8 @@
  */
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {type Code} from '@gatehead/schema/codes';
 import {rejectMalformedRequest} from './malformed-request.js';
 import {isRejected, markRejected} from './rejected-requests.js';
 
@@ -43,9 +45,12 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #uses = new Map<Socket, ConnectionUse>();
+	readonly #onRejected: (code: Code) => void;
 
-	constructor(server: Server) {
+	/** `onRejected` is called for each malformed or late request that gets an error response. */
+	constructor(server: Server, onRejected: (code: Code) => void = ignore) {
 		this.#server = server;
+		this.#onRejected = onRejected;
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#handleFault(error, socket);
 		});
@@ -135,7 +140,7 @@
 			return;
 		}
 
-		rejectMalformedRequest(use.fault, socket);
+		this.#onRejected(rejectMalformedRequest(use.fault, socket));
 		const timer = setTimeout(() => {
 			socket.destroy();
 		}, lingerMs);
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -103,7 +103,10 @@
 			void this.#handleRequest(request, response);
 		});
 		this.#server.maxConnections = limits.connections;
-		this.#connections = new CallerConnections(this.#server);
+		this.#connections = new CallerConnections(this.#server, code => {
+			parts.context.metrics.add('requests', {kind: 'none', outcome: 'refused'});
+			parts.context.log('requestEnded', {outcome: 'refused', reason: code, detail: 'malformed or not complete in time'});
+		});
 	}
 
 	/** Requests whose response is not closed yet. */
--- a/packages/standin/src/wire/malformed-requests.test.ts
+++ b/packages/standin/src/wire/malformed-requests.test.ts
@@ -75,6 +75,16 @@
 		expect(text().includes(bodyOf(id))).toEqual(true);
 	}
 
+	it('each rejection has a line', async () => {
+		const count = () => scripted.world.lines.filter(({facts}) => facts.reason === 'headerInvalid').length;
+		const before = count();
+		const {socket, ended} = await openCaller(scripted.caller);
+		socket.write(garbage);
+		await ended;
+		socket.destroy();
+		expect(count()).toEqual(before + 1);
+	});
+
 	for (const [index, each] of rest.entries()) {
 		it(`a running request that is followed by ${each.name} gets its response`, async () => check(`running-${index}`, each));
 	}
