Fix: a loan of the retry allowance that arrives late is returned

Callers saw: refusals for lack of retry budget while the bound of all hosts was not used, for up to ten seconds after a host or a link was slow.

Cause: a host waits 60 ms for a loan. A grant that arrived later was ignored, while its lender counted it as lent until the end of the window.

Change: the borrower returns a loan whose request has timed out, once. It never used it, so the sum over all hosts stays as it was; a duplicate of a grant that arrived in time returns nothing.

--- a/packages/relay/src/peer/retry-exchange.ts
+++ b/packages/relay/src/peer/retry-exchange.ts
@@ -76,6 +76,8 @@
 	readonly #states = new Map<string, ServiceState>();
 	/** End of each lender's exclusion, by service and host. */
 	readonly #excludedUntil = new Map<string, number>();
+	/** Requests that have timed out, by number. */
+	readonly #timedOut = new RecentMap<number, {readonly host: string; readonly service: string}>(maxOutstandingLoans);
 	/** By the borrower and the number of its request. */
 	readonly #lent = new RecentMap<string, LentPart>(maxOutstandingLoans);
 
@@ -125,9 +127,20 @@
 		}
 	}
 
-	/** Handles the response to a request of this host. */
+	/** Handles the response to a request of this host. A loan that arrives after the timeout is returned; otherwise nobody could use it until the end of the window. */
 	receiveGranted({ask, granted}: RelayMessageOf<'retriesGranted'>): void {
-		this.#questions.settle(ask, granted);
+		const late = this.#timedOut.get(ask);
+		if (late === undefined) {
+			this.#questions.settle(ask, granted);
+			return;
+		}
+
+		this.#timedOut.delete(ask);
+		if (granted > 0) {
+			this.#parts.send(late.host, {
+				kind: 'retriesReturned', ask, service: late.service, unused: granted,
+			});
+		}
 	}
 
 	get #now(): number {
@@ -198,6 +211,10 @@
 			this.#excludedUntil.set(keyOf(service, host), this.#now + exclusionMs);
 		}
 
+		if (granted === undefined) {
+			this.#timedOut.set(number, {host, service});
+		}
+
 		if (granted !== undefined && granted > 0) {
 			budgetOf(service).receive({
 				amount: granted, until: askedAt + permitLifetimeMs, origin: {lender: host, ask: number},
