Tests: late requests are timed from when the host has read their first bytes

The pause began before the connection was accepted, so that a stall of 300 ms in between made all 8 cases fail (trial: event loop blocked once). Now such a stall fails none; one between accepting and reading still fails the case with a running request, 2 of 8, since the server then rightly rejects it.

--- a/packages/relay/src/front/request-body.test.ts
+++ b/packages/relay/src/front/request-body.test.ts
@@ -1,7 +1,9 @@
 /** Guards against requests that run although they were rejected because they arrived late. */
 import {once} from 'node:events';
 import {createServer, type IncomingMessage} from 'node:http';
-import {connect, type AddressInfo} from 'node:net';
+import {
+	connect, type AddressInfo, type Socket,
+} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
@@ -67,7 +69,14 @@
 					text += new TextDecoder().decode(chunk);
 				});
 				try {
+					const connected = once(server, 'connection');
 					caller.write(first);
+					const [connection] = await connected as [Socket]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the event's parameter
+					// The time for a request to arrive runs from when its first bytes are read
+					while (connection.bytesRead < first.length) {
+						await pause(1);
+					}
+
 					await pause(lateMs);
 					caller.write(late);
 					if (!caller.readableEnded) {
