Tests: a request that gets no answer was taken for one whose caller left

silent-endpoints.test.ts did not count it as lost: each caller's timer set hasLeft, also for callers that do not leave.

--- a/packages/standin/src/silence/callers.ts
+++ b/packages/standin/src/silence/callers.ts
@@ -5,6 +5,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {jitter, pick, type Random} from '@gatehead/policy/utils/random';
 import {splitAddress} from '@gatehead/schema/address';
+import {longestSilenceMs} from '../wire/client.js';
 
 /** Statuses that promise that a request has not run and never will. */
 export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -14,8 +15,6 @@
 const gapSpread = 0.5;
 const deadlineMs = 1000;
 const deadlineSpread = 0.3;
-/** Time after their deadline for which callers that don't leave wait, in milliseconds. */
-const patienceMs = 10_000;
 const mostAttempts = 3;
 /** Part of the time left for which callers wait as they are told. */
 const waitShare = 1 / 3;
@@ -33,8 +32,10 @@
 	/** 0: no response. */
 	readonly status: number;
 	readonly isKeptConnection: boolean;
-	/** Whether the caller left first. */
+	/** Whether the caller left first, at its deadline or before. */
 	readonly hasLeft: boolean;
+	/** Whether the caller had neither a response nor an error long after its deadline. */
+	readonly hasGivenUp: boolean;
 	readonly body: string;
 	readonly isWhole: boolean;
 	/** Whether all of the request was written. */
@@ -91,15 +92,18 @@
 	readonly longBodyBytes: number;
 	/** Share of the callers that leave at their deadline or before. */
 	readonly leavingShare: number;
+	/** Time after their deadline for which the others wait, in milliseconds; absent: as long as no busy machine takes. */
+	readonly patienceMs?: number;
 	readonly paths: readonly string[];
 };
 
 async function attempt(plan: CallerPlan, id: string, path: string, leftMs: number): Promise<Attempt & {readonly retryAfterMs: number}> {
-	const {random, hosts, connections, longBodyShare, longBodyBytes, leavingShare} = plan;
+	const {random, hosts, connections, longBodyShare, longBodyBytes, leavingShare, patienceMs = longestSilenceMs} = plan;
 	const host = pick(random, hosts) ?? '';
 	const {ip, port} = splitAddress(host);
 	const body = Buffer.alloc(random.next() < longBodyShare ? longBodyBytes : 100, 'x');
-	const leavesAfterMs = random.next() < leavingShare ? leftMs * (0.7 + (0.3 * random.next())) : leftMs + patienceMs;
+	const isLeaving = random.next() < leavingShare;
+	const leavesAfterMs = isLeaving ? leftMs * (0.7 + (0.3 * random.next())) : leftMs + patienceMs;
 	connections.sweep();
 	return new Promise(resolve => {
 		const sentAt = Date.now();
@@ -108,17 +112,17 @@
 				Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.round(leftMs)), 'Content-Length': body.length,
 			},
 		});
-		let hasLeft = false;
+		let hasEndedItself = false;
 		let isKeptConnection = false;
 		const end = (seen: Partial<Attempt> & {readonly retryAfterMs?: number}) => {
 			clearTimeout(leaving);
 			resolve({
-				id, isOnce: !path.startsWith('/repeatable/'), host, sentAt, endedAt: Date.now(), status: 0, isKeptConnection, hasLeft, body: '', isWhole: false, isSent: call.writableFinished, retryAfterMs: 0, ...seen,
+				id, isOnce: !path.startsWith('/repeatable/'), host, sentAt, endedAt: Date.now(), status: 0, isKeptConnection, hasLeft: hasEndedItself && isLeaving, hasGivenUp: hasEndedItself && !isLeaving, body: '', isWhole: false, isSent: call.writableFinished, retryAfterMs: 0, ...seen,
 			});
 		};
 
 		const leaving = setTimeout(() => {
-			hasLeft = true;
+			hasEndedItself = true;
 			call.destroy();
 			end({});
 		}, leavesAfterMs);
--- a/packages/standin/src/silence/silence.ts
+++ b/packages/standin/src/silence/silence.ts
@@ -224,7 +224,7 @@
 		const runs = seen.filter(({kind}) => kind === 'began').length;
 		const isUntrue = attempt.isOnce && promises.has(attempt.status) && runs > 0;
 		const isDoubled = attempt.isOnce && runs > 1;
-		const isLost = attempt.status === 0 && !attempt.hasLeft && seen.length > 0;
+		const isLost = attempt.hasGivenUp || (attempt.status === 0 && !attempt.hasLeft && seen.length > 0);
 		const isForeign = attempt.status === 200 && attempt.body !== `200 of ${attempt.id}`;
 		const isRejected = seen.some(({status}) => status === 503);
 		count.untrue += Number(isUntrue);
