Fix: a duplicate rejection was taken for that of a request without an id

A response without an id passed for the answer to any request without one, so that a request that ran was answered 503. Such a request now uses a connection that has carried none before.

--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -67,6 +67,8 @@
 	connect: 'silent', reset: 'broken', silent: 'silent', aborted: undefined, tooLarge: 'broken', foreign: 'broken',
 };
 
+/** Stands for the ids of requests without one: responses to two of them cannot be told apart on a connection. */
+const noId = '';
 /** Abort reason of a send whose request was answered by another endpoint. */
 export const answeredElsewhere = 'answered';
 /** Reason for ending a stream that stalled on an open connection. */
@@ -143,7 +145,7 @@
 				connectMs: settings.timing.connectMs,
 				headMs,
 				signal,
-				requestId: job.id,
+				requestId: job.facts.id ?? noId,
 				verify: response => {
 					const facts = this.#context.dialect.readResponse(response.statusCode ?? 0, response.headers);
 					course.fields = {...course.fields, status: response.statusCode ?? 0, responseId: facts.id ?? ''};
--- a/packages/standin/src/wire/duplicate-responses.test.ts
+++ b/packages/standin/src/wire/duplicate-responses.test.ts
@@ -4,10 +4,12 @@
 } from 'node:test';
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
+import {listStatuses, openCaller} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
 import {
 	bodyOf, startScriptedWorld, streamOf, type CallKind, type EndpointCall, type ScriptedWorld,
 } from './scripted-world.js';
+import {until} from './world.js';
 
 const okStatus = 200;
 /** Statuses that tell a caller that its request did not run. */
@@ -294,6 +296,47 @@
 	}
 });
 
+/** Guards against a duplicate of a rejection that names no request, which could answer any request without an id. */
+describe('duplicate rejections of requests without an id', () => {
+	it('a request that runs is not reported as not run', async () => {
+		const scripted = await startScriptedWorld({plain: 1});
+		const {socket, text} = await openCaller(scripted.caller);
+		try {
+			const rejection = writeResponse(503, {'Not-Executed': '1', 'Keep-Alive': 'timeout=5'});
+			let calls = 0;
+			scripted.intercept = ({socket: connection, earlierIds}, kind) => {
+				if (kind !== 'run') {
+					return false;
+				}
+
+				calls += 1;
+				if (calls === 1 || earlierIds.length > 0) {
+					connection.write(rejection);
+				}
+
+				if (calls > 1) {
+					setTimeout(() => {
+						connection.write(writeResponse(okStatus, {'Server-Seal': 'seal'}, 'ran'));
+					}, responseDelayMs);
+				}
+
+				return true;
+			};
+
+			for (const answers of [1, 2]) {
+				socket.write('POST /once/1 HTTP/1.1\r\nHost: calls.example\r\nContent-Length: 0\r\n\r\n');
+				await until(() => listStatuses(text()).length === answers);
+			}
+
+			const [first, second] = listStatuses(text());
+			expect({calls, first, isPromise: notRunStatuses.has(second ?? 0)}).toEqual({calls: 2, first: 503, isPromise: false});
+		} finally {
+			socket.destroy();
+			await scripted.stop();
+		}
+	});
+});
+
 /** Guards against a duplicate of an earlier grant, by which two streams would use one reservation. */
 describe('duplicate grants of reservations', () => {
 	let scripted: ScriptedWorld;
