--- a/packages/host/src/front/caller-connections.test.ts
+++ b/packages/host/src/front/caller-connections.test.ts
@@ -58,11 +58,11 @@
 	{
 		name: 'that arrives within the idle timeout, at a host that is blocked until after it',
 		async rest(_server, caller) {
-			await pause(closedMs - idleMs);
+			await pause(closedMs / 4);
 			// Timers that fall due run before the next read only if the loop is blocked after its last one
 			await nextTurn();
 			caller.write(request);
-			block(2 * idleMs);
+			block(closedMs);
 		},
 		isAnswered: true,
 	},
