Fix: a host's own full pool counted as a silent endpoint

Requests found no endpoint: a host whose 64 connections to an endpoint were all in use, as while it is silent, took the wait of the next request for a failed connect, paused the endpoint and told all hosts to, 1.5 s and doubling.

Cause: an exchange that times out before it has a connection has the fault of one that cannot connect. Change: only an attempt to connect is held against the endpoint.

Found by the review.

--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -324,7 +324,9 @@
 		const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 		// An endpoint that exceeded the target time before the abort may be unresponsive, or the request long
 		const isOverdue = fault.mayHaveBeenSent && this.#context.clock.now() - sentAt > job.route.targetMs;
-		const outcome = faultOutcomes[fault.fault] ?? (isOverdue ? 'overdue' : undefined);
+		// This host's connections were all in use, which tells nothing of the endpoint
+		const hasWaited = fault.fault === 'connect' && !fault.isLinkFailure;
+		const outcome = hasWaited ? undefined : faultOutcomes[fault.fault] ?? (isOverdue ? 'overdue' : undefined);
 		if (outcome === undefined) {
 			this.#endpoints.health.abandon(send.endpoint.id);
 		} else {
