Forwards: the id of the forward alone tells responses apart

A connection between hosts carried no request id twice, although each forward has an id of its own; a caller that uses one id for several requests cost a new connection for each. forwarding.test.ts and forward-answers.test.ts pass.

--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -174,7 +174,7 @@
 			const {response, facts} = await exchange({
 				address, method: job.method, target: job.target, headers: [...this.#buildHeaders(job, options), ...writeForwardId(forwardId)], body: job.body,
 			}, this.#poolOf(address), {
-				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, requestId: job.id, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
+				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
 					if (!budgets.admit(job)) {
 						return false;
 					}
