--- a/packages/standin/src/wire/full-pool.test.ts
+++ b/packages/standin/src/wire/full-pool.test.ts
@@ -21,9 +21,13 @@
 				return true;
 			};
 
-			const running = Array.from({length: connections}, async (_, index) => sendRequest({address: scripted.caller, id: `running-${index}`, path: '/once/1', headers: {'Deadline-Ms': '20000'}}));
+			const running = Array.from({length: connections}, async (_, index) => sendRequest({
+				address: scripted.caller, id: `running-${index}`, path: '/once/1', headers: {'Deadline-Ms': '20000'},
+			}));
 			await until(() => held.length === connections);
-			const rejected = await Promise.all(Array.from({length: waiting}, async (_, index) => sendRequest({address: scripted.caller, id: `waiting-${index}`, path: '/once/1', headers: {'Deadline-Ms': '20000'}})));
+			const rejected = await Promise.all(Array.from({length: waiting}, async (_, index) => sendRequest({
+				address: scripted.caller, id: `waiting-${index}`, path: '/once/1', headers: {'Deadline-Ms': '20000'},
+			})));
 			expect(rejected.map(({status}) => status)).toEqual(Array.from({length: waiting}, () => 503));
 			expect(scripted.world.lines.filter(({code}) => code === 'endpointPaused')).toEqual([]);
 			scripted.intercept = () => false;
