Fix: an endpoint that had left got requests again when others of its service left

Cause: the grace period began with the detection. It begins with each entry's own removal now, so that no entry is kept longer than 1.5 s after it.

endpoint-book.test.ts: the case of removals one after the other failed before (the first endpoint was ready again), passes now; 59 of 59.

--- a/packages/policy/src/relay/endpoint-book.test.ts
+++ b/packages/policy/src/relay/endpoint-book.test.ts
@@ -91,6 +91,12 @@
 		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index}))],
 		ready: five,
 	},
+	{
+		// A host would send to an endpoint that left more than the permitted time ago
+		name: 'entries lost one after the other are gone after the grace period of each, counted from its removal',
+		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), {remove: 'a', revision: 10}, {wait: outageGraceMs - 100}, {remove: 'b', revision: 11}, {remove: 'c', revision: 12}, {remove: 'd', revision: 13}],
+		ready: ['b', 'c', 'd', 'e'],
+	},
 	{
 		name: 'entries lost together are gone after their grace period',
 		steps: [...five.map((id, index) => ({put: listed(id, index + 1)})), ...five.map((id, index) => ({remove: id, revision: 10 + index})), {wait: massRemovalGraceMs + 1}],
--- a/packages/policy/src/relay/endpoint-book.ts
+++ b/packages/policy/src/relay/endpoint-book.ts
@@ -341,12 +341,12 @@
 		return false;
 	}
 
-	/** Reinstates entries for a grace period. When most of a service vanishes at once, the directory lost its entries in an outage that was not detected. */
+	/** Reinstates entries for what is left of their grace periods, which begin with their removal. When most of a service vanishes at once, the directory lost its entries in an outage that was not detected. */
 	#reinstate(losses: readonly RemovedEntry[], now: number): EndpointChange[] {
 		// An instance that has an entry again was not lost in this outage, or has recovered
-		const missing = losses.filter(({endpoint}) => !this.#entries.has(instanceOf(endpoint)));
-		return missing.map(({position, endpoint}) => {
-			this.#set({position, endpoint, keptUntil: now + massRemovalGraceMs});
+		const missing = losses.filter(({at, endpoint}) => at + massRemovalGraceMs > now && !this.#entries.has(instanceOf(endpoint)));
+		return missing.map(({at, position, endpoint}) => {
+			this.#set({position, endpoint, keptUntil: at + massRemovalGraceMs});
 			this.#departures.forget(endpoint.id);
 			return {endpoint, change: 'vanished'};
 		});
--- a/packages/policy/src/relay/mass-removal-detector.ts
+++ b/packages/policy/src/relay/mass-removal-detector.ts
@@ -2,7 +2,8 @@
  * Detects that most entries of a service were removed from the directory at
  * about the same time, which points to a directory outage that this host did
  * not notice rather than to endpoints shutting down.
- * Safety: entries restored for this reason are kept only for `massRemovalGraceMs`.
+ * Safety: entries restored for this reason are kept only for `massRemovalGraceMs`
+ * from their own removal.
  */
 import {type Position} from '@gatehead/schema/position';
 import {type Endpoint} from '@gatehead/schema/routing';
