--- a/packages/standin/src/silence/callers.test.ts
+++ b/packages/standin/src/silence/callers.test.ts
@@ -6,7 +6,7 @@
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {seedRandom} from '@gatehead/policy/utils/random';
 import {expect} from 'earl';
-import {RestingConnections, sendUntil} from './callers.js';
+import {CallerPool, sendUntil} from './callers.js';
 
 describe('callers that get no response', () => {
 	for (const {name, leavingShare, hasLeft} of [{name: 'leave if that is their part', leavingShare: 1, hasLeft: true}, {name: 'give up otherwise', leavingShare: 0, hasLeft: false}]) {
@@ -15,7 +15,7 @@
 			server.listen(0, '127.0.0.1');
 			await once(server, 'listening');
 			const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
-			const connections = new RestingConnections(1000);
+			const connections = new CallerPool(1000);
 			let isOver = false;
 			try {
 				const sending = sendUntil({
--- a/packages/standin/src/silence/callers.ts
+++ b/packages/standin/src/silence/callers.ts
@@ -10,13 +10,13 @@
 /** Statuses that promise that a request has not run and never will. */
 export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Part of the idle timeout for which callers let a connection rest before they take it up again. */
-const restShare = 0.8;
+/** Part of the idle timeout within which callers reuse an idle connection. */
+const idleShare = 0.8;
 const gapSpread = 0.5;
 const deadlineMs = 1000;
 const deadlineSpread = 0.3;
 const mostAttempts = 3;
-/** Part of the time left for which callers wait as they are told. */
+/** Part of the time left for which callers heed `Retry-After`. */
 const waitShare = 1 / 3;
 const shortestMs = 50;
 const millisecondsPerSecond = 1000;
@@ -39,11 +39,11 @@
 	readonly body: string;
 };
 
-/** Kept connections, taken up again in the order in which they came to rest. */
-export class RestingConnections extends Agent {
+/** Keep-alive connections of callers; the one that has been idle for longest is reused first. */
+export class CallerPool extends Agent {
 	/** Of the newest configuration, in milliseconds. */
 	idleTimeoutMs: number;
-	readonly #restedSince = new WeakMap<Duplex, number>();
+	readonly #idleSince = new WeakMap<Duplex, number>();
 	readonly #used = new WeakSet<Duplex>();
 
 	constructor(idleTimeoutMs: number) {
@@ -51,11 +51,11 @@
 		this.idleTimeoutMs = idleTimeoutMs;
 	}
 
-	/** Closes the connections that have rested for too long. */
+	/** Closes the connections that have been idle for too long. */
 	sweep(): void {
 		const now = performance.now();
 		for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
-			if (now - (this.#restedSince.get(socket) ?? now) > restShare * this.idleTimeoutMs) {
+			if (now - (this.#idleSince.get(socket) ?? now) > idleShare * this.idleTimeoutMs) {
 				socket.destroy();
 				socket.emit('agentRemove');
 			}
@@ -68,7 +68,7 @@
 
 	/** Called by Node when a request is done. */
 	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node reads the value, its types do not say so
-		this.#restedSince.set(socket, performance.now());
+		this.#idleSince.set(socket, performance.now());
 		// Heeds the time that the host states
 		return super.keepSocketAlive(socket) as unknown as boolean; // eslint-disable-line @typescript-eslint/no-confusing-void-expression, @typescript-eslint/no-unsafe-type-assertion -- Node returns it, its types do not say so
 	}
@@ -83,7 +83,7 @@
 export type CallerPlan = {
 	readonly random: Random;
 	readonly hosts: readonly string[];
-	readonly connections: RestingConnections;
+	readonly connections: CallerPool;
 	/** Share of the requests that have a long body. */
 	readonly longBodyShare: number;
 	readonly longBodyBytes: number;
@@ -171,7 +171,7 @@
 	return attempts;
 }
 
-/** Sends requests at a steady pace until told that it is over; resolves when all have ended. */
+/** Sends requests at a steady pace until `isOver`; resolves when all have ended. */
 export async function sendUntil(plan: CallerPlan, perSecond: number, isOver: () => boolean): Promise<Attempt[]> {
 	const calls: Array<Promise<Attempt[]>> = [];
 	while (!isOver()) {
--- a/packages/standin/src/silence/silence.ts
+++ b/packages/standin/src/silence/silence.ts
@@ -15,7 +15,7 @@
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {startStore, type StandinStore} from '../wire/store-server.js';
 import {
-	promises, RestingConnections, sendUntil, type Attempt, type CallerPlan,
+	promises, CallerPool, sendUntil, type Attempt, type CallerPlan,
 } from './callers.js';
 import {EndpointProcess, type EndpointParts, type RequestEvent} from './endpoint-process.js';
 
@@ -53,7 +53,7 @@
 	idleOnWaking: {endpoint: {idleS: 2}},
 	/** Rejections and late responses come at the moment at which the next endpoint stops. */
 	staggered: {isStaggered: true},
-	/** All endpoints of the service fall silent, so that hosts think themselves cut off and forward to each other. */
+	/** All endpoints of the service fall silent, so that hosts lose their links and forward to each other. */
 	together: {stopsAll: true},
 	/** Queues are full while another endpoint is silent, and hold expired requests on waking. */
 	crowded: {endpoint: {slots: 1, workMs: 28, queue: 8}},
@@ -154,7 +154,7 @@
 	readonly store: StandinStore;
 	readonly endpoints: readonly EndpointProcess[];
 	readonly hosts: readonly HostProcess[];
-	readonly connections: RestingConnections;
+	readonly connections: CallerPool;
 	readonly configuration: Configuration;
 };
 
@@ -270,7 +270,7 @@
 	}
 
 	return {
-		random: seedRandom(seed), store, endpoints, hosts, configuration, connections: new RestingConnections(configuration.idleTimeoutMs),
+		random: seedRandom(seed), store, endpoints, hosts, configuration, connections: new CallerPool(configuration.idleTimeoutMs),
 	};
 }
 
