--- a/packages/standin/src/silence/callers.ts
+++ b/packages/standin/src/wire/silence/callers.ts
@@ -5,7 +5,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {jitter, pick, type Random} from '@gatehead/policy/utils/random';
 import {splitAddress} from '@gatehead/schema/address';
-import {longestSilenceMs} from '../wire/client.js';
+import {longestSilenceMs} from '../client.js';
 
 /** Statuses that promise that a request has not run and never will. */
 export const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/standin/src/silence/endpoint-main.ts
+++ b/packages/standin/src/wire/silence/endpoint-main.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {jitter, seedRandom} from '@gatehead/policy/utils/random';
-import {readBody} from '../utils/http.js';
+import {readBody} from '../../utils/http.js';
 import {type EndpointEvent, type EndpointParts} from './endpoint-process.js';
 
 const parts = JSON.parse(process.argv[2] ?? '{}') as EndpointParts; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- written by the parent process
--- a/packages/standin/src/silence/silence.ts
+++ b/packages/standin/src/wire/silence/silence.ts
@@ -10,10 +10,10 @@
 import {
 	pick, seedRandom, shuffle, type Random,
 } from '@gatehead/policy/utils/random';
-import {waitUntilServing} from '../soak/bed.js';
-import {HostProcess} from '../soak/host-process.js';
-import {findPorts, ownNetwork} from '../utils/ports.js';
-import {startStore, type StandinStore} from '../wire/store-server.js';
+import {waitUntilServing} from '../../soak/bed.js';
+import {HostProcess} from '../../soak/host-process.js';
+import {findPorts, ownNetwork} from '../../utils/ports.js';
+import {startStore, type StandinStore} from '../store-server.js';
 import {
 	promises, CallerPool, sendUntil, type Attempt, type CallerPlan,
 } from './callers.js';
--- a/packages/standin/src/wire/silent-endpoints.test.ts
+++ b/packages/standin/src/wire/silent-endpoints.test.ts
@@ -1,7 +1,7 @@
 /** Guards against requests that run although they were rejected, run twice or get no response while endpoints fall silent and the configuration changes: real host and endpoint processes, the latter stopped and woken. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
-import {playSilence, type Hazard} from '../silence/silence.js';
+import {playSilence, type Hazard} from './silence/silence.js';
 
 const hosts = 4;
 const perSecond = 150;
