--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -170,7 +170,7 @@
 	}
 
 	/** Called by Node when a request is done; returns whether the connection stays in the pool. */
-	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node reads the value, its types do not say so
+	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node uses the return value, which its types omit
 		if (!isReusable(socket) || !(socket instanceof Socket)) {
 			return false;
 		}
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -19,9 +19,9 @@
 	readonly seeds: readonly string[];
 	readonly store: string;
 	readonly folder: string;
-	/** The hall that it stands in; absent: the one of all hosts. */
+	/** Hall of the host; absent: the hall of all other hosts. */
 	readonly hall?: string;
-	/** Path of its program; absent: this repository's. */
+	/** Path of the program; absent: the one built here. */
 	readonly program?: string | undefined;
 };
 
--- a/packages/standin/src/wire/silence/callers.ts
+++ b/packages/standin/src/wire/silence/callers.ts
@@ -67,10 +67,10 @@
 	}
 
 	/** Called by Node when a request is done. */
-	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node reads the value, its types do not say so
+	override keepSocketAlive(socket: Duplex): boolean { // eslint-disable-line @typescript-eslint/strict-void-return -- Node uses the return value, which its types omit
 		this.#idleSince.set(socket, performance.now());
 		// Heeds the time that the host states
-		return super.keepSocketAlive(socket) as unknown as boolean; // eslint-disable-line @typescript-eslint/no-confusing-void-expression, @typescript-eslint/no-unsafe-type-assertion -- Node returns it, its types do not say so
+		return super.keepSocketAlive(socket) as unknown as boolean; // eslint-disable-line @typescript-eslint/no-confusing-void-expression, @typescript-eslint/no-unsafe-type-assertion -- Node returns a value, which its types omit
 	}
 
 	override reuseSocket(...parameters: Parameters<Agent['reuseSocket']>): void {
--- a/packages/standin/src/wire/silence/silence.ts
+++ b/packages/standin/src/wire/silence/silence.ts
@@ -76,7 +76,7 @@
 	/** How often the configuration changes and an endpoint falls silent. */
 	readonly silences: number;
 	readonly hazards: readonly Hazard[];
-	/** Path of the hosts' program; absent: this repository's. */
+	/** Path of the hosts' program; absent: the one built here. */
 	readonly program?: string | undefined;
 };
 
