Fix: callers decided how much memory a connection to an endpoint takes

A connection remembers the ids of up to 256 requests that it carried, so that a duplicate response cannot pass for a new one. Ids are headers of callers, up to the bound of a head, so one connection could hold megabytes. Cause: the number was bounded, the length was not. Change: from 8,192 characters of ids on a connection is not reused; 256 ids of 32 characters.

Found by the review.

--- a/packages/relay/src/upstream/connection-pool.test.ts
+++ b/packages/relay/src/upstream/connection-pool.test.ts
@@ -28,6 +28,7 @@
 	readonly answer: (socket: Socket) => void;
 	readonly idleMs: number;
 	readonly isUnusable?: boolean;
+	readonly requestId?: string;
 	/** Connections that two requests and one that waits for them use. */
 	readonly connections: number;
 };
@@ -43,6 +44,12 @@
 			socket.write(writeOk('first'));
 		}, idleMs: 5000, isUnusable: true, connections: 2,
 	},
+	{
+		// A caller would decide how much memory a connection takes
+		name: 'is not used again if the ids that it has to remember are too long', answer(socket) {
+			socket.write(writeOk('first'));
+		}, idleMs: 5000, requestId: 'x'.repeat(10_000), connections: 2,
+	},
 	{
 		name: 'is not used again if the endpoint keeps no idle connection', answer(socket) {
 			socket.write(writeOk('first'));
@@ -89,7 +96,7 @@
 }
 
 describe('a connection that becomes free while a request waits', () => {
-	for (const {name, body, answer, idleMs, isUnusable = false, connections} of cases) {
+	for (const {name, body, answer, idleMs, isUnusable = false, requestId = '', connections} of cases) {
 		it(name, async () => {
 			const {server, address, connected} = await listen(answer);
 			const pool = new ConnectionPool(1, ignore);
@@ -98,7 +105,7 @@
 				const {response} = await exchange({
 					address, method: 'POST', target, headers: ['Host', address, 'Content-Length', String(sent?.length ?? 0)], body: sent,
 				}, pool, {
-					clock: systemClock, connectMs: 2000, headMs: 2000, signal: new AbortController().signal, verify: () => ({}), maySend(socket) {
+					clock: systemClock, connectMs: 2000, headMs: 2000, signal: new AbortController().signal, requestId: `${requestId}${target}`, verify: () => ({}), maySend(socket) {
 						earlier.push(traceConnection(socket).earlierRequests);
 						return true;
 					},
--- a/packages/relay/src/upstream/connection-pool.ts
+++ b/packages/relay/src/upstream/connection-pool.ts
@@ -25,6 +25,8 @@
 	requests: number;
 	/** Ids of those of callers. */
 	requestIds: Set<string>;
+	/** Length of these ids together, in characters. */
+	requestIdsLength: number;
 	/** Names of reservations granted on the connection; undefined: none. */
 	reservations: Set<string> | undefined;
 };
@@ -34,6 +36,8 @@
 
 /** Requests of callers on one connection after which it is not reused; bounds the ids kept. */
 const maxRequestIds = 256;
+/** Length of these ids together from which it is not reused, in characters: their callers choose them. */
+const maxRequestIdsLength = 8192;
 
 const states = new WeakMap<Duplex, ConnectionState>();
 
@@ -41,7 +45,7 @@
 	let state = states.get(socket);
 	if (state === undefined) {
 		state = {
-			idleMs: defaultIdleMs, idleUntil: Number.POSITIVE_INFINITY, isUnusable: false, requests: 0, requestIds: new Set(), reservations: undefined,
+			idleMs: defaultIdleMs, idleUntil: Number.POSITIVE_INFINITY, isUnusable: false, requests: 0, requestIds: new Set(), requestIdsLength: 0, reservations: undefined,
 		};
 		states.set(socket, state);
 	}
@@ -78,7 +82,8 @@
 	state.requests += 1;
 	if (id !== undefined) {
 		state.requestIds.add(id);
-		state.isUnusable ||= state.requestIds.size >= maxRequestIds;
+		state.requestIdsLength += id.length;
+		state.isUnusable ||= state.requestIds.size >= maxRequestIds || state.requestIdsLength >= maxRequestIdsLength;
 	}
 }
 
