Log: what a resumed stream's version rests on

The line has the attempt that the caller names, its position, the versions that the hosts have seen and over which time; the counter of lookups has whether that time covers the stream's life.

--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -32,7 +32,7 @@
 	continuations: {name: 'gatehead_stream_continuations_total', help: 'Streams that went on at another endpoint of the same software version, by who resumed them.', labels: ['by']},
 	streamRecords: {name: 'gatehead_stream_records_total', help: 'Records of streams that began here, by whether another host held them before the first event was forwarded.', labels: ['outcome']},
 	streamRecordsDropped: {name: 'gatehead_stream_records_dropped_total', help: 'Records of streams that were dropped before they expired.', labels: []},
-	streamLookups: {name: 'gatehead_stream_lookups_total', help: 'Requests that resume a stream, by where the software version that began it was found.', labels: ['source']},
+	streamLookups: {name: 'gatehead_stream_lookups_total', help: 'Requests that resume a stream, by where the software version that began it was found, and by whether a host that replied has seen all versions for as long as the stream can have lasted.', labels: ['source', 'coverage']},
 	pauses: {name: 'gatehead_endpoint_pauses_total', help: 'Endpoints set aside because sends to them failed, by who saw it.', labels: ['source']},
 	forwarded: {name: 'gatehead_forwarded_requests_total', help: 'Requests that this host forwarded to another one because it had lost its links to the service, by outcome.', labels: ['outcome']},
 	forwardConnections: {name: 'gatehead_forward_connections_total', help: 'Connections opened to other hosts to forward requests.', labels: []},
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -4,7 +4,7 @@
  * follows from there having been one version only for as long as the stream
  * can have lasted; otherwise the request is refused, never guessed.
  */
-import {findOnlyVersion, type VersionHistory} from '@gatehead/policy/relay/version-history';
+import {findOnlyVersion, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
 import {versionOf, type Route} from '@gatehead/schema/routing';
@@ -29,6 +29,9 @@
 /** `Retry-After` if hosts that may know the version did not reply, in milliseconds: another host may reach them. */
 const unknownRetryAfterMs = 300;
 
+/** Maximum length of a caller's text in a log line, in characters. */
+const maxLoggedLength = 64;
+
 /** A request that resumes a stream. */
 export type ResumeRequest = {
 	readonly facts: RequestFacts;
@@ -53,6 +56,8 @@
 	readonly host?: string | undefined;
 	readonly asked: number;
 	readonly silent: number;
+	/** What this host and those that replied have seen of the service; empty if a record was found. */
+	readonly views?: readonly VersionView[];
 };
 
 /** Sources after which a request is refused. */
@@ -96,11 +101,13 @@
 	async resolve(request: ResumeRequest): Promise<ResumePoint | undefined> {
 		const {context: {clock, log, metrics}} = this.#parts;
 		const startedAt = clock.now();
-		const {source, point, host, asked, silent} = await this.#lookUp(request);
-		metrics.add('streamLookups', {source});
+		const {source, point, host, asked, silent, views = []} = await this.#lookUp(request);
+		const windowMs = lifeOf(request.route, request.facts);
+		metrics.add('streamLookups', {source, coverage: describeCoverage(views, windowMs)});
 		metrics.time('streamLookup', clock.now() - startedAt);
 		log('streamResumed', {
 			request: request.facts.id, service: request.service, softwareVersion: point?.softwareVersion, source, recordedAt: host, asked, silent, tookMs: Math.round(clock.now() - startedAt),
+			resumes: request.facts.resumedId?.slice(0, maxLoggedLength), lastEventId: request.facts.lastEventId?.slice(0, maxLoggedLength), windowMs, ...summarize(views),
 		});
 		if (!unusableSources.has(source)) {
 			return point;
@@ -139,10 +146,13 @@
 		}
 
 		const softwareVersion = await this.#findOnlyVersion(service, windowMs, finding);
+		const views = [this.#parts.versions.view(service, windowMs, this.#parts.context.clock.now()), ...finding.views];
 		return softwareVersion === undefined
-			? {source: 'unknown', asked, silent}
+			? {
+				source: 'unknown', asked, silent, views,
+			}
 			: {
-				source: 'only version', point: {service, softwareVersion}, asked, silent,
+				source: 'only version', point: {service, softwareVersion}, asked, silent, views,
 			};
 	}
 
@@ -176,6 +186,25 @@
 	}
 }
 
+/** What hosts have seen of a service, for a log line: all versions, and the longest and shortest time over which a host has seen all changes. */
+function summarize(views: readonly VersionView[]) {
+	const coverages = views.map(({coverageMs}) => Math.round(coverageMs));
+	return views.length === 0
+		? {}
+		: {
+			versions: [...new Set(views.flatMap(({versions}) => versions))].join(' '), longestCoverageMs: Math.max(...coverages), shortestCoverageMs: Math.min(...coverages),
+		};
+}
+
+/** Whether a host has seen all changes for as long as the stream can have lasted. */
+function describeCoverage(views: readonly VersionView[], windowMs: number): string {
+	if (views.length === 0) {
+		return 'not needed';
+	}
+
+	return views.some(({coverageMs}) => coverageMs >= windowMs) ? 'whole' : 'partial';
+}
+
 function hasPosition(lastEventId: string | undefined): boolean {
 	return lastEventId !== undefined && lastEventId !== '';
 }
