Stand-in engines list their runs and what they keep in memory

They had no memory that outlives a host, so nothing here could show what a host can still learn from an engine after all hosts were restarted. A run whose connection closes ends, or goes on where a test asks for that. The callers of streams state their prompt's parts, alike in all attempts.

--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -6,6 +6,7 @@
 	readBody, sendJson, startServer, type RunningServer,
 } from '../utils/http.js';
 import {BodyWriter, type ResponseCut, type ResponseFraming} from './body-writer.js';
+import {EngineMemory, type EngineRun} from './engine-memory.js';
 
 /** Events of a whole stream. */
 export const streamEvents = 6;
@@ -102,7 +103,9 @@
 	framing: ResponseFraming;
 	/** Cuts of its next responses, in order; then they are whole. */
 	readonly cuts: ResponseCut[];
-	/** Ends the server; `revive` starts it on the same address. */
+	/** Whether its runs go on to their end when their connections close, as if it had not noticed. */
+	isRunningOn: boolean;
+	/** Ends the server, and loses what is in memory; `revive` starts it on the same address. */
 	kill(): Promise<void>;
 	revive(): Promise<void>;
 };
@@ -140,8 +143,10 @@
 	rejectedShare = 0;
 	framing: ResponseFraming = 'chunks';
 	readonly cuts: ResponseCut[] = [];
+	isRunningOn = false;
 	softwareVersion: string | undefined;
 	id: string;
+	readonly memory = new EngineMemory();
 	#taken = 0;
 	#made = 0;
 	/** Reservations by name, with the time at which each lapses. */
@@ -181,6 +186,22 @@
 		sendJson(response, 202, {});
 	}
 
+	/** Lists what is in memory, as the process does that the caller expects here. */
+	list(request: IncomingMessage, response: ServerResponse, describe: () => unknown): void {
+		const {fault, id} = this;
+		if (fault === 'silent' || fault === 'reset') {
+			if (fault === 'reset') {
+				request.socket.resetAndDestroy();
+			}
+
+			return;
+		}
+
+		const isExpected = (headerOf(request, 'expect-instance') ?? id) === id;
+		response.setHeader('Replica-Id', id);
+		sendJson(response, isExpected ? 200 : 421, isExpected ? describe() : {});
+	}
+
 	/** Answers a caller's request that the relay sent here. */
 	serve(exchange: Exchange): void {
 		const {request, response, id} = exchange;
@@ -296,6 +317,7 @@
 			return;
 		}
 
+		this.memory.keepPrompt(headerOf(request, 'prompt-prefix') ?? '');
 		this.#made += 1;
 		const handle = `${this.id}-${this.#made}`;
 		this.parts.log.results.set(handle, id);
@@ -383,12 +405,16 @@
 		}
 
 		this.#taken += 1;
+		const run = this.memory.begin(id, headerOf(request, 'prompt-prefix') ?? '', Number(headerOf(request, 'last-event-id') ?? 0));
 		response.once('close', () => {
 			this.#taken -= 1;
+			if (!this.isRunningOn) {
+				this.memory.end(run);
+			}
 		});
 		const writer = this.#makeWriter(response, cut);
 		response.writeHead(200, {'Request-Id': id, 'Server-Seal': 'seal', 'Content-Type': 'text/event-stream'});
-		this.#writeEvents(writer, Number(headerOf(request, 'last-event-id') ?? 0));
+		this.#writeEvents(writer, run);
 	}
 
 	#answerPlain(response: ServerResponse, id: string, body: string, cut: ResponseCut | undefined): void {
@@ -413,15 +439,18 @@
 		});
 	}
 
-	#writeEvents(writer: BodyWriter, after: number): void {
-		if (after >= streamEvents || writer.isOver) {
+	#writeEvents(writer: BodyWriter, run: EngineRun): void {
+		const isWatched = !writer.isOver || this.isRunningOn;
+		if (run.events >= streamEvents || !isWatched || !this.memory.has(run)) {
+			this.memory.end(run);
 			writer.end();
 			return;
 		}
 
-		writer.write(writeEvent(after + 1, this.softwareVersion));
+		run.events += 1;
+		writer.write(writeEvent(run.events, this.softwareVersion));
 		setTimeout(() => {
-			this.#writeEvents(writer, after + 1);
+			this.#writeEvents(writer, run);
 		}, this.parts.eventGapMs ?? eventGapMs);
 	}
 
@@ -432,10 +461,21 @@
 
 /** Starts a replica. */
 export async function startReplica(parts: ReplicaParts, address: string): Promise<StandinReplica> {
+	const kill = async () => {
+		replica.memory.lose();
+		await server.kill();
+	};
+
 	const replica = new Replica(parts, () => {
-		void server.kill();
+		void kill();
 	});
 	const server: RunningServer = await startServer({
+		'GET /api/report'(request, response) {
+			replica.list(request, response, () => replica.memory.report(parts.stage));
+		},
+		'GET /api/kv-list'(request, response) {
+			replica.list(request, response, () => replica.memory.list());
+		},
 		async 'POST /api/hold-take'(request, response) {
 			await readBody(request);
 			replica.reserve(response);
@@ -480,6 +520,12 @@
 			replica.framing = framing;
 		},
 		cuts: replica.cuts,
+		get isRunningOn() {
+			return replica.isRunningOn;
+		},
+		set isRunningOn(isRunningOn) {
+			replica.isRunningOn = isRunningOn;
+		},
 		get id() {
 			return replica.id;
 		},
@@ -504,7 +550,7 @@
 		set rejectedShare(share) {
 			replica.rejectedShare = share;
 		},
-		kill: server.kill,
+		kill,
 		revive: server.revive,
 	};
 }
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -1,4 +1,5 @@
 /** A caller of the platform, as a stand-in, that resumes its stream after the last event that it received. */
+import {Buffer} from 'node:buffer';
 import {request as httpRequest, type Agent, type ClientRequest} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {splitAddress} from '@gatehead/schema/address';
@@ -31,6 +32,11 @@
 	readonly headers?: Readonly<Record<string, string | readonly string[]>>;
 };
 
+/** A prompt of a shared part and of the stream's own part, which all its attempts state alike. */
+export function writePrompt(name: string, ownTokens = 800): string {
+	return `shared:200,${Buffer.from(name).toString('hex')}:${ownTokens}`;
+}
+
 /** One stream of one caller, over all its attempts. */
 export class StreamCaller {
 	readonly events: ReceivedEvent[] = [];
@@ -137,7 +143,7 @@
 		const end = await new Promise<Omit<AttemptEnd, 'tookMs'>>(resolve => {
 			const call = httpRequest({
 				host: ip, port, method: 'POST', path: this.#path, agent: this.#agent, headers: {
-					Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.max(1, Math.floor(deadlineMs - (sentAt - this.#startedAt)))), 'Token-Counts': '1000,40', 'Length-Hint': '40', 'Content-Length': body.length, ...headers,
+					Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.max(1, Math.floor(deadlineMs - (sentAt - this.#startedAt)))), 'Token-Counts': '1000,40', 'Length-Hint': '40', 'Prompt-Prefix': writePrompt(this.#name), 'Content-Length': body.length, ...headers,
 				},
 			});
 			this.#call = call;
