--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -84,12 +84,14 @@
 };
 
 /** A running replica. */
-export type StandinReplica = Omit<ReplicaParts, 'softwareVersion' | 'id'> & {
+export type StandinReplica = Omit<ReplicaParts, 'softwareVersion' | 'id' | 'eventGapMs'> & {
 	/** A process that starts in place of another one has an id of its own. */
 	id: string;
 	readonly address: string;
 	/** Published in its entry and, as the field `event`, in each event of its streams. */
 	softwareVersion: string | undefined;
+	/** Time between two events of its streams, in milliseconds. */
+	eventGapMs: number;
 	/** What it publishes as the instant of its start; a test may make it anything. */
 	born: unknown;
 	fault: ReplicaFault;
@@ -144,6 +146,7 @@
 	framing: ResponseFraming = 'chunks';
 	readonly cuts: ResponseCut[] = [];
 	isRunningOn = false;
+	eventGapMs: number;
 	softwareVersion: string | undefined;
 	id: string;
 	readonly memory = new EngineMemory();
@@ -159,6 +162,7 @@
 		this.parts = parts;
 		this.softwareVersion = parts.softwareVersion;
 		this.id = parts.id;
+		this.eventGapMs = parts.eventGapMs ?? eventGapMs;
 		this.#end = end;
 	}
 
@@ -451,7 +455,7 @@
 		writer.write(writeEvent(run.events, this.softwareVersion));
 		setTimeout(() => {
 			this.#writeEvents(writer, run);
-		}, this.parts.eventGapMs ?? eventGapMs);
+		}, this.eventGapMs);
 	}
 
 	get #versionField(): string {
@@ -520,6 +524,12 @@
 			replica.framing = framing;
 		},
 		cuts: replica.cuts,
+		get eventGapMs() {
+			return replica.eventGapMs;
+		},
+		set eventGapMs(milliseconds) {
+			replica.eventGapMs = milliseconds;
+		},
 		get isRunningOn() {
 			return replica.isRunningOn;
 		},
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -39,6 +39,8 @@
 
 /** One stream of one caller, over all its attempts. */
 export class StreamCaller {
+	/** Attempts have ids that begin with it. */
+	readonly name: string;
 	readonly events: ReceivedEvent[] = [];
 	readonly ends: AttemptEnd[] = [];
 	/** When each attempt was sent, on the process's steady clock, in milliseconds. */
@@ -53,7 +55,6 @@
 	firstAttempt: string | undefined;
 	/** Whether nothing came for so long that it closed its connection: more than any promise allows. */
 	hasGivenUp = false;
-	readonly #name: string;
 	readonly #path: string;
 	readonly #agent: Agent | false;
 	#attempts = 0;
@@ -63,7 +64,7 @@
 
 	/** `agent` keeps connections open for further requests; without it, each attempt opens one of its own. */
 	constructor(name: string, path = '/resumable/1', agent: Agent | false = false) {
-		this.#name = name;
+		this.name = name;
 		this.#path = path;
 		this.#agent = agent;
 	}
@@ -134,7 +135,7 @@
 	}
 
 	async #send(address: string, headers: Readonly<Record<string, string | readonly string[]>>): Promise<AttemptEnd> {
-		const id = `${this.#name}-${this.#attempts}`;
+		const id = `${this.name}-${this.#attempts}`;
 		this.#attempts += 1;
 		const sentAt = performance.now();
 		this.sentAt.push(sentAt);
@@ -143,7 +144,7 @@
 		const end = await new Promise<Omit<AttemptEnd, 'tookMs'>>(resolve => {
 			const call = httpRequest({
 				host: ip, port, method: 'POST', path: this.#path, agent: this.#agent, headers: {
-					Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.max(1, Math.floor(deadlineMs - (sentAt - this.#startedAt)))), 'Token-Counts': '1000,40', 'Length-Hint': '40', 'Prompt-Prefix': writePrompt(this.#name), 'Content-Length': body.length, ...headers,
+					Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.max(1, Math.floor(deadlineMs - (sentAt - this.#startedAt)))), 'Token-Counts': '1000,40', 'Length-Hint': '40', 'Prompt-Prefix': writePrompt(this.name), 'Content-Length': body.length, ...headers,
 				},
 			});
 			this.#call = call;
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -109,6 +109,8 @@
 	publish(replica: StandinReplica, state: 'ready' | 'draining'): void;
 	/** Ends a host at once and starts it again, with nothing in memory. */
 	restart(index: number): Promise<void>;
+	/** Ends all hosts at once and starts them again, with nothing in memory; something else may happen while there is none. */
+	restartAll(meanwhile?: () => Promise<void>): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -299,7 +301,8 @@
 	const start = async (index: number, isFirstStart = false) => startRelay({
 		isFirstStart, index, store: await storePath?.(store.address, index) ?? store.address, ports: portsOf(index), seeds, lines, retryAllowance, watchMs, revokeMs, loadManagement, clock, advertisedPeer: advertised[index], endpointPaths: ownPaths[index] ?? new Map(),
 	});
-	const relays = await Promise.all(Array.from({length: hosts}, async (_, index) => start(index, true)));
+	const numbers = Array.from({length: hosts}, (_, index) => index);
+	const relays = await Promise.all(numbers.map(async index => start(index, true)));
 	await until(() => relays.every(({relay}) => relay.routing.version === 1 && relay.endpoints.book.list().length === replicas.length && relay.fleet.countHosts() === hosts && relay.fleet.census.fraction(relay.context.clock.now()) > 0));
 	return {
 		store,
@@ -312,6 +315,13 @@
 			await relays[index]?.relay.close();
 			relays[index] = await start(index);
 		},
+		async restartAll(meanwhile) {
+			await Promise.all(relays.map(async ({relay}) => relay.close()));
+			await meanwhile?.();
+			await Promise.all(numbers.map(async index => {
+				relays[index] = await start(index);
+			}));
+		},
 		async stop() {
 			await Promise.all(relays.map(async ({relay}) => relay.close()));
 			await Promise.all(replicas.map(async each => each.kill()));
