Registry of streams: the holders of a record on their own

The choice of holders, whom to ask, and copies to hosts that become holders serve other kinds of records as well.

--- a/packages/relay/src/peer/stream-registry.ts
+++ b/packages/relay/src/peer/stream-registry.ts
@@ -5,7 +5,6 @@
  * holders. Safety: a record is exact, as it is made from the endpoint that sent
  * the first event; whether there is none is only known from hosts that reply.
  */
-import {HolderSubsets} from '@gatehead/policy/relay/holder-ring';
 import {StreamRecords, type StreamOrigin, type StreamRecord} from '@gatehead/policy/relay/stream-records';
 import {type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -13,34 +12,20 @@
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
 import {PeerRequests} from '../access/peer-requests.js';
 import {type RelayContext} from '../core/context.js';
+import {RecordHolders} from './record-holders.js';
 
-/** Hosts that hold a record besides the one that made it; a record is lost only with all of them. */
-const holderCount = 5;
 /** Holders that acknowledge a record; the first acknowledgement is enough. */
 const acknowledgingCount = 2;
 /** Timeout of an acknowledgement, in milliseconds: many times the latency between halls, and little compared with the time to a stream's first event. */
 const recordTimeoutMs = 50;
-/** Hosts of each subset that are asked at once, and then if none of them has a record. Where there is one subset, all its holders are asked at once, and then everybody. */
-const firstAsked = {inSubset: 3, inWholeFleet: 7};
-const lastAsked = {inSubset: 8, inWholeFleet: 31};
 /** Timeouts of the two rounds of questions, in milliseconds; links to hosts of other subsets may have to be opened. */
 const roundTimeoutsMs = [150, 250] as const;
-/** Delay until records are sent again after a membership change, in milliseconds, to batch the changes of one failure; and the shortest time between two such rounds, which go through all records of this host. */
-const resendDelayMs = 20;
-const resendIntervalMs = 300;
 /** Maximum records at one host; bounds the memory that callers can fill. */
 const maxRecords = 100_000;
 /** Maximum records in one message. */
 const maxBatch = 1000;
 const sweepIntervalMs = 5000;
 
-/** A record that this host made, and the holders that it was sent to. */
-type OwnRecord = {
-	readonly expiresAt: number;
-	/** Holders by host and incarnation: a restarted host has lost its records. */
-	readonly sentTo: Set<string>;
-};
-
 type Reply = RelayMessageOf<'streamFound'>;
 type KeyedRecord = RelayMessageOf<'streamRecords'>['records'][number];
 
@@ -75,19 +60,19 @@
 export class StreamRegistry {
 	readonly #parts: StreamRegistryParts;
 	readonly #records = new StreamRecords(maxRecords);
-	readonly #own = new Map<string, OwnRecord>();
+	readonly #holders: RecordHolders;
 	readonly #acknowledgements: PeerRequests<true>;
 	readonly #questions: PeerRequests<Reply>;
-	#members: readonly MemberRecord[] = [];
-	/** Computed from the members on first use. */
-	#holders: HolderSubsets | undefined;
-	#resendTimer: Timer | undefined;
-	#resentAt = Number.NEGATIVE_INFINITY;
 	#sweepTimer: Timer | undefined;
 
 	constructor(parts: StreamRegistryParts) {
-		const {clock} = parts.context;
+		const {clock, self} = parts.context;
 		this.#parts = parts;
+		this.#holders = new RecordHolders({
+			clock, self: self.host, resend: (host, keys) => {
+				this.#resend(host, keys);
+			},
+		});
 		this.#acknowledgements = new PeerRequests(clock);
 		this.#questions = new PeerRequests(clock);
 	}
@@ -108,21 +93,13 @@
 
 	/** Stops all timers. */
 	close(): void {
-		this.#resendTimer?.stop();
+		this.#holders.close();
 		this.#sweepTimer?.stop();
 	}
 
 	/** Replaces the member list. Records of this host are sent to hosts that have become holders since. */
 	setMembers(members: readonly MemberRecord[]): void {
-		this.#members = members;
-		this.#holders = undefined;
-		const {clock} = this.#parts.context;
-		if (this.#own.size > 0) {
-			this.#resendTimer ??= clock.after(Math.max(resendDelayMs, this.#resentAt + resendIntervalMs - clock.now()), () => {
-				this.#resendTimer = undefined;
-				this.#resend();
-			});
-		}
+		this.#holders.setMembers(members);
 	}
 
 	/** Records where a stream began, to be kept for `lifeMs` milliseconds; resolves once another host holds the record, or none does in time. */
@@ -131,16 +108,13 @@
 		const startedAt = clock.now();
 		const record: StreamRecord = {...origin, expiresAt: startedAt + lifeMs, isAmbiguous: false};
 		this.#hold(key, record);
-		const own: OwnRecord = {expiresAt: record.expiresAt, sentTo: new Set()};
-		this.#own.set(key, own);
-		const holders = this.#listHolders(key);
+		const holders = this.#holders.add(key, record.expiresAt);
 		if (holders.length === 0) {
 			metrics.add('streamRecords', {outcome: 'alone'});
 			return;
 		}
 
 		const acknowledgements = holders.map(async (host, index) => {
-			own.sentTo.add(this.#incarnationOf(host));
 			const message: RelayMessageOf<'streamRecords'> = {kind: 'streamRecords', records: [this.#toMessage(key, record)]};
 			if (index >= acknowledgingCount) {
 				send(host, message);
@@ -168,7 +142,7 @@
 
 		const replies: Reply[] = [];
 		let asked = 0;
-		for (const [round, hosts] of this.#listRounds(question.key ?? question.service).entries()) {
+		for (const [round, hosts] of this.#holders.listRounds(question.key ?? question.service).entries()) {
 			asked += hosts.length;
 			const found = await this.#askHosts(hosts, question, roundTimeoutsMs[round] ?? 0, replies);
 			if (found !== undefined) {
@@ -246,62 +220,23 @@
 		}
 	}
 
-	/** Sends records that this host made to hosts that have become their holders. */
-	#resend(): void {
+	/** Sends records that this host made to a host that has become their holder. */
+	#resend(host: string, keys: readonly string[]): void {
 		const {context: {clock}, send} = this.#parts;
 		const now = clock.now();
-		this.#resentAt = now;
-		const batches = new Map<string, KeyedRecord[]>();
-		for (const [key, {sentTo}] of this.#own) {
+		const records = keys.flatMap(key => {
 			const record = this.#records.get(key, now);
-			for (const host of record === undefined ? [] : this.#listHolders(key)) {
-				const holder = this.#incarnationOf(host);
-				if (record !== undefined && !sentTo.has(holder)) {
-					sentTo.add(holder);
-					batches.set(host, [...(batches.get(host) ?? []), this.#toMessage(key, record)]);
-				}
-			}
-		}
-
-		for (const [host, records] of batches) {
-			for (let start = 0; start < records.length; start += maxBatch) {
-				send(host, {kind: 'streamRecords', records: records.slice(start, start + maxBatch)});
-			}
+			return record === undefined ? [] : [this.#toMessage(key, record)];
+		});
+		for (let start = 0; start < records.length; start += maxBatch) {
+			send(host, {kind: 'streamRecords', records: records.slice(start, start + maxBatch)});
 		}
 	}
 
 	#sweep(): void {
 		const now = this.#parts.context.clock.now();
 		this.#records.sweep(now);
-		for (const [key, {expiresAt}] of this.#own) {
-			if (expiresAt <= now) {
-				this.#own.delete(key);
-			}
-		}
-	}
-
-	/** Other hosts that are to hold a record of this host. */
-	#listHolders(key: string): string[] {
-		const {host: self} = this.#parts.context.self;
-		return this.#getSubsets().rankBeside(self, key).filter(host => host !== self).slice(0, holderCount);
-	}
-
-	/** Other hosts to ask for a record, at once and then. */
-	#listRounds(key: string): [string[], string[]] {
-		const {host: self} = this.#parts.context.self;
-		const subsets = this.#getSubsets();
-		const scope = subsets.count === 1 ? 'inWholeFleet' : 'inSubset';
-		const ranked = subsets.rankAll(key).map(hosts => hosts.filter(host => host !== self));
-		return [ranked.flatMap(hosts => hosts.slice(0, firstAsked[scope])), ranked.flatMap(hosts => hosts.slice(firstAsked[scope], lastAsked[scope]))];
-	}
-
-	#getSubsets(): HolderSubsets {
-		this.#holders ??= new HolderSubsets(this.#members.map(({host, hall, state}) => ({host, hall, isAlive: state !== 'dead'})));
-		return this.#holders;
-	}
-
-	#incarnationOf(host: string): string {
-		return `${host} ${this.#members.find(member => member.host === host)?.incarnation ?? 0}`;
+		this.#holders.sweep(now);
 	}
 
 	#toMessage(key: string, record: StreamRecord): KeyedRecord {
