--- a/packages/policy/src/relay/version-history.ts
+++ b/packages/policy/src/relay/version-history.ts
@@ -50,6 +50,11 @@
 		}
 	}
 
+	/** Records an endpoint that left before this host's first list; when is not known. */
+	recall(endpoint: Pick<Endpoint, 'service' | 'softwareVersion'>, now: number): void {
+		this.#recordLeft({service: endpoint.service, softwareVersion: versionOf(endpoint)}, now);
+	}
+
 	/** Records that changes may have been missed before `now`. */
 	restart(now: number): void {
 		this.#since = now;
--- a/packages/relay/src/core/dialect.ts
+++ b/packages/relay/src/core/dialect.ts
@@ -7,6 +7,19 @@
 import {type EndpointSignals} from '@gatehead/policy/relay/endpoint-signals';
 import {type Endpoint} from '@gatehead/schema/routing';
 
+/** A part of a prompt, or what an engine holds of it, in tokens. */
+export type PromptPart = {
+	readonly id: string;
+	readonly tokens: number;
+};
+
+/** A run in progress at an engine. */
+export type EngineRun = {
+	readonly requestId: string;
+	/** Events that the engine has made, whether or not anybody received them. */
+	readonly events: number;
+};
+
 /** Metadata of a caller's request. */
 export type RequestFacts = {
 	/** Id of this attempt; each retry by the caller has its own. */
@@ -22,6 +35,8 @@
 	readonly resumedId: string | undefined;
 	/** Ids of the prompt's parts that other requests may share, in order; without the last part, which is the request's own. */
 	readonly sharedParts: readonly string[];
+	/** The prompt's last part, which is the request's own or its session's; undefined if the request states none. */
+	readonly ownPart: PromptPart | undefined;
 	/** Tokens charged to quotas: prompt plus longest possible response; undefined if the request states none. */
 	readonly countedTokens: number | undefined;
 };
@@ -105,6 +120,14 @@
 	freeResult(result: string): EndpointCall;
 	/** Call that switches an engine to another stage, guarded by a fencing token. */
 	orderStage(endpoint: Endpoint, stage: 'prefill' | 'decode', holder: string, fence: number): EndpointCall;
+	/** Call that lists the runs in progress at an engine. */
+	listRuns(endpoint: Endpoint): EndpointCall;
+	/** Undefined if the response is malformed. */
+	readRuns(body: string): EngineRun[] | undefined;
+	/** Call that lists the prompt parts in an engine's cache, with what was generated behind them. */
+	listCachedParts(endpoint: Endpoint): EndpointCall;
+	/** Undefined if the response is malformed. */
+	readCachedParts(body: string): PromptPart[] | undefined;
 	readLookup(query: URLSearchParams): LookupFacts;
 	writeLookup(addresses: readonly string[], ttlMs: number): string;
 };
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -7,6 +7,7 @@
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {jitter} from '@gatehead/policy/utils/random';
 import {isCovered, type Position} from '@gatehead/schema/position';
+import {type Endpoint} from '@gatehead/schema/routing';
 import {type Endpoints} from '../upstream/endpoints.js';
 import {type BaseContext, type RelayContext} from './context.js';
 import {DirectoryError, type Changes} from './directory.js';
@@ -30,6 +31,10 @@
 const initialListTimeoutMs = 250;
 /** Timeout of a position read, in milliseconds. */
 const confirmTimeoutMs = 500;
+/** Revisions before the first list from which a host reads the past, largest first: the directory may have forgotten them. */
+const pastSpans = [1024, 256, 64, 16] as const;
+/** Timeout of a read of the past, in milliseconds. */
+const pastTimeoutMs = 400;
 /** Consecutive failures after which the directory counts as unavailable. One failure is not enough, because the directory may close a pending watch; its entries only expire in outages of two heartbeats (2.4 s) or more. */
 const unavailableAfterFailures = 2;
 
@@ -57,6 +62,8 @@
 	readonly onRead: (outcome: ReadOutcome) => void;
 	/** Called when a read returned changes that other hosts may lack. */
 	readonly onChange: () => void;
+	/** Called after the first list with the entries written before it, in order, as far as the directory remembers them; absent: they are not read. */
+	readonly onPast?: (entries: readonly Endpoint[]) => void;
 };
 
 /** Reader of the directory at one host. */
@@ -237,6 +244,10 @@
 				this.#recordConfirmation(askedAt);
 			}
 
+			if (from === undefined && this.#parts.onPast !== undefined) {
+				void this.#readPast(changes.position);
+			}
+
 			return 0;
 		} catch (error) {
 			if (this.#abort.signal.aborted || this.#isRechecking !== wasRechecking) {
@@ -248,6 +259,29 @@
 		}
 	}
 
+	/** Reads the changes before the first list. A failure is no failure of the directory, which need not remember them. */
+	async #readPast({epoch, revision}: Position): Promise<void> {
+		const {directory, log, metrics} = this.#parts.context;
+		for (const span of pastSpans) {
+			try {
+				const {changes, position} = await this.#withTimeout(pastTimeoutMs, async signal => directory.watch(Math.max(0, revision - span), probeWaitMs, signal));
+				metrics.add('directoryReads', {read: 'past', outcome: 'answered'});
+				if (position.epoch === epoch) {
+					this.#parts.onPast?.(changes.flatMap(change => change.kind === 'endpoint' ? [change.endpoint] : []));
+				}
+
+				return;
+			} catch (error) {
+				const isGap = error instanceof DirectoryError && error.isGap;
+				metrics.add('directoryReads', {read: 'past', outcome: outcomeOf(isGap, false)});
+				if (!isGap) {
+					log('directoryPastUnread', {revision, detail: String(error)});
+					return;
+				}
+			}
+		}
+	}
+
 	async #confirm(): Promise<void> {
 		const {routing, context: {clock, directory, metrics, settings: {timing}}} = this.#parts;
 		const askedAt = clock.now();
@@ -265,6 +299,8 @@
 			const changes = await this.#withTimeout(timing.directoryAnswerMs, async signal => directory.list(signal));
 			this.#rejectOutdated(changes.position);
 			metrics.add('directoryReads', {read: 'list', outcome: 'answered'});
+			// What came and left between the two positions is not in the list
+			this.#parts.endpoints.versions.restart(clock.now());
 			this.#apply(changes, 'list');
 			this.#recordConfirmation(listedAt);
 		} catch (error) {
--- a/packages/relay/src/peer/config-propagation.test.ts
+++ b/packages/relay/src/peer/config-propagation.test.ts
@@ -349,7 +349,7 @@
 			context, hasCrashed: async () => false, broadcast: ignore, isTrialHost: () => false,
 		});
 		const fleet: Fleet = new Fleet({
-			context, guard, endpoints, routing, watch: () => watch, reachability: {isUnreachable: () => false}, measureLoad: () => 0, retryBudgetOf: () => new RetryBudget(settings.retry, () => 0), makeLinks: listener => new SimulatedLinks(name, listener, network),
+			context, guard, endpoints, routing, watch: () => watch, reachability: {isUnreachable: () => false}, measureLoad: () => 0, retryBudgetOf: () => new RetryBudget(settings.retry, () => 0), survey: () => ({isOver: true, whenComplete: async () => true}), makeLinks: listener => new SimulatedLinks(name, listener, network),
 		});
 		fleet.membership.members.updateSelf({peerAddress: name});
 		const watch = new DirectoryWatch({
@@ -377,7 +377,7 @@
 }
 
 const dialect: Dialect = {
-	readyPath: '', lookupPath: '', readRequest: unused, readKeyDigest: unused, identifiesCaller: unused, isForwarded: unused, sendHeaders: unused, handOverHeaders: unused, readResponse: unused, reserve: unused, readReservation: unused, cancelReservation: unused, readPrefill: unused, freeResult: unused, orderStage: unused, readLookup: unused, writeLookup: unused,
+	readyPath: '', lookupPath: '', readRequest: unused, readKeyDigest: unused, identifiesCaller: unused, isForwarded: unused, sendHeaders: unused, handOverHeaders: unused, readResponse: unused, reserve: unused, readReservation: unused, cancelReservation: unused, readPrefill: unused, freeResult: unused, orderStage: unused, listRuns: unused, readRuns: unused, listCachedParts: unused, readCachedParts: unused, readLookup: unused, writeLookup: unused,
 };
 
 /** Fault injected just before a configuration is published. */
--- a/packages/relay/src/peer/fleet-parts.ts
+++ b/packages/relay/src/peer/fleet-parts.ts
@@ -6,6 +6,7 @@
 import {type RoutingState} from '../core/routing-state.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type Endpoints} from '../upstream/endpoints.js';
+import {type RunSurvey} from '../upstream/run-survey.js';
 import {type Reachability} from '../upstream/reachability.js';
 
 /** Transport to the other hosts. */
@@ -23,6 +24,8 @@
 	readonly retryBudgetOf: (service: string) => RetryBudget;
 	/** Services to whose endpoints this host has lost its links. */
 	readonly reachability: Pick<Reachability, 'isUnreachable'>;
+	/** Asks engines after the start of this host what they hold of earlier runs. */
+	readonly survey: () => Pick<RunSurvey, 'whenComplete' | 'isOver'>;
 	/** Creates the transport; defaults to gRPC streams. */
 	readonly makeLinks?: (listener: LinkListener<RelayMessage>) => HostLinks;
 };
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -9,6 +9,7 @@
 	isDirectoryReader, isReaderSilent, listConfirmers, readerRankKey, summarizeReading,
 } from '@gatehead/policy/relay/directory-readers';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
+import {HashRing} from '@gatehead/policy/core/hash-ring';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type FleetCensus} from '@gatehead/policy/relay/fleet-census';
 import {type Timer} from '@gatehead/policy/utils/clock';
@@ -30,6 +31,7 @@
 import {makeForecastReport} from './forecast-report.js';
 import {LoadGossip} from './load-gossip.js';
 import {StreamRegistry} from './stream-registry.js';
+import {TraceRegistry} from './trace-registry.js';
 import {WatcherFailover} from './watcher-failover.js';
 
 /** Delay before membership changes are announced, in milliseconds, to batch them. */
@@ -58,6 +60,8 @@
 	readonly retries: RetryExchange;
 	/** Software versions at which streams began. */
 	readonly streams: StreamRegistry;
+	/** What engines held of runs when hosts started. */
+	readonly traces: TraceRegistry;
 	/** Time of the last membership change. */
 	changedAt: number;
 	/** Whether another host was the coordinator at any time since this process started. */
@@ -67,6 +71,8 @@
 	readonly #seedContact: SeedContact;
 	#announceTimer: Timer | undefined;
 	#knownStates = '';
+	/** Hosts alive; computed on first use after a membership change. */
+	#ring: HashRing | undefined;
 	readonly #directorySync: DirectorySync;
 	readonly #knownHosts: KnownHosts;
 	readonly #censusTask: CensusTask;
@@ -156,6 +162,15 @@
 		streamFound: (_from, message) => {
 			this.streams.receiveFound(message);
 		},
+		runTraces: (_from, message) => {
+			this.traces.receiveTraces(message);
+		},
+		tracesWanted: (from, message) => {
+			void this.traces.receiveQuestion(from.host, message);
+		},
+		tracesFound: (_from, message) => {
+			this.traces.receiveFound(message);
+		},
 	};
 
 	constructor(parts: FleetParts) {
@@ -199,6 +214,7 @@
 		});
 		this.load.register(makeForecastReport(parts.endpoints.memoryForecast));
 		this.streams = new StreamRegistry({context, versions: parts.endpoints.versions, send});
+		this.traces = new TraceRegistry({context, send, survey: parts.survey});
 		const renew = (host: string) => {
 			this.#links.resetLink(host);
 		};
@@ -305,6 +321,19 @@
 		return rankFirst(key, alive) === this.#parts.context.self.host;
 	}
 
+	/** Time since which the members are as they are now; infinite while this host has not found any other that it knows of. */
+	get membersChangedAt(): number {
+		const {seeds, listen} = this.#parts.context.settings;
+		const isAlone = this.countHosts() === 1 && seeds.some(seed => seed !== (listen.advertisedPeer ?? listen.peer));
+		return isAlone ? Number.POSITIVE_INFINITY : this.changedAt;
+	}
+
+	/** Whether this host is one of the `count` hosts alive that perform the task identified by `key`. */
+	isAmong(count: number, key: string): boolean {
+		this.#ring ??= new HashRing(this.#listAlive().map(({host}) => host));
+		return this.#ring.list(key, count).includes(this.#parts.context.self.host);
+	}
+
 	/** Whether more than half of all known hosts, including dead ones, are alive. */
 	hasMajority(): boolean {
 		return 2 * this.#listAlive().length > this.membership.members.list().length;
@@ -316,6 +345,7 @@
 		this.membership.members.updateSelf({peerAddress: this.#parts.context.settings.listen.advertisedPeer ?? boundAddress});
 		this.membership.start();
 		this.streams.start();
+		this.traces.start();
 		this.load.start();
 		this.#censusTask.start();
 		this.#seedContact.start();
@@ -366,6 +396,7 @@
 		this.watcherFailover.stop();
 		this.load.close();
 		this.streams.close();
+		this.traces.close();
 		this.limiter.close();
 		this.#announceTimer?.stop();
 		this.membership.stop();
@@ -376,10 +407,12 @@
 		const states = this.membership.members.list().map(({host, state, incarnation}) => `${host} ${state} ${incarnation}`).join(';');
 		if (states !== this.#knownStates) {
 			this.#knownStates = states;
+			this.#ring = undefined;
 			this.changedAt = this.#parts.context.clock.now();
 			this.hasSeenOtherCoordinator ||= !this.isCoordinator();
 			this.load.setMembers(this.membership.members.list());
 			this.streams.setMembers(this.membership.members.list());
+			this.traces.setMembers(this.membership.members.list());
 			this.#knownHosts.update(this.membership.members.list());
 			this.quotas.handleMembershipChange();
 			this.limiter.noteFleetChange();
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type PaceState, type RelayStatus} from '@gatehead/schema/relay-status';
+import {readPast} from '@gatehead/policy/relay/past-endpoints';
 import {StopWindow} from '@gatehead/policy/relay/stop-window';
 import {AccessControl} from './access/access-control.js';
 import {isOff} from './core/experiment.js';
@@ -23,6 +24,7 @@
 import {Endpoints} from './upstream/endpoints.js';
 import {Reachability} from './upstream/reachability.js';
 import {ControlCalls} from './upstream/control-calls.js';
+import {RunSurvey} from './upstream/run-survey.js';
 import {PeerForwarder} from './upstream/peer-forwarder.js';
 import {Sender} from './upstream/sender.js';
 import {RetryBudgets} from './work/retry-budgets.js';
@@ -40,6 +42,8 @@
 
 /** Part of the grace period reserved for closing connections and components, in milliseconds. */
 const closeMarginMs = 500;
+/** Hosts that ask each engine after their start what it holds of earlier runs. */
+const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
 const gossipTicks = 1;
 /** Interval at which a stopping host checks for active requests, in milliseconds. */
@@ -59,6 +63,7 @@
 	readonly #auxiliaryServers: AuxiliaryServers;
 	readonly #handlerParts: WorkParts;
 	readonly #stageOrders: StageOrders;
+	readonly #survey: RunSurvey;
 	readonly #unread: UnreadLimiter;
 	readonly #refusals = new RefusalCounts();
 	/** What each part shows operators of a service. */
@@ -120,7 +125,7 @@
 			isTrialHost: content => this.fleet.isCoordinator(content),
 		});
 		this.fleet = new Fleet({
-			context, guard: this.guard, endpoints: this.endpoints, routing: this.routing, retryBudgetOf: service => this.#handlerParts.budgets.budgetOf(service), watch: () => this.#watch, reachability: this.reachability, measureLoad: () => Math.min(1, this.#callerServer.activeRequests / context.settings.limits.requests),
+			context, guard: this.guard, endpoints: this.endpoints, routing: this.routing, retryBudgetOf: service => this.#handlerParts.budgets.budgetOf(service), watch: () => this.#watch, reachability: this.reachability, survey: () => this.#survey, measureLoad: () => Math.min(1, this.#callerServer.activeRequests / context.settings.limits.requests),
 		});
 		this.fleet.load.register({
 			collect: service => this.endpoints.managed.collect(service),
@@ -140,14 +145,28 @@
 			onChange: () => {
 				this.fleet.announce();
 			},
+			onPast: entries => {
+				this.#recallEndpoints(entries);
+			},
 		});
 		const ownCalls = new ControlCalls(context, this.endpoints);
+		this.#survey = new RunSurvey({
+			context,
+			endpoints: this.endpoints,
+			calls: ownCalls,
+			host: context.self.host,
+			membersChangedAt: () => this.fleet.membersChangedAt,
+			isAsker: endpoint => this.fleet.isAmong(surveyorsPerEngine, endpoint),
+			onTraces: traces => {
+				this.fleet.traces.record(traces);
+			},
+		});
 		const budgets = new RetryBudgets({context, census: this.fleet.census, exchange: this.fleet.retries});
 		this.#stageOrders = new StageOrders({
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, reachability: this.reachability, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
 		});
 		const streams = new StreamVersions({
-			context, registry: this.fleet.streams, versions: this.endpoints.versions, routing: this.routing, watch: () => this.#watch,
+			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, routing: this.routing, watch: () => this.#watch,
 		});
 		const news = this.fleet.load;
 		const calls = new CallAdmission({
@@ -245,6 +264,7 @@
 		this.reachability.start();
 		this.guard.start();
 		this.#watch.start();
+		this.#survey.start();
 		this.#stageOrders.start();
 		log('started', {...listen, seeds: seeds.join(' '), incarnation: this.context.self.incarnation});
 	}
@@ -279,6 +299,7 @@
 	/** Stops immediately; active requests are aborted. */
 	async close(): Promise<void> {
 		this.#watch.stop();
+		this.#survey.stop();
 		this.#stageOrders.stop();
 		this.reachability.close();
 		this.guard.close();
@@ -294,6 +315,16 @@
 		this.context.metrics.close();
 	}
 
+	/** Uses what the directory's history says of endpoints before this host's first list. */
+	#recallEndpoints(entries: readonly Endpoint[]): void {
+		const past = readPast(entries, this.endpoints.book.list().map(({endpoint}) => endpoint));
+		for (const endpoint of past.departed) {
+			this.endpoints.versions.recall(endpoint, this.context.clock.now());
+		}
+
+		this.#survey.addPast(past);
+	}
+
 	/** Members for lookups: hosts with links to all services, and without this one while it must reject requests with keys. All members if no host alive would remain. */
 	#listLookupMembers(): readonly MemberRecord[] {
 		const members = this.fleet.membership.members.list();
@@ -372,6 +403,7 @@
 		metrics.set('slowestPace', Math.max(1, ...paces));
 		metrics.set('fastestPace', Math.min(1, ...paces));
 		metrics.set('streamRecordsHeld', this.fleet.streams.size);
+		metrics.set('runTracesHeld', this.fleet.traces.size);
 		metrics.set('evidenceAge', this.routing.ageMs());
 		const {table} = this.routing;
 		let ready = 0;
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -7,7 +7,7 @@
 import {type Duplex} from 'node:stream';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
-import {type EndpointCall} from '../core/dialect.js';
+import {type EndpointCall, type EngineRun, type PromptPart} from '../core/dialect.js';
 import {type BaseContext, type RelayContext} from '../core/context.js';
 import {
 	recordReservation, setIdleTimeout, traceConnection, type ConnectionTrace,
@@ -18,6 +18,10 @@
 
 /** Size limit of a control call's response, in bytes. */
 const maxResponseBytes = 65_536;
+/** Size limit of a list of runs or cached parts, in bytes; the memory of an engine holds some thousand parts. */
+const maxListBytes = 1_048_576;
+/** Timeout of a list, in milliseconds. No request waits for one, and what an engine holds cannot be learned elsewhere. */
+const listTimeoutMs = 2000;
 /** Timeout of a reservation, in milliseconds: it needs no slot, so a replica that takes longer is unhealthy. */
 const reserveTimeoutMs = 250;
 /** Timeout of calls that no request waits for, in milliseconds. */
@@ -42,6 +46,13 @@
 	readonly socket: Duplex;
 };
 
+type CallOptions = {
+	/** Called right before the call is written. */
+	readonly onSent?: (connection: ConnectionTrace) => void;
+	/** Size limit of the response. */
+	readonly maxBytes?: number;
+};
+
 type ControlCallContext = BaseContext & Pick<RelayContext, 'dialect' | 'settings'>;
 
 /** Makes control calls. */
@@ -59,8 +70,10 @@
 		const {dialect, clock, metrics} = this.#context;
 		let trace: ConnectionTrace | undefined;
 		try {
-			const {status, body, socket} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal, connection => {
-				trace = connection;
+			const {status, body, socket} = await this.#call(endpoint, dialect.reserve(tokens, lifeMs), reserveTimeoutMs, signal, {
+				onSent(connection) {
+					trace = connection;
+				},
 			});
 			const reservation = status === okStatus ? dialect.readReservation(body) : undefined;
 			if (reservation !== undefined && !recordReservation(socket, reservation)) {
@@ -109,6 +122,30 @@
 		}
 	}
 
+	/** Lists the runs in progress at an engine; undefined if it does not say. */
+	async listRuns(endpoint: Endpoint): Promise<EngineRun[] | undefined> {
+		const {dialect} = this.#context;
+		return this.#list(endpoint, dialect.listRuns(endpoint), body => dialect.readRuns(body));
+	}
+
+	/** Lists the prompt parts in an engine's cache; undefined if it does not say. */
+	async listCachedParts(endpoint: Endpoint): Promise<PromptPart[] | undefined> {
+		const {dialect} = this.#context;
+		return this.#list(endpoint, dialect.listCachedParts(endpoint), body => dialect.readCachedParts(body));
+	}
+
+	async #list<Item>(endpoint: Endpoint, call: EndpointCall, read: (body: string) => Item[] | undefined): Promise<Item[] | undefined> {
+		try {
+			const {status, body} = await this.#call(endpoint, call, listTimeoutMs, createUnusedSignal(), {maxBytes: maxListBytes});
+			return status === okStatus ? read(body) : undefined;
+		} catch (error) {
+			this.#context.log('sendFailed', {
+				step: 'list', endpoint: endpoint.id, outcome: 'failed', reason: error instanceof ExchangeError ? error.fault : 'reset', detail: String(error),
+			});
+			return undefined;
+		}
+	}
+
 	async #cleanUp(endpoint: Endpoint, call: EndpointCall, what: string): Promise<void> {
 		let outcome = 'freed';
 		try {
@@ -122,8 +159,8 @@
 		this.#context.log('resultFreed', {endpoint: endpoint.id, what, outcome});
 	}
 
-	/** `timeoutMs` holds for the head of the response, and again for its body; `onSent` is called right before the call is written. */
-	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal, onSent: (connection: ConnectionTrace) => void = ignore): Promise<CallResult> {
+	/** `timeoutMs` holds for the head of the response, and again for its body. */
+	async #call(endpoint: Endpoint, {method, path, headers, body}: EndpointCall, timeoutMs: number, signal: AbortSignal, {onSent = ignore, maxBytes = maxResponseBytes}: CallOptions = {}): Promise<CallResult> {
 		const {clock, dialect, settings} = this.#context;
 		const bytes = body === undefined ? undefined : new TextEncoder().encode(body);
 		const fields = ['Host', endpoint.address, ...Object.entries(headers).flat(), ...(bytes === undefined ? [] : ['Content-Length', String(bytes.length)])];
@@ -151,6 +188,6 @@
 		}
 
 		const {socket} = response;
-		return {status, socket, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes: maxResponseBytes, timeoutMs}))};
+		return {status, socket, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes, timeoutMs}))};
 	}
 }
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -341,6 +341,13 @@
 		return this.signals.listDraining().filter(id => this.book.isKnown(id));
 	}
 
+	/** Removes the state of an endpoint that is not listed. */
+	release(id: string): void {
+		if (!this.book.isKnown(id)) {
+			this.#forget(id);
+		}
+	}
+
 	/** Whether an endpoint of one software version takes new work, now or after its backoff. */
 	hasVersion(service: string, stage: Endpoint['stage'], softwareVersion: string): boolean {
 		return this.#listReady(service, stage, softwareVersion).length > 0;
--- /dev/null
+++ b/packages/relay/src/upstream/run-survey.test.ts
@@ -0,0 +1,411 @@
+/** Which engines a host asks after its start, how often, and what of their replies counts. */
+import {setImmediate} from 'node:timers/promises';
+import {describe, it} from 'node:test';
+import {EndpointBook} from '@gatehead/policy/relay/endpoint-book';
+import {type RunTrace} from '@gatehead/policy/relay/run-traces';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {ManualClock} from '@gatehead/policy/utils/manual-clock';
+import {type Endpoint} from '@gatehead/schema/routing';
+import {expect} from 'earl';
+import {type EngineRun, type PromptPart} from '../core/dialect.js';
+import {Metrics} from '../utils/metrics.js';
+import {RunSurvey, toTraceKey} from './run-survey.js';
+
+/** Bounds of a host's survey. */
+const maxEngines = 64;
+const maxConcurrent = 16;
+const maxAttempts = 2;
+const maxWaitMs = 400;
+/** Time after which a survey starts no calls, in milliseconds. */
+const endMs = 12_000;
+
+function makeEngine(id: string, overrides: Partial<Endpoint> = {}): Endpoint {
+	return {
+		id, service: 'model', address: `${id}:1`, hall: 'a', state: 'ready', stage: 'decode', slots: 4, softwareVersion: 'v1', ...overrides,
+	};
+}
+
+function makeEngines(count: number): Endpoint[] {
+	return Array.from({length: count}, (_, index) => makeEngine(`e${index}`));
+}
+
+/** Reply of an engine; undefined lists: it did not reply. */
+type EngineReply = {
+	readonly runs: EngineRun[] | undefined;
+	readonly parts: PromptPart[] | undefined;
+};
+
+const silent: EngineReply = {runs: undefined, parts: undefined};
+
+function replyOf(id: string): EngineReply {
+	return {runs: [{requestId: `run-${id}`, events: 7}], parts: [{id: `part-${id}`, tokens: 120}]};
+}
+
+class SurveyedFleet {
+	readonly clock = new ManualClock();
+	readonly survey: RunSurvey;
+	readonly asked = new Map<string, number>();
+	readonly traces: RunTrace[] = [];
+	/** Time that an engine takes to reply, in milliseconds. */
+	delayMs = 5;
+	/** Largest numbers of questions at a time, in all and to one engine. */
+	mostOpen = 0;
+	mostOpenAtEngine = 0;
+	isAsker: (id: string) => boolean;
+	/** Reply to the nth question to an engine, from 1. */
+	reply: (id: string, attempt: number) => EngineReply;
+	readonly #book = new EndpointBook();
+	readonly #open = new Map<string, number>();
+	#revision = 0;
+
+	constructor() {
+		this.isAsker = () => true;
+		this.reply = id => replyOf(id);
+		this.survey = new RunSurvey({
+			context: {clock: this.clock, log: ignore, metrics: new Metrics(undefined, {})},
+			endpoints: {book: this.#book, release: ignore},
+			calls: {
+				listRuns: async ({id}) => {
+					const attempt = (this.asked.get(id) ?? 0) + 1;
+					this.asked.set(id, attempt);
+					this.#count(id, 1);
+					await this.#pass();
+					this.#count(id, -1);
+					return this.reply(id, attempt).runs;
+				},
+				listCachedParts: async ({id}) => {
+					const attempt = this.asked.get(id) ?? 0;
+					await this.#pass();
+					return this.reply(id, attempt).parts;
+				},
+			},
+			host: 'host-0',
+			membersChangedAt: () => 0,
+			isAsker: id => this.isAsker(id),
+			onTraces: traces => {
+				this.traces.push(...traces);
+			},
+		});
+	}
+
+	get askedIds(): string[] {
+		return [...this.asked.keys()].toSorted();
+	}
+
+	/** Replaces what the directory lists. */
+	list(endpoints: readonly Endpoint[]): void {
+		const ids = new Set(endpoints.map(({id}) => id));
+		for (const {endpoint: {id}} of this.#book.list()) {
+			if (!ids.has(id)) {
+				this.#book.drop(id, this.clock.now());
+			}
+		}
+
+		this.#revision += 1;
+		for (const endpoint of endpoints) {
+			this.#book.put({endpoint, revision: this.#revision}, this.clock.now());
+		}
+	}
+
+	async run(milliseconds: number): Promise<void> {
+		const end = this.clock.now() + milliseconds;
+		while (this.clock.now() < end) {
+			await setImmediate();
+			this.clock.advance(Math.min(5, end - this.clock.now()));
+		}
+
+		await setImmediate();
+	}
+
+	/** Whether the survey is complete, and the time until that is known, in milliseconds. */
+	async await(): Promise<{isComplete: boolean; waitMs: number}> {
+		const startedAt = this.clock.now();
+		const state: {isComplete?: boolean} = {};
+		const done = this.survey.whenComplete().then(isComplete => {
+			state.isComplete = isComplete;
+		});
+		await setImmediate();
+		while (state.isComplete === undefined) {
+			await this.run(5);
+		}
+
+		await done;
+		return {isComplete: state.isComplete, waitMs: this.clock.now() - startedAt};
+	}
+
+	async #pass(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.clock.after(this.delayMs, resolve);
+		});
+	}
+
+	#count(id: string, change: number): void {
+		const open = (this.#open.get(id) ?? 0) + change;
+		this.#open.set(id, open);
+		this.mostOpenAtEngine = Math.max(this.mostOpenAtEngine, open);
+		this.mostOpen = Math.max(this.mostOpen, [...this.#open.values()].reduce((sum, each) => sum + each, 0));
+	}
+}
+
+type AskCase = {
+	readonly name: string;
+	readonly set: (fleet: SurveyedFleet) => void;
+	/** Changes at a time after the start, in milliseconds. */
+	readonly change?: {readonly atMs: number; readonly run: (fleet: SurveyedFleet) => void};
+	/** Questions by engine, once the survey is over. */
+	readonly asked: Readonly<Record<string, number>>;
+	/** Ids of the runs and parts that became traces. */
+	readonly traced: readonly string[];
+	readonly isComplete: boolean;
+};
+
+const askCases: readonly AskCase[] = [
+	{
+		name: 'each decode engine in its share, once', set(fleet) {
+			fleet.list([...makeEngines(3), makeEngine('p', {stage: 'prefill'}), {...makeEngine('q'), stage: undefined}]);
+			fleet.isAsker = id => id !== 'e1';
+		}, asked: {e0: 1, e2: 1}, traced: ['e0', 'e2'], isComplete: true,
+	},
+	{
+		name: 'engines that are leaving as well', set(fleet) {
+			fleet.list([makeEngine('e0', {state: 'leaving'})]);
+		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'none in its share', set(fleet) {
+			fleet.list(makeEngines(3));
+			fleet.isAsker = () => false;
+		}, asked: {}, traced: [], isComplete: true,
+	},
+	{
+		name: 'no decode engine in the directory', set(fleet) {
+			fleet.list([makeEngine('p', {stage: 'prefill'})]);
+		}, asked: {}, traced: [], isComplete: true,
+	},
+	{
+		name: 'an engine that replies slowly', set(fleet) {
+			fleet.list(makeEngines(1));
+			fleet.delayMs = 200;
+		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that replies to the second question', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = (id, attempt) => id === 'e1' && attempt === 1 ? silent : replyOf(id);
+		}, asked: {e0: 1, e1: 2}, traced: ['e0', 'e1'], isComplete: true,
+	},
+	{
+		name: 'an engine that never replies', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = id => id === 'e1' ? silent : replyOf(id);
+		}, asked: {e0: 1, e1: maxAttempts}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that lists its runs only, then both', set(fleet) {
+			fleet.list(makeEngines(1));
+			fleet.reply = (id, attempt) => attempt === 1 ? {...replyOf(id), parts: undefined} : replyOf(id);
+		}, asked: {e0: 2}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an entry that changes its version during the question', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.delayMs = 40;
+		}, change: {
+			atMs: 170, run(fleet) {
+				fleet.list([makeEngine('e0'), makeEngine('e1', {softwareVersion: 'v2'})]);
+			},
+		}, asked: {e0: 1, e1: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an entry that is gone after the question', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.delayMs = 40;
+		}, change: {
+			atMs: 170, run(fleet) {
+				fleet.list([makeEngine('e0')]);
+			},
+		}, asked: {e0: 1, e1: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an address that two entries name', set(fleet) {
+			fleet.list([makeEngine('e0'), makeEngine('e1', {address: 'shared:1'}), makeEngine('p', {address: 'shared:1', stage: 'prefill', softwareVersion: 'v2'})]);
+		}, asked: {e0: 1, e1: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an address that a second entry names during the question', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.delayMs = 40;
+		}, change: {
+			atMs: 170, run(fleet) {
+				fleet.list([...makeEngines(2), makeEngine('e2', {address: 'e1:1', stage: 'prefill'})]);
+			},
+		}, asked: {e0: 1, e1: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an address that a new process of the instance takes during the question', set(fleet) {
+			fleet.list([makeEngine('e0')]);
+			fleet.delayMs = 40;
+		}, change: {
+			atMs: 170, run(fleet) {
+				fleet.list([makeEngine('e9', {address: 'e0:1', softwareVersion: 'v2', stage: 'prefill'})]);
+			},
+		}, asked: {e0: 1}, traced: [], isComplete: true,
+	},
+	{
+		name: 'an engine that comes into view later', set(fleet) {
+			fleet.list(makeEngines(1));
+		}, change: {
+			atMs: 5000, run(fleet) {
+				fleet.list(makeEngines(2));
+			},
+		}, asked: {e0: 1, e1: 1}, traced: ['e0', 'e1'], isComplete: true,
+	},
+	{
+		name: 'the first engine comes into view later', set: ignore, change: {
+			atMs: 5000, run(fleet) {
+				fleet.list(makeEngines(1));
+			},
+		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that comes into view when the survey is over', set(fleet) {
+			fleet.list(makeEngines(1));
+		}, change: {
+			atMs: 11_000, run(fleet) {
+				fleet.list(makeEngines(2));
+			},
+		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that falls to this host when another is lost', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.isAsker = id => id === 'e0' || fleet.clock.now() >= 3000;
+		}, asked: {e0: 1, e1: 1}, traced: ['e0', 'e1'], isComplete: true,
+	},
+];
+
+type BoundCase = {
+	readonly name: string;
+	readonly engines: number;
+	readonly set: (fleet: SurveyedFleet) => void;
+	/** Number of engines of which the host holds traces once the survey is over. */
+	readonly traced?: number;
+	/** Engines of which it holds traces in any case. */
+	readonly tracedAnyway?: readonly string[];
+	readonly isComplete: boolean;
+};
+
+const lateShare = ['e100', 'e200', 'e299'];
+
+const boundCases: readonly BoundCase[] = [
+	{
+		name: 'as many engines as it may ask', engines: maxEngines, set: ignore, traced: maxEngines, isComplete: true,
+	},
+	{
+		name: 'more engines than it may ask', engines: 300, set: ignore, traced: maxEngines, isComplete: true,
+	},
+	{
+		name: 'as many engines as it may ask, one replies late', engines: maxEngines, set(fleet) {
+			fleet.reply = (id, attempt) => id === 'e63' && attempt === 1 ? silent : replyOf(id);
+		}, traced: maxEngines, isComplete: true,
+	},
+	{
+		name: 'its share of many engines, once it has found the other hosts', engines: 300, set(fleet) {
+			const share = new Set(lateShare);
+			fleet.isAsker = id => fleet.clock.now() < 400 || share.has(id);
+		}, tracedAnyway: lateShare, isComplete: true,
+	},
+	{
+		name: 'slow engines', engines: 40, set(fleet) {
+			fleet.delayMs = 120;
+		}, traced: 40, isComplete: true,
+	},
+];
+
+describe('survey of engines after a start', () => {
+	for (const {name, set, change, asked, traced, isComplete} of askCases) {
+		it(name, async () => {
+			const fleet = new SurveyedFleet();
+			set(fleet);
+			fleet.survey.start();
+			if (change !== undefined) {
+				await fleet.run(change.atMs);
+				change.run(fleet);
+			}
+
+			await fleet.run(endMs);
+			const finished = await fleet.await();
+			expect(Object.fromEntries([...fleet.asked].toSorted(([left], [right]) => left < right ? -1 : 1))).toEqual({...asked});
+			expect([...new Set(fleet.traces.map(({key}) => key))].toSorted()).toEqual(traced.flatMap(id => [toTraceKey('run', `run-${id}`), toTraceKey('part', `part-${id}`)]).toSorted());
+			expect(finished.isComplete).toEqual(isComplete);
+		});
+	}
+
+	for (const {name, engines, set, traced, tracedAnyway = [], isComplete} of boundCases) {
+		it(`bound: ${name}`, async () => {
+			const fleet = new SurveyedFleet();
+			fleet.list(makeEngines(engines));
+			set(fleet);
+			fleet.survey.start();
+			await fleet.run(endMs);
+			const finished = await fleet.await();
+			const keys = new Set(fleet.traces.map(({key}) => key));
+			const found = makeEngines(engines).map(({id}) => id).filter(id => keys.has(toTraceKey('run', `run-${id}`)));
+			expect(found.length).toEqual(traced ?? found.length);
+			expect(found.filter(id => tracedAnyway.includes(id))).toEqual([...tracedAnyway]);
+			expect(fleet.mostOpen <= maxConcurrent).toEqual(true);
+			expect(fleet.mostOpenAtEngine <= 1).toEqual(true);
+			expect(finished.isComplete).toEqual(isComplete);
+		});
+	}
+
+	it('a trace has the events of a run or the tokens of a part, and the version of the entry', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list([makeEngine('e0', {softwareVersion: undefined, service: 'other'})]);
+		fleet.survey.start();
+		await fleet.run(500);
+		expect(fleet.traces.map(({service, softwareVersion, size}) => ({service, softwareVersion, size}))).toEqual([
+			{service: 'other', softwareVersion: '', size: 7},
+			{service: 'other', softwareVersion: '', size: 120},
+		]);
+	});
+
+	it('a run and a part of one name have different keys', () => {
+		expect(toTraceKey('run', 'x') === toTraceKey('part', 'x')).toEqual(false);
+	});
+
+	it('a stopped survey asks nobody', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(2));
+		fleet.survey.start();
+		await fleet.run(100);
+		fleet.survey.stop();
+		await fleet.run(endMs);
+		expect(fleet.askedIds).toEqual([]);
+	});
+
+	it('who waits is told at the end of the survey, or after a bounded time', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(1));
+		fleet.survey.start();
+		const early = await fleet.await();
+		expect(early.isComplete).toEqual(true);
+		expect(early.waitMs < maxWaitMs).toEqual(true);
+
+		const stuck = new SurveyedFleet();
+		stuck.list(makeEngines(1));
+		stuck.delayMs = endMs;
+		stuck.survey.start();
+		const late = await stuck.await();
+		expect(late).toEqual({isComplete: false, waitMs: maxWaitMs});
+	});
+
+	it('nobody waits once the survey is over', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(maxEngines + 1));
+		fleet.survey.start();
+		await fleet.run(endMs);
+		const {waitMs} = await fleet.await();
+		expect(waitMs).toEqual(0);
+	});
+});
--- /dev/null
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -0,0 +1,245 @@
+/**
+ * Asks engines after a start of this host what they hold of earlier runs: all
+ * hosts may have been restarted at once, and new requests soon displace what
+ * engines have cached. A few hosts ask each engine, whatever the size of the
+ * fleet. Safety: what an engine says counts for the software version of its
+ * entry only if that entry alone names its address, before and after.
+ */
+import {type PastEndpoints} from '@gatehead/policy/relay/past-endpoints';
+import {type RunTrace} from '@gatehead/policy/relay/run-traces';
+import {type Timer} from '@gatehead/policy/utils/clock';
+import {digestOf} from '@gatehead/schema/canonical-json';
+import {hashText} from '@gatehead/schema/hash-text';
+import {versionOf, type Endpoint} from '@gatehead/schema/routing';
+import {type RelayContext} from '../core/context.js';
+import {type ControlCalls} from './control-calls.js';
+import {type Endpoints} from './endpoints.js';
+
+/** Length of a trace's key, in hexadecimal digits. */
+const keyLength = 32;
+/** Time for which traces are kept, in milliseconds: callers resume soon after a restart, if at all. */
+const traceLifeMs = 60_000;
+/** Interval of the checks for engines to ask, in milliseconds. */
+const pollMs = 50;
+/** Time after the first list of endpoints in which the hosts that start at the same moment find each other, at least, since the last of them was found, and at most, in milliseconds. */
+const settleMs = {least: 150, sinceChange: 100, most: 600};
+/** Time after the start in which engines that come into view are asked, in milliseconds. */
+const surveyMs = 10_000;
+/** Maximum wait for the survey, in milliseconds. */
+const maxWaitMs = 400;
+/** Maximum engines that one host asks while its share is larger than that; bounds a host that has not found the others. */
+const maxEngines = 64;
+/** Maximum engines asked at a time. */
+const maxConcurrent = 16;
+/** Maximum attempts to ask an engine. */
+const maxAttempts = 2;
+
+/** What a trace is about: the run of an attempt, or the last part of a prompt. */
+export type TraceSubject = 'run' | 'part';
+
+/** Key of the traces of an attempt or part. */
+export function toTraceKey(subject: TraceSubject, id: string): string {
+	return digestOf(JSON.stringify([subject, id])).slice(0, keyLength);
+}
+
+export type RunSurveyParts = {
+	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics'>;
+	readonly endpoints: Pick<Endpoints, 'book' | 'release'>;
+	readonly calls: Pick<ControlCalls, 'listRuns' | 'listCachedParts'>;
+	/** Name of this host. */
+	readonly host: string;
+	/** Whether this host is one of those that ask an engine. */
+	readonly isAsker: (endpoint: string) => boolean;
+	/** Time of the last membership change. */
+	readonly membersChangedAt: () => number;
+	readonly onTraces: (traces: readonly RunTrace[]) => void;
+};
+
+/** The survey of one host. */
+export class RunSurvey {
+	readonly #parts: RunSurveyParts;
+	/** Attempts by engine; infinite once it has answered. */
+	readonly #attempts = new Map<string, number>();
+	readonly #waiting = new Set<() => void>();
+	readonly #inFlight = new Set<string>();
+	/** Engines that have left the directory, which may still serve, and those whose entries had several versions. */
+	#departed: readonly Endpoint[] = [];
+	#changed: ReadonlySet<string> = new Set();
+	#startedAt = Number.POSITIVE_INFINITY;
+	#listedAt: number | undefined;
+	#isComplete = false;
+	#isOver = false;
+	#timer: Timer | undefined;
+
+	constructor(parts: RunSurveyParts) {
+		this.#parts = parts;
+	}
+
+	start(): void {
+		this.#startedAt = this.#parts.context.clock.now();
+		this.#poll();
+	}
+
+	/** Adds what the directory's history says of the time before this host's start. */
+	addPast({departed, changed}: PastEndpoints): void {
+		this.#departed = departed.filter(engine => isDecode(engine)).slice(0, maxEngines);
+		this.#changed = changed;
+	}
+
+	stop(): void {
+		this.#timer?.stop();
+		this.#end();
+	}
+
+	/** Whether no more engines will be asked. */
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	/** Resolves once all engines in this host's share have answered, when the survey is over, or after a short wait; whether no more will be learned. */
+	async whenComplete(): Promise<boolean> {
+		if (!this.#isComplete && !this.#isOver) {
+			await new Promise<void>(resolve => {
+				const timer = this.#parts.context.clock.after(maxWaitMs, () => {
+					this.#waiting.delete(settle);
+					resolve();
+				});
+				const settle = () => {
+					timer.stop();
+					resolve();
+				};
+
+				this.#waiting.add(settle);
+			});
+		}
+
+		return this.#isComplete || this.#isOver;
+	}
+
+	#poll(): void {
+		const {clock} = this.#parts.context;
+		const now = clock.now();
+		this.#listedAt ??= this.#listEngines().length > 0 ? now : undefined;
+		if (this.#hasSettled(now)) {
+			this.#askEngines();
+		}
+
+		if (now - this.#startedAt >= surveyMs) {
+			this.#end();
+			return;
+		}
+
+		this.#timer = clock.after(pollMs, () => {
+			this.#poll();
+		});
+	}
+
+	#hasSettled(now: number): boolean {
+		const listedMs = now - (this.#listedAt ?? now);
+		return listedMs >= settleMs.most || (listedMs >= settleMs.least && now - this.#parts.membersChangedAt() >= settleMs.sinceChange);
+	}
+
+	#listEngines(): Endpoint[] {
+		return this.#parts.endpoints.book.list().map(({endpoint}) => endpoint).filter(engine => isDecode(engine));
+	}
+
+	/** Engines that have left and are not listed anew. Each host that knows of them asks all: others may not know. */
+	#listDeparted(): Endpoint[] {
+		return this.#departed.filter(({id}) => !this.#parts.endpoints.book.isKnown(id));
+	}
+
+	#askEngines(): void {
+		const share = this.#listEngines().filter(({id}) => this.#isDue(id) && this.#parts.isAsker(id));
+		const departed = this.#listDeparted().filter(({id}) => !this.#attempts.has(id));
+		for (const engine of [...this.#chooseNext(share), ...departed].slice(0, maxConcurrent - this.#inFlight.size)) {
+			void this.#ask(engine);
+		}
+
+		const isAnswered = this.#listEngines().every(({id}) => this.#attempts.get(id) === Number.POSITIVE_INFINITY || !this.#parts.isAsker(id));
+		this.#isComplete = isAnswered && departed.length === 0 && this.#inFlight.size === 0;
+		if (this.#isComplete) {
+			this.#release();
+		}
+	}
+
+	#isDue(id: string): boolean {
+		return !this.#inFlight.has(id) && (this.#attempts.get(id) ?? 0) < maxAttempts;
+	}
+
+	/** Engines of this host's share to ask next. Each host has its own order, so that hosts which do not know each other ask different ones. */
+	#chooseNext(share: readonly Endpoint[]): Endpoint[] {
+		const {host} = this.#parts;
+		const begun = share.filter(({id}) => this.#attempts.has(id));
+		const fresh = share.filter(({id}) => !this.#attempts.has(id)).map(engine => ({engine, place: hashText(`${host} ${engine.id}`)}));
+		const most = fresh.length > maxEngines ? Math.max(0, maxEngines - this.#attempts.size) : fresh.length;
+		const chosen = fresh.toSorted((left, right) => left.place - right.place).slice(0, most).map(({engine}) => engine);
+		return [...begun, ...chosen];
+	}
+
+	async #ask(engine: Endpoint): Promise<void> {
+		const {calls, context: {log, metrics}, onTraces} = this.#parts;
+		this.#inFlight.add(engine.id);
+		this.#attempts.set(engine.id, (this.#attempts.get(engine.id) ?? 0) + 1);
+		const isAlone = this.#isAlone(engine);
+		const [runs, parts] = await Promise.all([calls.listRuns(engine), calls.listCachedParts(engine)]);
+		const isUsable = isAlone && this.#isAlone(engine);
+		if (runs !== undefined && parts !== undefined) {
+			this.#attempts.set(engine.id, Number.POSITIVE_INFINITY);
+		}
+
+		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, runs !== undefined && parts !== undefined)});
+		log('engineSurveyed', {
+			endpoint: engine.id, service: engine.service, softwareVersion: engine.softwareVersion, runs: runs?.length, parts: parts?.length, isUsable,
+		});
+		if (isUsable) {
+			onTraces([
+				...(runs ?? []).map(({requestId, events}) => this.#makeTrace(engine, 'run', requestId, events)),
+				...(parts ?? []).map(({id, tokens}) => this.#makeTrace(engine, 'part', id, tokens)),
+			]);
+		}
+
+		this.#inFlight.delete(engine.id);
+		this.#parts.endpoints.release(engine.id);
+		if (!this.#isOver) {
+			this.#askEngines();
+		}
+	}
+
+	/** Whether an engine's entry never had another version, and no other entry names its address. */
+	#isAlone({id, address, softwareVersion}: Endpoint): boolean {
+		const sharing = this.#parts.endpoints.book.list().filter(({endpoint}) => endpoint.address === address);
+		const isDeparted = this.#listDeparted().some(engine => engine.id === id);
+		return !this.#changed.has(id) && sharing.length === (isDeparted ? 0 : 1) && sharing.every(({endpoint}) => endpoint.id === id && endpoint.softwareVersion === softwareVersion);
+	}
+
+	#makeTrace(engine: Endpoint, subject: TraceSubject, id: string, size: number): RunTrace {
+		return {
+			key: toTraceKey(subject, id), service: engine.service, softwareVersion: versionOf(engine), size, expiresAt: this.#parts.context.clock.now() + traceLifeMs,
+		};
+	}
+
+	#end(): void {
+		this.#isOver = true;
+		this.#release();
+	}
+
+	#release(): void {
+		for (const settle of this.#waiting) {
+			settle();
+		}
+
+		this.#waiting.clear();
+	}
+}
+
+function isDecode({stage}: Endpoint): boolean {
+	return stage === 'decode';
+}
+
+function describeOutcome(isUsable: boolean, isAnswered: boolean): string {
+	if (!isAnswered) {
+		return 'failed';
+	}
+
+	return isUsable ? 'answered' : 'unattributable';
+}
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -1,9 +1,11 @@
 /**
  * Software versions of streams that callers may resume. Safety: a stream goes
- * on only at the version that began it. That version is read from a record, or
- * follows from there having been one version only for as long as the stream
- * can have lasted; otherwise the request is refused, never guessed.
+ * on only at the version that began it. That version is read from a record,
+ * follows from this host having seen one version only for as long as the stream
+ * can have lasted, or is that of the engine that still holds the run; otherwise
+ * the request is refused, never guessed.
  */
+import {findTracedOrigin} from '@gatehead/policy/relay/run-traces';
 import {findOnlyVersion, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
@@ -13,6 +15,8 @@
 import {type DirectoryWatch} from '../core/directory-watch.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type StreamFinding, type StreamRegistry} from '../peer/stream-registry.js';
+import {type TraceRegistry} from '../peer/trace-registry.js';
+import {toTraceKey} from '../upstream/run-survey.js';
 import {type Via} from './generation-failure.js';
 import {type Job} from './job.js';
 
@@ -50,7 +54,7 @@
 /** Outcome of a lookup. */
 type Lookup = {
 	/** Where the version was learned; `none`: the caller has no part of the stream. */
-	readonly source: 'record' | 'only version' | 'none' | 'ambiguous' | 'unknown';
+	readonly source: 'record' | 'only version' | 'engine' | 'none' | 'ambiguous' | 'unknown';
 	readonly point?: ResumePoint;
 	/** Host that had the record. */
 	readonly host?: string | undefined;
@@ -58,6 +62,8 @@
 	readonly silent: number;
 	/** What this host and those that replied have seen of the service; empty if a record was found. */
 	readonly views?: readonly VersionView[];
+	/** Whether hosts are still asking engines. */
+	readonly isPending?: boolean;
 };
 
 /** Sources after which a request is refused. */
@@ -66,6 +72,7 @@
 export type StreamVersionsParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'settings'>;
 	readonly registry: Pick<StreamRegistry, 'record' | 'find'>;
+	readonly traces: Pick<TraceRegistry, 'find'>;
 	readonly versions: VersionHistory;
 	readonly routing: Pick<RoutingState, 'confirmedAt'>;
 	readonly watch: () => Pick<DirectoryWatch, 'confirm'>;
@@ -101,7 +108,7 @@
 	async resolve(request: ResumeRequest): Promise<ResumePoint | undefined> {
 		const {context: {clock, log, metrics}} = this.#parts;
 		const startedAt = clock.now();
-		const {source, point, host, asked, silent, views = []} = await this.#lookUp(request);
+		const {source, point, host, asked, silent, views = [], isPending = false} = await this.#lookUp(request);
 		const windowMs = lifeOf(request.route, request.facts);
 		metrics.add('streamLookups', {source, coverage: describeCoverage(views, windowMs)});
 		metrics.time('streamLookup', clock.now() - startedAt);
@@ -113,7 +120,7 @@
 			return point;
 		}
 
-		const isFinal = source === 'ambiguous' || (this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
+		const isFinal = source === 'ambiguous' || (!isPending && this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
 		return fail('streamVersionUnknown', {retryAfterMs: isFinal ? undefined : unknownRetryAfterMs, detail: source});
 	}
 
@@ -147,17 +154,19 @@
 
 		const softwareVersion = await this.#findOnlyVersion(service, windowMs, finding);
 		const views = [this.#parts.versions.view(service, windowMs, this.#parts.context.clock.now()), ...finding.views];
-		return softwareVersion === undefined
-			? {
-				source: 'unknown', asked, silent, views,
-			}
-			: {
+		if (softwareVersion !== undefined) {
+			return {
 				source: 'only version', point: {service, softwareVersion}, asked, silent, views,
 			};
+		}
+
+		return {
+			...await this.#findTraces(facts), asked, silent, views,
+		};
 	}
 
-	/** The version that all endpoints have had for a time; undefined if there were several, or if it is not known. */
-	async #findOnlyVersion(service: string, windowMs: number, {views, asked, silent}: StreamFinding): Promise<string | undefined> {
+	/** The version that all endpoints have had for as long as the stream can have lasted; undefined if there were several, or if this host has not seen all of that time. */
+	async #findOnlyVersion(service: string, windowMs: number, {views}: StreamFinding): Promise<string | undefined> {
 		const {context: {clock}, versions, watch} = this.#parts;
 		const startedAt = clock.now();
 		for (let tries = 0; tries < maxConfirmations && !this.#isConfirmedSince(startedAt); tries += 1) {
@@ -165,9 +174,32 @@
 		}
 
 		const own = versions.view(service, windowMs, clock.now());
-		const isVouched = own.coverageMs >= windowMs && this.#isConfirmedSince(startedAt);
-		// Hosts that started since the stream began are heard as well: after a restart of all of them there is no other witness
-		return isVouched || this.#isUnanimous({asked, silent}) ? findOnlyVersion([own, ...views]) : undefined;
+		// Others contradict, but do not vouch: however many they are, they may have started since the stream began, or lag behind the directory
+		const isWitnessed = own.coverageMs >= windowMs && this.#isConfirmedSince(startedAt);
+		return isWitnessed ? findOnlyVersion([own, ...views]) : undefined;
+	}
+
+	/** Where the stream began, by what engines held of it when hosts started. */
+	async #findTraces({resumedId, lastEventId, ownPart}: RequestFacts): Promise<Pick<Lookup, 'source' | 'point' | 'isPending'>> {
+		const received = Number(lastEventId);
+		const queries = Number.isSafeInteger(received) && received > 0
+			? [
+				...(resumedId === undefined ? [] : [{key: toTraceKey('run', resumedId), leastSize: received, isExact: true}]),
+				// An event has at least one token
+				...(ownPart === undefined ? [] : [{key: toTraceKey('part', ownPart.id), leastSize: ownPart.tokens + received, isExact: false}]),
+			]
+			: [];
+		if (queries.length === 0) {
+			return {source: 'unknown'};
+		}
+
+		const {traces, isComplete} = await this.#parts.traces.find(queries.map(({key}) => key));
+		const origin = findTracedOrigin(queries, traces, isComplete);
+		if (origin === undefined) {
+			return {source: 'unknown', isPending: !isComplete};
+		}
+
+		return origin === 'ambiguous' ? {source: 'ambiguous'} : {source: 'engine', point: origin};
 	}
 
 	/** Whether every host asked has replied, or there is none to ask. */
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -43,6 +43,11 @@
 	service: serviceName, softwareVersion, leftMs: z.number().nonnegative(), isAmbiguous: z.boolean(),
 });
 
+/** What an engine holds of a request: evidence of the software version that ran it. `size`: events of a run in progress, or tokens of a cached part with what was generated behind it. */
+export const runTrace = z.object({
+	key: streamKey, service: serviceName, softwareVersion, size: z.number().nonnegative(), leftMs: z.number().nonnegative(),
+});
+
 /** What an endpoint's pace is relative to: events of a stream, prompt tokens, or plain calls. */
 export const paceActivity = z.enum(['decode', 'prefill', 'call']);
 
@@ -163,6 +168,14 @@
 	z.object({
 		kind: z.literal('streamFound'), ask: z.number(), record: streamRecord.optional(), versions: z.array(softwareVersion).max(1000), coverageMs: z.number().nonnegative(),
 	}),
+	/** Traces that the receiver is to hold. */
+	z.object({kind: z.literal('runTraces'), traces: z.array(runTrace).max(2000)}),
+	/** Asks for the traces under some keys. */
+	z.object({kind: z.literal('tracesWanted'), ask: z.number(), keys: z.array(streamKey).max(8)}),
+	/** Response to `tracesWanted`; `isComplete`: the sender has asked all engines that it has to ask after its start. */
+	z.object({
+		kind: z.literal('tracesFound'), ask: z.number(), traces: z.array(runTrace).max(2000), isComplete: z.boolean(),
+	}),
 	/** Number of requests that wait for memory at a service; sent to the hosts that share its endpoints. */
 	z.object({
 		kind: z.literal('waiting'), service: z.string(), count: z.number(), report: loadReport.optional(),
@@ -183,3 +196,4 @@
 export type RelayMessageOf<Kind extends RelayMessage['kind']> = Extract<RelayMessage, {kind: Kind}>;
 export type RateLimit = z.infer<typeof rateLimit>;
 export type QuotaLevel = z.infer<typeof quotaLevel>;
+export type RunTrace = z.infer<typeof runTrace>;
