Orders: a majority of the seeds, which outlives restarts

Callers see fewer replicas of the stage that they wait for, and replicas get orders of two hosts in turn: a host that started while it was cut off from its peers, but not from the directory, gave orders of its own beside those of the fleet, with the same fencing token where the directory had not changed.

Cause: an order needed a majority of the hosts that this host ever knew. After a start it knows itself; one of one is a majority. Hosts of one side of a partition that all started in it know each other only. That nobody else was ever heard of was taken for a fleet that is whole. A total restart is not needed, one host that starts cut off suffices; 9 s later it ordered.

A majority of the seeds must be alive now as well, for every host. Seeds are settings, so they outlive all processes, and two sides cannot both hold a majority of them, whatever either remembers. The census of the retry budget asks the same where hosts form a fleet; both use one function now. Its 60 s after which hosts form one without the seeds do not apply to orders, which nothing waits for: replicas keep the stage that they have.

No messages, no calls, no wait after a start beyond the 9 s that held before.

--- a/packages/policy/src/relay/fleet-census.ts
+++ b/packages/policy/src/relay/fleet-census.ts
@@ -21,6 +21,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type Start} from '@gatehead/schema/relay-settings';
 import {hashText} from '@gatehead/schema/hash-text';
+import {includesSeedMajority} from './order-quorum.js';
 
 /** Time for which an unreachable host is counted, in milliseconds; limited because hosts replaced under new names would otherwise reduce the fractions permanently. */
 const lostMs = 600_000;
@@ -64,6 +65,11 @@
 		this.#seeds = options.seeds;
 	}
 
+	/** Peer addresses that every host is configured with. */
+	get seeds(): readonly string[] {
+		return this.#seeds;
+	}
+
 	/** Number of hosts that this one counts. */
 	get count(): number {
 		return this.#count;
@@ -156,8 +162,7 @@
 
 		// A restarted seed may belong to a fleet from which this host has no record
 		const candidates = counted.filter(({host, census}) => start !== 'first' || host === self || census?.isFirstStart);
-		const found = this.#seeds.filter(seed => candidates.some(({peerAddress}) => peerAddress === seed)).length;
-		return ageMs >= formingMs[start] && (this.#seeds.length === 0 || 2 * found > this.#seeds.length);
+		return ageMs >= formingMs[start] && includesSeedMajority(this.#seeds, candidates);
 	}
 }
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -11,6 +11,7 @@
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type FleetCensus} from '@gatehead/policy/relay/fleet-census';
+import {hasOrderQuorum} from '@gatehead/policy/relay/order-quorum';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
@@ -305,9 +306,9 @@
 		return rankFirst(key, alive) === this.#parts.context.self.host;
 	}
 
-	/** Whether more than half of all known hosts, including dead ones, are alive. */
-	hasMajority(): boolean {
-		return 2 * this.#listAlive().length > this.membership.members.list().length;
+	/** Whether this host sees enough of the fleet to give orders. */
+	hasOrderQuorum(): boolean {
+		return hasOrderQuorum(this.membership.members.list(), this.census.seeds);
 	}
 
 	/** Starts; resolves once the listening address is bound. */
--- a/packages/relay/src/work/stage-orders.ts
+++ b/packages/relay/src/work/stage-orders.ts
@@ -2,8 +2,9 @@
  * Reassigns replicas between the prefill and decode stages. Safety: no two
  * hosts send orders to one replica within the duration of a lease, and fencing
  * tokens increase. A single leader sends all orders: the first live host by
- * rank, while it sees a majority of the known hosts and membership has been
- * stable for a while; a partitioned host notices a membership change first.
+ * rank, while it sees a majority of the known hosts and of the seeds
+ * (policy/relay/order-quorum.ts) and membership has been stable for a while; a
+ * partitioned host notices a membership change first.
  * The fencing token is the directory's position, which survives restarts and
  * increases even if revisions are reused; a new leader waits for a later
  * position.
@@ -138,7 +139,7 @@
 		this.#leaderSince ??= position;
 		const isStable = now - fleet.changedAt >= minStableMs;
 		const hasLaterPosition = !fleet.hasSeenOtherCoordinator || isLater(position, this.#leaderSince);
-		return isStable && hasLaterPosition && fleet.hasMajority() && !watch.isUnavailable;
+		return isStable && hasLaterPosition && fleet.hasOrderQuorum() && !watch.isUnavailable;
 	}
 
 	async #order({endpoint, stage, reason}: StageChange): Promise<void> {
