Quotas: nothing is granted before a host has heard of the fleet

Cause: a host's share is the hosts that it reaches, over those that it knows. After a start it knows itself, one of one, and keeps the whole quota of every workspace, with a burst of its own; so does each other host. The credit for small requests was the fleet's, too. Having heard of nobody was taken for a fleet of one; rate limits had a guard against that, quotas had none.

A host counts its fleet as known once it has heard of a majority of the seeds, alive or dead, or after the minute for which lost hosts are counted. Until then it grants nothing, as a keeper or to itself, and gives no credit; such a request gets 429 with the shortest Retry-After (0.25 s), or waits for a keeper that does know. Seeds are settings and outlive all hosts.

Not covered: hosts that restart on the side of a partition that has most seeds, while hosts on the other side go on with their shares.

--- a/packages/relay/src/access/workspace-quotas.ts
+++ b/packages/relay/src/access/workspace-quotas.ts
@@ -29,6 +29,8 @@
 	readonly listHeard: () => readonly string[];
 	/** Number of known hosts, including those that have failed. */
 	readonly countKnown: () => number;
+	/** Whether that is the number of hosts in the fleet. A host that has just started does not know how small its share is. */
+	readonly isFleetKnown: () => boolean;
 };
 
 /** Outcome of charging a quota. */
@@ -124,8 +126,8 @@
 
 	/** Share of a workspace's allowance that one host may spend on credit. */
 	get #credit(): number {
-		const {context: {settings: {access}}, countKnown} = this.#parts;
-		return creditShare * access.quotaAllowance / Math.max(1, countKnown());
+		const {context: {settings: {access}}, countKnown, isFleetKnown} = this.#parts;
+		return isFleetKnown() ? creditShare * access.quotaAllowance / Math.max(1, countKnown()) : 0;
 	}
 
 	#entryOf(name: string, quota: Quota): WorkspaceQuota {
@@ -217,12 +219,18 @@
 	#grant(workspace: string, quota: Quota, wish: QuotaRequest, isStandIn: boolean): QuotaGrant {
 		const {listHeard, countKnown} = this.#parts;
 		const share = reachableShare(listHeard().length, countKnown());
-		return this.#windowOf(workspace, quota, isStandIn ? standInFraction * share : share).grant(wish, this.#parts.context.clock.now());
+		return this.#grantFrom(this.#windowOf(workspace, quota, isStandIn ? standInFraction * share : share), wish);
 	}
 
 	/** Grants this host its own share of the quota when no keeper replies. */
 	#grantOwnShare(workspace: string, quota: Quota, wish: QuotaRequest): QuotaGrant {
-		return this.#windowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())).grant(wish, this.#parts.context.clock.now());
+		return this.#grantFrom(this.#windowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())), wish);
+	}
+
+	/** Grants from a window; nothing while the fleet, and with it this host's share, is unknown. */
+	#grantFrom(window: QuotaWindow, {least, wanted, heard}: QuotaRequest): QuotaGrant {
+		const {context: {clock}, isFleetKnown} = this.#parts;
+		return window.grant(isFleetKnown() ? {least, wanted, heard} : {least: 0, wanted: 0, heard}, clock.now());
 	}
 
 	#windowOf(workspace: string, quota: Quota, share: number): QuotaWindow {
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -170,7 +170,9 @@
 				this.announce();
 			},
 		});
-		this.#knownHosts = new KnownHosts(context.clock);
+		this.#knownHosts = new KnownHosts({
+			clock: context.clock, listSeeds: () => this.census.seeds, listMembers: () => this.membership.members.list(),
+		});
 		this.changedAt = context.clock.now();
 		const makeLinks = parts.makeLinks ?? (listener => new PeerLinks<RelayMessage>(context, relayBatch, listener));
 		this.#links = makeLinks({
@@ -224,6 +226,7 @@
 			...access,
 			listHeard: () => this.membership.members.listReachable().map(({host}) => host),
 			countKnown: () => this.#knownHosts.count(),
+			isFleetKnown: () => this.#knownHosts.isFleetKnown,
 		});
 		this.limiter = new RateLimiter({
 			context,
--- a/packages/relay/src/peer/known-hosts.ts
+++ b/packages/relay/src/peer/known-hosts.ts
@@ -1,22 +1,43 @@
 /**
  * Counts the hosts that may be serving requests. Safety of quotas in a network
  * partition: unreachable hosts count for a while, because they may be serving
- * on the other side.
+ * on the other side. After a start the count says nothing until this host has
+ * heard of a majority of the seeds: hosts that are whole among themselves may
+ * be a small part of the fleet.
  */
+import {includesSeedMajority} from '@gatehead/policy/relay/order-quorum';
 import {type Clock} from '@gatehead/policy/utils/clock';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 
 /** Time for which an unreachable host is still counted, in milliseconds; limited, so that hosts replaced under new names do not reduce quotas permanently. */
 const partitionMs = 60_000;
 
+export type KnownHostsParts = {
+	readonly clock: Clock;
+	/** Peer addresses that every host is configured with. */
+	readonly listSeeds: () => readonly string[];
+	/** All hosts of which this one has heard, including itself and unreachable ones. */
+	readonly listMembers: () => readonly MemberRecord[];
+};
+
 /** Count of reachable and recently lost hosts. */
 export class KnownHosts {
-	readonly #clock: Clock;
+	readonly #parts: KnownHostsParts;
+	readonly #startedAt: number;
 	readonly #lostAt = new Map<string, number>();
 	#reachable = 1;
+	#isFleetKnown = false;
+
+	constructor(parts: KnownHostsParts) {
+		this.#parts = parts;
+		this.#startedAt = parts.clock.now();
+	}
 
-	constructor(clock: Clock) {
-		this.#clock = clock;
+	/** Whether the count is that of the fleet: this host has heard of a majority of the seeds, or it started so long ago that hosts it has not heard of no longer count. */
+	get isFleetKnown(): boolean {
+		const {clock, listSeeds, listMembers} = this.#parts;
+		this.#isFleetKnown ||= clock.now() - this.#startedAt >= partitionMs || includesSeedMajority(listSeeds(), listMembers());
+		return this.#isFleetKnown;
 	}
 
 	/** Updates the counts from the member list. */
@@ -27,14 +48,14 @@
 				this.#reachable += 1;
 				this.#lostAt.delete(host);
 			} else if (!this.#lostAt.has(host)) {
-				this.#lostAt.set(host, this.#clock.now());
+				this.#lostAt.set(host, this.#parts.clock.now());
 			}
 		}
 	}
 
 	/** Number of reachable hosts plus those lost within `partitionMs`. */
 	count(): number {
-		const now = this.#clock.now();
+		const now = this.#parts.clock.now();
 		let known = this.#reachable;
 		for (const [host, at] of this.#lostAt) {
 			if (now - at < partitionMs) {
