Rate limits: hosts that know only a part of the fleet lend no shares

An endpoint that accepts 20 requests a second got up to 147 in 4 s, where 125 are the bound, after all hosts had restarted while they were split in two.

Cause: a host owns one part in n of each limit and lends it to its granter, where n is the hosts that it has heard of. After a start that is its own side of the split, so the shares of both sides add up to two. Only a host that had heard of nobody at all lent nothing for a minute; two that had found each other, out of any number, took themselves for the fleet.

A host lends its share once its fleet is known, by the same rule as for quotas (KnownHosts): it has heard of a majority of the seeds, or started a minute ago. That replaces the guard for hosts that are alone. The side with fewer seeds sends nothing to limited endpoints meanwhile; the other side uses their limits in full.

The stand-in fleet had hidden this: its hosts knew the whole fleet 0.3 s after a start, also through a split. They now know whom they have reached, and there is a fault that restarts all hosts.

--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -238,6 +238,7 @@
 			},
 			listReachable: () => this.membership.members.listReachable(),
 			countKnown: () => this.#knownHosts.count(),
+			isFleetKnown: () => this.#knownHosts.isFleetKnown,
 		});
 		this.retries = new RetryExchange({
 			context,
--- a/packages/relay/src/upstream/rate-limiter.ts
+++ b/packages/relay/src/upstream/rate-limiter.ts
@@ -25,8 +25,6 @@
 const grantTimeoutMs = 120;
 /** Time until the next request for permits after a timeout, in milliseconds. */
 const noGrantRetryMs = 250;
-/** Time from its start for which a host that has seeds but has reached none of them lends no share, in milliseconds. */
-const isolationMs = 60_000;
 /** Key of the rendezvous ranking that selects the granter. */
 const granterRankKey = 'rate limits';
 
@@ -39,6 +37,8 @@
 	readonly listReachable: () => readonly MemberRecord[];
 	/** Number of known hosts, including unreachable ones. */
 	readonly countKnown: () => number;
+	/** Whether that is the number of hosts in the fleet. A host that has just started does not know how small its share is. */
+	readonly isFleetKnown: () => boolean;
 	readonly send: (host: string, message: RelayMessage) => void;
 	/** Closes the stream to a peer; the next message opens a new one. */
 	readonly reconnect: (host: string) => void;
@@ -68,7 +68,6 @@
 	readonly #share: RateShare;
 	readonly #questions: PeerRequests<RateGrant>;
 	readonly #states = new Map<string, EndpointState>();
-	readonly #startedAt: number;
 	/** On the granter: the version of the limits, and the version that each host has. */
 	#version = 0;
 	readonly #sentVersions = new Map<string, number>();
@@ -83,8 +82,7 @@
 	constructor(options: RateLimiterOptions) {
 		const {clock} = options.context;
 		this.#options = options;
-		this.#startedAt = clock.now();
-		this.#share = new RateShare(this.#startedAt);
+		this.#share = new RateShare(clock.now());
 		this.#questions = new PeerRequests(clock);
 	}
 
@@ -162,7 +160,7 @@
 		this.#scheduleRound();
 		const isKnown = this.#receivedVersion?.granter.host === from.host && this.#receivedVersion.granter.incarnation === from.incarnation;
 		const known = isKnown ? this.#receivedVersion?.version ?? 0 : 0;
-		const isLent = this.#mayLend() && this.#findGranter() === from.host && this.#share.lend(from, clock.now());
+		const isLent = this.#options.isFleetKnown() && this.#findGranter() === from.host && this.#share.lend(from, clock.now());
 		send(from.host, {
 			kind: 'rateLoan', round, share: isLent ? this.#shareOf(hosts) : 0, version: known,
 		});
@@ -327,7 +325,7 @@
 	}
 
 	#startRound(): void {
-		const {context: {clock, self}, signals, listReachable, countKnown, send} = this.#options;
+		const {context: {clock, self}, signals, listReachable, countKnown, isFleetKnown, send} = this.#options;
 		const now = clock.now();
 		const hosts = countKnown();
 		if (now - this.#lastRoundAt < Math.max(minRoundMs, minRoundMsPerHost * hosts)) {
@@ -338,7 +336,7 @@
 		this.#lastRoundAt = now;
 		const round = this.#granter.startRound(now);
 		const limits = signals.listLimits(now);
-		if (this.#mayLend() && this.#share.lend(self, now)) {
+		if (isFleetKnown() && this.#share.lend(self, now)) {
 			this.#granter.addShare(self.host, round, this.#shareOf(hosts), now);
 		}
 
@@ -352,14 +350,6 @@
 		}
 	}
 
-	/** Whether this host may lend its share. A host that has not reached any other yet does not know how small its share is. */
-	#mayLend(): boolean {
-		const {context: {clock, settings: {seeds, listen}}, countKnown} = this.#options;
-		const own = listen.advertisedPeer ?? listen.peer;
-		const isAlone = countKnown() === 1 && seeds.some(seed => seed !== own);
-		return !isAlone || clock.now() - this.#startedAt >= isolationMs;
-	}
-
 	#shareOf(hosts: number): number {
 		return 1 / Math.max(1, hosts, this.#options.countKnown());
 	}
--- a/packages/standin/src/limits/limited-fleet.test.ts
+++ b/packages/standin/src/limits/limited-fleet.test.ts
@@ -88,12 +88,12 @@
 const faults: fc.Arbitrary<FleetFault> = fc.record({
 	at: fc.integer({min: 0, max: 15_000}),
 	forMs: fc.integer({min: 100, max: 8000}),
-	kind: fc.constantFrom('restart', 'freeze', 'cut', 'split', 'silence'),
+	kind: fc.constantFrom('restart', 'restartAll', 'freeze', 'cut', 'split', 'silence'),
 	host: fc.oneof(fc.constant('granter' as const), fc.integer({min: 0, max: 100})),
 });
 
 describe('a limit under faults', () => {
-	it('is kept in generated fleets, with any row of restarts, freezes, cuts, splits and silent connections', async () => {
+	it('is kept in generated fleets, with any row of restarts of one or all, freezes, cuts, splits and silent connections', async () => {
 		await fc.assert(fc.asyncProperty(
 			fc.constantFrom(2, 3, 4, 8, 16, 40),
 			fc.constantFrom(0.5, 2, 5, 20, 50),
@@ -108,6 +108,24 @@
 		), {seed: 31, numRuns: Number(process.env.GATEHEAD_FLEETS ?? 40)});
 	});
 
+	for (const hosts of [4, 8, 40]) {
+		it(`${hosts} hosts: kept where all of them restart while they are split`, async () => {
+			for (const seed of entrySeeds) {
+				const {arrivals: [arrivals = []]} = await playFleet({
+					hosts, endpoints: 1, limitPerS: 20, demand: 3, seconds: 20, seed, faults: [
+						{
+							at: 5000, forMs: 14_000, kind: 'split', host: 0,
+						},
+						{
+							at: 6000, forMs: 0, kind: 'restartAll', host: 0,
+						},
+					],
+				});
+				expect(mostWithin(arrivals, windowMs, settleMs)).toBeLessThanOrEqual(allowedIn4S(20));
+			}
+		});
+	}
+
 	it('300 hosts: kept through a split and the loss of the granter, and used again behind it', async () => {
 		const limitPerS = 20;
 		const {arrivals: [arrivals = []]} = await playFleet({
--- a/packages/standin/src/limits/limited-fleet.ts
+++ b/packages/standin/src/limits/limited-fleet.ts
@@ -6,6 +6,7 @@
  */
 import {setImmediate} from 'node:timers/promises';
 import {SignalBook, type SignalChange} from '@gatehead/policy/relay/endpoint-signals';
+import {includesSeedMajority} from '@gatehead/policy/relay/order-quorum';
 import {unlimitedPermit} from '@gatehead/policy/relay/rate-permits';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {ignore} from '@gatehead/policy/utils/ignore';
@@ -29,12 +30,17 @@
 const joinMs = 300;
 const metrics = new Metrics(undefined, {});
 
+/** Number of hosts that every host finds others through. */
+const seedCount = 3;
+/** Age of a process from which it takes the hosts that it knows for the fleet, in milliseconds. */
+const isolationMs = 60_000;
+
 /** What befalls a fleet, beginning at an instant. */
 export type FleetFault = {
 	readonly at: number;
 	readonly forMs: number;
-	/** `restart`: the process ends and starts anew; `cut`: nobody reaches the host; `split`: two halves; `silence`: messages of every third pair are lost. */
-	readonly kind: 'restart' | 'freeze' | 'cut' | 'split' | 'silence';
+	/** `restart`: the process ends and starts anew; `restartAll`: all do; `cut`: nobody reaches the host; `split`: two halves; `silence`: messages of every third pair are lost. */
+	readonly kind: 'restart' | 'restartAll' | 'freeze' | 'cut' | 'split' | 'silence';
 	/** The granter of that moment, or a host by its place. */
 	readonly host: 'granter' | number;
 };
@@ -82,6 +88,8 @@
 	startedAt = 0;
 	frozenUntil = 0;
 	signals = new SignalBook();
+	/** Hosts of which it has heard. */
+	known = new Set<string>();
 	limiter!: RateLimiter;
 	/** For the designs that are not the product's. */
 	readonly buckets = new Map<string, {readonly tokens: number; readonly at: number}>();
@@ -224,6 +232,7 @@
 		host.limiter?.close();
 		host.incarnation += 1;
 		host.startedAt = this.#clock.now();
+		host.known = new Set([host.name]);
 		const {signals} = host;
 		host.limiter = new RateLimiter({
 			context: {
@@ -250,7 +259,8 @@
 				}
 			},
 			listReachable: () => this.#listReachable(host),
-			countKnown: () => this.#hasJoined(host) ? this.#hosts.length : 1,
+			countKnown: () => host.known.size,
+			isFleetKnown: () => this.#isFleetKnown(host),
 			send: (to, message) => {
 				this.#deliver(host, to, message);
 			},
@@ -325,9 +335,12 @@
 
 		const begin: Readonly<Record<FleetFault['kind'], () => void>> = {
 			restart: () => {
-				target.signals = new SignalBook();
-				target.buckets.clear();
-				this.#start(target);
+				this.#restart(target);
+			},
+			restartAll: () => {
+				for (const each of this.#hosts) {
+					this.#restart(each);
+				}
 			},
 			freeze: () => {
 				target.frozenUntil = now + forMs;
@@ -350,6 +363,12 @@
 		});
 	}
 
+	#restart(host: PlayedHost): void {
+		host.signals = new SignalBook();
+		host.buckets.clear();
+		this.#start(host);
+	}
+
 	#lose(forMs: number, isLost: (left: PlayedHost, right: PlayedHost) => boolean): void {
 		const pairs = this.#listPairs().filter(([left, right]) => isLost(left, right) || isLost(right, left)).map(([left, right]) => pairOf(left, right));
 		for (const pair of pairs) {
@@ -386,7 +405,29 @@
 		return this.#hosts.find(({limiter}) => limiter.isGranter);
 	}
 
+	#isFleetKnown({known, startedAt}: PlayedHost): boolean {
+		const seeds = this.#hosts.slice(0, seedCount).map(({name}) => name);
+		return this.#clock.now() - startedAt >= isolationMs || includesSeedMajority(seeds, [...known].map(name => ({peerAddress: name})));
+	}
+
+	#learn(host: PlayedHost): void {
+		for (const other of this.#hosts) {
+			if (host.known.size === this.#hosts.length) {
+				return;
+			}
+
+			if (this.#hasJoined(host) && this.#hasJoined(other) && !this.#lostAt.has(pairOf(host, other))) {
+				host.known = new Set([...host.known, ...other.known]);
+			}
+		}
+	}
+
+	/** Hosts tell each other of those that they know; then limiters learn of the change. */
 	#noteFleetChange(): void {
+		for (const host of this.#hosts) {
+			this.#learn(host);
+		}
+
 		for (const {limiter} of this.#hosts) {
 			limiter.noteFleetChange();
 		}
