Quotas: a share that a keeper is given was not unused before

Cause: a stand-in keeps a quarter of a quota while the keeper is silent, and the whole once that is missed. The part that is added came with a clean window, since the stand-in had no record of grants from it; those of the keeper, and of hosts that granted themselves their own parts, were in nobody's window any more. Having no record was taken for nobody having granted.

What is added to a share counts as used, but for the burst, for the part of the window in which the keeper did not hold it, as it does when a keeper begins. Ruled out: counting it for the whole window, which costs a fleet in which one host of eight restarts an eighth of its quotas for 8 s; its keeper knows what it granted before the host was away.

The test's hosts learn of a change of the fleet when they are told, as membership does; they had listed the hosts alive from the instant of the loss.

--- a/packages/policy/src/relay/quota-window.ts
+++ b/packages/policy/src/relay/quota-window.ts
@@ -4,8 +4,9 @@
  * quota is used up, each host gets its own retry time, which bounds the
  * requests to the coordinator. Unlike a token bucket, a window allows the
  * burst once per window.
- * Safety: the quota's bound relies on grants expiring soon, and on a new
- * coordinator counting all but the burst of the previous window as used.
+ * Safety: the quota's bound relies on grants expiring soon, and on a
+ * coordinator counting all but the burst as used for the time for which it did
+ * not hold its share, since others may have granted it.
  */
 import {type Quota} from '@gatehead/schema/routing';
 import {type QuotaLevel} from '@gatehead/schema/relay-message';
@@ -62,6 +63,11 @@
 	used: number;
 };
 
+type Holding = {
+	readonly share: number;
+	readonly from: number;
+};
+
 /** One workspace's sliding window; times are in milliseconds. */
 export class QuotaWindow {
 	readonly #coordinator: string;
@@ -70,6 +76,8 @@
 	#quota: Quota;
 	/** Fraction of the quota that this coordinator may grant, from 0 to 1. */
 	#share: number;
+	/** Earlier and current shares, and when it got them. */
+	#holdings: Holding[];
 	#buckets: Bucket[] = [];
 	/** Time until which freed quota is reserved for hosts with an assigned retry time. */
 	#reservedUntil = Number.NEGATIVE_INFINITY;
@@ -81,15 +89,18 @@
 		this.#quota = quota;
 		this.#share = share;
 		this.#startedAt = since;
-		const spare = this.#level(since) - (share * quota.burst);
-		this.#buckets = Array.from({length: bucketCount}, (_, index) => ({index: this.#indexAt(since) - bucketCount + 1 + index, used: spare / bucketCount}));
+		this.#holdings = [{share, from: since}];
+		this.#addEvenly(this.#capacity - (share * quota.burst), since);
 	}
 
 	/** Updates the quota and this coordinator's share. After a reduction, earlier use counts at most at the new rate. */
 	adjust(quota: Quota, share: number, now: number): void {
 		const isLower = quota.ratePerS < this.#quota.ratePerS || quota.burst < this.#quota.burst;
 		this.#quota = quota;
-		this.#share = share;
+		if (share !== this.#share) {
+			this.#changeShare(share, now);
+		}
+
 		if (isLower) {
 			this.#capUse(now);
 		}
@@ -121,6 +132,37 @@
 		return this.#capacity - this.#buckets.reduce((sum, {used}) => sum + used, 0);
 	}
 
+	/** Changes the share. What is added to it counts as used, but for the burst, for the time in which this coordinator did not hold it. */
+	#changeShare(share: number, now: number): void {
+		const {quotaWindowMs} = this.#tolerance;
+		let othersShare = 0;
+		let until = now;
+		for (const {share: held, from} of this.#holdings.toReversed()) {
+			const heldMs = Math.max(0, until - Math.max(from, now - quotaWindowMs));
+			othersShare += Math.max(0, share - Math.max(held, this.#share)) * heldMs / quotaWindowMs;
+			until = Math.min(until, from);
+		}
+
+		const unheldMs = Math.max(0, until - (now - quotaWindowMs));
+		othersShare += Math.max(0, share - this.#share) * unheldMs / quotaWindowMs;
+		this.#share = share;
+		this.#holdings = [...this.#holdings.filter(({from}, index, all) => (all[index + 1]?.from ?? now) > now - quotaWindowMs), {share, from: now}];
+		if (share > 0) {
+			this.#addEvenly(othersShare / share * (this.#capacity - (share * this.#quota.burst)), now);
+		}
+	}
+
+	/** Adds use to each bucket of the window that ends now. */
+	#addEvenly(amount: number, now: number): void {
+		this.#dropExpired(now);
+		const last = this.#indexAt(now);
+		const used = new Map(this.#buckets.map(bucket => [bucket.index, bucket.used]));
+		this.#buckets = Array.from({length: bucketCount}, (_, offset) => {
+			const index = last - bucketCount + 1 + offset;
+			return {index, used: (used.get(index) ?? 0) + (amount / bucketCount)};
+		});
+	}
+
 	/** Caps each bucket at the quota's rate. */
 	#capUse(now: number): void {
 		const most = this.#share * this.#quota.ratePerS * this.#bucketMs / millisecondsPerSecond;
--- a/packages/policy/src/relay/quota.test.ts
+++ b/packages/policy/src/relay/quota.test.ts
@@ -290,6 +290,18 @@
 		expect(window.grant({least: 3500, wanted: 3500}, windowMs / 2).granted).toEqual(3500);
 	});
 
+	it('counts an added share as used, but for the burst, for the time in which it was not held', () => {
+		const quota = {...makeQuota(1000), burst: 4000};
+		const takenFrom = (window: QuotaWindow, amounts: readonly number[], now: number) => amounts.map(least => window.grant({least, wanted: least}, now).granted);
+		const standIn = new QuotaWindow('keeper', quota, strict, 0.25, 0);
+		standIn.adjust(quota, 1, 0);
+		expect(takenFrom(standIn, [4000, 200], 0)).toEqual([4000, 0]);
+		const rejoined = new QuotaWindow('keeper', quota, strict, 1, 0);
+		rejoined.adjust(quota, 0.5, windowMs);
+		rejoined.adjust(quota, 1, windowMs * 1.5);
+		expect(takenFrom(rejoined, [10_000, 200], windowMs * 1.5)).toEqual([10_000, 0]);
+	});
+
 	it('recovers the predecessor\'s grants from host reports', () => {
 		const begin = () => new QuotaWindow('keeper', {...makeQuota(1000), burst: 8000}, strict, 1, 0);
 		expect(begin().grant({least: 1000, wanted: 1000}, 0).granted).toEqual(1000);
--- a/packages/relay/src/access/workspace-quotas.test.ts
+++ b/packages/relay/src/access/workspace-quotas.test.ts
@@ -3,6 +3,7 @@
 import {describe, it} from 'node:test';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
+import {rankCoordinators} from '@gatehead/policy/relay/quota-coordinator';
 import {pick, seedRandom} from '@gatehead/policy/utils/random';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage} from '@gatehead/schema/relay-message';
@@ -21,6 +22,8 @@
 const playMs = 12_000;
 /** Time for which a host is down, in milliseconds. */
 const restartMs = 2000;
+/** Time after which hosts miss one that is lost, in milliseconds. */
+const noticedMs = 2000;
 const seedCount = 3;
 /** Demand, as a multiple of the quota's rate, and the cost of a request. */
 const demand = 7;
@@ -51,8 +54,9 @@
 	/** Time from which it serves and knows the other hosts of its side. */
 	servesFrom: number;
 	meetsFrom: number;
-	/** Hosts that it has heard of. */
+	/** Hosts that it has heard of, and their records as it last saw them. */
 	heard: Set<string>;
+	members: readonly MemberRecord[];
 	knownHosts: KnownHosts;
 	quotas: WorkspaceQuotas;
 };
@@ -71,7 +75,7 @@
 		this.#seeds = names.slice(0, seedCount);
 		for (const name of names) {
 			this.hosts.push({
-				name, side: 0, servesFrom: 0, meetsFrom: 0, heard: new Set(names), ...this.#start(name),
+				name, side: 0, servesFrom: 0, meetsFrom: 0, heard: new Set(names), members: [], ...this.#start(name),
 			});
 		}
 
@@ -118,7 +122,8 @@
 		}
 
 		for (const host of this.hosts) {
-			host.knownHosts.update(this.#listMembers(host));
+			host.members = this.#listMembers(host);
+			host.knownHosts.update(host.members);
 			host.quotas.handleMembershipChange();
 		}
 	}
@@ -157,12 +162,7 @@
 				headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1,
 			},
 		}, 'test');
-		const find = () => this.hosts.find(host => host.name === name);
-		const listMembers = () => {
-			const self = find();
-			return self === undefined ? [] : this.#listMembers(self);
-		};
-
+		const listMembers = () => this.hosts.find(host => host.name === name)?.members ?? [];
 		const knownHosts = new KnownHosts({clock, listSeeds: () => this.#seeds, listMembers});
 		const quotas = new WorkspaceQuotas({
 			context,
@@ -223,6 +223,21 @@
 	};
 }
 
+/** Ends the first hosts by rank for good. The others miss them after a while. */
+function loseKeepers(count: number): Case['restart'] {
+	return fleet => {
+		const keepers = new Set(rankCoordinators(workspace.name, fleet.hosts.map(({name}) => name)).slice(0, count));
+		for (const host of fleet.hosts.filter(({name}) => keepers.has(name))) {
+			host.servesFrom = Number.POSITIVE_INFINITY;
+			host.meetsFrom = Number.POSITIVE_INFINITY;
+		}
+
+		fleet.clock.after(noticedMs, () => {
+			fleet.updateViews();
+		});
+	};
+}
+
 const cases: readonly Case[] = [
 	{
 		name: 'all hosts restart and meet at once', hosts: 24, restart: restartAll(0), leastServed: 0.7,
@@ -239,6 +254,9 @@
 	{
 		name: 'hosts restart that reach only each other', hosts: 8, restart: restartApart(4), leastServed: 0.45,
 	},
+	{
+		name: 'the keeper is lost, and missed after two seconds', hosts: 8, restart: loseKeepers(1), leastServed: 0.6,
+	},
 	{
 		name: 'a host restarts', hosts: 8, restart(fleet) {
 			for (const host of fleet.hosts.slice(-1)) {
@@ -280,3 +298,4 @@
 		});
 	}
 });
+
