Quotas: a stand-in begins where the keeper may have granted all

Cause: a host that no keeper answers grants its own part of the quota, and a stand-in grants a quarter. Their windows began at the last change of the fleet, long ago, 'the time from which no other host granted this quota'. That holds for a keeper; a stand-in was not asked until now, and what the keeper granted meanwhile it took for unused. Each surviving host had a whole window's part at once.

A stand-in's window begins when it stands in, with all but the burst used; it begins anew when it has not granted for the lifetime of a grant, since the keeper was asked meanwhile.

--- a/packages/relay/src/access/workspace-quotas.test.ts
+++ b/packages/relay/src/access/workspace-quotas.test.ts
@@ -257,6 +257,12 @@
 	{
 		name: 'the keeper is lost, and missed after two seconds', hosts: 8, restart: loseKeepers(1), leastServed: 0.6,
 	},
+	{
+		name: 'the keeper and its stand-in are lost, and missed after two seconds', hosts: 8, restart: loseKeepers(2), leastServed: 0.5,
+	},
+	{
+		name: 'the keeper and its stand-in are lost in a large fleet', hosts: 88, restart: loseKeepers(2), leastServed: 0.5,
+	},
 	{
 		name: 'a host restarts', hosts: 8, restart(fleet) {
 			for (const host of fleet.hosts.slice(-1)) {
--- a/packages/relay/src/access/workspace-quotas.ts
+++ b/packages/relay/src/access/workspace-quotas.ts
@@ -19,6 +19,8 @@
 const responseTimeoutMs = 120;
 /** Maximum keepers asked before this host grants itself its own share of the quota. */
 const maxKeepers = 2;
+/** Time since its last grant after which a stand-in counts the quota as granted by others again, in milliseconds; the lifetime of a grant. */
+const standInIdleMs = 1500;
 /** Share of the allowance that all hosts together may spend on credit, before their keepers have replied. */
 const creditShare = 0.25;
 /** Minimum `Retry-After` of a refusal, in milliseconds; keepers return none that is shorter. */
@@ -43,6 +45,11 @@
 	readonly resolve: (answer: QuotaDecision) => void;
 };
 
+type KeptWindow = {
+	readonly window: QuotaWindow;
+	usedAt: number;
+};
+
 type WorkspaceQuota = {
 	readonly account: QuotaAccount;
 	quota: Quota;
@@ -55,7 +62,7 @@
 	readonly #parts: WorkspaceQuotasParts;
 	readonly #requests: PeerRequests<QuotaGrant>;
 	readonly #entries = new Map<string, WorkspaceQuota>();
-	readonly #windows = new Map<string, QuotaWindow>();
+	readonly #windows = new Map<string, KeptWindow>();
 	/** Time of the last membership change; since then the same hosts have kept the same quotas. */
 	#fleetChangedAt: number;
 
@@ -219,12 +226,12 @@
 	#grant(workspace: string, quota: Quota, wish: QuotaRequest, isStandIn: boolean): QuotaGrant {
 		const {listHeard, countKnown} = this.#parts;
 		const share = reachableShare(listHeard().length, countKnown());
-		return this.#grantFrom(this.#windowOf(workspace, quota, isStandIn ? standInFraction * share : share), wish);
+		return this.#grantFrom(isStandIn ? this.#standInWindowOf(workspace, quota, standInFraction * share) : this.#windowOf(workspace, quota, share), wish);
 	}
 
 	/** Grants this host its own share of the quota when no keeper replies. */
 	#grantOwnShare(workspace: string, quota: Quota, wish: QuotaRequest): QuotaGrant {
-		return this.#grantFrom(this.#windowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())), wish);
+		return this.#grantFrom(this.#standInWindowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())), wish);
 	}
 
 	/** Grants from a window; nothing while the fleet, and with it this host's share, is unknown. */
@@ -233,17 +240,27 @@
 		return window.grant(isFleetKnown() ? {least, wanted, heard} : {least: 0, wanted: 0, heard}, clock.now());
 	}
 
-	#windowOf(workspace: string, quota: Quota, share: number): QuotaWindow {
+	/** The window of a host that grants in place of the coordinator, which may have granted the quota until now. */
+	#standInWindowOf(workspace: string, quota: Quota, share: number): QuotaWindow {
+		const now = this.#parts.context.clock.now();
+		const kept = this.#windows.get(workspace);
+		return this.#windowOf(workspace, quota, share, kept === undefined || now - kept.usedAt >= standInIdleMs ? now : undefined);
+	}
+
+	/** The window of a workspace; a new one if others may have granted the quota until `since`. */
+	#windowOf(workspace: string, quota: Quota, share: number, since?: number): QuotaWindow {
 		const {context: {clock, self, settings: {access}}} = this.#parts;
-		let window = this.#windows.get(workspace);
-		if (window === undefined) {
-			window = new QuotaWindow(`${self.host} ${self.incarnation}`, quota, access, share, this.#fleetChangedAt);
-			this.#windows.set(workspace, window);
+		const now = clock.now();
+		let kept = since === undefined ? this.#windows.get(workspace) : undefined;
+		if (kept === undefined) {
+			kept = {window: new QuotaWindow(`${self.host} ${self.incarnation}`, quota, access, share, since ?? this.#fleetChangedAt), usedAt: now};
+			this.#windows.set(workspace, kept);
 		} else {
-			window.adjust(quota, share, clock.now());
+			kept.window.adjust(quota, share, now);
+			kept.usedAt = now;
 		}
 
-		return window;
+		return kept.window;
 	}
 }
 
