Directory: a host that has just started vouches for no removal

After an outage of the directory that took entries of live replicas with it, hosts that still found it away dropped those replicas at once, though they keep them for 2.2 s beyond the outage otherwise: callers find no replica, and sends without a response there count as crashes of the replica, against their contents, until replicas write again (a heartbeat, 1.2 s).

Cause: a host that starts as the directory comes back lists it without the lost entries and tells the others. Its list counts as read while the directory was available, which overrules the outage of who hears it. It was not there before the outage, so that it lists no entry says nothing about whether one has left. A host with a memory keeps such an entry and says so.

A host's updates count as witnessed once it has known the directory for the grace period of an outage (2.2 s). Until then who is in an outage keeps what vanished, as without any update; everybody else is not affected, and neither are entries that it lists, departures or configurations. No messages, nothing new on the wire. What it costs: a host that the directory turns away, and that hears from hosts alone which have just started, keeps an endpoint that left without a word until the next change or its own return.

Test directory-sync.test.ts, real modules: 'a host that has just started does not know which entries an outage has removed' failed ([true, false], the vanished one dropped), the pair with a host that follows the directory passed and passes: 8 of 8. directory-watch.test.ts 19 of 19, config-propagation 44 of 44, restored-directory 8 of 8, endpoint-book 59 of 59, restored-histories 1 of 1.

--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -4,6 +4,7 @@
  * lack of confirmation while the directory is unavailable, and a watch never
  * continues from one epoch into another.
  */
+import {outageGraceMs} from '@gatehead/policy/relay/endpoint-book';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {jitter} from '@gatehead/policy/utils/random';
 import {isCovered, type Position} from '@gatehead/schema/position';
@@ -75,6 +76,8 @@
 	#mustList = true;
 	/** Time at which the latest known state was read, on this host's clock. */
 	#readAt = Number.NEGATIVE_INFINITY;
+	/** Time from which this host has known a state of the directory. */
+	#knownSince = Number.POSITIVE_INFINITY;
 	readonly #history = new DirectoryHistory();
 	readonly #changeApplier: DirectoryChangeApplier;
 	/** Confirmation in progress, shared by concurrent callers. */
@@ -138,6 +141,11 @@
 		return this.#history.isWitnessed;
 	}
 
+	/** Whether this host has known the directory for so long that entries which an outage removed before it started have reappeared. */
+	get isSettled(): boolean {
+		return this.#parts.context.clock.now() - this.#knownSince >= outageGraceMs;
+	}
+
 	/** Time since the latest known state was read from the directory, by this or another host, in milliseconds; 0 if there is none. */
 	get ageMs(): number {
 		return Number.isFinite(this.#readAt) ? Math.max(0, this.#parts.context.clock.now() - this.#readAt) : 0;
@@ -145,7 +153,9 @@
 
 	/** Advances to a position whose state was read `ageMs` milliseconds ago, by this or another host. */
 	advance(position: Position, isWitnessed: boolean, ageMs = 0): void {
-		this.#readAt = this.#parts.context.clock.now() - ageMs;
+		const now = this.#parts.context.clock.now();
+		this.#readAt = now - ageMs;
+		this.#knownSince = Math.min(this.#knownSince, now);
 		this.#history.advance(position, isWitnessed);
 	}
 
--- a/packages/relay/src/peer/directory-sync.test.ts
+++ b/packages/relay/src/peer/directory-sync.test.ts
@@ -261,4 +261,22 @@
 		const views = [...fleet.nodes.values()].map(({endpoints, watch}) => `${watch.position?.epoch} ${endpoints.book.isReady('leaves-first')} ${endpoints.book.isReady('leaves-second')}`);
 		expect([...new Set(views)]).toEqual(['2 false false']);
 	});
+
+	for (const {name, followedMs, isKept} of [
+		{name: 'a host that has just started does not know which entries an outage has removed', followedMs: 0, isKept: true},
+		{name: 'a host that follows the directory reports entries as removed', followedMs: 3000, isKept: false},
+	]) {
+		it(name, () => {
+			const fleet = new SimulatedFleet(2);
+			const cutOff = fleet.nodes.get('host-1');
+			cutOff?.endpoints.book.put({epoch: 1, revision: 1, endpoint: makeEndpoint('vanished', 'ready')}, 0);
+			cutOff?.watch.advance({epoch: 1, revision: 1}, true);
+			cutOff?.endpoints.book.directoryLost();
+			fleet.readFromDirectory('host-0', {epoch: 1, revision: 2}, makeEndpoint('listed', 'ready'));
+			fleet.clock.advance(followedMs);
+			fleet.readFromDirectory('host-0', {epoch: 1, revision: 3}, makeEndpoint('added', 'ready'));
+			fleet.runUntil(({endpoints}) => endpoints.book.isReady('added'));
+			expect([cutOff?.endpoints.book.isReady('added'), cutOff?.endpoints.book.isReady('vanished')]).toEqual([true, isKept]);
+		});
+	}
 });
--- a/packages/relay/src/peer/directory-sync.ts
+++ b/packages/relay/src/peer/directory-sync.ts
@@ -104,7 +104,8 @@
 			epoch: watch().position?.epoch,
 			departures: endpoints.book.listDepartures(clock.now()),
 			ageMs: watch().ageMs,
-			isWitnessed: watch().isWitnessed,
+			// A host that has just started cannot tell endpoints that left from entries that an outage removed
+			isWitnessed: watch().isWitnessed && watch().isSettled,
 			endpoints: listed.filter(each => known.revision < 0 || isLater(each, known)),
 			ids: listed.map(each => each.endpoint.id),
 			kept: endpoints.book.listKept(clock.now()),
