Quotas: a host that does not know the fleet says so

A host that has not heard of the fleet since its start told callers that the quota of their workspace was used up (429, 2007). Nobody has counted that; the host lacks its share.

Test workspace-quotas.test.ts 'a host that does not know the fleet says so' failed (no host answered unknown), 10 of 10 pass. access.test.ts 26 of 26.

--- a/packages/relay/src/access/access-control.ts
+++ b/packages/relay/src/access/access-control.ts
@@ -59,7 +59,7 @@
 		return freshness.isConfirmed(arrivedAt) ? workspace : new Failure('keysOutdated', {retryAfterMs: freshness.retryAfterMs});
 	}
 
-	/** Charges a request to its workspace's quota and returns the cost, in the quota's unit. Throws `quotaSpent`. */
+	/** Charges a request to its workspace's quota and returns the cost, in the quota's unit. Throws `quotaSpent`, or `notReady` while this host does not know its share. */
 	async charge(workspace: Workspace | undefined, facts: RequestFacts): Promise<number> {
 		if (workspace?.quota === undefined) {
 			return 0;
@@ -71,6 +71,10 @@
 			fail('quotaSpent', {retryAfterMs: answer.waitMs, detail: answer.detail});
 		}
 
+		if (answer.kind === 'unknown') {
+			fail('notReady', {retryAfterMs: answer.waitMs, detail: 'too few seeds heard of to know the share of a quota'});
+		}
+
 		return cost;
 	}
 
--- a/packages/relay/src/access/workspace-quotas.test.ts
+++ b/packages/relay/src/access/workspace-quotas.test.ts
@@ -303,5 +303,12 @@
 			expect({most: most <= bound ? 'within' : most / bound, served: share >= leastServed ? 'enough' : share}).toEqual({most: 'within', served: 'enough'});
 		});
 	}
-});
 
+	it('a host that does not know the fleet says so, not that a quota is used up', async () => {
+		const fleet = new QuotaFleet(4);
+		restartApart(1)(fleet);
+		await fleet.run(restartMs + stepMs);
+		const decisions = await Promise.all(fleet.hosts.map(async ({quotas}) => quotas.charge(workspace, 1)));
+		expect(decisions.map(({kind}) => kind === 'unknown')).toEqual([false, false, false, true]);
+	});
+});
--- a/packages/relay/src/access/workspace-quotas.ts
+++ b/packages/relay/src/access/workspace-quotas.ts
@@ -38,7 +38,9 @@
 /** Outcome of charging a quota. */
 export type QuotaDecision
 	= | {readonly kind: 'granted'}
-		| {readonly kind: 'refused'; readonly waitMs: number; readonly detail: string};
+		| {readonly kind: 'refused'; readonly waitMs: number; readonly detail: string}
+		/** This host does not know its share yet. */
+		| {readonly kind: 'unknown'; readonly waitMs: number};
 
 type Waiter = {
 	readonly cost: number;
@@ -78,7 +80,11 @@
 			return {kind: 'granted'};
 		}
 
-		const {clock} = this.#parts.context;
+		const {context: {clock}, isFleetKnown} = this.#parts;
+		if (!isFleetKnown()) {
+			return {kind: 'unknown', waitMs: minRetryAfterMs};
+		}
+
 		const entry = this.#entryOf(name, quota);
 		const answer = entry.account.take(cost, this.#credit, clock.now());
 		if (answer === 'refused') {
@@ -133,8 +139,8 @@
 
 	/** Share of a workspace's allowance that one host may spend on credit. */
 	get #credit(): number {
-		const {context: {settings: {access}}, countKnown, isFleetKnown} = this.#parts;
-		return isFleetKnown() ? creditShare * access.quotaAllowance / Math.max(1, countKnown()) : 0;
+		const {context: {settings: {access}}, countKnown} = this.#parts;
+		return creditShare * access.quotaAllowance / Math.max(1, countKnown());
 	}
 
 	#entryOf(name: string, quota: Quota): WorkspaceQuota {
