--- a/packages/relay/src/access/workspace-quotas.ts
+++ b/packages/relay/src/access/workspace-quotas.ts
@@ -19,6 +19,8 @@
 const responseTimeoutMs = 120;
 /** Maximum keepers asked before this host grants itself its own share of the quota. */
 const maxKeepers = 2;
+/** Time since its last grant after which a stand-in counts the quota as granted by others again, in milliseconds; the lifetime of a grant. */
+const standInIdleMs = 1500;
 /** Share of the allowance that all hosts together may spend on credit, before their keepers have replied. */
 const creditShare = 0.25;
 /** Minimum `Retry-After` of a refusal, in milliseconds; keepers return none that is shorter. */
@@ -29,18 +31,27 @@
 	readonly listHeard: () => readonly string[];
 	/** Number of known hosts, including those that have failed. */
 	readonly countKnown: () => number;
+	/** Whether that is the number of hosts in the fleet. A host that has just started does not know how small its share is. */
+	readonly isFleetKnown: () => boolean;
 };
 
 /** Outcome of charging a quota. */
 export type QuotaDecision
 	= | {readonly kind: 'granted'}
-		| {readonly kind: 'refused'; readonly waitMs: number; readonly detail: string};
+		| {readonly kind: 'refused'; readonly waitMs: number; readonly detail: string}
+		/** This host does not know its share yet. */
+		| {readonly kind: 'unknown'; readonly waitMs: number};
 
 type Waiter = {
 	readonly cost: number;
 	readonly resolve: (answer: QuotaDecision) => void;
 };
 
+type KeptWindow = {
+	readonly window: QuotaWindow;
+	usedAt: number;
+};
+
 type WorkspaceQuota = {
 	readonly account: QuotaAccount;
 	quota: Quota;
@@ -53,7 +64,7 @@
 	readonly #parts: WorkspaceQuotasParts;
 	readonly #requests: PeerRequests<QuotaGrant>;
 	readonly #entries = new Map<string, WorkspaceQuota>();
-	readonly #windows = new Map<string, QuotaWindow>();
+	readonly #windows = new Map<string, KeptWindow>();
 	/** Time of the last membership change; since then the same hosts have kept the same quotas. */
 	#fleetChangedAt: number;
 
@@ -69,7 +80,11 @@
 			return {kind: 'granted'};
 		}
 
-		const {clock} = this.#parts.context;
+		const {context: {clock}, isFleetKnown} = this.#parts;
+		if (!isFleetKnown()) {
+			return {kind: 'unknown', waitMs: minRetryAfterMs};
+		}
+
 		const entry = this.#entryOf(name, quota);
 		const answer = entry.account.take(cost, this.#credit, clock.now());
 		if (answer === 'refused') {
@@ -217,25 +232,41 @@
 	#grant(workspace: string, quota: Quota, wish: QuotaRequest, isStandIn: boolean): QuotaGrant {
 		const {listHeard, countKnown} = this.#parts;
 		const share = reachableShare(listHeard().length, countKnown());
-		return this.#windowOf(workspace, quota, isStandIn ? standInFraction * share : share).grant(wish, this.#parts.context.clock.now());
+		return this.#grantFrom(isStandIn ? this.#standInWindowOf(workspace, quota, standInFraction * share) : this.#windowOf(workspace, quota, share), wish);
 	}
 
 	/** Grants this host its own share of the quota when no keeper replies. */
 	#grantOwnShare(workspace: string, quota: Quota, wish: QuotaRequest): QuotaGrant {
-		return this.#windowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())).grant(wish, this.#parts.context.clock.now());
+		return this.#grantFrom(this.#standInWindowOf(workspace, quota, 1 / Math.max(1, this.#parts.countKnown())), wish);
+	}
+
+	/** Grants from a window; nothing while the fleet, and with it this host's share, is unknown. */
+	#grantFrom(window: QuotaWindow, {least, wanted, heard}: QuotaRequest): QuotaGrant {
+		const {context: {clock}, isFleetKnown} = this.#parts;
+		return window.grant(isFleetKnown() ? {least, wanted, heard} : {least: 0, wanted: 0, heard}, clock.now());
+	}
+
+	/** The window of a host that grants in place of the coordinator, which may have granted the quota until now. */
+	#standInWindowOf(workspace: string, quota: Quota, share: number): QuotaWindow {
+		const now = this.#parts.context.clock.now();
+		const kept = this.#windows.get(workspace);
+		return this.#windowOf(workspace, quota, share, kept === undefined || now - kept.usedAt >= standInIdleMs ? now : undefined);
 	}
 
-	#windowOf(workspace: string, quota: Quota, share: number): QuotaWindow {
+	/** The window of a workspace; a new one if others may have granted the quota until `since`. */
+	#windowOf(workspace: string, quota: Quota, share: number, since?: number): QuotaWindow {
 		const {context: {clock, self, settings: {access}}} = this.#parts;
-		let window = this.#windows.get(workspace);
-		if (window === undefined) {
-			window = new QuotaWindow(`${self.host} ${self.incarnation}`, quota, access, share, this.#fleetChangedAt);
-			this.#windows.set(workspace, window);
+		const now = clock.now();
+		let kept = since === undefined ? this.#windows.get(workspace) : undefined;
+		if (kept === undefined) {
+			kept = {window: new QuotaWindow(`${self.host} ${self.incarnation}`, quota, access, share, since ?? this.#fleetChangedAt), usedAt: now};
+			this.#windows.set(workspace, kept);
 		} else {
-			window.adjust(quota, share, clock.now());
+			kept.window.adjust(quota, share, now);
+			kept.usedAt = now;
 		}
 
-		return window;
+		return kept.window;
 	}
 }
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -12,6 +12,7 @@
 import {HashRing} from '@gatehead/policy/core/hash-ring';
 import {rankFirst} from '@gatehead/policy/core/rendezvous';
 import {type FleetCensus} from '@gatehead/policy/relay/fleet-census';
+import {hasOrderQuorum} from '@gatehead/policy/relay/order-quorum';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
@@ -184,7 +185,9 @@
 				this.announce();
 			},
 		});
-		this.#knownHosts = new KnownHosts(context.clock);
+		this.#knownHosts = new KnownHosts({
+			clock: context.clock, listSeeds: () => this.census.seeds, listMembers: () => this.membership.members.list(),
+		});
 		this.changedAt = context.clock.now();
 		const makeLinks = parts.makeLinks ?? (listener => new PeerLinks<RelayMessage>(context, relayBatch, listener));
 		this.#links = makeLinks({
@@ -239,6 +242,7 @@
 			...access,
 			listHeard: () => this.membership.members.listReachable().map(({host}) => host),
 			countKnown: () => this.#knownHosts.count(),
+			isFleetKnown: () => this.#knownHosts.isFleetKnown,
 		});
 		this.limiter = new RateLimiter({
 			context,
@@ -250,6 +254,7 @@
 			},
 			listReachable: () => this.membership.members.listReachable(),
 			countKnown: () => this.#knownHosts.count(),
+			isFleetKnown: () => this.#knownHosts.isFleetKnown,
 		});
 		this.retries = new RetryExchange({
 			context,
@@ -334,9 +339,9 @@
 		return this.#ring.list(key, count).includes(this.#parts.context.self.host);
 	}
 
-	/** Whether more than half of all known hosts, including dead ones, are alive. */
-	hasMajority(): boolean {
-		return 2 * this.#listAlive().length > this.membership.members.list().length;
+	/** Whether this host sees enough of the fleet to give orders. */
+	hasOrderQuorum(): boolean {
+		return hasOrderQuorum(this.membership.members.list(), this.census.seeds);
 	}
 
 	/** Starts; resolves once the listening address is bound. */
