Soak: all hosts are killed at once during a release of engines

A new kind of disruption, last in the list: all host processes get SIGKILL and start again while engines get the next software version. With it, streams last longer, so that many break together, and their callers come back until a host answers. After the last fault, 40 streams are resumed across one more restart of all hosts, beside 40 new ones: no stream of two versions, and resumed ones go on at least half as often.

--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -48,6 +48,41 @@
 	readonly broken: readonly string[];
 };
 
+/** Engines get the next software version, one after the other: an old process drains, ends, and one of the new version starts. Releases overlap. */
+async function releaseEngines(bed: Bed, lastsMs: number): Promise<void> {
+	const {random, replicas} = bed;
+	bed.release += 1;
+	const version = `v${bed.release}`;
+	const share = random.next();
+	for (const [index, replica] of replicas.entries()) {
+		if (replica.stage === undefined || random.next() > share) {
+			continue;
+		}
+
+		publish(bed, index, 'draining');
+		await pause(lastsMs / 3);
+		await replica.kill();
+		bed.store.remove(`servers/${replica.id}`);
+		replica.softwareVersion = version;
+		replica.id = `${replica.stage}-${index}-${version}`;
+		await replica.revive();
+		publish(bed, index, 'ready');
+	}
+}
+
+/** Kills hosts at once and starts them again. */
+async function restartHosts(hosts: readonly HostProcess[], downMs: number): Promise<void> {
+	for (const host of hosts) {
+		host.signal('SIGKILL');
+	}
+
+	await Promise.all(hosts.map(async host => host.ended()));
+	await pause(downMs);
+	for (const host of hosts) {
+		host.start();
+	}
+}
+
 /** Each fault, with what ends it. New ones go to the end: seeds that failed are played with the kinds that there were. */
 const faults: Readonly<Record<string, (bed: Bed, lastsMs: number) => Promise<void>>> = {
 	async killHost({random, hosts}, lastsMs) {
@@ -174,27 +209,7 @@
 		await pause(2 * lastsMs);
 		await Promise.all(cut.map(async link => link.heal()));
 	},
-	/** Engines get the next software version, one after the other: an old process drains, ends, and one of the new version starts. Releases overlap. */
-	async releaseEngines(bed, lastsMs) {
-		const {random, replicas} = bed;
-		bed.release += 1;
-		const version = `v${bed.release}`;
-		const share = random.next();
-		for (const [index, replica] of replicas.entries()) {
-			if (replica.stage === undefined || random.next() > share) {
-				continue;
-			}
-
-			publish(bed, index, 'draining');
-			await pause(lastsMs / 3);
-			await replica.kill();
-			bed.store.remove(`servers/${replica.id}`);
-			replica.softwareVersion = version;
-			replica.id = `${replica.stage}-${index}-${version}`;
-			await replica.revive();
-			publish(bed, index, 'ready');
-		}
-	},
+	releaseEngines,
 	/** A host is killed at the moment at which a caller has its first event from it. */
 	async killAtFirstEvent({firstEventListeners}, lastsMs) {
 		const host = await new Promise<HostProcess>(resolve => {
@@ -209,16 +224,7 @@
 	},
 	/** Half of the hosts are killed at once. */
 	async killHalf({random, hosts}, lastsMs) {
-		const killed = shuffle(random, hosts).slice(0, Math.ceil(hosts.length / 2));
-		for (const host of killed) {
-			host.signal('SIGKILL');
-		}
-
-		await Promise.all(killed.map(async host => host.ended()));
-		await pause(lastsMs / 4);
-		for (const host of killed) {
-			host.start();
-		}
+		await restartHosts(shuffle(random, hosts).slice(0, Math.ceil(hosts.length / 2)), lastsMs / 4);
 	},
 	/** Replicas answer without framing, and end or reset a part of their streams inside an event. */
 	async unframeReplicas({random, replicas}, lastsMs) {
@@ -250,6 +256,13 @@
 			replica.rejectedShare = 0;
 		}
 	},
+	/** All hosts are killed at once while engines get the next software version. */
+	async killAll(bed, lastsMs) {
+		const releasing = releaseEngines(bed, lastsMs);
+		await pause(lastsMs / 2);
+		await restartHosts(bed.hosts, lastsMs / 4);
+		await releasing;
+	},
 };
 
 /** Streams of one replica that are cut, one after the other. */
@@ -269,6 +282,10 @@
 const kindsWithoutStreams = 17;
 /** Time between two events where streams are resumed, in milliseconds: long enough to be broken. */
 const resumedEventGapMs = 15;
+/** Number of kinds of fault before all hosts were killed at once. */
+const kindsWithoutKillAll = 22;
+/** Time between two events where all hosts are killed at once, in milliseconds: long enough that many streams break together. */
+const longEventGapMs = 80;
 const noStreams: StreamReport = {
 	streams: 0, resumed: 0, goneOn: 0, sentAt: [], broken: [],
 };
@@ -319,12 +336,14 @@
 /** Plays one seed. */
 export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = Object.keys(faults).length, isLoadManaged}: SoakPlan): Promise<SoakReport> {
 	const resumesStreams = kinds > kindsWithoutStreams;
-	const bed = await makeBed(seed, hostCount, {eventGapMs: resumesStreams ? resumedEventGapMs : undefined, isLoadManaged});
+	const killsAll = kinds > kindsWithoutKillAll;
+	const resumedGapMs = killsAll ? longEventGapMs : resumedEventGapMs;
+	const bed = await makeBed(seed, hostCount, {eventGapMs: resumesStreams ? resumedGapMs : undefined, isLoadManaged});
 	try {
 		await waitUntilServing(bed);
 		let isOver = false;
 		const sending = sendUntil(bed, () => isOver);
-		const streaming = resumesStreams ? playStreams(bed, seed, () => isOver) : Promise.resolve(noStreams);
+		const streaming = resumesStreams ? playStreams(bed, seed, {isOver: () => isOver, isPatient: killsAll}) : Promise.resolve(noStreams);
 		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000), kinds);
 		isOver = true;
 		const sent = await sending;
@@ -335,10 +354,16 @@
 
 		const unserved = await findUnserved(bed);
 		const lost = resumesStreams ? await findLostStreams(bed, seed) : [];
+		const lostByRestart = killsAll
+			? await findLostStreams(bed, seed, async () => {
+				await restartHosts(bed.hosts, 0);
+				await waitUntilServing(bed);
+			})
+			: [];
 		const runs = countRuns(bed);
 		const broken = sent.map(each => judge(each, runs.get(each.id) ?? 0)).filter(text => text !== undefined);
 		return {
-			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unserved, ...lost, ...findExcessRepeats(bed, sent, streams.sentAt)],
+			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unserved, ...lost, ...lostByRestart, ...findExcessRepeats(bed, sent, streams.sentAt)],
 		};
 	} finally {
 		await endBed(bed);
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -107,6 +107,9 @@
 /** Chance of a caller to close its connection in the middle of a stream. */
 const leaveShare = 0.3;
 const maxResumptions = 4;
+/** Attempts of a patient caller that no host answers, and the pause after each, in milliseconds: longer than all hosts are away. */
+const maxUnanswered = 20;
+const unansweredPauseMs = 250;
 
 /** Streams of callers that resume them. */
 export type StreamReport = {
@@ -120,8 +123,15 @@
 	readonly broken: readonly string[];
 };
 
+/** How long streams are played, and by whom. */
+export type StreamPlan = {
+	readonly isOver: () => boolean;
+	/** Whether callers come back while no host answers. */
+	readonly isPatient: boolean;
+};
+
 /** A stream that its caller resumes at one host after the other. Its connections stay in use until their process is gone. */
-async function playStream({hosts, firstEventListeners}: Bed, name: string, random: Random, agent: Agent): Promise<Omit<StreamReport, 'streams'>> {
+async function playStream({hosts, firstEventListeners}: Bed, name: string, random: Random, agent: Agent, isPatient: boolean): Promise<Omit<StreamReport, 'streams'>> {
 	const caller = new StreamCaller(name, undefined, agent);
 	caller.leavesAt = random.next() < leaveShare ? 1 + Math.floor(random.next() * 4) : Number.POSITIVE_INFINITY;
 	const host = pick(random, hosts);
@@ -133,13 +143,16 @@
 	await caller.ended;
 	let resumed = 0;
 	let goneOn = 0;
-	for (let round = 0; round < maxResumptions && !caller.isComplete && caller.events.length > 0; round += 1) {
+	let answered = 0;
+	while (answered < maxResumptions && resumed < answered + maxUnanswered && !caller.isComplete && caller.events.length > 0) {
 		const before = caller.events.length;
 		caller.leavesAt = random.next() < leaveShare ? before + 1 : Number.POSITIVE_INFINITY;
-		const {retryAfterMs} = await caller.resumeOnce(pick(random, hosts)?.caller ?? '');
+		const {status, retryAfterMs} = await caller.resumeOnce(pick(random, hosts)?.caller ?? '');
+		const isAnswered = status !== 0 || !isPatient;
 		resumed += 1;
+		answered += isAnswered ? 1 : 0;
 		goneOn += caller.events.length > before ? 1 : 0;
-		await pause(retryAfterMs ?? 0);
+		await pause(retryAfterMs ?? (isAnswered ? 0 : unansweredPauseMs));
 	}
 
 	const broken = [
@@ -153,12 +166,12 @@
 }
 
 /** Plays streams at a steady pace until told that it is over. */
-export async function playStreams(bed: Bed, seed: number, isOver: () => boolean): Promise<StreamReport> {
+export async function playStreams(bed: Bed, seed: number, {isOver, isPatient}: StreamPlan): Promise<StreamReport> {
 	const agent = new Agent({keepAlive: true});
 	const random = seedRandom(seed);
 	const playing: Array<Promise<Omit<StreamReport, 'streams'>>> = [];
 	while (!isOver()) {
-		playing.push(playStream(bed, `s${playing.length}`, random, agent));
+		playing.push(playStream(bed, `s${playing.length}`, random, agent, isPatient));
 		await pause(streamGapMs);
 	}
 
@@ -173,20 +186,23 @@
 /** Streams that are begun, left and resumed after the last fault, and smallest share that goes on, relative to the new streams that begin meanwhile. */
 const calmStreams = 40;
 const leastShare = 0.95;
+/** The same, where the hosts lose all memory in between. */
+const leastShareAfterRestart = 0.5;
 /** Fewer resumed streams show nothing. */
 const fewestResumed = 12;
 
-/** After the last fault, resumed streams go on about as often as new ones begin, where two replicas run their version. */
-export async function findLostStreams({hosts, replicas}: Bed, seed: number): Promise<string[]> {
+/** After the last fault, resumed streams go on about as often as new ones begin, where two replicas run their version; `restart` restarts the hosts between their attempts. No stream has events of two versions. */
+export async function findLostStreams({hosts, replicas}: Bed, seed: number, restart?: () => Promise<void>): Promise<string[]> {
 	const random = seedRandom(seed);
 	const addresses = hosts.map(({caller}) => caller);
-	const makeCallers = (name: string) => Array.from({length: calmStreams}, (_, index) => new StreamCaller(`${name}-${index}`));
+	const makeCallers = (name: string) => Array.from({length: calmStreams}, (_, index) => new StreamCaller(`${name}${restart === undefined ? '' : '-restarted'}-${index}`));
 	const callers = makeCallers('calm');
 	await Promise.all(callers.map(async caller => {
 		caller.leavesAt = 1;
 		await caller.beginAt(pick(random, addresses) ?? '');
 		await caller.ended;
 	}));
+	await restart?.();
 	const added = makeCallers('added');
 	await Promise.all([...callers, ...added].map(async caller => {
 		caller.leavesAt = Number.POSITIVE_INFINITY;
@@ -195,7 +211,10 @@
 	const isServedTwice = (caller: StreamCaller) => replicas.filter(({stage, softwareVersion}) => stage === 'decode' && softwareVersion !== undefined && caller.versions.has(softwareVersion)).length > 1;
 	const counted = callers.filter(caller => isServedTwice(caller));
 	const shareOf = (some: readonly StreamCaller[]) => some.filter(({isComplete}) => isComplete).length / Math.max(1, some.length);
-	return counted.length >= fewestResumed && shareOf(counted) < leastShare * shareOf(added)
-		? [`${shareOf(counted)} of the resumed streams went on, ${shareOf(added)} of the new ones began`]
-		: [];
+	const least = restart === undefined ? leastShare : leastShareAfterRestart;
+	const mixed = [...callers, ...added].filter(({versions}) => versions.size > 1).length;
+	return [
+		...(counted.length >= fewestResumed && shareOf(counted) < least * shareOf(added) ? [`${shareOf(counted)} of the resumed streams went on, ${shareOf(added)} of the new ones began${restart === undefined ? '' : ' after all hosts were restarted'}`] : []),
+		...(mixed > 0 ? [`${mixed} streams have events of two versions`] : []),
+	];
 }
