Specification: versions of streams after restarts of all hosts

Cause: streams.pml assumed that not all hosts lose their memory at once, and counted hosts that agree as proof; the incident shows that both are wrong.

--- a/scripts/check-spec.mjs
+++ b/scripts/check-spec.mjs
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import process from 'node:process';
 
-const models = ['tickets', 'memory', 'bundles', 'attempts', 'endpoints', 'evidence', 'histories', 'rates', 'retries', 'streams', 'parts'];
+const models = ['tickets', 'memory', 'bundles', 'attempts', 'endpoints', 'evidence', 'histories', 'rates', 'retries', 'streams', 'restarts', 'parts'];
 const depth = '-m200000';
 
 /** Says what to install where a program is missing, in place of a stack trace. */
--- a/specification/streams.pml
+++ b/specification/streams.pml
@@ -4,12 +4,15 @@
  * event; messages may be lost, hosts may lose their memory, and the directory
  * may list a second version and drop the first. Then the caller resumes the
  * stream at any host, which asks the others; each may be silent. Invariant: the
- * stream goes on only at the version that began it. A host that has seen all
- * changes vouches alone once it has read the directory; otherwise each other
- * host has to reply. Assumption: after a version has left the directory, not all hosts lose
- * their memory before the streams of that version can no longer be resumed.
+ * stream goes on only at the version that began it. Without a record, a host
+ * that has seen all changes and replies vouches for the only version seen, once
+ * the asker has read the directory; hosts without a past vouch for nothing, and
+ * all may lose their memory at any moment. What engines hold: restarts.pml.
  * Seeded mistakes: MISTAKE_GUESS (an unknown version is any), MISTAKE_SILENCE
- * (a silent host counts as one that knows nothing), MISTAKE_OLD_VIEW (a
+ * (a silent host counts as one that knows nothing), MISTAKE_NO_PAST (hosts that
+ * agree vouch for what was before their start), MISTAKE_OLD_WITNESS (one that
+ * has a past replies as it last read the directory), MISTAKE_SKIP (a list of
+ * what is there stands for all changes), MISTAKE_OLD_VIEW (a
  * host vouches alone without reading the directory), MISTAKE_FORGET (a version that
  * has left is forgotten at once), MISTAKE_EARLY_RECORD (the record is made when
  * the request is sent, and stands though another endpoint answers it).
@@ -19,22 +22,22 @@
 #define bit(version) (1 << (version))
 
 byte listed = 1;            /* versions in the directory, as bits */
+byte changes = 1;           /* versions that were ever in it */
 byte seen[hosts] = 1;       /* versions that a host has seen since its start */
 bool hasMemory[hosts] = true; /* it has seen all changes since the stream began */
 byte record[hosts] = none;  /* the version that it holds for the stream, or none */
 byte began = none;          /* version of the events that the caller has */
 byte wentOn = none;
-bool hasLeft = false;       /* the first version has left the directory */
-byte remembering = hosts;
 bool isServed = false;
 
 /* The operators release version 1 and take version 0 away. */
 active proctype operators() {
-	atomic {listed = listed | bit(1)};
+	atomic {listed = listed | bit(1); changes = listed};
 	atomic {
 		if
-		:: remembering > 0 -> listed = listed & ~bit(0); hasLeft = true
-		:: true -> skip
+		:: listed = listed & ~bit(0)
+		:: listed = listed & ~bit(1)
+		:: skip
 		fi
 	}
 }
@@ -43,18 +46,17 @@
 inline look(host) {
 #ifdef MISTAKE_FORGET
 	seen[host] = listed
-#else
+#elif defined(MISTAKE_SKIP)
 	seen[host] = seen[host] | listed
+#else
+	seen[host] = seen[host] | (hasMemory[host] -> changes : listed)
 #endif
 }
 
 inline forget(host) {
 	record[host] = none;
 	seen[host] = listed;
-	if
-	:: hasMemory[host] -> hasMemory[host] = false; remembering--
-	:: else
-	fi
+	hasMemory[host] = false
 }
 
 /* Hosts restart with what the directory lists then, and with no records. */
@@ -62,11 +64,7 @@
 	byte host;
 	do
 	:: atomic {select(host : 0 .. hosts - 1);
-		if
-		/* the assumption */
-		:: !(hasLeft && remembering == 1 && hasMemory[host]) -> forget(host)
-		:: else
-		fi}
+		forget(host)}
 	:: atomic {select(host : 0 .. hosts - 1); look(host)}
 	:: break
 	od
@@ -114,11 +112,23 @@
 	isServed = true
 }
 
+/* A host with a past has read the directory up to the question. */
+inline vouch(other) {
+#ifndef MISTAKE_OLD_WITNESS
+	if
+	:: hasMemory[other] -> look(other)
+	:: else
+	fi
+#else
+	skip
+#endif
+}
+
 inline ask(other) {
 	if
 	:: other != asker ->
 		if
-		:: found = (record[other] != none -> record[other] : found); all = all | seen[other]
+		:: vouch(other); found = (record[other] != none -> record[other] : found); all = all | seen[other]; isWitnessed = isWitnessed || hasMemory[other]
 		:: isUnanimous = false
 		fi
 	:: else
@@ -130,6 +140,7 @@
 	byte found;
 	byte all;
 	bool isUnanimous = true;
+	bool isWitnessed = false;
 	bool isConfirmed = false;
 	bool mayVouch;
 	isServed;
@@ -148,10 +159,13 @@
 		ask(0);
 		ask(1);
 		ask(2);
+		mayVouch = isConfirmed && (isWitnessed || hasMemory[asker]);
+#ifdef MISTAKE_NO_PAST
+		mayVouch = isUnanimous;
+#endif
 #ifdef MISTAKE_SILENCE
-		isUnanimous = true;
+		mayVouch = isConfirmed;
 #endif
-		mayVouch = isUnanimous || (hasMemory[asker] && isConfirmed);
 		if
 		:: found != none -> wentOn = found
 		:: found == none && mayVouch && all == bit(0) -> wentOn = 0
