Streams: a host that has not found the fleet refuses no stream for good

Callers whose streams broke with several hosts were told that nobody knows the version (2011 without Retry-After) by hosts that had not met the others yet: all of one host known had replied. The holders of the record were among the others.

--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -339,6 +339,11 @@
 		return this.#ring.list(key, count).includes(this.#parts.context.self.host);
 	}
 
+	/** Whether this host has heard of the fleet since its start, or may assume that there is none. */
+	get isFleetKnown(): boolean {
+		return this.#knownHosts.isFleetKnown;
+	}
+
 	/** Whether this host sees enough of the fleet to give orders. */
 	hasOrderQuorum(): boolean {
 		return hasOrderQuorum(this.membership.members.list(), this.census.seeds);
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -51,6 +51,8 @@
 	readonly isSurveyed?: boolean;
 	/** Whether the directory replies. */
 	readonly isConfirmed?: boolean;
+	/** Whether this host has heard of the fleet since its start. */
+	readonly isFleetKnown?: boolean;
 };
 
 type Refusal = {
@@ -83,7 +85,7 @@
 	readonly streams: StreamVersions;
 	readonly #routing = {confirmedAt: -1};
 
-	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, isConfirmed = true}: Surroundings) {
+	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, isConfirmed = true, isFleetKnown = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
 			this.versions.see({id: `e${index}`, service, softwareVersion}, 0);
 		}
@@ -115,6 +117,7 @@
 				},
 			},
 			versions: this.versions,
+			isFleetKnown: () => isFleetKnown,
 			routing: this.#routing,
 			watch: () => ({
 				confirm: async () => {
@@ -258,6 +261,9 @@
 	{
 		name: 'no trace, and a host that may have the record is silent', ...side, silent: 1, outcome: later('unknown'), isTraced: true,
 	},
+	{
+		name: 'no trace, and other hosts are not known yet', ...side, isFleetKnown: false, outcome: later('unknown'), isTraced: true,
+	},
 	{
 		name: 'no trace, and the directory does not reply', ...side, isConfirmed: false, outcome: later('unknown'), isTraced: true,
 	},
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -74,6 +74,8 @@
 	readonly registry: Pick<StreamRegistry, 'record' | 'find'>;
 	readonly traces: Pick<TraceRegistry, 'find'>;
 	readonly versions: VersionHistory;
+	/** Whether this host has heard of the fleet; otherwise hosts that it does not know may have the record. */
+	readonly isFleetKnown: () => boolean;
 	readonly routing: Pick<RoutingState, 'confirmedAt'>;
 	readonly watch: () => Pick<DirectoryWatch, 'confirm'>;
 };
@@ -120,7 +122,7 @@
 			return point;
 		}
 
-		const isFinal = source === 'ambiguous' || (!isPending && this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
+		const isFinal = source === 'ambiguous' || (!isPending && this.#parts.isFleetKnown() && this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
 		return fail('streamVersionUnknown', {retryAfterMs: isFinal ? undefined : unknownRetryAfterMs, detail: source});
 	}
 
