Quotas: a keeper that has just started lets others grant

Callers with a quota were refused at all hosts (429, used up) for up to 60 s after one keeper had restarted while most seeds in the settings were outdated: the keeper did not know its share, answered that nothing was granted, and the asker took that for the quota's end.

A keeper that does not know its share says so, and the next keeper is asked.

--- a/packages/relay/src/access/workspace-quotas.test.ts
+++ b/packages/relay/src/access/workspace-quotas.test.ts
@@ -66,13 +66,14 @@
 	readonly clock = new ManualClock();
 	readonly hosts: Host[] = [];
 	readonly uses: Array<{readonly at: number; readonly cost: number}> = [];
+	/** Peer addresses that all hosts are configured with. */
+	seeds: readonly string[];
 	readonly #random = seedRandom(7);
-	readonly #seeds: readonly string[];
 	#due = 0;
 
 	constructor(size: number) {
 		const names = Array.from({length: size}, (_, index) => `host-${index}`);
-		this.#seeds = names.slice(0, seedCount);
+		this.seeds = names.slice(0, seedCount);
 		for (const name of names) {
 			this.hosts.push({
 				name, side: 0, servesFrom: 0, meetsFrom: 0, heard: new Set(names), members: [], ...this.#start(name),
@@ -130,10 +131,15 @@
 
 	#listMembers(self: Host): MemberRecord[] {
 		return this.hosts.filter(({name}) => self.heard.has(name)).map(host => ({
-			...record, host: host.name, peerAddress: host.name, state: this.#reaches(self, host) ? 'alive' : 'dead',
+			...record, host: host.name, peerAddress: host.name, state: this.#reaches(self, host) ? 'alive' : 'dead', census: {digest: '', isFirstStart: false, isEstablished: this.#isEstablished(host)},
 		}));
 	}
 
+	/** Whether a host has been in the fleet for long. */
+	#isEstablished({name, knownHosts, meetsFrom}: Host): boolean {
+		return this.hosts.some(host => host.name === name) && meetsFrom === 0 && knownHosts.isFleetKnown;
+	}
+
 	#reaches(from: Host, to: Host): boolean {
 		const now = this.clock.now();
 		return from === to || (from.side === to.side && from.meetsFrom <= now && to.meetsFrom <= now);
@@ -163,7 +169,7 @@
 			},
 		}, 'test');
 		const listMembers = () => this.hosts.find(host => host.name === name)?.members ?? [];
-		const knownHosts = new KnownHosts({clock, listSeeds: () => this.#seeds, listMembers});
+		const knownHosts = new KnownHosts({clock, listSeeds: () => this.seeds, listMembers});
 		const quotas = new WorkspaceQuotas({
 			context,
 			routing,
@@ -263,6 +269,15 @@
 	{
 		name: 'the keeper and its stand-in are lost in a large fleet', hosts: 88, restart: loseKeepers(2), leastServed: 0.5,
 	},
+	{
+		name: 'the keeper restarts while most seeds are outdated', hosts: 8, restart(fleet) {
+			fleet.seeds = ['host-0', 'gone-1', 'gone-2'];
+			const [keeper] = rankCoordinators(workspace.name, fleet.hosts.map(({name}) => name));
+			for (const host of fleet.hosts.filter(({name}) => name === keeper)) {
+				fleet.restart(host, 200);
+			}
+		}, leastServed: 0.6,
+	},
 	{
 		name: 'a host restarts', hosts: 8, restart(fleet) {
 			for (const host of fleet.hosts.slice(-1)) {
--- a/packages/relay/src/access/workspace-quotas.ts
+++ b/packages/relay/src/access/workspace-quotas.ts
@@ -42,6 +42,9 @@
 		/** This host does not know its share yet. */
 		| {readonly kind: 'unknown'; readonly waitMs: number};
 
+/** A grant of another host; `isUnknown`: it does not know its share yet. */
+type KeeperReply = QuotaGrant & {readonly isUnknown?: boolean | undefined};
+
 type Waiter = {
 	readonly cost: number;
 	readonly resolve: (answer: QuotaDecision) => void;
@@ -62,7 +65,7 @@
 /** The workspace quotas of one host. */
 export class WorkspaceQuotas {
 	readonly #parts: WorkspaceQuotasParts;
-	readonly #requests: PeerRequests<QuotaGrant>;
+	readonly #requests: PeerRequests<KeeperReply>;
 	readonly #entries = new Map<string, WorkspaceQuota>();
 	readonly #windows = new Map<string, KeptWindow>();
 	/** Time of the last membership change; since then the same hosts have kept the same quotas. */
@@ -128,7 +131,9 @@
 	handleRequest(from: string, {ask, workspace, isStandIn, ...wish}: RelayMessageOf<'quotaWanted'>): void {
 		const quota = this.#quotaOf(workspace);
 		if (quota !== undefined) {
-			this.#parts.send(from, {kind: 'quotaGranted', ask, ...this.#grant(workspace, quota, wish, isStandIn)});
+			this.#parts.send(from, {
+				kind: 'quotaGranted', ask, ...this.#grant(workspace, quota, wish, isStandIn), ...(this.#parts.isFleetKnown() ? {} : {isUnknown: true}),
+			});
 		}
 	}
 
@@ -207,7 +212,12 @@
 		const {self, log, metrics} = context;
 		const keepers = isOff(context, 'quotaKeepers') ? [] : rankCoordinators(name, listHeard()).slice(0, maxKeepers);
 		for (const [index, keeper] of keepers.entries()) {
-			const grant = keeper === self.host ? this.#grant(name, quota, wish, index > 0) : await this.#requestFromKeeper(keeper, name, wish, index > 0);
+			const grant: KeeperReply | undefined = keeper === self.host ? this.#grant(name, quota, wish, index > 0) : await this.#requestFromKeeper(keeper, name, wish, index > 0);
+			if (grant?.isUnknown) {
+				metrics.add('quotaAsked', {outcome: 'unknown'});
+				continue;
+			}
+
 			if (grant !== undefined) {
 				metrics.add('quotaAsked', {outcome: grant.granted > 0 ? 'granted' : 'refused'});
 				return grant;
@@ -221,7 +231,7 @@
 		return this.#grantOwnShare(name, quota, wish);
 	}
 
-	async #requestFromKeeper(keeper: string, workspace: string, wish: QuotaRequest, isStandIn: boolean): Promise<QuotaGrant | undefined> {
+	async #requestFromKeeper(keeper: string, workspace: string, wish: QuotaRequest, isStandIn: boolean): Promise<KeeperReply | undefined> {
 		return this.#requests.send(responseTimeoutMs, ask => {
 			this.#parts.send(keeper, {
 				kind: 'quotaWanted', ask, workspace, isStandIn, ...wish,
--- a/packages/relay/src/peer/known-hosts.ts
+++ b/packages/relay/src/peer/known-hosts.ts
@@ -2,8 +2,8 @@
  * Counts the hosts that may be serving requests. Safety of quotas in a network
  * partition: unreachable hosts count for a while, because they may be serving
  * on the other side. After a start the count says nothing until this host has
- * heard of a majority of the seeds: hosts that are whole among themselves may
- * be a small part of the fleet.
+ * heard of a majority of the seeds, or from a host whose census is established:
+ * hosts that are whole among themselves may be a small part of the fleet.
  */
 import {includesSeedMajority} from '@gatehead/policy/relay/order-quorum';
 import {type Clock} from '@gatehead/policy/utils/clock';
@@ -33,10 +33,11 @@
 		this.#startedAt = parts.clock.now();
 	}
 
-	/** Whether the count is that of the fleet: this host has heard of a majority of the seeds, or it started so long ago that hosts it has not heard of no longer count. */
+	/** Whether the count is that of the fleet: this host has heard of a majority of the seeds or from a host that counts the fleet, or it started so long ago that hosts it has not heard of no longer count. */
 	get isFleetKnown(): boolean {
 		const {clock, listSeeds, listMembers} = this.#parts;
-		this.#isFleetKnown ||= clock.now() - this.#startedAt >= partitionMs || includesSeedMajority(listSeeds(), listMembers());
+		const members = listMembers();
+		this.#isFleetKnown ||= clock.now() - this.#startedAt >= partitionMs || includesSeedMajority(listSeeds(), members) || members.some(({state, census}) => state === 'alive' && census?.isEstablished);
 		return this.#isFleetKnown;
 	}
 
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -124,9 +124,9 @@
 	z.object({
 		kind: z.literal('quotaWanted'), ask: z.number(), workspace: z.string(), least: z.number().nonnegative(), wanted: z.number().nonnegative(), isStandIn: z.boolean(), heard: quotaLevel.optional(),
 	}),
-	/** Response to `quotaWanted`: the amount granted, or the delay before the next request. */
+	/** Response to `quotaWanted`: the amount granted, or the delay before the next request. `isUnknown`: the sender has just started and does not know its share, so another keeper is to be asked. */
 	z.object({
-		kind: z.literal('quotaGranted'), ask: z.number(), granted: z.number().nonnegative(), waitMs: z.number().nonnegative(), level: z.number(), keeper: z.string(),
+		kind: z.literal('quotaGranted'), ask: z.number(), granted: z.number().nonnegative(), waitMs: z.number().nonnegative(), level: z.number(), keeper: z.string(), isUnknown: z.boolean().optional(),
 	}),
 	/** The host that grants permits for rate-limited endpoints asks another host to lend its share; includes the limits if the other host has an older version. */
 	z.object({
