Streams: engines are asked from the first list on, and as few hosts as others

The survey of engines ended 10 s after the start of a host, so that all resumed streams were refused for good behind a directory that was away for longer; it counts from the first list now. Engines that had left were asked by every host, now by those that the ring names, and the latest of them are kept. A host that cannot vouch for an only version asks the directory beside the engines, not before. What an engine of a service that the route does not name holds does not count, and traces beyond the bound are not copied to other hosts.

--- a/packages/policy/src/relay/past-endpoints.ts
+++ b/packages/policy/src/relay/past-endpoints.ts
@@ -13,7 +13,7 @@
 	readonly changed: ReadonlySet<string>;
 };
 
-/** `entries`: those written before the first list, in order; `listed`: the first list. */
+/** `entries`: those that the directory remembers, in order; `listed`: what it lists now. */
 export function readPast(entries: readonly Endpoint[], listed: readonly Endpoint[]): PastEndpoints {
 	const latest = new Map<string, Endpoint>();
 	const changed = new Set<string>();
--- a/packages/policy/src/relay/run-traces.ts
+++ b/packages/policy/src/relay/run-traces.ts
@@ -21,7 +21,7 @@
 export type TraceQuery = {
 	readonly key: string;
 	readonly leastSize: number;
-	/** Whether only the stream itself can have left such a trace. */
+	/** Whether the key is that of the attempt itself; a part may also be that of an earlier one. */
 	readonly isExact: boolean;
 };
 
--- a/packages/policy/src/relay/version-history.ts
+++ b/packages/policy/src/relay/version-history.ts
@@ -50,7 +50,7 @@
 		}
 	}
 
-	/** Records an endpoint that left before this host's first list; when is not known. */
+	/** Records an endpoint that left before this host's first list; the time is not known. */
 	recall(endpoint: Pick<Endpoint, 'service' | 'softwareVersion'>, now: number): void {
 		this.#recordLeft({service: endpoint.service, softwareVersion: versionOf(endpoint)}, now);
 	}
--- a/packages/relay/src/peer/trace-registry.ts
+++ b/packages/relay/src/peer/trace-registry.ts
@@ -89,7 +89,10 @@
 		const {clock} = this.#parts.context;
 		const byHost = new Map<string, RunTrace[]>();
 		for (const trace of traces) {
-			this.#hold(trace);
+			if (!this.#hold(trace)) {
+				continue;
+			}
+
 			const known = this.#traces.get(trace.key, clock.now());
 			for (const host of this.#holders.add(trace.key, trace.expiresAt)) {
 				const sent = byHost.get(host) ?? [];
@@ -146,10 +149,13 @@
 		return keys.flatMap(key => this.#traces.get(key, now));
 	}
 
-	#hold(trace: RunTrace): void {
-		if (!this.#traces.add(trace)) {
+	#hold(trace: RunTrace): boolean {
+		const isHeld = this.#traces.add(trace);
+		if (!isHeld) {
 			this.#parts.context.metrics.add('runTracesDropped');
 		}
+
+		return isHeld;
 	}
 
 	#send(host: string, traces: readonly RunTrace[]): void {
--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -23,11 +23,11 @@
 const pollMs = 50;
 /** Time after the first list of endpoints in which the hosts that start at the same moment find each other, at least, since the last of them was found, and at most, in milliseconds. */
 const settleMs = {least: 150, sinceChange: 100, most: 600};
-/** Time after the start in which engines that come into view are asked, in milliseconds. */
+/** Time after the first list of endpoints in which engines that come into view are asked, in milliseconds. */
 const surveyMs = 10_000;
 /** Maximum wait for the survey, in milliseconds. */
 const maxWaitMs = 400;
-/** Maximum engines that one host asks while its share is larger than that; bounds a host that has not found the others. */
+/** Maximum engines that one host asks while more than that fall to it, since it has not found the others, and maximum of those that have left. */
 const maxEngines = 64;
 /** Maximum engines asked at a time. */
 const maxConcurrent = 16;
@@ -65,7 +65,6 @@
 	/** Engines that have left the directory, which may still serve, and those whose entries had several versions. */
 	#departed: readonly Endpoint[] = [];
 	#changed: ReadonlySet<string> = new Set();
-	#startedAt = Number.POSITIVE_INFINITY;
 	#listedAt: number | undefined;
 	#isComplete = false;
 	#isOver = false;
@@ -76,13 +75,12 @@
 	}
 
 	start(): void {
-		this.#startedAt = this.#parts.context.clock.now();
 		this.#poll();
 	}
 
 	/** Adds what the directory's history says of the time before this host's start. */
 	addPast({departed, changed}: PastEndpoints): void {
-		this.#departed = departed.filter(engine => isDecode(engine)).slice(0, maxEngines);
+		this.#departed = departed.filter(engine => isDecode(engine)).slice(-maxEngines);
 		this.#changed = changed;
 	}
 
@@ -101,15 +99,15 @@
 		if (!this.#isComplete && !this.#isOver) {
 			await new Promise<void>(resolve => {
 				const timer = this.#parts.context.clock.after(maxWaitMs, () => {
-					this.#waiting.delete(settle);
+					this.#waiting.delete(stopWaiting);
 					resolve();
 				});
-				const settle = () => {
+				const stopWaiting = () => {
 					timer.stop();
 					resolve();
 				};
 
-				this.#waiting.add(settle);
+				this.#waiting.add(stopWaiting);
 			});
 		}
 
@@ -119,12 +117,12 @@
 	#poll(): void {
 		const {clock} = this.#parts.context;
 		const now = clock.now();
-		this.#listedAt ??= this.#listEngines().length > 0 ? now : undefined;
+		this.#listedAt ??= this.#parts.endpoints.book.list().length > 0 ? now : undefined;
 		if (this.#hasSettled(now)) {
 			this.#askEngines();
 		}
 
-		if (now - this.#startedAt >= surveyMs) {
+		if (this.#listedAt !== undefined && now - this.#listedAt >= surveyMs) {
 			this.#end();
 			return;
 		}
@@ -143,14 +141,14 @@
 		return this.#parts.endpoints.book.list().map(({endpoint}) => endpoint).filter(engine => isDecode(engine));
 	}
 
-	/** Engines that have left and are not listed anew. Each host that knows of them asks all: others may not know. */
+	/** Engines that have left and are not listed anew. */
 	#listDeparted(): Endpoint[] {
 		return this.#departed.filter(({id}) => !this.#parts.endpoints.book.isKnown(id));
 	}
 
 	#askEngines(): void {
 		const share = this.#listEngines().filter(({id}) => this.#isDue(id) && this.#parts.isAsker(id));
-		const departed = this.#listDeparted().filter(({id}) => !this.#attempts.has(id));
+		const departed = this.#listDeparted().filter(({id}) => !this.#attempts.has(id) && this.#parts.isAsker(id));
 		for (const engine of [...this.#chooseNext(share), ...departed].slice(0, maxConcurrent - this.#inFlight.size)) {
 			void this.#ask(engine);
 		}
@@ -180,9 +178,9 @@
 		const {calls, context: {log, metrics}, onTraces} = this.#parts;
 		this.#inFlight.add(engine.id);
 		this.#attempts.set(engine.id, (this.#attempts.get(engine.id) ?? 0) + 1);
-		const isAlone = this.#isAlone(engine);
+		const wasAttributable = this.#isAttributable(engine);
 		const [runs, parts] = await Promise.all([calls.listRuns(engine), calls.listCachedParts(engine)]);
-		const isUsable = isAlone && this.#isAlone(engine);
+		const isUsable = wasAttributable && this.#isAttributable(engine);
 		if (runs !== undefined && parts !== undefined) {
 			this.#attempts.set(engine.id, Number.POSITIVE_INFINITY);
 		}
@@ -205,8 +203,8 @@
 		}
 	}
 
-	/** Whether an engine's entry never had another version, and no other entry names its address. */
-	#isAlone({id, address, softwareVersion}: Endpoint): boolean {
+	/** Whether what an engine lists is that of its entry's version: the entry never had another one, and no other entry names its address. */
+	#isAttributable({id, address, softwareVersion}: Endpoint): boolean {
 		const sharing = this.#parts.endpoints.book.list().filter(({endpoint}) => endpoint.address === address);
 		const isDeparted = this.#listDeparted().some(engine => engine.id === id);
 		return !this.#changed.has(id) && sharing.length === (isDeparted ? 0 : 1) && sharing.every(({endpoint}) => endpoint.id === id && endpoint.softwareVersion === softwareVersion);
@@ -224,8 +222,8 @@
 	}
 
 	#release(): void {
-		for (const settle of this.#waiting) {
-			settle();
+		for (const stopWaiting of this.#waiting) {
+			stopWaiting();
 		}
 
 		this.#waiting.clear();
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -154,35 +154,49 @@
 			return {source: 'none', asked, silent};
 		}
 
-		const softwareVersion = await this.#findOnlyVersion(service, windowMs, finding);
-		const views = [this.#parts.versions.view(service, windowMs, this.#parts.context.clock.now()), ...finding.views];
+		const {context: {clock}, versions} = this.#parts;
+		const views = [versions.view(service, windowMs, clock.now()), ...finding.views];
+		const confirming = this.#confirmSince(clock.now());
+		const softwareVersion = await this.#findOnlyVersion(service, windowMs, finding, confirming);
 		if (softwareVersion !== undefined) {
 			return {
 				source: 'only version', point: {service, softwareVersion}, asked, silent, views,
 			};
 		}
 
+		const traced = await this.#findTraces(facts, route);
+		if (traced.source === 'unknown') {
+			await confirming;
+		}
+
 		return {
-			...await this.#findTraces(facts), asked, silent, views,
+			...traced, asked, silent, views,
 		};
 	}
 
-	/** The version that all endpoints have had for as long as the stream can have lasted; undefined if there were several, or if this host has not seen all of that time. */
-	async #findOnlyVersion(service: string, windowMs: number, {views}: StreamFinding): Promise<string | undefined> {
-		const {context: {clock}, versions, watch} = this.#parts;
-		const startedAt = clock.now();
-		for (let tries = 0; tries < maxConfirmations && !this.#isConfirmedSince(startedAt); tries += 1) {
-			await watch().confirm();
+	/** Reads the directory until its view includes all that began before `at`, or it does not reply; whether it does. */
+	async #confirmSince(at: number): Promise<boolean> {
+		for (let tries = 0; tries < maxConfirmations && !this.#isConfirmedSince(at); tries += 1) {
+			await this.#parts.watch().confirm();
 		}
 
-		const own = versions.view(service, windowMs, clock.now());
+		return this.#isConfirmedSince(at);
+	}
+
+	/** The version that all endpoints have had for as long as the stream can have lasted; undefined if there were several, or if this host has not seen all of that time. */
+	async #findOnlyVersion(service: string, windowMs: number, {views}: StreamFinding, confirming: Promise<boolean>): Promise<string | undefined> {
+		const {context: {clock}, versions} = this.#parts;
 		// Others contradict, but do not vouch: however many they are, they may have started since the stream began, or lag behind the directory
-		const isWitnessed = own.coverageMs >= windowMs && this.#isConfirmedSince(startedAt);
-		return isWitnessed ? findOnlyVersion([own, ...views]) : undefined;
+		const mayVouch = () => versions.view(service, windowMs, clock.now()).coverageMs >= windowMs;
+		if (!mayVouch() || !(await confirming) || !mayVouch()) {
+			return undefined;
+		}
+
+		return findOnlyVersion([versions.view(service, windowMs, clock.now()), ...views]);
 	}
 
 	/** Where the stream began, by what engines held of it when hosts started. */
-	async #findTraces({resumedId, lastEventId, ownPart}: RequestFacts): Promise<Pick<Lookup, 'source' | 'point' | 'isPending'>> {
+	async #findTraces({resumedId, lastEventId, ownPart}: RequestFacts, {shares}: Route): Promise<Pick<Lookup, 'source' | 'point' | 'isPending'>> {
 		const received = Number(lastEventId);
 		const queries = Number.isSafeInteger(received) && received > 0
 			? [
@@ -196,7 +210,8 @@
 		}
 
 		const {traces, isComplete} = await this.#parts.traces.find(queries.map(({key}) => key));
-		const origin = findTracedOrigin(queries, traces, isComplete);
+		const routed = traces.filter(trace => shares.some(({service}) => service === trace.service));
+		const origin = findTracedOrigin(queries, routed, isComplete);
 		if (origin === undefined) {
 			return {source: 'unknown', isPending: !isComplete};
 		}
