--- a/packages/standin/src/wire/restarted-hosts.test.ts
+++ b/packages/standin/src/wire/restarted-hosts.test.ts
@@ -2,130 +2,12 @@
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
-import {sendRequest} from './client.js';
-import {type StandinReplica} from './replica-server.js';
-import {StreamCaller, writePrompt} from './stream-caller.js';
 import {
-	patientTimes, startWorld, until, type World,
-} from './world.js';
+	findLeastUsed, isDecode, leastEngines, listVersion, playRestart, remove, replace, runEarlier, runUnseen, streams, waitUntilJoined, type RestartCase,
+} from './restarted-streams.js';
+import {type World} from './world.js';
 
-const streams = 40;
-/** Smallest share of resumed streams that go on, relative to the new streams that begin at the same time; counted where their version has this many engines. */
-const leastShare = 0.5;
-const leastEngines = 2;
-/** Time between two events until streams are resumed, in milliseconds: long enough that all of them break when the hosts end. */
-const slowGapMs = 1000;
-const eventGapMs = 20;
-/** An earlier prompt of a session is shorter than the next one. */
-const earlierTokens = 500;
-const parts = {
-	plain: 0, prefill: 4, decode: 12, slots: 64, eventGapMs, retryAllowance: 1000, routeTimes: patientTimes,
-};
-
-type Case = {
-	readonly name: string;
-	readonly hosts?: number;
-	readonly softwareVersions?: readonly string[];
-	/** Called before streams begin. */
-	readonly before?: (world: World, callers: readonly StreamCaller[]) => Promise<void>;
-	/** Called once all streams have begun, while the hosts run. */
-	readonly between?: (world: World) => Promise<void>;
-	/** What changes while no host runs; before the first start if there are several. */
-	readonly meanwhile?: (world: World, callers: readonly StreamCaller[]) => Promise<void>;
-	/** How often all hosts are restarted, one time right after the other; absent: once. */
-	readonly restarts?: number;
-	/** Whether streams are resumed between two restarts too. */
-	readonly isResumedBetween?: boolean;
-	/** Whether callers come back as soon as a host says that it is ready, before hosts have found each other. */
-	readonly isEarly?: boolean;
-	/** Whether nothing is left that tells the versions of streams for sure: all may be refused. */
-	readonly mayRefuse?: boolean;
-	/** Whether no stream's version is left. */
-	readonly isAllGone?: boolean;
-};
-
-function range(from: number, to: number): number[] {
-	return Array.from({length: Math.max(0, to - from)}, (_, index) => from + index);
-}
-
-function listVersion({replicas}: World, version: string): StandinReplica[] {
-	return replicas.filter(({softwareVersion}) => softwareVersion === version);
-}
-
-function isDecode({stage}: StandinReplica): boolean {
-	return stage === 'decode';
-}
-
-/** Takes replicas out of the directory; they live on. */
-function remove({store}: World, replicas: readonly StandinReplica[]): void {
-	for (const {id} of replicas) {
-		store.remove(`servers/${id}`);
-	}
-}
-
-/** Starts replicas anew at their addresses, with another version and nothing in memory. */
-async function replace(world: World, replicas: readonly StandinReplica[], version: string, idOf: (id: string) => string = id => id): Promise<void> {
-	for (const replica of replicas) {
-		await replica.kill();
-		remove(world, [replica]);
-		replica.id = idOf(replica.id);
-		replica.softwareVersion = version;
-		await replica.revive();
-		world.publish(replica, 'ready');
-	}
-}
-
-/** The engine of a version that has run the fewest streams, but some. */
-function findLeastUsed(world: World, version: string): StandinReplica[] {
-	const countRuns = (engine: StandinReplica) => world.log.runs.filter(({replica, request}) => replica === engine.id && request.startsWith('old')).length;
-	return listVersion(world, version).filter(replica => countRuns(replica) > 0).toSorted((left, right) => countRuns(left) - countRuns(right)).slice(0, 1);
-}
-
-/** Replicas that the directory lists. */
-function listPublished({store, replicas}: World): StandinReplica[] {
-	const {items} = store.copy();
-	return replicas.filter(({id}) => items.has(`servers/${id}`));
-}
-
-/** Waits until each host has its endpoints and all its peers. */
-async function waitUntilJoined(world: World): Promise<void> {
-	const {length} = listPublished(world);
-	await until(() => world.relays.every(({relay}) => relay.routing.version > 0 && relay.endpoints.book.list().length === length && relay.fleet.countHosts() === world.relays.length));
-}
-
-async function waitUntilReady({relays}: World): Promise<void> {
-	await until(() => relays.every(({relay}) => relay.isReady));
-}
-
-function setGap({replicas}: World, milliseconds: number): void {
-	for (const replica of replicas) {
-		replica.eventGapMs = milliseconds;
-	}
-}
-
-/** Runs a request of its own at a replica, past all hosts. */
-async function runAt({address, id}: StandinReplica, request: string, prompt: string): Promise<void> {
-	await sendRequest({
-		address, id: request, path: '/resumable/1', headers: {'Expect-Instance': id, 'Prompt-Prefix': prompt},
-	});
-}
-
-/** Runs a shorter request of each stream's session at an engine of each version. */
-async function runEarlier({replicas}: World, callers: readonly StreamCaller[]): Promise<void> {
-	const engines = ['v1', 'v2'].map(version => replicas.find(replica => isDecode(replica) && replica.softwareVersion === version)).filter(engine => engine !== undefined);
-	await Promise.all(engines.flatMap(engine => callers.map(async ({name}) => runAt(engine, `${name}-earlier`, writePrompt(name, earlierTokens)))));
-}
-
-/** Runs an attempt of each stream whose events reach nobody at a replica of another version. */
-async function runUnseen(world: World, callers: readonly StreamCaller[]): Promise<void> {
-	setGap(world, eventGapMs);
-	await Promise.all(callers.map(async ({name, versions}) => {
-		const other = world.replicas.find(replica => isDecode(replica) && !versions.has(replica.softwareVersion ?? ''));
-		await (other === undefined ? undefined : runAt(other, `${name}-unseen`, writePrompt(name)));
-	}));
-}
-
-const cases: readonly Case[] = [
+const cases: readonly RestartCase[] = [
 	{name: 'two versions, 4 hosts', hosts: 4},
 	{name: 'two versions, 8 hosts'},
 	{name: 'two versions, 20 hosts', hosts: 20},
@@ -234,85 +116,10 @@
 	},
 ];
 
-/** Resumes each stream at a host, and waits until it goes on or has ended. */
-async function resumeEach(callers: readonly StreamCaller[], addressOf: (index: number) => string): Promise<void> {
-	await Promise.all(callers.map(async (caller, index) => {
-		const {length} = caller.events;
-		let isOver = false;
-		void caller.resumeOnce(addressOf(index)).then(() => {
-			isOver = true;
-		});
-		await until(() => isOver || caller.events.length > length);
-	}));
-}
-
-/** Refusals that say that a stream cannot go on; others depend on time or load. */
-const finalReasons: ReadonlySet<unknown> = new Set(['streamVersionUnknown', 'streamVersionGone']);
-
-/** Whether all answers since a restart said that the stream cannot go on, and the last one told the caller not to come back. */
-function isRefusedAtOnce({lines}: World, {name, ends, hasGivenUp}: StreamCaller, attemptsBefore: number): boolean {
-	const since = ends.slice(attemptsBefore);
-	const attempts = new Set(since.map((_, index) => `${name}-${attemptsBefore + index}`));
-	const reasons = lines.filter(({code, facts}) => code === 'requestEnded' && attempts.has(String(facts.request))).map(({facts}) => facts.reason);
-	return !hasGivenUp && since.length > 0 && since.every(({status}) => status === 503) && since.at(-1)?.retryAfterMs === undefined && reasons.every(reason => finalReasons.has(reason));
-}
-
-/** Breaks streams by restarts of all hosts, and resumes them beside as many new ones. */
-async function play({hosts = 8, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false}: Case, report: (text: string) => void) {
-	const world = await startWorld({...parts, hosts, softwareVersions});
-	try {
-		const addressOf = (index: number) => world.relays[index % hosts]?.caller ?? '';
-		const callers = range(0, streams).map(index => new StreamCaller(`old-${index}`));
-		// The first request of a host opens its links, which takes long where all hosts share one process
-		await Promise.all(range(0, hosts).map(async index => new StreamCaller(`first-${index}`).begin(addressOf(index))));
-		await before?.(world, callers);
-		setGap(world, slowGapMs);
-		await Promise.all(callers.map(async (caller, index) => caller.beginAt(addressOf(index))));
-		await between?.(world);
-		await world.restartAll(async () => {
-			await Promise.all(callers.map(async ({ended}) => ended));
-			await meanwhile?.(world, callers);
-		});
-		for (const restart of range(1, restarts)) {
-			if (isResumedBetween) {
-				await waitUntilJoined(world);
-				await resumeEach(callers, index => addressOf(index + restart));
-			}
-
-			await world.restartAll();
-		}
-
-		await (isEarly ? waitUntilReady(world) : waitUntilJoined(world));
-		await Promise.all(callers.map(async ({ended}) => ended));
-		setGap(world, eventGapMs);
-		const broken = callers.filter(({events, isComplete}) => events.length > 0 && !isComplete).map(caller => ({
-			caller, version: caller.events[0]?.version ?? '', events: caller.events.length, attempts: caller.ends.length,
-		}));
-		const added = range(0, streams).map(index => new StreamCaller(`new-${index}`));
-		const addressesFrom = (index: number) => range(index, index + (2 * hosts)).map(each => addressOf(each));
-		await Promise.all([...callers, ...added].map(async (caller, index) => caller.resume(addressesFrom(index + restarts))));
-		const published = listPublished(world).filter(replica => isDecode(replica));
-		const countEngines = (version: string) => published.filter(({softwareVersion}) => softwareVersion === version).length;
-		const counted = broken.filter(({version}) => countEngines(version) >= leastEngines);
-		const gone = broken.filter(({version}) => countEngines(version) === 0);
-		const goneOn = counted.filter(({caller, events}) => caller.events.length > events);
-		const begun = added.filter(({events}) => events.length > 0);
-		const mixed = [...callers, ...added].filter(({versions}) => versions.size > 1);
-		const late = gone.filter(({caller, attempts}) => !isRefusedAtOnce(world, caller, attempts));
-		const share = counted.length === 0 ? 'none' : (goneOn.length / counted.length) / (begun.length / added.length);
-		report(`${mixed.length} mixed; ${goneOn.length} of ${counted.length} went on, ${begun.length} of ${added.length} new ones began; ${late.length} of ${gone.length} whose version is gone did not end at once`);
-		return {
-			broken: broken.length, mixed: mixed.length, late: late.length, inOrder: callers.every(({isInOrder}) => isInOrder), share: mayRefuse || (typeof share === 'number' && share >= leastShare) ? 'enough' : share,
-		};
-	} finally {
-		await world.stop();
-	}
-}
-
 describe('streams that are resumed after all hosts were restarted at once', () => {
 	for (const each of cases) {
 		it(each.name, async context => {
-			expect(await play(each, text => {
+			expect(await playRestart(each, text => {
 				context.diagnostic(text);
 			})).toEqual({
 				broken: streams, mixed: 0, late: 0, inOrder: true, share: each.isAllGone ? 'none' : 'enough',
