--- a/packages/relay/src/access/workspace-quotas.test.ts
+++ b/packages/relay/src/access/workspace-quotas.test.ts
@@ -229,7 +229,7 @@
 	};
 }
 
-/** Ends the first hosts by rank for good. The others miss them after a while. */
+/** Kills the highest-ranked hosts permanently. The other hosts detect the failure after a delay. */
 function loseKeepers(count: number): Case['restart'] {
 	return fleet => {
 		const keepers = new Set(rankCoordinators(workspace.name, fleet.hosts.map(({name}) => name)).slice(0, count));
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -1,4 +1,4 @@
-/** Where a resumed stream goes on, by each source of its version, and which refusals name a time to come back. */
+/** Where a resumed stream goes on, by each source of its version, and which rejections have a Retry-After. */
 import {describe, it} from 'node:test';
 import {RunTraces, type RunTrace} from '@gatehead/policy/relay/run-traces';
 import {type StreamRecord} from '@gatehead/policy/relay/stream-records';
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -116,7 +116,7 @@
 		metrics.time('streamLookup', clock.now() - startedAt);
 		log('streamResumed', {
 			request: request.facts.id, service: request.service, softwareVersion: point?.softwareVersion, source, recordedAt: host, asked, silent, tookMs: Math.round(clock.now() - startedAt),
-			resumes: request.facts.resumedId?.slice(0, maxLoggedLength), lastEventId: request.facts.lastEventId?.slice(0, maxLoggedLength), windowMs, ...summarize(views),
+			resumedId: request.facts.resumedId?.slice(0, maxLoggedLength), lastEventId: request.facts.lastEventId?.slice(0, maxLoggedLength), windowMs, ...summarize(views),
 		});
 		if (!unusableSources.has(source)) {
 			return point;
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -126,7 +126,7 @@
 /** How long streams are played, and by whom. */
 export type StreamPlan = {
 	readonly isOver: () => boolean;
-	/** Whether callers come back while no host answers. */
+	/** Whether callers retry while all hosts are down. */
 	readonly isPatient: boolean;
 };
 
--- a/packages/standin/src/wire/restarted-streams.ts
+++ b/packages/standin/src/wire/restarted-streams.ts
@@ -33,9 +33,9 @@
 	readonly restarts?: number;
 	/** Whether streams are resumed between two restarts too. */
 	readonly isResumedBetween?: boolean;
-	/** Whether callers come back as soon as a host says that it is ready, before hosts have found each other. */
+	/** Whether callers retry as soon as a host is ready, before membership has converged. */
 	readonly isEarly?: boolean;
-	/** Whether nothing is left that tells the versions of streams for sure: all may be refused. */
+	/** Whether no evidence of the streams' versions is left, so that all may be rejected. */
 	readonly mayRefuse?: boolean;
 	/** Whether no stream's version is left. */
 	readonly isAllGone?: boolean;
@@ -137,7 +137,7 @@
 /** Refusals that say that a stream cannot go on; others depend on time or load. */
 const finalReasons: ReadonlySet<unknown> = new Set(['streamVersionUnknown', 'streamVersionGone']);
 
-/** Whether all answers since a restart said that the stream cannot go on, and the last one told the caller not to come back. */
+/** Whether all responses since a restart rejected the stream for its version, the last one without Retry-After. */
 function isRefusedAtOnce({lines}: World, {name, ends, hasGivenUp}: StreamCaller, attemptsBefore: number): boolean {
 	const since = ends.slice(attemptsBefore);
 	const attempts = new Set(since.map((_, index) => `${name}-${attemptsBefore + index}`));
