Streams: an engine that shares its address is asked once the other entry has expired

A host asks an engine only while no entry of another version names its address, and again if one appears while it is asked; two entries of one version do not matter. An entry whose version has changed is not asked at all.

--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -3,7 +3,7 @@
  * hosts may have been restarted at once, and new requests soon displace what
  * engines have cached. A few hosts ask each engine, whatever the size of the
  * fleet. Safety: what an engine says counts for the software version of its
- * entry only if that entry alone names its address, before and after.
+ * entry only if no entry of another version names its address, before and after.
  */
 import {type PastEndpoints} from '@gatehead/policy/relay/past-endpoints';
 import {type RunTrace} from '@gatehead/policy/relay/run-traces';
@@ -58,13 +58,14 @@
 /** The survey of one host. */
 export class RunSurvey {
 	readonly #parts: RunSurveyParts;
-	/** Attempts by engine; infinite once it has answered. */
+	/** Attempts by engine; infinite once nothing more can be learned from it. */
 	readonly #attempts = new Map<string, number>();
 	readonly #waiting = new Set<() => void>();
 	readonly #inFlight = new Set<string>();
-	/** Engines that have left the directory, which may still serve, and those whose entries had several versions. */
+	/** Engines whose entries had several versions. */
+	readonly #changed = new Set<string>();
+	/** Engines that have left the directory, which may still serve. */
 	#departed: readonly Endpoint[] = [];
-	#changed: ReadonlySet<string> = new Set();
 	#listedAt: number | undefined;
 	#isComplete = false;
 	#isOver = false;
@@ -81,7 +82,9 @@
 	/** Adds what the directory's history says of the time before this host's start. */
 	addPast({departed, changed}: PastEndpoints): void {
 		this.#departed = departed.filter(engine => isDecode(engine)).slice(-maxEngines);
-		this.#changed = changed;
+		for (const id of changed) {
+			this.#changed.add(id);
+		}
 	}
 
 	stop(): void {
@@ -147,13 +150,17 @@
 	}
 
 	#askEngines(): void {
-		const share = this.#listEngines().filter(({id}) => this.#isDue(id) && this.#parts.isAsker(id));
-		const departed = this.#listDeparted().filter(({id}) => !this.#attempts.has(id) && this.#parts.isAsker(id));
+		const due = this.#listEngines().filter(({id}) => this.#isDue(id) && this.#parts.isAsker(id));
+		const left = this.#listDeparted().filter(({id}) => !this.#attempts.has(id) && this.#parts.isAsker(id));
+		// An engine that shares its address is asked once the other entry has expired
+		const versions = due.length + left.length === 0 ? new Map<string, Set<string>>() : this.#mapVersions();
+		const share = due.filter(engine => this.#isAttributable(engine, versions));
+		const departed = left.filter(engine => this.#isAttributable(engine, versions));
 		for (const engine of [...this.#chooseNext(share), ...departed].slice(0, maxConcurrent - this.#inFlight.size)) {
 			void this.#ask(engine);
 		}
 
-		const isAnswered = this.#listEngines().every(({id}) => this.#attempts.get(id) === Number.POSITIVE_INFINITY || !this.#parts.isAsker(id));
+		const isAnswered = this.#listEngines().every(({id}) => this.#isSettled(id) || !this.#parts.isAsker(id));
 		this.#isComplete = isAnswered && departed.length === 0 && this.#inFlight.size === 0;
 		if (this.#isComplete) {
 			this.#release();
@@ -164,6 +171,10 @@
 		return !this.#inFlight.has(id) && (this.#attempts.get(id) ?? 0) < maxAttempts;
 	}
 
+	#isSettled(id: string): boolean {
+		return this.#changed.has(id) || this.#attempts.get(id) === Number.POSITIVE_INFINITY;
+	}
+
 	/** Engines of this host's share to ask next. Each host has its own order, so that hosts which do not know each other ask different ones. */
 	#chooseNext(share: readonly Endpoint[]): Endpoint[] {
 		const {host} = this.#parts;
@@ -178,14 +189,15 @@
 		const {calls, context: {log, metrics}, onTraces} = this.#parts;
 		this.#inFlight.add(engine.id);
 		this.#attempts.set(engine.id, (this.#attempts.get(engine.id) ?? 0) + 1);
-		const wasAttributable = this.#isAttributable(engine);
+		const wasKnown = this.#parts.endpoints.book.isKnown(engine.id);
 		const [runs, parts] = await Promise.all([calls.listRuns(engine), calls.listCachedParts(engine)]);
-		const isUsable = wasAttributable && this.#isAttributable(engine);
-		if (runs !== undefined && parts !== undefined) {
+		const isUsable = this.#isUnchanged(engine, wasKnown);
+		const isAnswered = runs !== undefined && parts !== undefined;
+		if (isUsable && isAnswered) {
 			this.#attempts.set(engine.id, Number.POSITIVE_INFINITY);
 		}
 
-		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, runs !== undefined && parts !== undefined)});
+		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, isAnswered)});
 		log('engineSurveyed', {
 			endpoint: engine.id, service: engine.service, softwareVersion: engine.softwareVersion, runs: runs?.length, parts: parts?.length, isUsable,
 		});
@@ -203,11 +215,30 @@
 		}
 	}
 
-	/** Whether what an engine lists is that of its entry's version: the entry never had another one, and no other entry names its address. */
-	#isAttributable({id, address, softwareVersion}: Endpoint): boolean {
-		const sharing = this.#parts.endpoints.book.list().filter(({endpoint}) => endpoint.address === address);
-		const isDeparted = this.#listDeparted().some(engine => engine.id === id);
-		return !this.#changed.has(id) && sharing.length === (isDeparted ? 0 : 1) && sharing.every(({endpoint}) => endpoint.id === id && endpoint.softwareVersion === softwareVersion);
+	/** Software versions of all entries, by address. */
+	#mapVersions(): Map<string, Set<string>> {
+		const versions = new Map<string, Set<string>>();
+		for (const {endpoint} of this.#parts.endpoints.book.list()) {
+			const known = versions.get(endpoint.address) ?? new Set();
+			versions.set(endpoint.address, known.add(describeVersion(endpoint)));
+		}
+
+		return versions;
+	}
+
+	/** Whether what an engine lists is that of its entry's version: the entry never had another one, and no entry of another one names its address. */
+	#isAttributable(engine: Endpoint, versions: ReadonlyMap<string, ReadonlySet<string>>): boolean {
+		return !this.#changed.has(engine.id) && [...versions.get(engine.address) ?? []].every(version => version === describeVersion(engine));
+	}
+
+	/** Whether an engine is as it was before it was asked: in the directory or not, and of the same version. */
+	#isUnchanged(engine: Endpoint, wasKnown: boolean): boolean {
+		const known = this.#parts.endpoints.book.endpointOf(engine.id);
+		if (known !== undefined && describeVersion(known) !== describeVersion(engine)) {
+			this.#changed.add(engine.id);
+		}
+
+		return wasKnown === (known !== undefined) && this.#isAttributable(engine, this.#mapVersions());
 	}
 
 	#makeTrace(engine: Endpoint, subject: TraceSubject, id: string, size: number): RunTrace {
@@ -230,6 +261,10 @@
 	}
 }
 
+function describeVersion(endpoint: Endpoint): string {
+	return JSON.stringify([endpoint.service, versionOf(endpoint)]);
+}
+
 function isDecode({stage}: Endpoint): boolean {
 	return stage === 'decode';
 }
