Fix: callers that left right after the first event counted as sends to crashed endpoints

Callers saw 503 2009 with a Retry-After of 59 s for every request of a content, after two endpoints had left the directory without a drain notice. Sends that the relay or the caller gives up count as a crash if their endpoint's entry goes within 15 s; a caller that closes its connection within 300 ms of the first data counted as well, although it has not waited for a silent endpoint. Entries of live endpoints may go without notice.

Its lines: contentHeldSince for decode-8 and decode-10, whose only lost sends are 40 with status 200, cancelled by callers that leave at their first event. Ruled out: two endpoints within 200 ms count as one, which is why a quick machine passes.

Now such a send counts only if no response has begun.

--- a/packages/relay/src/upstream/crash-guard.test.ts
+++ b/packages/relay/src/upstream/crash-guard.test.ts
@@ -135,6 +135,14 @@
 			await harness.loseSend(createEndpoint('e2'), {isConnectionLost: false});
 		},
 	},
+	{
+		name: 'abandoned sends whose responses had just begun, at endpoints that are gone later', isHeld: false, async run(harness) {
+			for (const id of ['e1', 'e2']) {
+				await harness.loseSend(createEndpoint(id), {isConnectionLost: false, answeredMs: 100});
+				harness.guard.handleGone(createEndpoint(id));
+			}
+		},
+	},
 	{
 		name: 'abandoned sends at endpoints that drained', isHeld: false, async run(harness) {
 			for (const id of ['e1', 'e2']) {
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -192,7 +192,8 @@
 			});
 		}
 
-		if (answeredAt !== undefined && now - answeredAt >= crashWindowMs) {
+		// Who gives up a response that has begun has not waited in vain for an endpoint
+		if (answeredAt !== undefined && (!isConnectionLost || now - answeredAt >= crashWindowMs)) {
 			return;
 		}
 
