--- a/specification/restarts.pml
+++ b/specification/restarts.pml
@@ -9,12 +9,12 @@
  * it; it does go on where the engine that made its events was read, no other
  * version has as much of it, and all hosts reply.
  * Bounds: two hosts, two engines, two versions, four restarts of engines and
- * changes of entries (six with MISTAKE_TWICE). Assumptions: (1) an attempt whose events reached nobody does not leave as
- * much as the caller has, at an engine of another version, when those that made
- * the caller's events have lost them or have left: nothing tells the two apart.
- * (2) An
- * entry does not change twice during one question. (3) An engine takes work
- * once its entry states its version.
+ * changes of entries (six with MISTAKE_TWICE). Assumptions: (1) an attempt whose
+ * events reached nobody does not leave as much as the caller has, at an engine
+ * of another version, when those that made the caller's events have lost them or
+ * have left: nothing tells the two apart. (2) An entry does not change twice
+ * during one question. (3) An engine takes work once its entry states its
+ * version.
  * Seeded mistakes: MISTAKE_NO_PAST (hosts that agree are proof, though none has
  * a past), MISTAKE_FORGET (a version that has left is forgotten at once),
  * MISTAKE_PREFILLED (a part without generated tokens counts), MISTAKE_ANY_SIZE
