Streams: at the first start of the fleet a host vouches for all of a stream's life

Callers that name no attempt were refused for the first 38 s of a fleet (two route timeouts and 10 s), though all hosts were there from the beginning and one version only had served: since a host vouches only for the time that it has seen, nobody could.

The platform marks the very first start of the whole system; nothing began before it. A process of that start that has missed no change since covers the whole window.

--- a/packages/policy/src/relay/version-history.test.ts
+++ b/packages/policy/src/relay/version-history.test.ts
@@ -1,5 +1,6 @@
 /** Which versions a host can vouch for, from what it has seen of the directory. */
 import {describe, it} from 'node:test';
+import {type Start} from '@gatehead/schema/relay-settings';
 import {expect} from 'earl';
 import {StreamRecords} from './stream-records.js';
 import {findOnlyVersion, VersionHistory} from './version-history.js';
@@ -9,6 +10,7 @@
 
 type Case = {
 	readonly name: string;
+	readonly start?: Start;
 	readonly play: (history: VersionHistory) => void;
 	readonly now: number;
 	readonly versions: readonly string[];
@@ -63,12 +65,34 @@
 			history.restart(400);
 		}, now: 500, versions: ['v1'], coverageMs: 100,
 	},
+	{
+		name: 'the first start of the fleet', start: 'first', play(history) {
+			history.restart(0);
+			history.see({id: 'a', service, softwareVersion: 'v1'}, 0);
+		}, now: 500, versions: ['v1'], coverageMs: windowMs,
+	},
+	{
+		name: 'the first start of the fleet, before the first list', start: 'first', play() {
+			// No endpoint yet
+		}, now: 500, versions: [], coverageMs: 0,
+	},
+	{
+		name: 'the first start of the fleet, and changes that may have been missed', start: 'first', play(history) {
+			history.see({id: 'a', service, softwareVersion: 'v1'}, 0);
+			history.restart(400);
+		}, now: 500, versions: ['v1'], coverageMs: 100,
+	},
+	{
+		name: 'a later start', start: 'again', play(history) {
+			history.see({id: 'a', service, softwareVersion: 'v1'}, 0);
+		}, now: 500, versions: ['v1'], coverageMs: 500,
+	},
 ];
 
 describe('version history', () => {
-	for (const {name, play, now, versions, coverageMs} of cases) {
+	for (const {name, start, play, now, versions, coverageMs} of cases) {
 		it(name, () => {
-			const history = new VersionHistory();
+			const history = new VersionHistory(start);
 			play(history);
 			expect(history.view(service, windowMs, now)).toEqual({versions, coverageMs});
 		});
--- a/packages/policy/src/relay/version-history.ts
+++ b/packages/policy/src/relay/version-history.ts
@@ -3,6 +3,7 @@
  * with the time at which the last endpoint of a version left. Shows whether
  * all streams since some time began at one version.
  */
+import {type Start} from '@gatehead/schema/relay-settings';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 
 /** Time for which a version that has left is remembered, in milliseconds. */
@@ -11,7 +12,7 @@
 /** The versions that one host has seen of a service. */
 export type VersionView = {
 	readonly versions: readonly string[];
-	/** Time over which the host has seen all changes, in milliseconds. */
+	/** Time over which the host has seen all changes, in milliseconds; all of the window if there was no fleet before that. */
 	readonly coverageMs: number;
 };
 
@@ -26,8 +27,14 @@
 	readonly #current = new Map<string, SeenEndpoint>();
 	/** When the last endpoint of a version left, by service and version. */
 	readonly #leftAt = new Map<string, Map<string, number>>();
+	/** Whether this host is of the first start of the fleet and has missed no change since. */
+	#isWhole: boolean;
 	#since: number | undefined;
 
+	constructor(start: Start = 'unknown') {
+		this.#isWhole = start === 'first';
+	}
+
 	/** Records an endpoint that is listed, also one that is leaving. */
 	see(endpoint: Pick<Endpoint, 'id' | 'service' | 'softwareVersion'>, now: number): void {
 		this.#since ??= now;
@@ -57,6 +64,7 @@
 
 	/** Records that changes may have been missed before `now`. */
 	restart(now: number): void {
+		this.#isWhole &&= this.#since === undefined;
 		this.#since = now;
 	}
 
@@ -75,7 +83,8 @@
 			}
 		}
 
-		return {versions: [...versions], coverageMs: now - (this.#since ?? now)};
+		const seenMs = now - (this.#since ?? now);
+		return {versions: [...versions], coverageMs: this.#isWhole && this.#since !== undefined ? Math.max(windowMs, seenMs) : seenMs};
 	}
 
 	#recordLeft({service, softwareVersion}: SeenEndpoint, now: number): void {
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -72,7 +72,7 @@
 	readonly book = new EndpointBook(id => this.signals.isDraining(id));
 	readonly health = new EndpointHealth();
 	readonly contacts = new EndpointContacts();
-	readonly versions = new VersionHistory();
+	readonly versions: VersionHistory;
 	/** Expected memory of decode replicas; used where load is managed. */
 	readonly memoryForecast = new MemoryForecast();
 	/** Paces and loads where load is managed. */
@@ -123,6 +123,7 @@
 	constructor(context: EndpointContext, listener: EndpointListener) {
 		this.#context = context;
 		this.#listener = listener;
+		this.versions = new VersionHistory(context.settings.start);
 		this.managed = new ManagedLoad({context, isManaged: () => listener.isLoadManaged(), isKnown: id => this.book.isKnown(id)});
 	}
 
