--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -74,6 +74,8 @@
 	#knownStates = '';
 	/** Hosts alive; computed on first use after a membership change. */
 	#ring: HashRing | undefined;
+	/** Whether this host performs a task, by the task; computed on first use after a membership change. */
+	readonly #tasks = new Map<string, boolean>();
 	readonly #directorySync: DirectorySync;
 	readonly #knownHosts: KnownHosts;
 	readonly #censusTask: CensusTask;
@@ -335,8 +337,16 @@
 
 	/** Whether this host is one of the `count` hosts alive that perform the task identified by `key`. */
 	isAmong(count: number, key: string): boolean {
+		const task = `${count} ${key}`;
+		const known = this.#tasks.get(task);
+		if (known !== undefined) {
+			return known;
+		}
+
 		this.#ring ??= new HashRing(this.#listAlive().map(({host}) => host));
-		return this.#ring.list(key, count).includes(this.#parts.context.self.host);
+		const isOwn = this.#ring.list(key, count).includes(this.#parts.context.self.host);
+		this.#tasks.set(task, isOwn);
+		return isOwn;
 	}
 
 	/** Whether this host has heard of the fleet since its start, or may assume that there is none. */
@@ -418,6 +428,7 @@
 		if (states !== this.#knownStates) {
 			this.#knownStates = states;
 			this.#ring = undefined;
+			this.#tasks.clear();
 			this.changedAt = this.#parts.context.clock.now();
 			this.hasSeenOtherCoordinator ||= !this.isCoordinator();
 			this.load.setMembers(this.membership.members.list());
