Streams: an engine that does not answer holds up other versions only

A host told only whether all engines in its share had answered. It now tells of which services and versions engines have not answered; a part counts once none of another version of the route's services is left. Who waits is released once no engine is left to ask. Streams of other versions than that of the silent engine still wait for the end of the survey.

The bound holds only until the members have not changed for 0.5 s. The case in run-survey.test.ts that has 300 engines and 64 asked now says that the host has not found the others, and one without that expects all 300.

--- a/packages/policy/src/relay/run-traces.test.ts
+++ b/packages/policy/src/relay/run-traces.test.ts
@@ -166,7 +166,7 @@
 	for (const {name, queries, traces, found} of findCases) {
 		it(`proof: ${name}`, () => {
 			for (const each of [traces, traces.toReversed()]) {
-				const origin = findTracedOrigin(queries, each, true);
+				const origin = findTracedOrigin(queries, each, []);
 				expect(typeof origin === 'object' ? origin.softwareVersion : origin).toEqual(found);
 			}
 		});
--- a/packages/policy/src/relay/run-traces.ts
+++ b/packages/policy/src/relay/run-traces.ts
@@ -4,7 +4,7 @@
  * trace proves a version only if the engine has made at least the events that
  * the caller has received, and no engine of another version has such a trace.
  * A cached part may also be that of an earlier attempt, so it counts only once
- * all hosts have told what they know. The absence of a trace proves nothing.
+ * all engines of other versions have been heard. The absence of a trace proves nothing.
  */
 import {type StreamOrigin} from './stream-records.js';
 
@@ -71,8 +71,8 @@
 	}
 }
 
-/** Where a stream began, by all traces of sufficient size; `ambiguous` if engines of several versions have one. `isComplete`: no other host has traces of these keys. */
-export function findTracedOrigin(queries: readonly TraceQuery[], traces: readonly RunTrace[], isComplete: boolean): StreamOrigin | 'ambiguous' | undefined {
+/** Where a stream began, by all traces of sufficient size; `ambiguous` if engines of several versions have one. `unheard`: of which hosts may learn more traces; undefined: of any. */
+export function findTracedOrigin(queries: readonly TraceQuery[], traces: readonly RunTrace[], unheard: readonly StreamOrigin[] | undefined): StreamOrigin | 'ambiguous' | undefined {
 	const matches = queries.flatMap(({key, leastSize, isExact}) => traces.filter(trace => trace.key === key && trace.size >= leastSize).map(trace => ({trace, isExact})));
 	const [first] = matches;
 	if (first === undefined) {
@@ -84,7 +84,8 @@
 		return 'ambiguous';
 	}
 
-	return isComplete || matches.some(({isExact}) => isExact) ? {service, softwareVersion} : undefined;
+	const isUncontested = unheard?.every(origin => isSameOrigin(origin, first.trace)) === true;
+	return isUncontested || matches.some(({isExact}) => isExact) ? {service, softwareVersion} : undefined;
 }
 
 function isSameOrigin(left: StreamOrigin, right: StreamOrigin): boolean {
--- a/packages/relay/src/peer/config-propagation.test.ts
+++ b/packages/relay/src/peer/config-propagation.test.ts
@@ -349,7 +349,7 @@
 			context, hasCrashed: async () => false, broadcast: ignore, isTrialHost: () => false,
 		});
 		const fleet: Fleet = new Fleet({
-			context, guard, endpoints, routing, watch: () => watch, reachability: {isUnreachable: () => false}, measureLoad: () => 0, retryBudgetOf: () => new RetryBudget(settings.retry, () => 0), survey: () => ({isOver: true, whenComplete: async () => true}), makeLinks: listener => new SimulatedLinks(name, listener, network),
+			context, guard, endpoints, routing, watch: () => watch, reachability: {isUnreachable: () => false}, measureLoad: () => 0, retryBudgetOf: () => new RetryBudget(settings.retry, () => 0), survey: () => ({isOver: true, listUnheard: () => [], whenComplete: async () => true}), makeLinks: listener => new SimulatedLinks(name, listener, network),
 		});
 		fleet.membership.members.updateSelf({peerAddress: name});
 		const watch = new DirectoryWatch({
--- a/packages/relay/src/peer/fleet-parts.ts
+++ b/packages/relay/src/peer/fleet-parts.ts
@@ -25,7 +25,7 @@
 	/** Services to whose endpoints this host has lost its links. */
 	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 	/** Asks engines after the start of this host what they hold of earlier runs. */
-	readonly survey: () => Pick<RunSurvey, 'whenComplete' | 'isOver'>;
+	readonly survey: () => Pick<RunSurvey, 'whenComplete' | 'isOver' | 'listUnheard'>;
 	/** Creates the transport; defaults to gRPC streams. */
 	readonly makeLinks?: (listener: LinkListener<RelayMessage>) => HostLinks;
 };
--- a/packages/relay/src/peer/trace-registry.test.ts
+++ b/packages/relay/src/peer/trace-registry.test.ts
@@ -168,7 +168,7 @@
 				context: {
 					clock: this.clock, log: ignore, metrics, self: {host: name, incarnation},
 				},
-				survey: () => host.survey ?? {isOver: host.isSurveyed, whenComplete: async () => this.hosts.some(each => each.name === name && each.isSurveyed)},
+				survey: () => host.survey ?? {isOver: host.isSurveyed, listUnheard: () => undefined, whenComplete: async () => this.hosts.some(each => each.name === name && each.isSurveyed)},
 				send: (to, message) => {
 					this.#send(name, to, message);
 				},
--- a/packages/relay/src/peer/trace-registry.ts
+++ b/packages/relay/src/peer/trace-registry.ts
@@ -5,6 +5,7 @@
  * it has under a key, so that engines which contradict each other show.
  */
 import {RunTraces, type RunTrace} from '@gatehead/policy/relay/run-traces';
+import {type StreamOrigin} from '@gatehead/policy/relay/stream-records';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelayMessage, type RelayMessageOf} from '@gatehead/schema/relay-message';
@@ -15,6 +16,8 @@
 
 /** Maximum keys at one host. */
 const maxKeys = 100_000;
+/** Maximum services and versions of engines that have not answered, in one message. */
+const maxUnheard = 100;
 /** Maximum traces in one message. */
 const maxBatch = 1000;
 /** Timeout of a question, in milliseconds: hosts that have just started reply once they have asked their engines. */
@@ -29,13 +32,15 @@
 	readonly traces: readonly RunTrace[];
 	/** Whether no host will learn more of these keys: all that asked engines have replied, or the time in which they do is over. */
 	readonly isComplete: boolean;
+	/** Services and versions of which more may be learned; undefined: of any. */
+	readonly unheard: readonly StreamOrigin[] | undefined;
 };
 
 export type TraceRegistryParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'self'>;
 	readonly send: (host: string, message: RelayMessage) => void;
 	/** Asks engines after the start of this host. */
-	readonly survey: () => Pick<RunSurvey, 'whenComplete' | 'isOver'>;
+	readonly survey: () => Pick<RunSurvey, 'whenComplete' | 'isOver' | 'listUnheard'>;
 };
 
 /** Registry of one host. */
@@ -116,9 +121,12 @@
 		}))]);
 		const now = clock.now();
 		const received = replies.flatMap(reply => (reply?.traces ?? []).map(trace => toTrace(trace, now)));
+		const hasAskedAll = survey.isOver || this.#holders.isEverybody(hosts);
+		const isComplete = isSurveyed && hasAskedAll && replies.every(reply => reply?.isComplete === true);
 		return {
 			traces: [...this.#listOwn(keys), ...received],
-			isComplete: isSurveyed && (survey.isOver || this.#holders.isEverybody(hosts)) && replies.every(reply => reply?.isComplete === true),
+			isComplete,
+			unheard: isComplete ? [] : combineUnheard(hasAskedAll ? [isSurveyed ? [] : survey.listUnheard(), ...replies.map(reply => reply?.isComplete === true ? [] : reply?.unheard)] : [undefined]),
 		};
 	}
 
@@ -132,10 +140,11 @@
 
 	/** Answers a question of another host, once this host has asked its engines. */
 	async receiveQuestion(from: string, {ask, keys}: RelayMessageOf<'tracesWanted'>): Promise<void> {
-		const isComplete = await this.#parts.survey().whenComplete();
+		const survey = this.#parts.survey();
+		const isComplete = await survey.whenComplete();
 		const now = this.#parts.context.clock.now();
 		this.#parts.send(from, {
-			kind: 'tracesFound', ask, isComplete, traces: this.#listOwn(keys).map(trace => toMessage(trace, now)),
+			kind: 'tracesFound', ask, isComplete, unheard: limitUnheard(survey.listUnheard()), traces: this.#listOwn(keys).map(trace => toMessage(trace, now)),
 		});
 	}
 
@@ -167,6 +176,17 @@
 	}
 }
 
+/** What fits into a message; undefined, which is any, if there is more. */
+function limitUnheard(unheard: StreamOrigin[] | undefined): StreamOrigin[] | undefined {
+	return unheard !== undefined && unheard.length > maxUnheard ? undefined : unheard;
+}
+
+/** What several hosts have not heard; undefined if one of them cannot tell. */
+function combineUnheard(lists: ReadonlyArray<readonly StreamOrigin[] | undefined>): StreamOrigin[] | undefined {
+	const told = lists.filter(list => list !== undefined);
+	return told.length < lists.length ? undefined : told.flat();
+}
+
 function toMessage({expiresAt, ...trace}: RunTrace, now: number): SentTrace {
 	return {...trace, leftMs: Math.max(0, expiresAt - now)};
 }
--- a/packages/relay/src/upstream/run-survey.test.ts
+++ b/packages/relay/src/upstream/run-survey.test.ts
@@ -51,6 +51,8 @@
 	/** Largest numbers of questions at a time, in all and to one engine. */
 	mostOpen = 0;
 	mostOpenAtEngine = 0;
+	/** Time of the last membership change. */
+	membersChangedAt = 0;
 	isAsker: (id: string) => boolean;
 	/** Reply to the nth question to an engine, from 1. */
 	reply: (id: string, attempt: number) => EngineReply;
@@ -80,7 +82,7 @@
 				},
 			},
 			host: 'host-0',
-			membersChangedAt: () => 0,
+			membersChangedAt: () => this.membersChangedAt,
 			isAsker: id => this.isAsker(id),
 			onTraces: traces => {
 				this.traces.push(...traces);
@@ -341,7 +343,12 @@
 		name: 'as many engines as it may ask', engines: maxEngines, set: ignore, traced: maxEngines, isComplete: true,
 	},
 	{
-		name: 'more engines than it may ask', engines: 300, set: ignore, traced: maxEngines, isComplete: true,
+		name: 'more engines than it may ask, while it has not found the others', engines: 300, set(fleet) {
+			fleet.membersChangedAt = Number.POSITIVE_INFINITY;
+		}, traced: maxEngines, isComplete: true,
+	},
+	{
+		name: 'more engines than that, all of which fall to it in its fleet', engines: 300, set: ignore, traced: 300, isComplete: true,
 	},
 	{
 		name: 'as many engines as it may ask, one replies late', engines: maxEngines, set(fleet) {
@@ -413,6 +420,30 @@
 		expect(toTraceKey('run', 'x') === toTraceKey('part', 'x')).toEqual(false);
 	});
 
+	it('a host asks a bounded number of engines until its fleet has not changed for a while', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(300));
+		fleet.survey.start();
+		await fleet.run(450);
+		expect(fleet.asked.size).toEqual(maxEngines);
+		await fleet.run(1000);
+		expect(fleet.asked.size).toEqual(300);
+	});
+
+	it('services and versions that have not answered are known once the hosts have found each other', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list([makeEngine('e0'), makeEngine('e1', {softwareVersion: 'v2'}), makeEngine('e2', {service: 'other'}), makeEngine('e3', {softwareVersion: 'v3'})]);
+		fleet.isAsker = id => id !== 'e3';
+		fleet.reply = id => id === 'e0' ? replyOf(id) : silent;
+		fleet.survey.start();
+		await fleet.run(100);
+		expect(fleet.survey.listUnheard()).toEqual(undefined);
+		await fleet.run(1000);
+		expect(fleet.survey.listUnheard()).toEqual([{service: 'model', softwareVersion: 'v2'}, {service: 'other', softwareVersion: 'v1'}]);
+		await fleet.run(endMs);
+		expect(fleet.survey.listUnheard()).toEqual([]);
+	});
+
 	it('a stopped survey asks nobody', async () => {
 		const fleet = new SurveyedFleet();
 		fleet.list(makeEngines(2));
@@ -439,6 +470,15 @@
 		expect(late).toEqual({isComplete: false, waitMs: maxWaitMs});
 	});
 
+	it('nobody waits for an engine that is not asked again', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(1));
+		fleet.reply = () => silent;
+		fleet.survey.start();
+		await fleet.run(1000);
+		expect(await fleet.await()).toEqual({isComplete: false, waitMs: 0});
+	});
+
 	it('nobody waits once the survey is over', async () => {
 		const fleet = new SurveyedFleet();
 		fleet.list(makeEngines(maxEngines + 1));
--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -7,6 +7,7 @@
  */
 import {type PastEndpoints} from '@gatehead/policy/relay/past-endpoints';
 import {type RunTrace} from '@gatehead/policy/relay/run-traces';
+import {type StreamOrigin} from '@gatehead/policy/relay/stream-records';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {hashText} from '@gatehead/schema/hash-text';
@@ -27,8 +28,10 @@
 const surveyMs = 10_000;
 /** Maximum wait for the survey, in milliseconds. */
 const maxWaitMs = 400;
-/** Maximum engines that one host asks while more than that fall to it, since it has not found the others, and maximum of those that have left. */
+/** Maximum engines that one host asks while more than that fall to it and it may not have found the others, and maximum of those that have left. */
 const maxEngines = 64;
+/** Time without a membership change after which a host has found the others, in milliseconds. */
+const foundMs = 500;
 /** Maximum engines asked at a time. */
 const maxConcurrent = 16;
 /** Maximum attempts to ask an engine. */
@@ -68,6 +71,8 @@
 	#departed: readonly Endpoint[] = [];
 	#listedAt: number | undefined;
 	#isComplete = false;
+	/** Whether there is no engine left to ask, though some may not have answered. */
+	#isIdle = false;
 	#isOver = false;
 	#timer: Timer | undefined;
 
@@ -97,9 +102,24 @@
 		return this.#isOver;
 	}
 
-	/** Resolves once all engines in this host's share have answered, when the survey is over, or after a short wait; whether no more will be learned. */
+	/** Services and versions of the engines in this host's share that have not answered; undefined before they are known. */
+	listUnheard(): StreamOrigin[] | undefined {
+		if (this.#isOver) {
+			return [];
+		}
+
+		if (!this.#hasSettled(this.#parts.context.clock.now())) {
+			return undefined;
+		}
+
+		const engines = [...this.#listEngines(), ...this.#listDeparted()].filter(({id}) => !this.#isSettled(id) && this.#parts.isAsker(id));
+		const origins = new Map(engines.map(engine => [describeVersion(engine), {service: engine.service, softwareVersion: versionOf(engine)}]));
+		return [...origins.values()];
+	}
+
+	/** Resolves once there is no engine in this host's share left to ask, when the survey is over, or after a short wait; whether no more will be learned. */
 	async whenComplete(): Promise<boolean> {
-		if (!this.#isComplete && !this.#isOver) {
+		if (!this.#isIdle && !this.#isOver) {
 			await new Promise<void>(resolve => {
 				const timer = this.#parts.context.clock.after(maxWaitMs, () => {
 					this.#waiting.delete(stopWaiting);
@@ -162,7 +182,8 @@
 
 		const isAnswered = this.#listEngines().every(({id}) => this.#isSettled(id) || !this.#parts.isAsker(id));
 		this.#isComplete = isAnswered && departed.length === 0 && this.#inFlight.size === 0;
-		if (this.#isComplete) {
+		this.#isIdle = this.#isComplete || (this.#inFlight.size === 0 && share.length === 0 && departed.length === 0);
+		if (this.#isIdle) {
 			this.#release();
 		}
 	}
@@ -177,10 +198,11 @@
 
 	/** Engines of this host's share to ask next. Each host has its own order, so that hosts which do not know each other ask different ones. */
 	#chooseNext(share: readonly Endpoint[]): Endpoint[] {
-		const {host} = this.#parts;
+		const {context: {clock}, host, membersChangedAt} = this.#parts;
+		const hasFoundOthers = clock.now() - membersChangedAt() >= foundMs;
 		const begun = share.filter(({id}) => this.#attempts.has(id));
 		const fresh = share.filter(({id}) => !this.#attempts.has(id)).map(engine => ({engine, place: hashText(`${host} ${engine.id}`)}));
-		const most = fresh.length > maxEngines ? Math.max(0, maxEngines - this.#attempts.size) : fresh.length;
+		const most = fresh.length > maxEngines && !hasFoundOthers ? Math.max(0, maxEngines - this.#attempts.size) : fresh.length;
 		const chosen = fresh.toSorted((left, right) => left.place - right.place).slice(0, most).map(({engine}) => engine);
 		return [...begun, ...chosen];
 	}
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -1,7 +1,7 @@
 /** Where a resumed stream goes on, by each source of its version, and which rejections have a Retry-After. */
 import {describe, it} from 'node:test';
 import {RunTraces, type RunTrace} from '@gatehead/policy/relay/run-traces';
-import {type StreamRecord} from '@gatehead/policy/relay/stream-records';
+import {type StreamOrigin, type StreamRecord} from '@gatehead/policy/relay/stream-records';
 import {VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
@@ -49,6 +49,8 @@
 	readonly traces?: readonly RunTrace[];
 	/** Whether all hosts have asked their engines. */
 	readonly isSurveyed?: boolean;
+	/** What engines have not answered, while they are asked; absent: any. */
+	readonly unheard?: readonly StreamOrigin[];
 	/** Whether the directory replies. */
 	readonly isConfirmed?: boolean;
 	/** Whether this host has heard of the fleet since its start. */
@@ -85,7 +87,7 @@
 	readonly streams: StreamVersions;
 	readonly #routing = {confirmedAt: -1};
 
-	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, isConfirmed = true, isFleetKnown = true}: Surroundings) {
+	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, isFleetKnown = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
 			this.versions.see({id: `e${index}`, service, softwareVersion}, 0);
 		}
@@ -113,7 +115,7 @@
 			traces: {
 				find: async keys => {
 					this.queries.push(...keys);
-					return {traces: keys.flatMap(key => held.get(key, 0)), isComplete: isSurveyed};
+					return {traces: keys.flatMap(key => held.get(key, 0)), isComplete: isSurveyed, unheard: isSurveyed ? [] : unheard};
 				},
 			},
 			versions: this.versions,
@@ -262,6 +264,19 @@
 		// An engine of another version may have run an earlier attempt with the same part
 		name: 'the part only, while hosts are still asking', ...side, isSurveyed: false, traces: [trace('part', 'own', 'v1', 450)], outcome: later('unknown'), isTraced: true,
 	},
+	{
+		name: 'the part only, while engines of its version are still asked', ...side, isSurveyed: false, unheard: [{service, softwareVersion: 'v1'}], traces: [trace('part', 'own', 'v1', 450)], outcome: {version: 'v1'}, isTraced: true,
+	},
+	{
+		name: 'the part only, while engines of another version are still asked', ...side, isSurveyed: false, unheard: [{service, softwareVersion: 'v1'}, {service, softwareVersion: 'v2'}], traces: [trace('part', 'own', 'v1', 450)], outcome: later('unknown'), isTraced: true,
+	},
+	{
+		name: 'the part only, while engines of a service that the route does not use are still asked', ...side, isSurveyed: false, unheard: [{service: 'unused', softwareVersion: 'v2'}], traces: [trace('part', 'own', 'v1', 450)], outcome: {version: 'v1'}, isTraced: true,
+	},
+	{
+		name: 'no trace, while engines of a service that the route does not use are still asked', ...side, isSurveyed: false, unheard: [{service: 'unused', softwareVersion: 'v2'}], outcome: final('unknown'), isTraced: true,
+	},
+
 	{
 		name: 'no trace, and a host that may have the record is silent', ...side, silent: 1, outcome: later('unknown'), isTraced: true,
 	},
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -6,6 +6,7 @@
  * the request is refused, never guessed.
  */
 import {findTracedOrigin} from '@gatehead/policy/relay/run-traces';
+import {type StreamOrigin} from '@gatehead/policy/relay/stream-records';
 import {findOnlyVersion, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
@@ -209,11 +210,12 @@
 			return {source: 'unknown'};
 		}
 
-		const {traces, isComplete} = await this.#parts.traces.find(queries.map(({key}) => key));
-		const routed = traces.filter(trace => shares.some(({service}) => service === trace.service));
-		const origin = findTracedOrigin(queries, routed, isComplete);
+		const {traces, unheard} = await this.#parts.traces.find(queries.map(({key}) => key));
+		const isRouted = (origin: StreamOrigin) => shares.some(({service}) => service === origin.service);
+		const expected = unheard?.filter(each => isRouted(each));
+		const origin = findTracedOrigin(queries, traces.filter(trace => isRouted(trace)), expected);
 		if (origin === undefined) {
-			return {source: 'unknown', isPending: !isComplete};
+			return {source: 'unknown', isPending: expected?.length !== 0};
 		}
 
 		return origin === 'ambiguous' ? {source: 'ambiguous'} : {source: 'engine', point: origin};
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -172,9 +172,9 @@
 	z.object({kind: z.literal('runTraces'), traces: z.array(runTrace).max(2000)}),
 	/** Asks for the traces under some keys. */
 	z.object({kind: z.literal('tracesWanted'), ask: z.number(), keys: z.array(streamKey).max(8)}),
-	/** Response to `tracesWanted`; `isComplete`: the sender has asked all engines that it has to ask after its start. */
+	/** Response to `tracesWanted`; `isComplete`: the sender has asked all engines that it has to ask after its start; `unheard`: services and versions of those that have not answered, absent if the sender cannot tell. */
 	z.object({
-		kind: z.literal('tracesFound'), ask: z.number(), traces: z.array(runTrace).max(2000), isComplete: z.boolean(),
+		kind: z.literal('tracesFound'), ask: z.number(), traces: z.array(runTrace).max(2000), isComplete: z.boolean(), unheard: z.array(runTrace.pick({service: true, softwareVersion: true})).max(100).optional(),
 	}),
 	/** Number of requests that wait for memory at a service; sent to the hosts that share its endpoints. */
 	z.object({
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -107,6 +107,8 @@
 	readonly cuts: ResponseCut[];
 	/** Whether its runs go on to their end when their connections close, as if it had not noticed. */
 	isRunningOn: boolean;
+	/** Status with which it rejects lists of what is in memory; undefined: it answers them. */
+	listRejection: number | undefined;
 	/** Ends the server, and loses what is in memory; `revive` starts it on the same address. */
 	kill(): Promise<void>;
 	revive(): Promise<void>;
@@ -146,6 +148,7 @@
 	framing: ResponseFraming = 'chunks';
 	readonly cuts: ResponseCut[] = [];
 	isRunningOn = false;
+	listRejection: number | undefined;
 	eventGapMs: number;
 	softwareVersion: string | undefined;
 	id: string;
@@ -203,6 +206,11 @@
 
 		const isExpected = (headerOf(request, 'expect-instance') ?? id) === id;
 		response.setHeader('Replica-Id', id);
+		if (this.listRejection !== undefined) {
+			sendJson(response, this.listRejection, {});
+			return;
+		}
+
 		sendJson(response, isExpected ? 200 : 421, isExpected ? describe() : {});
 	}
 
@@ -542,6 +550,12 @@
 		set id(id) {
 			replica.id = id;
 		},
+		get listRejection() {
+			return replica.listRejection;
+		},
+		set listRejection(status) {
+			replica.listRejection = status;
+		},
 		get softwareVersion() {
 			return replica.softwareVersion;
 		},
--- a/packages/standin/src/wire/restarted-streams.ts
+++ b/packages/standin/src/wire/restarted-streams.ts
@@ -22,6 +22,10 @@
 export type RestartCase = {
 	readonly name: string;
 	readonly hosts?: number;
+	/** Number of decode engines; absent: 12. */
+	readonly decode?: number;
+	/** Time between the starts of two hosts, in milliseconds; absent: all start at once. */
+	readonly startGapMs?: number;
 	readonly softwareVersions?: readonly string[];
 	/** Called before streams begin. */
 	readonly before?: (world: World, callers: readonly StreamCaller[]) => Promise<void>;
@@ -86,7 +90,7 @@
 
 /** Waits until each host has its endpoints and all its peers. */
 export async function waitUntilJoined(world: World): Promise<void> {
-	const {length} = listPublished(world);
+	const {length} = [...world.store.copy().items.keys()].filter(key => key.startsWith('servers/'));
 	await until(() => world.relays.every(({relay}) => relay.routing.version > 0 && relay.endpoints.book.list().length === length && relay.fleet.countHosts() === world.relays.length));
 }
 
@@ -145,9 +149,20 @@
 	return !hasGivenUp && since.length > 0 && since.every(({status}) => status === 503) && since.at(-1)?.retryAfterMs === undefined && reasons.every(reason => finalReasons.has(reason));
 }
 
+function countEach(texts: readonly string[]): string {
+	const counts = new Map<string, number>();
+	for (const text of texts) {
+		counts.set(text, (counts.get(text) ?? 0) + 1);
+	}
+
+	return [...counts].map(([text, count]) => `${text}: ${count}`).join(', ');
+}
+
 /** Breaks streams by restarts of all hosts, and resumes them beside as many new ones. */
-export async function playRestart({hosts = 8, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false}: RestartCase, report: (text: string) => void) {
-	const world = await startWorld({...parts, hosts, softwareVersions});
+export async function playRestart({hosts = 8, decode = parts.decode, startGapMs, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false}: RestartCase, report: (text: string) => void) {
+	const world = await startWorld({
+		...parts, hosts, decode, softwareVersions,
+	});
 	try {
 		const addressOf = (index: number) => world.relays[index % hosts]?.caller ?? '';
 		const callers = range(0, streams).map(index => new StreamCaller(`old-${index}`));
@@ -160,7 +175,7 @@
 		await world.restartAll(async () => {
 			await Promise.all(callers.map(async ({ended}) => ended));
 			await meanwhile?.(world, callers);
-		});
+		}, startGapMs);
 		for (const restart of range(1, restarts)) {
 			if (isResumedBetween) {
 				await waitUntilJoined(world);
@@ -189,6 +204,8 @@
 		const late = gone.filter(({caller, attempts}) => !isRefusedAtOnce(world, caller, attempts));
 		const share = counted.length === 0 ? 'none' : (goneOn.length / counted.length) / (begun.length / added.length);
 		report(`${mixed.length} mixed; ${goneOn.length} of ${counted.length} went on, ${begun.length} of ${added.length} new ones began; ${late.length} of ${gone.length} whose version is gone did not end at once`);
+		report(`resumed: ${countEach(broken.flatMap(({caller, attempts}) => [`after ${caller.ends.length - attempts} attempts`, ...caller.ends.slice(attempts).map(({status, retryAfterMs}) => `${status} ${retryAfterMs}`)]))}`);
+		report(`lookups: ${countEach(world.lines.filter(({code, facts}) => code === 'streamResumed' && String(facts.request).startsWith('old')).map(({facts}) => String(facts.source)))}`);
 		return {
 			broken: broken.length, mixed: mixed.length, late: late.length, inOrder: callers.every(({isInOrder}) => isInOrder), share: mayRefuse || (typeof share === 'number' && share >= leastShare) ? 'enough' : share,
 		};
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -109,8 +109,8 @@
 	publish(replica: StandinReplica, state: 'ready' | 'draining'): void;
 	/** Ends a host at once and starts it again, with nothing in memory. */
 	restart(index: number): Promise<void>;
-	/** Ends all hosts at once and starts them again, with nothing in memory; something else may happen while there is none. */
-	restartAll(meanwhile?: () => Promise<void>): Promise<void>;
+	/** Ends all hosts at once and starts them again, with nothing in memory; something else may happen while there is none. They start one after the other if there is a time between two starts, in milliseconds. */
+	restartAll(meanwhile?: () => Promise<void>, gapMs?: number): Promise<void>;
 	stop(): Promise<void>;
 };
 
@@ -315,10 +315,11 @@
 			await relays[index]?.relay.close();
 			relays[index] = await start(index);
 		},
-		async restartAll(meanwhile) {
+		async restartAll(meanwhile, gapMs = 0) {
 			await Promise.all(relays.map(async ({relay}) => relay.close()));
 			await meanwhile?.();
 			await Promise.all(numbers.map(async index => {
+				await pause(index * gapMs);
 				relays[index] = await start(index);
 			}));
 		},
