Streams: cached parts count in large fleets once all hosts have heard their engines

Hosts now say in their member records whether they still ask; a lookup is complete once nobody does, besides the replies that it has. Traces go to their holders before the record changes.

--- a/packages/policy/src/core/members.ts
+++ b/packages/policy/src/core/members.ts
@@ -85,7 +85,7 @@
 	}
 
 	/** Changes this host's record and increments its counter. */
-	updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'load' | 'callerAddress' | 'peerAddress' | 'adminAddress' | 'directory' | 'unreachable' | 'census'>>): void {
+	updateSelf(change: Partial<Pick<MemberRecord, 'state' | 'load' | 'callerAddress' | 'peerAddress' | 'adminAddress' | 'directory' | 'unreachable' | 'census' | 'isSurveying'>>): void {
 		this.#put({...this.self, ...change, counter: this.self.counter + 1});
 	}
 
--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -393,6 +393,12 @@
 		this.announce();
 	}
 
+	/** Tells all hosts whether this one still asks engines after its start. */
+	announceSurvey(isSurveying: boolean): void {
+		this.membership.members.updateSelf({isSurveying});
+		this.announce();
+	}
+
 	/** Sends the pause of a failing endpoint to all reachable hosts. */
 	announcePause(pause: Pause): void {
 		this.#broadcast({kind: 'paused', pause});
@@ -534,6 +540,7 @@
 		peerAddress: listen.advertisedPeer ?? listen.peer,
 		adminAddress: listen.metrics ?? '',
 		load: 0,
+		isSurveying: true,
 		...(listen.forward === undefined ? {} : {forwardAddress: listen.forward}),
 	};
 }
--- a/packages/relay/src/peer/record-holders.ts
+++ b/packages/relay/src/peer/record-holders.ts
@@ -83,9 +83,9 @@
 		return this.#getSubsets().count === 1 ? [...first, ...rest] : first;
 	}
 
-	/** Whether all other hosts alive are among some hosts. */
-	isEverybody(hosts: ReadonlySet<string>): boolean {
-		return this.#members.every(({host, state}) => state === 'dead' || host === this.#parts.self || hosts.has(host));
+	/** Other hosts alive that are not among some hosts. */
+	listOthers(hosts: ReadonlySet<string>): MemberRecord[] {
+		return this.#members.filter(({host, state}) => state !== 'dead' && host !== this.#parts.self && !hosts.has(host));
 	}
 
 	/** Forgets expired records. */
--- a/packages/relay/src/peer/surveyed-fleets.test.ts
+++ b/packages/relay/src/peer/surveyed-fleets.test.ts
@@ -1,4 +1,4 @@
-/** Guards against cached parts that count for nothing until the time for the survey is over, although all hosts have asked their engines. */
+/** Guards against cached parts that count before all hosts have heard their engines, or not until the time for the survey is over although they have. */
 import {describe, it} from 'node:test';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
@@ -11,14 +11,28 @@
 const self = {host: 'host-0', incarnation: 1};
 const key = toTraceKey('part', 'own');
 
-function makeMembers(count: number): MemberRecord[] {
-	return Array.from({length: count}, (_, index) => ({
-		host: `host-${index}`, hall: 'a', region: 'r', incarnation: 1, counter: 0, load: 0, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '',
+type Case = {
+	readonly hosts: number;
+	/** Whether all hosts but the asked ones still ask their engines. */
+	readonly isSurveying: boolean;
+	readonly isComplete: boolean;
+};
+
+const cases: readonly Case[] = [
+	...[2, 8, 20, 31, 32, 40, 350].map(hosts => ({hosts, isSurveying: false, isComplete: true})),
+	// Each host is asked
+	...[2, 8, 20, 31].map(hosts => ({hosts, isSurveying: true, isComplete: true})),
+	...[32, 40, 350].map(hosts => ({hosts, isSurveying: true, isComplete: false})),
+];
+
+function makeMembers({hosts, isSurveying}: Case): MemberRecord[] {
+	return Array.from({length: hosts}, (_, index) => ({
+		host: `host-${index}`, hall: 'a', region: 'r', incarnation: 1, counter: 0, load: 0, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', isSurveying,
 	}));
 }
 
-/** One host of a fleet in which each has heard all engines that it has to ask. */
-function makeRegistry(hosts: number): TraceRegistry {
+/** One host of a fleet in which it and all that it asks have heard their engines. */
+function makeRegistry(each: Case): TraceRegistry {
 	const registry = new TraceRegistry({
 		context: {
 			clock: new ManualClock(), log: ignore, metrics: new Metrics(undefined, {}), self,
@@ -32,16 +46,15 @@
 			}
 		},
 	});
-	registry.setMembers(makeMembers(hosts));
+	registry.setMembers(makeMembers(each));
 	return registry;
 }
 
-describe('traces once all hosts of a fleet have heard their engines', () => {
-	for (const hosts of [2, 8, 20, 31, 32, 40, 350]) {
-		it(`${hosts} hosts: nothing more is expected`, async () => {
-			const registry = makeRegistry(hosts);
-			const {isComplete} = await registry.find([key]);
-			expect(isComplete).toEqual(true);
+describe('traces after a restart of all hosts', () => {
+	for (const each of cases) {
+		it(`${each.hosts} hosts, others ${each.isSurveying ? 'still ask' : 'have heard'} their engines: ${each.isComplete ? 'nothing' : 'something'} more is expected`, async () => {
+			const {isComplete} = await makeRegistry(each).find([key]);
+			expect(isComplete).toEqual(each.isComplete);
 		});
 	}
 });
--- a/packages/relay/src/peer/trace-registry.test.ts
+++ b/packages/relay/src/peer/trace-registry.test.ts
@@ -551,6 +551,7 @@
 					},
 				},
 				isAsker: id => host.known.length === 1 || shares.get(id)?.has(host.name) === true,
+				onProgress: ignore,
 				onTraces: traces => {
 					const engine = this.book.list().find(({endpoint: {id}}) => traces[0]?.key === toTraceKey('run', `${id}-run-0`));
 					const id = engine?.endpoint.id ?? '';
--- a/packages/relay/src/peer/trace-registry.ts
+++ b/packages/relay/src/peer/trace-registry.ts
@@ -121,7 +121,8 @@
 		}))]);
 		const now = clock.now();
 		const received = replies.flatMap(reply => (reply?.traces ?? []).map(trace => toTrace(trace, now)));
-		const hasAskedAll = survey.isOver || this.#holders.isEverybody(hosts);
+		// Holders have been sent what hosts learn, but cannot tell who will learn more
+		const hasAskedAll = survey.isOver || this.#holders.listOthers(hosts).every(({isSurveying}) => isSurveying !== true);
 		const isComplete = isSurveyed && hasAskedAll && replies.every(reply => reply?.isComplete === true);
 		return {
 			traces: [...this.#listOwn(keys), ...received],
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -160,6 +160,9 @@
 			onTraces: traces => {
 				this.fleet.traces.record(traces);
 			},
+			onProgress: isSurveying => {
+				this.fleet.announceSurvey(isSurveying);
+			},
 		});
 		const budgets = new RetryBudgets({context, census: this.fleet.census, exchange: this.fleet.retries});
 		this.#stageOrders = new StageOrders({
--- a/packages/relay/src/upstream/run-survey.test.ts
+++ b/packages/relay/src/upstream/run-survey.test.ts
@@ -46,6 +46,8 @@
 	readonly survey: RunSurvey;
 	readonly asked = new Map<string, number>();
 	readonly traces: RunTrace[] = [];
+	/** What was announced: whether engines have not answered. */
+	readonly progress: boolean[] = [];
 	/** Time that an engine takes to reply, in milliseconds. */
 	delayMs = 5;
 	/** Largest numbers of questions at a time, in all and to one engine. */
@@ -87,6 +89,9 @@
 			onTraces: traces => {
 				this.traces.push(...traces);
 			},
+			onProgress: isSurveying => {
+				this.progress.push(isSurveying);
+			},
 		});
 	}
 
@@ -479,6 +484,30 @@
 		expect(await fleet.await()).toEqual({isComplete: false, waitMs: 0});
 	});
 
+	it('other hosts are told when all engines have answered, and when one comes into view', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(2));
+		fleet.survey.start();
+		await fleet.run(500);
+		expect(fleet.progress).toEqual([false]);
+		fleet.list(makeEngines(3));
+		await fleet.run(500);
+		expect(fleet.progress).toEqual([false, true, false]);
+		await fleet.run(endMs);
+		expect(fleet.progress).toEqual([false, true, false]);
+	});
+
+	it('other hosts are told of the end of a survey in which an engine never answers', async () => {
+		const fleet = new SurveyedFleet();
+		fleet.list(makeEngines(2));
+		fleet.reply = id => id === 'e1' ? silent : replyOf(id);
+		fleet.survey.start();
+		await fleet.run(1000);
+		expect(fleet.progress).toEqual([]);
+		await fleet.run(endMs);
+		expect(fleet.progress).toEqual([false]);
+	});
+
 	it('nobody waits once the survey is over', async () => {
 		const fleet = new SurveyedFleet();
 		fleet.list(makeEngines(maxEngines + 1));
--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -56,6 +56,8 @@
 	/** Time of the last membership change. */
 	readonly membersChangedAt: () => number;
 	readonly onTraces: (traces: readonly RunTrace[]) => void;
+	/** Whether there are engines in this host's share that have not answered; called when that changes. */
+	readonly onProgress: (isSurveying: boolean) => void;
 };
 
 /** The survey of one host. */
@@ -74,6 +76,7 @@
 	/** Whether there is no engine left to ask, though some may not have answered. */
 	#isIdle = false;
 	#isOver = false;
+	#isSurveying = true;
 	#timer: Timer | undefined;
 
 	constructor(parts: RunSurveyParts) {
@@ -147,6 +150,7 @@
 
 		if (this.#listedAt !== undefined && now - this.#listedAt >= surveyMs) {
 			this.#end();
+			this.#reportProgress();
 			return;
 		}
 
@@ -186,6 +190,16 @@
 		if (this.#isIdle) {
 			this.#release();
 		}
+
+		this.#reportProgress();
+	}
+
+	#reportProgress(): void {
+		const isSurveying = !this.#isComplete && !this.#isOver;
+		if (isSurveying !== this.#isSurveying) {
+			this.#isSurveying = isSurveying;
+			this.#parts.onProgress(isSurveying);
+		}
 	}
 
 	#isDue(id: string): boolean {
--- a/packages/schema/src/peer-message.ts
+++ b/packages/schema/src/peer-message.ts
@@ -35,6 +35,8 @@
 	unreachable: z.array(z.string()).max(1000).optional(),
 	/** Absent in earlier versions. */
 	census: censusRecord.optional(),
+	/** Whether it still asks engines after its start what they hold of earlier runs. */
+	isSurveying: z.boolean().optional(),
 });
 
 /** A request for a lease, queued at a cell's keeper. */
