--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -11,6 +11,7 @@
 import {startStore, type StandinStore} from '../wire/store-server.js';
 import {makeConfig, makeEntry, type EngineDraft} from '../wire/world.js';
 import {LinkProxy} from '../wire/link-proxy.js';
+import {EventLog} from './event-log.js';
 import {startProxy, type FaultyProxy} from './faulty-proxy.js';
 import {HostProcess} from './host-process.js';
 import {startStoreView, type StoreView} from './store-view.js';
@@ -35,6 +36,7 @@
 	readonly links: readonly LinkProxy[];
 	readonly views: readonly StoreView[];
 	readonly log: ReplicaLog;
+	readonly events: EventLog;
 	readonly folder: string;
 	/** Called at the moment at which a caller has the first event of a stream, with the host that sent it. */
 	readonly firstEventListeners: Array<(host: HostProcess) => void>;
@@ -76,7 +78,7 @@
 		name: `host-${index}`, ip: `${ownNetwork}.${firstIp + index}`, ports: ports.slice(portsPerHost * index, portsPerHost * (index + 1)), seeds: [seedAddress], store: views[index]?.address ?? storeProxy.address, folder,
 	}));
 	const bed = {
-		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, links, views, log, folder, firstEventListeners: [], engine: isLoadManaged ? longOutputs : {}, version: 1, release: 1,
+		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, links, views, log, events: new EventLog(folder), folder, firstEventListeners: [], engine: isLoadManaged ? longOutputs : {}, version: 1, release: 1,
 	};
 	configure(bed);
 	for (const [index] of replicas.entries()) {
@@ -96,12 +98,15 @@
 }
 
 /** Hosts reach a replica through its proxy. */
-export function publish({store, replicas, proxies}: Bed, index: number, state: 'ready' | 'draining'): void {
+export function publish({store, replicas, proxies, events}: Bed, index: number, state: 'ready' | 'draining'): void {
 	const replica = replicas[index];
 	const proxy = proxies[index];
 	if (replica !== undefined && proxy !== undefined) {
 		const entry = makeEntry(replica, state);
 		store.put(`servers/${replica.id}`, {...(typeof entry === 'object' ? entry : {}), address: proxy.address});
+		events.add({
+			event: 'published', endpoint: replica.id, state, address: proxy.address, softwareVersion: replica.softwareVersion,
+		});
 	}
 }
 
@@ -120,7 +125,7 @@
 }
 
 /** Ends all that was started. */
-export async function endBed({hosts, replicas, proxies, links, views, storeProxy, store}: Bed): Promise<void> {
+export async function endBed({hosts, replicas, proxies, links, views, storeProxy, store, events}: Bed): Promise<void> {
 	for (const host of hosts) {
 		host.signal('SIGKILL');
 		await host.ended();
@@ -137,4 +142,5 @@
 
 	await Promise.all(replicas.map(async each => each.kill()));
 	await store.kill();
+	events.close();
 }
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -71,15 +71,17 @@
 }
 
 /** Kills hosts at once and starts them again. */
-async function restartHosts(hosts: readonly HostProcess[], downMs: number): Promise<void> {
+async function restartHosts({events}: Bed, hosts: readonly HostProcess[], downMs: number): Promise<void> {
 	for (const host of hosts) {
 		host.signal('SIGKILL');
+		events.add({event: 'hostKilled', host: host.name});
 	}
 
 	await Promise.all(hosts.map(async host => host.ended()));
 	await pause(downMs);
 	for (const host of hosts) {
 		host.start();
+		events.add({event: 'hostStarted', host: host.name});
 	}
 }
 
@@ -223,8 +225,9 @@
 		host.start();
 	},
 	/** Half of the hosts are killed at once. */
-	async killHalf({random, hosts}, lastsMs) {
-		await restartHosts(shuffle(random, hosts).slice(0, Math.ceil(hosts.length / 2)), lastsMs / 4);
+	async killHalf(bed, lastsMs) {
+		const {random, hosts} = bed;
+		await restartHosts(bed, shuffle(random, hosts).slice(0, Math.ceil(hosts.length / 2)), lastsMs / 4);
 	},
 	/** Replicas answer without framing, and end or reset a part of their streams inside an event. */
 	async unframeReplicas({random, replicas}, lastsMs) {
@@ -260,7 +263,7 @@
 	async killAll(bed, lastsMs) {
 		const releasing = releaseEngines(bed, lastsMs);
 		await pause(lastsMs / 2);
-		await restartHosts(bed.hosts, lastsMs / 4);
+		await restartHosts(bed, bed.hosts, lastsMs / 4);
 		await releasing;
 	},
 };
@@ -290,12 +293,22 @@
 	streams: 0, resumed: 0, goneOn: 0, sentAt: [], broken: [],
 };
 
+async function injectFault(bed: Bed, fault: string, number: number, lastsMs: number): Promise<void> {
+	bed.events.add({
+		event: 'faultBegun', fault, number, lastsMs: Math.round(lastsMs),
+	});
+	await faults[fault]?.(bed, lastsMs);
+	bed.events.add({
+		event: 'faultEnded', fault, number, lastsMs: Math.round(lastsMs),
+	});
+}
+
 async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
 	const running: Array<Promise<void>> = [];
 	while (performance.now() < endsAt) {
 		await pause(jitter(bed.random, faultGapMs, spread));
-		const fault = pick(bed.random, Object.keys(faults).slice(0, kinds));
-		running.push(faults[fault ?? '']?.(bed, bed.random.next() * longestFaultMs) ?? Promise.resolve());
+		const fault = pick(bed.random, Object.keys(faults).slice(0, kinds)) ?? '';
+		running.push(injectFault(bed, fault, running.length, bed.random.next() * longestFaultMs));
 	}
 
 	await Promise.all(running);
@@ -356,7 +369,7 @@
 		const lost = resumesStreams ? await findLostStreams(bed, seed) : [];
 		const lostByRestart = killsAll
 			? await findLostStreams(bed, seed, async () => {
-				await restartHosts(bed.hosts, 0);
+				await restartHosts(bed, bed.hosts, 0);
 				await waitUntilServing(bed);
 			})
 			: [];
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -8,6 +8,7 @@
 import {sendRequest, type CallerAnswer} from '../wire/client.js';
 import {StreamCaller} from '../wire/stream-caller.js';
 import {type Bed} from './bed.js';
+import {toTime} from './event-log.js';
 
 const requestGapMs = 12;
 const spread = 0.5;
@@ -24,12 +25,16 @@
 	readonly answer: CallerAnswer;
 };
 
-async function send({hosts, random}: Bed, id: string): Promise<Sent> {
+async function send({hosts, random, events}: Bed, id: string): Promise<Sent> {
 	const path = pick(random, paths) ?? '';
 	const address = pick(random, hosts)?.caller ?? '';
 	const sentAt = performance.now();
+	const answer = await sendRequest({address, id, path});
+	events.add({
+		event: 'answered', request: id, path, sentAt: toTime(sentAt), status: answer.status, isWhole: answer.isWhole, tookMs: Math.round(performance.now() - sentAt),
+	});
 	return {
-		id, path, sentAt, answer: await sendRequest({address, id, path}),
+		id, path, sentAt, answer,
 	};
 }
 
@@ -131,7 +136,7 @@
 };
 
 /** A stream that its caller resumes at one host after the other. Its connections stay in use until their process is gone. */
-async function playStream({hosts, firstEventListeners}: Bed, name: string, random: Random, agent: Agent, isPatient: boolean): Promise<Omit<StreamReport, 'streams'>> {
+async function playStream({hosts, firstEventListeners, events}: Bed, name: string, random: Random, agent: Agent, isPatient: boolean): Promise<Omit<StreamReport, 'streams'>> {
 	const caller = new StreamCaller(name, undefined, agent);
 	caller.leavesAt = random.next() < leaveShare ? 1 + Math.floor(random.next() * 4) : Number.POSITIVE_INFINITY;
 	const host = pick(random, hosts);
@@ -155,6 +160,7 @@
 		await pause(retryAfterMs ?? (isAnswered ? 0 : unansweredPauseMs));
 	}
 
+	events.addStream(caller);
 	const broken = [
 		...(caller.hasGivenUp ? [`${name} had neither an answer nor its end`] : []),
 		...(caller.versions.size > 1 ? [`${name} has events of the versions ${[...caller.versions].join(', ')}`] : []),
@@ -192,7 +198,7 @@
 const fewestResumed = 12;
 
 /** After the last fault, resumed streams go on about as often as new ones begin, where two replicas run their version; `restart` restarts the hosts between their attempts. No stream has events of two versions. */
-export async function findLostStreams({hosts, replicas}: Bed, seed: number, restart?: () => Promise<void>): Promise<string[]> {
+export async function findLostStreams({hosts, replicas, events}: Bed, seed: number, restart?: () => Promise<void>): Promise<string[]> {
 	const random = seedRandom(seed);
 	const addresses = hosts.map(({caller}) => caller);
 	const makeCallers = (name: string) => Array.from({length: calmStreams}, (_, index) => new StreamCaller(`${name}${restart === undefined ? '' : '-restarted'}-${index}`));
@@ -208,6 +214,10 @@
 		caller.leavesAt = Number.POSITIVE_INFINITY;
 		await caller.resume([...shuffle(random, addresses), ...shuffle(random, addresses)]);
 	}));
+	for (const caller of [...callers, ...added]) {
+		events.addStream(caller);
+	}
+
 	const isServedTwice = (caller: StreamCaller) => replicas.filter(({stage, softwareVersion}) => stage === 'decode' && softwareVersion !== undefined && caller.versions.has(softwareVersion)).length > 1;
 	const counted = callers.filter(caller => isServedTwice(caller));
 	const shareOf = (some: readonly StreamCaller[]) => some.filter(({isComplete}) => isComplete).length / Math.max(1, some.length);
