Soak: entries that a restored directory brings back expire

Behind a restart of all hosts 0 of the resumed streams went on.

On the platform an entry goes after three heartbeats without a write, 3.6 s; the stand-in's never went. The soak removes them after that time. Checks and bounds are the same, and hosts killed within the 3.6 s meet such entries as before.

--- a/packages/standin/src/soak/event-log.ts
+++ b/packages/standin/src/soak/event-log.ts
@@ -8,6 +8,7 @@
 	= | {readonly event: 'faultBegun' | 'faultEnded'; readonly fault: string; readonly number: number; readonly lastsMs: number}
 		| {readonly event: 'hostKilled' | 'hostStarted'; readonly host: string}
 		| {readonly event: 'published'; readonly endpoint: string; readonly state: string; readonly address: string; readonly softwareVersion: string | undefined}
+		| {readonly event: 'expired'; readonly key: string}
 		| {readonly event: 'answered'; readonly request: string; readonly path: string; readonly sentAt: string; readonly status: number; readonly isWhole: boolean; readonly tookMs: number}
 		| {readonly event: 'stream'; readonly name: string; readonly attempts: ReadonlyArray<{readonly sentAt: string; readonly status: number; readonly tookMs: number}>; readonly received: readonly string[]; readonly firstAttempt: string | undefined};
 
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -15,6 +15,7 @@
 import {
 	configure, endBed, makeBed, publish, waitUntilServing, type Bed,
 } from './bed.js';
+import {entryLifeMs, expireEntries} from './entry-expiry.js';
 import {type ProxyMode} from './faulty-proxy.js';
 import {type HostProcess} from './host-process.js';
 import {
@@ -155,7 +156,7 @@
 		publish(bed, index, 'ready');
 	},
 	async restoreStore(bed, lastsMs) {
-		const {store, replicas} = bed;
+		const {store, replicas, events} = bed;
 		const copy = store.copy();
 		await pause(lastsMs);
 		store.setFault('reset');
@@ -170,6 +171,11 @@
 				store.put(`servers/${id}`, written);
 			}
 		}
+
+		await pause(entryLifeMs);
+		for (const key of expireEntries(store, copy)) {
+			events.add({event: 'expired', key});
+		}
 	},
 	/** Open connections die in silence, to the store and to replicas, while the configuration changes; new ones work. */
 	async silencePaths(bed, lastsMs) {
