Soak: the deadline of a resumed stream does not run while it waits for the restart

The new streams that they are compared with began with 10 s.

A stream's deadline is extended by the time from its break until all are resumed. Share, bound and number of streams are the same; no stream is left out.

--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -203,12 +203,19 @@
 	const addresses = hosts.map(({caller}) => caller);
 	const makeCallers = (name: string) => Array.from({length: calmStreams}, (_, index) => new StreamCaller(`${name}${restart === undefined ? '' : '-restarted'}-${index}`));
 	const callers = makeCallers('calm');
+	const brokenAt = new Map<StreamCaller, number>();
 	await Promise.all(callers.map(async caller => {
 		caller.leavesAt = 1;
 		await caller.beginAt(pick(random, addresses) ?? '');
 		await caller.ended;
+		brokenAt.set(caller, performance.now());
 	}));
 	await restart?.();
+	for (const caller of callers) {
+		// New streams begin with their whole deadline: time that this one waits for others, and for the restart, does not count
+		caller.deadlineMs += performance.now() - (brokenAt.get(caller) ?? 0);
+	}
+
 	const added = makeCallers('added');
 	await Promise.all([...callers, ...added].map(async caller => {
 		caller.leavesAt = Number.POSITIVE_INFINITY;
