--- a/packages/relay/src/peer/fleet.ts
+++ b/packages/relay/src/peer/fleet.ts
@@ -354,6 +354,11 @@
 		return this.#knownHosts.isFleetKnown;
 	}
 
+	/** Whether no host is left that this one may not have met since its start. */
+	get hasMetOthers(): boolean {
+		return this.#knownHosts.hasMetOthers;
+	}
+
 	/** Whether this host sees enough of the fleet to give orders. */
 	hasOrderQuorum(): boolean {
 		return hasOrderQuorum(this.membership.members.list(), this.census.seeds);
--- a/packages/relay/src/peer/known-hosts.ts
+++ b/packages/relay/src/peer/known-hosts.ts
@@ -11,6 +11,8 @@
 
 /** Time for which an unreachable host is still counted, in milliseconds; limited, so that hosts replaced under new names do not reduce quotas permanently. */
 const partitionMs = 60_000;
+/** Time after a start in which hosts that took each other for dead meet, in milliseconds. */
+const meetingMs = 2000;
 
 export type KnownHostsParts = {
 	readonly clock: Clock;
@@ -41,6 +43,11 @@
 		return this.#isFleetKnown;
 	}
 
+	/** Whether no host is left that this one may not have met since its start. Seeds that have all just started do not know hosts that have lived on. */
+	get hasMetOthers(): boolean {
+		return this.isFleetKnown && this.#parts.clock.now() - this.#startedAt >= meetingMs;
+	}
+
 	/** Updates the counts from the member list. */
 	update(members: readonly MemberRecord[]): void {
 		this.#reachable = 0;
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -169,7 +169,7 @@
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, reachability: this.reachability, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
 		});
 		const streams = new StreamVersions({
-			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, isFleetKnown: () => this.fleet.isFleetKnown, routing: this.routing, watch: () => this.#watch,
+			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, hasMetOthers: () => this.fleet.hasMetOthers, routing: this.routing, watch: () => this.#watch,
 		});
 		const news = this.fleet.load;
 		const calls = new CallAdmission({
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -54,7 +54,7 @@
 	/** Whether the directory replies. */
 	readonly isConfirmed?: boolean;
 	/** Whether this host has heard of the fleet since its start. */
-	readonly isFleetKnown?: boolean;
+	readonly hasMetOthers?: boolean;
 };
 
 type Refusal = {
@@ -87,7 +87,7 @@
 	readonly streams: StreamVersions;
 	readonly #routing = {confirmedAt: -1};
 
-	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, isFleetKnown = true}: Surroundings) {
+	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
 			this.versions.see({id: `e${index}`, service, softwareVersion}, 0);
 		}
@@ -119,7 +119,7 @@
 				},
 			},
 			versions: this.versions,
-			isFleetKnown: () => isFleetKnown,
+			hasMetOthers: () => hasMetOthers,
 			routing: this.#routing,
 			watch: () => ({
 				confirm: async () => {
@@ -281,7 +281,7 @@
 		name: 'no trace, and a host that may have the record is silent', ...side, silent: 1, outcome: later('unknown'), isTraced: true,
 	},
 	{
-		name: 'no trace, and other hosts are not known yet', ...side, isFleetKnown: false, outcome: later('unknown'), isTraced: true,
+		name: 'no trace, and other hosts are not known yet', ...side, hasMetOthers: false, outcome: later('unknown'), isTraced: true,
 	},
 	{
 		name: 'no trace, and the directory does not reply', ...side, isConfirmed: false, outcome: later('unknown'), isTraced: true,
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -75,8 +75,8 @@
 	readonly registry: Pick<StreamRegistry, 'record' | 'find'>;
 	readonly traces: Pick<TraceRegistry, 'find'>;
 	readonly versions: VersionHistory;
-	/** Whether this host has heard of the fleet; otherwise hosts that it does not know may have the record. */
-	readonly isFleetKnown: () => boolean;
+	/** Whether this host knows the fleet; otherwise hosts that it has not met may have the record. */
+	readonly hasMetOthers: () => boolean;
 	readonly routing: Pick<RoutingState, 'confirmedAt'>;
 	readonly watch: () => Pick<DirectoryWatch, 'confirm'>;
 };
@@ -123,7 +123,7 @@
 			return point;
 		}
 
-		const isFinal = source === 'ambiguous' || (!isPending && this.#parts.isFleetKnown() && this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
+		const isFinal = source === 'ambiguous' || (!isPending && this.#parts.hasMetOthers() && this.#isUnanimous({asked, silent}) && this.#isConfirmedSince(startedAt));
 		return fail('streamVersionUnknown', {retryAfterMs: isFinal ? undefined : unknownRetryAfterMs, detail: source});
 	}
 
