--- a/specification/restarts.pml
+++ b/specification/restarts.pml
@@ -105,6 +105,9 @@
 #define mayChange(number) !(isAsked(number) && hasChanged)
 #endif
 #define isAnswered(number) (((entry[0] == none) || (answered[number] & bit(0)) != 0) && ((entry[1] == none) || (answered[number] & bit(1)) != 0))
+/* An engine of this version cannot contradict it. */
+#define isRivalHeard(number, version) ((entry[0] == none || entry[0] == (version) || (answered[number] & bit(0)) != 0) && (entry[1] == none || entry[1] == (version) || (answered[number] & bit(1)) != 0))
+#define isUncontested(version) (found == bit(version) && isRivalHeard(0, version) && isRivalHeard(1, version))
 
 inline pick() {
 	select(host : 0 .. 1);
@@ -212,8 +215,8 @@
 #endif
 #ifndef MISTAKE_PARTIAL
 	if
-	:: !(isReplied && isAnswered(0) && isAnswered(1)) -> found = 0
-	:: else
+	:: isReplied && (isUncontested(0) || isUncontested(1) || found == (bit(0) | bit(1)))
+	:: else -> found = 0
 	fi;
 #endif
 	if
