--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -63,8 +63,10 @@
 /** The survey of one host. */
 export class RunSurvey {
 	readonly #parts: RunSurveyParts;
-	/** Attempts by engine; infinite once nothing more can be learned from it. */
+	/** Attempts by engine. */
 	readonly #attempts = new Map<string, number>();
+	/** Engines that have answered while their lists could be attributed. */
+	readonly #heard = new Set<string>();
 	readonly #waiting = new Set<() => void>();
 	readonly #inFlight = new Set<string>();
 	/** Engines whose entries had several versions. */
@@ -72,10 +74,12 @@
 	/** Engines that have left the directory, which may still serve. */
 	#departed: readonly Endpoint[] = [];
 	#listedAt: number | undefined;
+	/** Whether nothing more can be learned from the engines in this host's share. */
 	#isComplete = false;
 	/** Whether there is no engine left to ask, though some may not have answered. */
 	#isIdle = false;
 	#isOver = false;
+	/** What other hosts were told. */
 	#isSurveying = true;
 	#timer: Timer | undefined;
 
@@ -111,11 +115,11 @@
 			return [];
 		}
 
-		if (!this.#hasSettled(this.#parts.context.clock.now())) {
+		if (!this.#mayBegin(this.#parts.context.clock.now())) {
 			return undefined;
 		}
 
-		const engines = [...this.#listEngines(), ...this.#listDeparted()].filter(({id}) => !this.#isSettled(id) && this.#parts.isAsker(id));
+		const engines = [...this.#listEngines(), ...this.#listDeparted()].filter(({id}) => !this.#isHeard(id) && this.#parts.isAsker(id));
 		const origins = new Map(engines.map(engine => [describeVersion(engine), {service: engine.service, softwareVersion: versionOf(engine)}]));
 		return [...origins.values()];
 	}
@@ -144,7 +148,7 @@
 		const {clock} = this.#parts.context;
 		const now = clock.now();
 		this.#listedAt ??= this.#parts.endpoints.book.list().length > 0 ? now : undefined;
-		if (this.#hasSettled(now)) {
+		if (this.#mayBegin(now)) {
 			this.#askEngines();
 		}
 
@@ -159,7 +163,8 @@
 		});
 	}
 
-	#hasSettled(now: number): boolean {
+	/** Whether hosts that start at the same moment have had the time to find each other. */
+	#mayBegin(now: number): boolean {
 		const listedMs = now - (this.#listedAt ?? now);
 		return listedMs >= settleMs.most || (listedMs >= settleMs.least && now - this.#parts.membersChangedAt() >= settleMs.sinceChange);
 	}
@@ -184,9 +189,15 @@
 			void this.#ask(engine);
 		}
 
-		const isAnswered = this.#listEngines().every(({id}) => this.#isSettled(id) || !this.#parts.isAsker(id));
-		this.#isComplete = isAnswered && departed.length === 0 && this.#inFlight.size === 0;
-		this.#isIdle = this.#isComplete || (this.#inFlight.size === 0 && share.length === 0 && departed.length === 0);
+		this.#updateProgress({isDue: share.length > 0, isDepartedDue: departed.length > 0});
+	}
+
+	/** Tells waiting lookups, and other hosts, how far the survey is; takes whether engines, listed or departed, were to be asked. */
+	#updateProgress({isDue, isDepartedDue}: {readonly isDue: boolean; readonly isDepartedDue: boolean}): void {
+		const isAnswered = this.#listEngines().every(({id}) => this.#isHeard(id) || !this.#parts.isAsker(id));
+		const isQuiet = this.#inFlight.size === 0 && !isDepartedDue;
+		this.#isComplete = isQuiet && isAnswered;
+		this.#isIdle = this.#isComplete || (isQuiet && !isDue);
 		if (this.#isIdle) {
 			this.#release();
 		}
@@ -203,11 +214,12 @@
 	}
 
 	#isDue(id: string): boolean {
-		return !this.#inFlight.has(id) && (this.#attempts.get(id) ?? 0) < maxAttempts;
+		return !this.#inFlight.has(id) && !this.#heard.has(id) && (this.#attempts.get(id) ?? 0) < maxAttempts;
 	}
 
-	#isSettled(id: string): boolean {
-		return this.#changed.has(id) || this.#attempts.get(id) === Number.POSITIVE_INFINITY;
+	/** Whether nothing more can be learned from an engine. */
+	#isHeard(id: string): boolean {
+		return this.#changed.has(id) || this.#heard.has(id);
 	}
 
 	/** Engines of this host's share to ask next. Each host has its own order, so that hosts which do not know each other ask different ones. */
@@ -230,7 +242,7 @@
 		const isUsable = this.#isUnchanged(engine, wasKnown);
 		const isAnswered = runs !== undefined && parts !== undefined;
 		if (isUsable && isAnswered) {
-			this.#attempts.set(engine.id, Number.POSITIVE_INFINITY);
+			this.#heard.add(engine.id);
 		}
 
 		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, isAnswered)});
