--- a/packages/relay/src/peer/known-hosts.test.ts
+++ b/packages/relay/src/peer/known-hosts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against refusals for good by hosts that have just started and have not met those that have the records. */
+/** Guards against rejections without Retry-After by hosts that have just started and have not found the hosts with the records. */
 import {describe, it} from 'node:test';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -192,7 +192,7 @@
 			});
 		}
 
-		// Who gives up a response that has begun has not waited in vain for an endpoint
+		// A cancelled send whose response had begun shows no unresponsive endpoint
 		if (answeredAt !== undefined && (!isConnectionLost || now - answeredAt >= crashWindowMs)) {
 			return;
 		}
--- a/packages/standin/src/soak/entry-expiry.test.ts
+++ b/packages/standin/src/soak/entry-expiry.test.ts
@@ -1,4 +1,4 @@
-/** Which entries expire in a store that has come back from a copy: behind a restart of all hosts, one that never did kept the engine at its address unattributable. */
+/** Guards against directory entries that never expire after a restore from a backup: they kept the replica at their address from being queried after a restart of all hosts. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {startStore, type StandinStore} from '../wire/store-server.js';
