--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -12,7 +12,7 @@
 export type EndpointCall = ScriptedCall & {readonly endpoint: string; readonly stage: Stage};
 
 /** Repeats that the host may send in one window: more than any test needs. */
-const retryAllowance = 1000;
+const ampleAllowance = 1000;
 
 /** What a request is at an endpoint: a control call, a prompt to read, or a run. */
 export type CallKind = 'reservation' | 'control' | 'prefill' | 'run';
@@ -45,6 +45,8 @@
 	readonly prefill?: number;
 	readonly decode?: number;
 	readonly routeTimes?: RouteTimes;
+	/** Repeats that the host may send in one window; absent: more than any test needs. */
+	readonly retryAllowance?: number;
 };
 
 /** Body of a sound response to a plain call. */
@@ -70,7 +72,7 @@
 }
 
 /** Starts a host and its endpoints, and waits until the host knows them. */
-export async function startScriptedWorld({plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes}: ScriptedParts): Promise<ScriptedWorld> {
+export async function startScriptedWorld({plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance}: ScriptedParts): Promise<ScriptedWorld> {
 	const world = await startWorld({
 		hosts: 1, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance,
 	});
