Fix: a silent stream was ended before another endpoint could take it over

Callers saw resumable streams cut in the middle, or 502, while their endpoint paused for a second or two and went on afterwards. Cause: the idle timeout destroyed the response, and only then looked at attempts, retry budget, version and memory for a continuation. If one was missing, nothing was left but to break off. Change: a silent run goes on until right before another one is written to its endpoint (takeover.ts). The search for memory, the permit, the prompt and the connection all happen beside it, and an event ends the search. Once a host has ended a run itself, it seeks another one until the caller's deadline.

--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -69,6 +69,10 @@
 	readonly softwareVersion?: string | undefined;
 	/** Timeout of the response headers, in milliseconds. */
 	readonly headMs: number;
+	/** Cancels the forward; absent: the job's signal. */
+	readonly signal?: AbortSignal;
+	/** Called right before the first byte is written, for each host that is tried. */
+	readonly onWrite?: (host: string) => void;
 };
 
 /** Progress of a forward, for its log line. */
@@ -105,10 +109,11 @@
 	/** Forwards a request to a host that takes it. */
 	async send(job: Job, options: ForwardOptions): Promise<ForwardResult> {
 		const {context: {metrics, clock}} = this.#parts;
+		const {signal = job.signal} = options;
 		const startedAt = clock.now();
 		let result: ForwardResult = {kind: 'unavailable'};
 		let trace: ForwardTrace = {};
-		for (let tried = 0; tried < maxHosts && !job.signal.aborted; tried += 1) {
+		for (let tried = 0; tried < maxHosts && !signal.aborted; tried += 1) {
 			const target = this.#choose(job);
 			if (target?.forwardAddress === undefined) {
 				break;
@@ -174,7 +179,7 @@
 			const {response, facts} = await exchange({
 				address, method: job.method, target: job.target, headers: [...this.#buildHeaders(job, options), ...writeForwardId(forwardId)], body: job.body,
 			}, this.#poolOf(address), {
-				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: job.signal, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
+				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: options.signal ?? job.signal, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
 					if (!budgets.admit(job)) {
 						return false;
 					}
@@ -182,6 +187,7 @@
 					trace.writtenAt = clock.now();
 					trace.connection = traceConnection(socket);
 					undoRuns = job.runs.enter(options.attempts);
+					options.onWrite?.(host);
 					return true;
 				},
 			});
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -56,6 +56,8 @@
 	/** Timeout of the response headers, in milliseconds. */
 	readonly headMs: number;
 	readonly signal: AbortSignal;
+	/** Called right before the first byte is written. */
+	readonly onWrite?: () => void;
 	/** A permit that the request already has for a rate-limited endpoint. */
 	readonly permit?: Permit | undefined;
 	/** Longest wait for a permit, in milliseconds; absent: no wait. */
@@ -71,7 +73,7 @@
 const noId = '';
 /** Abort reason of a send whose request was answered by another endpoint. */
 export const answeredElsewhere = 'answered';
-/** Reason for ending a stream that stalled on an open connection. */
+/** Reason for ending a send, or a stream, that stalled on an open connection. */
 export const stallReason = 'silent';
 
 /** Progress of a send. */
@@ -163,6 +165,7 @@
 
 					progress.writtenAt = clock.now();
 					progress.fields = traceConnection(socket);
+					send.onWrite?.();
 					return true;
 				},
 			});
@@ -326,7 +329,8 @@
 		const isOverdue = fault.mayHaveBeenSent && this.#context.clock.now() - sentAt > job.route.targetMs;
 		// This host's connections were all in use, which tells nothing of the endpoint
 		const hasWaited = fault.fault === 'connect' && !fault.isLinkFailure;
-		const outcome = hasWaited ? undefined : faultOutcomes[fault.fault] ?? (isOverdue ? 'overdue' : undefined);
+		const abortOutcome = send.signal.reason === stallReason ? 'silent' : undefined;
+		const outcome = hasWaited ? undefined : faultOutcomes[fault.fault] ?? abortOutcome ?? (isOverdue ? 'overdue' : undefined);
 		if (outcome === undefined) {
 			this.#endpoints.health.abandon(send.endpoint.id);
 		} else {
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -11,7 +11,7 @@
 import {type ServiceState, type WaitingState} from '@gatehead/schema/relay-status';
 import {defaultRetryAfterMs} from './generation-failure.js';
 import {timeLeft} from './job.js';
-import {ReplicaSearch, type ReservationRequest} from './replica-search.js';
+import {ReplicaSearch, type Reservation, type ReservationRequest} from './replica-search.js';
 import {
 	pollIntervalMs, ServiceQueue, versionGone, type AdmissionResult, type AdmissionParts,
 } from './service-queue.js';
@@ -102,6 +102,11 @@
 		return result;
 	}
 
+	/** Reserves decode memory for a request that is still running at a replica, without waiting for it; undefined if no other replica has room. */
+	async reserveAhead(request: ReservationRequest): Promise<Reservation | undefined> {
+		return this.#queueOf(request.job.service.name).reserveAhead(request);
+	}
+
 	/** Records how long a completed request held its memory, in milliseconds; feeds the release rate. */
 	recordHold(service: string, tokens: number, heldMs: number): void {
 		this.#queueOf(service).recordHold(tokens, heldMs);
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -27,13 +27,14 @@
 	readonly detail: string;
 };
 
-/** Sends an error to the caller. `Reply` may replace the code by one that holds for a request that may have run. */
+/** Sends an error to the caller, or breaks off a reply that has begun. `Reply` may replace the code by one that holds for a request that may have run. */
 export function refuseJob({reply, runs: {mayHaveRun}, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
+	const isBegun = reply.headersSent;
 	const code = reply.sendError(wanted, {
 		retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
 	});
 	return {
-		outcome: 'refused', code, endpoint: via?.id, detail,
+		outcome: isBegun ? 'brokenOff' : 'refused', code, endpoint: via?.id, detail,
 	};
 }
 
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -13,6 +13,7 @@
 import {readSoftwareVersion} from '../core/forward-facts.js';
 import {describeHold} from '../upstream/crash-guard.js';
 import {readBody} from '../upstream/exchange.js';
+import {waitFor} from '../utils/wait.js';
 import {receiveChunks} from '../upstream/receive-chunks.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {stallReason, type SendResult} from '../upstream/sender.js';
@@ -28,7 +29,8 @@
 import {type Reservation} from './replica-search.js';
 import {StreamForecast} from './stream-forecast.js';
 import {StreamPace} from './stream-pace.js';
-import {IdleTimeout} from './idle-timeout.js';
+import {type AdmissionResult} from './service-queue.js';
+import {Takeover, type TakeoverAttempt} from './takeover.js';
 
 /** Tokens reserved for the answer, as a multiple of the caller's estimate. A lower factor makes replicas evict streams, whose prompts must then be prefilled again; a higher one leaves memory unused. */
 const answerFactor = 0.9;
@@ -36,8 +38,10 @@
 const blockTokens = 16;
 /** Maximum rounds of reservation and decode per request, whatever ended the previous one; bounds the replicas that one request can crash. */
 const maxRounds = 4;
-/** Maximum wait for the head of a resumable stream and then between its chunks, in milliseconds, before it continues at another replica. Less than half of what callers tolerate, so that the second replica has as long. The head gets the expected prefill time on top where the decode replica prefills the prompt. */
+/** Maximum wait for the head of a resumable stream and then between its events, in milliseconds, before another replica is sought for it. Less than half of what callers tolerate, so that the second replica has as long. The head gets the expected prefill time on top where the decode replica prefills the prompt. */
 const idleTimeoutMs = 1400;
+/** Interval at which a stream whose run this host has ended seeks another one, in milliseconds. */
+const owedRetryMs = 200;
 /** Maximum size of a body that is not a stream, such as an error. */
 const maxBodyBytes = 1_048_576;
 /** Remaining lifetime below which a reservation is not used, in milliseconds; several times the network delay to a replica. */
@@ -50,10 +54,32 @@
 /** A response to forward, from an endpoint or from another host. */
 type ForwardableResponse = Pick<Extract<SendResult, {kind: 'answer'}>, 'response' | 'touch' | 'confirmEnd' | 'end'>;
 
+/** One round, which begins at most one run. */
+type Round = {
+	/** Ends the round while no run has begun. */
+	readonly signal: AbortSignal;
+	/** Source of the silent run that this round replaces; undefined: no run is in progress. */
+	readonly silent: Via | undefined;
+	/** Ends the silent run; called right before another one is written. */
+	readonly commit: () => void;
+};
+
 /** Outcome of one round. */
-type DecodeResult
+type RoundResult
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
-		| {readonly kind: 'retry'};
+		/** Another round follows. */
+		| {readonly kind: 'retry'}
+		/** No run has begun, or its endpoint rejected it; `refuse` ends the job for that. */
+		| {readonly kind: 'notBegun'; readonly refuse: () => JobEnd};
+
+/** A run whose request has been written. */
+type ActiveRun = {
+	readonly via: Via;
+	/** Undefined: nothing can replace this run. */
+	readonly takeover: Takeover<RoundResult> | undefined;
+	/** Called when a part of the response arrives. */
+	readonly onEvent: () => void;
+};
 
 /** Runs a generation until its reply has ended. */
 export async function runGeneration(parts: WorkParts, job: Job): Promise<JobEnd> {
@@ -64,7 +90,6 @@
 	readonly #parts: WorkParts;
 	readonly #job: Job;
 	readonly #prefill: Prefill;
-	readonly #decodePrefill: DecodePrefill;
 	readonly #events: EventForwarder;
 	readonly #forecast: StreamForecast;
 	/** Decode replicas tried for this request. */
@@ -78,65 +103,129 @@
 	#softwareVersion: string | undefined;
 	/** Whether other hosts were asked and none took the request. */
 	#isForwardingSpent = false;
+	/** Whether this host has ended a run that was silent. Such a stream seeks another run until its deadline. */
+	#owesRest = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
 		this.#job = job;
 		this.#softwareVersion = job.resumedVersion;
 		this.#prefill = new Prefill(parts, job);
-		this.#decodePrefill = new DecodePrefill({clock: parts.context.clock, endpoints: parts.endpoints, news: parts.news});
 		this.#forecast = new StreamForecast(parts, job);
 		this.#events = new EventForwarder(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
 	async run(): Promise<JobEnd> {
+		const {signal} = this.#job;
 		for (;;) {
-			const forwarded = await this.#forwardIfUnreachable();
-			if (forwarded?.kind === 'ended') {
-				return forwarded.end;
-			}
-
-			if (forwarded?.kind === 'retry') {
-				continue;
+			const result = await this.#playRound({signal, silent: undefined, commit: ignore});
+			if (result.kind === 'ended') {
+				return result.end;
 			}
 
-			this.#rounds += 1;
-			const {admission, context: {clock}} = this.#parts;
-			const answer = await admission.reserve({
-				job: this.#job,
-				tokens: this.#tokensToReserve(),
-				ttlMs: this.#engine.reservationMs,
-				capacityTokens: this.#engine.capacityTokens,
-				doneTokens: this.#forecast.doneTokens,
-				avoid: this.#triedReplicas,
-				isContinuation: this.#job.reply.headersSent,
-				softwareVersion: this.#softwareVersion,
-			});
-			if (answer.kind === 'refused') {
-				if (this.#mayForward()) {
-					continue;
+			if (result.kind === 'notBegun') {
+				if (!this.#owesRest || signal.aborted) {
+					return result.refuse();
 				}
 
-				return refuseJob(this.#job, answer);
+				await waitFor(this.#parts.context.clock, owedRetryMs, signal);
+				this.#isForwardingSpent = false;
 			}
+		}
+	}
 
-			if (answer.kind === 'aborted') {
-				return abortJob(this.#job);
-			}
+	/** Begins a run here, or at another host if this one cannot reach the service, and forwards its response. */
+	async #playRound(round: Round): Promise<RoundResult> {
+		const forwarded = await this.#forwardIfUnreachable(round);
+		if (forwarded !== undefined) {
+			return forwarded;
+		}
 
-			if (this.#isTooLate()) {
-				const {reservation: {endpoint, name, stream}} = answer;
-				stream?.end();
-				this.#parts.ownCalls.cancelReservation(endpoint, name);
-				return refuseJob(this.#job, {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: 'the stream would outlast this host'});
-			}
+		this.#rounds += round.silent === undefined ? 1 : 0;
+		const answer = await this.#reserve(round);
+		if (answer.kind === 'refused') {
+			return this.#mayForward() ? {kind: 'retry'} : {kind: 'notBegun', refuse: () => refuseJob(this.#job, answer)};
+		}
+
+		if (answer.kind === 'aborted') {
+			return this.#abort();
+		}
 
-			this.#reservedAt = clock.now();
-			const outcome = await this.#runForecast(answer.reservation);
-			if (outcome.kind === 'ended') {
-				return outcome.end;
+		const {reservation} = answer;
+		try {
+			return await this.#runAt(round, reservation);
+		} finally {
+			this.#forecast.release(reservation);
+		}
+	}
+
+	async #reserve({signal, silent}: Round): Promise<AdmissionResult> {
+		const {admission} = this.#parts;
+		const request = {
+			job: this.#job,
+			tokens: this.#tokensToReserve(),
+			ttlMs: this.#engine.reservationMs,
+			capacityTokens: this.#engine.capacityTokens,
+			doneTokens: this.#forecast.doneTokens,
+			avoid: this.#triedReplicas,
+			isContinuation: this.#job.reply.headersSent,
+			softwareVersion: this.#softwareVersion,
+		};
+		if (silent === undefined) {
+			return admission.reserve(request);
+		}
+
+		const reservation = await admission.reserveAhead({...request, excluded: silent.id, signal});
+		return reservation === undefined
+			? {
+				kind: 'refused', code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'no other replica has room',
 			}
+			: {kind: 'granted', reservation};
+	}
+
+	/** Ends a round whose job or takeover was aborted. */
+	#abort(via?: Via): RoundResult {
+		return {kind: 'notBegun', refuse: () => abortJob(this.#job, via)};
+	}
+
+	/** Seeks another run for one that is silent; undefined if none has begun. */
+	async #takeOver(silent: Via, {signal, commit}: TakeoverAttempt): Promise<RoundResult | undefined> {
+		if (this.#findFixedBlock() !== undefined) {
+			return undefined;
+		}
+
+		return this.#playRound({signal, silent, commit});
+	}
+
+	/** Called right before the request of a run is written; `cancel` ends that run once another one replaces it. */
+	#beginRun({silent, commit}: Round, {via, firstIdleMs, cancel}: {readonly via: Via; readonly firstIdleMs: number; readonly cancel: () => void}, reservation?: Reservation): Takeover<RoundResult> | undefined {
+		const {context: {clock, log}} = this.#parts;
+		commit();
+		if (silent !== undefined) {
+			this.#rounds += 1;
+			this.#owesRest = true;
+			this.#continueAfter(silent, stallReason);
+		}
+
+		if (reservation !== undefined) {
+			this.#forecast.begin(reservation);
+			this.#reservedAt = reservation.expiresAt - this.#engine.reservationMs;
+		}
+
+		if (!this.#job.route.isResumable) {
+			return undefined;
 		}
+
+		return new Takeover<RoundResult>({
+			clock,
+			idleMs: idleTimeoutMs,
+			signal: this.#job.signal,
+			begin: async attempt => this.#takeOver(via, attempt),
+			endSilent: cancel,
+			onError(error) {
+				log('internal', {detail: `seeking another run failed: ${String(error)}`});
+			},
+		}, firstIdleMs);
 	}
 
 	/** Whether a stream that has waited may not end before this host does. One that its caller has a part of goes on as long as it can. */
@@ -146,16 +235,6 @@
 		return !reply.headersSent && !stopWindow.mayBegin(route.name, deadlineAt, clock.now());
 	}
 
-	/** Runs a round, during which its memory counts in the forecast of the replica. */
-	async #runForecast(reservation: Reservation): Promise<DecodeResult> {
-		this.#forecast.begin(reservation);
-		try {
-			return await this.#runAt(reservation);
-		} finally {
-			this.#forecast.end();
-		}
-	}
-
 	get #engine() {
 		return this.#job.service.engine ?? {capacityTokens: 0, reservationMs: 0};
 	}
@@ -178,66 +257,89 @@
 	}
 
 	/** Has another host serve the request, or the rest of its stream; undefined if it stays here. Each round forwards one attempt, so that a stream that breaks off can continue. */
-	async #forwardIfUnreachable(): Promise<DecodeResult | undefined> {
+	async #forwardIfUnreachable(round: Round): Promise<RoundResult | undefined> {
 		if (!this.#mayForward()) {
 			return undefined;
 		}
 
 		const job = this.#job;
 		const {forwarder, context: {clock}} = this.#parts;
-		this.#rounds += 1;
+		this.#rounds += round.silent === undefined ? 1 : 0;
+		const controller = new AbortController();
+		let takeover: Takeover<RoundResult> | undefined;
 		const result = await forwarder.send(job, {
-			attempts: 1, lastEventId: this.#events.lastId, softwareVersion: this.#softwareVersion, headMs: timeLeft(job, clock.now()) + 1,
+			attempts: 1,
+			lastEventId: this.#events.lastId,
+			softwareVersion: this.#softwareVersion,
+			headMs: timeLeft(job, clock.now()) + 1,
+			signal: AbortSignal.any([round.signal, controller.signal]),
+			onWrite: host => {
+				takeover ??= this.#beginRun(round, {
+					via: {id: host}, firstIdleMs: idleTimeoutMs, cancel() {
+						controller.abort(stallReason);
+					},
+				});
+			},
 		});
+		if (result.kind === 'answer') {
+			const via: Via = {id: result.host, softwareVersion: readSoftwareVersion(result.response.headers)};
+			return this.#forwardResponse(toForwardable(result), {via, takeover, onEvent: ignore});
+		}
+
+		const replaced = await takeover?.settle();
+		return replaced ?? this.#handleUnforwarded(result);
+	}
+
+	/** Handles the outcome of a forward without a response to pass on; undefined if the request stays here. */
+	async #handleUnforwarded(result: Exclude<ForwardResult, {kind: 'answer'}>): Promise<RoundResult | undefined> {
+		const job = this.#job;
 		if (result.kind === 'unavailable') {
 			this.#isForwardingSpent = true;
-			return job.runs.mayHaveRun ? undefined : {kind: 'ended', end: refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
+			return job.runs.mayHaveRun ? undefined : {kind: 'notBegun', refuse: () => refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
 		}
 
 		const via: Via = {id: result.host};
 		if (job.signal.aborted) {
-			return {kind: 'ended', end: abortJob(job, via)};
-		}
-
-		if (result.kind === 'answer') {
-			return this.#forwardHostResponse(result, {...via, softwareVersion: readSoftwareVersion(result.response.headers)});
+			return this.#abort(via);
 		}
 
 		if (result.kind === 'refused') {
-			return {kind: 'ended', end: refuseJob(job, {code: result.code, retryAfterMs: result.retryAfterMs ?? defaultRetryAfterMs, detail: `refused by ${result.host}`}, via)};
+			const {host, code, retryAfterMs = defaultRetryAfterMs} = result;
+			return {kind: 'notBegun', refuse: () => refuseJob(job, {code, retryAfterMs, detail: `refused by ${host}`}, via)};
 		}
 
 		return this.#continueOrFail(via, result.detail);
 	}
 
-	async #forwardHostResponse({response, end}: Extract<ForwardResult, {kind: 'answer'}>, via: Via): Promise<DecodeResult> {
-		const sent = {
-			response, touch: ignore, end, async confirmEnd() {
-				// Hosts frame all their responses
-			},
+	async #runAt(round: Round, reservation: Reservation): Promise<RoundResult> {
+		const release = (refuse: () => JobEnd, prefilled?: PrefillResult): RoundResult => {
+			this.#prefill.release(prefilled);
+			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
+			return {kind: 'notBegun', refuse};
 		};
-		const status = response.statusCode ?? 0;
-		return status === okStatus ? this.#forwardStream(sent, via) : this.#forwardError(sent, via, status);
-	}
 
-	async #runAt(reservation: Reservation): Promise<DecodeResult> {
-		const result = await this.#prefill.run(reservation.endpoint);
+		if (this.#isTooLate()) {
+			return release(() => refuseJob(this.#job, {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: 'the stream would outlast this host'}));
+		}
+
+		// Before the prompt is read in vain
+		if (round.silent !== undefined && await this.#findBlock() !== undefined) {
+			return release(() => this.#refuseUnpaid());
+		}
+
+		const result = await this.#prefill.run(reservation.endpoint, round.signal);
 		// A restarted replica may use the same handle for another request's result
 		const prefilled = result !== undefined && this.#parts.endpoints.book.isReplaced(result.endpoint) ? undefined : result;
-		if (this.#job.signal.aborted) {
-			this.#prefill.release(prefilled);
-			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
-			return {kind: 'ended', end: abortJob(this.#job)};
+		if (round.signal.aborted) {
+			return release(() => abortJob(this.#job), prefilled);
 		}
 
 		// After a rejected prefill, the decode is a repeat
 		if (!(await this.#parts.budgets.ensure(this.#job, 'prefill'))) {
-			this.#prefill.release(prefilled);
-			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
-			return {kind: 'ended', end: this.#refuseUnpaid()};
+			return release(() => this.#refuseUnpaid(), prefilled);
 		}
 
-		return this.#decode(reservation, prefilled);
+		return this.#decode(round, reservation, prefilled);
 	}
 
 	/** Ends a job that may not be sent again because the retry budget is spent. */
@@ -248,19 +350,28 @@
 			: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail});
 	}
 
-	async #decode(reservation: Reservation, prefilled: PrefillResult | undefined): Promise<DecodeResult> {
-		const prefillMs = prefilled === undefined ? this.#decodePrefill.begin(reservation.endpoint.id, this.#job.facts.promptTokens) : 0;
+	async #decode(round: Round, reservation: Reservation, prefilled: PrefillResult | undefined): Promise<RoundResult> {
+		const {context: {clock}, endpoints, news} = this.#parts;
+		const decodePrefill = new DecodePrefill({clock, endpoints, news});
+		const prefillMs = prefilled === undefined ? decodePrefill.begin(reservation.endpoint.id, this.#job.facts.promptTokens) : 0;
 		try {
-			return await this.#decodeAt(reservation, prefilled, prefillMs);
+			return await this.#decodeAt(round, reservation, prefilled, {
+				prefillMs, onEvent() {
+					decodePrefill.finish();
+				},
+			});
 		} finally {
-			this.#decodePrefill.abandon();
+			decodePrefill.abandon();
 		}
 	}
 
 	/** `prefillMs`: expected time for the prompt at this replica if it prefills the prompt itself, else 0. */
-	async #decodeAt({endpoint, name, expiresAt, tokens, permit}: Reservation, prefilled: PrefillResult | undefined, prefillMs: number): Promise<DecodeResult> {
+	async #decodeAt(round: Round, reservation: Reservation, prefilled: PrefillResult | undefined, {prefillMs, onEvent}: {readonly prefillMs: number; readonly onEvent: () => void}): Promise<RoundResult> {
 		const {sender, context: {clock}} = this.#parts;
+		const {endpoint, name, expiresAt, tokens, permit} = reservation;
 		const isReserved = expiresAt - clock.now() > expiryMarginMs;
+		const controller = new AbortController();
+		let takeover: Takeover<RoundResult> | undefined;
 		const sent = await sender.send({
 			job: this.#job,
 			step: 'decode',
@@ -271,29 +382,45 @@
 				lastEventId: this.#events.lastId ?? this.#job.facts.lastEventId,
 			},
 			tokens,
-			headMs: this.#job.route.isResumable ? idleTimeoutMs + prefillMs : timeLeft(this.#job, clock.now()) + 1,
-			signal: this.#job.signal,
+			headMs: timeLeft(this.#job, clock.now()) + 1,
+			signal: AbortSignal.any([round.signal, controller.signal]),
+			onWrite: () => {
+				takeover = this.#beginRun(round, {
+					via: endpoint, firstIdleMs: idleTimeoutMs + prefillMs, cancel() {
+						controller.abort(stallReason);
+					},
+				}, reservation);
+			},
 			permit,
 			permitMs: permitTimeoutMs,
 		});
 		this.#prefill.recordUse(prefilled, sent.kind === 'answer');
-		if (sent.kind !== 'answer') {
-			return this.#handleUnanswered(sent, endpoint, prefilled, name);
+		if (sent.kind === 'answer') {
+			return this.#forwardResponse(sent, {via: endpoint, takeover, onEvent});
+		}
+
+		this.#prefill.release(prefilled);
+		const replaced = await takeover?.settle();
+		if (replaced !== undefined) {
+			return replaced;
 		}
 
-		const status = sent.response.statusCode ?? 0;
-		return status === okStatus ? this.#forwardStream(sent, endpoint) : this.#forwardError(sent, endpoint, status);
+		if (takeover === undefined && round.silent !== undefined) {
+			this.#parts.ownCalls.cancelReservation(endpoint, name);
+			return this.#abort(endpoint);
+		}
+
+		return this.#handleUnanswered(sent, reservation);
 	}
 
-	async #handleUnanswered(sent: Exclude<SendResult, {kind: 'answer'}>, endpoint: Endpoint, prefilled: PrefillResult | undefined, reservation: string): Promise<DecodeResult> {
-		this.#prefill.release(prefilled);
-		this.#forecast.end();
-		if (this.#job.signal.aborted) {
-			return {kind: 'ended', end: abortJob(this.#job, endpoint)};
+	async #handleUnanswered(sent: Exclude<SendResult, {kind: 'answer'}>, {endpoint, name}: Reservation): Promise<RoundResult> {
+		const job = this.#job;
+		if (job.signal.aborted) {
+			return this.#abort(endpoint);
 		}
 
 		if (sent.kind === 'notRun' && sent.reason === 'held') {
-			this.#parts.ownCalls.cancelReservation(endpoint, reservation);
+			this.#parts.ownCalls.cancelReservation(endpoint, name);
 			return {kind: 'ended', end: this.#refuseHeldContent(endpoint)};
 		}
 
@@ -304,15 +431,15 @@
 
 		const hasArrived = sent.reason === 'refused' || sent.reason === 'otherEndpoint';
 		if (!hasArrived) {
-			this.#parts.ownCalls.cancelReservation(endpoint, reservation);
+			this.#parts.ownCalls.cancelReservation(endpoint, name);
 		}
 
 		if (sent.reason === 'connect') {
-			await this.#parts.reachability.settle(this.#job.service.name);
+			await this.#parts.reachability.settle(job.service.name);
 		}
 
-		const mayRetry = this.#rounds < maxRounds && await this.#parts.budgets.ensure(this.#job, 'refused');
-		return mayRetry ? {kind: 'retry'} : {kind: 'ended', end: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: sent.reason}, endpoint)};
+		const mayRetry = this.#rounds < maxRounds && await this.#parts.budgets.ensure(job, 'refused');
+		return mayRetry ? {kind: 'retry'} : {kind: 'notBegun', refuse: () => refuseJob(job, {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: sent.reason}, endpoint)};
 	}
 
 	/** Refuses a request whose content is held because it crashes endpoints. */
@@ -325,127 +452,136 @@
 	}
 
 	/** Continues at another replica if possible; otherwise ends the job. */
-	async #continueOrFail(endpoint: Via, reason: string): Promise<DecodeResult> {
-		const blockedBy = await this.#prepareContinuation(endpoint, reason);
-		return blockedBy === undefined ? {kind: 'retry'} : {kind: 'ended', end: {...failJob(this.#job, endpoint, reason), blockedBy}};
-	}
-
-	/** Prepares a continuation at another replica; returns what it lacks. */
-	async #prepareContinuation(endpoint: Via, reason: string): Promise<ContinuationBlock | undefined> {
-		const job = this.#job;
+	async #continueOrFail(endpoint: Via, reason: string): Promise<RoundResult> {
 		const blockedBy = await this.#findBlock();
 		if (blockedBy !== undefined) {
-			return blockedBy;
+			return {kind: 'ended', end: {...failJob(this.#job, endpoint, reason), blockedBy}};
 		}
 
-		this.#triedReplicas.add(endpoint.id);
+		this.#continueAfter(endpoint, reason);
+		return {kind: 'retry'};
+	}
+
+	/** Prepares the stream for another run. */
+	#continueAfter({id, softwareVersion}: Via, reason: string): void {
+		this.#triedReplicas.add(id);
 		this.#events.restart();
 		this.#parts.context.log('continued', {
-			request: job.id, endpoint: endpoint.id, softwareVersion: endpoint.softwareVersion, reason, lastEventId: this.#events.lastId ?? '', begun: job.reply.headersSent,
+			request: this.#job.id, endpoint: id, softwareVersion, reason, lastEventId: this.#events.lastId ?? '', begun: this.#job.reply.headersSent,
 		});
-		return undefined;
 	}
 
-	/** Finds what speaks against a continuation, or acquires its permit. */
+	/** Finds what speaks against another run, or acquires its permit. */
 	async #findBlock(): Promise<ContinuationBlock | undefined> {
-		const {budgets, guard, context} = this.#parts;
-		const job = this.#job;
-		if (isOff(context, 'continuing') || !job.route.isResumable) {
-			return 'route';
+		const {budgets, guard} = this.#parts;
+		const fixed = this.#findFixedBlock();
+		if (fixed !== undefined) {
+			return fixed;
 		}
 
-		if (job.runs.count >= job.route.maxAttempts) {
-			return 'attempts';
+		if (!(await guard.mayRetry(this.#job)) || this.#job.signal.aborted) {
+			return 'content';
 		}
 
-		if (this.#rounds >= maxRounds) {
-			return 'rounds';
+		return await budgets.ensure(this.#job, 'continue') ? undefined : 'budget';
+	}
+
+	/** Finds what speaks against another run for as long as the current one lasts. */
+	#findFixedBlock(): ContinuationBlock | undefined {
+		const {route, runs} = this.#job;
+		if (isOff(this.#parts.context, 'continuing') || !route.isResumable) {
+			return 'route';
 		}
 
-		if (!(await guard.mayRetry(job)) || job.signal.aborted) {
-			return 'content';
+		if (runs.count >= route.maxAttempts) {
+			return 'attempts';
 		}
 
-		return await budgets.ensure(job, 'continue') ? undefined : 'budget';
+		return this.#rounds >= maxRounds ? 'rounds' : undefined;
 	}
 
-	async #forwardError(sent: ForwardableResponse, endpoint: Via, status: number): Promise<DecodeResult> {
+	/** Forwards a response, or that of the run that replaces it while it is silent. */
+	async #forwardResponse(sent: ForwardableResponse, run: ActiveRun): Promise<RoundResult> {
+		run.takeover?.recordProgress();
 		try {
-			const job = this.#job;
-			// As for streams, a body that cannot come from elsewhere has no timeout but the deadline
-			const timeoutMs = job.route.isResumable ? idleTimeoutMs : undefined;
-			const body = await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes, timeoutMs});
-			await sent.confirmEnd();
-			sent.end(status >= minServerErrorStatus ? 'error' : 'good');
-			if (status >= minServerErrorStatus && await this.#prepareContinuation(endpoint, `status ${status}`) === undefined) {
-				return {kind: 'retry'};
-			}
+			const status = sent.response.statusCode ?? 0;
+			return await (status === okStatus ? this.#forwardStream(sent, run) : this.#forwardError(sent, run, status));
+		} catch (error) {
+			return await this.#handleBrokenResponse(sent, run, error);
+		} finally {
+			await run.takeover?.settle();
+		}
+	}
 
-			if (job.reply.headersSent) {
-				return {kind: 'ended', end: failJob(this.#job, endpoint, `status ${status}`)};
-			}
+	async #forwardError(sent: ForwardableResponse, {via, takeover}: ActiveRun, status: number): Promise<RoundResult> {
+		const job = this.#job;
+		const body = await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes});
+		await sent.confirmEnd();
+		throwIfReplaced(takeover);
+		sent.end(status >= minServerErrorStatus ? 'error' : 'good');
+		if (status >= minServerErrorStatus && await this.#findBlock() === undefined) {
+			this.#continueAfter(via, `status ${status}`);
+			return {kind: 'retry'};
+		}
 
-			job.reply.forwardHead(sent.response, versionOf(endpoint), body.length);
-			job.reply.end(body);
-			return {kind: 'ended', end: {outcome: 'answered', endpoint: endpoint.id, detail: `status ${status}`}};
-		} catch (error) {
-			sent.end('broken', String(error));
-			return this.#continueOrFail(endpoint, String(error));
+		if (job.reply.headersSent) {
+			return {kind: 'ended', end: failJob(job, via, `status ${status}`)};
 		}
+
+		job.reply.forwardHead(sent.response, versionOf(via), body.length);
+		job.reply.end(body);
+		return {kind: 'ended', end: {outcome: 'answered', endpoint: via.id, detail: `status ${status}`}};
 	}
 
-	async #forwardStream(sent: ForwardableResponse, endpoint: Via): Promise<DecodeResult> {
+	async #forwardStream(sent: ForwardableResponse, {via, takeover, onEvent}: ActiveRun): Promise<RoundResult> {
 		const {admission, context: {clock, metrics}} = this.#parts;
 		const {response} = sent;
 		const framing = framingOf(response, this.#job.method);
 		const countBefore = this.#events.count;
 		const pace = new StreamPace({
-			clock, endpoints: this.#parts.endpoints, endpoint: {id: endpoint.id, service: this.#job.service.name}, capacityTokens: this.#engine.capacityTokens,
+			clock, endpoints: this.#parts.endpoints, endpoint: {id: via.id, service: this.#job.service.name}, capacityTokens: this.#engine.capacityTokens,
 		});
-		// A stream that cannot continue elsewhere has no idle timeout
-		const idleTimeout = new IdleTimeout(response, clock, this.#job.route.isResumable ? idleTimeoutMs : undefined);
-		try {
-			for await (const chunk of receiveChunks(response)) {
-				sent.touch();
-				await this.#recordSource(endpoint);
-				if (this.#events.forward(response, chunk, versionOf(endpoint)) > 0) {
-					// Bytes that complete no event are no progress to the caller
-					idleTimeout.reset();
-				}
-
-				this.#forecast.progress(this.#events.count);
-				pace.note(this.#events.count - countBefore);
-				this.#decodePrefill.finish();
-				this.#recordStartLatency();
-				if (this.#events.needsPause) {
-					await this.#events.pause(response, this.#job.signal);
-					pace.restart();
-					idleTimeout.reset();
-				}
+		for await (const chunk of receiveChunks(response)) {
+			throwIfReplaced(takeover);
+			sent.touch();
+			await this.#recordSource(via);
+			throwIfReplaced(takeover);
+			if (this.#events.forward(response, chunk, versionOf(via)) > 0) {
+				// Bytes that complete no event are no progress to the caller
+				takeover?.recordProgress();
 			}
 
-			pace.finish(this.#events.count - countBefore);
-			this.#events.checkEnd(response, framing, countBefore);
-			await sent.confirmEnd();
-			const {restBytes} = this.#events;
-			// Before the end of the send, which polls the replicas for waiting requests
-			const heldTokens = this.#forecast.finish(this.#events.count);
-			sent.end('good');
-			admission.recordHold(this.#job.service.name, heldTokens ?? this.#tokensToReserve(), clock.now() - this.#reservedAt);
-			this.#events.finish(response, versionOf(endpoint));
-			const {longestGapMs, count} = this.#events;
-			metrics.time('gap', longestGapMs);
-			metrics.add('responseEnds', {step: 'decode', framing});
-			return {
-				kind: 'ended', end: {
-					outcome: 'answered', endpoint: endpoint.id, softwareVersion: endpoint.softwareVersion, longestGapMs: Math.round(longestGapMs), framing, events: count, restBytes,
-				},
-			};
-		} catch (error) {
-			return await this.#handleStreamError(sent, endpoint, idleTimeout.hasExpired ? stallReason : String(error));
-		} finally {
-			idleTimeout.stop();
+			this.#forecast.progress(this.#events.count);
+			pace.note(this.#events.count - countBefore);
+			onEvent();
+			this.#recordStartLatency();
+			if (this.#events.needsPause) {
+				await this.#events.pause(response, this.#job.signal);
+				pace.restart();
+				takeover?.recordProgress();
+			}
 		}
+
+		throwIfReplaced(takeover);
+		// The end of the response is progress, too: no other run begins from here on
+		takeover?.stop();
+		pace.finish(this.#events.count - countBefore);
+		this.#events.checkEnd(response, framing, countBefore);
+		await sent.confirmEnd();
+		const {restBytes} = this.#events;
+		// Before the end of the send, which polls the replicas for waiting requests
+		const heldTokens = this.#forecast.finish(this.#events.count);
+		sent.end('good');
+		admission.recordHold(this.#job.service.name, heldTokens ?? this.#tokensToReserve(), clock.now() - this.#reservedAt);
+		this.#events.finish(response, versionOf(via));
+		const {longestGapMs, count} = this.#events;
+		metrics.time('gap', longestGapMs);
+		metrics.add('responseEnds', {step: 'decode', framing});
+		return {
+			kind: 'ended', end: {
+				outcome: 'answered', endpoint: via.id, softwareVersion: via.softwareVersion, longestGapMs: Math.round(longestGapMs), framing, events: count, restBytes,
+			},
+		};
 	}
 
 	/** Records the endpoint that sends events from now on. The version is replicated before the first event is forwarded, as the caller may resume the stream at another host after this one has failed. */
@@ -482,15 +618,34 @@
 		}
 	}
 
-	async #handleStreamError(sent: ForwardableResponse, endpoint: Via, reason: string): Promise<DecodeResult> {
+	/** Continues a stream whose response failed or was replaced. */
+	async #handleBrokenResponse(sent: ForwardableResponse, {via, takeover}: ActiveRun, error: unknown): Promise<RoundResult> {
+		const isReplaced = takeover?.isCommitted === true;
+		const reason = isReplaced ? stallReason : String(error);
 		sent.response.destroy();
-		this.#forecast.end();
-		if (this.#job.signal.aborted) {
-			sent.end('cancelled');
-			return {kind: 'ended', end: abortJob(this.#job, endpoint)};
+		sent.end(this.#job.signal.aborted ? 'cancelled' : 'broken', reason);
+		const replaced = await takeover?.settle();
+		if (replaced !== undefined) {
+			return replaced;
 		}
 
-		sent.end('broken', reason);
-		return this.#continueOrFail(endpoint, reason);
+		this.#forecast.end();
+		return this.#job.signal.aborted ? this.#abort(via) : this.#continueOrFail(via, reason);
 	}
 }
+
+/** Throws once another run has replaced this one. */
+function throwIfReplaced(takeover: Takeover<RoundResult> | undefined): void {
+	if (takeover?.isCommitted === true) {
+		throw new Error(stallReason);
+	}
+}
+
+/** Hosts frame all their responses. */
+function toForwardable({response, end}: Extract<ForwardResult, {kind: 'answer'}>): ForwardableResponse {
+	return {
+		response, touch: ignore, end, async confirmEnd() {
+			// Nothing but the framing shows the end
+		},
+	};
+}
--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -46,8 +46,8 @@
 		this.#job = job;
 	}
 
-	/** Prefills the prompt for a decode replica; undefined if that replica has to prefill it itself. */
-	async run(decode: Endpoint): Promise<PrefillResult | undefined> {
+	/** Prefills the prompt for a decode replica, until the signal aborts; undefined if that replica has to prefill it itself. */
+	async run(decode: Endpoint, signal: AbortSignal): Promise<PrefillResult | undefined> {
 		const {endpoints, news, orders, context: {clock, log, metrics}} = this.#parts;
 		const job = this.#job;
 		if (isOff(this.#parts.context, 'readingApart')) {
@@ -57,7 +57,7 @@
 		const tokens = job.facts.promptTokens;
 		const candidates = this.#candidates(decode);
 		for (const endpoint of candidates) {
-			if (job.signal.aborted || job.isContentHeld || this.#isRisky(endpoint) || !(await this.#maySend())) {
+			if (signal.aborted || job.isContentHeld || this.#isRisky(endpoint) || !(await this.#maySend())) {
 				return undefined;
 			}
 
@@ -75,7 +75,7 @@
 
 			const reading = queue.start(tokens, startedAt);
 			news.announcePrompt(endpoint.id, tokens);
-			const result = await this.#runAt(endpoint);
+			const result = await this.#runAt(endpoint, signal);
 			if (result === undefined) {
 				queue.abandon(reading);
 			} else {
@@ -139,10 +139,10 @@
 		return endpoints.queueOf(endpoint.id).hasRejectedSince(clock.now() - rejectionMemoryMs) && !budgets.hasLeft(this.#job.service.name);
 	}
 
-	async #runAt(endpoint: Endpoint): Promise<string | undefined> {
+	async #runAt(endpoint: Endpoint, signal: AbortSignal): Promise<string | undefined> {
 		const {sender, context: {dialect}} = this.#parts;
 		const sent = await sender.send({
-			job: this.#job, step: 'prefill', endpoint, facts: {isPrefill: true}, tokens: this.#job.facts.promptTokens, headMs: prefillTimeoutMs, signal: this.#job.signal,
+			job: this.#job, step: 'prefill', endpoint, facts: {isPrefill: true}, tokens: this.#job.facts.promptTokens, headMs: prefillTimeoutMs, signal,
 		});
 		if (sent.kind !== 'answer') {
 			if (sent.reason === 'refused') {
--- a/packages/relay/src/work/replica-search.ts
+++ b/packages/relay/src/work/replica-search.ts
@@ -47,6 +47,10 @@
 	readonly doneTokens?: number;
 	/** Replicas tried for this request before; used only if there are no others. */
 	readonly avoid: ReadonlySet<string>;
+	/** Replica that is never used, as it still runs the request. */
+	readonly excluded?: string | undefined;
+	/** Ends the search; absent: the job's signal. */
+	readonly signal?: AbortSignal;
 	/** Whether the caller has part of its response already; such a request is not refused before its deadline. */
 	readonly isContinuation: boolean;
 	/** The only software version that may serve the request; undefined: any. */
@@ -86,11 +90,11 @@
 	}
 
 	/** Asks replicas in order of preference; undefined if none grants a reservation. */
-	async find({job, tokens, ttlMs, capacityTokens, doneTokens, avoid, softwareVersion}: ReservationRequest): Promise<Reservation | undefined> {
+	async find({job, tokens, ttlMs, capacityTokens, doneTokens, avoid, excluded, signal = job.signal, softwareVersion}: ReservationRequest): Promise<Reservation | undefined> {
 		const {clock, settings: {hall}} = this.#context;
 		const ordered = this.#endpoints.order(job.service.name, {
 			stage: 'decode', hall, tokens, weights, capacityTokens, softwareVersion, needs: {...placementNeeds(job, clock.now()), isRepeated: this.#searched.has(job)},
-		});
+		}).filter(({id}) => id !== excluded);
 		this.#searched.add(job);
 		const [best] = ordered;
 		if (best !== undefined && isOff(this.#context, 'reservations')) {
@@ -101,7 +105,7 @@
 
 		let tried = 0;
 		for (const endpoint of this.#listForecastable(this.#filterCandidates(ordered, avoid))) {
-			if (tried >= maxReplicasTried || job.signal.aborted || this.#reachability.isUnreachable(job.service.name)) {
+			if (tried >= maxReplicasTried || signal.aborted || this.#reachability.isUnreachable(job.service.name)) {
 				return undefined;
 			}
 
@@ -125,7 +129,7 @@
 			}
 
 			tried += 1;
-			const reply = await this.#calls.reserve(endpoint, reservedTokens, ttlMs, job.signal);
+			const reply = await this.#calls.reserve(endpoint, reservedTokens, ttlMs, signal);
 			if (reply.kind === 'granted') {
 				stream?.confirm();
 				return {
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -142,6 +142,16 @@
 		return reservation;
 	}
 
+	/** Reserves at once, ahead of the requests that wait, for one that is still running at a replica; undefined if no other one has room. */
+	async reserveAhead(request: ReservationRequest): Promise<Reservation | undefined> {
+		const reservation = await this.#search.find(request);
+		if (reservation !== undefined) {
+			this.#recordGrant(request, reservation, 0);
+		}
+
+		return reservation;
+	}
+
 	/** Queues the request until memory is reserved, the request is refused or its signal aborts. */
 	async wait(request: ReservationRequest): Promise<AdmissionResult> {
 		const {job} = request;
--- a/packages/relay/src/work/stream-forecast.ts
+++ b/packages/relay/src/work/stream-forecast.ts
@@ -33,8 +33,9 @@
 		return this.#doneTokens;
 	}
 
-	/** Starts a round at a replica. */
+	/** Starts a round at a replica, which ends the one before. */
 	begin(reservation: Reservation): void {
+		this.end();
 		this.#reservation = reservation;
 		this.#start = undefined;
 	}
@@ -68,6 +69,14 @@
 		this.#reservation = undefined;
 	}
 
+	/** Ends a round at a replica, unless another one has begun since. */
+	release(reservation: Reservation): void {
+		reservation.stream?.end();
+		if (this.#reservation === reservation) {
+			this.#reservation = undefined;
+		}
+	}
+
 	get #eventTokens(): number {
 		return this.#job.service.engine?.eventTokens ?? 1;
 	}
--- a/packages/standin/src/wire/paused-streams.test.ts
+++ b/packages/standin/src/wire/paused-streams.test.ts
@@ -52,19 +52,19 @@
 		name: 'the last attempt pauses', place: 'event', pausedRuns: 2, reservations: 'serve', expectedRuns: 2, parts: {decode: 2},
 	},
 	{
-		name: 'no retry budget, before the head', place: 'head', pausedRuns: 1, reservations: 'serve', expectedRuns: 1, parts: {decode: 2, retryAllowance: 0},
+		name: 'no retry budget, before the head', place: 'head', pausedRuns: 1, reservations: 'serve', expectedRuns: 1, parts: {prefill: 1, decode: 2, retryAllowance: 0},
 	},
 	{
-		name: 'no other endpoint, before the head', place: 'head', pausedRuns: 1, reservations: 'pause', expectedRuns: 1, parts: {decode: 1},
+		name: 'no other endpoint, before the head', place: 'head', pausedRuns: 1, reservations: 'pause', expectedRuns: 1, parts: {prefill: 1, decode: 1},
 	},
 	{
-		name: 'the last attempt pauses before the head', place: 'head', pausedRuns: 2, reservations: 'serve', expectedRuns: 2, parts: {decode: 2},
+		name: 'the last attempt pauses before the head', place: 'head', pausedRuns: 2, reservations: 'serve', expectedRuns: 2, parts: {prefill: 1, decode: 2},
 	},
 	{
 		name: 'another endpoint takes over', place: 'event', pausedRuns: 1, reservations: 'serve', expectedRuns: 2, parts: {decode: 2},
 	},
 	{
-		name: 'another endpoint takes over before the head', place: 'head', pausedRuns: 1, reservations: 'serve', expectedRuns: 2, parts: {decode: 2},
+		name: 'another endpoint takes over before the head', place: 'head', pausedRuns: 1, reservations: 'serve', expectedRuns: 2, parts: {prefill: 1, decode: 2},
 	},
 ];
 
