Fix: requests that outlast a planned stop got neither a response nor a rejection

Cause: at the end of the grace period a stopping host closed all callers' connections at once. Requests that were read whole and waited then, for memory or for an endpoint that pauses, ended with a closed connection. Calls in the admission queue were refused after their connections had been destroyed. What callers saw: a closed connection without a response, also for requests that had not been sent to any endpoint. Change: 500 ms before the end of the grace period the host aborts what is in progress with the reason hostStopping. Requests whose response has not begun get 503 hostStopping, or 502 answerLost if they may have run and cannot be repeated. The host closes its connections once these are delivered, 250 ms later at the latest. Responses that have begun are broken off as before.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -13,7 +13,7 @@
 import {callerTimeoutSpread, RetryDetector} from '@gatehead/policy/relay/retry-detector';
 import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type Timer} from '@gatehead/policy/utils/clock';
-import {fail, toFailure} from '@gatehead/schema/failure';
+import {fail, Failure, toFailure} from '@gatehead/schema/failure';
 import {type CallerLimits} from '@gatehead/schema/routing';
 import {RequestResolver, type IncomingRequest, type ResolvedRequest} from '../access/request-resolver.js';
 import {type Freshness} from '../access/freshness.js';
@@ -87,7 +87,8 @@
 	readonly #connections: CallerConnections;
 	readonly #retryDetector = new RetryDetector();
 	readonly #resolver: RequestResolver;
-	#activeRequests = 0;
+	/** Requests whose response is not closed yet. */
+	readonly #pending = new Set<PendingRequest>();
 	/** Active requests that are rejected, but whose body is still being read. */
 	#drainingRequests = 0;
 	#generatedIds = 0;
@@ -122,7 +123,7 @@
 
 	/** Requests whose response is not closed yet. */
 	get activeRequests(): number {
-		return this.#activeRequests;
+		return this.#pending.size;
 	}
 
 	/** Starts listening; resolves to the bound address. */
@@ -147,6 +148,16 @@
 		this.#connections.closeIdle();
 	}
 
+	/** Rejects the requests that are in progress. A response that has begun is broken off. */
+	rejectActive(): void {
+		for (const pending of this.#pending) {
+			pending.controller.abort('hostStopping');
+			if (pending.job === undefined && !pending.isDraining && pending.reply.isOpen) {
+				this.#reject(pending, new Failure('hostStopping', {retryAfterMs: stoppingRetryAfterMs}));
+			}
+		}
+	}
+
 	/** Stops listening and closes all connections. */
 	async close(): Promise<void> {
 		await this.#connections.close();
@@ -165,12 +176,12 @@
 		const pending: PendingRequest = {
 			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isDraining: false,
 		};
-		this.#activeRequests += 1;
-		metrics.set('open', this.#activeRequests);
+		this.#pending.add(pending);
+		metrics.set('open', this.#pending.size);
 		response.once('close', () => {
-			this.#activeRequests -= 1;
+			this.#pending.delete(pending);
 			this.#drainingRequests -= pending.isDraining ? 1 : 0;
-			metrics.set('open', this.#activeRequests);
+			metrics.set('open', this.#pending.size);
 			if (!response.writableFinished) {
 				controller.abort('callerLeft');
 			}
@@ -203,7 +214,7 @@
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
 		}
 
-		if (this.#activeRequests - this.#drainingRequests > this.#parts.context.settings.limits.requests) {
+		if (this.#pending.size - this.#drainingRequests > this.#parts.context.settings.limits.requests) {
 			fail('tooManyRequests', {retryAfterMs: overloadRetryAfterMs});
 		}
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -42,6 +42,8 @@
 
 /** Part of the grace period reserved for closing connections and components, in milliseconds. */
 const closeMarginMs = 500;
+/** Part of that margin for the delivery of the rejections of requests that are still in progress, in milliseconds. */
+const rejectionMs = 250;
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
@@ -278,7 +280,7 @@
 		this.context.log('settingsReloaded', {seeds: seeds.join(' ')});
 	}
 
-	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, then drains active requests within the grace period. */
+	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. */
 	async stop(): Promise<void> {
 		const {clock, log, settings: {timing}} = this.context;
 		const startedAt = clock.now();
@@ -291,11 +293,11 @@
 		const acceptMs = (timing.lookupTtlMs * timing.lookupStretch) + (gossipTicks * timing.tickMs);
 		await this.#sleep(Math.min(acceptMs, timing.graceMs / 2));
 		this.#callerServer.rejectNewRequests();
-		while (this.#callerServer.activeRequests > 0 && clock.now() - startedAt < timing.graceMs - closeMarginMs) {
-			await this.#sleep(drainPollMs);
-		}
-
+		const closesAt = startedAt + timing.graceMs - closeMarginMs;
+		await this.#drain(closesAt);
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(clock.now() - startedAt)});
+		this.#callerServer.rejectActive();
+		await this.#drain(closesAt + rejectionMs);
 		await this.close();
 	}
 
@@ -369,6 +371,14 @@
 		return job.service.engine === undefined ? runPlain(this.#handlerParts, job) : runGeneration(this.#handlerParts, job);
 	}
 
+	/** Waits until no request is active, until `endsAt` at the latest. */
+	async #drain(endsAt: number): Promise<void> {
+		const {clock} = this.context;
+		while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt) {
+			await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
+		}
+	}
+
 	async #sleep(milliseconds: number): Promise<void> {
 		return new Promise<void>(resolve => {
 			this.context.clock.after(milliseconds, resolve);
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -13,6 +13,9 @@
 /** Default `Retry-After` after a failure, in milliseconds; the failed endpoint is out of rotation by then. */
 export const defaultRetryAfterMs = 800;
 
+/** Detail of a job that the end of a planned stop ends. */
+export const stopEndedDetail = 'the time of the planned stop is over';
+
 /** Endpoint, or other host, that a request was sent to. */
 export type Via = {
 	readonly id: string;
@@ -38,12 +41,16 @@
 	};
 }
 
-/** Ends a job whose signal fired: the caller disconnected or the deadline passed. */
+/** Ends a job whose signal fired: the caller disconnected, the deadline passed, or the host's stop ends before the job. */
 export function abortJob(job: Job, via?: Via): JobEnd {
 	if (job.signal.reason === 'callerLeft') {
 		return {outcome: 'callerLeft', endpoint: via?.id};
 	}
 
+	if (job.signal.reason === 'hostStopping') {
+		return refuseJob(job, {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: stopEndedDetail}, via);
+	}
+
 	return refuseJob(job, {code: job.runs.mayHaveRun ? 'timeoutSpent' : 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'time is up'}, via);
 }
 
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -16,7 +16,7 @@
 import {readBody} from '../upstream/exchange.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {answeredElsewhere, type SendResult} from '../upstream/sender.js';
-import {type Via} from './generation-failure.js';
+import {stopEndedDetail, stoppingRetryAfterMs, type Via} from './generation-failure.js';
 import {type AttemptKind} from './call-admission.js';
 import {type RetryCause} from './retry-budgets.js';
 import {timeLeft, type Job} from './job.js';
@@ -392,6 +392,13 @@
 			return {outcome: 'callerLeft', endpoint: endpoint?.id};
 		}
 
+		if (signal.aborted && signal.reason === 'hostStopping') {
+			const code = reply.sendError('hostStopping', {retryAfterMs: stoppingRetryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
+			return {
+				outcome: 'refused', code, endpoint: endpoint?.id, detail: stopEndedDetail,
+			};
+		}
+
 		if (isContentHeld && !signal.aborted) {
 			const hold = this.#parts.guard.findHold(this.#job);
 			const code = reply.sendError('contentHeld', {retryAfterMs: hold?.leftMs ?? defaultRetryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
