--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -1,4 +1,5 @@
 /** One host before scripted endpoints that answer soundly but for what a test changes. */
+import {type LoadManagement} from '@gatehead/schema/relay-settings';
 import {
 	startScriptedEndpoint, writeResponse, type ScriptedCall, type ScriptedEndpoint,
 } from './scripted-endpoint.js';
@@ -47,6 +48,8 @@
 	readonly routeTimes?: RouteTimes;
 	/** Repeats that the host may send in one window; absent: more than any test needs. */
 	readonly retryAllowance?: number;
+	/** Whether the host manages the load; absent: as the configuration calls for. */
+	readonly loadManagement?: LoadManagement;
 };
 
 /** Body of a sound response to a plain call. */
@@ -72,9 +75,9 @@
 }
 
 /** Starts a host and its endpoints, and waits until the host knows them. */
-export async function startScriptedWorld({plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance}: ScriptedParts): Promise<ScriptedWorld> {
+export async function startScriptedWorld({plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
 	const world = await startWorld({
-		hosts: 1, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance,
+		hosts: 1, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(loadManagement === undefined ? {} : {loadManagement}),
 	});
 	let made = 0;
 	let starts = 0;
