Soak: replicas that pause beside configurations; each request is answered, rejected or left

A fault stops all reads before the replicas of one stage for 1 to 2.2 s, within a second of a new configuration that changes timeouts, the idle timeout, limits, a route or a service without weight. Nothing is lost meanwhile. From this kind on, callers keep their connections until the host process is gone. Each request of the soak, also of earlier kinds, must end with a whole response unless its caller left, its deadline or the timeout of its route was reached, an endpoint broke off, its host was killed, or it crossed the close of a stopping host and reached no endpoint.

--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -9,11 +9,14 @@
 import {sendRequest} from '../wire/client.js';
 import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
 import {startStore, type StandinStore} from '../wire/store-server.js';
-import {makeConfig, makeEntry, type EngineDraft} from '../wire/world.js';
+import {
+	makeConfig, makeEntry, platformTimes, type ConfigurationDraft, type EngineDraft,
+} from '../wire/world.js';
 import {LinkProxy} from '../wire/link-proxy.js';
 import {EventLog} from './event-log.js';
 import {startProxy, type FaultyProxy} from './faulty-proxy.js';
 import {HostProcess} from './host-process.js';
+import {type Circumstances} from './lost-requests.js';
 import {startStoreView, type StoreView} from './store-view.js';
 
 const anyPort = '127.0.0.1:0';
@@ -42,6 +45,10 @@
 	readonly firstEventListeners: Array<(host: HostProcess) => void>;
 	/** What configurations state of the engines. */
 	readonly engine: EngineDraft;
+	/** What configurations state beside that. */
+	draft: ConfigurationDraft;
+	readonly breaks: Array<Circumstances['breaks'][number]>;
+	readonly timeouts: Array<Circumstances['timeouts'][number]>;
 	version: number;
 	/** Number of the latest software version of the engines. */
 	release: number;
@@ -78,7 +85,7 @@
 		name: `host-${index}`, ip: `${ownNetwork}.${firstIp + index}`, ports: ports.slice(portsPerHost * index, portsPerHost * (index + 1)), seeds: [seedAddress], store: views[index]?.address ?? storeProxy.address, folder,
 	}));
 	const bed = {
-		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, links, views, log, events: new EventLog(folder), folder, firstEventListeners: [], engine: isLoadManaged ? longOutputs : {}, version: 1, release: 1,
+		random: seedRandom(seed), store, storeProxy, replicas, proxies, hosts, links, views, log, events: new EventLog(folder), folder, firstEventListeners: [], engine: isLoadManaged ? longOutputs : {}, draft: {}, breaks: [], timeouts: [], version: 1, release: 1,
 	};
 	configure(bed);
 	for (const [index] of replicas.entries()) {
@@ -93,8 +100,9 @@
 }
 
 /** Publishes the bed's configuration in its latest version. */
-export function configure({store, version, engine}: Pick<Bed, 'store' | 'version' | 'engine'>): void {
-	store.put('op/config', makeConfig(version, undefined, [], undefined, engine));
+export function configure({store, version, engine, draft, timeouts}: Pick<Bed, 'store' | 'version' | 'engine' | 'draft' | 'timeouts'>): void {
+	timeouts.push({at: performance.now(), timeoutMs: (draft.routeTimes ?? platformTimes).timeoutMs});
+	store.put('op/config', makeConfig(version, undefined, draft.added, draft.routeTimes, engine, draft));
 }
 
 /** Hosts reach a replica through its proxy. */
--- a/packages/standin/src/soak/faulty-proxy.ts
+++ b/packages/standin/src/soak/faulty-proxy.ts
@@ -14,6 +14,9 @@
 	mode: ProxyMode;
 	/** Nothing passes any more on the connections that are open now, not even their end; new ones work. */
 	silenceOpen(): void;
+	/** Nothing is read any more, as if the process behind had stopped, until `release`; nothing is lost. */
+	hold(): void;
+	release(): void;
 	/** Resets all open connections. */
 	reset(): void;
 	/** Refuses new connections from now on; open ones live on. */
@@ -52,7 +55,7 @@
 	const {ip, port} = splitAddress(target);
 	const sockets = new Set<Socket>();
 	const silenced = new WeakSet<Socket>();
-	const proxy: {mode: ProxyMode} = {mode: 'pass'};
+	const proxy: {mode: ProxyMode; isHeld: boolean} = {mode: 'pass', isHeld: false};
 	const forward = (from: Socket, to: Socket, isAnswer: boolean) => {
 		const dropped: Readonly<Record<ProxyMode, boolean>> = {
 			pass: false, delay: false, silence: true, dropAnswers: isAnswer,
@@ -95,6 +98,11 @@
 		sockets.add(outgoing);
 		forward(incoming, outgoing, false);
 		forward(outgoing, incoming, true);
+		if (proxy.isHeld) {
+			incoming.pause();
+			outgoing.pause();
+		}
+
 		incoming.once('close', () => {
 			if (!silenced.has(incoming)) {
 				outgoing.destroy();
@@ -117,6 +125,18 @@
 				silenced.add(socket);
 			}
 		},
+		hold() {
+			proxy.isHeld = true;
+			for (const socket of sockets) {
+				socket.pause();
+			}
+		},
+		release() {
+			proxy.isHeld = false;
+			for (const socket of sockets) {
+				socket.resume();
+			}
+		},
 		reset() {
 			for (const socket of sockets) {
 				socket.resetAndDestroy();
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -25,10 +25,22 @@
 	readonly program?: string | undefined;
 };
 
+/** One end of a process, or what is to end it; times are on the process's steady clock, in milliseconds. */
+export type HostEnd = {
+	readonly signal: 'SIGKILL' | 'SIGTERM';
+	readonly at: number;
+	/** Undefined: it has not ended yet. */
+	endedAt: number | undefined;
+};
+
 /** A host process that comes and goes. */
 export class HostProcess {
 	readonly name: string;
 	readonly caller: string;
+	/** Signals that were to end it, in order. */
+	readonly ends: HostEnd[] = [];
+	/** How often it ended without such a signal. */
+	crashes = 0;
 	readonly #parts: HostParts;
 	readonly #settingsFile: string;
 	readonly #logFile: number;
@@ -55,11 +67,24 @@
 
 		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot({...this.#parts, isFirstStart: this.#child === undefined})));
 		this.#child = spawn(process.execPath, [this.#parts.program ?? ownProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
+		const endsBefore = this.ends.length;
+		this.#child.once('exit', code => {
+			const own = this.ends.slice(endsBefore);
+			// A process that a signal ends, as a reload does before its handler is there, has no exit code
+			this.crashes += own.length === 0 && code !== null ? 1 : 0;
+			for (const end of own) {
+				end.endedAt = performance.now();
+			}
+		});
 	}
 
 	/** Sends a signal to this process alone. */
 	signal(signal: NodeJS.Signals): void {
 		if (this.isRunning) {
+			if (signal === 'SIGKILL' || signal === 'SIGTERM') {
+				this.ends.push({signal, at: performance.now(), endedAt: undefined});
+			}
+
 			this.#child?.kill(signal);
 		}
 	}
--- a/packages/standin/src/soak/main.ts
+++ b/packages/standin/src/soak/main.ts
@@ -2,15 +2,19 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {playSoak} from './soak.js';
+import {faultNames, playSoak} from './soak.js';
 
-const {seeds, first, seconds, hosts, kinds, managed} = await yargs(hideBin(process.argv))
+const {seeds, first, seconds, hosts, kinds, managed, fault, gap} = await yargs(hideBin(process.argv))
 	.option('seeds', {type: 'number', default: 5, describe: 'how many seeds'})
 	.option('first', {type: 'number', default: 1, describe: 'the first of them'})
 	.option('seconds', {type: 'number', default: 5, describe: 'how long faults are injected, a seed'})
 	.option('hosts', {type: 'number', default: 3, describe: 'host processes'})
 	.option('managed', {type: 'boolean', default: false, describe: 'with engines whose outputs are so long that hosts manage their load'})
 	.option('kinds', {type: 'number', describe: 'how many kinds of fault, from the first on; all of them if absent'})
+	.option('gap', {type: 'number', describe: 'mean time between two faults, in milliseconds'})
+	.option('fault', {
+		type: 'string', array: true, choices: faultNames, describe: 'the only faults; all of the kinds if absent',
+	})
 	.strict()
 	.parse();
 let failed = 0;
@@ -18,7 +22,7 @@
 	const {
 		requests, served, faults, folder, streams, broken,
 	} = await playSoak({
-		seed, seconds, hosts, kinds, isLoadManaged: managed,
+		seed, seconds, hosts, kinds, only: fault, gapMs: gap, isLoadManaged: managed,
 	});
 	process.stdout.write(`seed ${seed}: ${served} of ${requests} served, ${faults} faults, ${streams.goneOn} of ${streams.resumed} resumed attempts of ${streams.streams} streams went on, ${broken.length} promises broken, logs in ${folder}\n`);
 	for (const text of broken) {
--- a/packages/standin/src/soak/soak.test.ts
+++ b/packages/standin/src/soak/soak.test.ts
@@ -11,7 +11,7 @@
 const endMs = 10_000;
 const cases: ReadonlyArray<{readonly seed: number; readonly kinds?: number; readonly isLoadManaged?: boolean; readonly cause: string}> = [{seed: 1001, kinds: 12, cause: 'a fresh seed'}, {seed: 1003, kinds: 12, cause: 'another'}, {seed: 1005, kinds: 13, cause: 'with a directory that comes back from a copy'}, {seed: 1006, kinds: 14, cause: 'with connections that fall silent'}, {seed: 1007, kinds: 16, cause: 'with replicas that limit and drain by their responses'}, {seed: 1008, kinds: 17, cause: 'with hosts that lose their links to replicas'}, {seed: 1009, kinds: 20, cause: 'with releases of engines, and callers that resume streams'}, {seed: 1010, kinds: 21, cause: 'with responses without framing, some of them cut'}, {seed: 1011, kinds: 22, cause: 'with replicas that reject'}, {
 	seed: 1012, kinds: 22, isLoadManaged: true, cause: 'with load management',
-}, {seed: 1013, cause: 'with hosts that are all killed at once during a release of engines'}, ...failedSeeds];
+}, {seed: 1013, kinds: 23, cause: 'with hosts that are all killed at once during a release of engines'}, {seed: 8201, cause: 'with replicas that pause beside changes of the configuration'}, ...failedSeeds];
 
 // Without it, Node may spin for ever as it cleans up (Environment::CleanupHandles), when all results are printed
 process.once('exit', () => {
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -12,12 +12,14 @@
 import {type LinkCut} from '../wire/link-proxy.js';
 import {writeEvent, type ReplicaFault} from '../wire/replica-server.js';
 import {type StoreFault} from '../wire/store-server.js';
+import {platformTimes, type ConfigurationDraft} from '../wire/world.js';
 import {
 	configure, endBed, makeBed, publish, waitUntilServing, type Bed,
 } from './bed.js';
 import {entryLifeMs, expireEntries} from './entry-expiry.js';
 import {type ProxyMode} from './faulty-proxy.js';
 import {type HostProcess} from './host-process.js';
+import {findLostRequests} from './lost-requests.js';
 import {
 	countRuns, findExcessRepeats, findLostStreams, judge, playStreams, sendUntil, type StreamReport,
 } from './traffic.js';
@@ -272,8 +274,48 @@
 		await restartHosts(bed, bed.hosts, lastsMs / 4);
 		await releasing;
 	},
+	/** Replicas of one stage, or all of them, stand still within a second of a change of the configuration, and go on. */
+	async pauseReplicas(bed, lastsMs) {
+		const {random, replicas, proxies} = bed;
+		changeConfiguration(bed);
+		await pause(random.next() * longestLeadMs);
+		const stage = pick(random, replicas)?.stage;
+		const isEvery = random.next() < 0.5;
+		const held = proxies.filter((_, index) => replicas[index]?.stage === stage && (isEvery || random.next() < 0.5));
+		for (const proxy of held) {
+			proxy.hold();
+		}
+
+		await pause(shortestPauseMs + (pauseSpread * lastsMs));
+		for (const proxy of held) {
+			proxy.release();
+		}
+	},
 };
 
+/** Faults during which endpoints break responses off. */
+const breakingFaults: ReadonlySet<string> = new Set(['crashReplica', 'spoilReplica', 'harmPath', 'resetPaths', 'silencePaths', 'cutLinks', 'releaseEngines', 'unframeReplicas', 'killAll']);
+
+/** Time from a configuration to the pause behind it, at most, and shortest pause, in milliseconds; the longest one is 2200. */
+const longestLeadMs = 1000;
+const shortestPauseMs = 1000;
+const pauseSpread = 0.8;
+
+/** Publishes a configuration that differs in one thing from the one before. */
+function changeConfiguration(bed: Bed): void {
+	const {random, draft} = bed;
+	const drafts: ReadonlyArray<() => ConfigurationDraft> = [
+		() => ({...draft, routeTimes: pick(random, [{timeoutMs: 2600, targetLatencyMs: 450}, {timeoutMs: 3000, targetLatencyMs: 900}, {timeoutMs: 6000, targetLatencyMs: 900}]) ?? platformTimes}),
+		() => ({...draft, limits: {...draft.limits, idleTimeoutMs: pick(random, [4000, 15_000, 30_000]) ?? 0}}),
+		() => ({...draft, limits: {...draft.limits, maxHeaderBytes: pick(random, [8192, 65_536]) ?? 0, maxBodyBytes: pick(random, [65_536, 8_388_608]) ?? 0}}),
+		() => ({...draft, added: draft.added === undefined ? [{pathPrefix: '/added/', service: 'plain'}] : undefined}),
+		() => ({...draft, spareServices: draft.spareServices === undefined ? ['spare'] : undefined}),
+	];
+	bed.draft = pick(random, drafts)?.() ?? draft;
+	bed.version += 1;
+	configure(bed);
+}
+
 /** Streams of one replica that are cut, one after the other. */
 const cutsPerReplica = 20;
 const mostCutBytes = 120;
@@ -293,27 +335,34 @@
 const resumedEventGapMs = 15;
 /** Number of kinds of fault before all hosts were killed at once. */
 const kindsWithoutKillAll = 22;
+/** Number of kinds of fault before replicas paused; callers keep their connections since. */
+const kindsWithoutPauses = 23;
 /** Time between two events where all hosts are killed at once, in milliseconds: long enough that many streams break together. */
 const longEventGapMs = 80;
 const noStreams: StreamReport = {
-	streams: 0, resumed: 0, goneOn: 0, sentAt: [], broken: [],
+	streams: 0, resumed: 0, goneOn: 0, sentAt: [], broken: [], attempts: [],
 };
 
 async function injectFault(bed: Bed, fault: string, number: number, lastsMs: number): Promise<void> {
 	bed.events.add({
 		event: 'faultBegun', fault, number, lastsMs: Math.round(lastsMs),
 	});
+	const from = performance.now();
 	await faults[fault]?.(bed, lastsMs);
+	if (breakingFaults.has(fault)) {
+		bed.breaks.push({from, to: performance.now()});
+	}
+
 	bed.events.add({
 		event: 'faultEnded', fault, number, lastsMs: Math.round(lastsMs),
 	});
 }
 
-async function injectFaults(bed: Bed, endsAt: number, kinds: number): Promise<number> {
+async function injectFaults(bed: Bed, endsAt: number, names: readonly string[], gapMs: number): Promise<number> {
 	const running: Array<Promise<void>> = [];
 	while (performance.now() < endsAt) {
-		await pause(jitter(bed.random, faultGapMs, spread));
-		const fault = pick(bed.random, Object.keys(faults).slice(0, kinds)) ?? '';
+		await pause(jitter(bed.random, gapMs, spread));
+		const fault = pick(bed.random, names) ?? '';
 		running.push(injectFault(bed, fault, running.length, bed.random.next() * longestFaultMs));
 	}
 
@@ -341,6 +390,8 @@
 	return unserved;
 }
 
+export const faultNames = Object.keys(faults);
+
 /** How a seed is played. */
 export type SoakPlan = {
 	readonly seed: number;
@@ -348,12 +399,16 @@
 	readonly hosts?: number;
 	/** How many kinds of fault there are, from the first on; absent: all. */
 	readonly kinds?: number | undefined;
+	/** Names of the only faults; absent: those of all kinds. */
+	readonly only?: readonly string[] | undefined;
+	/** Mean time between the begins of two faults, in milliseconds. */
+	readonly gapMs?: number | undefined;
 	/** Whether hosts manage the load. */
 	readonly isLoadManaged?: boolean;
 };
 
 /** Plays one seed. */
-export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = Object.keys(faults).length, isLoadManaged}: SoakPlan): Promise<SoakReport> {
+export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = faultNames.length, only = faultNames.slice(0, kinds), gapMs = faultGapMs, isLoadManaged}: SoakPlan): Promise<SoakReport> {
 	const resumesStreams = kinds > kindsWithoutStreams;
 	const killsAll = kinds > kindsWithoutKillAll;
 	const resumedGapMs = killsAll ? longEventGapMs : resumedEventGapMs;
@@ -361,9 +416,9 @@
 	try {
 		await waitUntilServing(bed);
 		let isOver = false;
-		const sending = sendUntil(bed, () => isOver);
+		const sending = sendUntil(bed, () => isOver, kinds > kindsWithoutPauses);
 		const streaming = resumesStreams ? playStreams(bed, seed, {isOver: () => isOver, isPatient: killsAll}) : Promise.resolve(noStreams);
-		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000), kinds);
+		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000), only, gapMs);
 		isOver = true;
 		const sent = await sending;
 		const streams = await streaming;
@@ -380,9 +435,11 @@
 			})
 			: [];
 		const runs = countRuns(bed);
+		const unanswered = findLostRequests([...sent.map(({attempt}) => attempt), ...streams.attempts], {...bed, arrived: new Set(bed.log.arrivals.map(({request}) => request))});
+		const crashed = bed.hosts.filter(({crashes}) => crashes > 0).map(({name, crashes}) => `${name} ended ${crashes} times by itself`);
 		const broken = sent.map(each => judge(each, runs.get(each.id) ?? 0)).filter(text => text !== undefined);
 		return {
-			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unserved, ...lost, ...lostByRestart, ...findExcessRepeats(bed, sent, streams.sentAt)],
+			seed, requests: sent.length, served: sent.filter(({answer}) => answer.status === 200 && answer.isWhole).length, faults: faultCount, folder: bed.folder, streams, broken: [...broken, ...streams.broken, ...unanswered, ...crashed, ...unserved, ...lost, ...lostByRestart, ...findExcessRepeats(bed, sent, streams.sentAt)],
 		};
 	} finally {
 		await endBed(bed);
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -4,13 +4,17 @@
 import {
 	jitter, pick, seedRandom, shuffle, type Random,
 } from '@gatehead/policy/utils/random';
+import {fail} from '@gatehead/schema/failure';
 import {findWorstWindow} from '../utils/repeat-count.js';
 import {sendRequest, type CallerAnswer} from '../wire/client.js';
 import {StreamCaller} from '../wire/stream-caller.js';
 import {type Bed} from './bed.js';
 import {toTime} from './event-log.js';
+import {type Attempt} from './lost-requests.js';
 
 const requestGapMs = 12;
+/** Deadline that callers state, in milliseconds. */
+const deadlineMs = 3000;
 const spread = 0.5;
 const paths = ['/once/1', '/repeatable/1', '/stream/1', '/resumable/1'];
 /** Statuses that promise that a request has not run. */
@@ -23,30 +27,43 @@
 	/** On the process's steady clock, in milliseconds. */
 	readonly sentAt: number;
 	readonly answer: CallerAnswer;
+	readonly attempt: Attempt;
 };
 
-async function send({hosts, random, events}: Bed, id: string): Promise<Sent> {
+async function send({hosts, random, events}: Bed, id: string, agent: Agent | undefined): Promise<Sent> {
 	const path = pick(random, paths) ?? '';
-	const address = pick(random, hosts)?.caller ?? '';
+	const host = pickHost(random, hosts);
 	const sentAt = performance.now();
-	const answer = await sendRequest({address, id, path});
+	const answer = await sendRequest({
+		address: host.caller, id, path, agent,
+	});
 	events.add({
 		event: 'answered', request: id, path, sentAt: toTime(sentAt), status: answer.status, isWhole: answer.isWhole, tookMs: Math.round(performance.now() - sentAt),
 	});
 	return {
-		id, path, sentAt, answer,
+		id, path, sentAt, answer, attempt: {
+			...answer, id, path, host, sentAt, endedAt: performance.now(), deadlineMs, hasLeft: false,
+		},
 	};
 }
 
-/** Sends requests at a steady pace until told that it is over. */
-export async function sendUntil(bed: Bed, isOver: () => boolean): Promise<Sent[]> {
+function pickHost(random: Random, hosts: Bed['hosts']): Bed['hosts'][number] {
+	const host = pick(random, hosts);
+	return host ?? fail('internal', {detail: 'no hosts'});
+}
+
+/** Sends requests at a steady pace until told that it is over; on connections that stay in use until their process is gone where callers keep them. */
+export async function sendUntil(bed: Bed, isOver: () => boolean, keepsConnections = false): Promise<Sent[]> {
+	const agent = keepsConnections ? new Agent({keepAlive: true}) : undefined;
 	const sent: Array<Promise<Sent>> = [];
 	while (!isOver()) {
-		sent.push(send(bed, `r${sent.length}`));
+		sent.push(send(bed, `r${sent.length}`, agent));
 		await pause(jitter(bed.random, requestGapMs, spread));
 	}
 
-	return Promise.all(sent);
+	const all = await Promise.all(sent);
+	agent?.destroy();
+	return all;
 }
 
 /** Whether a whole stream has each event once, in order. */
@@ -126,6 +143,7 @@
 	readonly sentAt: readonly number[];
 	/** Each broken promise, in a sentence. */
 	readonly broken: readonly string[];
+	readonly attempts: readonly Attempt[];
 };
 
 /** How long streams are played, and by whom. */
@@ -139,9 +157,10 @@
 async function playStream({hosts, firstEventListeners, events}: Bed, name: string, random: Random, agent: Agent, isPatient: boolean): Promise<Omit<StreamReport, 'streams'>> {
 	const caller = new StreamCaller(name, undefined, agent);
 	caller.leavesAt = random.next() < leaveShare ? 1 + Math.floor(random.next() * 4) : Number.POSITIVE_INFINITY;
-	const host = pick(random, hosts);
-	await caller.begin(host?.caller ?? '');
-	if (caller.events.length > 0 && host !== undefined) {
+	const host = pickHost(random, hosts);
+	const attemptHosts = [host];
+	await caller.begin(host.caller);
+	if (caller.events.length > 0) {
 		firstEventListeners.shift()?.(host);
 	}
 
@@ -152,7 +171,9 @@
 	while (answered < maxResumptions && resumed < answered + maxUnanswered && !caller.isComplete && caller.events.length > 0) {
 		const before = caller.events.length;
 		caller.leavesAt = random.next() < leaveShare ? before + 1 : Number.POSITIVE_INFINITY;
-		const {status, retryAfterMs} = await caller.resumeOnce(pick(random, hosts)?.caller ?? '');
+		const next = pickHost(random, hosts);
+		attemptHosts.push(next);
+		const {status, retryAfterMs} = await caller.resumeOnce(next.caller);
 		const isAnswered = status !== 0 || !isPatient;
 		resumed += 1;
 		answered += isAnswered ? 1 : 0;
@@ -166,8 +187,14 @@
 		...(caller.versions.size > 1 ? [`${name} has events of the versions ${[...caller.versions].join(', ')}`] : []),
 		...(caller.isInOrder ? [] : [`${name} has lost or doubled events: ${caller.events.map(({id}) => id).join(' ')}`]),
 	];
+	const attempts = caller.ends.map((end, index) => {
+		const sentAt = caller.sentAt[index] ?? 0;
+		return {
+			...end, id: `${name}-${index}`, path: '/resumable/1', host: attemptHosts[index] ?? host, sentAt, endedAt: sentAt + end.tookMs, deadlineMs: caller.deadlineMs,
+		};
+	});
 	return {
-		resumed, goneOn, sentAt: caller.sentAt, broken,
+		resumed, goneOn, sentAt: caller.sentAt, broken, attempts,
 	};
 }
 
@@ -185,7 +212,7 @@
 	agent.destroy();
 	const sum = (count: (each: Omit<StreamReport, 'streams'>) => number) => played.reduce((total, each) => total + count(each), 0);
 	return {
-		streams: played.length, resumed: sum(each => each.resumed), goneOn: sum(each => each.goneOn), sentAt: played.flatMap(each => each.sentAt), broken: played.flatMap(each => each.broken),
+		streams: played.length, resumed: sum(each => each.resumed), goneOn: sum(each => each.goneOn), sentAt: played.flatMap(each => each.sentAt), broken: played.flatMap(each => each.broken), attempts: played.flatMap(each => each.attempts),
 	};
 }
 
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -3,7 +3,7 @@
 import {request as httpRequest, type Agent, type ClientRequest} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {splitAddress} from '@gatehead/schema/address';
-import {longestSilenceMs} from './client.js';
+import {longestSilenceMs, watchConnection} from './client.js';
 import {streamEvents} from './replica-server.js';
 
 /** Time in which a caller wants its whole stream unless it waits for others, in milliseconds. */
@@ -24,6 +24,11 @@
 	/** From its `Retry-After`, in milliseconds. */
 	readonly retryAfterMs: number | undefined;
 	readonly tookMs: number;
+	readonly isWhole: boolean;
+	/** Whether there was a connection. */
+	readonly isConnected: boolean;
+	/** Whether this caller closed it first. */
+	readonly hasLeft: boolean;
 };
 
 /** What a resumed request states; absent fields are as a caller of the platform states them. */
@@ -143,22 +148,31 @@
 		this.sentAt.push(sentAt);
 		const {ip, port} = splitAddress(address);
 		const body = 'question';
-		const end = await new Promise<Omit<AttemptEnd, 'tookMs'>>(resolve => {
+		const end = await new Promise<Pick<AttemptEnd, 'status' | 'retryAfterMs' | 'isWhole' | 'isConnected'>>(resolve => {
 			const call = httpRequest({
 				host: ip, port, method: 'POST', path: this.#path, agent: this.#agent, headers: {
 					Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(Math.max(1, Math.floor(this.deadlineMs - (sentAt - this.#startedAt)))), 'Token-Counts': '1000,40', 'Length-Hint': '40', 'Prompt-Prefix': writePrompt(this.name), 'Content-Length': body.length, ...headers,
 				},
 			});
 			this.#call = call;
+			const isConnected = watchConnection(call);
+			const resolveWithout = () => {
+				resolve({
+					status: 0, retryAfterMs: undefined, isWhole: false, isConnected: isConnected(),
+				});
+			};
+
 			call.setTimeout(this.silenceMs, () => {
 				this.hasGivenUp = true;
-				resolve({status: 0, retryAfterMs: undefined});
+				resolveWithout();
 				call.destroy();
 			});
 			call.once('response', response => {
 				const {statusCode: status = 0, headers: {'retry-after': retryAfter}} = response;
 				const done = () => {
-					resolve({status, retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * millisecondsPerSecond});
+					resolve({
+						status, retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * millisecondsPerSecond, isWhole: response.complete, isConnected: true,
+					});
 				};
 
 				let unread = '';
@@ -170,12 +184,10 @@
 				response.once('close', done);
 				response.once('error', done);
 			});
-			call.once('error', () => {
-				resolve({status: 0, retryAfterMs: undefined});
-			});
+			call.once('error', resolveWithout);
 			call.end(body);
 		});
-		const attemptEnd = {...end, tookMs: performance.now() - sentAt};
+		const attemptEnd = {...end, tookMs: performance.now() - sentAt, hasLeft: this.events.length >= this.leavesAt};
 		this.ends.push(attemptEnd);
 		return attemptEnd;
 	}
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -83,7 +83,8 @@
 	readonly targetLatencyMs: number;
 };
 
-const platformTimes: RouteTimes = {timeoutMs: 3000, targetLatencyMs: 900};
+/** Times of all routes where nothing else is stated. */
+export const platformTimes: RouteTimes = {timeoutMs: 3000, targetLatencyMs: 900};
 
 /** Times for tests whose checks do not depend on them: longer than the event loop that hosts, endpoints and callers share stands still on a busy machine. */
 export const patientTimes: RouteTimes = {timeoutMs: 25_000, targetLatencyMs: 20_000};
@@ -143,13 +144,22 @@
 }
 
 /** A route of one test's own. */
-type AddedRoute = {readonly pathPrefix: string; readonly service: string};
+export type AddedRoute = {readonly pathPrefix: string; readonly service: string};
 
 /** What the platform states of a model's engines beside its memory: requests at once, and output tokens of an event. */
 export type EngineDraft = {readonly slots?: number; readonly stride?: number};
 
+/** What else a configuration states; absent: as in all tests. */
+export type ConfigurationDraft = {
+	readonly routeTimes?: RouteTimes;
+	readonly added?: readonly AddedRoute[];
+	/** Services without endpoints, to which routes give no weight. */
+	readonly spareServices?: readonly string[];
+	readonly limits?: Readonly<Record<string, number>>;
+};
+
 /** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls, one of them on a public route too. */
-export function makeConfig(version: number, tenants?: readonly StandinTenant[], added: readonly AddedRoute[] = [], {timeoutMs, targetLatencyMs}: RouteTimes = platformTimes, engine: EngineDraft = {}): unknown {
+export function makeConfig(version: number, tenants?: readonly StandinTenant[], added: readonly AddedRoute[] = [], {timeoutMs, targetLatencyMs}: RouteTimes = platformTimes, engine: EngineDraft = {}, {spareServices = [], limits = {}}: ConfigurationDraft = {}): unknown {
 	const route = {
 		host: 'calls.example', timeoutMs, targetLatencyMs, priority: 1, sticky: false,
 	};
@@ -166,7 +176,7 @@
 				...route, name: 'once', pathPrefix: '/once/', kind: 'non_idempotent', service: 'plain', maxAttempts: 1,
 			},
 			{
-				...route, name: 'repeatable', pathPrefix: '/repeatable/', kind: 'idempotent', trafficSplit: [{service: 'plain', weight: 1}], maxAttempts: 2,
+				...route, name: 'repeatable', pathPrefix: '/repeatable/', kind: 'idempotent', trafficSplit: [{service: 'plain', weight: 1}, ...spareServices.map(service => ({service, weight: 0}))], maxAttempts: 2,
 			},
 			{
 				...route, name: 'public', pathPrefix: '/public/', kind: 'idempotent', service: 'plain', maxAttempts: 2, public: true,
@@ -182,9 +192,10 @@
 				},
 			},
 			{name: 'plain', healthPath: '/health', maxConns: 100},
+			...spareServices.map(name => ({name, healthPath: '/health', maxConns: 100})),
 		],
 		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000, ...limits,
 		},
 		...(tenants === undefined ? {} : {tenants}),
 	};
