Fix: a head without framing and without a body passed for a complete empty response

Cause: where only the end of the connection ends a response, Node reports it as complete once the connection has closed, even if no byte of the body came. A stream without an event was taken for truncated (EventForwarder.checkEnd); bodies that are read whole were not: plain calls, errors of generations, calls of the own front. The own front's forward to a request's owner passed such a response on, and also one that was reset with its last bytes, since it did not check ends at all; the engine client and the store's client checked `response.complete` alone, which is true for each response without framing.

Callers saw a 200 (or the endpoint's 404 or 500) with an empty body, framed as whole.

Change: one check in one place. `receiveHead` watches how each response ends, `receiveChunks` (moved from the relay to the host's utils) reads each body and counts its bytes, and `checkEnd` rejects a response without framing that closes before the first one. All clients read by it: exchange (plain, prefill, control calls, forwards to other hosts), streams, http-call, engine-client, the own front's forward, the store. Repeatable calls and resumable streams go to another endpoint; one that may run once gets 502 3004.

--- a/packages/host/src/core/engine-client.ts
+++ b/packages/host/src/core/engine-client.ts
@@ -11,6 +11,7 @@
 } from '@gatehead/schema/engine-protocol';
 import {check} from '@gatehead/schema/check';
 import {fail} from '@gatehead/schema/failure';
+import {receiveChunks} from '../utils/receive-chunks.js';
 import {
 	CallError, makeKeepAliveAgent, readText, sendCall,
 } from './http-call.js';
@@ -104,12 +105,11 @@
 
 async function * readLines(response: IncomingMessage): AsyncGenerator<StreamLine> {
 	let rest = '';
-	response.setEncoding('utf8');
-	for await (const chunk of response) {
-		const lines = (rest + String(chunk)).split('\n');
+	const decoder = new TextDecoder();
+	for await (const chunk of receiveChunks(response)) {
+		const lines = (rest + decoder.decode(chunk, {stream: true})).split('\n');
 		rest = lines.pop() ?? '';
 		if (rest.length > maxLineLength) {
-			response.destroy();
 			fail('endpointFault', {detail: 'a line of the stream exceeds the size limit'});
 		}
 
@@ -118,10 +118,6 @@
 		}
 	}
 
-	if (!response.complete) {
-		fail('endpointFault', {detail: 'the connection closed before the response was complete'});
-	}
-
 	if (rest !== '') {
 		yield check(streamLine, JSON.parse(rest), 'endpointFault');
 	}
--- a/packages/host/src/core/http-call.test.ts
+++ b/packages/host/src/core/http-call.test.ts
@@ -35,6 +35,10 @@
 	{
 		name: 'without framing, closed', text: `${head}\r\nhello`, end: close, body: 'hello',
 	},
+	{name: 'without framing, closed before its body', text: `${head}\r\n`, end: close},
+	{
+		name: 'with a length of zero', text: `${head}Content-Length: 0\r\n\r\n`, end: close, body: '',
+	},
 	{name: 'without framing, reset with the last bytes', text: `${head}\r\nhel`, end: reset},
 	{name: 'without framing, reset later', text: `${head}\r\nhel`, end: resetLater},
 	{name: 'shorter than its length', text: `${head}Content-Length: 9\r\n\r\nhello`, end: close},
--- a/packages/host/src/core/http-call.ts
+++ b/packages/host/src/core/http-call.ts
@@ -8,7 +8,7 @@
 } from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '@gatehead/schema/address';
-import {checkEnd, watchEnd} from '../utils/response-end.js';
+import {receiveChunks} from '../utils/receive-chunks.js';
 import {receiveHead} from '../utils/response-head.js';
 
 const maxIdleSockets = 64;
@@ -40,9 +40,6 @@
 }
 
 async function sendRequest(call: ClientRequest, body: Call['body']): Promise<IncomingMessage> {
-	call.once('response', response => {
-		watchEnd(call, response);
-	});
 	call.end(body);
 	return receiveHead(call).catch((error: unknown) => {
 		throw new CallError(true, error);
@@ -97,18 +94,18 @@
 
 /** Reads a response body as text; throws `CallError` if it is truncated or has more than `maxLength` UTF-16 code units. */
 export async function readText(response: IncomingMessage, maxLength: number): Promise<string> {
-	response.setEncoding('utf8');
+	const decoder = new TextDecoder('utf-8', {ignoreBOM: true});
 	let text = '';
-	for await (const chunk of response) {
-		text += String(chunk);
-		if (text.length > maxLength) {
-			response.destroy();
-			throw new CallError(true, new Error('the response is larger than the size limit'));
+	try {
+		for await (const chunk of receiveChunks(response)) {
+			text += decoder.decode(chunk, {stream: true});
+			if (text.length > maxLength) {
+				throw new Error('the response is larger than the size limit');
+			}
 		}
+	} catch (error) {
+		throw new CallError(true, error);
 	}
 
-	await checkEnd(response).catch((error: unknown) => {
-		throw new CallError(true, error);
-	});
-	return text;
+	return text + decoder.decode();
 }
--- a/packages/host/src/front/forward.ts
+++ b/packages/host/src/front/forward.ts
@@ -10,6 +10,7 @@
 import {callerHeaders} from '@gatehead/schema/caller-protocol';
 import {Failure} from '@gatehead/schema/failure';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
+import {receiveChunks} from '../utils/receive-chunks.js';
 import {receiveHead} from '../utils/response-head.js';
 import {type Call, type FrontParts} from './parts.js';
 import {sendFailure} from './reply.js';
@@ -34,7 +35,7 @@
 }
 
 /** Proxies a request to its owner and streams the response back. */
-export function forwardRequest({context}: FrontParts, {request, response, url}: Call, body: Uint8Array, member: MemberRecord): void {
+export function forwardRequest({context}: FrontParts, {request, response, url}: Pick<Call, 'request' | 'response' | 'url'>, body: Uint8Array, member: MemberRecord): void {
 	context.counters.count('forwarded');
 	context.timeline.record({kind: 'requestForwarded', peer: member.host});
 	const {ip, port} = splitAddress(member.callerAddress);
@@ -43,7 +44,7 @@
 	});
 	receiveHead(proxyRequest).then(proxyResponse => {
 		response.writeHead(proxyResponse.statusCode ?? 502, proxyResponse.headers);
-		pipeline(proxyResponse, response, ignore);
+		pipeline(receiveChunks(proxyResponse), response, ignore);
 	}, (error: unknown) => {
 		sendFailure(response, new Failure('ownerUnreachable', {cause: error}));
 	});
--- a/packages/relay/src/upstream/receive-chunks.ts
+++ b/packages/host/src/utils/receive-chunks.ts
@@ -1,7 +1,7 @@
-/** Receives a response's body without losing what arrived before its connection failed. */
+/** Receives a response's body without losing what arrived before its connection failed. Safety: every client reads bodies here, so that none takes a truncated one for complete. */
 import {type IncomingMessage} from 'node:http';
 import {ignore} from '@gatehead/policy/utils/ignore';
-import {checkEnd} from '@gatehead/host/utils/response-end';
+import {checkEnd} from './response-end.js';
 
 /** Bytes received and not yet taken above which the response is paused. */
 const maxQueuedBytes = 65_536;
@@ -10,6 +10,7 @@
 export async function * receiveChunks(response: IncomingMessage): AsyncGenerator<Uint8Array> {
 	const queue: Uint8Array[] = [];
 	let queuedBytes = 0;
+	let receivedBytes = 0;
 	let hasEnded = false;
 	let failure: Error | undefined;
 	let wake: () => void = ignore;
@@ -26,6 +27,7 @@
 	response.on('data', (chunk: Uint8Array) => {
 		queue.push(chunk);
 		queuedBytes += chunk.length;
+		receivedBytes += chunk.length;
 		if (queuedBytes > maxQueuedBytes) {
 			response.pause();
 		}
@@ -59,7 +61,7 @@
 			throw failure;
 		}
 
-		await checkEnd(response);
+		await checkEnd(response, receivedBytes);
 	} finally {
 		response.destroy();
 	}
--- a/packages/host/src/utils/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -38,9 +38,19 @@
 	});
 }
 
-/** Throws if a response that has ended is truncated. Waits until a reset that arrived with its last bytes is reported. */
-export async function checkEnd(response: IncomingMessage): Promise<void> {
+/**
+ * Throws if a response that has ended is truncated. Waits until a reset that
+ * arrived with its last bytes is reported. Where a close would mark the end of
+ * the body, a head alone is no sign that the body is empty: a process that
+ * exits behind the head closes the connection, too, and one that has nothing
+ * to send can say so with a length of zero (RFC 9112, section 6.3).
+ */
+export async function checkEnd(response: IncomingMessage, receivedBytes: number): Promise<void> {
 	if (probedResponses.has(response)) {
+		if (receivedBytes === 0) {
+			throw new Error('the connection closed before the body');
+		}
+
 		await setImmediate();
 		await setImmediate();
 	}
--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -7,6 +7,7 @@
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {watchEnd} from './response-end.js';
 
 /** Informational responses accepted before the final one. Endpoints send `100` at most. */
 const maxInformational = 8;
@@ -42,6 +43,7 @@
 				if (response.statusCode === switchingProtocols) {
 					rejectSwitch(response, response.socket);
 				} else {
+					watchEnd(request, response);
 					resolve(response);
 				}
 			},
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -9,7 +9,7 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {checkEnd, watchEnd} from '@gatehead/host/utils/response-end';
+import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {receiveHead} from '@gatehead/host/utils/response-head';
 import {splitAddress} from '@gatehead/schema/address';
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
@@ -190,7 +190,6 @@
 	});
 	clientRequest.once('response', response => {
 		state.timer?.stop();
-		watchEnd(clientRequest, response);
 		response.once('close', () => {
 			signal.removeEventListener('abort', abort);
 		});
@@ -232,9 +231,7 @@
 			response.destroy(new ExchangeError('silent', true, new Error('timed out waiting for the end of the body')));
 		});
 	try {
-		const body = await readBytes(response, maxBytes, () => new ExchangeError('tooLarge', true));
-		await checkEnd(response);
-		return body;
+		return await readBytes(receiveChunks(response), maxBytes, () => new ExchangeError('tooLarge', true));
 	} catch (error) {
 		throw error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 	} finally {
--- a/packages/relay/src/upstream/receive-chunks.test.ts
+++ b/packages/relay/src/upstream/receive-chunks.test.ts
@@ -4,12 +4,12 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
+import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
 import {ConnectionPool} from './connection-pool.js';
 import {exchange} from './exchange.js';
-import {receiveChunks} from './receive-chunks.js';
 
 const pauseMs = 20;
 const head = 'HTTP/1.1 200 OK\r\n';
@@ -42,6 +42,18 @@
 	{
 		name: 'chunks without the last one', writes: [`${chunked}1\r\na\r\n`, '1\r\nb\r\n'], end: close, body: 'ab', fails: true,
 	},
+	{
+		name: 'a head without framing', writes: [`${head}\r\n`], end: close, body: '', fails: true,
+	},
+	{
+		name: 'a head with a length of zero', writes: [`${head}Content-Length: 0\r\n\r\n`], end: close, body: '', fails: false,
+	},
+	{
+		name: 'a head of a status without a body', writes: ['HTTP/1.1 204 None\r\n\r\n'], end: close, body: '', fails: false,
+	},
+	{
+		name: 'bytes without framing that arrive before a close', writes: [`${head}\r\na`, 'b'], end: close, body: 'ab', fails: false,
+	},
 	{
 		name: 'a complete response', writes: [`${chunked}1\r\na\r\n`, '1\r\nb\r\n0\r\n\r\n'], end: close, body: 'ab', fails: false,
 	},
--- a/packages/relay/src/utils/read-bytes.ts
+++ b/packages/relay/src/utils/read-bytes.ts
@@ -1,11 +1,10 @@
 /** Buffers the body of an HTTP message, up to a size limit. */
-import {type IncomingMessage} from 'node:http';
 
-/** Reads the whole body. If it exceeds `maxBytes`, destroys the message and throws the error from `makeTooLarge`. Does not check that the body is complete. */
-export async function readBytes(message: IncomingMessage, maxBytes: number, makeTooLarge: () => Error): Promise<Uint8Array> {
+/** Reads the whole body. If it exceeds `maxBytes`, ends the iteration and throws the error from `makeTooLarge`. */
+export async function readBytes(body: AsyncIterable<Uint8Array>, maxBytes: number, makeTooLarge: () => Error): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	for await (const chunk of message as AsyncIterable<Uint8Array>) {
+	for await (const chunk of body) {
 		size += chunk.length;
 		if (size > maxBytes) {
 			throw makeTooLarge();
--- a/packages/relay/src/work/event-forwarder.test.ts
+++ b/packages/relay/src/work/event-forwarder.test.ts
@@ -7,13 +7,13 @@
 import {text} from 'node:stream/consumers';
 import {afterEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {type LogFields} from '@gatehead/host/utils/log';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
 import {expect} from 'earl';
 import {Reply} from '../front/reply.js';
 import {UnreadLimiter} from '../front/unread-limiter.js';
-import {receiveChunks} from '../upstream/receive-chunks.js';
 import {EventForwarder} from './event-forwarder.js';
 
 const eventBytes = 65_536;
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -6,6 +6,7 @@
  * A stream that cannot continue is broken off. All events of a stream come from
  * endpoints of one software version, which its first event decides.
  */
+import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {framingOf} from '@gatehead/host/utils/response-framing';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
@@ -14,7 +15,6 @@
 import {describeHold} from '../upstream/crash-guard.js';
 import {readBody} from '../upstream/exchange.js';
 import {waitFor} from '../utils/wait.js';
-import {receiveChunks} from '../upstream/receive-chunks.js';
 import {type ForwardResult} from '../upstream/peer-forwarder.js';
 import {stallReason, type SendResult} from '../upstream/sender.js';
 import {DecodePrefill} from './decode-prefill.js';
