Fix: a stream whose version served was refused finally at a host that lagged

A host concluded that no endpoint runs a stream's software version from the list of endpoints that it had, whether or not the directory had confirmed that list since the request came. A host that was stopped, or cut off from the directory, lacks the replicas that joined meanwhile, while the record of the stream reaches it through its peers. The same conclusion stood in the admission of a request, in the queue of waiting ones and in plain calls.

What callers saw. 503 4012 without Retry-After, so they gave the stream up, while three replicas of its version served.

A request whose version the read has brought goes on. DirectoryWatch.listedAt is the time of such a read; confirmations of the configuration by peers do not count. Requests that wait for the directory are passed over in the queue.

--- a/packages/relay/src/core/directory-watch.test.ts
+++ b/packages/relay/src/core/directory-watch.test.ts
@@ -315,6 +315,15 @@
 	},
 ];
 
+/** Starts a host's watch, and lets time pass after its first list. */
+async function startWatch(directory: ScriptedDirectory, ageMs: number) {
+	const made = makeWatch(directory);
+	made.watch.start();
+	await settle();
+	made.clock.advance(ageMs);
+	return made;
+}
+
 describe('confirming that the configuration is the newest', () => {
 	for (const {
 		name, revisionNow, lists, isConfirmed,
@@ -361,10 +370,7 @@
 
 	it('confirms as of the request, and concurrent callers share one read', async () => {
 		const directory = new ScriptedDirectory();
-		const {clock, watch, routing} = makeWatch(directory);
-		watch.start();
-		await settle();
-		clock.advance(3000);
+		const {clock, watch, routing} = await startWatch(directory, 3000);
 		directory.revisionNow = undefined;
 		const askedAt = clock.now();
 		const confirming = Promise.all([watch.confirm(), watch.confirm()]);
@@ -375,4 +381,45 @@
 		watch.stop();
 		expect(routing.confirmedAt).toEqual(askedAt + 600);
 	});
+
+	// A stream was taken for one of another version, or refused finally, by a list that lacked the newest endpoints
+	for (const {name, revisionNow, isListed} of [
+		{name: 'the list of endpoints is confirmed by a read of the directory', revisionNow: 2, isListed: true},
+		{name: 'the list of endpoints is not confirmed by a host that confirms the configuration', revisionNow: undefined, isListed: false},
+	]) {
+		it(name, async () => {
+			const directory = new ScriptedDirectory();
+			const {clock, watch, routing} = await startWatch(directory, 3000);
+			directory.revisionNow = revisionNow;
+			const askedAt = clock.now();
+			const confirming = watch.confirm();
+			await settle();
+			routing.confirm(clock.now());
+			clock.advance(600);
+			await confirming;
+			watch.stop();
+			expect([routing.confirmedAt >= askedAt, watch.listedAt >= askedAt]).toEqual([true, isListed]);
+		});
+	}
+
+	for (const {name, waitMs, isRestored, isRecovered} of [
+		{
+			name: 'a host that has just started', waitMs: 2100, isRestored: false, isRecovered: false,
+		},
+		{
+			name: 'a host that started a while ago', waitMs: 2300, isRestored: false, isRecovered: true,
+		},
+		{
+			name: 'a host that has just seen a restore', waitMs: 9000, isRestored: true, isRecovered: false,
+		},
+	]) {
+		it(`${name} ${isRecovered ? 'knows' : 'may lack'} entries that an outage removed`, async () => {
+			const directory = new ScriptedDirectory();
+			const {watch} = await startWatch(directory, waitMs);
+			directory.epoch = isRestored ? 2 : 1;
+			await watch.confirm();
+			watch.stop();
+			expect(watch.isRecovered).toEqual(isRecovered);
+		});
+	}
 });
--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -85,6 +85,10 @@
 	#readAt = Number.NEGATIVE_INFINITY;
 	/** Time from which this host has known a state of the directory. */
 	#knownSince = Number.POSITIVE_INFINITY;
+	/** Latest time as of which all listed endpoints are known here. */
+	#listedAt = Number.NEGATIVE_INFINITY;
+	/** Time at which the directory was last available again or found restored. */
+	#backAt = Number.NEGATIVE_INFINITY;
 	readonly #history = new DirectoryHistory();
 	readonly #changeApplier: DirectoryChangeApplier;
 	/** Confirmation in progress, shared by concurrent callers. */
@@ -153,6 +157,16 @@
 		return this.#parts.context.clock.now() - this.#knownSince >= outageGraceMs;
 	}
 
+	/** Latest time as of which this host is known, from a read that it sent then, to know all endpoints that the directory lists. What other hosts confirm is the configuration, so it does not count. */
+	get listedAt(): number {
+		return this.#listedAt;
+	}
+
+	/** Whether entries that an outage or a restore of the directory removed have had the time to reappear. */
+	get isRecovered(): boolean {
+		return this.isSettled && !this.#isUnavailable && this.#parts.context.clock.now() - this.#backAt >= outageGraceMs;
+	}
+
 	/** Time since the latest known state was read from the directory, by this or another host, in milliseconds; 0 if there is none. */
 	get ageMs(): number {
 		return Number.isFinite(this.#readAt) ? Math.max(0, this.#parts.context.clock.now() - this.#readAt) : 0;
@@ -179,6 +193,7 @@
 		const {context: {clock, log, metrics}, endpoints} = this.#parts;
 		const {position: previous} = this;
 		this.#history.switchTo(position, clock.now());
+		this.#backAt = clock.now();
 		endpoints.book.directoryRestored(position, clock.now());
 		endpoints.versions.restart(clock.now());
 		metrics.add('directoryRestores');
@@ -399,6 +414,7 @@
 		metrics.set('directory', 1);
 		if (this.#isUnavailable) {
 			this.#isUnavailable = false;
+			this.#backAt = clock.now();
 			endpoints.book.directoryBack(clock.now());
 			log('directoryBack', {revision: this.revision, failures: this.#failures});
 		}
@@ -415,8 +431,9 @@
 		}
 	}
 
-	/** Confirms the active configuration as of `askedAt`, unless the directory was only just restored. */
+	/** Confirms the list of endpoints as of `askedAt`, and the active configuration unless the directory was only just restored. */
 	#recordConfirmation(askedAt: number): void {
+		this.#listedAt = Math.max(this.#listedAt, askedAt);
 		if (this.#history.canConfirm(this.#parts.context.clock.now())) {
 			this.#parts.routing.confirm(askedAt);
 		}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -13,6 +13,7 @@
 import {isOff} from './core/experiment.js';
 import {makeRelayContext, type RelayContext, type RelayContextParts} from './core/context.js';
 import {DirectoryWatch} from './core/directory-watch.js';
+import {ListEvidence} from './core/list-evidence.js';
 import {RoutingState} from './core/routing-state.js';
 import {CallerServer} from './front/caller-server.js';
 import {UnreadLimiter} from './front/unread-limiter.js';
@@ -170,6 +171,7 @@
 		this.#stageOrders = new StageOrders({
 			context, endpoints: this.endpoints, routing: this.routing, fleet: this.fleet, watch: this.#watch, ownCalls, reachability: this.reachability, releaseRateOf: service => this.#handlerParts.admission.releaseRateOf(service), lastWaitedAt: service => this.#handlerParts.admission.lastWaitedAt(service),
 		});
+		const evidence = new ListEvidence({clock: context.clock, watch: () => this.#watch});
 		const streams = new StreamVersions({
 			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, hasMetOthers: () => this.fleet.hasMetOthers, routing: this.routing, watch: () => this.#watch,
 		});
@@ -192,6 +194,7 @@
 		this.#handlerParts = {
 			context,
 			endpoints: this.endpoints,
+			evidence,
 			sender: new Sender({
 				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter, budgets, hasCrashed,
 			}),
@@ -200,7 +203,7 @@
 			guard: this.guard,
 			budgets,
 			admission: new Admission({
-				context, endpoints: this.endpoints, calls: ownCalls, news, limiter: this.fleet.limiter, reachability: this.reachability, routing: this.routing,
+				context, endpoints: this.endpoints, evidence, calls: ownCalls, news, limiter: this.fleet.limiter, reachability: this.reachability, routing: this.routing,
 			}),
 			calls,
 			ownCalls,
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -13,7 +13,7 @@
 import {timeLeft} from './job.js';
 import {ReplicaSearch, type Reservation, type ReservationRequest} from './replica-search.js';
 import {
-	pollIntervalMs, ServiceQueue, versionGone, type AdmissionResult, type AdmissionParts,
+	pollIntervalMs, ServiceQueue, type AdmissionResult, type AdmissionParts,
 } from './service-queue.js';
 
 /** Jitter as a share of the interval, so that hosts do not poll in step. */
@@ -71,8 +71,9 @@
 	async reserve(request: ReservationRequest): Promise<AdmissionResult> {
 		const service = request.job.service.name;
 		const queue = this.#queueOf(service);
-		if (queue.isVersionGone(request)) {
-			return versionGone;
+		const refusal = await queue.checkVersion(request);
+		if (refusal !== undefined) {
+			return refusal;
 		}
 
 		const reservation = await queue.tryReserve(request);
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -1,6 +1,7 @@
 /** Dependencies that the request handlers share. */
 import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type RelayContext} from '../core/context.js';
+import {type ListEvidence} from '../core/list-evidence.js';
 import {type LoadGossip} from '../peer/load-gossip.js';
 import {type CrashGuard} from '../upstream/crash-guard.js';
 import {type Endpoints} from '../upstream/endpoints.js';
@@ -17,6 +18,7 @@
 export type WorkParts = {
 	readonly context: RelayContext;
 	readonly endpoints: Endpoints;
+	readonly evidence: Pick<ListEvidence, 'isComplete' | 'refresh'>;
 	readonly sender: Sender;
 	readonly forwarder: PeerForwarder;
 	readonly reachability: Reachability;
--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -11,6 +11,7 @@
 import {type Mechanism} from '@gatehead/schema/relay-settings';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {isOff} from '../core/experiment.js';
+import {unlistedRetryAfterMs} from '../core/list-evidence.js';
 import {readSoftwareVersion} from '../core/forward-facts.js';
 import {describeHold} from '../upstream/crash-guard.js';
 import {readBody} from '../upstream/exchange.js';
@@ -94,6 +95,7 @@
 	/** Tries one endpoint after another while none may have run the request. */
 	async sendOnce(): Promise<JobEnd> {
 		let cause: RetryCause | undefined;
+		await this.#refreshVersion();
 		while (this.#attempts < maxEndpoints) {
 			const forwarded = await this.#forwardIfUnreachable(cause);
 			if (forwarded !== undefined) {
@@ -127,6 +129,7 @@
 		let failed: BufferedResponse | undefined;
 		let cause: RetryCause | undefined;
 		let isExhausted = false;
+		await this.#refreshVersion();
 		try {
 			for (;;) {
 				if (!isExhausted && inFlight.size < 2 && (inFlight.size === 0 || cause === 'slow')) {
@@ -176,6 +179,19 @@
 		}
 	}
 
+	/** Reads the directory if this host knows no endpoint of the version that the call has to be served at. */
+	async #refreshVersion(): Promise<void> {
+		const {evidence, context: {clock}, reachability} = this.#parts;
+		if (this.#isVersionUnlisted && !reachability.isUnreachable(this.#job.service.name)) {
+			await evidence.refresh(this.#job.arrivedAt, timeLeft(this.#job, clock.now()));
+		}
+	}
+
+	get #isVersionUnlisted(): boolean {
+		const {service, resumedVersion} = this.#job;
+		return resumedVersion !== undefined && !this.#parts.endpoints.hasVersion(service.name, undefined, resumedVersion);
+	}
+
 	/** Waits until it is known whether a connection failed for its endpoint's fault or this host's. */
 	async #settleLinks(cause: RetryCause): Promise<void> {
 		if (cause === 'connect') {
@@ -407,9 +423,9 @@
 			};
 		}
 
-		const {service, resumedVersion} = this.#job;
-		if (resumedVersion !== undefined && !signal.aborted && !mayHaveRun && !this.#parts.endpoints.hasVersion(service.name, undefined, resumedVersion)) {
-			const code = reply.sendError('streamVersionGone', {mayHaveRun, isRepeatable: route.kind === 'repeatable'});
+		if (!signal.aborted && !mayHaveRun && this.#isVersionUnlisted) {
+			const retryAfterMs = this.#parts.evidence.isComplete(this.#job.arrivedAt) ? undefined : unlistedRetryAfterMs;
+			const code = reply.sendError('streamVersionGone', {retryAfterMs, mayHaveRun, isRepeatable: route.kind === 'repeatable'});
 			return {outcome: 'refused', code, endpoint: endpoint?.id};
 		}
 
--- a/packages/relay/src/work/service-queue.test.ts
+++ b/packages/relay/src/work/service-queue.test.ts
@@ -16,6 +16,10 @@
 
 type Options = {
 	readonly isLoadManaged: boolean;
+	/** Software versions of the endpoints that the host knows; absent: any. */
+	readonly versions?: string[];
+	/** What a read of the directory shows; absent: it does not answer. */
+	readonly listed?: readonly string[];
 	readonly workspaces?: ReadonlyArray<{readonly name: string; readonly priority: number}>;
 };
 
@@ -27,13 +31,19 @@
 	/** Whether the replicas have memory. */
 	hasMemory = false;
 
-	constructor({isLoadManaged, workspaces}: Options) {
+	constructor({isLoadManaged, versions, listed, workspaces}: Options) {
 		const used = {
 			context: {
 				clock: this.clock, log: ignore, metrics: new Metrics(undefined, {}), random: seedRandom(3), settings: {experiments: {off: []}},
 			},
 			endpoints: {
-				countDecode: () => 2, hasOwnDecode: () => false, hasVersion: () => true, recordMemoryInUse: ignore, managed: {holdFactorOf: () => 1},
+				countDecode: () => 2, hasOwnDecode: () => false, hasVersion: (_service: string, _stage: string, version: string) => versions?.includes(version) ?? true, recordMemoryInUse: ignore, managed: {holdFactorOf: () => 1},
+			},
+			evidence: {
+				isComplete: () => listed !== undefined,
+				async refresh() {
+					versions?.push(...listed ?? []);
+				},
 			},
 			news: {
 				countWaitingAtPeers: () => 0, announceWaiting: ignore, announceReservation: ignore, subsetSize: 2, fleetSize: 2,
@@ -52,7 +62,7 @@
 		});
 	}
 
-	makeRequest(id: string, {workspace, isContinuation = false, isCallerRetry = false}: {readonly workspace?: string; readonly isContinuation?: boolean; readonly isCallerRetry?: boolean} = {}): ReservationRequest {
+	makeRequest(id: string, {workspace, isContinuation = false, isCallerRetry = false, softwareVersion}: {readonly workspace?: string; readonly isContinuation?: boolean; readonly isCallerRetry?: boolean; readonly softwareVersion?: string} = {}): ReservationRequest {
 		const read = {
 			id,
 			route: {targetMs: 909, priority: 0},
@@ -67,7 +77,7 @@
 		};
 		const job = read as unknown as ReservationRequest['job']; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the queue reads no other properties of a job
 		return {
-			job, tokens: 10_000, ttlMs: 2000, capacityTokens: engine.capacityTokens, avoid: new Set(), isContinuation, softwareVersion: undefined,
+			job, tokens: 10_000, ttlMs: 2000, capacityTokens: engine.capacityTokens, avoid: new Set(), isContinuation, softwareVersion,
 		};
 	}
 
@@ -117,6 +127,38 @@
 		});
 	}
 
+	// A host that was stopped or cut off told the caller finally that no endpoint runs the version, while some did
+	for (const {name, versions, listed, isRefused, isFinal} of [
+		{
+			name: 'is known, goes on', versions: ['v2'], listed: undefined, isRefused: false, isFinal: false,
+		},
+		{
+			name: 'joined while the host lagged, goes on once the directory has been read', versions: ['v1'], listed: ['v1', 'v2'], isRefused: false, isFinal: false,
+		},
+		{
+			name: 'is unknown while the directory does not answer, is refused with Retry-After', versions: ['v1'], listed: undefined, isRefused: true, isFinal: false,
+		},
+		{
+			name: 'is not in the directory, is refused finally', versions: ['v1'], listed: ['v1'], isRefused: true, isFinal: true,
+		},
+	]) {
+		for (const isLoadManaged of [false, true]) {
+			it(`a stream whose version ${name}${isLoadManaged ? ', where load is managed' : ''}`, async () => {
+				const host = new Host({isLoadManaged, versions, ...(listed === undefined ? {} : {listed})});
+				host.hasMemory = true;
+				const request = host.makeRequest('r', {softwareVersion: 'v2'});
+				const first = await host.queue.checkVersion(request);
+				const waited = await host.serveFor(request, 180);
+				for (const result of [first, ...(isRefused ? [waited] : [])]) {
+					expect(result?.kind === 'refused' ? [result.code, result.retryAfterMs === undefined] : undefined).toEqual(isRefused ? ['streamVersionGone', isFinal] : undefined);
+				}
+
+				expect(waited?.kind).toEqual(isRefused ? 'refused' : 'granted');
+				expect(host.asked).toEqual(isRefused ? [] : ['r']);
+			});
+		}
+	}
+
 	it('a request asks once the placements of peers have taken those ahead out of the order', async () => {
 		const host = new Host({isLoadManaged: true});
 		host.receiveHeads(4);
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -11,6 +11,7 @@
 import {type LoadReport, type LoadReportDraft} from '@gatehead/schema/relay-message';
 import {type RelayContext} from '../core/context.js';
 import {isOff} from '../core/experiment.js';
+import {unlistedRetryAfterMs, type ListEvidence} from '../core/list-evidence.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type LoadGossip} from '../peer/load-gossip.js';
 import {type Endpoints} from '../upstream/endpoints.js';
@@ -18,6 +19,7 @@
 import {type Reachability} from '../upstream/reachability.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
 import {defaultRetryAfterMs} from './generation-failure.js';
+import {timeLeft} from './job.js';
 import {countWaiting} from './service-views.js';
 import {type Reservation, type ReplicaSearch, type ReservationRequest} from './replica-search.js';
 
@@ -35,19 +37,27 @@
 		| {readonly kind: 'aborted'};
 
 /** Outcome for a stream that cannot continue at any endpoint; without `Retry-After`, since a retry would fail as well. */
-export const versionGone: AdmissionResult = {
+const versionGone: AdmissionResult = {
 	kind: 'refused', code: 'streamVersionGone', retryAfterMs: undefined, detail: 'no endpoint runs the version of the stream',
 };
 
+/** Outcome for such a stream while the directory has not confirmed this host's list of endpoints. */
+const versionUnlisted: AdmissionResult = {
+	kind: 'refused', code: 'streamVersionGone', retryAfterMs: unlistedRetryAfterMs, detail: 'this host knows no endpoint of the stream\'s version, and its list may be outdated',
+};
+
 type QueuedRequest = Waiter & LoadWaiter & {
 	readonly request: ReservationRequest;
 	readonly resolve: (answer: AdmissionResult) => void;
+	/** Whether the directory is being asked for endpoints of its version. */
+	isChecking: boolean;
 };
 
 /** Dependencies of admission. */
 export type AdmissionParts = {
 	readonly context: RelayContext;
 	readonly endpoints: Endpoints;
+	readonly evidence: Pick<ListEvidence, 'isComplete' | 'refresh'>;
 	readonly calls: ControlCalls;
 	readonly news: LoadGossip;
 	readonly limiter: RateLimiter;
@@ -163,6 +173,7 @@
 				priorities: [job.workspace?.priority ?? 0, job.route.priority],
 				stage: this.#stageOf(request),
 				...this.#describeRequest(request),
+				isChecking: false,
 				resolve: answer => {
 					job.signal.removeEventListener('abort', leave);
 					this.#queue.remove(waiter);
@@ -180,10 +191,25 @@
 		});
 	}
 
-	/** Whether a request has to be served at a software version that no endpoint runs any more. Another host may still reach one that this host has lost its links to, so that comes first. */
-	isVersionGone({softwareVersion}: ReservationRequest): boolean {
-		const {endpoints, reachability} = this.#parts;
-		return softwareVersion !== undefined && !reachability.isUnreachable(this.#service) && !endpoints.hasVersion(this.#service, 'decode', softwareVersion);
+	/** Refuses a request whose software version no endpoint runs; undefined if one does. The refusal is final only if the directory, read after the call, shows it: a host that was stopped or cut off knows no endpoint that joined meanwhile. */
+	async checkVersion(request: ReservationRequest): Promise<AdmissionResult | undefined> {
+		if (!this.#isVersionUnlisted(request)) {
+			return undefined;
+		}
+
+		const {context: {clock}, evidence} = this.#parts;
+		const {job} = request;
+		const askedAt = clock.now();
+		await evidence.refresh(askedAt, timeLeft(job, askedAt));
+		if (job.signal.aborted) {
+			return {kind: 'aborted'};
+		}
+
+		if (!this.#isVersionUnlisted(request)) {
+			return undefined;
+		}
+
+		return evidence.isComplete(askedAt) ? versionGone : versionUnlisted;
 	}
 
 	/** Refuses all waiting requests, because this host has lost its links to the replicas. */
@@ -223,7 +249,7 @@
 				return;
 			}
 
-			if (this.#queue.has(waiter) && !this.#queue.shouldYield(waiter, this.#parts.context.clock.now(), outlook)) {
+			if (this.#mayTry(waiter) && !this.#queue.shouldYield(waiter, this.#parts.context.clock.now(), outlook)) {
 				failed += await this.#reserveFor(waiter) ? 0 : 1;
 			}
 		}
@@ -248,7 +274,7 @@
 				return;
 			}
 
-			if (this.#queue.has(waiter)) {
+			if (this.#mayTry(waiter)) {
 				failed += await this.#reserveFor(waiter) ? 0 : 1;
 			}
 		}
@@ -284,14 +310,34 @@
 		}
 	}
 
+	/** Whether a request has to be served at a software version of which this host knows no endpoint. Another host may still reach one that this host has lost its links to, so that comes first. */
+	#isVersionUnlisted({softwareVersion}: ReservationRequest): boolean {
+		const {endpoints, reachability} = this.#parts;
+		return softwareVersion !== undefined && !reachability.isUnreachable(this.#service) && !endpoints.hasVersion(this.#service, 'decode', softwareVersion);
+	}
+
+	/** Whether a request still waits for memory, and not for the directory. */
+	#mayTry(waiter: QueuedRequest): boolean {
+		return this.#queue.has(waiter) && !waiter.isChecking;
+	}
+
 	#refuseGoneVersions(): void {
 		for (const waiter of this.#queue.list()) {
-			if (this.isVersionGone(waiter.request)) {
-				waiter.resolve(versionGone);
+			if (!waiter.isChecking && this.#isVersionUnlisted(waiter.request)) {
+				void this.#refuseIfGone(waiter);
 			}
 		}
 	}
 
+	async #refuseIfGone(waiter: QueuedRequest): Promise<void> {
+		waiter.isChecking = true;
+		const result = await this.checkVersion(waiter.request);
+		waiter.isChecking = false;
+		if (result !== undefined && this.#queue.has(waiter)) {
+			waiter.resolve(result);
+		}
+	}
+
 	get #refusalCode() {
 		return this.#parts.endpoints.countDecode(this.#service) > 0 ? 'overloaded' : 'endpointsDown';
 	}
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -128,7 +128,7 @@
 		number: 4011, status: 503, ran: 'no', advice: 'All endpoints of the service are rate-limited, draining or in backoff. Come back after Retry-After.',
 	},
 	streamVersionGone: {
-		number: 4012, status: 503, ran: 'no', advice: 'No endpoint runs the software version that began this stream, so it cannot go on. Start it anew.',
+		number: 4012, status: 503, ran: 'no', advice: 'No endpoint that this host knows runs the software version that began this stream. With Retry-After, its list may be outdated; without, start the stream anew.',
 	},
 	tooManyRequests: {
 		number: 2006, status: 503, ran: 'no', advice: 'This host has as many requests in work as it may. Come back after Retry-After.',
