Metrics: attempts to replace a silent run, by outcome

Cause: whether silent runs of streams proceed, are replaced, or lack an attempt, budget or room could be seen from lines of single requests only.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -190,11 +190,28 @@
 
 	/** Seeks another run for one that is silent; undefined if none has begun. */
 	async #takeOver(silent: Via, {signal, commit}: TakeoverAttempt): Promise<RoundResult | undefined> {
-		if (this.#findFixedBlock() !== undefined) {
+		const {metrics} = this.#parts.context;
+		const blockedBy = this.#findFixedBlock();
+		if (blockedBy !== undefined) {
+			metrics.add('takeovers', {outcome: blockedBy});
 			return undefined;
 		}
 
-		return this.#playRound({signal, silent, commit});
+		let isBegun = false;
+		const result = await this.#playRound({
+			signal,
+			silent,
+			commit() {
+				isBegun = true;
+				metrics.add('takeovers', {outcome: 'begun'});
+				commit();
+			},
+		});
+		if (!isBegun) {
+			metrics.add('takeovers', {outcome: signal.aborted ? 'proceeded' : 'unavailable'});
+		}
+
+		return result;
 	}
 
 	/** Called right before the request of a run is written; `cancel` ends that run once another one replaces it. */
