Tests: what can happen while another endpoint is sought for a silent run

Cause: the takeover had end-to-end cases for its outcome alone, none for what happens at each of its steps.

--- /dev/null
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -0,0 +1,232 @@
+/** Guards against streams that are cut, run twice or refused while another endpoint is sought for a silent run, and against what such a search leaves behind. */
+import {request as httpRequest} from 'node:http';
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	afterEach, describe, it,
+} from 'node:test';
+import {ignore} from '@gatehead/policy/utils/ignore';
+import {splitAddress} from '@gatehead/schema/address';
+import {expect} from 'earl';
+import {longestSilenceMs, sendRequest, type CallerAnswer} from './client.js';
+import {
+	startScriptedWorld, streamOf, type CallKind, type EndpointCall, type ScriptedParts, type ScriptedWorld,
+} from './scripted-world.js';
+import {writeResponse} from './scripted-endpoint.js';
+import {until} from './world.js';
+
+/** Deadline of the callers, in milliseconds. */
+const deadlineMs = 15_000;
+/** Time for which the other endpoint holds back an answer that the silent run overtakes, in milliseconds; below the host's own time limits. */
+const overtakenMs = 150;
+
+type Chunk = string;
+
+function chunkOf(text: string): Chunk {
+	return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const endChunk = '0\r\n\r\n';
+
+function headOf(id: string, status = 200): string {
+	return `HTTP/1.1 ${status} Status\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
+/** The events of a stream, one a chunk. */
+function eventsOf(id: string): Chunk[] {
+	return [0, 1, 2].map(after => chunkOf(streamOf(id, after).slice(0, streamOf(id, after).length - streamOf(id, after + 1).length)));
+}
+
+function lastIdOf({headers}: EndpointCall): number {
+	return Number(headers.get('last-event-id') ?? 0);
+}
+
+/** What one part of a test waits for and another one opens. */
+function makeGate() {
+	let open: () => void = ignore;
+	const opened = new Promise<void>(resolve => {
+		open = resolve;
+	});
+	return {opened, open};
+}
+
+type Handler = (call: EndpointCall) => Promise<void> | void;
+
+/** What endpoints do with calls of a kind beyond the first one; absent: as a sound endpoint does. */
+type Handlers = {
+	readonly firstRun: Handler;
+	/** Further runs; absent: sound. */
+	readonly otherRun?: Handler;
+	readonly reservation?: Handler;
+	readonly prefill?: Handler;
+};
+
+describe('while another endpoint is sought for a silent run', () => {
+	let scripted: ScriptedWorld | undefined;
+
+	afterEach(async () => {
+		await scripted?.stop();
+		scripted = undefined;
+	});
+
+	/** Starts endpoints that answer as given from the first run on. `calls` gathers what reached them. */
+	const play = async (parts: ScriptedParts, {firstRun, ...later}: Handlers) => {
+		const world = await startScriptedWorld(parts);
+		scripted = world;
+		const runs: EndpointCall[] = [];
+		const controls: string[] = [];
+		const handlers: Readonly<Record<CallKind, Handler | undefined>> = {
+			run: later.otherRun, reservation: later.reservation, prefill: later.prefill, control: undefined,
+		};
+		world.intercept = (call, kind) => {
+			if (kind === 'control') {
+				controls.push(call.target);
+			}
+
+			if (kind === 'run') {
+				runs.push(call);
+			}
+
+			if (runs.length === 0) {
+				return false;
+			}
+
+			const handler = kind === 'run' && runs.length === 1 ? firstRun : handlers[kind];
+			void handler?.(call);
+			return handler !== undefined;
+		};
+
+		return {world, runs, controls};
+	};
+
+	const send = async ({caller}: ScriptedWorld, id: string, extra: Partial<Parameters<typeof sendRequest>[0]> = {}): Promise<CallerAnswer> => sendRequest({
+		address: caller, id, path: '/resumable/1', headers: {'Deadline-Ms': String(deadlineMs)}, ...extra,
+	});
+
+	const expectWhole = ({status, isWhole, body}: CallerAnswer, id: string) => {
+		expect({status, isWhole, body}).toEqual({status: 200, isWhole: true, body: streamOf(id)});
+	};
+
+	const answerLate: Handler = async call => {
+		await wait(overtakenMs);
+		scripted?.answerSoundly(call);
+	};
+
+	/** A run that goes on once `isOver` resolves. */
+	const pauseUntil = (isOver: Promise<void>): Handler => async ({id, socket}) => {
+		const [first = '', ...rest] = eventsOf(id);
+		socket.write(headOf(id) + first);
+		await isOver;
+		socket.write(rest.join('') + endChunk);
+	};
+
+	for (const step of ['reservation', 'prefill'] as const) {
+		it(`a run that goes on during the other endpoint's ${step} is not run twice`, async () => {
+			const id = `overtaken-${step}`;
+			const isOver = makeGate();
+			const {world, runs} = await play({prefill: 1, decode: 2}, {
+				firstRun: pauseUntil(isOver.opened),
+				async [step](call: EndpointCall) {
+					isOver.open();
+					await answerLate(call);
+				},
+			});
+			expectWhole(await send(world, id), id);
+			expect(runs.length).toEqual(1);
+		});
+	}
+
+	it('a run that is rejected after the silent one was ended is followed by a further one', async () => {
+		const id = 'rejected';
+		let rejected = 0;
+		const {world, runs} = await play({prefill: 1, decode: 3}, {
+			firstRun: pauseUntil(wait(longestSilenceMs)),
+			otherRun(call) {
+				rejected += 1;
+				if (rejected > 2) {
+					scripted?.answerSoundly(call);
+				} else {
+					call.socket.write(writeResponse(503, {'Request-Id': call.id, 'Not-Executed': '1'}));
+				}
+			},
+		});
+		expectWhole(await send(world, id), id);
+		expect(runs.map(call => lastIdOf(call))).toEqual([0, 1, 1, 1]);
+	});
+
+	it('a run whose connection is lost during the search goes on elsewhere once', async () => {
+		const id = 'lost';
+		let lose: () => void = ignore;
+		const {world, runs} = await play({prefill: 1, decode: 2}, {
+			firstRun({id, socket}) {
+				const [first = ''] = eventsOf(id);
+				socket.write(headOf(id) + first);
+				lose = () => {
+					socket.resetAndDestroy();
+				};
+			},
+			async reservation(call) {
+				lose();
+				await answerLate(call);
+			},
+		});
+		expectWhole(await send(world, id), id);
+		expect(runs.map(call => lastIdOf(call))).toEqual([0, 1]);
+	});
+
+	it('a caller that leaves ends the run and the search', async () => {
+		const id = 'left';
+		const isSought = makeGate();
+		let isClosed = false;
+		const {world, runs} = await play({prefill: 1, decode: 2}, {
+			firstRun({id, socket}) {
+				const [first = ''] = eventsOf(id);
+				socket.write(headOf(id) + first);
+				socket.once('close', () => {
+					isClosed = true;
+				});
+			},
+			prefill: isSought.open,
+		});
+		const {lines} = world.world;
+		const {ip, port} = splitAddress(world.caller);
+		const call = httpRequest({
+			host: ip, port, method: 'POST', path: '/resumable/1', agent: false, headers: {
+				Host: 'calls.example', 'Request-Id': id, 'Deadline-Ms': String(deadlineMs), 'Token-Counts': '1000,40', 'Content-Length': 1,
+			},
+		});
+		call.on('error', () => {
+			// The caller has left
+		});
+		call.end('q');
+		await isSought.opened;
+		call.destroy();
+		await until(() => isClosed);
+		await until(() => lines.some(({code, facts}) => code === 'requestEnded' && facts.request === id));
+		expect({runs: runs.length, errors: lines.filter(({code}) => code === 'internal').length}).toEqual({runs: 1, errors: 0});
+	});
+
+	for (const status of [500, 400]) {
+		it(`an error body that stalls, status ${status}, ends in one whole response`, async () => {
+			const id = `stalled-${status}`;
+			const isOver = makeGate();
+			const {world, runs} = await play({prefill: 1, decode: 2}, {
+				async firstRun({id, socket}) {
+					socket.write(headOf(id, status) + chunkOf('an error that '));
+					await isOver.opened;
+					socket.write(chunkOf('has an end') + endChunk);
+				},
+				async reservation(call) {
+					isOver.open();
+					await answerLate(call);
+				},
+			});
+			const answer = await send(world, id);
+			const errors = world.world.lines.filter(({code}) => code === 'internal').length;
+			expect({
+				status: answer.status, isWhole: answer.isWhole, runs: runs.length, errors,
+			}).toEqual({
+				status: status === 500 ? 200 : status, isWhole: true, runs: status === 500 ? 2 : 1, errors: 0,
+			});
+		});
+	}
+});
