Fix: a stream kept the retry permit of a search that began no other run

Cause: the search for another endpoint takes a permit before the prompt is read. If the silent run goes on meanwhile, the permit stayed with the job until its end, ten seconds or more, and counted against the budget of the host. What callers saw: other streams of the host that break off have no budget left. Change: a search that has begun no run returns the permits of its job.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -190,28 +190,31 @@
 
 	/** Seeks another run for one that is silent; undefined if none has begun. */
 	async #takeOver(silent: Via, {signal, commit}: TakeoverAttempt): Promise<RoundResult | undefined> {
-		const {metrics} = this.#parts.context;
+		const {budgets, context: {metrics}} = this.#parts;
 		const blockedBy = this.#findFixedBlock();
 		if (blockedBy !== undefined) {
 			metrics.add('takeovers', {outcome: blockedBy});
 			return undefined;
 		}
 
-		let isBegun = false;
-		const result = await this.#playRound({
-			signal,
-			silent,
-			commit() {
-				isBegun = true;
-				metrics.add('takeovers', {outcome: 'begun'});
-				commit();
-			},
-		});
-		if (!isBegun) {
-			metrics.add('takeovers', {outcome: signal.aborted ? 'proceeded' : 'unavailable'});
+		let hasBegun = false;
+		try {
+			return await this.#playRound({
+				signal,
+				silent,
+				commit() {
+					hasBegun = true;
+					metrics.add('takeovers', {outcome: 'begun'});
+					commit();
+				},
+			});
+		} finally {
+			if (!hasBegun) {
+				metrics.add('takeovers', {outcome: signal.aborted ? 'proceeded' : 'unavailable'});
+				// The silent run may last for long, and other requests need the permits
+				budgets.release(this.#job);
+			}
 		}
-
-		return result;
 	}
 
 	/** Called right before the request of a run is written; `cancel` ends that run once another one replaces it. */
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -19,6 +19,9 @@
 /** Time for which the other endpoint holds back an answer that the silent run overtakes, in milliseconds; below the host's own time limits. */
 const overtakenMs = 150;
 
+/** Time between two events of a slow stream, in milliseconds. */
+const slowEventMs = 600;
+
 type Chunk = string;
 
 function chunkOf(text: string): Chunk {
@@ -135,6 +138,35 @@
 		});
 	}
 
+	// Permits that a stream holds without using them are missing for other streams
+	it('a run that goes on leaves no reservation and no permit of the search behind', async () => {
+		const id = 'left-behind';
+		const allowance = 4;
+		const isOver = makeGate();
+		const {world, runs, controls} = await play({prefill: 1, decode: 2, retryAllowance: allowance}, {
+			async firstRun({id, socket}) {
+				const [first = '', second = '', third = ''] = eventsOf(id);
+				socket.write(headOf(id) + first);
+				await isOver.opened;
+				socket.write(second);
+				await wait(slowEventMs);
+				socket.write(third + endChunk);
+			},
+			prefill: isOver.open,
+		});
+		const {relay} = world.world.relays[0]!;
+		const countLeft = () => relay.describe().retries.find(({service}) => service === 'model')?.left ?? allowance;
+		const leftBefore = countLeft();
+		const answer = send(world, id);
+		await isOver.opened;
+		await wait(slowEventMs / 2);
+		// The prompt that was read in vain is an arrival, and stays charged
+		const leftDuring = countLeft();
+		expectWhole(await answer, id);
+		const dropped = controls.filter(target => target.startsWith('/api/hold-drop/')).length;
+		expect({runs: runs.length, spent: Math.round(leftBefore - leftDuring), dropped}).toEqual({runs: 1, spent: 1, dropped: 1});
+	});
+
 	it('a run that is rejected after the silent one was ended is followed by a further one', async () => {
 		const id = 'rejected';
 		let rejected = 0;
