Tests: responses that end inside their head, and behind it, direct and forwarded

What callers reported as answers that stopped in their head: not reproduced inside the head. A response is closed or reset at each fourth byte of its head, at each of the last three, and inside and behind values that still parse when cut (Content-Length: 1 of 123, Transfer-Encoding: chun), with and without the bytes that end a line, at calls that may run once, repeatable calls, resumable streams and reservations; with a 103 before the head, as a later response on a kept connection, and through a host that forwards everything. Between hosts: four heads, closed and reset at the same places and behind the whole head, all "may have run".

--- a/packages/standin/src/wire/empty-responses.test.ts
+++ b/packages/standin/src/wire/empty-responses.test.ts
@@ -4,10 +4,11 @@
 } from 'node:test';
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
+import {sendDisturbed, type DisturbedRequest} from './disturbed-send.js';
 import {responseReaders} from './response-readers.js';
 import {startScriptedEndpoint} from './scripted-endpoint.js';
 import {
-	bodyOf, startScriptedWorld, streamOf, type ScriptedWorld,
+	bodyOf, reaches, streamOf, type Reach, type ScriptedWorld,
 } from './scripted-world.js';
 import {sendPlaces, type SendPlace} from './send-places.js';
 
@@ -58,52 +59,44 @@
 	return kind === 'run' && (path.startsWith('/once') || path.startsWith('/stream'));
 }
 
-describe('responses without framing that end before their body', () => {
+function describeReach(reach: Reach): void {
 	let scripted: ScriptedWorld;
 	let sent = 0;
 
 	before(async () => {
-		scripted = await startScriptedWorld({plain: 2, prefill: 2, decode: 2});
+		scripted = await reaches[reach]({plain: 2, prefill: 2, decode: 2});
 	});
 
 	after(async () => {
 		await scripted.stop();
 	});
 
-	/** Sends requests until one was answered with the head alone. */
-	async function play({kind, path}: SendPlace, {text, isLater = false}: Head) {
-		await scripted.publish();
-		let isPending = true;
-		scripted.intercept = ({id, socket, earlierIds}, callKind) => {
-			if (callKind !== kind || !isPending || (isLater && earlierIds.length === 0)) {
-				return false;
-			}
+	const makeId = () => {
+		sent += 1;
+		return `request-${sent}`;
+	};
 
-			isPending = false;
-			socket.end(text.replaceAll('Request-Id: ID\r\n', id === '' ? '' : `Request-Id: ${id}\r\n`));
-			return true;
-		};
+	/** Sends requests until one was answered with the head alone. */
+	async function play(place: SendPlace, {text, isLater = false}: Head): Promise<DisturbedRequest> {
+		return sendDisturbed(scripted, {
+			place, isLater, respond({id, socket}) {
+				socket.end(text.replaceAll('Request-Id: ID\r\n', id === '' ? '' : `Request-Id: ${id}\r\n`));
+			},
+		}, makeId);
+	}
 
-		for (;;) {
-			sent += 1;
-			const id = `request-${sent}`;
-			const answer = await sendRequest({address: scripted.caller, id, path});
-			if (!isPending) {
-				return {id, answer};
-			}
+	async function expectCut(place: SendPlace, head: Head): Promise<void> {
+		const {id, status, body, isWhole} = await play(place, head);
+		if (isFinal(place)) {
+			expect(status).toEqual(badGateway);
+		} else {
+			expect({status, body, isWhole}).toEqual({status: okStatus, body: wholeBodyOf(place.path, id), isWhole: true});
 		}
 	}
 
 	for (const place of sendPlaces) {
 		for (const head of truncated) {
-			it(`${place.name} that gets ${head.name} alone is not answered with it`, async () => {
-				const {id, answer: {status, body, isWhole}} = await play(place, head);
-				if (isFinal(place)) {
-					expect(status).toEqual(badGateway);
-				} else {
-					expect({status, body, isWhole}).toEqual({status: okStatus, body: wholeBodyOf(place.path, id), isWhole: true});
-				}
-			});
+			it(`${place.name} that gets ${head.name} alone is not answered with it`, async () => expectCut(place, head));
 		}
 	}
 
@@ -114,9 +107,8 @@
 			return true;
 		};
 
-		sent += 1;
 		const answer = await sendRequest({
-			address: scripted.caller, id: `request-${sent}`, path, method,
+			address: scripted.caller, id: makeId(), path, method,
 		});
 		expect([answer.status, answer.body, answer.isWhole]).toEqual([status, '', true]);
 	}
@@ -126,7 +118,18 @@
 			it(`an empty response with ${each.name} is passed on, ${path}`, async () => expectPassedOn(path, each));
 		}
 	}
-});
+
+	it(`hosts forward ${reach === 'direct' ? 'none' : 'all'} of these requests`, () => {
+		const forwarded = new Set(scripted.world.lines.filter(({code}) => code === 'forwarded').map(({facts}) => facts.request));
+		expect(forwarded.size).toEqual(reach === 'direct' ? 0 : sent);
+	});
+}
+
+for (const reach of ['direct', 'forwarded'] as const) {
+	describe(`responses without framing that end before their body, ${reach}`, () => {
+		describeReach(reach);
+	});
+}
 
 describe('responses to other clients without framing that end before their body', () => {
 	for (const {name, read} of responseReaders) {
--- a/packages/standin/src/wire/forward-answers.test.ts
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -1,10 +1,12 @@
 /** Guards against a response of another host that answers another forward and is taken for the present one's: a request that is reported as not run, or sent again, although it runs. */
+import {type Socket} from 'node:net';
 import {describe, it} from 'node:test';
 import {parseBootSettings} from '@gatehead/platform/boot-settings';
 import {wireDialect} from '@gatehead/platform/wire-dialect';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {seedRandom} from '@gatehead/policy/utils/random';
+import {readBody} from '@gatehead/relay/upstream/exchange';
 import {PeerForwarder, type ForwardResult, type PeerForwarderParts} from '@gatehead/relay/upstream/peer-forwarder';
 import {Metrics} from '@gatehead/relay/utils/metrics';
 import {type Job} from '@gatehead/relay/work/job';
@@ -52,11 +54,39 @@
 	host: 'b', hall: 'a', region: 'r', incarnation: 1, counter: 1, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0,
 };
 
+type Cut = (socket: Socket) => void;
+
+const cuts: Readonly<Record<string, Cut>> = {
+	closed(socket) {
+		socket.end();
+	},
+	reset(socket) {
+		socket.resetAndDestroy();
+	},
+};
+
+/** Distance between two places of the cut, in bytes. */
+const stride = 4;
+const answered = 'HTTP/1.1 200 OK\r\ngatehead-forward-id: FORWARD\r\nRequest-Id: own\r\nServer-Seal: seal\r\n';
+
+const cutHeads = [
+	{name: 'with a length', text: `${answered}Content-Length: 123\r\n\r\n`},
+	{name: 'in chunks', text: `${answered}Transfer-Encoding: chunked\r\n\r\n`},
+	{name: 'without framing', text: `${answered}\r\n`},
+	{name: 'behind an informational one', text: `HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n${answered}Content-Length: 123\r\n\r\n`},
+] as const;
+
+/** Largest body, in bytes. */
+const maxBytes = 1000;
+
+/** Guards against a response of another host that ends early and is taken for complete, too. */
 describe('responses to forwarded requests', () => {
-	/** Forwards a job to another host, which responds to each call as given. */
-	async function forward(respond: Case['respond'], job: Job): Promise<ForwardResult['kind']> {
+	/** Forwards a job to another host, which responds to each call as given; `cut`: where its response ends. */
+	async function forward(respond: Case['respond'], job: Job, cut?: Cut): Promise<ForwardResult['kind']> {
 		const peer = await startScriptedEndpoint(call => {
-			call.socket.write(respond(call));
+			call.socket.write(respond(call), () => {
+				cut?.(call.socket);
+			});
 		});
 		const {settings} = parseBootSettings(makeBoot({
 			name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
@@ -73,8 +103,10 @@
 		} as unknown as PeerForwarderParts;
 		const forwarder = new PeerForwarder(parts);
 		try {
-			const {kind} = await forwarder.send(job, {attempts: 2, headMs});
-			return kind;
+			const result = await forwarder.send(job, {attempts: 2, headMs});
+			return result.kind === 'answer'
+				? await readBody(result.response, systemClock, {maxBytes}).then(() => result.kind, () => 'unknown' as const)
+				: result.kind;
 		} finally {
 			forwarder.close();
 			peer.stop();
@@ -96,6 +128,18 @@
 		});
 	}
 
+	for (const [name, cut] of Object.entries(cuts)) {
+		for (const {name: head, text} of cutHeads) {
+			it(`a response ${head} that is ${name} at any byte of its head, or behind it, does not count`, async () => {
+				for (let bytes = 0; bytes <= text.length; bytes += bytes < text.length - stride ? stride : 1) {
+					const job = createJob();
+					const kind = await forward(call => text.slice(0, bytes).replace('FORWARD', nameForward(call)['gatehead-forward-id'] ?? ''), job, cut);
+					expect({bytes, kind, mayHaveRun: job.runs.mayHaveRun}).toEqual({bytes, kind: 'unknown', mayHaveRun: true});
+				}
+			});
+		}
+	}
+
 	it('a refusal does not take back a send that was written meanwhile', async () => {
 		const job = createJob();
 		const kind = await forward(call => {
--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -1,4 +1,4 @@
-/** One host before scripted endpoints that answer soundly but for what a test changes. */
+/** Hosts before scripted endpoints that answer soundly but for what a test changes. */
 import {type LoadManagement} from '@gatehead/schema/relay-settings';
 import {
 	startScriptedEndpoint, writeResponse, type ScriptedCall, type ScriptedEndpoint,
@@ -18,10 +18,10 @@
 /** What a request is at an endpoint: a control call, a prompt to read, or a run. */
 export type CallKind = 'reservation' | 'control' | 'prefill' | 'run';
 
-/** A host and its endpoints. */
+/** Hosts and their endpoints. */
 export type ScriptedWorld = {
 	readonly world: World;
-	/** Address of the host for callers. */
+	/** Address of the first host for callers. */
 	readonly caller: string;
 	/** Runs of requests, by their ids. */
 	readonly runs: string[];
@@ -32,9 +32,9 @@
 	readonly endpoints: ReadonlyMap<string, ScriptedEndpoint>;
 	/** Answers a call before the sound endpoint does; returns whether it did. Tests replace it. */
 	intercept: (call: EndpointCall, kind: CallKind) => boolean;
-	/** Writes the entries of all endpoints as those of new starts, of which the host knows nothing yet, and waits until it uses them. */
+	/** Writes the entries of all endpoints as those of new starts, of which the hosts know nothing yet, and waits until they use them. */
 	publish(): Promise<void>;
-	/** Endpoints that the host does not use. */
+	/** Endpoints that a host does not use. */
 	listUnready(): string[];
 	/** Answers a call as a sound endpoint does. */
 	answerSoundly(call: EndpointCall): void;
@@ -42,6 +42,8 @@
 };
 
 export type ScriptedParts = {
+	/** Number of hosts; absent: one. */
+	readonly hosts?: number;
 	readonly plain?: number;
 	readonly prefill?: number;
 	readonly decode?: number;
@@ -74,10 +76,10 @@
 	return headers.get('stage') === 'prefill' ? 'prefill' : 'run';
 }
 
-/** Starts a host and its endpoints, and waits until the host knows them. */
-export async function startScriptedWorld({plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
+/** Starts hosts and their endpoints, and waits until the hosts know them. */
+export async function startScriptedWorld({hosts = 1, plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
 	const world = await startWorld({
-		hosts: 1, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(loadManagement === undefined ? {} : {loadManagement}),
+		hosts, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(loadManagement === undefined ? {} : {loadManagement}),
 	});
 	let made = 0;
 	let starts = 0;
@@ -121,7 +123,7 @@
 
 			await until(() => scripted.listUnready().length === 0);
 		},
-		listUnready: () => [...endpoints.keys()].map(id => `${id}@${starts}`).filter(id => !endpointsOf(world).book.isReady(id)),
+		listUnready: () => [...endpoints.keys()].map(id => `${id}@${starts}`).filter(id => !world.relays.every(({relay}) => relay.endpoints.book.isReady(id))),
 		answerSoundly(call) {
 			call.socket.write(answers[kindOf(call)](call));
 		},
@@ -147,11 +149,18 @@
 	return scripted;
 }
 
-function endpointsOf({relays}: World) {
-	const [host] = relays;
-	if (host === undefined) {
-		throw new Error('the world has no host');
+/** Starts two hosts and their endpoints; the first host reaches no endpoint and forwards what callers send it to the second one. */
+export async function startForwardingWorld(parts: Omit<ScriptedParts, 'hosts'>): Promise<ScriptedWorld> {
+	const scripted = await startScriptedWorld({...parts, hosts: 2});
+	const [entry] = scripted.world.relays;
+	if (entry !== undefined) {
+		entry.relay.reachability.isUnreachable = () => true;
 	}
 
-	return host.relay.endpoints;
+	return scripted;
 }
+
+/** How a request gets from its caller's host to an endpoint, and how a world is started in which it does. */
+export const reaches = {direct: startScriptedWorld, forwarded: startForwardingWorld} as const;
+
+export type Reach = keyof typeof reaches;
