--- a/packages/standin/src/wire/silence/endpoint-main.ts
+++ b/packages/standin/src/wire/silence/endpoint-main.ts
@@ -58,6 +58,11 @@
 		socket.write(earlier);
 	}
 
+	if (random.next() < parts.bareHeadShare) {
+		socket.end(`HTTP/1.1 ${status} Status\r\nRequest-Id: ${id}\r\n${headers['Server-Seal'] === undefined ? '' : 'Server-Seal: seal\r\n'}\r\n`);
+		return;
+	}
+
 	if (random.next() < parts.surplusShare) {
 		const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}\r\n`);
 		surplus.set(socket, `HTTP/1.1 ${status} Again\r\n${lines.join('')}\r\n${body}`);
--- a/packages/standin/src/wire/silence/endpoint-process.ts
+++ b/packages/standin/src/wire/silence/endpoint-process.ts
@@ -23,6 +23,8 @@
 	readonly surplusShare: number;
 	/** Share of its responses that announce the end of their connection. */
 	readonly closingShare: number;
+	/** Share of its responses that end behind a head without framing. */
+	readonly bareHeadShare: number;
 	/** Share of its requests that it rejects at once. */
 	readonly rejectedShare: number;
 	/** Share of its requests that it rejects right before their deadline. */
--- a/packages/standin/src/wire/silence/silence.ts
+++ b/packages/standin/src/wire/silence/silence.ts
@@ -252,7 +252,7 @@
 	const endpoints = await Promise.all([...halls, 'a'].map(async (hall, index) => {
 		const service = index < halls.length ? 'plain' : 'other';
 		const all: EndpointParts = {
-			id: `${service}-${hall}`, seed: seed + index, slots: 6, queue: 24, workMs: 17, backlog: 511, mostConnections: 400, idleS: 5, surplusShare: 0, closingShare: 0, rejectedShare: 0, lateRejectionShare: 0, shedsBeforeBody: false, ...parts,
+			id: `${service}-${hall}`, seed: seed + index, slots: 6, queue: 24, workMs: 17, backlog: 511, mostConnections: 400, idleS: 5, surplusShare: 0, closingShare: 0, bareHeadShare: 0, rejectedShare: 0, lateRejectionShare: 0, shedsBeforeBody: false, ...parts,
 		};
 		const endpoint = await EndpointProcess.start(all, onEvent);
 		store.put(`servers/${endpoint.id}`, {
