--- /dev/null
+++ b/packages/relay/src/work/stream-state.ts
@@ -0,0 +1,54 @@
+/** State of one generation over all its rounds. */
+import {EventForwarder} from './event-forwarder.js';
+import {type Via} from './generation-failure.js';
+import {type Job} from './job.js';
+import {type WorkParts} from './parts.js';
+import {StreamForecast} from './stream-forecast.js';
+
+/** Tokens reserved for the answer, as a multiple of the caller's estimate. A lower factor makes replicas evict streams, whose prompts must then be prefilled again; a higher one leaves memory unused. */
+const answerFactor = 0.9;
+/** Block size of the engines' decode memory, in tokens; reservations are rounded up to it. */
+const blockTokens = 16;
+
+export type StreamStateParts = Pick<WorkParts, 'context' | 'endpoints'>;
+
+export class StreamState {
+	readonly events: EventForwarder;
+	readonly forecast: StreamForecast;
+	/** Decode replicas tried for this request. */
+	readonly triedReplicas = new Set<string>();
+	/** When the memory of the latest run was reserved. */
+	reservedAt = 0;
+	rounds = 0;
+	/** Endpoint that sent the latest events. */
+	source: Via | undefined;
+	/** Software version that the stream has to go on at; undefined until an event of it is forwarded. */
+	softwareVersion: string | undefined;
+	readonly #parts: StreamStateParts;
+	readonly #job: Job;
+
+	constructor(parts: StreamStateParts, job: Job) {
+		this.#parts = parts;
+		this.#job = job;
+		this.softwareVersion = job.resumedVersion;
+		this.forecast = new StreamForecast(parts, job);
+		this.events = new EventForwarder(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
+	}
+
+	/** Memory of one engine and lifetime of its reservations; 0 where the service states none. */
+	get engine() {
+		return this.#job.service.engine ?? {capacityTokens: 0, reservationMs: 0};
+	}
+
+	/** Memory that the rest of the stream needs, in tokens. */
+	tokensToReserve(): number {
+		const {facts: {promptTokens, answerTokens}, service} = this.#job;
+		const {endpoints} = this.#parts;
+		if (endpoints.isLoadManaged) {
+			return endpoints.memoryForecast.reservationFor(service.name, {promptTokens, estimateTokens: answerTokens, doneTokens: this.forecast.doneTokens});
+		}
+
+		const tokens = promptTokens + (answerFactor * answerTokens);
+		return Math.max(blockTokens, Math.ceil(tokens / blockTokens) * blockTokens);
+	}
+}
