Fix: a peer's word on the configuration vouched for the list of endpoints

A resumed stream without a record goes on at the only version that a host has seen, once the host has read the directory since the request came. Whether it had was read off the time at which the configuration was last confirmed. Peers confirm that as well, for keys and for final refusals, and say nothing of endpoints. While the directory did not answer this host, a confirmation by a peer within the 0.5 to 1 s of the two reads took the place of the read, and a host that lacked a version which had joined vouched for the only one that it knew.

What callers see. A stream of two versions, or a final refusal (2011 without Retry-After), at a host that is cut off from the directory and has no record of the stream. Found by reading; it was not seen with real processes, where the record was found at a peer in each case.

The lookup asks DirectoryWatch.listedAt, which only reads of the directory by this host set (directory-watch.test.ts: 'the list of endpoints is not confirmed by a host that confirms the configuration').

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -173,7 +173,7 @@
 		});
 		const evidence = new ListEvidence({clock: context.clock, watch: () => this.#watch});
 		const streams = new StreamVersions({
-			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, hasMetOthers: () => this.fleet.hasMetOthers, routing: this.routing, watch: () => this.#watch,
+			context, registry: this.fleet.streams, traces: this.fleet.traces, versions: this.endpoints.versions, hasMetOthers: () => this.fleet.hasMetOthers, watch: () => this.#watch,
 		});
 		const news = this.fleet.load;
 		const calls = new CallAdmission({
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -85,7 +85,7 @@
 	readonly questions: StreamQuestion[] = [];
 	readonly queries: string[] = [];
 	readonly streams: StreamVersions;
-	readonly #routing = {confirmedAt: -1};
+	#listedAt = -1;
 
 	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
@@ -120,10 +120,10 @@
 			},
 			versions: this.versions,
 			hasMetOthers: () => hasMetOthers,
-			routing: this.#routing,
 			watch: () => ({
+				listedAt: this.#listedAt,
 				confirm: async () => {
-					this.#routing.confirmedAt = isConfirmed ? this.clock.now() : -1;
+					this.#listedAt = isConfirmed ? this.clock.now() : -1;
 				},
 			}),
 		});
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -14,7 +14,6 @@
 import {type RelayContext} from '../core/context.js';
 import {type RequestFacts} from '../core/dialect.js';
 import {type DirectoryWatch} from '../core/directory-watch.js';
-import {type RoutingState} from '../core/routing-state.js';
 import {type StreamFinding, type StreamRegistry} from '../peer/stream-registry.js';
 import {type TraceRegistry} from '../peer/trace-registry.js';
 import {toTraceKey} from '../upstream/run-survey.js';
@@ -77,8 +76,7 @@
 	readonly versions: VersionHistory;
 	/** Whether this host knows the fleet; otherwise hosts that it has not met may have the record. */
 	readonly hasMetOthers: () => boolean;
-	readonly routing: Pick<RoutingState, 'confirmedAt'>;
-	readonly watch: () => Pick<DirectoryWatch, 'confirm'>;
+	readonly watch: () => Pick<DirectoryWatch, 'confirm' | 'listedAt'>;
 };
 
 /** Whether a request resumes a stream. */
@@ -228,7 +226,7 @@
 
 	/** Whether the directory, read after `at`, has shown this host all that it lists. */
 	#isConfirmedSince(at: number): boolean {
-		return this.#parts.routing.confirmedAt >= at;
+		return this.#parts.watch().listedAt >= at;
 	}
 
 	#hasNoPeers(): boolean {
