Fix: hosts that were taken for dead did not count as silent in a lookup

A stream of which nobody has a record is refused finally (2011 without Retry-After) where every host that was asked has replied. Hosts that the asking one takes for dead are not asked. On one side of a partition the other side is taken for dead after some 4 s, and the hosts that are left reply, so that a stream which the other side had begun counted as one that nobody knows.

What callers saw. 503 2011 without Retry-After at a host that was cut off from some of its peers, while the version of the stream served and the hosts that had its record came back a second later.

Evidence. lagging-hosts.test.ts, new case: two of four hosts are cut off from the other two for 7 s, 30 streams begin at the one side and are resumed at the other after 5.8 s.

A lookup counts hosts that were lost within the time in which the stream can have begun, and have neither returned nor restarted, as silent. Such refusals have a Retry-After. The peers whose messages a host of this test drops are read from a file at a signal.

--- a/packages/relay/src/peer/stream-registry.test.ts
+++ b/packages/relay/src/peer/stream-registry.test.ts
@@ -238,6 +238,31 @@
 		expect(finding?.record?.softwareVersion).toEqual(stream.version);
 	});
 
+	// A host on one side of a partition took those on the other side for dead, and the stream that they had begun for one that nobody knows
+	for (const {name, isReturned, passedMs, silent} of [
+		{
+			name: 'a host that was lost counts as silent', isReturned: false, passedMs: windowMs - 1000, silent: 1,
+		},
+		{
+			name: 'a host that was lost before any stream can have begun does not', isReturned: false, passedMs: windowMs, silent: 0,
+		},
+		{
+			name: 'a host that has returned does not', isReturned: true, passedMs: 0, silent: 0,
+		},
+	]) {
+		it(name, async () => {
+			const fleet = new SimulatedFleet(4, 5);
+			const [asker] = fleet.hosts;
+			const lost = fleet.hosts.at(-1)?.name ?? '';
+			fleet.announce([lost]);
+			fleet.clock.advance(1000);
+			fleet.announce(isReturned ? [] : [lost]);
+			fleet.clock.advance(passedMs);
+			const finding = await fleet.settle(asker?.registry.find({key: 'unknown', service, windowMs: windowMs + 500}) ?? Promise.resolve(undefined));
+			expect([finding?.record, finding?.silent]).toEqual([undefined, silent]);
+		});
+	}
+
 	it('two streams of one key are ambiguous', async () => {
 		const fleet = new SimulatedFleet(4, 3);
 		const [first, second] = fleet.hosts;
--- a/packages/relay/src/peer/stream-registry.ts
+++ b/packages/relay/src/peer/stream-registry.ts
@@ -36,7 +36,7 @@
 	readonly source: string | undefined;
 	/** Versions that the hosts which replied have seen. */
 	readonly views: readonly VersionView[];
-	/** Hosts asked, and those that did not reply in time. */
+	/** Hosts asked, and those that did not reply in time or were lost within the time looked back: a host that is cut off keeps its records. */
 	readonly asked: number;
 	readonly silent: number;
 };
@@ -63,6 +63,8 @@
 	readonly #holders: RecordHolders;
 	readonly #acknowledgements: PeerRequests<true>;
 	readonly #questions: PeerRequests<Reply>;
+	/** When hosts were lost that have neither returned nor restarted since. */
+	readonly #lostAt = new Map<string, number>();
 	#sweepTimer: Timer | undefined;
 
 	constructor(parts: StreamRegistryParts) {
@@ -100,6 +102,13 @@
 	/** Replaces the member list. Records of this host are sent to hosts that have become holders since. */
 	setMembers(members: readonly MemberRecord[]): void {
 		this.#holders.setMembers(members);
+		for (const {host, state} of members) {
+			if (state !== 'dead') {
+				this.#lostAt.delete(host);
+			} else if (!this.#lostAt.has(host)) {
+				this.#lostAt.set(host, this.#parts.context.clock.now());
+			}
+		}
 	}
 
 	/** Records where a stream began, to be kept for `lifeMs` milliseconds; resolves once another host holds the record, or none does in time. */
@@ -151,7 +160,7 @@
 		}
 
 		return {
-			record: undefined, source: undefined, views: replies, asked, silent: asked - replies.length,
+			record: undefined, source: undefined, views: replies, asked, silent: asked - replies.length + this.#countLost(question.windowMs),
 		};
 	}
 
@@ -211,6 +220,12 @@
 		return {record: {...record, expiresAt: clock.now() + leftMs}, source: found.host, views: []};
 	}
 
+	/** Number of hosts that were lost in the last `windowMs` milliseconds. */
+	#countLost(windowMs: number): number {
+		const now = this.#parts.context.clock.now();
+		return [...this.#lostAt.values()].filter(at => now - at < windowMs).length;
+	}
+
 	#hold(key: string, record: StreamRecord): void {
 		const {context: {clock, log, metrics}} = this.#parts;
 		const removed = this.#records.set(key, record, clock.now());
--- a/packages/standin/src/soak/partitionable-host.ts
+++ b/packages/standin/src/soak/partitionable-host.ts
@@ -1,21 +1,16 @@
-/** Program of a host process that drops all messages to and from its peers while a test says so. */
+/** Program of a host process that drops all messages to and from the peers that a test names. */
 import process from 'node:process';
 import {PeerLinks} from '@gatehead/host/peer/peer-links';
+import {settingsPathVariable} from '@gatehead/platform/boot-settings';
 import {runProcess} from '@gatehead/platform/process';
-import {partitionSignal} from './partition-signal.js';
+import {partitionSignal, readPartition} from './partition.js';
 
-/** Peers to which messages have been sent. */
-const peers = new Set<string>();
 const {send} = PeerLinks.prototype;
-let isPartitioned = false;
+let blocked: readonly string[] = [];
 
 PeerLinks.prototype.send = function (host, message) {
-	peers.add(host);
-	if (!isPartitioned) {
-		this.blocked.clear();
-	}
-
-	for (const peer of isPartitioned ? peers : []) {
+	this.blocked.clear();
+	for (const peer of blocked) {
 		this.blocked.add(peer);
 	}
 
@@ -23,6 +18,6 @@
 };
 
 process.on(partitionSignal, () => {
-	isPartitioned = !isPartitioned;
+	blocked = readPartition(process.env[settingsPathVariable] ?? '');
 });
 await runProcess();
--- a/packages/standin/src/wire/lagging-hosts.test.ts
+++ b/packages/standin/src/wire/lagging-hosts.test.ts
@@ -4,11 +4,9 @@
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
-import {partitionSignal} from '../soak/partition-signal.js';
 import {startReleaseBed, type ReleaseBed} from './release-bed.js';
 import {StreamCaller} from './stream-caller.js';
 
-const hostCount = 3;
 const streams = 30;
 const eventGapMs = 40;
 /** Time between two streams that begin, in milliseconds. */
@@ -28,6 +26,10 @@
 
 type Case = {
 	readonly name: string;
+	/** Number of hosts; absent: 3. The last one lags. */
+	readonly hosts?: number;
+	/** Hosts at which streams begin, from the first on; absent: all but the one that lags. */
+	readonly beginAt?: number;
 	/** Time from the start of the lag to its end, in milliseconds. */
 	readonly lastsMs: number;
 	/** Time from the start of the lag to the resumption of the first stream, in milliseconds. */
@@ -74,10 +76,17 @@
 	stopsFor(3000),
 	stopsFor(6000),
 	{
-		name: 'is cut off from its peers', lastsMs: 2500, resumesMs: 1500, begin(lag) {
-			signal(lag, partitionSignal);
-		}, end(lag) {
-			signal(lag, partitionSignal);
+		name: 'is cut off from its peers', lastsMs: 2500, resumesMs: 1500, begin({bed, index}) {
+			bed.partition([index]);
+		}, end({bed}) {
+			bed.partition([]);
+		},
+	},
+	{
+		name: 'is cut off, with one other host, from its peers until it takes them for dead', hosts: 4, beginAt: 2, lastsMs: 7000, resumesMs: 5800, begin({bed, index}) {
+			bed.partition([index - 1, index]);
+		}, end({bed}) {
+			bed.partition([]);
 		},
 	},
 	{
@@ -85,10 +94,10 @@
 	},
 	{
 		name: 'is cut off from its peers and the directory', lastsMs: 2500, resumesMs: 1500, begin(lag) {
-			signal(lag, partitionSignal);
+			lag.bed.partition([lag.index]);
 			cutStore(lag);
 		}, end(lag) {
-			signal(lag, partitionSignal);
+			lag.bed.partition([]);
 			restoreStore(lag);
 		},
 	},
@@ -107,10 +116,10 @@
 }
 
 /** Begins streams at the other hosts and resumes them at one that lags. */
-async function play({lastsMs, resumesMs, begin, end}: Case, report: (text: string) => void) {
-	const bed = await startReleaseBed(hostCount, eventGapMs);
+async function play({hosts = 3, beginAt = hosts - 1, lastsMs, resumesMs, begin, end}: Case, report: (text: string) => void) {
+	const bed = await startReleaseBed(hosts, eventGapMs);
 	try {
-		const lag: Lag = {bed, index: hostCount - 1};
+		const lag: Lag = {bed, index: hosts - 1};
 		const addressOf = (index: number) => bed.hosts[index]?.caller ?? '';
 		const lagging = addressOf(lag.index);
 		await Promise.all(bed.hosts.map(async ({caller}, index) => new StreamCaller(`first-${index}`).resume([caller])));
@@ -122,7 +131,7 @@
 		const ended = Promise.all(callers.map(async (caller, index) => {
 			await pause(index * beginGapMs);
 			caller.leavesAt = 1;
-			await caller.beginAt(addressOf(index % lag.index));
+			await caller.beginAt(addressOf(index % beginAt));
 			await pause(startedAt + resumesMs + (index * beginGapMs) - performance.now());
 			caller.leavesAt = Number.POSITIVE_INFINITY;
 			await caller.resume(Array.from({length: mostAttempts}, () => lagging));
--- a/packages/standin/src/wire/release-bed.ts
+++ b/packages/standin/src/wire/release-bed.ts
@@ -6,6 +6,7 @@
 import {waitUntilServing} from '../soak/bed.js';
 import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
 import {HostProcess} from '../soak/host-process.js';
+import {partitionSignal, writePartition} from '../soak/partition.js';
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
@@ -19,8 +20,8 @@
 /** Replicas of each software version. */
 const stages = ['prefill', 'decode', 'decode', 'decode'] as const;
 const slots = 64;
-/** Deployments of this process so far; the hosts of each have addresses of their own, since all serve their figures at one port. */
-let bedCount = 0;
+/** Hosts that this process has started; each has an address of its own, since all serve their figures at one port. */
+let hostsStarted = 0;
 
 /** A running deployment. */
 export type ReleaseBed = {
@@ -31,6 +32,8 @@
 	readonly replicas: StandinReplica[];
 	/** Where the logs of the hosts are. */
 	readonly folder: string;
+	/** Drops all messages between some hosts, by their numbers, and the others; none: all pass. */
+	partition(side: readonly number[]): void;
 	/** Starts replicas of a software version, which write their entries. */
 	join(softwareVersion: string): Promise<void>;
 	/** Ends all that was started, and removes the logs. */
@@ -53,8 +56,8 @@
 		store.put(`servers/${id}`, makeEntry(replica, 'ready'));
 	};
 
-	const firstIp = lowestIp + (bedCount * hostCount);
-	bedCount += 1;
+	const firstIp = lowestIp + hostsStarted;
+	hostsStarted += hostCount;
 	const storePaths = await Promise.all(Array.from({length: hostCount}, async () => startProxy(store.address)));
 	const ports = await findPorts(portsPerHost * hostCount);
 	const seeds = [`${ownNetwork}.${firstIp}:${ports[2]}`];
@@ -67,6 +70,14 @@
 		storePaths,
 		replicas,
 		folder,
+		partition(side) {
+			for (const [index, host] of hosts.entries()) {
+				const isInSide = side.includes(index);
+				const others = hosts.filter((_, other) => side.length > 0 && side.includes(other) !== isInSide);
+				writePartition(join(folder, `${host.name}.json`), others.map(({name}) => name));
+				host.signal(partitionSignal);
+			}
+		},
 		async join(softwareVersion) {
 			for (const [index, stage] of stages.entries()) {
 				await addReplica(`${stage}-${index}-${softwareVersion}`, stage, softwareVersion);
