Fix: one entry of another writer ended every host process that read it

Cause: the value of an item was parsed whatever its length and nesting. V8 needs about sixty bytes a level of a nested array, so 1.5 million levels (3 MB) exceed the heap of a host (--max-old-space-size=96), and Node ends the process. The same holds for the issues of a configuration's routes, services and workspaces: each invalid one has an object of its own, and 300,000 of them (0.9 MB) exceed the heap.

What callers saw: connections closed with requests on them. Each process that read the list after its start ended again, as long as the entry was there.

The stand-in of the store answers lists in pages, as the platform's does.

--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -5,6 +5,7 @@
  */
 import {z} from 'zod';
 import {address} from './address.js';
+import {list} from './list.js';
 import {position} from './position.js';
 
 const name = z.string().min(1).max(200);
@@ -43,7 +44,7 @@
 	priority: count,
 	/** Whether requests need no key; if absent, they need one if the configuration has workspaces. */
 	isPublic: z.boolean().optional(),
-	shares: z.array(serviceShare).min(1),
+	shares: list(serviceShare).refine(shares => shares.length > 0, 'at least one service'),
 });
 
 /** What a quota counts: requests, or tokens of prompts and responses. */
@@ -62,7 +63,7 @@
 export const workspace = z.object({
 	name,
 	/** Digests of its keys; the keys themselves are never stored. */
-	keyDigests: z.array(z.string()),
+	keyDigests: list(z.string()),
 	/** 0 is the highest; takes precedence over the priority of the route. */
 	priority: count,
 	/** Unlimited if absent. */
@@ -102,11 +103,11 @@
 /** A configuration; a higher version replaces a lower one. */
 export const routing = z.object({
 	version: count,
-	routes: z.array(route),
-	services: z.array(service),
+	routes: list(route),
+	services: list(service),
 	callerLimits,
 	/** If absent, no request needs a key. */
-	workspaces: z.array(workspace).optional(),
+	workspaces: list(workspace).optional(),
 });
 
 /** One incarnation of an endpoint: each start has a unique id, but can reuse the name of an earlier one. */
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -1,7 +1,7 @@
 /** One real host process on the platform's stand-ins: started, paused, stopped and killed by its own id. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {openSync, writeFileSync} from 'node:fs';
+import {openSync, readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
@@ -23,6 +23,8 @@
 	readonly hall?: string;
 	/** Path of the program; absent: the one built here. */
 	readonly program?: string | undefined;
+	/** Options of Node, such as its memory limits; absent: none. */
+	readonly nodeOptions?: readonly string[];
 };
 
 /** One end of a process, or what is to end it; times are on the process's steady clock, in milliseconds. */
@@ -66,7 +68,7 @@
 		}
 
 		writeFileSync(this.#settingsFile, JSON.stringify(makeBoot({...this.#parts, isFirstStart: this.#child === undefined})));
-		this.#child = spawn(process.execPath, [this.#parts.program ?? ownProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
+		this.#child = spawn(process.execPath, [...this.#parts.nodeOptions ?? [], this.#parts.program ?? ownProgram], {stdio: ['ignore', this.#logFile, this.#logFile], env: {...process.env, GATEHEAD_BOOT: this.#settingsFile}});
 		const endsBefore = this.ends.length;
 		this.#child.once('exit', code => {
 			const own = this.ends.slice(endsBefore);
@@ -78,6 +80,11 @@
 		});
 	}
 
+	/** The lines that the process has written so far. */
+	readLog(): string {
+		return readFileSync(join(this.#parts.folder, `${this.name}.log`), 'utf8');
+	}
+
 	/** Sends a signal to this process alone. */
 	signal(signal: NodeJS.Signals): void {
 		if (this.isRunning) {
--- a/packages/standin/src/wire/store-server.ts
+++ b/packages/standin/src/wire/store-server.ts
@@ -10,6 +10,8 @@
 	readonly revision: number;
 	readonly createRev?: number;
 	readonly tombstone?: boolean;
+	/** Fields of the item as callers see them, where they differ. */
+	readonly shown?: Readonly<Record<string, unknown>>;
 };
 
 /** How the store misbehaves. */
@@ -31,6 +33,8 @@
 	/** What the store does with calls from now on. */
 	setFault(fault: StoreFault): void;
 	put(key: string, value: unknown): void;
+	/** Puts a value that is no serialized JSON, with fields of its item replaced, as another writer or a faulty store leaves it. */
+	putText(key: string, text: string, fields?: Readonly<Record<string, unknown>>): void;
 	remove(key: string): void;
 	/** Forgets the history: watches from before get 410. */
 	compact(): void;
@@ -51,6 +55,16 @@
 	readonly response: ServerResponse;
 };
 
+/** An item as callers see it. */
+function showItem({shown, ...item}: StoreEvent): unknown {
+	return {...item, ...shown};
+}
+
+/** Items of one page. */
+const maxPageItems = 500;
+/** Length of the values of one page, in base64 characters; the value that exceeds it is its last. */
+const maxPageLength = 1_000_000;
+
 class Store {
 	fault: StoreFault = 'none';
 	calls = 0;
@@ -66,9 +80,13 @@
 
 	write(key: string, value: unknown): void {
 		this.written.set(key, value);
+		this.writeText(key, JSON.stringify(value));
+	}
+
+	writeText(key: string, text: string, fields: Readonly<Record<string, unknown>> = {}): void {
 		this.#revision += 1;
-		const item = {
-			key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision: this.#revision, createRev: this.#items.get(key)?.createRev ?? this.#revision,
+		const item: StoreEvent = {
+			key, value: Buffer.from(text).toString('base64'), revision: this.#revision, createRev: this.#items.get(key)?.createRev ?? this.#revision, shown: fields,
 		};
 		this.#items.set(key, item);
 		this.#publish(item);
@@ -110,9 +128,21 @@
 		this.#watches.clear();
 	}
 
-	list(prefix: string): unknown {
-		const items = [...this.#items.values()].filter(({key}) => key.startsWith(prefix));
-		return {items, hasMore: false, asOf: this.#revision};
+	/** One page of a list, in the order of keys. */
+	list(prefix: string, after: string): unknown {
+		const rest = [...this.#items.values()].filter(({key}) => key.startsWith(prefix) && key > after).toSorted((left, right) => left.key < right.key ? -1 : 1);
+		const items: StoreEvent[] = [];
+		let length = 0;
+		for (const item of rest) {
+			if (items.length === maxPageItems || length > maxPageLength) {
+				break;
+			}
+
+			items.push(item);
+			length += item.value?.length ?? 0;
+		}
+
+		return {items: items.map(item => showItem(item)), hasMore: items.length < rest.length, asOf: this.#revision};
 	}
 
 	watch(watch: Watch, waitMs: number): void {
@@ -154,7 +184,7 @@
 	#answer({prefix, after, response}: Watch): boolean {
 		const events = this.#history.filter(({key, revision}) => revision > after && key.startsWith(prefix));
 		if (events.length > 0) {
-			sendJson(response, 200, {events, asOf: this.#revision});
+			sendJson(response, 200, {events: events.map(event => showItem(event)), asOf: this.#revision});
 		}
 
 		return events.length > 0;
@@ -186,7 +216,7 @@
 
 	const server = await startServer({
 		'GET /api/kv-range': guarded((url, response) => {
-			sendJson(response, 200, store.list(url.searchParams.get('pathPrefix') ?? ''));
+			sendJson(response, 200, store.list(url.searchParams.get('pathPrefix') ?? '', url.searchParams.get('after') ?? ''));
 		}),
 		'GET /api/kv-watch': guarded((url, response) => {
 			store.watch({prefix: url.searchParams.get('pathPrefix') ?? '', after: Number(url.searchParams.get('after')), response}, Number(url.searchParams.get('waitMs')));
@@ -200,6 +230,9 @@
 		put(key, value) {
 			store.write(key, value);
 		},
+		putText(key, text, fields) {
+			store.writeText(key, text, fields);
+		},
 		remove(key) {
 			store.remove(key);
 		},
