Fix: one message that a host could not read kept it from all others of a peer

Cause: a batch of messages between hosts was validated as a whole, and the link was closed where one of them did not fit: heartbeats, updates and answers in the same turn of the event loop were lost with it, again after each reconnect as long as the peer sent the message.

What callers saw: configurations and endpoints that came late or not at all at hosts that do not read the directory.

The link is closed only if the data is no batch, or comes before a hello. An update is taken without the endpoints in it that do not fit.

--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -10,6 +10,7 @@
 } from '@grpc/grpc-js';
 import {pack, unpack} from 'msgpackr';
 import {splitAddress, joinAddress} from '@gatehead/schema/address';
+import {describeFaults} from '@gatehead/schema/check';
 import {type Owner} from '@gatehead/schema/engine-protocol';
 import {fail, Failure} from '@gatehead/schema/failure';
 import {type PeerMessageOf} from '@gatehead/schema/peer-message';
@@ -21,6 +22,8 @@
 const keepaliveTimeoutMs = 1000;
 /** Minimum age in milliseconds at which `resetLink` closes a link, so that a new link has time to receive an answer. */
 const minLinkAgeMs = 1000;
+/** Maximum faults of a message in one log line. */
+const maxLoggedFaults = 3;
 const linkPath = '/gatehead.Peer/Link';
 
 /** A batch of messages in MessagePack encoding; encoded before gRPC serialization so that its size can be counted. */
@@ -241,14 +244,14 @@
 		let from: Owner | undefined;
 		let link = opened;
 		stream.on('data', (data: unknown) => {
-			const parsed = this.#schema.safeParse(data);
-			if (!parsed.success) {
-				this.#context.log('peerRefused', {detail: 'message does not match the schema'});
+			const messages = this.#parseBatch(data);
+			if (messages === undefined || (from === undefined && !messages.some(message => isHello(message)))) {
+				this.#context.log('peerRefused', {detail: 'batch does not match the schema'});
 				link.close();
 				return;
 			}
 
-			for (const message of parsed.data) {
+			for (const message of messages) {
 				if (isHello(message)) {
 					from = message.from;
 					link = this.#register(link, from.host);
@@ -280,6 +283,27 @@
 		});
 	}
 
+	/** Returns the valid messages of a batch, or undefined if it is no batch. An invalid message, such as one of a later version, keeps none of the others from being received. */
+	#parseBatch(data: unknown): Message[] | undefined {
+		const {success, data: messages} = this.#schema.safeParse(data);
+		if (success) {
+			return messages;
+		}
+
+		return Array.isArray(data) ? data.flatMap(message => this.#parseMessage(message)) : undefined;
+	}
+
+	/** Returns a message as a list of one, or an empty list if it is invalid. */
+	#parseMessage(message: unknown): Message[] {
+		const batch = [message];
+		const {data, error} = this.#schema.safeParse(batch);
+		if (error !== undefined) {
+			this.#context.log('peerRefused', {detail: `message does not match the schema: ${describeFaults(error, batch).slice(0, maxLoggedFaults).join('; ')}`});
+		}
+
+		return data ?? [];
+	}
+
 	/** Names a link after its peer's hello, so that it serves both directions, and replies with a hello. */
 	#register(link: Link<Message>, host: string): Link<Message> {
 		if (link.host !== '') {
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -1,6 +1,7 @@
 /** Messages between relay hosts, validated on receipt. Of two configurations, the higher version is used, whichever host sent it. */
 import {z} from 'zod';
 import {owner} from './engine-protocol.js';
+import {validItems} from './list.js';
 import {memberRecord} from './peer-message.js';
 import {position} from './position.js';
 import {
@@ -99,7 +100,7 @@
 	}),
 	/** Response to `directoryWanted`. `ageMs`: time since the originating host read the directory; `isWitnessed`: the sender or the originating host read it while the directory was available; `kept`: entries in `ids` that the directory no longer lists and that the sender keeps for a grace period. */
 	z.object({
-		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, ageMs: z.number().nonnegative().default(0), isWitnessed: z.boolean(), endpoints: z.array(listedEndpoint).max(10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
+		kind: z.literal('directory'), routing: routing.optional(), revision: z.number(), epoch: position.shape.epoch, departures, ageMs: z.number().nonnegative().default(0), isWitnessed: z.boolean(), endpoints: validItems(listedEndpoint, 10_000), ids: z.array(z.string()).max(10_000), kept: z.array(z.object({id: z.string(), leftMs: z.number().nonnegative()})).max(10_000),
 	}),
 	z.object({kind: z.literal('paused'), pause}),
 	/** Drain notices that the sender has just received; sent to all hosts, and repeated in heartbeats. */
