Fix: timeouts beyond 24.8 days ended requests after a millisecond

Cause: Node runs a timer with a delay over 2^31 - 1 ms at once. A route's timeout became such a timer unchanged. A header timeout reached Node's check of connections as a 32-bit integer, where 2^32 + 1 means 1 ms (read in Node's sources' documentation of the option, not played: the check runs each 30 s).

What callers saw: each request without a deadline of its own was ended by 504 4009 "It may have run" while its endpoint ran it.

Change: the clock waits for any delay, in steps of the longest timer. Durations of a configuration are reduced to a week where they are parsed, so that timers, their margins and the timeouts of servers hold them.

--- a/packages/policy/src/utils/clock.test.ts
+++ b/packages/policy/src/utils/clock.test.ts
@@ -1,7 +1,8 @@
 /** Guards against a system clock that misses a suspend, follows a step of the wall clock, or decreases. */
 import {describe, it} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
-import {makeSystemClock, type ClockSources} from './clock.js';
+import {makeSystemClock, systemClock, type ClockSources} from './clock.js';
 
 /** Clocks that the test controls. */
 class FakeSystem implements ClockSources {
@@ -162,3 +163,51 @@
 		});
 	}
 });
+
+const longestTimerMs = (2 ** 31) - 1;
+/** Time after which a timer that does not fit has run, in milliseconds. */
+const nodeOverflowMs = 20;
+
+describe('timers', () => {
+	// Guards against requests that time out at once: Node runs a timer with a longer delay after a millisecond
+	for (const delayMs of [longestTimerMs + 1, 2 ** 32, Number.MAX_VALUE, Number.POSITIVE_INFINITY]) {
+		it(`${delayMs} ms: does not run at once`, async () => {
+			let runs = 0;
+			const timer = systemClock.after(delayMs, () => {
+				runs += 1;
+			});
+			await pause(nodeOverflowMs);
+			timer.stop();
+			expect(runs).toEqual(0);
+		});
+	}
+
+	for (const delayMs of [0, 1, longestTimerMs, longestTimerMs + 1, 10 * longestTimerMs]) {
+		it(`${delayMs} ms: runs then, and not before`, ({mock: {timers}}) => {
+			timers.enable({apis: ['setTimeout']});
+			let runs = 0;
+			systemClock.after(delayMs, () => {
+				runs += 1;
+			});
+			for (let leftMs = Math.max(0, delayMs - 1); leftMs > 0; leftMs -= longestTimerMs) {
+				timers.tick(Math.min(leftMs, longestTimerMs));
+			}
+
+			expect(runs).toEqual(0);
+			timers.tick(1);
+			expect(runs).toEqual(1);
+		});
+	}
+
+	it('one that is stopped in a later step does not run', ({mock: {timers}}) => {
+		timers.enable({apis: ['setTimeout']});
+		let runs = 0;
+		const timer = systemClock.after(2 * longestTimerMs, () => {
+			runs += 1;
+		});
+		timers.tick(longestTimerMs);
+		timer.stop();
+		timers.tick(longestTimerMs);
+		expect(runs).toEqual(0);
+	});
+});
--- a/packages/policy/src/utils/clock.ts
+++ b/packages/policy/src/utils/clock.ts
@@ -16,7 +16,7 @@
 export type Clock = {
 	/** Milliseconds since an arbitrary start; never decreases. */
 	now(): number;
-	/** Calls `run` once after `delayMs`. */
+	/** Calls `run` once after `delayMs`, however long that is. */
 	after(delayMs: number, run: () => void): Timer;
 };
 
@@ -36,6 +36,8 @@
 	uptime: () => uptime() * millisecondsPerSecond,
 };
 
+/** Longest delay of one of Node's timers, in milliseconds; it runs a longer one at once. */
+const maxTimerMs = (2 ** 31) - 1;
 /** Change of the wall clock against the monotonic clock that is checked for a suspend, in milliseconds; three times the resolution of the uptime. */
 const minSuspendMs = 30;
 /** Interval at which the clocks are compared if the wall clock has not jumped, in milliseconds. A comparison reads a file, so it is not made at every call. */
@@ -130,19 +132,29 @@
 	}
 }
 
-export function makeSystemClock(sources: ClockSources): Clock {
-	const clock = new SuspendAwareClock(sources);
+/** Starts a timer of any delay, in several steps if necessary. */
+function startTimer(delayMs: number, run: () => void): Timer {
+	let handle: NodeJS.Timeout;
+	const wait = (leftMs: number) => {
+		const isLast = !(leftMs > maxTimerMs);
+		handle = isLast
+			? setTimeout(run, Math.max(0, leftMs))
+			: setTimeout(() => {
+				wait(leftMs - maxTimerMs);
+			}, maxTimerMs);
+	};
+
+	wait(delayMs);
 	return {
-		now: () => clock.now(),
-		after(delayMs, run) {
-			const handle = setTimeout(run, Math.max(0, delayMs));
-			return {
-				stop() {
-					clearTimeout(handle);
-				},
-			};
+		stop() {
+			clearTimeout(handle);
 		},
 	};
 }
 
+export function makeSystemClock(sources: ClockSources): Clock {
+	const clock = new SuspendAwareClock(sources);
+	return {now: () => clock.now(), after: startTimer};
+}
+
 export const systemClock: Clock = makeSystemClock(machineSources);
--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -11,7 +11,9 @@
 const name = z.string().min(1).max(200);
 /** Name of a service. */
 export const serviceName = name;
-const milliseconds = z.number().nonnegative();
+/** Maximum duration in a configuration, in milliseconds: a week. Longer ones are reduced to it, since timers and sums of durations cannot hold every number. */
+export const maxDurationMs = 604_800_000;
+const milliseconds = z.number().nonnegative().transform(duration => Math.min(duration, maxDurationMs));
 const count = z.number().int().nonnegative();
 /** Maximum length of an endpoint id: a name and a start time. */
 export const maxEndpointIdLength = 240;
