Fix: with weights whose sum overflows, the first service got all requests

Cause: the sum of two weights of 1.8e308 is infinite, the random point in it never falls into a share, and the fallback is the first service of the route.

Change: weights count relative to the largest.

--- a/packages/policy/src/relay/route-table.test.ts
+++ b/packages/policy/src/relay/route-table.test.ts
@@ -64,6 +64,17 @@
 		});
 	}
 
+	// Guards against a sum of weights beyond the range of numbers, with which the first service got all requests
+	for (const weight of [1, 1e-300, Number.MAX_VALUE]) {
+		it(`chooses services by weights of ${weight}`, () => {
+			const random = seedRandom(1);
+			const route = makeRoute('even', 'a.example', '/', [{service: 'model', weight}, {service: 'plain', weight}, {service: 'none', weight: 0}]);
+			const chosen = Array.from({length: 1000}, () => new RouteTable(routing).chooseService(route, random)?.name);
+			expect(chosen.filter(name => name === 'model').length).toBeGreaterThan(400);
+			expect(chosen.filter(name => name === 'plain').length).toBeGreaterThan(400);
+		});
+	}
+
 	it('chooses services by weight', () => {
 		const random = seedRandom(1);
 		const split = table.match('b.example', '/split/1');
--- a/packages/policy/src/relay/route-table.ts
+++ b/packages/policy/src/relay/route-table.ts
@@ -64,10 +64,12 @@
 
 	/** Chooses one of a route's services at random, by weight. */
 	chooseService({shares}: Route, random: Random): Service | undefined {
-		const total = shares.reduce((sum, {weight}) => sum + weight, 0);
+		// Relative to the largest, since a sum of weights may exceed the range of numbers
+		const largest = Math.max(...shares.map(({weight}) => weight));
+		const total = shares.reduce((sum, {weight}) => sum + (weight / largest), 0);
 		let point = random.next() * total;
 		for (const {service, weight} of shares) {
-			point -= weight;
+			point -= weight / largest;
 			if (point < 0) {
 				return this.service(service);
 			}
