Fix: a workspace with the largest quota was refused for ever

Cause: rate and burst of a quota had no upper bound. With 1.8e308 the levels of the bucket become infinite and their differences NaN, which grants nothing, and peers refuse a message with such a level.

What callers saw: 429 2007 to every request of the workspace.

Change: rate, burst and tokens of requests without counts are reduced to 1e12 where they are parsed.

Result: configuration-numbers.test.ts, the cases of the largest quota (eight of eight requests 429) and the largest burst (two messages refused by the peer) failed before and pass now.

--- a/packages/schema/src/routing.ts
+++ b/packages/schema/src/routing.ts
@@ -52,13 +52,17 @@
 /** What a quota counts: requests, or tokens of prompts and responses. */
 export const quotaUnit = z.enum(['requests', 'tokens']);
 
+/** Maximum of a quota's numbers, in its unit; larger ones are reduced to it, since levels and shares of them must be exact enough to change by one. */
+const maxQuota = 1_000_000_000_000;
+const quotaAmount = z.number().nonnegative().transform(amount => Math.min(amount, maxQuota));
+
 /** Limit of one workspace over all hosts: a rate, and a burst above it. */
 export const quota = z.object({
 	unit: quotaUnit,
-	ratePerS: z.number().positive(),
-	burst: z.number().nonnegative(),
+	ratePerS: z.number().positive().transform(rate => Math.min(rate, maxQuota)),
+	burst: quotaAmount,
 	/** Tokens charged for a request that does not state its number of tokens. */
-	unnamedTokens: z.number().nonnegative(),
+	unnamedTokens: quotaAmount,
 });
 
 /** Callers who share keys, a priority and a quota. */
