Fix: the tokens that one caller stated kept a service's load from other hosts

Cause: the header of a request may state any finite number of tokens; sums of two can be infinite. Load reports bound them, and a report with one that is too large was not sent at all: for as long as the request waits or its stream runs, peers know nothing of the host's streams, waiting requests and returns.

What callers saw: nothing directly; hosts that share endpoints placed requests without knowing of each other's.

Change: tokens that a caller states are limited to ten million where the request is read. A report reduces larger numbers to its bounds, and is sent without the items that fit none.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -14,6 +14,7 @@
 import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type Timer} from '@gatehead/policy/utils/clock';
 import {fail, Failure, toFailure} from '@gatehead/schema/failure';
+import {maxRequestTokens} from '@gatehead/schema/relay-message';
 import {type CallerLimits} from '@gatehead/schema/routing';
 import {RequestResolver, type IncomingRequest, type ResolvedRequest} from '../access/request-resolver.js';
 import {type Freshness} from '../access/freshness.js';
@@ -225,7 +226,7 @@
 		const {context: {clock, dialect, settings: {limits}}, guard} = this.#parts;
 		this.#checkCapacity();
 		const body = await readRequestBody(request, limits.bodyBytes);
-		const facts = dialect.readRequest(request.headers);
+		const facts = boundTokens(dialect.readRequest(request.headers));
 		const target = request.url ?? '/';
 		const authority = request.headers.host ?? '';
 		const incoming: IncomingRequest = {
@@ -412,6 +413,18 @@
 	}
 }
 
+/** Limits the tokens that a caller states: sums of larger ones, and messages between hosts, cannot hold them. */
+function boundTokens(facts: RequestFacts): RequestFacts {
+	const {promptTokens, answerTokens, countedTokens, ownPart} = facts;
+	return {
+		...facts,
+		promptTokens: Math.min(promptTokens, maxRequestTokens),
+		answerTokens: Math.min(answerTokens, maxRequestTokens),
+		countedTokens: countedTokens === undefined ? undefined : Math.min(countedTokens, Number.MAX_SAFE_INTEGER),
+		ownPart: ownPart === undefined ? undefined : {...ownPart, tokens: Math.min(ownPart.tokens, maxRequestTokens)},
+	};
+}
+
 function roundMs(milliseconds: number | undefined): number | undefined {
 	return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
--- a/packages/relay/src/peer/load-gossip.ts
+++ b/packages/relay/src/peer/load-gossip.ts
@@ -263,9 +263,8 @@
 	#enqueueReports(): void {
 		const now = this.#parts.context.clock.now();
 		for (const service of this.#parts.listManagedServices()) {
-			const {data: report, error} = loadReport.safeParse(mergeDrafts(this.#reportParts.map(({collect}) => collect(service, now))));
+			const report = this.#collectReport(service, now);
 			if (report === undefined) {
-				this.#parts.context.log('internal', {detail: `the load report of ${service} is invalid: ${describeFaults(error, {}).join('; ')}`});
 				continue;
 			}
 
@@ -283,6 +282,18 @@
 		}
 	}
 
+	/** The report of a service without what does not fit into it, such as the tokens of a request beyond all bounds; undefined if nothing is left. */
+	#collectReport(service: string, now: number): LoadReport | undefined {
+		const draft = mergeDrafts(this.#reportParts.map(({collect}) => collect(service, now)));
+		const {data, error} = loadReport.safeParse(draft);
+		if (error === undefined) {
+			return data;
+		}
+
+		this.#parts.context.log('internal', {detail: `the load report of ${service} is invalid: ${describeFaults(error, draft).slice(0, maxLoggedFaults).join('; ')}`});
+		return loadReport.safeParse(withoutFaults(draft, error.issues.map(({path}) => path))).data;
+	}
+
 	/** Number of requests that wait here, as last announced. */
 	#waitingCount(service: string): number {
 		return this.#pendingCounts.get(service) ?? this.#announcedCounts.get(service) ?? 0;
@@ -336,6 +347,24 @@
 	}
 }
 
+/** Maximum faults of a report in one log line. */
+const maxLoggedFaults = 3;
+
+/** A report without the invalid items of its lists, and without its other invalid fields. */
+function withoutFaults(draft: Partial<LoadReportDraft>, paths: ReadonlyArray<readonly PropertyKey[]>): Partial<LoadReportDraft> {
+	const valid: Record<string, unknown> = {};
+	for (const [field, value] of Object.entries(draft)) {
+		const faults = paths.filter(([name]) => name === field).map(([, index]) => index);
+		if (faults.length === 0) {
+			valid[field] = value;
+		} else if (Array.isArray(value) && !faults.includes(undefined)) {
+			valid[field] = value.filter((_, index) => !faults.includes(index));
+		}
+	}
+
+	return valid;
+}
+
 /** Maximum entries of a merged list: that of the shortest list to which several parts contribute. Observations beyond it are lost, which costs accuracy only. */
 const maxMergedEntries = 256;
 
--- a/packages/schema/src/relay-message.ts
+++ b/packages/schema/src/relay-message.ts
@@ -54,7 +54,12 @@
 
 const endpointId = z.string().max(maxEndpointIdLength);
 const durationMs = z.number().nonnegative().max(3_600_000);
-const tokens = z.number().nonnegative().max(10_000_000);
+/** Maximum number of tokens that hosts tell each other of one request. */
+export const maxRequestTokens = 10_000_000;
+/** Larger numbers are reduced to their maximum, so that a sender whose report holds one still sends the report. */
+const tokens = z.number().nonnegative().transform(count => Math.min(count, maxRequestTokens));
+const maxHolds = 1e12;
+const holds = z.number().nonnegative().transform(sum => Math.min(sum, maxHolds));
 const observedCount = z.number().int().nonnegative().max(1_000_000);
 const workspaceName = z.string().max(200);
 
@@ -62,7 +67,7 @@
 export const loadReport = z.object({
 	/** Observed paces: `units` events, prompt tokens or calls took `totalMs` in sum. */
 	paces: z.array(z.object({
-		endpoint: endpointId, activity: paceActivity, units: z.number().positive().max(10_000_000), totalMs: durationMs,
+		endpoint: endpointId, activity: paceActivity, units: z.number().positive().transform(units => Math.min(units, maxRequestTokens)), totalMs: durationMs,
 	})).max(256).default([]),
 	/** Streams that run at replicas for the sender. */
 	streams: z.array(z.object({
@@ -77,7 +82,7 @@
 	/** Use of the service per workspace, in tokens of memory times seconds. */
 	use: z.array(z.object({workspace: workspaceName.optional(), tokenSeconds: z.number().nonnegative().max(10_000_000)})).max(256).default([]),
 	/** Completed requests, their memory in tokens and the time for which they held it, as sums. */
-	holds: z.object({count: observedCount, tokens: z.number().nonnegative().max(1e12), heldMs: z.number().nonnegative().max(1e12)}).optional(),
+	holds: z.object({count: observedCount, tokens: holds, heldMs: holds}).optional(),
 	/** Returns of callers that the sender has promised, by time from now, workspace and urgency. */
 	returns: z.array(z.object({
 		inMs: durationMs, workspace: workspaceName.optional(), urgency: z.number().nonnegative().default(0), count: z.number().int().positive(),
