Fix: callers that end their side of a connection behind a whole request got no answer

Cause: Node ends its own side of a connection as soon as the caller has ended the caller's, unless the server keeps half-open connections. The response is then closed unsent, and the request counts as `callerLeft`.

Callers that send a whole request, end their side and read on saw their connection close without an answer.

A FIN alone is no evidence that the caller has left, but mostly it has, and its run has to end. What tells the two apart is what a write brings: a closed connection resets. Where nothing may be written, a FIN still means that the caller has left: responses that have begun and are not complete, and HTTP/1.0.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -9,6 +9,7 @@
 import {type Socket} from 'node:net';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Code} from '@gatehead/schema/codes';
+import {canProbe, probeCaller} from './half-closed-caller.js';
 import {rejectMalformedRequest} from './malformed-request.js';
 import {isRejected, markRejected} from './rejected-requests.js';
 
@@ -22,6 +23,8 @@
 export type ConnectionListener = {
 	/** A malformed or late request gets an error response. */
 	readonly onRejected: (code: Code) => void;
+	/** Whether requests are answered whose caller has ended its side of the connection and reads on; absent: it has left. */
+	readonly answersHalfClosed?: boolean;
 	/** A connection is closed from this side; `pending`: requests on it whose response is not delivered. */
 	readonly onClosed: (cause: CloseCause, pending: number) => void;
 };
@@ -66,8 +69,16 @@
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#handleFault(error, socket);
 		});
+		// Node's option for it has no type; it keeps the connection open until the last response
+		Object.assign(server, {httpAllowHalfOpen: listener.answersHalfClosed === true});
 		server.on('connection', socket => {
 			this.#sockets.add(socket);
+			if (listener.answersHalfClosed === true) {
+				socket.once('end', () => {
+					this.#handleEnd(socket);
+				});
+			}
+
 			socket.once('close', () => {
 				this.#sockets.delete(socket);
 			});
@@ -118,6 +129,25 @@
 		});
 	}
 
+	/** Answers the requests of a caller that has ended its side, if it can be found out whether it reads on. One that closes the connection in the middle of a response would go unnoticed while nothing is written. */
+	#handleEnd(socket: Socket): void {
+		const current = [...this.#uses.get(socket)?.openResponses ?? []].find(response => response.socket !== null);
+		if (current === undefined) {
+			return;
+		}
+
+		if (canProbe(current)) {
+			probeCaller(current);
+		} else if (!current.writableEnded) {
+			socket.end();
+			return;
+		}
+
+		current.once('close', () => {
+			this.#handleEnd(socket);
+		});
+	}
+
 	/** Handles malformed bytes, or a request that is not complete in time. */
 	#handleFault(error: NodeJS.ErrnoException, socket: Socket): void {
 		if (this.#uses.get(socket)?.fault !== undefined) {
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -107,6 +107,7 @@
 		});
 		this.#server.maxConnections = limits.connections;
 		this.#connections = new CallerConnections(this.#server, {
+			answersHalfClosed: true,
 			onRejected(code) {
 				parts.context.metrics.add('requests', {kind: 'none', outcome: 'refused'});
 				parts.context.log('requestEnded', {outcome: 'refused', reason: code, detail: 'malformed or not complete in time'});
