Fix: pipelined requests ran behind a stream whose cut loses their answers

Cause: all requests of a connection were processed as they arrived, and their responses queued. A stream that breaks off, as at its deadline, has to close its connection, since its response must not look complete; answers behind it that were already made went with it. Calls that may run once had run, and their callers could not tell.

Change: a request is read at once and processed when the responses before it are sent (RFC 9112, section 9.3.2, allows parallel requests only if all are safe). Its timeout counts from its arrival; if it has passed by then the request is refused as not run. If the connection closes before, it does not run.

Open: the requests behind a broken-off stream still end with a closed connection, unrun; the own front processes pipelined requests as before.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -36,6 +36,7 @@
 import {forwardHeaders} from './headers.js';
 import {Reply} from './reply.js';
 import {readRequestBody} from './request-body.js';
+import {waitForTurn} from './response-turn.js';
 import {type UnreadLimiter} from './unread-limiter.js';
 
 /** Added to the configured idle and header timeouts, in milliseconds: a request sent while the server closes the connection would be lost. */
@@ -69,6 +70,7 @@
 /** A received request that is being handled. */
 type PendingRequest = {
 	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
 	readonly reply: Reply;
 	readonly controller: AbortController;
 	readonly arrivedAt: number;
@@ -176,7 +178,7 @@
 		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections, isForwarded);
 		const controller = new AbortController();
 		const pending: PendingRequest = {
-			request, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isDraining: false,
+			request, response, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isDraining: false,
 		};
 		this.#pending.add(pending);
 		metrics.set('open', this.#pending.size);
@@ -221,12 +223,15 @@
 		}
 	}
 
-	/** Reads the request, resolves its route, and charges its quota. */
+	/** Reads the request, waits for the responses before it on its connection, resolves its route, and charges its quota. */
 	async #prepareJob(pending: PendingRequest): Promise<Job> {
-		const {request, reply, controller, arrivedAt, isForwarded} = pending;
+		const {request, response, reply, controller, arrivedAt: receivedAt, isForwarded} = pending;
 		const {context: {clock, dialect, settings: {limits}}, guard} = this.#parts;
 		this.#checkCapacity();
 		const body = await readRequestBody(request, limits.bodyBytes);
+		// The time behind other responses is no delay of this request, but counts towards its timeout
+		const hasWaited = await waitForTurn(response);
+		const arrivedAt = hasWaited ? clock.now() : receivedAt;
 		const facts = boundTokens(dialect.readRequest(request.headers));
 		const target = request.url ?? '/';
 		const authority = request.headers.host ?? '';
@@ -249,13 +254,17 @@
 			}, facts)
 			: {service: chosenService, resumedVersion: forwarded.softwareVersion, streamKey: undefined};
 		const {service, resumedVersion, streamKey} = stream;
-		const timeoutMs = Math.min(facts.timeoutMs ?? route.timeoutMs, route.timeoutMs);
-		if (!this.#parts.stopWindow.mayBegin(route.name, arrivedAt + timeoutMs, clock.now())) {
+		const deadlineAt = receivedAt + Math.min(facts.timeoutMs ?? route.timeoutMs, route.timeoutMs);
+		if (hasWaited && deadlineAt <= clock.now()) {
+			fail('overloaded', {detail: 'its time passed behind other requests on the connection'});
+		}
+
+		if (!this.#parts.stopWindow.mayBegin(route.name, deadlineAt, clock.now())) {
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
 		}
 
 		const cost = await this.#admit({service, workspace}, facts, isForwarded);
-		pending.deadlineTimer = clock.after(arrivedAt + timeoutMs - clock.now(), () => {
+		pending.deadlineTimer = clock.after(deadlineAt - clock.now(), () => {
 			controller.abort('timeUp');
 		});
 		return {
@@ -271,7 +280,7 @@
 			body,
 			content,
 			arrivedAt,
-			deadlineAt: arrivedAt + timeoutMs,
+			deadlineAt,
 			resumedVersion,
 			streamKey,
 			entryHost: forwarded?.entryHost,
