Fix: resumed streams were answered long after their deadline while a lookup waited for the directory

Cause: the deadline of a request was not armed before the lookup of its stream's version had ended. The lookup asks hosts, then the directory, twice at most: up to 500 ms each, and up to 1.5 s more where a list follows. An abort did not end it either. What callers saw: a response behind their deadline and the timeout of the route. Evidence: one host, a directory that does not reply, Deadline-Ms 200: 503 streamVersionUnknown after 1,025 ms. Ruled out: the confirmation of a final refusal (a quarter of the caller's time, 400 ms at most), of keys (80 ms) and the charge of a quota (120 ms a question) have bounds of their own and were not changed. Change: the deadline is armed as soon as the route is known, and the lookup ends with it, when the caller leaves, and when a planned stop is over. The request has not been sent then, and is rejected as such.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -32,7 +32,8 @@
 import {RequestContent} from '../work/request-content.js';
 import {RunLedger} from '../work/run-ledger.js';
 import {type JobEnd} from '../work/job-end.js';
-import {stoppingRetryAfterMs} from '../work/generation-failure.js';
+import {defaultRetryAfterMs, stoppingRetryAfterMs} from '../work/generation-failure.js';
+import {unlessAborted} from '../utils/wait.js';
 import {forwardHeaders} from './headers.js';
 import {Reply} from './reply.js';
 import {readRequestBody} from './request-body.js';
@@ -80,6 +81,7 @@
 	deadlineTimer: Timer | undefined;
 	/** The request once it can be sent; undefined: it has not run. */
 	job: Job | undefined;
+	isRejected: boolean;
 	/** Whether the request is rejected and its body is still being read. */
 	isDraining: boolean;
 };
@@ -156,7 +158,7 @@
 	rejectActive(): void {
 		for (const pending of this.#pending) {
 			pending.controller.abort('hostStopping');
-			if (pending.job === undefined && !pending.isDraining && pending.reply.isOpen) {
+			if (pending.job === undefined) {
 				this.#reject(pending, new Failure('hostStopping', {retryAfterMs: stoppingRetryAfterMs}));
 			}
 		}
@@ -178,7 +180,7 @@
 		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections, isForwarded);
 		const controller = new AbortController();
 		const pending: PendingRequest = {
-			request, response, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isDraining: false,
+			request, response, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isRejected: false, isDraining: false,
 		};
 		this.#pending.add(pending);
 		metrics.set('open', this.#pending.size);
@@ -248,25 +250,25 @@
 			fail('contentHeld', {retryAfterMs: hold.leftMs, detail: describeHold(hold)});
 		}
 
-		const stream = forwarded === undefined
-			? await this.#resolveStream({
-				table, route, service: chosenService, workspace,
-			}, facts)
-			: {service: chosenService, resumedVersion: forwarded.softwareVersion, streamKey: undefined};
-		const {service, resumedVersion, streamKey} = stream;
 		const deadlineAt = receivedAt + Math.min(facts.timeoutMs ?? route.timeoutMs, route.timeoutMs);
 		if (hasWaited && deadlineAt <= clock.now()) {
 			fail('overloaded', {detail: 'its time passed behind other requests on the connection'});
 		}
 
+		pending.deadlineTimer = clock.after(deadlineAt - clock.now(), () => {
+			controller.abort('timeUp');
+		});
+		const stream = forwarded === undefined
+			? await unlessAborted(controller.signal, this.#resolveStream({
+				table, route, service: chosenService, workspace,
+			}, facts), toAbortFailure)
+			: {service: chosenService, resumedVersion: forwarded.softwareVersion, streamKey: undefined};
+		const {service, resumedVersion, streamKey} = stream;
 		if (!this.#parts.stopWindow.mayBegin(route.name, deadlineAt, clock.now())) {
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
 		}
 
 		const cost = await this.#admit({service, workspace}, facts, isForwarded);
-		pending.deadlineTimer = clock.after(deadlineAt - clock.now(), () => {
-			controller.abort('timeUp');
-		});
 		return {
 			id: facts.id ?? this.#makeId(),
 			facts,
@@ -354,6 +356,11 @@
 	/** Responds to a request whose processing threw an error, before or after it was sent. */
 	#reject(pending: PendingRequest, error: unknown): void {
 		const {request, reply, controller: {signal}, arrivedAt, job} = pending;
+		if (pending.isRejected) {
+			return;
+		}
+
+		pending.isRejected = true;
 		const {context: {clock, log, metrics, dialect}, routing} = this.#parts;
 		const failure = toFailure(error);
 		const {message, retryAfterMs} = failure;
@@ -435,6 +442,17 @@
 	};
 }
 
+/** Failure of a request that is aborted before it can be sent. */
+function toAbortFailure(reason: unknown): Failure {
+	if (reason === 'callerLeft') {
+		return new Failure('callerGone');
+	}
+
+	return reason === 'hostStopping'
+		? new Failure('hostStopping', {retryAfterMs: stoppingRetryAfterMs})
+		: new Failure('overloaded', {retryAfterMs: defaultRetryAfterMs, detail: 'time is up'});
+}
+
 function roundMs(milliseconds: number | undefined): number | undefined {
 	return milliseconds === undefined ? undefined : Math.round(milliseconds);
 }
