Fix: a stopping host that was busy closed its connections before it had read what had arrived

Cause: with no request in progress, the end of a planned stop followed within one callback of a timer: idle connections were to be closed unless something had arrived on them, but all connections were destroyed before the loop had read any. On a host that is short of processor time, timers run before requests that have been in its sockets for as long. What callers saw: a closed connection without a response, on kept connections and on new ones. Change: before it closes its connections the host goes through two turns of the event loop, one to accept a connection and one to read its request; such requests get 503 hostStopping.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,6 +2,7 @@
  * Composition root of a relay process: creates its components, connects them,
  * and starts and stops them in order. Safety rests on the components.
  */
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
@@ -45,6 +46,8 @@
 const closeMarginMs = 500;
 /** Part of that margin for the delivery of the rejections of requests that are still in progress, in milliseconds. */
 const rejectionMs = 250;
+/** Turns of the event loop in which a stopping host reads what has arrived before it closes its connections: one accepts a connection, one reads its request. On a busy host timers run before both. */
+const unreadTurns = 2;
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
@@ -300,6 +303,10 @@
 		await this.#drain(closesAt);
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(clock.now() - startedAt)});
 		this.#callerServer.rejectActive();
+		for (let turn = 0; turn < unreadTurns; turn += 1) {
+			await nextTurn();
+		}
+
 		await this.#drain(closesAt + rejectionMs);
 		await this.close();
 	}
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -1,9 +1,13 @@
 /** Guards against requests that get neither a response nor a rejection because their host's planned stop ends before they do. */
 import {describe, it} from 'node:test';
+import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
+import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
-import {startScriptedWorld, type CallKind, type EndpointCall} from './scripted-world.js';
+import {
+	bodyOf, startScriptedWorld, type CallKind, type EndpointCall,
+} from './scripted-world.js';
 import {patientTimes, until} from './world.js';
 
 /** Status that does not promise that a request has not run. */
@@ -43,6 +47,44 @@
 	},
 ];
 
+/** Time before a stopping host rejects new requests at which one arrives, and time for which the host is busy from then on, in milliseconds. */
+const leadMs = 300;
+const busyMs = 1000;
+
+/** Blocks the event loop, as a busy host does. */
+function block(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
+describe('a request that a busy host has not read when its planned stop ends', () => {
+	for (const {name, isUsed} of [{name: 'an idle connection', isUsed: true}, {name: 'a new connection', isUsed: false}]) {
+		it(`gets a response on ${name}`, {timeout: 60_000}, async () => {
+			const scripted = await startScriptedWorld({plain: 1});
+			try {
+				const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+				const {socket, text, ended} = await openCaller(scripted.caller);
+				if (isUsed) {
+					socket.write(writeRequest('/once/1', 'before', 'question'));
+					await until(() => text().endsWith(bodyOf('before')));
+				}
+
+				const {lookupTtlMs, lookupStretch, tickMs} = relay.context.settings.timing;
+				const stopped = relay.stop();
+				await pause((lookupTtlMs * lookupStretch) + tickMs - leadMs);
+				// Timers that fall due run before the next read only if the loop is blocked after its last one
+				await nextTurn();
+				socket.write(writeRequest('/once/1', 'during', 'question'));
+				block(busyMs);
+				await Promise.all([stopped, ended]);
+				expect(listStatuses(text()).at(-1)).toEqual(unavailableStatus);
+				expect([...scripted.runs]).toEqual(isUsed ? ['before'] : []);
+			} finally {
+				await scripted.stop();
+			}
+		});
+	}
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
