Fix: the prompt of a run that was replaced stayed in its endpoint's queue until the stream ended

Cause: a prompt that its decode endpoint reads itself leaves the estimate of that endpoint's queue once its round ends. A run that is replaced before its head now ends its round with the run that replaces it, ten seconds later. What hosts did: they and their peers took the endpoint for busy and overdue. Change: the prompt leaves the estimate as the run is replaced.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -38,6 +38,16 @@
 /** Maximum wait for a permit at a rate-limited replica after the prefill, in milliseconds; prefill results live little longer. */
 const permitTimeoutMs = 400;
 
+/** The prompt of a run at its decode replica. */
+type PromptProgress = {
+	/** Expected time for the prompt if the replica prefills it itself, in milliseconds; else 0. */
+	readonly prefillMs: number;
+	/** Called when a part of the response arrives. */
+	readonly onEvent: () => void;
+	/** Called when another run replaces this one. */
+	readonly onReplaced: () => void;
+};
+
 /** Runs a generation until its reply has ended. */
 export async function runGeneration(parts: WorkParts, job: Job): Promise<JobEnd> {
 	return new Generation(parts, job).run();
@@ -310,17 +320,20 @@
 		const prefillMs = prefilled === undefined ? decodePrefill.begin(reservation.endpoint.id, this.#job.facts.promptTokens) : 0;
 		try {
 			return await this.#decodeAt(round, reservation, prefilled, {
-				prefillMs, onEvent() {
+				prefillMs,
+				onEvent() {
 					decodePrefill.finish();
 				},
+				onReplaced() {
+					decodePrefill.abandon();
+				},
 			});
 		} finally {
 			decodePrefill.abandon();
 		}
 	}
 
-	/** `prefillMs`: expected time for the prompt at this replica if it prefills the prompt itself, else 0. */
-	async #decodeAt(round: Round, reservation: Reservation, prefilled: PrefillResult | undefined, {prefillMs, onEvent}: {readonly prefillMs: number; readonly onEvent: () => void}): Promise<RoundResult> {
+	async #decodeAt(round: Round, reservation: Reservation, prefilled: PrefillResult | undefined, {prefillMs, onEvent, onReplaced}: PromptProgress): Promise<RoundResult> {
 		const {sender, context: {clock}} = this.#parts;
 		const {endpoint, name, expiresAt, tokens, permit} = reservation;
 		const isReserved = expiresAt - clock.now() > expiryMarginMs;
@@ -341,6 +354,7 @@
 			onWrite: () => {
 				takeover = this.#beginRun(round, {
 					via: endpoint, firstIdleMs: idleTimeoutMs + prefillMs, cancel() {
+						onReplaced();
 						controller.abort(stallReason);
 					},
 				}, reservation);
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -261,4 +261,33 @@
 			});
 		});
 	}
+
+	// A prompt that nothing ends makes its endpoint look busy to all hosts
+	it('an endpoint whose run was replaced before its head has no prompt left to read', async () => {
+		const id = 'unread-prompt';
+		const {world, runs} = await play({decode: 2}, {
+			firstRun() {
+				// Silent
+			},
+			async otherRun({id, socket}) {
+				socket.write(headOf(id));
+				for (const event of eventsOf(id)) {
+					socket.write(event);
+					await wait(slowEventMs);
+				}
+
+				socket.write(endChunk);
+			},
+		});
+		const {endpoints, context: {clock}} = world.world.relays[0]!.relay;
+		const answer = send(world, id);
+		await until(() => runs.length === 2);
+		await wait(slowEventMs / 2);
+		const endpoint = runs[0]?.endpoint ?? '';
+		const startName = endpoints.book.list().find(({endpoint: {id}}) => id.startsWith(endpoint))?.endpoint.id ?? '';
+		const queue = endpoints.queueOf(startName);
+		const pendingMs = queue.estimateMs(1000, clock.now());
+		expectWhole(await answer, id);
+		expect(pendingMs).toEqual(queue.estimateMs(1000, clock.now()));
+	});
 });
