Fix: a silent run was ended for one whose reservation had expired

Cause: while a prompt is read for the other endpoint, the memory reserved there can expire; the silent run was then ended for a request without reservation, which the other endpoint may reject. Change: memory is reserved again at the same endpoint before the silent run is ended; without it, the silent run goes on.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -8,6 +8,7 @@
  */
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {type Endpoint} from '@gatehead/schema/routing';
+import {isOff} from '../core/experiment.js';
 import {readSoftwareVersion} from '../core/forward-facts.js';
 import {describeHold} from '../upstream/crash-guard.js';
 import {waitFor} from '../utils/wait.js';
@@ -38,6 +39,9 @@
 /** Maximum wait for a permit at a rate-limited replica after the prefill, in milliseconds; prefill results live little longer. */
 const permitTimeoutMs = 400;
 
+/** Refusal of a run that would replace a silent one. */
+const noRoom = {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'no other replica has room'} as const;
+
 /** The prompt of a run at its decode replica. */
 type PromptProgress = {
 	/** Expected time for the prompt if the replica prefills it itself, in milliseconds; else 0. */
@@ -136,9 +140,7 @@
 
 		const reservation = await admission.reserveAhead({...request, excluded: silent.id, signal});
 		return reservation === undefined
-			? {
-				kind: 'refused', code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail: 'no other replica has room',
-			}
+			? {kind: 'refused', ...noRoom}
 			: {kind: 'granted', reservation};
 	}
 
@@ -303,7 +305,30 @@
 			return release(() => this.#refuseUnpaid(), prefilled);
 		}
 
-		return this.#decode(round, reservation, prefilled);
+		if (round.silent === undefined || this.#isReserved(reservation)) {
+			return this.#decode(round, reservation, prefilled);
+		}
+
+		const renewed = await this.#renew(reservation, round.signal);
+		return renewed === undefined ? release(() => refuseJob(this.#job, noRoom), prefilled) : this.#decode(round, renewed, prefilled);
+	}
+
+	/** Whether a reservation lasts until a request can reach its replica. */
+	#isReserved({expiresAt}: Reservation): boolean {
+		return expiresAt - this.#parts.context.clock.now() > expiryMarginMs;
+	}
+
+	/** Reserves memory again at the same replica; undefined if it has no room any more. */
+	async #renew(reservation: Reservation, signal: AbortSignal): Promise<Reservation | undefined> {
+		const {ownCalls, context} = this.#parts;
+		if (isOff(context, 'reservations')) {
+			return reservation;
+		}
+
+		const {endpoint, tokens} = reservation;
+		const ttlMs = this.#state.engine.reservationMs;
+		const answer = await ownCalls.reserve(endpoint, tokens, ttlMs, signal);
+		return answer.kind === 'granted' ? {...reservation, name: answer.reservation, expiresAt: context.clock.now() + ttlMs} : undefined;
 	}
 
 	/** Ends a job that may not be sent again because the retry budget is spent. */
@@ -335,8 +360,7 @@
 
 	async #decodeAt(round: Round, reservation: Reservation, prefilled: PrefillResult | undefined, {prefillMs, onEvent, onReplaced}: PromptProgress): Promise<RoundResult> {
 		const {sender, context: {clock}} = this.#parts;
-		const {endpoint, name, expiresAt, tokens, permit} = reservation;
-		const isReserved = expiresAt - clock.now() > expiryMarginMs;
+		const {endpoint, name, tokens, permit} = reservation;
 		const controller = new AbortController();
 		let takeover: Takeover<RoundResult> | undefined;
 		const sent = await sender.send({
@@ -345,7 +369,7 @@
 			endpoint,
 			facts: {
 				...(prefilled === undefined ? {} : {source: {address: prefilled.endpoint.address, result: prefilled.result}}),
-				...(isReserved ? {reservation: name} : {}),
+				...(this.#isReserved(reservation) ? {reservation: name} : {}),
 				lastEventId: this.#state.events.lastId ?? this.#job.facts.lastEventId,
 			},
 			tokens,
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -290,4 +290,20 @@
 		expectWhole(await answer, id);
 		expect(pendingMs).toEqual(queue.estimateMs(1000, clock.now()));
 	});
+
+	// What takes the place of a run is not secured without memory
+	it('a run is not ended for one whose reservation has expired', async () => {
+		const id = 'expired';
+		// Longer than a reservation lasts
+		const prefillMs = 2200;
+		const {world, runs} = await play({prefill: 1, decode: 2}, {
+			firstRun: pauseUntil(wait(6000)),
+			async prefill(call) {
+				await wait(prefillMs);
+				scripted?.answerSoundly(call);
+			},
+		});
+		expectWhole(await send(world, id), id);
+		expect(runs.map(({headers}) => headers.has('kv-hold'))).toEqual([true, true]);
+	});
 });
