Fix: a complete error response was replaced by another run

Cause: for a response that is not a stream, the search for another endpoint went on after its body had ended, while the end of its connection was checked and a retry was prepared. A run that began there replaced a response that was complete, or ran beside a retry whose result was then the one to be used. Change: the search stops at the end of the body, as it does for streams.

--- a/packages/relay/src/work/response-forwarder.ts
+++ b/packages/relay/src/work/response-forwarder.ts
@@ -54,8 +54,10 @@
 	async #forwardError(sent: ForwardableResponse, {via, takeover}: ActiveRun, status: number): Promise<RoundResult> {
 		const job = this.#job;
 		const body = await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes});
-		await sent.confirmEnd();
 		throwIfReplaced(takeover);
+		// The end of the response is progress, too: no other run begins from here on
+		takeover?.stop();
+		await sent.confirmEnd();
 		sent.end(status >= minServerErrorStatus ? 'error' : 'good');
 		if (status >= minServerErrorStatus && await this.#continuation.findBlock() === undefined) {
 			this.#continuation.continueAfter(via, `status ${status}`);
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -19,6 +19,8 @@
 /** Time for which the other endpoint holds back an answer that the silent run overtakes, in milliseconds; below the host's own time limits. */
 const overtakenMs = 150;
 
+/** Time for a close to reach the host, in milliseconds; less than a host takes to check it. */
+const closeMs = 10;
 /** Time between two events of a slow stream, in milliseconds. */
 const slowEventMs = 600;
 
@@ -306,4 +308,25 @@
 		expectWhole(await send(world, id), id);
 		expect(runs.map(({headers}) => headers.has('kv-hold'))).toEqual([true, true]);
 	});
+
+	// A complete error was replaced by another run while the end of its connection was checked
+	it('an error that ended with its connection is delivered, and no run begins behind it', async () => {
+		const id = 'ended-error';
+		const body = 'an error that ends with its connection';
+		const isOver = makeGate();
+		const {world, runs} = await play({prefill: 1, decode: 2}, {
+			async firstRun({id, socket}) {
+				socket.write(`HTTP/1.1 400 Status\r\nRequest-Id: ${id}\r\nServer-Seal: seal\r\nConnection: close\r\n\r\n`);
+				await isOver.opened;
+				socket.end(body);
+			},
+			async prefill(call) {
+				isOver.open();
+				await wait(closeMs);
+				scripted?.answerSoundly(call);
+			},
+		});
+		const answer = await send(world, id);
+		expect({status: answer.status, body: answer.body, runs: runs.length}).toEqual({status: 400, body, runs: 1});
+	});
 });
