Fix: a search for a silent forwarded run kept hosts from taking other requests

Cause: where a host has lost its links, the search for another run went to other hosts without a permit of its own. Each send that the retry budget did not allow counted as a host that takes no requests, for a second. What callers saw: 503 'no other host takes the request' for other requests of the host that had lost its links, while its peers served.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -230,6 +230,11 @@
 
 		const job = this.#job;
 		const {forwarder, context: {clock}} = this.#parts;
+		// Without a permit, each host that is tried would count as one that does not take requests
+		if (round.silent !== undefined && await this.#continuation.findBlock() !== undefined) {
+			return {kind: 'notBegun', refuse: () => this.#refuseUnpaid()};
+		}
+
 		this.#state.rounds += round.silent === undefined ? 1 : 0;
 		const controller = new AbortController();
 		let takeover: Takeover<RoundResult> | undefined;
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -12,13 +12,18 @@
 	startScriptedWorld, streamOf, type CallKind, type EndpointCall, type ScriptedParts, type ScriptedWorld,
 } from './scripted-world.js';
 import {writeResponse} from './scripted-endpoint.js';
-import {until} from './world.js';
+import {LinkProxy} from './link-proxy.js';
+import {
+	patientTimes, startWorld, until, type World,
+} from './world.js';
 
 /** Deadline of the callers, in milliseconds. */
 const deadlineMs = 15_000;
 /** Time for which the other endpoint holds back an answer that the silent run overtakes, in milliseconds; below the host's own time limits. */
 const overtakenMs = 150;
 
+/** Time between two events of a stream that is taken for silent, in milliseconds. */
+const silentEventMs = 2000;
 /** Time for a close to reach the host, in milliseconds; less than a host takes to check it. */
 const closeMs = 10;
 /** Time between two events of a slow stream, in milliseconds. */
@@ -330,3 +335,50 @@
 		expect({status: answer.status, body: answer.body, runs: runs.length}).toEqual({status: 400, body, runs: 1});
 	});
 });
+
+describe('while another host is sought for a silent run that was forwarded', () => {
+	const links: LinkProxy[] = [];
+	let world: World | undefined;
+
+	afterEach(async () => {
+		await world?.stop();
+		await Promise.all(links.map(async link => link.close()));
+	});
+
+	// A search without a permit kept all hosts from being tried for other requests
+	it('requests of other callers are forwarded, although there is no retry budget', async () => {
+		world = await startWorld({
+			hosts: 2, plain: 1, prefill: 1, decode: 2, slots: 8, retryAllowance: 0, routeTimes: patientTimes, eventGapMs: silentEventMs, async endpointPaths(endpoints) {
+				const proxy = await LinkProxy.start(endpoints);
+				links.push(proxy);
+				return proxy.addresses;
+			},
+		});
+		const {relays: [partitioned], lines} = world;
+		const {caller: address, relay} = partitioned!;
+		await links[0]!.cut('refused');
+		for (let round = 0; relay.reachability.unreachable.length < 2; round += 1) {
+			await sendRequest({
+				address, id: `before-${round}`, path: round % 2 === 0 ? '/once/1' : '/stream/1', leaveAfterBytes: 1,
+			});
+		}
+
+		const id = 'forwarded';
+		const ended = new AbortController();
+		const answer = sendRequest({
+			address, id, path: '/resumable/1', headers: {'Deadline-Ms': String(patientTimes.timeoutMs)},
+		}).finally(() => {
+			ended.abort();
+		});
+		const statuses: number[] = [];
+		for (let index = 0; !ended.signal.aborted; index += 1) {
+			const {status} = await sendRequest({address, id: `other-${index}`, path: '/once/1'});
+			statuses.push(status);
+			await wait(overtakenMs);
+		}
+
+		const {status, isWhole} = await answer;
+		expect({status, isWhole, refused: statuses.filter(each => each !== 200).length}).toEqual({status: 200, isWhole: true, refused: 0});
+		expect(lines.filter(({code, facts}) => code === 'sentAgain' && facts.request === id).length).toBeGreaterThan(0);
+	});
+});
