Fix: a token stream that was resumed was watched neither for silence nor for its caller

Cause: the own front resumes a silent stream at its engine with a stall timer that stopped as the response began, and with it the link to the caller's signal; the lines were then read under the timer of the first response, which had fired. A resumed stream that fell silent again was waited for without end, and one whose caller left occupied its engine to its end. Change: a resumed stream is read under a stall timer of its own.

--- a/packages/host/src/core/attempt.ts
+++ b/packages/host/src/core/attempt.ts
@@ -210,17 +210,19 @@
 
 	/** Reads a stream to its end, and resumes an interrupted one at the same engine up to `maxResumes` times. */
 	async #readWithResume(lines: DecodeStream, engine: Engine, timer: StallTimer): Promise<boolean> {
-		let current: DecodeStream | undefined = lines;
-		for (let resumes = 0; current !== undefined; resumes += 1) {
-			if (await this.#readLines(current, engine, timer)) {
-				return true;
-			}
+		if (await this.#readLines(lines, engine, timer)) {
+			return true;
+		}
 
-			if (this.#signal.aborted || resumes >= maxResumes) {
+		for (let resumes = 0; resumes < maxResumes && !this.#signal.aborted; resumes += 1) {
+			const resumed = await this.#resume(engine);
+			if (resumed === 'unavailable') {
 				break;
 			}
 
-			current = await this.#resume(engine);
+			if (resumed === 'complete') {
+				return true;
+			}
 		}
 
 		this.#reportFailure(engine, 'stream interrupted and not resumed', true);
@@ -242,7 +244,8 @@
 		return false;
 	}
 
-	async #resume(engine: Engine): Promise<DecodeStream | undefined> {
+	/** Resumes the stream and reads on; a resumed stream has a stall timer of its own. */
+	async #resume(engine: Engine): Promise<'complete' | 'interrupted' | 'unavailable'> {
 		const {client, context: {self, counters}} = this.#options;
 		const timer = this.#startStallTimer();
 		try {
@@ -250,14 +253,14 @@
 				request: this.#request.id, attempt: this.#number, owner: self, from: this.#stream.tokens.length,
 			}, timer.signal);
 			if (reply.kind === 'refused') {
-				return undefined;
+				return 'unavailable';
 			}
 
 			counters.count('resumed');
 			this.#recordEvent('resumed', engine.name);
-			return reply.result;
+			return await this.#readLines(reply.result, engine, timer) ? 'complete' : 'interrupted';
 		} catch {
-			return undefined;
+			return 'unavailable';
 		} finally {
 			timer.stop();
 		}
