Fix: a host that stood still itself took its streams for silent

Cause: the timer of the search for another run fires before the events that arrived meanwhile are read. For a run that was forwarded, nothing has to arrive before another one is written to a connection that is open, so a sound run could be ended; for others, memory was reserved in vain. Change: a timer that fires late is extended once by its lateness.

--- a/packages/relay/src/work/takeover.test.ts
+++ b/packages/relay/src/work/takeover.test.ts
@@ -1,6 +1,7 @@
 /** When another run is sought for a silent one, and when the silent one ends: a run that is ended for one that cannot begin is lost, and two runs at a time repeat work. */
 import {setImmediate as turn} from 'node:timers/promises';
 import {describe, it} from 'node:test';
+import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ManualClock} from '@gatehead/policy/utils/manual-clock';
 import {expect} from 'earl';
 import {Takeover, type TakeoverAttempt} from './takeover.js';
@@ -8,6 +9,31 @@
 const idleMs = 1000;
 const firstIdleMs = 1500;
 
+/** Time for which a process stands still, in milliseconds. */
+const frozenMs = 400;
+
+/** Clock of a process that can stand still: timers that are due meanwhile fire late. */
+class FreezableClock implements Clock {
+	readonly #running = new ManualClock();
+	#frozenMs = 0;
+
+	now(): number {
+		return this.#running.now() + this.#frozenMs;
+	}
+
+	after(delayMs: number, run: () => void): Timer {
+		return this.#running.after(delayMs, run);
+	}
+
+	advance(milliseconds: number): void {
+		this.#running.advance(milliseconds);
+	}
+
+	freeze(): void {
+		this.#frozenMs += frozenMs;
+	}
+}
+
 /** An attempt in progress, and how it ends. */
 type PendingAttempt = TakeoverAttempt & {
 	readonly finish: (result: string | undefined) => void;
@@ -15,7 +41,7 @@
 };
 
 class Run {
-	readonly clock = new ManualClock();
+	readonly clock = new FreezableClock();
 	readonly request = new AbortController();
 	readonly attempts: PendingAttempt[] = [];
 	readonly errors: string[] = [];
@@ -29,6 +55,9 @@
 		stop: () => {
 			this.takeover.stop();
 		},
+		freeze: () => {
+			this.clock.freeze();
+		},
 		leave: () => {
 			this.request.abort('callerLeft');
 		},
@@ -85,7 +114,7 @@
 	}
 }
 
-type Action = 'event' | 'stop' | 'leave' | 'commit' | 'done' | 'none' | 'fail';
+type Action = 'event' | 'freeze' | 'stop' | 'leave' | 'commit' | 'done' | 'none' | 'fail';
 
 /** Milliseconds that pass, or what happens. */
 type Step = number | Action;
@@ -109,6 +138,10 @@
 	{name: 'an attempt after the first idle time', steps: [firstIdleMs], begun: 1},
 	{name: 'an event makes the shorter idle time count', steps: ['event', idleMs], begun: 1},
 	{name: 'events in time keep the run alone', steps: ['event', idleMs - 1, 'event', idleMs - 1, 'event', idleMs - 1], begun: 0},
+	{name: 'a process that stood still reads what has arrived first', steps: ['freeze', firstIdleMs, frozenMs - 1], begun: 0},
+	{name: 'an event that waited meanwhile counts', steps: ['freeze', firstIdleMs, 'event', idleMs - 1], begun: 0},
+	{name: 'a run that is still silent is replaced', steps: ['freeze', firstIdleMs, frozenMs], begun: 1},
+	{name: 'a process that stands still again delays the attempt once', steps: ['freeze', firstIdleMs, 'freeze', frozenMs], begun: 1},
 	{name: 'one attempt at a time', steps: [firstIdleMs, 5 * idleMs], begun: 1},
 	{
 		name: 'an event ends an attempt', steps: [firstIdleMs, 'event'], begun: 1, isAborted: true,
--- a/packages/relay/src/work/takeover.ts
+++ b/packages/relay/src/work/takeover.ts
@@ -6,6 +6,9 @@
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 
+/** Lateness of a timer above which this process, not the endpoint, may have been silent, in milliseconds; several event-loop turns of a busy host. */
+const lateTimerMs = 20;
+
 /** An attempt to begin another run. */
 export type TakeoverAttempt = {
 	/** Aborts once the silent run proceeds or ends, or the request does. */
@@ -71,9 +74,18 @@
 		return this.#attempt;
 	}
 
-	#startTimer(milliseconds: number): void {
+	/** A timer that fires late is extended once by its lateness: events that arrived meanwhile have not been read. */
+	#startTimer(milliseconds: number, isExtension = false): void {
+		const {clock} = this.#parts;
+		const dueAt = clock.now() + milliseconds;
 		this.#timer?.stop();
-		this.#timer = this.#parts.clock.after(milliseconds, () => {
+		this.#timer = clock.after(milliseconds, () => {
+			const lateMs = clock.now() - dueAt;
+			if (lateMs >= lateTimerMs && !isExtension) {
+				this.#startTimer(lateMs, true);
+				return;
+			}
+
 			if (this.#attempt === undefined) {
 				this.#attempt = this.#begin();
 				// `settle` rejects as well
