Fix: the only version of one service was taken for that of a split route

A resumed stream without a record goes on at the only version that this host has seen of one service: the one that a new stream would begin at, which is drawn by weight where a route is split. The stream may have begun at the route's other service, whose versions were not looked at.

What callers see. A stream that began at one service goes on at another one, which may run another version, where its record is lost or out of reach. Found by reading; not played with processes.

All services that the route names are looked at, and the stream goes on only where one of them alone had endpoints, of one version. findOnlyOrigin replaces findOnlyVersion, with its test's cases and two more.

Cost: on a split route with endpoints at several services, a stream without a record is refused.

--- a/packages/policy/src/relay/version-history.test.ts
+++ b/packages/policy/src/relay/version-history.test.ts
@@ -3,7 +3,7 @@
 import {type Start} from '@gatehead/schema/relay-settings';
 import {expect} from 'earl';
 import {StreamRecords} from './stream-records.js';
-import {findOnlyVersion, VersionHistory} from './version-history.js';
+import {findOnlyOrigin, VersionHistory} from './version-history.js';
 
 const service = 'model';
 const windowMs = 1000;
@@ -98,11 +98,14 @@
 		});
 	}
 
-	it('there is one version only if all views agree', () => {
-		const one = {versions: ['v1'], coverageMs: 1};
-		expect(findOnlyVersion([one, one, {versions: [], coverageMs: 0}])).toEqual('v1');
-		expect(findOnlyVersion([one, {versions: ['v2'], coverageMs: 1}])).toEqual(undefined);
-		expect(findOnlyVersion([])).toEqual(undefined);
+	it('there is one version only if all views agree, and only at one service', () => {
+		const one = {service, versions: ['v1']};
+		const origin = {service, softwareVersion: 'v1'};
+		expect(findOnlyOrigin([one, one, {service, versions: []}, {service: 'other', versions: []}])).toEqual(origin);
+		expect(findOnlyOrigin([one, {service, versions: ['v2']}])).toEqual(undefined);
+		expect(findOnlyOrigin([{service, versions: ['v1', 'v2']}])).toEqual(undefined);
+		expect(findOnlyOrigin([one, {service: 'other', versions: ['v1']}])).toEqual(undefined);
+		expect(findOnlyOrigin([])).toEqual(undefined);
 	});
 });
 
--- a/packages/policy/src/relay/version-history.ts
+++ b/packages/policy/src/relay/version-history.ts
@@ -5,6 +5,7 @@
  */
 import {type Start} from '@gatehead/schema/relay-settings';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
+import {type StreamOrigin} from './stream-records.js';
 
 /** Time for which a version that has left is remembered, in milliseconds. */
 const rememberedMs = 900_000;
@@ -100,9 +101,9 @@
 	}
 }
 
-/** The only version of a service in all views; undefined if there are several, or none. */
-export function findOnlyVersion(views: readonly VersionView[]): string | undefined {
-	const versions = new Set(views.flatMap(view => view.versions));
-	const [only] = versions;
-	return versions.size === 1 ? only : undefined;
+/** The only service and version in all views, of which each is of one service; undefined if there are several, or none. */
+export function findOnlyOrigin(views: ReadonlyArray<Pick<VersionView, 'versions'> & {readonly service: string}>): StreamOrigin | undefined {
+	const [origin, ...others] = views.flatMap(({service, versions}) => versions.map(softwareVersion => ({service, softwareVersion})));
+	const isOnly = others.every(({service, softwareVersion}) => service === origin?.service && softwareVersion === origin.softwareVersion);
+	return isOnly ? origin : undefined;
 }
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -39,6 +39,8 @@
 type Surroundings = {
 	/** Record that a host has of the attempt `first`. */
 	readonly record?: Omit<StreamRecord, 'expiresAt'>;
+	/** Versions of the route's other service. */
+	readonly listedElsewhere?: readonly string[];
 	/** Versions in this host's directory, and the time for which it has seen all changes, in milliseconds. */
 	readonly listed: readonly string[];
 	readonly coverageMs: number;
@@ -87,11 +89,15 @@
 	readonly streams: StreamVersions;
 	#listedAt = -1;
 
-	constructor({record, listed, coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
+	constructor({record, listed, listedElsewhere = [], coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
 			this.versions.see({id: `e${index}`, service, softwareVersion}, 0);
 		}
 
+		for (const [index, softwareVersion] of listedElsewhere.entries()) {
+			this.versions.see({id: `o${index}`, service: 'other', softwareVersion}, 0);
+		}
+
 		this.clock.advance(coverageMs);
 		const held = new RunTraces(100);
 		for (const each of traces) {
@@ -184,6 +190,16 @@
 	{
 		name: 'one version here, another that a host has seen leave', ...whole, views: [{versions: ['v0', 'v1'], coverageMs: windowMs}], outcome: final('unknown'), isTraced: true,
 	},
+	{
+		// The stream may have begun at either service
+		name: 'one version, another one at the route\'s other service', ...whole, listedElsewhere: ['v2'], outcome: final('unknown'), isTraced: true,
+	},
+	{
+		name: 'the same version at both services of the route', ...whole, listedElsewhere: ['v1'], outcome: final('unknown'), isTraced: true,
+	},
+	{
+		name: 'one version, at the route\'s other service only', ...whole, listed: [], listedElsewhere: ['v1'], outcome: {version: 'v1', service: 'other'}, isTraced: false,
+	},
 	{
 		name: 'one version, but the directory does not reply', ...whole, isConfirmed: false, outcome: later('unknown'), isTraced: true,
 	},
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -1,13 +1,14 @@
 /**
  * Software versions of streams that callers may resume. Safety: a stream goes
  * on only at the version that began it. That version is read from a record,
- * follows from this host having seen one version only for as long as the stream
- * can have lasted, or is that of the engine that still holds the run; otherwise
- * the request is refused, never guessed.
+ * follows from this host having seen one version only, at one of the services
+ * that the route names, for as long as the stream can have lasted, or is that
+ * of the engine that still holds the run; otherwise the request is refused,
+ * never guessed.
  */
 import {findTracedOrigin} from '@gatehead/policy/relay/run-traces';
 import {type StreamOrigin} from '@gatehead/policy/relay/stream-records';
-import {findOnlyVersion, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
+import {findOnlyOrigin, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
 import {versionOf, type Route} from '@gatehead/schema/routing';
@@ -156,10 +157,10 @@
 		const {context: {clock}, versions} = this.#parts;
 		const views = [versions.view(service, windowMs, clock.now()), ...finding.views];
 		const confirming = this.#confirmSince(clock.now());
-		const softwareVersion = await this.#findOnlyVersion(service, windowMs, finding, confirming);
-		if (softwareVersion !== undefined) {
+		const only = await this.#findOnly({service, route, windowMs}, finding, confirming);
+		if (only !== undefined) {
 			return {
-				source: 'only version', point: {service, softwareVersion}, asked, silent, views,
+				source: 'only version', point: only, asked, silent, views,
 			};
 		}
 
@@ -182,8 +183,8 @@
 		return this.#isConfirmedSince(at);
 	}
 
-	/** The version that all endpoints have had for as long as the stream can have lasted; undefined if there were several, or if this host has not seen all of that time. */
-	async #findOnlyVersion(service: string, windowMs: number, {views}: StreamFinding, confirming: Promise<boolean>): Promise<string | undefined> {
+	/** The service and version that all endpoints of the route have had for as long as the stream can have lasted; undefined if there were several, or if this host has not seen all of that time. */
+	async #findOnly({service, route: {shares}, windowMs}: Pick<ResumeRequest, 'service' | 'route'> & {readonly windowMs: number}, {views}: StreamFinding, confirming: Promise<boolean>): Promise<ResumePoint | undefined> {
 		const {context: {clock}, versions} = this.#parts;
 		// Others contradict, but do not vouch: however many they are, they may have started since the stream began, or lag behind the directory
 		const mayVouch = () => versions.view(service, windowMs, clock.now()).coverageMs >= windowMs;
@@ -191,7 +192,11 @@
 			return undefined;
 		}
 
-		return findOnlyVersion([versions.view(service, windowMs, clock.now()), ...views]);
+		const services = [...new Set([service, ...shares.map(share => share.service)])];
+		return findOnlyOrigin([
+			...services.map(each => ({service: each, versions: versions.view(each, windowMs, clock.now()).versions})),
+			...views.map(view => ({service, versions: view.versions})),
+		]);
 	}
 
 	/** Where the stream began, by what engines held of it when hosts started. */
