Half-closed connections: no interim response behind a rejection

A caller that ends its side in the middle of a request still counts as one that has left, as malformed-requests.test pins, and its connection is being closed when the end of its side is handled; the rejection of such a request closes it as well. Nothing is written there any more. The added case passes with and without the guard: no caller was seen to get bytes behind a rejection.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -132,7 +132,8 @@
 	/** Answers the requests of a caller that has ended its side, if it can be found out whether it reads on. One that closes the connection in the middle of a response would go unnoticed while nothing is written. */
 	#handleEnd(socket: Socket): void {
 		const current = [...this.#uses.get(socket)?.openResponses ?? []].find(response => response.socket !== null);
-		if (current === undefined) {
+		// The connection of a request that its caller has ended, or that is rejected, is being closed
+		if (current === undefined || isRejected(current.req) || !socket.writable) {
 			return;
 		}
 
--- a/packages/standin/src/wire/half-closed-callers.test.ts
+++ b/packages/standin/src/wire/half-closed-callers.test.ts
@@ -90,6 +90,14 @@
 		expect({runs: hasRun(id), statuses: statuses.filter(status => status === okStatus)}).toEqual({runs: false, statuses: []});
 	});
 
+	it('nothing follows the rejection of a request that its caller ends', async () => {
+		const caller = await open();
+		caller.socket.end(writeRequest('/once/1', makeId(), 'quest', 'question'.length));
+		await caller.ended;
+		caller.socket.destroy();
+		expect(listStatuses(caller.text())).toEqual([400]);
+	});
+
 	it('a stream whose caller ends its side after its first event breaks off, as nothing else shows that it has left', async () => {
 		const id = makeId();
 		const caller = await open();
