Silence: a connection that closes without a response counts also where its request reached no endpoint

In these cases no host ends or stops, so that no request crosses an announced close; until now only requests that an endpoint had seen counted as lost.

--- a/packages/standin/src/wire/silence/silence.ts
+++ b/packages/standin/src/wire/silence/silence.ts
@@ -89,7 +89,7 @@
 	readonly servedAfterRejection: number;
 	/** Attempts that an endpoint rejected. */
 	readonly rejected: number;
-	/** Attempts that arrived at an endpoint and whose caller saw its connection end. */
+	/** Attempts whose caller saw its connection end without a response. */
 	readonly lost: number;
 	readonly untrue: number;
 	readonly doubled: number;
@@ -224,7 +224,8 @@
 		const runs = seen.filter(({kind}) => kind === 'began').length;
 		const isUntrue = attempt.isOnce && promises.has(attempt.status) && runs > 0;
 		const isDoubled = attempt.isOnce && runs > 1;
-		const isLost = attempt.hasGivenUp || (attempt.status === 0 && !attempt.hasLeft && seen.length > 0);
+		// No host ends or stops in these cases, so that no request crosses an announced close
+		const isLost = attempt.hasGivenUp || (attempt.status === 0 && !attempt.hasLeft);
 		const isForeign = attempt.status === 200 && attempt.body !== `200 of ${attempt.id}`;
 		const isRejected = seen.some(({status}) => status === 503);
 		count.untrue += Number(isUntrue);
