Fix: the Last-Event-ID of one caller ended a host of the own front

Cause: a stream that is resumed makes room for all tokens that its caller has, up to the 999,999,999 that the header can hold: eight gigabytes. From some hundred thousand on, the call that added them overflowed the stack instead.

What callers saw: the host's process ended, with all requests in it, at a request with a valid ticket of a host or incarnation that is gone. Below that, 500 for a stream that could have been resumed.

Change: a token beyond the longest output (1,000,000) is an invalid header; the room is made without a call per token.

--- a/packages/host/src/core/token-stream.ts
+++ b/packages/host/src/core/token-stream.ts
@@ -19,7 +19,7 @@
 
 /** Token stream of one request. */
 export class TokenStream {
-	readonly tokens: string[] = [];
+	readonly tokens: string[];
 	/** Engine and attempt that produce the current tokens, as `engine/attempt`; part of the event ids. */
 	position = '';
 	readonly #readers = new Set<StreamReader>();
@@ -29,7 +29,7 @@
 	/** `onAbandoned` is called when the last reader detaches before the end. The first `knownTokens` tokens are empty strings, as the caller already has them. */
 	constructor(onAbandoned: () => void, knownTokens = 0) {
 		this.#onAbandoned = onAbandoned;
-		this.tokens.push(...Array.from<string>({length: knownTokens}).fill(''));
+		this.tokens = Array.from<string>({length: knownTokens}).fill('');
 	}
 
 	get end(): StreamEnd | undefined {
--- a/packages/host/src/front/request-reader.ts
+++ b/packages/host/src/front/request-reader.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Bundle, type Caller} from '@gatehead/schema/bundle';
-import {callerHeaders} from '@gatehead/schema/caller-protocol';
+import {callerHeaders, maxOutputTokens} from '@gatehead/schema/caller-protocol';
 import {digestOf} from '@gatehead/schema/canonical-json';
 import {fail} from '@gatehead/schema/failure';
 import {type Limits} from '@gatehead/schema/settings';
@@ -93,7 +93,7 @@
 	}
 
 	const {engine, attempt, last, run} = positionPattern.exec(header)?.groups ?? {};
-	if (engine === undefined) {
+	if (engine === undefined || Number(last) >= maxOutputTokens) {
 		fail('headerInvalid', {detail: 'Last-Event-ID: the id of the last event of the stream'});
 	}
 
--- a/packages/schema/src/caller-protocol.ts
+++ b/packages/schema/src/caller-protocol.ts
@@ -19,7 +19,9 @@
 } as const;
 
 const maxPromptLength = 4_000_000;
-const maxTokens = z.number().int().positive().max(1_000_000).default(256);
+/** Maximum number of tokens of one output. */
+export const maxOutputTokens = 1_000_000;
+const maxTokens = z.number().int().positive().max(maxOutputTokens).default(256);
 
 const commonFields = {
 	model: z.string().max(200),
--- a/packages/standin/src/matrix/bad-input.test.ts
+++ b/packages/standin/src/matrix/bad-input.test.ts
@@ -63,6 +63,11 @@
 	{name: 'a lapsed ticket', code: 'ticketLapsed', wish: stage => labelWish(`${ticketOf(stage, {expires: 1})}~a`)},
 	{name: 'a ticket of an earlier incarnation', code: 'ownerReplaced', wish: stage => labelWish(`${ticketOf(stage, {incarnation: 1})}~a`)},
 	{name: 'a malformed Last-Event-ID', code: 'headerInvalid', wish: () => ({...post(completion), lastEvent: 'x'})},
+	// Guards against a host that makes room for all tokens that a caller says it has, and ends
+	...[1_000_001, 999_999_999].map(last => ({
+		name: `a Last-Event-ID with token ${last}`, code: 'headerInvalid' as const, wish: (stage: Stage) => ({...post(completion), key: `${ticketOf(stage, {incarnation: 1})}~a`, lastEvent: `d0/1/${last}/r`}),
+	})),
+	{name: 'a Last-Event-ID with the highest token that a stream can have', code: 'streamGone', wish: stage => ({...post(completion), key: `${ticketOf(stage, {incarnation: 1})}~a`, lastEvent: 'd0/1/999999/r'})},
 	{name: 'a Last-Event-ID of a stream that nobody holds', code: 'streamGone', wish: () => ({...post(completion), lastEvent: 'd0/1/3'})},
 ];
 
