--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -32,8 +32,8 @@
 
 /** Maximum wait for the head of a resumable stream and then between its events, in milliseconds, before another replica is sought for it. Less than half of what callers tolerate, so that the second replica has as long. The head gets the expected prefill time on top where the decode replica prefills the prompt. */
 const idleTimeoutMs = 1400;
-/** Interval at which a stream whose run this host has ended seeks another one, in milliseconds. */
-const owedRetryMs = 200;
+/** Interval between attempts to begin another run for a stream whose run this host has ended, in milliseconds. */
+const continuationRetryMs = 200;
 /** Remaining lifetime below which a reservation is not used, in milliseconds; several times the network delay to a replica. */
 const expiryMarginMs = 60;
 /** Maximum wait for a permit at a rate-limited replica after the prefill, in milliseconds; prefill results live little longer. */
@@ -66,8 +66,8 @@
 	readonly #responses: ResponseForwarder;
 	/** Whether other hosts were asked and none took the request. */
 	#isForwardingSpent = false;
-	/** Whether this host has ended a run that was silent. Such a stream seeks another run until its deadline. */
-	#owesRest = false;
+	/** Whether this host has ended a silent run itself. Such a stream seeks another run until its deadline. */
+	#mustContinue = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
@@ -87,11 +87,11 @@
 			}
 
 			if (result.kind === 'notBegun') {
-				if (!this.#owesRest || signal.aborted) {
+				if (!this.#mustContinue || signal.aborted) {
 					return result.refuse();
 				}
 
-				await waitFor(this.#parts.context.clock, owedRetryMs, signal);
+				await waitFor(this.#parts.context.clock, continuationRetryMs, signal);
 				this.#isForwardingSpent = false;
 			}
 		}
@@ -184,7 +184,7 @@
 		commit();
 		if (silent !== undefined) {
 			this.#state.rounds += 1;
-			this.#owesRest = true;
+			this.#mustContinue = true;
 			this.#continuation.continueAfter(silent, stallReason);
 		}
 
