Fix: requests behind others on a connection were lost when their host stopped

Callers that had sent several requests on one connection got the response to the first and then the end of the connection, although the stopping host had read the others whole. Cause: a stopping host announces the close of the connection with its next response, and the end of such a response closes the connection, with the requests that wait behind it. Change: only the response to the last request that has arrived on a connection closes it. What arrives behind a head that announces the close does not run, as before, and its caller knows it from that head.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -99,6 +99,12 @@
 		}
 	}
 
+	/** Whether no other request has arrived on its connection behind the one that a response answers. The end of a response that closes the connection loses all that are behind it. */
+	isLast(response: ServerResponse): boolean {
+		const {openResponses} = this.#uses.get(response.req.socket) ?? {};
+		return openResponses === undefined || [...openResponses].at(-1) === response;
+	}
+
 	/** Stops listening and destroys all open connections. */
 	async close(): Promise<void> {
 		const closed = new Promise<void>(resolve => {
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -143,7 +143,7 @@
 		this.#server.headersTimeout = Math.max(requestTimeoutMs, headerMs + keepAliveMarginMs);
 	}
 
-	/** Closes each connection after its next response. */
+	/** Closes each connection after the response to the last request on it. */
 	closeConnectionsAfterResponses(): void {
 		this.#closesConnections = true;
 	}
@@ -177,7 +177,7 @@
 	async #handleRequest(request: IncomingMessage, response: ServerResponse, isForwarded = false): Promise<void> {
 		const {context: {clock, metrics}} = this.#parts;
 		const arrivedAt = clock.now();
-		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections, isForwarded);
+		const reply = new Reply(response, () => clock.now(), () => this.#closesConnections && this.#connections.isLast(response), isForwarded);
 		const controller = new AbortController();
 		const pending: PendingRequest = {
 			request, response, reply, controller, arrivedAt, isForwarded, deadlineTimer: undefined, job: undefined, isRejected: false, isDraining: false,
