Fix: a request for a tunnel closed its connection without a response, with the requests before it

Callers that sent CONNECT, alone or behind other requests, got a closed connection; the responses to the requests before it were lost. Cause: Node closes the connection of such a request where nobody handles it. Change: it is rejected like malformed bytes, 400 behind the responses that are due.

--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -69,6 +69,12 @@
 		server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#handleFault(error, socket);
 		});
+		// Without a listener Node closes the connection, with the requests before this one
+		server.on('connect', (_request: IncomingMessage, socket: Socket) => {
+			// Node no longer reads the connection, nor handles its errors
+			socket.on('error', ignore);
+			this.#handleFault(new Error('the host is no tunnel'), socket);
+		});
 		// Node's option for it has no type; it keeps the connection open until the last response
 		Object.assign(server, {httpAllowHalfOpen: listener.answersHalfClosed === true});
 		server.on('connection', socket => {
--- a/packages/standin/src/wire/malformed-requests.test.ts
+++ b/packages/standin/src/wire/malformed-requests.test.ts
@@ -28,6 +28,12 @@
 	{
 		name: 'a request whose body is malformed', bytes: 'POST /once/1 HTTP/1.1\r\nHost: calls.example\r\nTransfer-Encoding: chunked\r\n\r\nno length\r\n', delayMs: runMs / 2, statuses: [200, 400],
 	},
+	{
+		name: 'a request for a tunnel, at once', bytes: 'CONNECT calls.example:80 HTTP/1.1\r\nHost: calls.example\r\n\r\n', delayMs: 0, statuses: [200, 400],
+	},
+	{
+		name: 'a request for a tunnel, while it runs', bytes: 'CONNECT calls.example:80 HTTP/1.1\r\nHost: calls.example\r\n\r\n', delayMs: runMs / 2, statuses: [200, 400],
+	},
 	{
 		name: 'a request and bytes that are not HTTP', bytes: `${writeRequest('/once/1', 'behind', 'question')}${garbage}`, delayMs: 0, statuses: [200, 200, 400],
 	},
@@ -75,6 +81,17 @@
 		expect(text().includes(bodyOf(id))).toEqual(true);
 	}
 
+	it('a request for a tunnel is rejected, and the host goes on when its caller resets the connection', async () => {
+		const {socket, text, ended} = await openCaller(scripted.caller);
+		socket.write('CONNECT calls.example:80 HTTP/1.1\r\nHost: calls.example\r\n\r\n');
+		await ended;
+		socket.resetAndDestroy();
+		expect(listStatuses(text())).toEqual([400]);
+		await check('behind-a-tunnel', {
+			name: '', bytes: garbage, delayMs: 0, statuses: [200, 400],
+		});
+	});
+
 	it('each rejection has a line', async () => {
 		const count = () => scripted.world.lines.filter(({facts}) => facts.reason === 'headerInvalid').length;
 		const before = count();
