--- a/packages/relay/src/core/directory-watch.ts
+++ b/packages/relay/src/core/directory-watch.ts
@@ -30,6 +30,8 @@
 const roleCheckMs = 500;
 /** Timeout of the first list, in milliseconds; doubles with each failure. Short, because a connection opened during an outage may never respond, and the host rejects all callers until it has a list. */
 const initialListTimeoutMs = 250;
+/** Maximum duration of a read whose response keeps arriving, in milliseconds: the shortest time for which the directory remembers changes. */
+const maxReadMs = 20_000;
 /** Timeout of a position read, in milliseconds. */
 const confirmTimeoutMs = 500;
 /** Revisions before the first list from which a host reads the past, largest first: the directory may have forgotten them. */
@@ -50,6 +52,9 @@
 /** Outcome of a read. `failed`: a single failure, such as a closed watch; `away`: the directory is unavailable to this host. */
 export type ReadOutcome = 'answered' | 'failed' | 'away';
 
+/** A read of the directory, which reports that a part of its response has arrived. */
+type DirectoryRead<Result> = (signal: AbortSignal, onProgress: () => void) => Promise<Result>;
+
 /** Dependencies of `DirectoryWatch`. */
 export type DirectoryWatchParts = {
 	readonly context: BaseContext & Pick<RelayContext, 'directory' | 'settings'>;
@@ -289,7 +294,7 @@
 		const {directory, log, metrics} = this.#parts.context;
 		for (const span of pastSpans) {
 			try {
-				const {changes, position} = await this.#withTimeout(pastTimeoutMs, async signal => directory.watch(Math.max(0, revision - span), probeWaitMs, signal));
+				const {changes, position} = await this.#withTimeout(pastTimeoutMs, async (signal, onProgress) => directory.watch(Math.max(0, revision - span), probeWaitMs, signal, onProgress));
 				metrics.add('directoryReads', {read: 'past', outcome: 'answered'});
 				if (position.epoch === epoch) {
 					this.#parts.onPast?.(changes.flatMap(change => change.kind === 'endpoint' ? [change.endpoint] : []));
@@ -321,7 +326,7 @@
 			this.#rejectOutdated(position);
 
 			const listedAt = clock.now();
-			const changes = await this.#withTimeout(timing.directoryAnswerMs, async signal => directory.list(signal));
+			const changes = await this.#withTimeout(timing.directoryAnswerMs, async (signal, onProgress) => directory.list(signal, onProgress));
 			this.#rejectOutdated(changes.position);
 			metrics.add('directoryReads', {read: 'list', outcome: 'answered'});
 			// What came and left between the two positions is not in the list
@@ -337,7 +342,7 @@
 	async #list(): Promise<Changes> {
 		const {context: {directory, settings: {timing}}} = this.#parts;
 		const limitMs = this.position === undefined ? initialListTimeoutMs * (2 ** Math.min(this.#failures, maxBackoffDoublings)) : timing.directoryAnswerMs;
-		return this.#withReadTimeout(Math.min(limitMs, timing.directoryAnswerMs), async signal => directory.list(signal));
+		return this.#withReadTimeout(Math.min(limitMs, timing.directoryAnswerMs), async (signal, onProgress) => directory.list(signal, onProgress));
 	}
 
 	async #watch(after: number): Promise<Changes> {
@@ -346,23 +351,29 @@
 		const waitMs = this.#failures > 0 || this.#isRechecking ? probeWaitMs : normalWaitMs;
 		// Short watches exist to detect dead connections, so they need a shorter timeout than lists
 		const answerMs = waitMs < timing.watchMs ? shortWatchTimeoutMs * (2 ** Math.min(this.#failures, maxBackoffDoublings)) : timing.directoryAnswerMs;
-		return this.#withReadTimeout(waitMs + Math.min(answerMs, timing.directoryAnswerMs), async signal => directory.watch(after, waitMs, signal));
+		return this.#withReadTimeout(waitMs + Math.min(answerMs, timing.directoryAnswerMs), async (signal, onProgress) => directory.watch(after, waitMs, signal, onProgress));
 	}
 
 	/** Runs a read that `recheck` can abort. */
-	async #withReadTimeout<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
+	async #withReadTimeout<Result>(limitMs: number, call: DirectoryRead<Result>): Promise<Result> {
 		const controller = new AbortController();
 		this.#readAbort = controller;
 		return this.#withTimeout(limitMs, call, controller);
 	}
 
-	async #withTimeout<Result>(limitMs: number, call: (signal: AbortSignal) => Promise<Result>, controller = new AbortController()): Promise<Result> {
+	/** Runs a read; aborts it if no part of its response has arrived for `limitMs` milliseconds. Large responses take longer than that, and would fail each time. */
+	async #withTimeout<Result>(limitMs: number, call: DirectoryRead<Result>, controller = new AbortController()): Promise<Result> {
 		const {clock} = this.#parts.context;
-		const timer = clock.after(limitMs, () => {
+		const endsAt = clock.now() + Math.max(limitMs, maxReadMs);
+		const startTimer = () => clock.after(Math.min(limitMs, endsAt - clock.now()), () => {
 			controller.abort();
 		});
+		let timer = startTimer();
 		try {
-			return await call(AbortSignal.any([this.#abort.signal, controller.signal]));
+			return await call(AbortSignal.any([this.#abort.signal, controller.signal]), () => {
+				timer.stop();
+				timer = startTimer();
+			});
 		} finally {
 			timer.stop();
 		}
--- a/packages/relay/src/core/directory.ts
+++ b/packages/relay/src/core/directory.ts
@@ -46,12 +46,12 @@
 	}
 }
 
-/** Client of the directory. Failed calls reject with a `DirectoryError`. */
+/** Client of the directory. Failed calls reject with a `DirectoryError`. `onProgress` is called when a part of a response has arrived. */
 export type Directory = {
 	/** Reads all published items. */
-	list(signal: AbortSignal): Promise<Changes>;
+	list(signal: AbortSignal, onProgress?: () => void): Promise<Changes>;
 	/** Reads the changes after a revision of whichever epoch is current; waits up to `waitMs` milliseconds for a change. */
-	watch(after: number, waitMs: number, signal: AbortSignal): Promise<Changes>;
+	watch(after: number, waitMs: number, signal: AbortSignal, onProgress?: () => void): Promise<Changes>;
 	/** Reads the current position with a linearizable read. */
 	readPosition(signal: AbortSignal): Promise<Position>;
 	close(): void;
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -233,8 +233,8 @@
 		changes: changes.map(change => change.kind === 'endpoint' ? {...change, endpoint: {...change.endpoint, address: paths.get(change.endpoint.address) ?? change.endpoint.address}} : change),
 	});
 	return {
-		list: async signal => translate(await directory.list(signal)),
-		watch: async (after, waitMs, signal) => translate(await directory.watch(after, waitMs, signal)),
+		list: async (signal, onProgress) => translate(await directory.list(signal, onProgress)),
+		watch: async (after, waitMs, signal, onProgress) => translate(await directory.watch(after, waitMs, signal, onProgress)),
 		readPosition: async signal => directory.readPosition(signal),
 		close() {
 			directory.close();
