Configurations: reject a version that no later one could follow

What callers saw: after a configuration with version 2^53-1, no later one came into force at any host until all of them restarted.

Cause: the higher version wins, and versions are exact numbers, so there is none above the last one; hosts adopted it and passed it on.

The margin is there because versions rise in uneven steps, and because rejecting the last one alone would make the last but one the end.

The two unusable versions of routing-faults.test.ts are new with the rule.

Ruled out: a limit in the schema, which would make peers refuse whole messages of a host of an earlier release that has adopted such a version.

--- a/packages/policy/src/relay/routing-faults.test.ts
+++ b/packages/policy/src/relay/routing-faults.test.ts
@@ -1,4 +1,4 @@
-/** A configuration whose workspaces could not be given shares must not come into force, and its fault must name the field. */
+/** A configuration whose workspaces could not be given shares, or that no other one could replace, must not come into force, and its fault must name the field. */
 import {describe, it} from 'node:test';
 import {type Routing} from '@gatehead/schema/routing';
 import {expect} from 'earl';
@@ -19,9 +19,9 @@
 	{name: 'an infinite weight', weight: Number.POSITIVE_INFINITY, faults: ['workspace guides: its weight is Infinity, not a positive number']},
 ];
 
-function makeRouting(weight: number | undefined): Routing {
+function makeRouting(weight: number | undefined, version = 1): Routing {
 	return {
-		version: 1,
+		version,
 		routes: [],
 		services: [],
 		callerLimits: {
@@ -40,3 +40,19 @@
 		});
 	}
 });
+
+const versionCases = [
+	{version: 1, isUsable: true},
+	{version: 2 ** 52, isUsable: true},
+	{version: Number.MAX_SAFE_INTEGER - (2 ** 32), isUsable: true},
+	{version: Number.MAX_SAFE_INTEGER - 1000, isUsable: false},
+	{version: Number.MAX_SAFE_INTEGER, isUsable: false},
+] as const;
+
+describe('faults of versions', () => {
+	for (const {version, isUsable} of versionCases) {
+		it(`${version}: ${isUsable ? 'used' : 'no later one could follow'}`, () => {
+			expect(findRoutingFaults(makeRouting(undefined, version)).length).toEqual(isUsable ? 0 : 1);
+		});
+	}
+});
--- a/packages/standin/src/wire/unusable-configuration.test.ts
+++ b/packages/standin/src/wire/unusable-configuration.test.ts
@@ -12,8 +12,10 @@
 
 type Case = {
 	readonly name: string;
-	/** Replaces fields of the route under test. */
-	readonly route: RouteDraft;
+	/** Replaces fields of the route under test; absent: none. */
+	readonly route?: RouteDraft;
+	/** Replaces that of the configuration; absent: the next one. */
+	readonly version?: number;
 };
 
 const cases: readonly Case[] = [
@@ -24,9 +26,16 @@
 	{name: 'a negative timeout', route: {timeoutMs: -1}},
 	{name: 'a timeout of 0', route: {timeoutMs: 0}},
 	{name: 'a priority that is no integer', route: {priority: 1.5}},
+	// Guards against hosts that adopt a version behind which there is none, and then use no other configuration until they restart
+	{name: 'the last version', version: Number.MAX_SAFE_INTEGER},
+	{name: 'the last version but one', version: Number.MAX_SAFE_INTEGER - 1},
+	{name: 'a version beyond the exact numbers', version: 2 ** 53},
+	{name: 'the largest version', version: Number.MAX_VALUE},
+	{name: 'a negative version', version: -1},
+	{name: 'a version that is no integer', version: 2.5},
 ];
 
-function makeDraft(version: number, fields: RouteDraft): unknown {
+function makeDraft({route: fields = {}, version = 2}: Case): unknown {
 	const config = makeConfig(version) as {readonly routes: readonly RouteDraft[]}; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- made above
 	return {...config, routes: config.routes.map(route => route.name === 'once' ? {...route, ...fields} : route)};
 }
@@ -43,8 +52,8 @@
 }
 
 describe('a configuration that cannot be used', () => {
-	for (const {name, route} of cases) {
-		it(`${name}: the last one stays in force, and the next one follows`, async () => {
+	for (const each of cases) {
+		it(`${each.name}: the last one stays in force, and the next one follows`, {timeout: 20_000}, async () => {
 			const paths: FaultyProxy[] = [];
 			const world = await startWorld({
 				hosts: 2, plain: 1, prefill: 1, decode: 1, slots: 8,
@@ -60,7 +69,7 @@
 				const last = paths.at(-1);
 				last?.reset();
 				last!.mode = 'silence';
-				store.put('op/config', makeDraft(2, route));
+				store.put('op/config', makeDraft(each));
 				await untilRead(world);
 				const statuses = await askAll(relays);
 				const versions = relays.map(({relay}) => relay.routing.version);
