Directory updates: pass on endpoints behind an unusable configuration

What callers saw: while the newest configuration could not be used or read, hosts that hear of the directory from others kept sending to endpoints as they were before it, and knew none of those that joined, until an operator published another configuration.

Cause: a host that knows of a configuration which it cannot use sent no updates at all, because the receiver would have taken the position of the update as proof that its own configuration is the newest.

Now the update names the version that is outdated, and the receiver marks its own configuration as outdated too unless it is newer: endpoints follow, and neither host gives a final refusal or confirms keys on the old configuration.

Evidence: unusable-configuration.test.ts, both new cases (a configuration that cannot be used, one that cannot be read) failed before: the second host never heard of an endpoint that joined. They also check that a request without a route gets 503 before the correction and 404 after it at both hosts. A deletion of the configuration leaves the last one in force: one new case, which held before.

Ruled out: an update without its position, which receivers ignore.

--- a/packages/relay/src/peer/directory-sync.ts
+++ b/packages/relay/src/peer/directory-sync.ts
@@ -91,15 +91,12 @@
 	/** Responds to an update request. */
 	sendUpdate(host: string, {routingVersion, ...known}: RelayMessageOf<'directoryWanted'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
-		if (routing.isBehind) {
-			// The update would contain a revision without the configuration that belongs to it
-			return;
-		}
-
 		const listed = endpoints.book.list();
 		this.#parts.send(host, {
 			kind: 'directory',
 			routing: routing.version > routingVersion ? routing.table?.routing : undefined,
+			// The position includes a configuration that is not in the update, so the receiver must not confirm its own as the newest
+			...(routing.isBehind ? {outdatedVersion: routing.version} : {}),
 			revision: watch().revision,
 			epoch: watch().position?.epoch,
 			departures: endpoints.book.listDepartures(clock.now()),
@@ -113,7 +110,7 @@
 	}
 
 	/** Applies an update from another host. */
-	applyUpdate(host: string, {routing: offered, revision, epoch, departures, ageMs, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
+	applyUpdate(host: string, {routing: offered, outdatedVersion, revision, epoch, departures, ageMs, isWitnessed, endpoints: listed, ids, kept}: RelayMessageOf<'directory'>): void {
 		const {routing, endpoints, watch, context: {clock}} = this.#parts;
 		const own = watch();
 		if (offered !== undefined && offered.version > routing.version) {
@@ -127,6 +124,10 @@
 			return;
 		}
 
+		if (outdatedVersion !== undefined && routing.version <= outdatedVersion) {
+			routing.markBehind();
+		}
+
 		const isOtherEpoch = own.position !== undefined && own.position.epoch !== epoch;
 		own.followEpoch(position, host);
 		endpoints.mergeDepartures(departures, host);
--- a/packages/standin/src/wire/unusable-configuration.test.ts
+++ b/packages/standin/src/wire/unusable-configuration.test.ts
@@ -1,10 +1,11 @@
 /** A published configuration that cannot be used must neither come into force nor keep the next one from doing so, at hosts that read the directory and at hosts that hear of it from peers. */
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
+import {instanceOf} from '@gatehead/schema/routing';
 import {startProxy, type FaultyProxy} from '../soak/faulty-proxy.js';
 import {sendRequest} from './client.js';
 import {
-	makeConfig, startWorld, until, type RunningRelay, type World,
+	makeConfig, makeEntry, startWorld, until, type RunningRelay, type World,
 } from './world.js';
 
 /** A route as the platform writes it, with fields that a test replaces. */
@@ -90,3 +91,102 @@
 		});
 	}
 });
+
+type BehindCase = {
+	readonly name: string;
+	readonly write: (world: World) => void;
+};
+
+const behindCases: readonly BehindCase[] = [
+	{
+		name: 'a configuration that cannot be used', write({store}) {
+			store.put('op/config', makeDraft({name: '', route: {service: 'missing'}}));
+		},
+	},
+	{
+		name: 'a configuration that cannot be read', write({store}) {
+			store.putText('op/config', '{');
+		},
+	},
+];
+
+/** State of an instance as a host knows it. */
+function stateAt({relay}: RunningRelay, instance: string): string | undefined {
+	return relay.endpoints.book.list().find(({endpoint}) => instanceOf(endpoint) === instance)?.endpoint.state;
+}
+
+/** Statuses for requests without a route: final only where the configuration is known to be the newest. */
+async function askUnknown(relays: readonly RunningRelay[]): Promise<number[]> {
+	const answers = await Promise.all(relays.map(async ({caller, name}) => sendRequest({address: caller, id: `unknown-${name}`, path: '/unknown/1'})));
+	return answers.map(({status}) => status);
+}
+
+/** Repeats requests without a route until all hosts answer with a status; the test's own time limit ends it if they never do. */
+async function untilAllAnswer(relays: readonly RunningRelay[], status: number): Promise<void> {
+	let statuses: readonly number[] = [];
+	while (statuses.length === 0 || statuses.some(each => each !== status)) {
+		statuses = await askUnknown(relays);
+	}
+}
+
+describe('changes of endpoints behind a configuration that cannot be used', () => {
+	for (const {name, write} of behindCases) {
+		// Guards against hosts that keep serving with endpoints that are gone, and know none of those that joined, until an operator corrects the configuration
+		it(`${name}: a host that is told by others hears of them, and takes neither the old configuration for the newest nor the next one for old`, {timeout: 20_000}, async () => {
+			const paths: FaultyProxy[] = [];
+			const world = await startWorld({
+				hosts: 2, plain: 2, prefill: 1, decode: 1, slots: 8,
+				async storePath(store) {
+					const path = await startProxy(store);
+					paths.push(path);
+					return path.address;
+				},
+			});
+			const {store, relays, replicas, lines} = world;
+			try {
+				const last = paths.at(-1);
+				last?.reset();
+				last!.mode = 'silence';
+				write(world);
+				await untilRead(world);
+				const [first, second] = replicas;
+				store.put('servers/joined', makeEntry(first!, 'ready'));
+				world.publish(second!, 'draining');
+				await until(() => relays.every(host => stateAt(host, 'joined') === 'ready' && stateAt(host, second!.id) === 'leaving'));
+				expect(await askUnknown(relays)).toEqual([503, 503]);
+				store.put('op/config', makeConfig(3));
+				await until(() => relays.every(({relay}) => relay.routing.version === 3));
+				await untilAllAnswer(relays, 404);
+				expect(await askAll(relays)).toEqual([200, 200]);
+				expect(lines.filter(({code}) => code === 'peerRefused' || code === 'internal')).toEqual([]);
+			} finally {
+				await world.stop();
+				for (const path of paths) {
+					path.close();
+				}
+			}
+		});
+	}
+});
+
+describe('a deletion of the configuration', () => {
+	it('the last one stays in force, hosts that start get it from the others, and the next one follows', {timeout: 20_000}, async () => {
+		const world = await startWorld({
+			hosts: 2, plain: 1, prefill: 1, decode: 1, slots: 8,
+		});
+		const {store, relays} = world;
+		try {
+			store.remove('op/config');
+			await untilRead(world);
+			expect(await askAll(relays)).toEqual([200, 200]);
+			await world.restart(1);
+			await until(() => relays.every(({relay}) => relay.routing.version === 1));
+			expect(await askAll(relays)).toEqual([200, 200]);
+			store.put('op/config', makeConfig(2));
+			await until(() => relays.every(({relay}) => relay.routing.version === 2));
+			expect(await askAll(relays)).toEqual([200, 200]);
+		} finally {
+			await world.stop();
+		}
+	});
+});
