Sender: a host that reaches no endpoint takes no truncated response for complete

Callers saw streams without framing that ended between two events, framed as complete, when all endpoints of a service crashed at once beside other requests.

Cause: the end of a response that only its connection marks is confirmed by a check of its endpoint. A host that can reach no endpoint at all takes a failed check for its own lost links, not for a crash. That is right for the crash guard, but it is no evidence that a response was complete, and a host cannot tell its own lost links from the crash of all endpoints.

Change: only the crash guard makes the exception for lost links.

Ruled out: connections of other requests as evidence; none is lost inside a response where all streams are between two events.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -120,11 +120,10 @@
 				this.#handleLinkChange(unreachable);
 			},
 		});
-		const endCheck = new CrashCheck(context, this.endpoints);
-		const hasCrashed = async (endpoint: Endpoint) => await endCheck.hasCrashed(endpoint) && !(await this.#isPartitionedFrom(endpoint));
+		const crashCheck = new CrashCheck(context, this.endpoints);
 		this.guard = new CrashGuard({
 			context,
-			hasCrashed,
+			hasCrashed: async endpoint => await crashCheck.hasCrashed(endpoint) && !(await this.#isPartitionedFrom(endpoint)),
 			broadcast: reports => {
 				this.fleet.announceCrashes(reports);
 			},
@@ -199,7 +198,7 @@
 			endpoints: this.endpoints,
 			evidence,
 			sender: new Sender({
-				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter, budgets, hasCrashed,
+				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter, budgets, hasCrashed: async endpoint => crashCheck.hasCrashed(endpoint),
 			}),
 			forwarder: this.#forwarder,
 			reachability: this.reachability,
--- a/packages/standin/src/wire/truncated-streams.test.ts
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -206,6 +206,33 @@
 		}
 	});
 
+	// The host cannot tell this from the loss of its own links
+	it('all endpoints at once, while requests arrive that find none: the callers of streams between two events see the cut', async () => {
+		const world = await startWorld({
+			hosts: 1, plain: 0, prefill: 0, decode: 2, slots: 16, eventGapMs: 30,
+		});
+		try {
+			const address = world.relays[0]?.caller ?? '';
+			for (const replica of world.replicas) {
+				replica.framing = 'connection';
+			}
+
+			const streams = Array.from({length: 6}, async (_, index) => sendRequest({
+				address, id: `all-${index}`, path: '/stream/1', body: `question ${index}`,
+			}));
+			await until(() => world.log.runs.length === streams.length);
+			await Promise.all(world.replicas.map(async replica => replica.kill()));
+			const late = Array.from({length: 6}, async (_, index) => sendRequest({
+				address, id: `late-${index}`, path: '/stream/1', body: `question ${index}`,
+			}));
+			const answers = await Promise.all(streams);
+			expect(answers.map(answer => isCut(answer))).toEqual(streams.map(() => true));
+			await Promise.all(late);
+		} finally {
+			await world.stop();
+		}
+	});
+
 	for (const {name, path, bytes, isLeaving = false, isExpected} of crashes) {
 		it(name, async () => {
 			const world = await startWorld({
