Crash check: silence is no evidence of a crash

Callers got 502, a cut stream or a second run instead of a complete response whose end only its connection marks, if the endpoint paused as the response ended and the kernel held as many new connections for it as it accepts. Two such pauses, as connections closed before a response, held the content of their requests back for a minute (contentHeld).

Cause: an endpoint that neither accepted nor refused the connection of the check within 250 ms counted as crashed. A crashed process refuses at once.

Change: a silent endpoint is checked again, for a response until it accepts or refuses connections, its entry is gone, or the request's deadline; a response that is not confirmed by then is not delivered as complete. Another run may take over a resumable stream meanwhile, and a hedge a repeatable request. The crash guard waits for three seconds before silence counts; a retry of suspected content waits for that, at most until its deadline.

An entry that is removed while its endpoint is silent is no planned exit: such an endpoint does not count as leaving.

Ruled out: the close of the connection as evidence, as the kernel sends the same FIN for a process that has ended; refutation of a crash by later data, as it takes a request that was sent within a second of it.

The fixture of crash-guard.test.ts has the signal that jobs have; its cases are unchanged.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -198,7 +198,7 @@
 			endpoints: this.endpoints,
 			evidence,
 			sender: new Sender({
-				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter, budgets, hasCrashed: async endpoint => crashCheck.hasCrashed(endpoint),
+				context, endpoints: this.endpoints, guard: this.guard, limiter: this.fleet.limiter, budgets, crashCheck,
 			}),
 			forwarder: this.#forwarder,
 			reachability: this.reachability,
--- a/packages/relay/src/upstream/crash-check.ts
+++ b/packages/relay/src/upstream/crash-check.ts
@@ -3,7 +3,8 @@
  * as overloaded endpoints do: a crashed process has no open connections left
  * and accepts no new ones. Without the check, requests whose connections two
  * endpoints closed would be held although neither crashed. A false positive may hold back one content's
- * requests for a minute.
+ * requests for a minute. A paused endpoint whose backlog is full accepts no
+ * connections either, but refuses none: silence alone shows no crash.
  */
 import {setImmediate} from 'node:timers/promises';
 import {type Endpoint} from '@gatehead/schema/routing';
@@ -14,8 +15,11 @@
 /** Time until all connections of a crashed endpoint are seen to be closed, in milliseconds: twice the longest latency between regions, and one event-loop turn of a busy host. */
 const settleMs = 30;
 
+/** Time for which an endpoint that accepts and refuses nothing may be paused, in milliseconds; most pauses end within two seconds. */
+const maxPauseMs = 3000;
+
 /** Result of a check; `connected`: this host still has a connection. */
-type Finding = 'connected' | 'takesConnections' | 'refused' | 'silent';
+export type Finding = 'connected' | 'takesConnections' | 'refused' | 'silent';
 
 const probeFindings: Readonly<Record<ProbeResult, Finding>> = {connected: 'takesConnections', refused: 'refused', silent: 'silent'};
 
@@ -26,15 +30,27 @@
 	readonly #context: Pick<RelayContext, 'clock' | 'metrics' | 'settings'>;
 	readonly #endpoints: Pick<Endpoints, 'connectionsOf'>;
 	/** Checks in progress, by endpoint id: one crash loses many requests at once. */
-	readonly #pendingChecks = new Map<string, Promise<boolean>>();
+	readonly #pendingChecks = new Map<string, Promise<Finding>>();
 
 	constructor(context: Pick<RelayContext, 'clock' | 'metrics' | 'settings'>, endpoints: Pick<Endpoints, 'connectionsOf'>) {
 		this.#context = context;
 		this.#endpoints = endpoints;
 	}
 
-	/** Whether an endpoint that just closed a connection has crashed. */
+	/** Whether an endpoint that just closed a connection has crashed. One that is silent is checked again until a pause would have ended. */
 	async hasCrashed(endpoint: Endpoint): Promise<boolean> {
+		const {clock} = this.#context;
+		const pausedUntil = clock.now() + maxPauseMs;
+		let finding = await this.check(endpoint);
+		while (finding === 'silent' && clock.now() < pausedUntil) {
+			finding = await this.check(endpoint);
+		}
+
+		return crashFindings.has(finding);
+	}
+
+	/** Checks an endpoint that just closed a connection, once. */
+	async check(endpoint: Endpoint): Promise<Finding> {
 		const pending = this.#pendingChecks.get(endpoint.id);
 		if (pending !== undefined) {
 			return pending;
@@ -49,7 +65,7 @@
 		}
 	}
 
-	async #check(endpoint: Endpoint): Promise<boolean> {
+	async #check(endpoint: Endpoint): Promise<Finding> {
 		await new Promise<void>(resolve => {
 			this.#context.clock.after(settleMs, resolve);
 		});
@@ -57,7 +73,7 @@
 		await setImmediate();
 		const finding = this.#endpoints.connectionsOf(endpoint).isConnected ? 'connected' : await this.#probe(endpoint);
 		this.#context.metrics.add('endChecks', {finding});
-		return crashFindings.has(finding);
+		return finding;
 	}
 
 	async #probe({address}: Endpoint): Promise<Finding> {
--- a/packages/relay/src/upstream/crash-guard.test.ts
+++ b/packages/relay/src/upstream/crash-guard.test.ts
@@ -52,7 +52,7 @@
 		const job = {
 			id: 'r', route: {name: 'route'}, service: {name: 's'}, content: new RequestContent({
 				authority: 'a', method: 'POST', target: '/x', workspace: undefined, body: new TextEncoder().encode(text),
-			}), isContentHeld: false, trials: new Set<string>(),
+			}), isContentHeld: false, trials: new Set<string>(), signal: new AbortController().signal,
 		};
 		return job as unknown as Job; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the guard reads no other properties of a job
 	}
--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -13,6 +13,7 @@
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
 import {isOff} from '../core/experiment.js';
+import {settledOrAborted} from '../utils/wait.js';
 import {type Job} from '../work/job.js';
 import {CrashReportBatcher} from './crash-report-batcher.js';
 import {AbandonedSends} from './abandoned-sends.js';
@@ -169,12 +170,13 @@
 		}
 	}
 
-	/** Whether a request whose connection was just lost may be sent to another endpoint. For a suspected content this waits for the pending crash check, so that a crash found by it prevents the retry. */
+	/** Whether a request whose connection was just lost may be sent to another endpoint. For a suspected content this waits for the pending crash check, at most until the request's signal aborts, so that a crash found by it prevents the retry. */
 	async mayRetry(job: Job): Promise<boolean> {
-		const {content} = job;
+		const {content, signal} = job;
 		const now = this.#options.context.clock.now();
-		if (this.#suspects.isSuspect(toSuspect(job), now)) {
-			await this.#pendingChecks.get(content.digest);
+		const pending = this.#pendingChecks.get(content.digest);
+		if (pending !== undefined && this.#suspects.isSuspect(toSuspect(job), now)) {
+			await settledOrAborted(pending, signal);
 		}
 
 		return this.maySend(job);
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -13,6 +13,7 @@
 import {type ResponseFacts, type SendFacts} from '../core/dialect.js';
 import {type RelayContext} from '../core/context.js';
 import {notRunStatuses} from '../front/reply.js';
+import {unlessAborted} from '../utils/wait.js';
 import {timeLeft, type Job} from '../work/job.js';
 import {type RetryBudgets} from '../work/retry-budgets.js';
 import {setIdleTimeout, preventReuse, traceConnection} from './connection-pool.js';
@@ -21,6 +22,7 @@
 import {
 	discardBody, ExchangeError, type ExchangeFault, type VerifiedResponse,
 } from './exchange.js';
+import {type CrashCheck, type Finding} from './crash-check.js';
 import {crashWindowMs, type CrashGuard, type LostSend} from './crash-guard.js';
 import {type RateLimiter} from './rate-limiter.js';
 
@@ -93,8 +95,8 @@
 	readonly guard: CrashGuard;
 	readonly limiter: RateLimiter;
 	readonly budgets: RetryBudgets;
-	/** Whether an endpoint that just closed a connection has crashed. */
-	readonly hasCrashed: (endpoint: Endpoint) => Promise<boolean>;
+	/** Checks endpoints that just closed a connection. */
+	readonly crashCheck: Pick<CrashCheck, 'check'>;
 };
 
 /** Sends requests to endpoints. */
@@ -104,15 +106,15 @@
 	readonly #crashGuard: CrashGuard;
 	readonly #limiter: RateLimiter;
 	readonly #budgets: RetryBudgets;
-	readonly #hasCrashed: SenderOptions['hasCrashed'];
+	readonly #crashCheck: SenderOptions['crashCheck'];
 
-	constructor({context, endpoints, guard, limiter, budgets, hasCrashed}: SenderOptions) {
+	constructor({context, endpoints, guard, limiter, budgets, crashCheck}: SenderOptions) {
 		this.#context = context;
 		this.#endpoints = endpoints;
 		this.#crashGuard = guard;
 		this.#limiter = limiter;
 		this.#budgets = budgets;
-		this.#hasCrashed = hasCrashed;
+		this.#crashCheck = crashCheck;
 	}
 
 	/** Sends a request to an endpoint. */
@@ -286,22 +288,38 @@
 		};
 	}
 
-	/** Throws if only a closed connection ended the response and the endpoint has crashed: a process that crashes closes its connections too. One that is leaving may exit behind its last response. */
-	async #confirmEnd({job, endpoint}: Send, response: IncomingMessage, sentAt: number): Promise<void> {
-		const isLeaving = () => !this.#endpoints.book.isReady(endpoint.id);
-		if (framingOf(response, job.method) !== 'connection' || isLeaving()) {
+	/** Throws if only a closed connection ended the response and the endpoint has crashed: a process that crashes closes its connections too. One that is leaving may exit behind its last response. While the endpoint is silent, nothing shows whether the response is complete; waits until it is known or the send's signal aborts. */
+	async #confirmEnd({job, endpoint, signal}: Send, response: IncomingMessage, sentAt: number): Promise<void> {
+		const {book} = this.#endpoints;
+		if (framingOf(response, job.method) !== 'connection' || !book.isReady(endpoint.id)) {
 			return;
 		}
 
 		const endedAt = this.#context.clock.now();
-		const hasCrashed = await this.#hasCrashed(endpoint);
+		const first = await this.#crashCheck.check(endpoint);
 		// A proxy in front of a crashed endpoint may accept connections
 		const areOthersLost = this.#endpoints.hasLostConnections(endpoint, Math.max(sentAt, endedAt - coincidenceMs));
-		if ((hasCrashed || areOthersLost) && !isLeaving()) {
+		const finding = first === 'silent'
+			? await unlessAborted(signal, this.#awaitFinding(endpoint, signal), () => new ExchangeError('aborted', true, new Error('the endpoint was silent as its response ended')))
+			: first;
+		// The entry of a crashed endpoint is removed while it is silent
+		const isGone = first === 'silent' && !book.isKnown(endpoint.id);
+		const isLeaving = !book.isReady(endpoint.id) && !isGone;
+		if ((finding === 'refused' || areOthersLost || isGone) && !isLeaving) {
 			throw new ExchangeError('reset', true, new Error('the endpoint crashed as its response ended'));
 		}
 	}
 
+	/** Checks an endpoint until it accepts or refuses connections, is gone or replaced, or the signal aborts. */
+	async #awaitFinding(endpoint: Endpoint, signal: AbortSignal): Promise<Finding> {
+		let finding: Finding = 'silent';
+		while (finding === 'silent' && !signal.aborted && this.#endpoints.book.isKnown(endpoint.id)) {
+			finding = await this.#crashCheck.check(endpoint);
+		}
+
+		return finding;
+	}
+
 	#handleRefusal(send: Send, {isAddressReassigned}: ResponseFacts, status: number, progress: SendProgress): SendResult {
 		const {endpoint} = send;
 		if (isAddressReassigned) {
--- a/packages/relay/src/utils/wait.ts
+++ b/packages/relay/src/utils/wait.ts
@@ -38,3 +38,20 @@
 		signal.removeEventListener('abort', handleAbort);
 	}
 }
+
+/** Resolves when `work` has settled or the signal aborts; rejects as `work` does. */
+export async function settledOrAborted(work: Promise<unknown>, signal: AbortSignal): Promise<void> {
+	let finish = ignore;
+	const aborted = new Promise<void>(resolve => {
+		finish = resolve;
+		signal.addEventListener('abort', finish, {once: true});
+		if (signal.aborted) {
+			finish();
+		}
+	});
+	try {
+		await Promise.race([work, aborted]);
+	} finally {
+		signal.removeEventListener('abort', finish);
+	}
+}
--- a/packages/relay/src/work/response-forwarder.ts
+++ b/packages/relay/src/work/response-forwarder.ts
@@ -55,9 +55,7 @@
 		const job = this.#job;
 		const body = await readBody(sent.response, this.#parts.context.clock, {maxBytes: maxBodyBytes});
 		throwIfReplaced(takeover);
-		// The end of the response is progress, too: no other run begins from here on
-		takeover?.stop();
-		await sent.confirmEnd();
+		await confirmEnd(sent, takeover);
 		sent.end(status >= minServerErrorStatus ? 'error' : 'good');
 		if (status >= minServerErrorStatus && await this.#continuation.findBlock() === undefined) {
 			this.#continuation.continueAfter(via, `status ${status}`);
@@ -103,11 +101,9 @@
 		}
 
 		throwIfReplaced(takeover);
-		// The end of the response is progress, too: no other run begins from here on
-		takeover?.stop();
 		pace.finish(this.#state.events.count - countBefore);
 		this.#state.events.checkEnd(response, framing, countBefore);
-		await sent.confirmEnd();
+		await confirmEnd(sent, takeover);
 		const {restBytes} = this.#state.events;
 		// Before the end of the send, which polls the replicas for waiting requests
 		const heldTokens = this.#state.forecast.finish(this.#state.events.count);
@@ -174,6 +170,15 @@
 	}
 }
 
+/** Waits until a response that has ended is known to be complete. Another run may replace it until then; none begins later. */
+async function confirmEnd(sent: ForwardableResponse, takeover: ActiveRun['takeover']): Promise<void> {
+	// The end of a response is progress, too
+	takeover?.recordProgress();
+	await sent.confirmEnd();
+	throwIfReplaced(takeover);
+	takeover?.stop();
+}
+
 /** Throws once another run has replaced this one. */
 function throwIfReplaced(takeover: ActiveRun['takeover']): void {
 	if (takeover?.isCommitted === true) {
--- a/packages/standin/src/wire/scripted-endpoint.ts
+++ b/packages/standin/src/wire/scripted-endpoint.ts
@@ -74,8 +74,8 @@
 	});
 }
 
-/** Starts an endpoint that calls `answer` for each request; what it writes to the connection is the response. */
-export async function startScriptedEndpoint(answer: (call: ScriptedCall) => void): Promise<ScriptedEndpoint> {
+/** Starts an endpoint that calls `answer` for each request; what it writes to the connection is the response. `backlog`: connections that wait to be accepted, at most. */
+export async function startScriptedEndpoint(answer: (call: ScriptedCall) => void, backlog?: number): Promise<ScriptedEndpoint> {
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
@@ -85,7 +85,7 @@
 		serve(socket, answer);
 	});
 	await new Promise<void>(resolve => {
-		server.listen(0, ownAddress, resolve);
+		server.listen({port: 0, host: ownAddress, backlog}, resolve);
 	});
 	const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
 	return {
