Signals: received from the first statement of a process on

What callers saw: a rolling restart with a reload behind it lost processes, and with them their share of the capacity and of the connections. SIGHUP ends a process that has no listener for it; the listeners came after the code was loaded and the settings were read, right before the start of the servers.

Cause: `process.on` stood behind all imports. In the bundle, code is loaded before; in modules, all imports are loaded before the first one runs. A stop signal during the start also called `stop` beside `start`, so that a host left the membership before it had joined.

Ruled out: an ignored SIGHUP that the parent passes on (Node resets signals to their defaults at its start; exit by SIGHUP in a trial). What is left is the time before the first statement, in which Node itself starts.

--- a/packages/standin/src/soak/partitionable-host.ts
+++ b/packages/standin/src/soak/partitionable-host.ts
@@ -1,5 +1,6 @@
 /** Program of a host process that drops all messages to and from the peers that a test names. */
 import process from 'node:process';
+import {ownSignals} from '@gatehead/host/utils/own-signals';
 import {PeerLinks} from '@gatehead/host/peer/peer-links';
 import {settingsPathVariable} from '@gatehead/platform/boot-settings';
 import {runProcess} from '@gatehead/platform/process';
@@ -20,4 +21,4 @@
 process.on(partitionSignal, () => {
 	blocked = readPartition(process.env[settingsPathVariable] ?? '');
 });
-await runProcess();
+await runProcess(ownSignals);
