Planned stop: what arrives while the last responses are delivered is read

What callers saw: at the end of a planned stop, a connection that was closed behind a whole request, without a response.

Cause: a stopping host read what had arrived once, in two turns of the event loop behind the rejection of its last requests.

Change: each wait for active requests ends with these turns, and goes on if they brought a request and time is left. The connections are closed right behind reads, not behind a timer.

Ruled out: an idle connection in this place, which the host closes when it comes to reject new requests.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -302,10 +302,6 @@
 		await this.#drain(closesAt);
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(clock.now() - startedAt)});
 		this.#callerServer.rejectActive();
-		for (let turn = 0; turn < unreadTurns; turn += 1) {
-			await nextTurn();
-		}
-
 		await this.#drain(closesAt + rejectionMs);
 		await this.close();
 	}
@@ -380,12 +376,18 @@
 		return job.service.engine === undefined ? runPlain(this.#handlerParts, job) : runGeneration(this.#handlerParts, job);
 	}
 
-	/** Waits until no request is active, until `endsAt` at the latest. */
+	/** Waits until no request is active, until `endsAt` at the latest, and reads what has arrived until then. */
 	async #drain(endsAt: number): Promise<void> {
 		const {clock} = this.context;
-		while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt) {
-			await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
-		}
+		do {
+			while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt) {
+				await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
+			}
+
+			for (let turn = 0; turn < unreadTurns; turn += 1) {
+				await nextTurn();
+			}
+		} while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt);
 	}
 
 	async #sleep(milliseconds: number): Promise<void> {
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -6,13 +6,14 @@
 import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
 import {
-	bodyOf, startScriptedWorld, type CallKind, type EndpointCall,
+	bodyOf, startScriptedWorld, type CallKind, type EndpointCall, type ScriptedWorld,
 } from './scripted-world.js';
 import {patientTimes, until} from './world.js';
 
 /** Status that does not promise that a request has not run. */
 const unknownStatus = 502;
 const unavailableStatus = 503;
+const okStatus = 200;
 
 type Case = {
 	readonly name: string;
@@ -56,32 +57,76 @@
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
 }
 
-describe('a request that a busy host has not read when its planned stop ends', () => {
-	for (const {name, isUsed} of [{name: 'an idle connection', isUsed: true}, {name: 'a new connection', isUsed: false}]) {
-		it(`gets a response on ${name}`, {timeout: 60_000}, async () => {
-			const scripted = await startScriptedWorld({plain: 1});
-			try {
-				const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
-				const {socket, text, ended} = await openCaller(scripted.caller);
-				if (isUsed) {
-					socket.write(writeRequest('/once/1', 'before', 'question'));
-					await until(() => text().endsWith(bodyOf('before')));
+/** More than the buffers of a connection hold. */
+const longBodyBytes = 8_000_000;
+
+type Connection = 'idle' | 'new';
+
+type Relay = ScriptedWorld['world']['relays'][number]['relay'];
+
+/** Stages of a planned stop at which a request arrives unread. */
+const stages: ReadonlyArray<{readonly name: string; /** Connections that are open then. */ readonly connections: readonly Connection[]; readonly begin: (relay: Relay, scripted: ScriptedWorld) => Promise<{readonly stopped: Promise<void>}>}> = [
+	{
+		name: 'before new requests are rejected',
+		connections: ['idle', 'new'],
+		async begin(relay) {
+			const {lookupTtlMs, lookupStretch, tickMs} = relay.context.settings.timing;
+			const stopped = relay.stop();
+			await pause((lookupTtlMs * lookupStretch) + tickMs - leadMs);
+			return {stopped};
+		},
+	},
+	{
+		name: 'while the last responses are delivered',
+		connections: ['new'],
+		async begin(relay, scripted) {
+			scripted.intercept = ({id, socket}, kind) => {
+				if (kind === 'run' && id === 'long') {
+					socket.write(writeResponse(okStatus, {'Request-Id': id, 'Server-Seal': 'seal'}, 'x'.repeat(longBodyBytes)));
 				}
 
-				const {lookupTtlMs, lookupStretch, tickMs} = relay.context.settings.timing;
-				const stopped = relay.stop();
-				await pause((lookupTtlMs * lookupStretch) + tickMs - leadMs);
-				// Timers that fall due run before the next read only if the loop is blocked after its last one
-				await nextTurn();
-				socket.write(writeRequest('/once/1', 'during', 'question'));
-				block(busyMs);
-				await Promise.all([stopped, ended]);
-				expect(listStatuses(text()).at(-1)).toEqual(unavailableStatus);
-				expect([...scripted.runs]).toEqual(isUsed ? ['before'] : []);
-			} finally {
-				await scripted.stop();
+				return kind === 'run' && id === 'long';
+			};
+
+			const {socket} = await openCaller(scripted.caller, true);
+			socket.write(writeRequest('/once/1', 'long', 'question'));
+			const hasLine = (code: string) => scripted.world.lines.some(line => line.code === code);
+			await until(() => scripted.world.lines.some(({facts}) => facts.request === 'long'));
+			const stopped = relay.stop();
+			await until(() => hasLine('stopped'));
+			return {stopped};
+		},
+	},
+];
+
+describe('a request that a busy host has not read when its planned stop ends', () => {
+	async function check(begin: typeof stages[number]['begin'], isUsed: boolean): Promise<void> {
+		const scripted = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			const {socket, text, ended} = await openCaller(scripted.caller);
+			if (isUsed) {
+				socket.write(writeRequest('/once/1', 'before', 'question'));
+				await until(() => text().endsWith(bodyOf('before')));
 			}
-		});
+
+			const {stopped} = await begin(relay, scripted);
+			// Timers that fall due run before the next read only if the loop is blocked after its last one
+			await nextTurn();
+			socket.write(writeRequest('/once/1', 'during', 'question'));
+			block(busyMs);
+			await Promise.all([stopped, ended]);
+			expect(listStatuses(text()).at(-1)).toEqual(unavailableStatus);
+			expect([...scripted.runs]).toEqual(isUsed ? ['before'] : []);
+		} finally {
+			await scripted.stop();
+		}
+	}
+
+	for (const {name, connections, begin} of stages) {
+		for (const connection of connections) {
+			it(`gets a response on ${connection === 'idle' ? 'an idle' : 'a new'} connection, ${name}`, {timeout: 60_000}, async () => check(begin, connection === 'idle'));
+		}
 	}
 });
 
