--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -130,6 +130,62 @@
 	}
 });
 
+/** Moments of a planned stop at which pipelined requests reach a host; their deadlines lie behind its end, so that none may run. */
+const moments: ReadonlyArray<{readonly name: string; readonly isRejecting: boolean}> = [
+	{name: 'begins while the first one runs', isRejecting: false},
+	{name: 'has come to reject new requests', isRejecting: true},
+];
+
+describe('pipelined requests on a host that stops', () => {
+	async function check(isRejecting: boolean): Promise<void> {
+		const scripted = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			const held: EndpointCall[] = [];
+			scripted.intercept = (call, kind) => {
+				const isHeld = kind === 'run' && call.id === 'first';
+				held.push(...isHeld ? [call] : []);
+				return isHeld;
+			};
+
+			const earlier = await openCaller(scripted.caller);
+			const pipelined = isRejecting ? await openCaller(scripted.caller) : earlier;
+			const ids = ['second', 'third', 'fourth'];
+			const write = () => {
+				pipelined.socket.write(ids.map(id => writeRequest('/once/1', id, 'question')).join(''));
+			};
+
+			earlier.socket.write(writeRequest('/once/1', 'first', 'question'));
+			if (!isRejecting) {
+				write();
+			}
+
+			await until(() => held.length > 0);
+			const {lookupTtlMs, lookupStretch, tickMs} = relay.context.settings.timing;
+			const stopped = relay.stop();
+			if (isRejecting) {
+				await pause((lookupTtlMs * lookupStretch) + tickMs + leadMs);
+				write();
+				await pipelined.ended;
+			}
+
+			for (const call of held) {
+				scripted.answerSoundly(call);
+			}
+
+			await Promise.all([stopped, earlier.ended]);
+			const statuses = listStatuses(pipelined.text()).slice(isRejecting ? 0 : 1);
+			expect({statuses, runs: scripted.runs.filter(id => id !== 'first')}).toEqual({statuses: ids.map(() => unavailableStatus), runs: []});
+		} finally {
+			await scripted.stop();
+		}
+	}
+
+	for (const {name, isRejecting} of moments) {
+		it(`each gets a rejection where the stop ${name}`, {timeout: 60_000}, async () => check(isRejecting));
+	}
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
