Tests: requests that a busy host has not read when it closes connections

By reading it seemed that timers of a busy host end requests that have arrived whole and are unread. Real sockets and a blocked event loop say otherwise, with the code as it is: a request is answered if it, or its last bytes behind a part of a head, arrive before the idle timeout, or before idle connections are closed; one whose time to arrive passes meanwhile gets 408 and does not run.

--- a/packages/host/src/front/caller-connections.test.ts
+++ b/packages/host/src/front/caller-connections.test.ts
@@ -11,12 +11,17 @@
 
 const address = '127.0.0.1';
 const request = 'GET / HTTP/1.1\r\nHost: calls.example\r\n\r\n';
+/** Parts of its head. */
+const firstBytes = request.slice(0, 20);
+const lastBytes = request.slice(firstBytes.length);
 const idleMs = 300;
 /** Node closes an idle connection up to this much after the timeout, in milliseconds. */
 const marginMs = 1000;
 const closedMs = idleMs + marginMs;
 /** Longer than timers are late, in milliseconds. */
 const lateMs = 700;
+/** Time in which a part of a request is read, in milliseconds. */
+const partMs = 20;
 /** A test that waits for a closed connection ends, in milliseconds. */
 const hangMs = 10_000;
 
@@ -28,7 +33,9 @@
 type Case = {
 	readonly name: string;
 	/** Runs while the connection is idle, after its first response. */
-	readonly rest: (server: Server, caller: Socket) => Promise<void>;
+	readonly rest: (server: Server, caller: Socket, connections: CallerConnections) => Promise<void>;
+	/** Bytes that follow; absent: a whole request. */
+	readonly last?: string;
 	readonly isAnswered: boolean;
 };
 
@@ -66,10 +73,53 @@
 		},
 		isAnswered: true,
 	},
+	{
+		name: 'whose last bytes arrive within the idle timeout, at a host that is blocked until after it',
+		async rest(_server, caller) {
+			caller.write(firstBytes);
+			await pause(closedMs / 4);
+			await nextTurn();
+			caller.write(lastBytes);
+			block(closedMs);
+		},
+		isAnswered: true,
+	},
+	{
+		name: 'after idle connections are closed',
+		async rest(_server, _caller, connections) {
+			connections.closeIdle();
+			await nextTurn();
+			await nextTurn();
+		},
+		isAnswered: false,
+	},
+	{
+		name: 'that arrives before idle connections are closed, at a host that is blocked until after it',
+		async rest(_server, caller, connections) {
+			setTimeout(() => {
+				connections.closeIdle();
+			}, 1);
+			await nextTurn();
+			caller.write(request);
+			block(lateMs);
+		},
+		isAnswered: true,
+	},
+	{
+		name: 'of which a part has arrived when idle connections are closed',
+		async rest(_server, caller, connections) {
+			caller.write(firstBytes);
+			await pause(partMs);
+			connections.closeIdle();
+			await pause(partMs);
+		},
+		last: lastBytes,
+		isAnswered: true,
+	},
 ];
 
 describe('idle connections of callers', () => {
-	for (const {name, rest, isAnswered} of cases) {
+	for (const {name, rest, last = request, isAnswered} of cases) {
 		it(`a request ${name} is ${isAnswered ? '' : 'not '}answered`, {timeout: hangMs}, async () => {
 			const server = createServer({keepAliveTimeout: idleMs}, (_request, response) => {
 				response.end('answer');
@@ -93,9 +143,9 @@
 						resolve(false);
 					});
 				});
-				await rest(server, caller);
+				await rest(server, caller, connections);
 				if (!caller.destroyed) {
-					caller.write(request);
+					caller.write(last);
 				}
 
 				expect(await isServed).toEqual(isAnswered);
--- a/packages/relay/src/front/request-body.test.ts
+++ b/packages/relay/src/front/request-body.test.ts
@@ -5,7 +5,7 @@
 	connect, type AddressInfo, type Socket,
 } from 'node:net';
 import {describe, it} from 'node:test';
-import {setTimeout as pause} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {readBody} from '@gatehead/host/front/request-reader';
 import {expect} from 'earl';
@@ -21,11 +21,16 @@
 /** Time that a request runs, in milliseconds: longer than until then. */
 const runMs = 3 * timeoutMs;
 
+/** Blocks the event loop, as a busy host does. */
+function block(milliseconds: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, milliseconds);
+}
+
 function write(path: string, body: string, length = body.length): string {
 	return `POST ${path} HTTP/1.1\r\nHost: calls.example\r\nContent-Length: ${length}\r\n\r\n${body}`;
 }
 
-const cases: ReadonlyArray<{readonly name: string; readonly first: string; readonly late: string; readonly statuses: readonly string[]; readonly runs: readonly string[]}> = [
+const cases: ReadonlyArray<{readonly name: string; readonly first: string; readonly late: string; /** Whether the host is busy from when the rest arrives until it is late. */ readonly isBusy?: boolean; readonly statuses: readonly string[]; readonly runs: readonly string[]}> = [
 	{
 		name: 'a request whose body is completed late', first: write('/late', 'be', 4), late: 'gin', statuses: ['408'], runs: [],
 	},
@@ -38,6 +43,12 @@
 	{
 		name: 'a request behind a running one whose body is completed late', first: `${write('/running', 'body')}${write('/late', 'be', 4)}`, late: 'gin', statuses: ['200', '408'], runs: ['/running'],
 	},
+	{
+		name: 'a request whose body is completed in time, at a host that is busy until it is late', first: write('/late', 'be', 4), late: 'gin', isBusy: true, statuses: ['408'], runs: [],
+	},
+	{
+		name: 'a request that arrives in time on a new connection, at a host that is busy until it is late', first: '', late: write('/late', 'body'), isBusy: true, statuses: ['408'], runs: [],
+	},
 ];
 
 const readers: Readonly<Record<string, (request: IncomingMessage) => Promise<Uint8Array | undefined>>> = {
@@ -47,7 +58,7 @@
 
 describe('late requests', () => {
 	for (const [reader, read] of Object.entries(readers)) {
-		for (const {name, first, late, statuses, runs} of cases) {
+		for (const {name, first, late, isBusy = false, statuses, runs} of cases) {
 			it(`${name} is rejected and does not run (${reader})`, async () => {
 				const ran: string[] = [];
 				const server = createServer({requestTimeout: timeoutMs, headersTimeout: timeoutMs, connectionsCheckingInterval: checkMs}, (request, response) => {
@@ -77,8 +88,12 @@
 						await pause(1);
 					}
 
-					await pause(lateMs);
+					await (isBusy ? nextTurn() : pause(lateMs));
 					caller.write(late);
+					if (isBusy) {
+						block(lateMs);
+					}
+
 					if (!caller.readableEnded) {
 						await once(caller, 'end');
 					}
