Fix: a stopping host began streams that a pause of their endpoint would cut

Callers saw: a stream that reached a stopping host after its lookups had expired began, and was cut at the end of the grace period when its endpoint paused for two seconds.

Cause: a stopping host began what would end in time at 1.5 times the longest of the last durations. For streams of about two seconds that leaves less than one second for a pause.

Change: the time left must also cover the longest duration and a pause of 2.5 s, as long as a host waits for a prefill replica. Durations above 5 s are judged as before.

Ruled out: adding the pause to the 1.5 times, which keeps a host from beginning streams of 4 s at all; breaking a paused stream off earlier, which leaves its caller without an answer as well.

--- a/packages/policy/src/relay/stop-window.test.ts
+++ b/packages/policy/src/relay/stop-window.test.ts
@@ -31,6 +31,15 @@
 	{
 		name: 'a stream that may outlast the host does not begin', now: 3500, durations: [3700, 3900, 3600, 3700], timeoutMs: 14_000, mayBegin: false,
 	},
+	{
+		name: 'a stream that would outlast the host if its endpoint paused does not begin', now: 3100, durations: [1900, 2100, 2000, 2000], timeoutMs: 14_000, mayBegin: false,
+	},
+	{
+		name: 'a stream that ends in time even if its endpoint pauses begins', now: 2900, durations: [1900, 2100, 2000, 2000], timeoutMs: 14_000, mayBegin: true,
+	},
+	{
+		name: 'a short request that would outlast the host if its endpoint paused does not begin', now: 4950, durations: [100, 120, 100, 100], timeoutMs: 14_000, mayBegin: false,
+	},
 	{
 		name: 'the same stream begins earlier', now: 1000, durations: [3700, 3900, 3600, 3700], timeoutMs: 14_000, mayBegin: true,
 	},
--- a/packages/policy/src/relay/stop-window.ts
+++ b/packages/policy/src/relay/stop-window.ts
@@ -10,6 +10,8 @@
 const minSampleSize = 16;
 /** Factor by which a request may last longer than the longest of them: endpoints slow down while hosts restart. */
 const durationMargin = 1.5;
+/** Time by which a request may last longer because its endpoint pauses, in milliseconds; as long as a host waits for a prefill replica. */
+const pauseMarginMs = 2500;
 
 /** The time that a stopping host has left, and how long requests last. */
 export class StopWindow {
@@ -37,6 +39,7 @@
 		}
 
 		const durations = this.#durations.get(route) ?? [];
-		return durations.length >= minSampleSize && now + (durationMargin * Math.max(...durations)) <= this.#closesAt;
+		const longestMs = Math.max(...durations);
+		return durations.length >= minSampleSize && now + Math.max(durationMargin * longestMs, longestMs + pauseMarginMs) <= this.#closesAt;
 	}
 }
