Fix: requests whose refusal was known waited for their deadline or the end of the stop

Callers saw: nothing for seconds, then a refusal. At a stopping host a request that waited for memory, or a stream whose silent run the host had ended and whose next run was rejected, got its refusal only at the end of the stop or at its deadline, although a run begun meanwhile would have been refused as too late. Without a stop, a stream without a head whose silent run was ended, and for which admission then had no memory in time, got 504 at its deadline.

Cause: the queue of waiting requests did not know of the stop, and a stream whose run was ended by its host sought another run until its deadline, whatever had been decided.

Evidence: stop-end.test.ts, 3 of 3 cases failed before (refused with `the time of the planned stop is over` instead of `the stream would outlast this host`); takeovers.test.ts, 1 of 1 (504 instead of 503 with Retry-After); service-queue.test.ts, 2 of 6.

Change: the queue refuses at each poll what could not end before the host does. Each round checks that first, before it forwards or reserves. A refusal that admission or the stop has decided ends a stream of which its caller has no part; other rejections are followed by another run as before. A stream that its caller has a part of goes on as long as it can.

Ruled out: ending such a stream at each rejection, which gives up runs that begin 200 ms later; refusing a run that is only silent, which may go on.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -205,7 +205,7 @@
 			guard: this.guard,
 			budgets,
 			admission: new Admission({
-				context, endpoints: this.endpoints, evidence, calls: ownCalls, news, limiter: this.fleet.limiter, reachability: this.reachability, routing: this.routing,
+				context, endpoints: this.endpoints, evidence, calls: ownCalls, news, limiter: this.fleet.limiter, reachability: this.reachability, routing: this.routing, stopWindow: this.#stopWindow,
 			}),
 			calls,
 			ownCalls,
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -30,6 +30,9 @@
 	readonly detail: string;
 };
 
+/** Refusal of a stream that may not end before this host does. */
+export const outlastingStream = {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: 'the stream would outlast this host'} as const;
+
 /** Sends an error to the caller, or breaks off a reply that has begun. `Reply` may replace the code by one that holds for a request that may have run. */
 export function refuseJob({reply, runs: {mayHaveRun}, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
 	const isBegun = !reply.isReplaceable;
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -16,7 +16,7 @@
 import {stallReason, type SendResult} from '../upstream/sender.js';
 import {DecodePrefill} from './decode-prefill.js';
 import {
-	defaultRetryAfterMs, stoppingRetryAfterMs, failJob, refuseJob, abortJob, type Via,
+	defaultRetryAfterMs, outlastingStream, failJob, refuseJob, abortJob, type Via,
 } from './generation-failure.js';
 import {Continuation, maxRounds} from './continuation.js';
 import {timeLeft, type Job} from './job.js';
@@ -66,7 +66,7 @@
 	readonly #responses: ResponseForwarder;
 	/** Whether other hosts were asked and none took the request. */
 	#isForwardingSpent = false;
-	/** Whether this host has ended a silent run itself. Such a stream seeks another run until its deadline. */
+	/** Whether this host has ended a silent run itself. Such a stream seeks another run until its deadline, or until a refusal is decided that can still reach its caller whole. */
 	#mustContinue = false;
 
 	constructor(parts: WorkParts, job: Job) {
@@ -92,7 +92,8 @@
 			}
 
 			if (result.kind === 'notBegun') {
-				if (!this.#mustContinue || signal.aborted) {
+				const isRefusable = result.isDecided === true && !this.#job.reply.headersSent;
+				if (!this.#mustContinue || signal.aborted || isRefusable) {
 					return result.refuse();
 				}
 
@@ -104,6 +105,10 @@
 
 	/** Begins a run here, or at another host if this one cannot reach the service, and forwards its response. */
 	async #playRound(round: Round): Promise<RoundResult> {
+		if (this.#isTooLate()) {
+			return this.#refuseTooLate();
+		}
+
 		const forwarded = await this.#forwardIfUnreachable(round);
 		if (forwarded !== undefined) {
 			return forwarded;
@@ -112,7 +117,7 @@
 		this.#state.rounds += round.silent === undefined ? 1 : 0;
 		const answer = await this.#reserve(round);
 		if (answer.kind === 'refused') {
-			return this.#mayForward() ? {kind: 'retry'} : {kind: 'notBegun', refuse: () => refuseJob(this.#job, answer)};
+			return this.#mayForward() ? {kind: 'retry'} : {kind: 'notBegun', refuse: () => refuseJob(this.#job, answer), isDecided: true};
 		}
 
 		if (answer.kind === 'aborted') {
@@ -221,6 +226,10 @@
 		return !reply.headersSent && !stopWindow.mayBegin(route.name, deadlineAt, clock.now());
 	}
 
+	#refuseTooLate(): Extract<RoundResult, {kind: 'notBegun'}> {
+		return {kind: 'notBegun', refuse: () => refuseJob(this.#job, outlastingStream), isDecided: true};
+	}
+
 	/** Whether another host has to serve the request because this one cannot reach its service. */
 	#mayForward(): boolean {
 		const job = this.#job;
@@ -288,14 +297,15 @@
 	}
 
 	async #runAt(round: Round, reservation: Reservation): Promise<RoundResult> {
-		const release = (refuse: () => JobEnd, prefilled?: PrefillResult): RoundResult => {
+		const release = (refuse: () => JobEnd, prefilled?: PrefillResult): Extract<RoundResult, {kind: 'notBegun'}> => {
 			this.#prefill.release(prefilled);
 			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
 			return {kind: 'notBegun', refuse};
 		};
 
 		if (this.#isTooLate()) {
-			return release(() => refuseJob(this.#job, {code: 'hostStopping', retryAfterMs: stoppingRetryAfterMs, detail: 'the stream would outlast this host'}));
+			const {refuse} = this.#refuseTooLate();
+			return {...release(refuse), isDecided: true};
 		}
 
 		// Before the prompt is read in vain
--- a/packages/relay/src/work/round.ts
+++ b/packages/relay/src/work/round.ts
@@ -22,8 +22,8 @@
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
 		/** Another round follows. */
 		| {readonly kind: 'retry'}
-		/** No run has begun, or its endpoint rejected it; `refuse` ends the job for that. */
-		| {readonly kind: 'notBegun'; readonly refuse: () => JobEnd};
+		/** No run has begun, or its endpoint rejected it; `refuse` ends the job for that. `isDecided`: another round now would end alike. */
+		| {readonly kind: 'notBegun'; readonly refuse: () => JobEnd; readonly isDecided?: boolean};
 
 /** A run whose request has been written. */
 export type ActiveRun = {
--- a/packages/relay/src/work/service-queue.test.ts
+++ b/packages/relay/src/work/service-queue.test.ts
@@ -21,6 +21,8 @@
 	/** What a read of the directory shows; absent: it does not answer. */
 	readonly listed?: readonly string[];
 	readonly workspaces?: ReadonlyArray<{readonly name: string; readonly priority: number}>;
+	/** Whether a request that begins now can end before the host does; absent: it can. */
+	readonly mayBegin?: boolean;
 };
 
 class Host {
@@ -31,7 +33,7 @@
 	/** Whether the replicas have memory. */
 	hasMemory = false;
 
-	constructor({isLoadManaged, versions, listed, workspaces}: Options) {
+	constructor({isLoadManaged, versions, listed, workspaces, mayBegin = true}: Options) {
 		const used = {
 			context: {
 				clock: this.clock, log: ignore, metrics: new Metrics(undefined, {}), random: seedRandom(3), settings: {experiments: {off: []}},
@@ -51,6 +53,7 @@
 			reachability: {isUnreachable: () => false},
 			routing: {isLoadManaged, table: {routing: {services: [{name: service, engine}], workspaces}}},
 			calls: {cancelReservation: ignore},
+			stopWindow: {mayBegin: () => mayBegin},
 		};
 		const parts = used as unknown as AdmissionParts; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the queue uses nothing else of its dependencies
 		this.queue = new ServiceQueue(service, parts, {
@@ -159,6 +162,28 @@
 		}
 	}
 
+	// A request without memory waited for the end of the stop although it was known that it could not begin any more
+	for (const {name, mayBegin, isContinuation, expected} of [
+		{
+			name: 'a request that could not end before its host', mayBegin: false, isContinuation: false, expected: 'hostStopping',
+		},
+		{
+			name: 'a stream that its caller has a part of', mayBegin: false, isContinuation: true, expected: undefined,
+		},
+		{
+			name: 'a request that can end before its host', mayBegin: true, isContinuation: false, expected: undefined,
+		},
+	]) {
+		for (const isLoadManaged of [false, true]) {
+			it(`${name} ${expected === undefined ? 'waits on' : 'is refused at once'} at a stopping host${isLoadManaged ? ', where load is managed' : ''}`, async () => {
+				const host = new Host({isLoadManaged, mayBegin});
+				const outcome = await host.serveFor(host.makeRequest('r', {isContinuation}), 120);
+				const seen: string | undefined = outcome?.kind === 'refused' ? outcome.code : outcome?.kind;
+				expect(seen).toEqual(expected);
+			});
+		}
+	}
+
 	it('a request asks once the placements of peers have taken those ahead out of the order', async () => {
 		const host = new Host({isLoadManaged: true});
 		host.receiveHeads(4);
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -4,6 +4,7 @@
  */
 import {AdmissionQueue, type LoadEstimate, type Waiter} from '@gatehead/policy/relay/admission-queue';
 import {ReleaseRate} from '@gatehead/policy/relay/release-rate';
+import {type StopWindow} from '@gatehead/policy/relay/stop-window';
 import {type ServiceCapacity} from '@gatehead/policy/relay/fleet-releases';
 import {ServiceLoad, type LoadWaiter} from '@gatehead/policy/relay/service-load';
 import {StartTime} from '@gatehead/policy/relay/start-time';
@@ -18,7 +19,7 @@
 import {type RateLimiter} from '../upstream/rate-limiter.js';
 import {type Reachability} from '../upstream/reachability.js';
 import {type ControlCalls} from '../upstream/control-calls.js';
-import {defaultRetryAfterMs} from './generation-failure.js';
+import {defaultRetryAfterMs, outlastingStream} from './generation-failure.js';
 import {timeLeft} from './job.js';
 import {countWaiting} from './service-views.js';
 import {type Reservation, type ReplicaSearch, type ReservationRequest} from './replica-search.js';
@@ -33,7 +34,7 @@
 /** Outcome of an admission. */
 export type AdmissionResult
 	= | {readonly kind: 'granted'; readonly reservation: Reservation}
-		| {readonly kind: 'refused'; readonly code: 'overloaded' | 'endpointsDown' | 'endpointsUnavailable' | 'streamVersionGone'; readonly retryAfterMs: number | undefined; readonly detail: string}
+		| {readonly kind: 'refused'; readonly code: 'overloaded' | 'endpointsDown' | 'endpointsUnavailable' | 'hostStopping' | 'streamVersionGone'; readonly retryAfterMs: number | undefined; readonly detail: string}
 		| {readonly kind: 'aborted'};
 
 /** Outcome for a stream that cannot continue at any endpoint; without `Retry-After`, since a retry would fail as well. */
@@ -63,6 +64,7 @@
 	readonly limiter: RateLimiter;
 	readonly reachability: Pick<Reachability, 'isUnreachable'>;
 	readonly routing: Pick<RoutingState, 'isLoadManaged' | 'table'>;
+	readonly stopWindow: Pick<StopWindow, 'mayBegin'>;
 };
 
 export class ServiceQueue {
@@ -237,6 +239,7 @@
 
 	/** Refuses requests that cannot be served in time, then tries to reserve memory for the first of the others. */
 	async serve(): Promise<void> {
+		this.#refuseTooLate();
 		await (this.#parts.routing.isLoadManaged ? this.#serveTurns() : this.#serveInOrder());
 	}
 
@@ -298,6 +301,17 @@
 		return true;
 	}
 
+	/** Refuses requests that could not end before this host does even if they got memory now. A stream that its caller has a part of waits on. */
+	#refuseTooLate(): void {
+		const {context: {clock}, stopWindow} = this.#parts;
+		for (const waiter of this.#queue.list()) {
+			const {job: {route, deadlineAt}, isContinuation} = waiter.request;
+			if (!isContinuation && !stopWindow.mayBegin(route.name, deadlineAt, clock.now())) {
+				waiter.resolve({kind: 'refused', ...outlastingStream});
+			}
+		}
+	}
+
 	#refuseUnservable(outlook: LoadEstimate): void {
 		const {context} = this.#parts;
 		this.#refuseGoneVersions();
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -186,6 +186,87 @@
 	}
 });
 
+/** Answers a call as an endpoint that does not run it. */
+function refuse({id, socket}: EndpointCall): void {
+	socket.write(writeResponse(unavailableStatus, {...(id === '' ? {} : {'Request-Id': id}), 'Not-Executed': '1'}));
+}
+
+type KnownRefusal = {
+	readonly name: string;
+	/** Handles a call instead of its endpoint, and begins the stop; returns whether it did. `runs`: runs before the call. */
+	readonly intercept: (call: EndpointCall, kind: CallKind, parts: {readonly runs: number; readonly stop: () => void}) => boolean;
+	readonly path: string;
+};
+
+const knownRefusals: readonly KnownRefusal[] = [
+	...['/stream/1', '/resumable/1'].map(path => ({
+		name: `${path} waits for memory`,
+		path,
+		intercept(call: EndpointCall, kind: CallKind, {stop}: {readonly stop: () => void}) {
+			if (kind !== 'reservation') {
+				return false;
+			}
+
+			refuse(call);
+			stop();
+			return true;
+		},
+	})),
+	{
+		name: 'its host has ended its silent run, and the next one is rejected',
+		path: '/resumable/1',
+		intercept(call, kind, {runs, stop}) {
+			if (kind !== 'run') {
+				return false;
+			}
+
+			if (runs > 0) {
+				stop();
+				refuse(call);
+			}
+
+			return true;
+		},
+	},
+];
+
+// They waited for their deadline or the end of the stop, although a run that begins later would be cut
+describe('a request that a stopping host can no longer begin is rejected before the end of the stop', () => {
+	for (const {name, path, intercept} of knownRefusals) {
+		it(name, {timeout: 60_000}, async () => {
+			const scripted = await startScriptedWorld({prefill: 1, decode: 2});
+			try {
+				const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+				let runs = 0;
+				let stopped: Promise<void> | undefined;
+				scripted.intercept = (call, kind) => {
+					const isDone = intercept(call, kind, {
+						runs, stop() {
+							stopped ??= relay.stop();
+						},
+					});
+					runs += kind === 'run' ? 1 : 0;
+					return isDone;
+				};
+
+				const id = 'known';
+				const {status, isWhole, headers} = await sendRequest({
+					address: scripted.caller, id, path, headers: {'Deadline-Ms': patientTimes.timeoutMs},
+				});
+				await stopped;
+				const details = scripted.world.lines.filter(({code, facts}) => code === 'hostStopping' && facts.request === id).map(({facts}) => facts.detail);
+				expect({
+					status, isWhole, hasRetryAfter: headers['retry-after'] !== undefined, details,
+				}).toEqual({
+					status: unavailableStatus, isWhole: true, hasRetryAfter: true, details: ['the stream would outlast this host'],
+				});
+			} finally {
+				await scripted.stop();
+			}
+		});
+	}
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
--- a/packages/standin/src/wire/takeovers.test.ts
+++ b/packages/standin/src/wire/takeovers.test.ts
@@ -298,6 +298,30 @@
 		expect(pendingMs).toEqual(queue.estimateMs(1000, clock.now()));
 	});
 
+	// Its caller waited for the deadline, although a refusal could still reach it whole
+	it('a stream without a head that can not have memory in time any more is refused before its deadline', async () => {
+		const id = 'refused-in-time';
+		let rejected = 0;
+		const {world} = await play({prefill: 1, decode: 2, routeTimes: {...patientTimes, targetLatencyMs: 1500}}, {
+			firstRun() {
+				// Silent
+			},
+			otherRun(call) {
+				rejected += 1;
+				call.socket.write(writeResponse(503, {'Request-Id': call.id, 'Not-Executed': '1'}));
+			},
+			reservation(call) {
+				if (rejected === 0) {
+					scripted?.answerSoundly(call);
+				} else {
+					call.socket.write(writeResponse(503, {}));
+				}
+			},
+		});
+		const {status, isWhole, headers} = await send(world, id);
+		expect({status, isWhole, hasRetryAfter: headers['retry-after'] !== undefined}).toEqual({status: 503, isWhole: true, hasRetryAfter: true});
+	});
+
 	// What takes the place of a run is not secured without memory
 	it('a run is not ended for one whose reservation has expired', async () => {
 		const id = 'expired';
