Fix: a request rejected by the end of a stop while it was prepared was logged twice

Operators saw: two lines and two counts of one request, if its preparation ended after the end of a planned stop had rejected it, as with a body that is complete only then. Its quota stayed charged.

Cause: the preparation went on, and its job ended as refused once more.

Change: a prepared job whose request is rejected already is not processed, and its charge is refunded.

Ruled out: a second response, which `Reply` does not write; a run, since the signal was aborted before.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -197,6 +197,12 @@
 		});
 		try {
 			const job = await this.#prepareJob(pending);
+			// The end of a planned stop rejects requests that are still prepared
+			if (pending.isRejected) {
+				this.#parts.accessControl.refund(job.workspace, job.cost);
+				return;
+			}
+
 			pending.job = job;
 			this.#parts.unread.watch(job);
 			const end = await this.#parts.processJob(job).finally(() => {
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -267,6 +267,28 @@
 	}
 });
 
+describe('a request whose body is complete only after the end of the stop has rejected it', () => {
+	it('is logged once', {timeout: 60_000}, async () => {
+		const scripted = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			const id = 'late-body';
+			const body = 'question';
+			const {socket, text, ended} = await openCaller(scripted.caller);
+			const stopped = relay.stop();
+			// Its deadline comes before the end of the stop
+			socket.write(writeRequest('/once/1', id, '', body.length).replace('\r\n', '\r\nDeadline-Ms: 1000\r\n'));
+			await until(() => listStatuses(text()).length > 0);
+			socket.write(body);
+			await Promise.all([stopped, ended]);
+			const lines = scripted.world.lines.filter(({facts}) => facts.request === id);
+			expect({statuses: listStatuses(text()), lines: lines.map(({facts}) => facts.outcome), runs: [...scripted.runs]}).toEqual({statuses: [unavailableStatus], lines: ['refused'], runs: []});
+		} finally {
+			await scripted.stop();
+		}
+	});
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
