Tests: pipelined requests behind calls of each kind at a stopping host

Cause: pipelined-stop.test.ts holds the first response back; these cases send everything at once. Change: three cases more in pipelined-requests.test.ts.

--- a/packages/standin/src/wire/pipelined-requests.test.ts
+++ b/packages/standin/src/wire/pipelined-requests.test.ts
@@ -83,6 +83,34 @@
 		it(`${path} runs behind a whole response`, async () => expectOrder(path));
 	}
 
+	// The first response closed the connection, and the requests behind it got none
+	for (const path of ['/once/1', '/repeatable/1', '/stream/1']) {
+		it(`all of ${path} are answered by a host that stops meanwhile`, async () => {
+			const stopping = await startScriptedWorld({
+				plain: 2, prefill: 1, decode: 1, routeTimes: {timeoutMs, targetLatencyMs: timeoutMs},
+			});
+			try {
+				const [{relay}] = stopping.world.relays as [typeof stopping.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+				let stopped: Promise<void> | undefined;
+				stopping.intercept = () => {
+					stopped ??= relay.stop();
+					return false;
+				};
+
+				const ids = [makeId(), makeId(), makeId()];
+				const {socket, ended, text} = await openCaller(stopping.caller);
+				socket.write(ids.map(id => writeRequest(path, id, 'question')).join(''));
+				await ended;
+				socket.destroy();
+				await stopped;
+				const closes = [...text().matchAll(/\r\nConnection: close\r\n/gv)].length;
+				expect({statuses: listStatuses(text()), closes}).toEqual({statuses: ids.map(() => okStatus), closes: 1});
+			} finally {
+				await stopping.stop();
+			}
+		});
+	}
+
 	it('a request whose time passes behind another one is refused and does not run', async () => {
 		await scripted.publish();
 		const [first, second] = [makeId(), makeId()];
