Fix: the end of a planned stop closed connections of requests that waited for a step

Callers saw: a closed connection without a response, if a step of their request did not end within 250 ms of the end of the stop, such as a check of links or a read of the directory; and if their request reached a busy host within these 250 ms.

Cause: requests in progress are aborted, and what has not ended by then was closed with its connection. What had arrived was read once, before that wait, and not after it.

Change: after the wait, what has no response yet is rejected, truly so by its runs so far, and what has arrived meanwhile is read and rejected before the connections are closed.

Ruled out: rejecting all at once without the wait, which takes the detail of the request from its line and answers before a run's end is known.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -164,6 +164,15 @@
 		}
 	}
 
+	/** Rejects the requests of which nothing has been answered although they are aborted: a step of theirs has not ended yet. */
+	rejectUnanswered(): void {
+		for (const pending of this.#pending) {
+			if (pending.reply.isOpen && !pending.reply.headersSent) {
+				this.#reject(pending, new Failure('hostStopping', {retryAfterMs: stoppingRetryAfterMs}));
+			}
+		}
+	}
+
 	/** Stops listening and closes all connections. */
 	async close(): Promise<void> {
 		await this.#connections.close();
@@ -213,7 +222,9 @@
 				this.#parts.accessControl.refund(job.workspace, job.cost);
 			}
 
-			this.#recordEnd(job, end);
+			if (!pending.isRejected) {
+				this.#recordEnd(job, end);
+			}
 		} catch (error) {
 			this.#reject(pending, error);
 		} finally {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -303,6 +303,8 @@
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(clock.now() - startedAt)});
 		this.#callerServer.rejectActive();
 		await this.#drain(closesAt + rejectionMs);
+		this.#callerServer.rejectUnanswered();
+		await this.#readUnread();
 		await this.close();
 	}
 
@@ -376,6 +378,13 @@
 		return job.service.engine === undefined ? runPlain(this.#handlerParts, job) : runGeneration(this.#handlerParts, job);
 	}
 
+	/** Reads, and so rejects, what has arrived on the connections of callers. */
+	async #readUnread(): Promise<void> {
+		for (let turn = 0; turn < unreadTurns; turn += 1) {
+			await nextTurn();
+		}
+	}
+
 	/** Waits until no request is active, until `endsAt` at the latest, and reads what has arrived until then. */
 	async #drain(endsAt: number): Promise<void> {
 		const {clock} = this.context;
@@ -384,9 +393,7 @@
 				await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
 			}
 
-			for (let turn = 0; turn < unreadTurns; turn += 1) {
-				await nextTurn();
-			}
+			await this.#readUnread();
 		} while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt);
 	}
 
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -1,14 +1,15 @@
 /** Guards against requests that get neither a response nor a rejection because their host's planned stop ends before they do. */
 import {describe, it} from 'node:test';
 import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
-import {sendRequest} from './client.js';
+import {sendRequest, type CallerAnswer} from './client.js';
 import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
 import {
 	bodyOf, startScriptedWorld, type CallKind, type EndpointCall, type ScriptedWorld,
 } from './scripted-world.js';
-import {patientTimes, until} from './world.js';
+import {patientTimes, until, type LoggedLine} from './world.js';
 
 /** Status that does not promise that a request has not run. */
 const unknownStatus = 502;
@@ -289,6 +290,63 @@
 	});
 });
 
+// The host closed their connections without a response
+describe('while a step of a request does not end with the stop of its host', () => {
+	const id = 'stuck';
+
+	/** Stops a host while a request at it waits for a step that does not end. */
+	const playStuck = async (beside: (scripted: ScriptedWorld) => Promise<void>): Promise<CallerAnswer> => {
+		const scripted = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			let isStuck = false;
+			relay.reachability.settle = async () => {
+				isStuck = true;
+				await new Promise(ignore);
+			};
+
+			for (const endpoint of scripted.endpoints.values()) {
+				endpoint.stop();
+			}
+
+			const answer = sendRequest({
+				address: scripted.caller, id, path: '/once/1', headers: {'Deadline-Ms': patientTimes.timeoutMs},
+			});
+			await until(() => isStuck);
+			const stopped = relay.stop();
+			await beside(scripted);
+			await stopped;
+			return await answer;
+		} finally {
+			await scripted.stop();
+		}
+	};
+
+	it('the request is rejected', {timeout: 60_000}, async () => {
+		let lines: readonly LoggedLine[] = [];
+		const {status, isWhole} = await playStuck(async ({world}) => {
+			lines = world.lines;
+		});
+		const ends = lines.filter(({code, facts}) => facts.request === id && code !== 'sendFailed');
+		expect({status, isWhole, ends: ends.map(({facts}) => facts.outcome)}).toEqual({status: unavailableStatus, isWhole: true, ends: ['refused']});
+	});
+
+	it('one that reaches the busy host meanwhile is rejected', {timeout: 60_000}, async () => {
+		let text = '';
+		await playStuck(async ({world, caller}) => {
+			const late = await openCaller(caller);
+			await until(() => world.lines.some(({code}) => code === 'stopped'));
+			// Timers that fall due run before the next read only if the loop is blocked after its last one
+			await nextTurn();
+			late.socket.write(writeRequest('/once/1', 'late', 'question'));
+			block(busyMs);
+			await late.ended;
+			text = late.text();
+		});
+		expect(listStatuses(text)).toEqual([unavailableStatus]);
+	});
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
