Fix: an error response takes the place of a held-back stream in every end of a generation

Cause: two more places asked whether a response had begun where they meant whether a part of it was sent: the end of a planned stop, and streams that a host owes their rest. Change: the property is named for what it says, isPartlySent, and all ends of a generation use it.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -167,7 +167,7 @@
 	/** Rejects the requests of which nothing has been answered although they are aborted: a step of theirs has not ended yet. */
 	rejectUnanswered(): void {
 		for (const pending of this.#pending) {
-			if (pending.reply.isOpen && !pending.reply.headersSent) {
+			if (pending.reply.isOpen && !pending.reply.isPartlySent) {
 				this.#reject(pending, new Failure('hostStopping', {retryAfterMs: stoppingRetryAfterMs}));
 			}
 		}
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -78,14 +78,14 @@
 		this.#isToHost = isToHost;
 	}
 
-	/** Whether the response has begun, though it may be held back until it is complete. */
+	/** Whether the head has been sent, or is held back with the events behind it. */
 	get headersSent(): boolean {
 		return this.#buffered !== undefined || this.#response.headersSent;
 	}
 
-	/** Whether an error response can still take the place of this one: nothing of it has been written. */
-	get isReplaceable(): boolean {
-		return !this.#response.headersSent;
+	/** Whether a part of the response has been sent, so that only a closed connection can show that it broke off. */
+	get isPartlySent(): boolean {
+		return this.#response.headersSent;
 	}
 
 	/** Whether the response can still be written: neither ended, nor closed by the caller, nor replaced by the rejection of a malformed request. */
@@ -216,7 +216,7 @@
 		});
 	}
 
-	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was written, the connection is destroyed instead, unless the response is complete. */
+	/** Sends an error response and returns its code: `answerLost` replaces a code that means "not run" when the request may have run. After the head was sent, the connection is destroyed instead, unless the response is complete. What is held back is discarded. */
 	sendError(requested: Code, {retryAfterMs, mayHaveRun, isRepeatable, detail}: ErrorResponseOptions): Code {
 		// The entry host's configuration may differ on whether the request is repeatable
 		const needsTruth = !isRepeatable || this.#isToHost;
@@ -226,7 +226,7 @@
 			return code;
 		}
 
-		if (!this.isReplaceable) {
+		if (this.isPartlySent) {
 			this.destroy();
 			return code;
 		}
--- a/packages/relay/src/work/generation-failure.ts
+++ b/packages/relay/src/work/generation-failure.ts
@@ -35,7 +35,7 @@
 
 /** Sends an error to the caller, or breaks off a reply that has begun. `Reply` may replace the code by one that holds for a request that may have run. */
 export function refuseJob({reply, runs: {mayHaveRun}, route}: Job, {code: wanted, retryAfterMs, detail}: Refusal, via?: Via): JobEnd {
-	const isBegun = !reply.isReplaceable;
+	const isBegun = reply.isPartlySent;
 	const code = reply.sendError(wanted, {
 		retryAfterMs, mayHaveRun, isRepeatable: route.isResumable, detail,
 	});
@@ -59,7 +59,7 @@
 
 /** Ends a job whose run failed at a replica and cannot continue at another. */
 export function failJob(job: Job, via: Via, reason: string): JobEnd {
-	if (!job.reply.isReplaceable) {
+	if (job.reply.isPartlySent) {
 		job.reply.destroy();
 		return {
 			outcome: 'brokenOff', code: 'streamBroken', endpoint: via.id, detail: reason,
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -92,7 +92,7 @@
 			}
 
 			if (result.kind === 'notBegun') {
-				const isRefusable = result.isDecided === true && !this.#job.reply.headersSent;
+				const isRefusable = result.isDecided === true && !this.#job.reply.isPartlySent;
 				if (!this.#mustContinue || signal.aborted || isRefusable) {
 					return result.refuse();
 				}
--- a/packages/standin/src/wire/truncated-streams.test.ts
+++ b/packages/standin/src/wire/truncated-streams.test.ts
@@ -113,10 +113,17 @@
 	});
 }
 
+/** Whether a text is one error response and nothing else. */
+function isWholeError(text: string): boolean {
+	const [head = '', body = ''] = text.split('\r\n\r\n');
+	return head.startsWith('HTTP/1.1 502 ') && head.includes(`\r\nContent-Length: ${body.length}\r\n`) && !body.includes('data:');
+}
+
 const oldCalls: ReadonlyArray<{readonly name: string; readonly cut: ResponseCut | undefined; readonly isExpected: (text: string) => boolean}> = [
 	{name: 'a whole stream has its length', cut: undefined, isExpected: text => text.includes(`Content-Length: ${wholeStream.length}\r\n`) && text.endsWith(wholeStream)},
-	{name: 'a stream that is reset is an error, as no byte of it was written', cut: {bytes: 2 * eventBytes, end: 'reset', afterMs: 2}, isExpected: text => text.startsWith('HTTP/1.1 502 ')},
-	{name: 'a stream that is closed inside an event is an error, too', cut: {bytes: (2 * eventBytes) + 8, end: 'end'}, isExpected: text => text.startsWith('HTTP/1.1 502 ')},
+	// Nothing of the stream was sent, and yet the connection closed without a response
+	{name: 'a stream that is reset ends in an error', cut: {bytes: 2 * eventBytes, end: 'reset', afterMs: 2}, isExpected: isWholeError},
+	{name: 'a stream that is closed inside an event ends in an error', cut: {bytes: (2 * eventBytes) + 8, end: 'end'}, isExpected: isWholeError},
 ];
 
 describe('callers that speak HTTP/1.0', () => {
