Fix: the own front ran pipelined requests beside each other

Callers saw: if a response broke off, its connection closed, and the answers to the requests behind it, which had run meanwhile, were lost with it.

Change: the relay's wait moves to the shared front folder, and completions and calls to services wait there once their bodies are read. Time behind other responses does not count towards the target.

Ruled out: waiting before the body is read, which hides a caller that leaves behind an unread body.

--- a/packages/host/src/front/completions.ts
+++ b/packages/host/src/front/completions.ts
@@ -17,6 +17,7 @@
 import {readIdempotencyKey, type IdempotencyKey} from '../core/ticket.js';
 import {type ModelRequest} from '../core/model-request.js';
 import {resumeStream} from './stream-resumption.js';
+import {waitForTurn} from './response-turn.js';
 import {AnswerWriter, type Dialect} from './answer-writer.js';
 import {enterLedger, findRequestOwner} from './request-owner.js';
 import {forwardRequest, isForwarded} from './forward.js';
@@ -109,6 +110,9 @@
 	const {request, response, caller, inForce: {bundle}} = call;
 	const {settings, clock} = parts.context;
 	const rawBody = await readBody(request, settings.limits);
+	const hasWaited = await waitForTurn(response);
+	// The time behind other responses is no delay of this request
+	const arrivedAt = hasWaited ? clock.now() : call.arrivedAt;
 	const parsed = bodyParsers[dialect](parseBody(rawBody));
 	const key = readOptionalKey(call, caller, settings.keys.tickets);
 	const position = readStreamPosition(request);
@@ -120,7 +124,7 @@
 
 	const isOwner = key !== undefined && owner?.kind === 'local';
 	const runId = createRequestId();
-	const work = createWork(call, parsed, key === undefined ? runId : `${key.id}.${runId}`);
+	const work = createWork({...call, arrivedAt}, parsed, key === undefined ? runId : `${key.id}.${runId}`);
 	const maxAttempts = bundle.rules.attempts;
 	const answer = findOrStartAnswer();
 	new AnswerWriter(response, {
--- a/packages/host/src/front/services.ts
+++ b/packages/host/src/front/services.ts
@@ -12,6 +12,7 @@
 import {enterLedger, failUnavailableOwner, findRequestOwner} from './request-owner.js';
 import {forwardRequest, isForwarded} from './forward.js';
 import {readHeader, readBody} from './request-reader.js';
+import {waitForTurn} from './response-turn.js';
 import {type Call, type FrontParts, type Job} from './parts.js';
 import {sendFailure} from './reply.js';
 import {
@@ -40,6 +41,7 @@
 	const service = findService(call);
 	const {request, caller, url} = call;
 	const body = await readBody(request, parts.context.settings.limits);
+	await waitForTurn(call.response);
 	const header = readHeader(request, callerHeaders.key);
 	const key = header === undefined ? undefined : readIdempotencyKey(header, caller.name, parts.context.settings.keys.tickets);
 	const serviceCall: ServiceCall = {
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -7,6 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
+import {waitForTurn} from '@gatehead/host/front/response-turn';
 import {listenAt} from '@gatehead/host/utils/listen';
 import {retryAfter} from '@gatehead/policy/relay/retry-after';
 import {isDecidedByConfiguration} from '@gatehead/policy/relay/final-refusals';
@@ -37,7 +38,6 @@
 import {forwardHeaders} from './headers.js';
 import {Reply} from './reply.js';
 import {readRequestBody} from './request-body.js';
-import {waitForTurn} from './response-turn.js';
 import {type UnreadLimiter} from './unread-limiter.js';
 
 /** Added to the configured idle and header timeouts, in milliseconds: a request sent while the server closes the connection would be lost. */
