Fix: the own front closed requests unread that arrived as its planned stop ended

Callers saw: a closed connection without a response, if their request reached a host of the own front right when its planned stop found nothing in flight.

Ruled out: requests that arrive after the read; nothing can tell them from those behind a closed connection.

--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -4,6 +4,7 @@
  * expired, then refuses new ones as "not run", and waits for those in flight.
  */
 import {maxTimeToLive} from '@gatehead/policy/core/lookup';
+import {readUnreadRequests} from '../utils/unread-requests.js';
 import {type Context} from './context.js';
 
 const pollMs = 50;
@@ -33,7 +34,11 @@
 	announceLeaving();
 	await pause(context, maxTimeToLive(lookupTtlMs()) + (propagationTicks * context.settings.timing.tickMs));
 	refuseNewRequests();
-	while (countInFlight() > 0) {
-		await pause(context, pollMs);
-	}
+	do {
+		while (countInFlight() > 0) {
+			await pause(context, pollMs);
+		}
+
+		await readUnreadRequests();
+	} while (countInFlight() > 0);
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,7 +2,7 @@
  * Composition root of a relay process: creates its components, connects them,
  * and starts and stops them in order. Safety rests on the components.
  */
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {readUnreadRequests} from '@gatehead/host/utils/unread-requests';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
@@ -46,8 +46,6 @@
 const closeMarginMs = 500;
 /** Part of that margin for the delivery of the rejections of requests that are still in progress, in milliseconds. */
 const rejectionMs = 250;
-/** Turns of the event loop in which a stopping host reads what has arrived before it closes its connections: one accepts a connection, one reads its request. On a busy host timers run before both. */
-const unreadTurns = 2;
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
@@ -304,7 +302,7 @@
 		this.#callerServer.rejectActive();
 		await this.#drain(closesAt + rejectionMs);
 		this.#callerServer.rejectUnanswered();
-		await this.#readUnread();
+		await readUnreadRequests();
 		await this.close();
 	}
 
@@ -378,13 +376,6 @@
 		return job.service.engine === undefined ? runPlain(this.#handlerParts, job) : runGeneration(this.#handlerParts, job);
 	}
 
-	/** Reads, and so rejects, what has arrived on the connections of callers. */
-	async #readUnread(): Promise<void> {
-		for (let turn = 0; turn < unreadTurns; turn += 1) {
-			await nextTurn();
-		}
-	}
-
 	/** Waits until no request is active, until `endsAt` at the latest, and reads what has arrived until then. */
 	async #drain(endsAt: number): Promise<void> {
 		const {clock} = this.context;
@@ -393,7 +384,7 @@
 				await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
 			}
 
-			await this.#readUnread();
+			await readUnreadRequests();
 		} while (this.#callerServer.activeRequests > 0 && clock.now() < endsAt);
 	}
 
