Fix: of pipelined requests that a stopping host rejects, only the first got a response

Callers saw: one 503 for several requests sent at once on one connection, and then a closed connection, once the host rejected new requests.

Cause: the rejection was written as soon as the first request was parsed, before the ones behind it in the same read, and it closes the connection.

Evidence: pipelined-requests.test.ts, `all are rejected by a host that rejects new requests`, failed before (one response of three).

Change: a stopping host begins with a request one turn of the event loop after it was parsed, so that those behind it count. The last reads before it closes its connections take one turn more for that.

Ruled out: keeping the connection open behind rejections, which lets callers send more to a host that is about to end.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -6,6 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {waitForTurn} from '@gatehead/host/front/response-turn';
 import {listenAt} from '@gatehead/host/utils/listen';
@@ -246,6 +247,11 @@
 	async #prepareJob(pending: PendingRequest): Promise<Job> {
 		const {request, response, reply, controller, arrivedAt: receivedAt, isForwarded} = pending;
 		const {context: {clock, dialect, settings: {limits}}, guard} = this.#parts;
+		if (this.#closesConnections) {
+			// The response may be written at once, and it closes the connection unless a request has arrived behind this one
+			await nextTurn();
+		}
+
 		this.#checkCapacity();
 		const body = await readRequestBody(request, limits.bodyBytes);
 		// The time behind other responses is no delay of this request, but counts towards its timeout
--- a/packages/standin/src/wire/pipelined-requests.test.ts
+++ b/packages/standin/src/wire/pipelined-requests.test.ts
@@ -3,10 +3,12 @@
 	after, before, describe, it,
 } from 'node:test';
 import {expect} from 'earl';
+import {sendRequest} from './client.js';
 import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
 import {
 	bodyOf, startScriptedWorld, streamOf, type ScriptedWorld,
 } from './scripted-world.js';
+import {patientTimes, until} from './world.js';
 
 const okStatus = 200;
 /** Time after which the stalled stream is cut, in milliseconds. */
@@ -111,6 +113,39 @@
 		});
 	}
 
+	it('all are rejected by a host that rejects new requests', {timeout: 60_000}, async () => {
+		const stopping = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = stopping.world.relays as [typeof stopping.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			const held = makeId();
+			let isHeld = false;
+			stopping.intercept = ({id}) => {
+				isHeld ||= id === held;
+				return id === held;
+			};
+
+			const send = async (id: string, headers: Readonly<Record<string, number>>) => sendRequest({
+				address: stopping.caller, id, path: '/once/1', headers,
+			});
+			const keepingHost = send(held, {'Deadline-Ms': patientTimes.timeoutMs});
+			await until(() => isHeld);
+			const stopped = relay.stop();
+			for (let status = okStatus; status === okStatus;) {
+				({status} = await send(makeId(), {'Deadline-Ms': workMs}));
+			}
+
+			const ids = [makeId(), makeId(), makeId()];
+			const {socket, ended, text} = await openCaller(stopping.caller);
+			socket.write(ids.map(id => writeRequest('/once/1', id, 'question')).join(''));
+			await ended;
+			socket.destroy();
+			await Promise.all([keepingHost, stopped]);
+			expect({statuses: listStatuses(text()), runs: stopping.runs.filter(id => ids.includes(id))}).toEqual({statuses: ids.map(() => 503), runs: []});
+		} finally {
+			await stopping.stop();
+		}
+	});
+
 	it('a request whose time passes behind another one is refused and does not run', async () => {
 		await scripted.publish();
 		const [first, second] = [makeId(), makeId()];
