Tests: requests that another host has forwarded to one that stops

Suspected: callers of forwarded requests that outlast the planned stop of the host that serves them might see a closed connection, or a refusal although their request may have run. stop-end.test.ts shows that all four kinds of routes get a whole error, and 503 only where the request can be repeated; the case passes without a change.

--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -7,7 +7,7 @@
 import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
 import {
-	bodyOf, startScriptedWorld, type CallKind, type EndpointCall, type ScriptedWorld,
+	bodyOf, startForwardingWorld, startScriptedWorld, type CallKind, type EndpointCall, type ScriptedWorld,
 } from './scripted-world.js';
 import {patientTimes, until, type LoggedLine} from './world.js';
 
@@ -347,6 +347,33 @@
 	});
 });
 
+describe('requests that another host has forwarded and that outlast a planned stop', () => {
+	it('get whole errors, and no run is called a rejection', {timeout: 60_000}, async () => {
+		const scripted = await startForwardingWorld({plain: 1, prefill: 1, decode: 1});
+		try {
+			const [, {relay}] = scripted.world.relays as [unknown, typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has two hosts
+			let runs = 0;
+			scripted.intercept = (_call, kind) => {
+				runs += kind === 'run' ? 1 : 0;
+				return kind === 'run';
+			};
+
+			const paths = ['/once/1', '/repeatable/1', '/stream/1', '/resumable/1'];
+			const sending = paths.map(async path => sendRequest({
+				address: scripted.caller, id: path, path, headers: {'Deadline-Ms': patientTimes.timeoutMs},
+			}));
+			await until(() => runs >= paths.length);
+			await relay.stop();
+			const answers = await Promise.all(sending);
+			const isRepeatable = new Set(['/repeatable/1', '/resumable/1']);
+			const wrong = answers.filter(({status, isWhole}, index) => !(isWhole && (status === unknownStatus || (status === unavailableStatus && isRepeatable.has(paths[index] ?? '')))));
+			expect(wrong.map(({status, body}) => ({status, body}))).toEqual([]);
+		} finally {
+			await scripted.stop();
+		}
+	});
+});
+
 describe('requests that outlast a planned stop are rejected, and truly so', () => {
 	for (const {name, intercept, isWaiting, statuses} of cases) {
 		it(name, {timeout: 60_000}, async () => {
