Forwarding: a search in vain for another run leaves the request its other hosts

Callers saw a resumable stream cut: its run, forwarded to another host, fell silent, no other host was found for it, and when the silent run was lost later, the stream was not forwarded again although its route had an attempt left and other hosts took requests.

Cause: whoever finds no other host marks forwarding as spent for the request. That is right where nothing is in progress, since the request is then refused. A search beside a silent run ends without any effect on the run, and hosts that were unreachable or excluded for a second return.

Evidence: with the search in vain and a lost run behind it, the caller got the first event and a closed connection (1 of 1 failed), now the whole stream in two runs.

Fix: only a forward without a run in progress marks forwarding as spent. Ruled out: a search that begins runs at the same time; it waits for the same permit and the same attempts as before.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -272,14 +272,15 @@
 		}
 
 		const replaced = await takeover?.settle();
-		return replaced ?? this.#handleUnforwarded(result);
+		return replaced ?? this.#handleUnforwarded(round, result);
 	}
 
 	/** Handles the outcome of a forward without a response to pass on; undefined if the request stays here. */
-	async #handleUnforwarded(result: Exclude<ForwardResult, {kind: 'answer'}>): Promise<RoundResult | undefined> {
+	async #handleUnforwarded({silent}: Round, result: Exclude<ForwardResult, {kind: 'answer'}>): Promise<RoundResult | undefined> {
 		const job = this.#job;
 		if (result.kind === 'unavailable') {
-			this.#isForwardingSpent = true;
+			// Where a run goes on meanwhile, it may need other hosts later
+			this.#isForwardingSpent ||= silent === undefined;
 			return job.runs.mayHaveRun ? undefined : {kind: 'notBegun', refuse: () => refuseJob(job, {code: 'endpointsDown', retryAfterMs: defaultRetryAfterMs, detail: 'no other host takes the request'})};
 		}
 
