Streams: a stream whose run its host has ended goes on whatever ends the replacement

Callers saw a resumable stream cut, with seconds and attempts left, after its host had ended its silent run for another one and that one failed: behind three rejections ('rounds'), for lack of retry budget ('budget'), with a status below 500, or while no other host was known for longer than 0.8 s, after which it was not forwarded any more.

Cause: the bound on the runs of one request counted attempts to begin one, also those that found no room or were rejected; it bounds the endpoints that one request can crash, and such attempts crash none. What ended the replacement was handled as for a stream that its endpoint has lost, although the run that the host ended would have gone on.

Fix: the bound counts runs that may have happened (the ledger of the request, which rejections leave). A stream that must continue waits for retry budget, without a reservation meanwhile, and a complete error in the middle of a stream is followed by another run, as a lost one is. The bounds hold as before: attempts of the route, four runs, a permit for each run, no second run of a request that is not resumable. The attempts to begin a run of a request that is refused otherwise stay bounded by four.

Ruled out: content that is held ends the stream as before, since a request that was held once stays held. In `blockedBy` and gatehead_takeovers_total{outcome}, `runs` replaces `rounds`.

--- a/packages/relay/src/work/continuation.ts
+++ b/packages/relay/src/work/continuation.ts
@@ -2,13 +2,22 @@
 import {isOff} from '../core/experiment.js';
 import {failJob, type Via} from './generation-failure.js';
 import {type Job} from './job.js';
-import {type ContinuationBlock} from './job-end.js';
+import {type ContinuationBlock, type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
 import {type RoundResult} from './round.js';
 import {type StreamState} from './stream-state.js';
 
-/** Maximum rounds of reservation and decode per request, whatever ended the previous one; bounds the replicas that one request can crash. */
-export const maxRounds = 4;
+/** Maximum runs per request that may have happened; bounds the replicas that one request can crash. */
+const maxRuns = 4;
+
+/** Finds which bound on the runs of a request is reached. Attempts that found no room and runs that were rejected do not count. */
+export function findSpentBound({route, runs}: Pick<Job, 'route' | 'runs'>): 'attempts' | 'runs' | undefined {
+	if (runs.count >= route.maxAttempts) {
+		return 'attempts';
+	}
+
+	return runs.count >= maxRuns ? 'runs' : undefined;
+}
 
 export class Continuation {
 	readonly #parts: Pick<WorkParts, 'budgets' | 'context' | 'guard'>;
@@ -21,15 +30,17 @@
 		this.#state = state;
 	}
 
-	/** Continues at another replica if possible; otherwise ends the job. */
+	/** Continues at another replica if possible; otherwise ends the job. A stream that must continue waits for retry budget. */
 	async continueOrFail(endpoint: Via, reason: string): Promise<RoundResult> {
 		const blockedBy = await this.findBlock();
-		if (blockedBy !== undefined) {
-			return {kind: 'ended', end: {...failJob(this.#job, endpoint, reason), blockedBy}};
+		const refuse = (): JobEnd => ({...failJob(this.#job, endpoint, reason), blockedBy});
+		const isWaiting = blockedBy === 'budget' && this.#state.mustContinue;
+		if (blockedBy !== undefined && !isWaiting) {
+			return {kind: 'ended', end: refuse()};
 		}
 
 		this.continueAfter(endpoint, reason);
-		return {kind: 'retry'};
+		return isWaiting ? {kind: 'notBegun', refuse} : {kind: 'retry'};
 	}
 
 	/** Prepares the stream for another run. */
@@ -58,15 +69,10 @@
 
 	/** Finds what speaks against another run for as long as the current one lasts. */
 	findFixedBlock(): ContinuationBlock | undefined {
-		const {route, runs} = this.#job;
-		if (isOff(this.#parts.context, 'continuing') || !route.isResumable) {
+		if (isOff(this.#parts.context, 'continuing') || !this.#job.route.isResumable) {
 			return 'route';
 		}
 
-		if (runs.count >= route.maxAttempts) {
-			return 'attempts';
-		}
-
-		return this.#state.rounds >= maxRounds ? 'rounds' : undefined;
+		return findSpentBound(this.#job);
 	}
 }
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -18,7 +18,7 @@
 import {
 	defaultRetryAfterMs, outlastingStream, failJob, refuseJob, abortJob, type Via,
 } from './generation-failure.js';
-import {Continuation, maxRounds} from './continuation.js';
+import {Continuation, findSpentBound} from './continuation.js';
 import {timeLeft, type Job} from './job.js';
 import {type JobEnd} from './job-end.js';
 import {type WorkParts} from './parts.js';
@@ -34,6 +34,8 @@
 const idleTimeoutMs = 1400;
 /** Interval between attempts to begin another run for a stream whose run this host has ended, in milliseconds. */
 const continuationRetryMs = 200;
+/** Attempts to begin a run for a request before it is refused. */
+const maxRounds = 4;
 /** Remaining lifetime below which a reservation is not used, in milliseconds; several times the network delay to a replica. */
 const expiryMarginMs = 60;
 /** Maximum wait for a permit at a rate-limited replica after the prefill, in milliseconds; prefill results live little longer. */
@@ -66,8 +68,6 @@
 	readonly #responses: ResponseForwarder;
 	/** Whether other hosts were asked and none took the request. */
 	#isForwardingSpent = false;
-	/** Whether this host has ended a silent run itself. Such a stream seeks another run until its deadline, or until a refusal is decided that can still reach its caller whole. */
-	#mustContinue = false;
 
 	constructor(parts: WorkParts, job: Job) {
 		this.#parts = parts;
@@ -93,16 +93,25 @@
 
 			if (result.kind === 'notBegun') {
 				const isRefusable = result.isDecided === true && !this.#job.reply.isPartlySent;
-				if (!this.#mustContinue || signal.aborted || isRefusable) {
+				if (!this.#state.mustContinue || signal.aborted || isRefusable) {
 					return result.refuse();
 				}
 
-				await waitFor(this.#parts.context.clock, continuationRetryMs, signal);
-				this.#isForwardingSpent = false;
+				await this.#waitForContinuation();
 			}
 		}
 	}
 
+	/** Waits until another run may be sought. */
+	async #waitForContinuation(): Promise<void> {
+		const {signal} = this.#job;
+		do {
+			await waitFor(this.#parts.context.clock, continuationRetryMs, signal);
+		} while (!signal.aborted && await this.#continuation.findBlock() === 'budget');
+
+		this.#isForwardingSpent = false;
+	}
+
 	/** Begins a run here, or at another host if this one cannot reach the service, and forwards its response. */
 	async #playRound(round: Round): Promise<RoundResult> {
 		if (this.#isTooLate()) {
@@ -194,7 +203,7 @@
 		commit();
 		if (silent !== undefined) {
 			this.#state.rounds += 1;
-			this.#mustContinue = true;
+			this.#state.mustContinue = true;
 			this.#continuation.continueAfter(silent, stallReason);
 		}
 
@@ -233,7 +242,7 @@
 	/** Whether another host has to serve the request because this one cannot reach its service. */
 	#mayForward(): boolean {
 		const job = this.#job;
-		return !this.#isForwardingSpent && !job.signal.aborted && this.#parts.forwarder.isNeeded(job) && job.runs.count < job.route.maxAttempts && this.#state.rounds < maxRounds;
+		return !this.#isForwardingSpent && !job.signal.aborted && this.#parts.forwarder.isNeeded(job) && findSpentBound(job) === undefined;
 	}
 
 	/** Has another host serve the request, or the rest of its stream; undefined if it stays here. Each round forwards one attempt, so that a stream that breaks off can continue. */
--- a/packages/relay/src/work/job-end.ts
+++ b/packages/relay/src/work/job-end.ts
@@ -2,7 +2,7 @@
 import {type Code} from '@gatehead/schema/codes';
 
 /** What a stream lacked to continue at another endpoint. */
-export type ContinuationBlock = 'route' | 'attempts' | 'rounds' | 'content' | 'budget';
+export type ContinuationBlock = 'route' | 'attempts' | 'runs' | 'content' | 'budget';
 
 /** Outcome of a job, for the log and the metrics. */
 export type JobEnd = {
--- a/packages/relay/src/work/response-forwarder.ts
+++ b/packages/relay/src/work/response-forwarder.ts
@@ -9,7 +9,7 @@
 import {readBody} from '../upstream/exchange.js';
 import {stallReason} from '../upstream/sender.js';
 import {type Continuation} from './continuation.js';
-import {abortJob, failJob, type Via} from './generation-failure.js';
+import {abortJob, type Via} from './generation-failure.js';
 import {type Job} from './job.js';
 import {type WorkParts} from './parts.js';
 import {type ActiveRun, type ForwardableResponse, type RoundResult} from './round.js';
@@ -57,18 +57,19 @@
 		throwIfReplaced(takeover);
 		await confirmEnd(sent, takeover);
 		sent.end(status >= minServerErrorStatus ? 'error' : 'good');
-		if (status >= minServerErrorStatus && await this.#continuation.findBlock() === undefined) {
-			this.#continuation.continueAfter(via, `status ${status}`);
-			return {kind: 'retry'};
+		const reason = `status ${status}`;
+		if (job.reply.headersSent) {
+			return this.#continuation.continueOrFail(via, reason);
 		}
 
-		if (job.reply.headersSent) {
-			return {kind: 'ended', end: failJob(job, via, `status ${status}`)};
+		if (status >= minServerErrorStatus && await this.#continuation.findBlock() === undefined) {
+			this.#continuation.continueAfter(via, reason);
+			return {kind: 'retry'};
 		}
 
 		job.reply.forwardHead(sent.response, versionOf(via), body.length);
 		job.reply.end(body);
-		return {kind: 'ended', end: {outcome: 'answered', endpoint: via.id, detail: `status ${status}`}};
+		return {kind: 'ended', end: {outcome: 'answered', endpoint: via.id, detail: reason}};
 	}
 
 	async #forwardStream(sent: ForwardableResponse, {via, takeover, onEvent}: ActiveRun): Promise<RoundResult> {
--- a/packages/relay/src/work/round.ts
+++ b/packages/relay/src/work/round.ts
@@ -22,7 +22,7 @@
 	= | {readonly kind: 'ended'; readonly end: JobEnd}
 		/** Another round follows. */
 		| {readonly kind: 'retry'}
-		/** No run has begun, or its endpoint rejected it; `refuse` ends the job for that. `isDecided`: another round now would end alike. */
+		/** No run has begun, its endpoint rejected it, or it failed and may not be repeated yet; `refuse` ends the job for that. `isDecided`: another round now would end alike. */
 		| {readonly kind: 'notBegun'; readonly refuse: () => JobEnd; readonly isDecided?: boolean};
 
 /** A run whose request has been written. */
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -19,7 +19,10 @@
 	readonly triedReplicas = new Set<string>();
 	/** When the memory of the latest run was reserved. */
 	reservedAt = 0;
+	/** Attempts to begin a run, whether or not one began. */
 	rounds = 0;
+	/** Whether this host has ended a silent run itself. Such a stream seeks another run until its deadline. */
+	mustContinue = false;
 	/** Endpoint that sent the latest events. */
 	source: Via | undefined;
 	/** Software version that the stream has to go on at; undefined until an event of it is forwarded. */
--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -50,6 +50,8 @@
 	readonly routeTimes?: RouteTimes;
 	/** Repeats that the host may send in one window; absent: more than any test needs. */
 	readonly retryAllowance?: number;
+	/** Attempts of the resumable route; absent: two. */
+	readonly streamAttempts?: number;
 	/** Whether the host manages the load; absent: as the configuration calls for. */
 	readonly loadManagement?: LoadManagement;
 };
@@ -77,9 +79,9 @@
 }
 
 /** Starts hosts and their endpoints, and waits until the hosts know them. */
-export async function startScriptedWorld({hosts = 1, plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
+export async function startScriptedWorld({hosts = 1, plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, streamAttempts, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
 	const world = await startWorld({
-		hosts, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(loadManagement === undefined ? {} : {loadManagement}),
+		hosts, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(streamAttempts === undefined ? {} : {streamAttempts}), ...(loadManagement === undefined ? {} : {loadManagement}),
 	});
 	let made = 0;
 	let starts = 0;
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -65,6 +65,8 @@
 	readonly eventGapMs?: number;
 	/** Times of all routes; absent: as a platform's. */
 	readonly routeTimes?: RouteTimes;
+	/** Attempts of the resumable route; absent: two. */
+	readonly streamAttempts?: number;
 	/** Whether hosts manage the load; absent: as the configuration calls for. */
 	readonly loadManagement?: LoadManagement;
 	/** The hosts' clock; absent: the machine's own. */
@@ -156,10 +158,12 @@
 	/** Services without endpoints, to which routes give no weight. */
 	readonly spareServices?: readonly string[];
 	readonly limits?: Readonly<Record<string, number>>;
+	/** Attempts of the resumable route. */
+	readonly streamAttempts?: number;
 };
 
 /** The configuration of all tests: a stream that may continue, one that may not, and two kinds of plain calls, one of them on a public route too. */
-export function makeConfig(version: number, tenants?: readonly StandinTenant[], added: readonly AddedRoute[] = [], {timeoutMs, targetLatencyMs}: RouteTimes = platformTimes, engine: EngineDraft = {}, {spareServices = [], limits = {}}: ConfigurationDraft = {}): unknown {
+export function makeConfig(version: number, tenants?: readonly StandinTenant[], added: readonly AddedRoute[] = [], {timeoutMs, targetLatencyMs}: RouteTimes = platformTimes, engine: EngineDraft = {}, {spareServices = [], limits = {}, streamAttempts = 2}: ConfigurationDraft = {}): unknown {
 	const route = {
 		host: 'calls.example', timeoutMs, targetLatencyMs, priority: 1, sticky: false,
 	};
@@ -167,7 +171,7 @@
 		version,
 		routes: [
 			{
-				...route, name: 'resumable', pathPrefix: '/resumable/', kind: 'streaming', service: 'model', maxAttempts: 2, resumable: true,
+				...route, name: 'resumable', pathPrefix: '/resumable/', kind: 'streaming', service: 'model', maxAttempts: streamAttempts, resumable: true,
 			},
 			{
 				...route, name: 'stream', pathPrefix: '/stream/', kind: 'streaming', service: 'model', maxAttempts: 1, resumable: false,
@@ -278,7 +282,7 @@
 }
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
-export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, crashingParts, eventsBeforeCrash, softwareVersions, eventGapMs, routeTimes, loadManagement, clock, endpointPaths}: WorldParts): Promise<World> {
+export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, crashingParts, eventsBeforeCrash, softwareVersions, eventGapMs, routeTimes, streamAttempts, loadManagement, clock, endpointPaths}: WorldParts): Promise<World> {
 	const log: ReplicaLog = {
 		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
 	};
@@ -292,7 +296,7 @@
 		store.put(`servers/${replica.id}`, makeEntry(replica, state));
 	};
 
-	store.put('op/config', makeConfig(1, tenants, [], routeTimes));
+	store.put('op/config', makeConfig(1, tenants, [], routeTimes, {}, streamAttempts === undefined ? {} : {streamAttempts}));
 	for (const replica of replicas) {
 		publish(replica, 'ready');
 	}
