Reservations: one that no run begins with gives its permit back, and peers are not told of it early

Callers of rate-limited endpoints were limited by permits that nobody used, and other hosts counted memory as used that was free again.

Cause: a permit that was acquired with a reservation, or by a send whose connection failed, was not returned when nothing was sent. The reservation for a run that is to replace a silent one was announced to the peers, and counted as served in the shares of workspaces, as soon as it was granted; mostly the silent run goes on and the reservation is given up, which peers cannot be told.

A search announces its reservation right before its run is written. The replica itself refuses what does not fit meanwhile. Safety: a permit is returned only if no byte was written for it, and still has to be used within its own lifetime.

Ruled out: retracting announcements of ordinary reservations. Where load is managed, the next report replaces them; elsewhere they expire.

--- a/packages/relay/src/upstream/rate-limiter.ts
+++ b/packages/relay/src/upstream/rate-limiter.ts
@@ -116,7 +116,7 @@
 	/** Returns an unused permit. */
 	returnPermit(endpoint: string, permit: Permit): void {
 		if (permit !== unlimitedPermit) {
-			this.#stateOf(endpoint).permits.putBack(permit);
+			this.#states.get(endpoint)?.permits.putBack(permit);
 		}
 	}
 
--- a/packages/relay/src/upstream/sender.ts
+++ b/packages/relay/src/upstream/sender.ts
@@ -60,7 +60,7 @@
 	readonly signal: AbortSignal;
 	/** Called right before the first byte is written. */
 	readonly onWrite?: () => void;
-	/** A permit that the request already has for a rate-limited endpoint. */
+	/** A permit that the request already has for a rate-limited endpoint; returned to the limiter if nothing is sent. */
 	readonly permit?: Permit | undefined;
 	/** Longest wait for a permit, in milliseconds; absent: no wait. */
 	readonly permitMs?: number;
@@ -122,11 +122,13 @@
 		const {job, step, endpoint, signal, headMs, tokens} = send;
 		const {clock, settings, metrics} = this.#context;
 		if (!this.#crashGuard.maySend(job)) {
+			this.#returnPermit(endpoint, send.permit);
 			return {kind: 'notRun', reason: 'held', status: 0};
 		}
 
 		const permit = await this.#getPermit(send);
 		if (permit === undefined || signal.aborted) {
+			this.#returnPermit(endpoint, permit);
 			metrics.add('sends', {step, outcome: 'limited'});
 			return {kind: 'notRun', reason: 'limited', status: 0};
 		}
@@ -176,6 +178,10 @@
 			return sent;
 		} catch (error) {
 			const sent = this.#classifyFailure(send, error, progress);
+			if (progress.writtenAt === undefined) {
+				this.#returnPermit(endpoint, permit);
+			}
+
 			finish();
 			metrics.add('sends', {step, outcome: sent.reason});
 			return sent;
@@ -192,6 +198,13 @@
 		return answer.kind === 'granted' ? answer.permit : undefined;
 	}
 
+	/** Returns a permit that was not used. */
+	#returnPermit({id}: Endpoint, permit: Permit | undefined): void {
+		if (permit !== undefined) {
+			this.#limiter.returnPermit(id, permit);
+		}
+	}
+
 	/** Called once the connection is established; after it returns true the request may run. */
 	#maySend({job, step, endpoint}: Send): boolean {
 		const {metrics} = this.#context;
--- a/packages/relay/src/work/admission.ts
+++ b/packages/relay/src/work/admission.ts
@@ -11,7 +11,9 @@
 import {type ServiceState, type WaitingState} from '@gatehead/schema/relay-status';
 import {defaultRetryAfterMs} from './generation-failure.js';
 import {timeLeft} from './job.js';
-import {ReplicaSearch, type Reservation, type ReservationRequest} from './replica-search.js';
+import {
+	giveUpReservation, ReplicaSearch, type Reservation, type ReservationRequest,
+} from './replica-search.js';
 import {
 	pollIntervalMs, ServiceQueue, type AdmissionResult, type AdmissionParts,
 } from './service-queue.js';
@@ -108,6 +110,11 @@
 		return this.#queueOf(request.job.service.name).reserveAhead(request);
 	}
 
+	/** Gives back a reservation that no run was begun with. */
+	giveUp(reservation: Reservation): void {
+		giveUpReservation(this.#parts, reservation);
+	}
+
 	/** Records how long a completed request held its memory, in milliseconds; feeds the release rate. */
 	recordHold(service: string, tokens: number, heldMs: number): void {
 		this.#queueOf(service).recordHold(tokens, heldMs);
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -208,6 +208,7 @@
 		}
 
 		if (reservation !== undefined) {
+			reservation.announce?.();
 			this.#state.forecast.begin(reservation);
 			this.#state.reservedAt = reservation.expiresAt - this.#state.engine.reservationMs;
 		}
@@ -309,7 +310,7 @@
 	async #runAt(round: Round, reservation: Reservation): Promise<RoundResult> {
 		const release = (refuse: () => JobEnd, prefilled?: PrefillResult): Extract<RoundResult, {kind: 'notBegun'}> => {
 			this.#prefill.release(prefilled);
-			this.#parts.ownCalls.cancelReservation(reservation.endpoint, reservation.name);
+			this.#parts.admission.giveUp(reservation);
 			return {kind: 'notBegun', refuse};
 		};
 
--- a/packages/relay/src/work/replica-search.ts
+++ b/packages/relay/src/work/replica-search.ts
@@ -35,8 +35,19 @@
 	readonly stream?: OwnStream | undefined;
 	/** Permit to send the request, if the replica is rate-limited. */
 	readonly permit?: Permit;
+	/** Tells the peers of a reservation that may be given up; called when a run begins with it. Undefined: they know of it. */
+	readonly announce?: (() => void) | undefined;
 };
 
+/** Gives back the memory and the permit of a reservation that no run was begun with. */
+export function giveUpReservation({calls, limiter}: {readonly calls: Pick<ControlCalls, 'cancelReservation'>; readonly limiter: Pick<RateLimiter, 'returnPermit'>}, {endpoint, name, stream, permit}: Reservation): void {
+	stream?.end();
+	calls.cancelReservation(endpoint, name);
+	if (permit !== undefined) {
+		limiter.returnPermit(endpoint.id, permit);
+	}
+}
+
 /** What a request needs from a replica. */
 export type ReservationRequest = {
 	readonly job: Job;
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -22,7 +22,9 @@
 import {defaultRetryAfterMs, outlastingStream} from './generation-failure.js';
 import {timeLeft} from './job.js';
 import {countWaiting} from './service-views.js';
-import {type Reservation, type ReplicaSearch, type ReservationRequest} from './replica-search.js';
+import {
+	giveUpReservation, type Reservation, type ReplicaSearch, type ReservationRequest,
+} from './replica-search.js';
 
 /** Mean interval between polls of the replicas while requests wait, in milliseconds. A replica frees capacity for one request about three times a second, so capacity stays unused for half the interval on average. */
 export const pollIntervalMs = 60;
@@ -154,14 +156,19 @@
 		return reservation;
 	}
 
-	/** Reserves at once, ahead of the requests that wait, for one that is still running at a replica; undefined if no other one has room. */
+	/** Reserves at once, ahead of the requests that wait, for one that is still running at a replica; undefined if no other one has room. Peers are told once a run begins, as they cannot be told that a reservation was given up. */
 	async reserveAhead(request: ReservationRequest): Promise<Reservation | undefined> {
 		const reservation = await this.#search.find(request);
-		if (reservation !== undefined) {
-			this.#recordGrant(request, reservation, 0);
+		if (reservation === undefined) {
+			return undefined;
 		}
 
-		return reservation;
+		this.#recordReservation(request, reservation, 0);
+		return {
+			...reservation, announce: () => {
+				this.#announceGrant(request, reservation);
+			},
+		};
 	}
 
 	/** Queues the request until memory is reserved, the request is refused or its signal aborts. */
@@ -294,8 +301,7 @@
 			this.#recordGrant(waiter.request, reservation, this.#parts.context.clock.now() - waiter.since);
 			waiter.resolve({kind: 'granted', reservation});
 		} else {
-			reservation.stream?.end();
-			this.#parts.calls.cancelReservation(reservation.endpoint, reservation.name);
+			giveUpReservation(this.#parts, reservation);
 		}
 
 		return true;
@@ -428,16 +434,25 @@
 		return job.isCallerRetry && !isOff(context, 'secondTries') ? 'returned' : 'first';
 	}
 
-	#recordGrant(request: ReservationRequest, {endpoint, tokens}: Reservation, waitedMs: number): void {
-		const {endpoints, news, routing, context: {log, clock}} = this.#parts;
-		const {job, capacityTokens} = request;
-		this.rate.setCapacity(capacityTokens);
+	#recordGrant(request: ReservationRequest, reservation: Reservation, waitedMs: number): void {
+		this.#recordReservation(request, reservation, waitedMs);
+		this.#announceGrant(request, reservation);
+	}
+
+	/** Counts a request as served and tells the peers of the memory that it takes. */
+	#announceGrant(request: ReservationRequest, {endpoint, tokens}: Reservation): void {
+		const {endpoints, news, routing, context: {clock}} = this.#parts;
 		if (routing.isLoadManaged) {
 			this.#load.recordServed(this.#describeRequest(request), clock.now());
 		}
 
-		endpoints.recordMemoryInUse(endpoint.id, tokens, startDelayMs);
 		news.announceReservation(endpoint.id, tokens, startDelayMs + (this.rate.holdMs * endpoints.managed.holdFactorOf(endpoint.id)));
+	}
+
+	#recordReservation({job, capacityTokens}: ReservationRequest, {endpoint, tokens}: Reservation, waitedMs: number): void {
+		const {endpoints, context: {log}} = this.#parts;
+		this.rate.setCapacity(capacityTokens);
+		endpoints.recordMemoryInUse(endpoint.id, tokens, startDelayMs);
 		log('reserved', {
 			request: job.id, endpoint: endpoint.id, softwareVersion: endpoint.softwareVersion, tokens, waitedMs: Math.round(waitedMs), waiting: this.size,
 		});
--- a/packages/standin/src/wire/scripted-endpoint.ts
+++ b/packages/standin/src/wire/scripted-endpoint.ts
@@ -24,6 +24,8 @@
 	readonly address: string;
 	/** Connections that are open. */
 	readonly sockets: ReadonlySet<Socket>;
+	/** Refuses new connections from now on. */
+	refuse(): void;
 	stop(): void;
 };
 
@@ -91,6 +93,9 @@
 	return {
 		address: `${ownAddress}:${port}`,
 		sockets,
+		refuse() {
+			server.close();
+		},
 		stop() {
 			for (const socket of sockets) {
 				socket.destroy();
