Fix: held-back streams that end without budget or for held content get their error

Callers that speak HTTP/1.0 saw their connection closed where the retry budget was spent or the content of their stream was held. Cause: as for other ends, a held-back response counted as begun. Change: these two ends ask whether a part was sent. A stream still goes on at another endpoint first.

--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -365,7 +365,7 @@
 	/** Ends a job that may not be sent again because the retry budget is spent. */
 	#refuseUnpaid(): JobEnd {
 		const detail = 'no retry budget left';
-		return this.#job.reply.headersSent
+		return this.#job.reply.isPartlySent
 			? {...failJob(this.#job, this.#state.source ?? {id: ''}, detail), blockedBy: 'budget'}
 			: refuseJob(this.#job, {code: 'overloaded', retryAfterMs: defaultRetryAfterMs, detail});
 	}
@@ -469,7 +469,7 @@
 	#refuseHeldContent(endpoint: Endpoint): JobEnd {
 		const job = this.#job;
 		const hold = this.#parts.guard.findHold(job);
-		return job.reply.headersSent
+		return job.reply.isPartlySent
 			? failJob(job, endpoint, 'content held')
 			: refuseJob(job, {code: 'contentHeld', retryAfterMs: hold?.leftMs ?? defaultRetryAfterMs, detail: hold === undefined ? 'held until just now' : describeHold(hold)}, endpoint);
 	}
