Lookups of resumed streams: a host that was late itself does not take its peers for silent

Callers saw: where all hosts had been restarted and shared a busy processor, every resumed stream was refused as unknown (503, Retry-After 0.3 s) until its deadline, though engines of its version still served.

Cause: traced in the hosts' lines with 20 hosts in one process (load 14): the survey was complete and the traces were held, but each lookup ended with 'asked 19, silent 19' after 1.1 to 1.9 s, where its timeouts are 0.15, 0.25 and 0.5 s. The timers fired late, before the replies that had arrived meanwhile were read, so all peers counted as silent; the next attempt asked all of them again.

Questions about records and traces now use the timeout of exchanges with endpoints, which is extended once if its timer fires late. A process that is on time waits as long as before.

Evidence: peer-requests.test.ts, 2 of 7 cases fail with fixed timeouts.

Ruled out: an incomplete survey (all engines had answered 1 to 3 s before the lookups), lost traces (the first lookups whose replies came in time found them). Requests for rates, quotas and retries keep fixed timeouts.

--- a/packages/relay/src/peer/stream-registry.ts
+++ b/packages/relay/src/peer/stream-registry.ts
@@ -76,7 +76,7 @@
 			},
 		});
 		this.#acknowledgements = new PeerRequests(clock);
-		this.#questions = new PeerRequests(clock);
+		this.#questions = new PeerRequests(clock, {extendsLateTimeouts: true});
 	}
 
 	/** Number of records held here. */
--- a/packages/relay/src/peer/trace-registry.ts
+++ b/packages/relay/src/peer/trace-registry.ts
@@ -54,7 +54,7 @@
 	constructor(parts: TraceRegistryParts) {
 		const {clock, self} = parts.context;
 		this.#parts = parts;
-		this.#questions = new PeerRequests(clock);
+		this.#questions = new PeerRequests(clock, {extendsLateTimeouts: true});
 		this.#holders = new RecordHolders({
 			clock, self: self.host, resend: (host, keys) => {
 				const now = clock.now();
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -15,6 +15,7 @@
 import {type Clock, type Timer} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {readBytes} from '../utils/read-bytes.js';
+import {startTimeout} from '../utils/start-timeout.js';
 import {
 	hasCarried, preventReuse, recordRequest, type ConnectionPool,
 } from './connection-pool.js';
@@ -47,30 +48,6 @@
 	}
 }
 
-/** Lateness of a timer above which this process, not the endpoint, may have been slow, in milliseconds; several event-loop turns of a busy host. */
-const lateTimerMs = 20;
-
-/** Largest extension of a timeout whose timer was less late than that, in milliseconds. */
-const maxExtensionMs = 500;
-
-/** Calls back after a timeout. One whose timer fires late is extended once: what arrived meanwhile has not been read, and the request may have been written late, too. */
-function startTimeout(clock: Clock, ms: number, onTimeout: () => void, isExtension = false): Timer {
-	const dueAt = clock.now() + ms;
-	let timer: Timer = clock.after(ms, () => {
-		const lateMs = clock.now() - dueAt;
-		if (lateMs < lateTimerMs || isExtension) {
-			onTimeout();
-		} else {
-			timer = startTimeout(clock, Math.max(lateMs, Math.min(ms, maxExtensionMs)), onTimeout, true);
-		}
-	});
-	return {
-		stop() {
-			timer.stop();
-		},
-	};
-}
-
 /** Timeouts, cancellation and verification of an exchange. */
 export type ExchangeOptions<Facts> = {
 	readonly clock: Clock;
