Survey of engines: one that has ended, or shares its address, no longer holds up streams of other versions

Callers saw: after a restart of all hosts, one engine that had crashed, whose address another process had taken (421), or whose address an entry of another service names kept every stream of the other versions refused (503, Retry-After 0.3 s) until the survey was over, 10 s later.

Cause: all failed lists were alike. An engine was asked twice, one time right after the other, never again, and yet lookups waited for it as for one that is silent. An engine that shares its address was not asked before the other entry had expired, which a foreign entry need not do.

- A list is listed, gone (connection refused, or 421), rejected or unanswered.
An engine that is gone twice, 250 ms apart, at the same address counts as one that has answered: its memory went with its process, as that of an engine which has restarted and lists nothing.
- One that rejects lists is asked four times over 1.75 s in place of twice at once, and still waited for.
- Where entries of other versions name an engine's address, the process there is asked whether it is one of them.
If it states for each of them that it is not, the engine is asked; otherwise again after 1 s.

Ruled out: taking a silent engine for one that is gone; it may hold up its reply, and a reset or a timeout says nothing of its memory.

--- a/packages/relay/src/peer/trace-registry.test.ts
+++ b/packages/relay/src/peer/trace-registry.test.ts
@@ -540,15 +540,18 @@
 					listRuns: async ({id}) => {
 						this.askedBy.set(id, [...this.askedBy.get(id) ?? [], host.name]);
 						await this.#reply();
-						return Array.from({length: engineRuns}, (_, index) => ({requestId: `${id}-run-${index}`, events: 40}));
+						return {kind: 'listed', items: Array.from({length: engineRuns}, (_, index) => ({requestId: `${id}-run-${index}`, events: 40}))};
 					},
 					listCachedParts: async ({id}) => {
 						await this.#reply();
-						return [
-							...Array.from({length: ownParts}, (_, index) => ({id: `${id}-part-${index}`, tokens: 400})),
-							...Array.from({length: sharedParts}, (_, index) => ({id: `shared-${index}`, tokens: 2000})),
-						];
+						return {
+							kind: 'listed', items: [
+								...Array.from({length: ownParts}, (_, index) => ({id: `${id}-part-${index}`, tokens: 400})),
+								...Array.from({length: sharedParts}, (_, index) => ({id: `shared-${index}`, tokens: 2000})),
+							],
+						};
 					},
+					isReplaced: async () => false,
 				},
 				isAsker: id => host.known.length === 1 || shares.get(id)?.has(host.name) === true,
 				onProgress: ignore,
--- a/packages/relay/src/upstream/control-calls.ts
+++ b/packages/relay/src/upstream/control-calls.ts
@@ -39,9 +39,20 @@
 		| {readonly kind: 'full'}
 		| {readonly kind: 'failed'; readonly reason: string};
 
+/**
+ * Reply of an engine that was asked for a list. `gone`: the process that the
+ * entry names has ended, with all that it held. `rejected`: it replied without
+ * a list. `unanswered`: nothing is known of it.
+ */
+export type EngineList<Item>
+	= | {readonly kind: 'listed'; readonly items: Item[]}
+		| {readonly kind: 'gone' | 'rejected' | 'unanswered'};
+
 /** Response to a control call, and its connection. */
 type CallResult = {
 	readonly status: number;
+	/** Whether the address now belongs to another endpoint. */
+	readonly isAddressReassigned: boolean;
 	readonly body: string;
 	readonly socket: Duplex;
 };
@@ -122,30 +133,54 @@
 		}
 	}
 
-	/** Lists the runs in progress at an engine; undefined if it does not say. */
-	async listRuns(endpoint: Endpoint): Promise<EngineRun[] | undefined> {
+	/** Lists the runs in progress at an engine. */
+	async listRuns(endpoint: Endpoint): Promise<EngineList<EngineRun>> {
 		const {dialect} = this.#context;
 		return this.#list(endpoint, dialect.listRuns(endpoint), body => dialect.readRuns(body));
 	}
 
-	/** Lists the prompt parts in an engine's cache; undefined if it does not say. */
-	async listCachedParts(endpoint: Endpoint): Promise<PromptPart[] | undefined> {
+	/** Lists the prompt parts in an engine's cache. */
+	async listCachedParts(endpoint: Endpoint): Promise<EngineList<PromptPart>> {
 		const {dialect} = this.#context;
 		return this.#list(endpoint, dialect.listCachedParts(endpoint), body => dialect.readCachedParts(body));
 	}
 
-	async #list<Item>(endpoint: Endpoint, call: EndpointCall, read: (body: string) => Item[] | undefined): Promise<Item[] | undefined> {
+	/** Whether another process at the endpoint's address states that it is not this endpoint. */
+	async isReplaced(endpoint: Endpoint): Promise<boolean> {
 		try {
-			const {status, body} = await this.#call(endpoint, call, listTimeoutMs, createUnusedSignal(), {maxBytes: maxListBytes});
-			return status === okStatus ? read(body) : undefined;
+			const {isAddressReassigned} = await this.#callForList(endpoint, this.#context.dialect.listRuns(endpoint));
+			return isAddressReassigned;
 		} catch (error) {
-			this.#context.log('sendFailed', {
-				step: 'list', endpoint: endpoint.id, outcome: 'failed', reason: error instanceof ExchangeError ? error.fault : 'reset', detail: String(error),
-			});
-			return undefined;
+			this.#logFailedList(endpoint, error);
+			return false;
+		}
+	}
+
+	async #list<Item>(endpoint: Endpoint, call: EndpointCall, read: (body: string) => Item[] | undefined): Promise<EngineList<Item>> {
+		try {
+			const {status, body, isAddressReassigned} = await this.#callForList(endpoint, call);
+			if (isAddressReassigned) {
+				return {kind: 'gone'};
+			}
+
+			const items = status === okStatus ? read(body) : undefined;
+			return items === undefined ? {kind: 'rejected'} : {kind: 'listed', items};
+		} catch (error) {
+			this.#logFailedList(endpoint, error);
+			return {kind: error instanceof ExchangeError && error.isRefused ? 'gone' : 'unanswered'};
 		}
 	}
 
+	async #callForList(endpoint: Endpoint, call: EndpointCall): Promise<CallResult> {
+		return this.#call(endpoint, call, listTimeoutMs, createUnusedSignal(), {maxBytes: maxListBytes});
+	}
+
+	#logFailedList({id}: Endpoint, error: unknown): void {
+		this.#context.log('sendFailed', {
+			step: 'list', endpoint: id, outcome: 'failed', reason: error instanceof ExchangeError ? error.fault : 'reset', detail: String(error),
+		});
+	}
+
 	async #cleanUp(endpoint: Endpoint, call: EndpointCall, what: string): Promise<void> {
 		let outcome = 'freed';
 		try {
@@ -188,6 +223,9 @@
 		}
 
 		const {socket} = response;
-		return {status, socket, body: new TextDecoder().decode(await readBody(response, clock, {maxBytes, timeoutMs}))};
+		const content = await readBody(response, clock, {maxBytes, timeoutMs});
+		return {
+			status, isAddressReassigned: facts.isAddressReassigned, socket, body: new TextDecoder().decode(content),
+		};
 	}
 }
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -46,6 +46,11 @@
 		this.mayHaveBeenSent = mayHaveBeenSent;
 		this.isLinkFailure = isLinkFailure;
 	}
+
+	/** Whether nothing listens at the address. */
+	get isRefused(): boolean {
+		return this.isLinkFailure && this.cause instanceof Error && 'code' in this.cause && this.cause.code === 'ECONNREFUSED';
+	}
 }
 
 /** Timeouts, cancellation and verification of an exchange. */
--- a/packages/relay/src/upstream/run-survey.test.ts
+++ b/packages/relay/src/upstream/run-survey.test.ts
@@ -9,12 +9,13 @@
 import {expect} from 'earl';
 import {type EngineRun, type PromptPart} from '../core/dialect.js';
 import {Metrics} from '../utils/metrics.js';
+import {type EngineList} from './control-calls.js';
 import {RunSurvey, toTraceKey} from './run-survey.js';
 
 /** Bounds of a host's survey. */
 const maxEngines = 64;
 const maxConcurrent = 16;
-const maxAttempts = 2;
+const maxAttempts = {gone: 2, rejected: 4, unanswered: 2};
 const maxWaitMs = 400;
 /** Time after which a survey starts no calls, in milliseconds. */
 const endMs = 12_000;
@@ -29,16 +30,17 @@
 	return Array.from({length: count}, (_, index) => makeEngine(`e${index}`));
 }
 
-/** Reply of an engine; undefined lists: it did not reply. */
 type EngineReply = {
-	readonly runs: EngineRun[] | undefined;
-	readonly parts: PromptPart[] | undefined;
+	readonly runs: EngineList<EngineRun>;
+	readonly parts: EngineList<PromptPart>;
 };
 
-const silent: EngineReply = {runs: undefined, parts: undefined};
+const silent: EngineReply = {runs: {kind: 'unanswered'}, parts: {kind: 'unanswered'}};
+const rejecting: EngineReply = {runs: {kind: 'rejected'}, parts: {kind: 'rejected'}};
+const ended: EngineReply = {runs: {kind: 'gone'}, parts: {kind: 'gone'}};
 
 function replyOf(id: string): EngineReply {
-	return {runs: [{requestId: `run-${id}`, events: 7}], parts: [{id: `part-${id}`, tokens: 120}]};
+	return {runs: {kind: 'listed', items: [{requestId: `run-${id}`, events: 7}]}, parts: {kind: 'listed', items: [{id: `part-${id}`, tokens: 120}]}};
 }
 
 class SurveyedFleet {
@@ -56,6 +58,8 @@
 	/** Time of the last membership change. */
 	membersChangedAt = 0;
 	isAsker: (id: string) => boolean;
+	/** Entries whose addresses have processes that state that they are others. */
+	replaced: readonly string[] = [];
 	/** Reply to the nth question to an engine, from 1. */
 	reply: (id: string, attempt: number) => EngineReply;
 	readonly #book = new EndpointBook();
@@ -82,6 +86,10 @@
 					await this.#pass();
 					return this.reply(id, attempt).parts;
 				},
+				isReplaced: async ({id}) => {
+					await this.#pass();
+					return this.replaced.includes(id);
+				},
 			},
 			host: 'host-0',
 			membersChangedAt: () => this.membersChangedAt,
@@ -205,14 +213,48 @@
 		name: 'an engine that never replies', set(fleet) {
 			fleet.list(makeEngines(2));
 			fleet.reply = id => id === 'e1' ? silent : replyOf(id);
-		}, asked: {e0: 1, e1: maxAttempts}, traced: ['e0'], isComplete: true,
+		}, asked: {e0: 1, e1: maxAttempts.unanswered}, traced: ['e0'], isComplete: true,
 	},
 	{
 		name: 'an engine that lists its runs only, then both', set(fleet) {
 			fleet.list(makeEngines(1));
-			fleet.reply = (id, attempt) => attempt === 1 ? {...replyOf(id), parts: undefined} : replyOf(id);
+			fleet.reply = (id, attempt) => attempt === 1 ? {...replyOf(id), parts: {kind: 'unanswered'}} : replyOf(id);
 		}, asked: {e0: 2}, traced: ['e0'], isComplete: true,
 	},
+	{
+		name: 'an engine that rejects lists for a moment', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = (id, attempt) => id === 'e1' && attempt < maxAttempts.rejected ? rejecting : replyOf(id);
+		}, asked: {e0: 1, e1: maxAttempts.rejected}, traced: ['e0', 'e1'], isComplete: true,
+	},
+	{
+		name: 'an engine that rejects lists', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = id => id === 'e1' ? rejecting : replyOf(id);
+		}, asked: {e0: 1, e1: maxAttempts.rejected}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that has ended', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = id => id === 'e1' ? ended : replyOf(id);
+		}, asked: {e0: 1, e1: maxAttempts.gone}, traced: ['e0'], isComplete: true,
+	},
+	{
+		name: 'an engine that has ended, then another process of it', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = (id, attempt) => id === 'e1' && attempt === 1 ? ended : replyOf(id);
+		}, asked: {e0: 1, e1: 2}, traced: ['e0', 'e1'], isComplete: true,
+	},
+	{
+		name: 'an engine whose entry names an earlier address', set(fleet) {
+			fleet.list(makeEngines(2));
+			fleet.reply = (id, attempt) => id === 'e1' && attempt <= maxAttempts.gone ? ended : replyOf(id);
+		}, change: {
+			atMs: 2000, run(fleet) {
+				fleet.list([makeEngine('e0'), makeEngine('e1', {address: 'later:1'})]);
+			},
+		}, asked: {e0: 1, e1: maxAttempts.gone + 1}, traced: ['e0', 'e1'], isComplete: true,
+	},
 	{
 		name: 'an entry that changes its version during the question', set(fleet) {
 			fleet.list(makeEngines(2));
@@ -238,6 +280,18 @@
 			fleet.list([makeEngine('e0'), makeEngine('e1', {address: 'shared:1'}), makeEngine('p', {address: 'shared:1', stage: 'prefill', softwareVersion: 'v2'})]);
 		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
 	},
+	{
+		name: 'an address that entries of two versions name, where the process states that it is not one of them', set(fleet) {
+			fleet.list([makeEngine('e0'), makeEngine('e1', {address: 'shared:1'}), makeEngine('p', {address: 'shared:1', stage: 'prefill', softwareVersion: 'v2'})]);
+			fleet.replaced = ['p'];
+		}, asked: {e0: 1, e1: 1}, traced: ['e0', 'e1'], isComplete: true,
+	},
+	{
+		name: 'an address that entries of three versions name, where the process states that it is not one of them', set(fleet) {
+			fleet.list([makeEngine('e0'), ...['v1', 'v2', 'v3'].map(softwareVersion => makeEngine(`shared-${softwareVersion}`, {address: 'shared:1', softwareVersion}))]);
+			fleet.replaced = ['shared-v2'];
+		}, asked: {e0: 1}, traced: ['e0'], isComplete: true,
+	},
 	{
 		name: 'an address that entries of two versions name, until one expires', set(fleet) {
 			fleet.list([makeEngine('e0', {address: 'shared:1'}), makeEngine('e1', {address: 'shared:1', softwareVersion: 'v2'})]);
@@ -330,6 +384,25 @@
 	},
 ];
 
+/** Time after which all engines have been asked for the last time, in milliseconds. */
+const beforeEndMs = 3000;
+
+type EndCase = {
+	readonly name: string;
+	readonly reply: EngineReply;
+	/** Whether more may be learned from the engine until the survey is over. */
+	readonly isUnheard: boolean;
+};
+
+const endCases: readonly EndCase[] = [
+	{name: 'an engine that has ended', reply: ended, isUnheard: false},
+	{name: 'an engine that rejects lists', reply: rejecting, isUnheard: true},
+	{name: 'an engine that rejects one of its lists', reply: {...replyOf('e1'), parts: {kind: 'rejected'}}, isUnheard: true},
+	{name: 'an engine that is silent', reply: silent, isUnheard: true},
+	{name: 'an engine that rejects one list and does not answer the other', reply: {...rejecting, runs: {kind: 'unanswered'}}, isUnheard: true},
+	{name: 'an engine that has ended by one list and does not answer the other', reply: {...ended, parts: {kind: 'unanswered'}}, isUnheard: true},
+];
+
 type BoundCase = {
 	readonly name: string;
 	readonly engines: number;
@@ -449,6 +522,20 @@
 		expect(fleet.survey.listUnheard()).toEqual([]);
 	});
 
+	for (const {name, reply, isUnheard} of endCases) {
+		it(`what is waited for: ${name}`, async () => {
+			const fleet = new SurveyedFleet();
+			fleet.list([makeEngine('e0'), makeEngine('e1', {softwareVersion: 'v2'})]);
+			fleet.reply = id => id === 'e1' ? reply : replyOf(id);
+			fleet.survey.start();
+			await fleet.run(beforeEndMs);
+			expect(fleet.survey.listUnheard()).toEqual(isUnheard ? [{service: 'model', softwareVersion: 'v2'}] : []);
+			expect(fleet.progress).toEqual(isUnheard ? [] : [false]);
+			const {isComplete} = await fleet.await();
+			expect(isComplete).toEqual(!isUnheard);
+		});
+	}
+
 	it('a stopped survey asks nobody', async () => {
 		const fleet = new SurveyedFleet();
 		fleet.list(makeEngines(2));
--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -3,7 +3,9 @@
  * hosts may have been restarted at once, and new requests soon displace what
  * engines have cached. A few hosts ask each engine, whatever the size of the
  * fleet. Safety: what an engine says counts for the software version of its
- * entry only if no entry of another version names its address, before and after.
+ * entry only if no entry of another version names its address, before and after,
+ * or the process there states that it is not the one of that entry. An engine
+ * that has ended has lost what it held, as one that answers without a trace.
  */
 import {type PastEndpoints} from '@gatehead/policy/relay/past-endpoints';
 import {type RunTrace} from '@gatehead/policy/relay/run-traces';
@@ -13,9 +15,15 @@
 import {hashText} from '@gatehead/schema/hash-text';
 import {versionOf, type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
-import {type ControlCalls} from './control-calls.js';
+import {type ControlCalls, type EngineList} from './control-calls.js';
 import {type Endpoints} from './endpoints.js';
 
+/** When to ask an engine again at its address, in milliseconds of this host's clock. */
+type NextAttempt = {
+	readonly address: string;
+	readonly dueAt: number;
+};
+
 /** Length of a trace's key, in hexadecimal digits. */
 const keyLength = 32;
 /** Time for which traces are kept, in milliseconds: callers resume soon after a restart, if at all. */
@@ -34,8 +42,18 @@
 const foundMs = 500;
 /** Maximum engines asked at a time. */
 const maxConcurrent = 16;
-/** Maximum attempts to ask an engine. */
-const maxAttempts = 2;
+
+/** Outcome of a question to an engine. */
+type Outcome = EngineList<unknown>['kind'];
+
+/** Delays before an engine is asked again, by how many times it has been asked, in milliseconds. One that rejects lists may be overloaded for a moment; one that has ended may have been replaced. */
+const retryDelaysMs: Readonly<Record<Exclude<Outcome, 'listed'>, readonly number[]>> = {gone: [250], rejected: [250, 500, 1000], unanswered: [0]};
+/** Outcomes after which nothing more is expected of an engine once it is not asked again. */
+const finalOutcomes: ReadonlySet<Outcome> = new Set(['gone']);
+/** Outcomes of the two lists of an engine, the one that counts for both first. */
+const outcomesByWeight = ['unanswered', 'rejected', 'gone', 'listed'] as const;
+/** Time until an engine is asked again whose address an entry of another version may have taken, in milliseconds. */
+const contestedDelayMs = 1000;
 
 /** What a trace is about: the run of an attempt, or the last part of a prompt. */
 export type TraceSubject = 'run' | 'part';
@@ -48,7 +66,7 @@
 export type RunSurveyParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics'>;
 	readonly endpoints: Pick<Endpoints, 'book' | 'release'>;
-	readonly calls: Pick<ControlCalls, 'listRuns' | 'listCachedParts'>;
+	readonly calls: Pick<ControlCalls, 'listRuns' | 'listCachedParts' | 'isReplaced'>;
 	/** Name of this host. */
 	readonly host: string;
 	/** Whether this host is one of those that ask an engine. */
@@ -67,6 +85,12 @@
 	readonly #attempts = new Map<string, number>();
 	/** Engines that have answered while their lists could be attributed. */
 	readonly #heard = new Set<string>();
+	/** Addresses of engines of which nothing more is expected there. */
+	readonly #settled = new Map<string, string>();
+	/** Next attempts, by engine. */
+	readonly #next = new Map<string, NextAttempt>();
+	/** Time of the next attempt to tell an engine from the other entries at its address. */
+	readonly #contestedUntil = new Map<string, number>();
 	readonly #waiting = new Set<() => void>();
 	readonly #inFlight = new Set<string>();
 	/** Engines whose entries had several versions. */
@@ -119,7 +143,7 @@
 			return undefined;
 		}
 
-		const engines = [...this.#listEngines(), ...this.#listDeparted()].filter(({id}) => !this.#isHeard(id) && this.#parts.isAsker(id));
+		const engines = [...this.#listEngines(), ...this.#listDeparted()].filter(engine => !this.#isHeard(engine) && this.#parts.isAsker(engine.id));
 		const origins = new Map(engines.map(engine => [describeVersion(engine), {service: engine.service, softwareVersion: versionOf(engine)}]));
 		return [...origins.values()];
 	}
@@ -179,11 +203,10 @@
 	}
 
 	#askEngines(): void {
-		const due = this.#listEngines().filter(({id}) => this.#isDue(id) && this.#parts.isAsker(id));
+		const due = this.#listEngines().filter(engine => this.#isDue(engine) && this.#parts.isAsker(engine.id));
 		const left = this.#listDeparted().filter(({id}) => !this.#attempts.has(id) && this.#parts.isAsker(id));
-		// An engine that shares its address is asked once the other entry has expired
 		const versions = due.length + left.length === 0 ? new Map<string, Set<string>>() : this.#mapVersions();
-		const share = due.filter(engine => this.#isAttributable(engine, versions));
+		const share = due.filter(engine => this.#isAttributable(engine, versions) || this.#mayContest(engine));
 		const departed = left.filter(engine => this.#isAttributable(engine, versions));
 		for (const engine of [...this.#chooseNext(share), ...departed].slice(0, maxConcurrent - this.#inFlight.size)) {
 			void this.#ask(engine);
@@ -194,7 +217,7 @@
 
 	/** Tells waiting lookups, and other hosts, how far the survey is; takes whether engines, listed or departed, were to be asked. */
 	#updateProgress({isDue, isDepartedDue}: {readonly isDue: boolean; readonly isDepartedDue: boolean}): void {
-		const isAnswered = this.#listEngines().every(({id}) => this.#isHeard(id) || !this.#parts.isAsker(id));
+		const isAnswered = this.#listEngines().every(engine => this.#isHeard(engine) || !this.#parts.isAsker(engine.id));
 		const isQuiet = this.#inFlight.size === 0 && !isDepartedDue;
 		this.#isComplete = isQuiet && isAnswered;
 		this.#isIdle = this.#isComplete || (isQuiet && !isDue);
@@ -213,13 +236,23 @@
 		}
 	}
 
-	#isDue(id: string): boolean {
-		return !this.#inFlight.has(id) && !this.#heard.has(id) && (this.#attempts.get(id) ?? 0) < maxAttempts;
+	#isDue(engine: Endpoint): boolean {
+		if (this.#inFlight.has(engine.id) || this.#isHeard(engine)) {
+			return false;
+		}
+
+		const {address, dueAt} = this.#next.get(engine.id) ?? {address: engine.address, dueAt: 0};
+		return address !== engine.address || this.#parts.context.clock.now() >= dueAt;
+	}
+
+	/** Whether to ask the process at an engine's address which of its entries it is. */
+	#mayContest({id}: Endpoint): boolean {
+		return !this.#changed.has(id) && this.#parts.context.clock.now() >= (this.#contestedUntil.get(id) ?? 0);
 	}
 
 	/** Whether nothing more can be learned from an engine. */
-	#isHeard(id: string): boolean {
-		return this.#changed.has(id) || this.#heard.has(id);
+	#isHeard({id, address}: Endpoint): boolean {
+		return this.#heard.has(id) || this.#changed.has(id) || this.#settled.get(id) === address;
 	}
 
 	/** Engines of this host's share to ask next. Each host has its own order, so that hosts which do not know each other ask different ones. */
@@ -234,33 +267,61 @@
 	}
 
 	async #ask(engine: Endpoint): Promise<void> {
-		const {calls, context: {log, metrics}, onTraces} = this.#parts;
 		this.#inFlight.add(engine.id);
+		const others = this.#listOthersAt(engine);
+		if (await this.#areReplaced(others)) {
+			await this.#list(engine, new Set(others.map(({id}) => id)));
+		} else {
+			this.#contestedUntil.set(engine.id, this.#parts.context.clock.now() + contestedDelayMs);
+		}
+
+		this.#inFlight.delete(engine.id);
+		this.#parts.endpoints.release(engine.id);
+		if (!this.#isOver) {
+			this.#askEngines();
+		}
+	}
+
+	/** Whether the processes at the addresses of entries state that they are others. */
+	async #areReplaced(entries: readonly Endpoint[]): Promise<boolean> {
+		const replaced = await Promise.all(entries.map(async entry => this.#parts.calls.isReplaced(entry)));
+		return replaced.every(Boolean);
+	}
+
+	/** Asks an engine for its lists; `replaced`: entries at its address that its process is not. */
+	async #list(engine: Endpoint, replaced: ReadonlySet<string>): Promise<void> {
+		const {calls, context: {log, metrics}, onTraces} = this.#parts;
 		this.#attempts.set(engine.id, (this.#attempts.get(engine.id) ?? 0) + 1);
 		const wasKnown = this.#parts.endpoints.book.isKnown(engine.id);
 		const [runs, parts] = await Promise.all([calls.listRuns(engine), calls.listCachedParts(engine)]);
-		const isUsable = this.#isUnchanged(engine, wasKnown);
-		const isAnswered = runs !== undefined && parts !== undefined;
-		if (isUsable && isAnswered) {
-			this.#heard.add(engine.id);
-		}
-
-		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, isAnswered)});
+		const isUsable = this.#isUnchanged(engine, wasKnown, replaced);
+		const outcome = combineOutcomes([runs.kind, parts.kind]);
+		this.#noteOutcome(engine, isUsable ? outcome : 'unanswered', wasKnown);
+		metrics.add('engineSurveys', {outcome: describeOutcome(isUsable, outcome)});
 		log('engineSurveyed', {
-			endpoint: engine.id, service: engine.service, softwareVersion: engine.softwareVersion, runs: runs?.length, parts: parts?.length, isUsable,
+			endpoint: engine.id, service: engine.service, softwareVersion: engine.softwareVersion, outcome, runs: itemsOf(runs)?.length, parts: itemsOf(parts)?.length, isUsable,
 		});
 		if (isUsable) {
 			onTraces([
-				...(runs ?? []).map(({requestId, events}) => this.#makeTrace(engine, 'run', requestId, events)),
-				...(parts ?? []).map(({id, tokens}) => this.#makeTrace(engine, 'part', id, tokens)),
+				...(itemsOf(runs) ?? []).map(({requestId, events}) => this.#makeTrace(engine, 'run', requestId, events)),
+				...(itemsOf(parts) ?? []).map(({id, tokens}) => this.#makeTrace(engine, 'part', id, tokens)),
 			]);
 		}
+	}
 
-		this.#inFlight.delete(engine.id);
-		this.#parts.endpoints.release(engine.id);
-		if (!this.#isOver) {
-			this.#askEngines();
+	/** Plans the next attempt; engines that have left the directory get one. */
+	#noteOutcome(engine: Endpoint, outcome: Outcome, wasKnown: boolean): void {
+		if (outcome === 'listed') {
+			this.#heard.add(engine.id);
+			return;
 		}
+
+		const delayMs = wasKnown ? retryDelaysMs[outcome][(this.#attempts.get(engine.id) ?? 1) - 1] : undefined;
+		if (delayMs === undefined && finalOutcomes.has(outcome)) {
+			this.#settled.set(engine.id, engine.address);
+		}
+
+		this.#next.set(engine.id, {address: engine.address, dueAt: this.#parts.context.clock.now() + (delayMs ?? Number.POSITIVE_INFINITY)});
 	}
 
 	/** Software versions of all entries, by address. */
@@ -280,13 +341,19 @@
 	}
 
 	/** Whether an engine is as it was before it was asked: in the directory or not, and of the same version. */
-	#isUnchanged(engine: Endpoint, wasKnown: boolean): boolean {
+	#isUnchanged(engine: Endpoint, wasKnown: boolean, replaced: ReadonlySet<string>): boolean {
 		const known = this.#parts.endpoints.book.endpointOf(engine.id);
 		if (known !== undefined && describeVersion(known) !== describeVersion(engine)) {
 			this.#changed.add(engine.id);
 		}
 
-		return wasKnown === (known !== undefined) && this.#isAttributable(engine, this.#mapVersions());
+		return wasKnown === (known !== undefined) && !this.#changed.has(engine.id) && this.#listOthersAt(engine).every(({id}) => replaced.has(id));
+	}
+
+	/** Entries of other versions that name an engine's address. */
+	#listOthersAt(engine: Endpoint): Endpoint[] {
+		const entries = this.#parts.endpoints.book.list().map(({endpoint}) => endpoint);
+		return entries.filter(entry => entry.address === engine.address && describeVersion(entry) !== describeVersion(engine));
 	}
 
 	#makeTrace(engine: Endpoint, subject: TraceSubject, id: string, size: number): RunTrace {
@@ -317,10 +384,19 @@
 	return stage === 'decode';
 }
 
-function describeOutcome(isUsable: boolean, isAnswered: boolean): string {
-	if (!isAnswered) {
-		return 'failed';
-	}
+/** The outcome of a question that consists of several lists. */
+function combineOutcomes(outcomes: readonly Outcome[]): Outcome {
+	return outcomesByWeight.find(outcome => outcomes.includes(outcome)) ?? 'unanswered';
+}
+
+function itemsOf<Item>(list: EngineList<Item>): Item[] | undefined {
+	return list.kind === 'listed' ? list.items : undefined;
+}
+
+const outcomeLabels: Readonly<Record<Outcome, string>> = {
+	listed: 'answered', gone: 'gone', rejected: 'rejected', unanswered: 'failed',
+};
 
-	return isUsable ? 'answered' : 'unattributable';
+function describeOutcome(isUsable: boolean, outcome: Outcome): string {
+	return outcome === 'listed' && !isUsable ? 'unattributable' : outcomeLabels[outcome];
 }
