Kept connections: a close that has arrived is read before a request is written

What callers saw: 502 for requests that may not run twice, and a spent attempt for the others, when an endpoint, or the host to which a request is forwarded, had closed the kept connection that the request was given.

Cause: on a host that is short of processor time the close lies unread in the socket while Node's agent takes the connection for an open one. The request was written behind it, and from its first byte on nobody could say whether it ran.

Change: on a kept connection `exchange` waits for two turns of the event loop, in which a close, a reset or surplus bytes are read, before the first byte is written. If the connection fails until then, nothing was sent and the exchange begins again; each such failure takes a closed connection out of the pool, so that the repetition ends. A response that arrives before its request is written is not used. Requests on new connections are written as before.

Ruled out: to conclude afterwards from a reset without a response that the request did not run; an endpoint may crash while it runs. A close that is still on its way when the request is written stays ambiguous.

Not measured: the cost of the two turns for requests on kept connections.

--- a/packages/relay/src/upstream/connection-pool.test.ts
+++ b/packages/relay/src/upstream/connection-pool.test.ts
@@ -4,6 +4,7 @@
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {describe, it} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
@@ -133,3 +134,62 @@
 		});
 	}
 });
+
+/** How an endpoint ends a kept connection right before the next request; the host has not read that. */
+const closes: ReadonlyArray<{readonly name: string; readonly close: (socket: Socket) => void}> = [
+	{
+		name: 'closed', close(socket) {
+			socket.destroy();
+		},
+	},
+	{
+		name: 'reset', close(socket) {
+			socket.resetAndDestroy();
+		},
+	},
+	{
+		name: 'closed behind surplus bytes', close(socket) {
+			socket.write(writeOk('surplus'));
+			socket.destroy();
+		},
+	},
+];
+
+// Guards against requests whose outcome is unknown although their connection was closed before they were written
+describe('a request for which a kept connection is chosen that the endpoint has closed', () => {
+	for (const {name, close} of closes) {
+		it(`is answered on another one where it was ${name}`, async () => {
+			const {server, address, connected} = await listen(socket => {
+				socket.write(writeOk('first'));
+			});
+			const pool = new ConnectionPool(4, ignore);
+			const fetchBody = async (target: string) => {
+				const {response} = await exchange({
+					address, method: 'POST', target, headers: ['Host', address, 'Content-Length', '0'], body: undefined,
+				}, pool, {
+					clock: systemClock, connectMs: 2000, headMs: 2000, signal: new AbortController().signal, verify: () => ({}),
+				});
+				setIdleTimeout(response.socket, 5000);
+				return Buffer.from(await readBody(response, systemClock, {maxBytes: 1000})).toString('utf8');
+			};
+
+			try {
+				const first = await fetchBody('/first');
+				// The connection returns to the pool behind the end of its response
+				while (!pool.hasIdle) {
+					await nextTurn();
+				}
+
+				close(connected[0]!);
+				const later = await fetchBody('/later');
+				expect({first, later, connections: connected.length}).toEqual({first: 'first', later: 'later', connections: 2});
+			} finally {
+				pool.destroy();
+				server.close();
+				for (const socket of connected) {
+					socket.destroy();
+				}
+			}
+		});
+	}
+});
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -9,6 +9,7 @@
 	request as httpRequest, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {receiveHead} from '@gatehead/host/utils/response-head';
 import {splitAddress} from '@gatehead/schema/address';
@@ -84,8 +85,16 @@
 	timer: Timer | undefined;
 	/** Whether a new connection was attempted; false while all connections of the pool are in use. */
 	isConnecting: boolean;
+	/** Whether the request got a connection that had carried others. */
+	isKept: boolean;
+	/** Whether the time for a connection has passed. */
+	isLate: boolean;
+	hasFailed: boolean;
 };
 
+/** Turns of the event loop in which a close that has arrived on a kept connection is read: the turn that is under way may be past its reads. */
+const closeTurns = 2;
+
 /** Writes the request to its established connection. */
 function sendRequest<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): void {
 	if (socket.destroyed || options.signal.aborted || hasCarried(socket, options.requestId) || options.maySend?.(socket) === false) {
@@ -123,6 +132,18 @@
 	});
 }
 
+/** Writes the request to a kept connection, unless the endpoint turns out to have closed it before: on a busy host that may be unread, and whether a request written behind it has run is not known. */
+async function sendOnKept<Facts>(clientRequest: ClientRequest, socket: Socket, outgoing: OutgoingRequest, options: ExchangeOptions<Facts>, state: ExchangeState): Promise<void> {
+	state.isKept = true;
+	for (let turn = 0; turn < closeTurns; turn += 1) {
+		await nextTurn();
+	}
+
+	if (!state.hasFailed) {
+		sendRequest(clientRequest, socket, outgoing, options, state);
+	}
+}
+
 /** Destroys a request. Node reports this only once the request has a connection, for which it may wait as long as the pool's are in use. */
 function destroyRequest(clientRequest: ClientRequest, error: Error): void {
 	const isWaiting = clientRequest.socket === null;
@@ -144,13 +165,14 @@
 	const {ip, port} = splitAddress(outgoing.address);
 	const {clock, signal, requestId} = options;
 	const state: ExchangeState = {
-		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false,
+		mayHaveBeenSent: false, fault: 'connect', timer: undefined, isConnecting: false, isKept: false, isLate: false, hasFailed: false,
 	};
 	connections.closeIdle(socket => requestId !== undefined && hasCarried(socket, requestId));
 	const clientRequest = httpRequest({
 		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
 	});
 	state.timer = startTimeout(clock, options.connectMs, () => {
+		state.isLate = true;
 		destroyRequest(clientRequest, new Error('timed out waiting for a connection'));
 	});
 	const abort = () => {
@@ -166,6 +188,8 @@
 				options.onConnected?.();
 				sendRequest(clientRequest, socket, outgoing, options, state);
 			});
+		} else if (clientRequest.reusedSocket) {
+			void sendOnKept(clientRequest, socket, outgoing, options, state);
 		} else {
 			sendRequest(clientRequest, socket, outgoing, options, state);
 		}
@@ -177,10 +201,23 @@
 		});
 	});
 	try {
-		return verifyResponse(await receiveHead(clientRequest), options);
+		const response = await receiveHead(clientRequest);
+		if (!state.mayHaveBeenSent) {
+			response.on('error', ignore);
+			throw new Error('a response came before the request');
+		}
+
+		return verifyResponse(response, options);
 	} catch (error) {
+		state.hasFailed = true;
 		state.timer?.stop();
 		signal.removeEventListener('abort', abort);
+		// Each such failure takes a closed connection out of the pool
+		if (state.isKept && state.fault === 'connect' && !state.isLate) {
+			clientRequest.destroy();
+			return exchange(outgoing, connections, options);
+		}
+
 		throw error instanceof ExchangeError ? error : new ExchangeError(state.fault, state.mayHaveBeenSent, error, state.isConnecting && state.fault === 'connect');
 	}
 }
