Forwarding: a forward that this host cancels does not exclude the other host

Callers at a host without links got 503 'no other host takes the request', although another host served: for a second after a request there was canceled before it was written.

Cause: a host that did not take a request gets no other one for a second. A caller that left while the connection was opened, a silent run that went on during the search for another one, and a send without retry budget counted as such, although the host had been sent nothing.

Fix: a forward says whether this host itself canceled it; then no host is excluded and no further one is tried.

Ruled out: connections that are refused or time out exclude the host as before.

--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -48,8 +48,8 @@
 		| {readonly kind: 'refused'; readonly host: string; readonly code: Code; readonly retryAfterMs: number | undefined}
 	/** The request may have run. */
 		| {readonly kind: 'unknown'; readonly host: string; readonly code: Code; readonly detail: string}
-	/** No host took the request; nothing was sent. */
-		| {readonly kind: 'unavailable'};
+	/** No host took the request; nothing was sent. `isCanceled`: by this host itself, which shows nothing of the others. */
+		| {readonly kind: 'unavailable'; readonly isCanceled: boolean};
 
 export type PeerForwarderParts = {
 	readonly context: RelayContext;
@@ -111,7 +111,7 @@
 		const {context: {metrics, clock}} = this.#parts;
 		const {signal = job.signal} = options;
 		const startedAt = clock.now();
-		let result: ForwardResult = {kind: 'unavailable'};
+		let result: ForwardResult = {kind: 'unavailable', isCanceled: false};
 		let trace: ForwardTrace = {};
 		for (let tried = 0; tried < maxHosts && !signal.aborted; tried += 1) {
 			const target = this.#choose(job);
@@ -125,8 +125,9 @@
 
 			trace = {to: target.host};
 			result = await this.#sendTo(target, target.forwardAddress, job, options, trace);
+			const isCanceled = result.kind === 'unavailable' && result.isCanceled;
 			const isHandedOver = result.kind === 'refused' && handOverCodes.has(result.code);
-			if (result.kind !== 'unavailable' && !isHandedOver) {
+			if (isCanceled || (result.kind !== 'unavailable' && !isHandedOver)) {
 				break;
 			}
 
@@ -172,6 +173,7 @@
 	async #sendTo({host}: MemberRecord, address: string, job: Job, options: ForwardOptions, trace: ForwardTrace): Promise<ForwardResult> {
 		const {budgets, context: {clock, dialect, settings: {timing}}} = this.#parts;
 		let undoRuns = ignore;
+		let isCanceled = false;
 		const finish = this.#begin(host);
 		this.#forwards += 1;
 		const forwardId = String(this.#forwards);
@@ -181,6 +183,7 @@
 			}, this.#poolOf(address), {
 				clock, connectMs: timing.connectMs, headMs: options.headMs, signal: options.signal ?? job.signal, verify: response => readForwardId(response.headers) === forwardId ? dialect.readResponse(response.statusCode ?? 0, response.headers) : undefined, maySend(socket) {
 					if (!budgets.admit(job)) {
+						isCanceled = true;
 						return false;
 					}
 
@@ -204,7 +207,8 @@
 			finish();
 			const fault = error instanceof ExchangeError ? error : new ExchangeError('reset', true, error);
 			if (!fault.mayHaveBeenSent) {
-				return {kind: 'unavailable'};
+				isCanceled ||= options.signal?.aborted ?? job.signal.aborted;
+				return {kind: 'unavailable', isCanceled};
 			}
 
 			return {
--- a/packages/standin/src/wire/forward-answers.test.ts
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -79,6 +79,31 @@
 /** Largest body, in bytes. */
 const maxBytes = 1000;
 
+/** Creates the forwarder of a host that knows one other. `admit`: whether there is retry budget for a job. */
+function createForwarder(address: string, admit: () => boolean = () => true): PeerForwarder {
+	const {settings} = parseBootSettings(makeBoot({
+		name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
+	}));
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+	const parts = {
+		context: {
+			clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
+		},
+		reachability: {isUnreachable: () => true},
+		budgets: {admit, discount: ignore},
+		routingVersion: () => 1,
+		listMembers: () => [{...member, hall: settings.hall, forwardAddress: address}],
+	} as unknown as PeerForwarderParts;
+	return new PeerForwarder(parts);
+}
+
+function createJob(): Job {
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
+	return {
+		id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
+	} as unknown as Job;
+}
+
 /** Guards against a response of another host that ends early and is taken for complete, too. */
 describe('responses to forwarded requests', () => {
 	/** Forwards a job to another host, which responds to each call as given; `cut`: where its response ends. */
@@ -88,20 +113,7 @@
 				cut?.(call.socket);
 			});
 		});
-		const {settings} = parseBootSettings(makeBoot({
-			name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
-		}));
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-		const parts = {
-			context: {
-				clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
-			},
-			reachability: {isUnreachable: () => true},
-			budgets: {admit: () => true, discount: ignore},
-			routingVersion: () => 1,
-			listMembers: () => [{...member, hall: settings.hall, forwardAddress: peer.address}],
-		} as unknown as PeerForwarderParts;
-		const forwarder = new PeerForwarder(parts);
+		const forwarder = createForwarder(peer.address);
 		try {
 			const result = await forwarder.send(job, {attempts: 2, headMs});
 			return result.kind === 'answer'
@@ -113,13 +125,6 @@
 		}
 	}
 
-	function createJob(): Job {
-		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-		return {
-			id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
-		} as unknown as Job;
-	}
-
 	for (const {name, respond, outcome} of cases) {
 		it(`${name}: ${outcome}`, async () => {
 			const job = createJob();
@@ -149,3 +154,34 @@
 		expect({kind, mayHaveRun: job.runs.mayHaveRun, runs: job.runs.count}).toEqual({kind: 'refused', mayHaveRun: true, runs: 1});
 	});
 });
+
+/** Why this host itself cancels a forward before it is sent. */
+const cancellations = ['the caller leaves while a connection is opened', 'there is no retry budget'] as const;
+
+// A host that nothing was sent to got no other request for a second, so requests were refused although it served
+describe('a forward that this host cancels', () => {
+	for (const cancellation of cancellations) {
+		it(`does not keep the next one from the other host: ${cancellation}`, async () => {
+			const peer = await startScriptedEndpoint(call => {
+				call.socket.write(writeResponse(200, {...nameForward(call), 'Request-Id': call.id, 'Server-Seal': 'seal'}, 'whole'));
+			});
+			let hasBudget = cancellation !== 'there is no retry budget';
+			const forwarder = createForwarder(peer.address, () => hasBudget);
+			const caller = new AbortController();
+			try {
+				const canceled = forwarder.send(createJob(), {attempts: 2, headMs, signal: caller.signal});
+				if (hasBudget) {
+					caller.abort('callerLeft');
+				}
+
+				const first = await canceled;
+				hasBudget = true;
+				const second = await forwarder.send(createJob(), {attempts: 2, headMs});
+				expect([first.kind, second.kind]).toEqual(['unavailable', 'answer']);
+			} finally {
+				forwarder.close();
+				peer.stop();
+			}
+		});
+	}
+});
