Calls: a complete response is delivered although the deadline passed during its check

Callers of repeatable calls got 504, or 503 at the end of a planned stop, although the endpoint's response had arrived whole.

Cause: the end of a response without framing is checked against a crash of its endpoint. Calls that are hedged looked at the abort first and at the response afterwards; calls that run once deliver it.

A response of status 500 still gives way to the error, which tells the caller when to return; nothing is sent to a caller that has left.

--- a/packages/relay/src/work/plain.ts
+++ b/packages/relay/src/work/plain.ts
@@ -157,12 +157,13 @@
 
 				inFlight.delete(first.controller);
 				const {result} = first;
-				if (this.#job.signal.aborted) {
-					return this.#refuse();
+				// A response that is complete is delivered, also where its check has outlasted the deadline
+				if (result.kind === 'response' && this.#job.signal.reason !== 'callerLeft' && (result.answer.response.statusCode ?? minServerErrorStatus) < minServerErrorStatus) {
+					return await this.#forward(result.answer);
 				}
 
-				if (result.kind === 'response' && (result.answer.response.statusCode ?? minServerErrorStatus) < minServerErrorStatus) {
-					return await this.#forward(result.answer);
+				if (this.#job.signal.aborted) {
+					return this.#refuse();
 				}
 
 				failed = result.kind === 'response' ? result.answer : failed;
