Admission: replicas that have all fallen silent still count as capacity

Callers got 503 ("late", Retry-After over 1 s) for requests whose target left time to wait, when all decode replicas of a service paused for a second or two.

Cause: a reservation that is not answered within 250 ms pauses its replica at the host. Once all were paused, the expected wait was computed as if the service had one replica, so that most of a burst looked late.

Change: while a host has paused all replicas of a service, all that are listed count. Endpoints are paused, probed and found unreachable as before.

Ruled out: a longer timeout of reservations, which keeps requests from replicas that answer; no rejection at all while all are silent, as requests that cannot be served would wait to their target.

--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -205,6 +205,12 @@
 		return candidates.filter(({id}) => isInSubset(id, subsetIds) && this.health.isUsable(id, now)).length;
 	}
 
+	/** Number of decode replicas of a service in this host's subset that take new work, whether this host has paused them or not. */
+	countListedDecode(service: string): number {
+		const {candidates, subsetIds} = this.#listCandidates(service, 'decode');
+		return candidates.filter(({id}) => isInSubset(id, subsetIds)).length;
+	}
+
 	/** Fraction of a decode replica's memory that this host and its peers use, as far as it is known. */
 	fillOf(id: string, capacityTokens: number): number {
 		const tokens = (this.#uses.get(id)?.tokens ?? 0) + this.#peerUse.sum(id, this.#context.clock.now());
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -362,6 +362,12 @@
 		return this.#parts.endpoints.countDecode(this.#service) > 0 ? 'overloaded' : 'endpointsDown';
 	}
 
+	/** Number of replicas whose memory requests wait for. All that are listed if this host has paused all of them: a replica that is silent still has its memory, and goes on or leaves the directory. */
+	get #replicas(): number {
+		const {endpoints} = this.#parts;
+		return endpoints.countDecode(this.#service) || endpoints.countListedDecode(this.#service);
+	}
+
 	get #workspaces() {
 		return this.#parts.routing.table?.routing.workspaces ?? [];
 	}
@@ -370,7 +376,7 @@
 		const {endpoints, news, routing} = this.#parts;
 		const engine = routing.table?.routing.services.find(({name}) => name === this.#service)?.engine;
 		return {
-			replicas: endpoints.countDecode(this.#service),
+			replicas: this.#replicas,
 			subsetFraction: endpoints.hasOwnDecode(this.#service) ? 1 : news.subsetSize / Math.max(news.subsetSize, news.fleetSize),
 			capacityTokens: engine?.capacityTokens ?? 0,
 			slots: engine?.slots,
@@ -412,8 +418,8 @@
 	}
 
 	#outlook(): LoadEstimate {
-		const {endpoints, news} = this.#parts;
-		const replicas = endpoints.countDecode(this.#service);
+		const {news} = this.#parts;
+		const replicas = this.#replicas;
 		return {remoteWaiting: news.countWaitingAtPeers(this.#service), releasesPerS: this.rate.perSecond(replicas), startMs: this.#start.valueMs};
 	}
 
