Forwarding: serve a forwarded request as its entry host resolved it

What callers saw: at a host without links to the endpoints, a resumable stream whose run broke off shortly after a configuration was cut, although another endpoint could have continued it, if the configuration had removed its route, service, engine or workspace, moved its route or shortened its timeout.

Cause: the host that a request is forwarded to looked up route, service and workspace in its own configuration of that moment. A request that a host serves itself keeps what it was accepted with; a forwarded one was refused (2004 notReady at the other host), and its stream has nobody else.

Now the entry host states route, service and workspace (name, priority and weight; no keys, no quota) in a header between hosts, and the other host uses them. The listener for hosts takes headers longer than callers' by the room that this needs.

Ruled out: keeping superseded configurations at all hosts, since each takes megabytes, and a host that started meanwhile never had them.

--- a/packages/relay/src/access/request-resolver.ts
+++ b/packages/relay/src/access/request-resolver.ts
@@ -10,7 +10,7 @@
 import {fail, Failure} from '@gatehead/schema/failure';
 import {type Route, type Service, type Workspace} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
-import {type ForwardFacts} from '../core/forward-facts.js';
+import {type ForwardFacts, type ForwardResolution} from '../core/forward-facts.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {type Freshness} from './freshness.js';
 import {type Credential, type AccessControl} from './access-control.js';
@@ -82,11 +82,17 @@
 
 	/**
 	 * Resolves a request that another host has resolved and forwarded, and whose
-	 * key it has checked. Throws `notReady` unless this host has the same
-	 * configuration or a newer one that still allows the request.
+	 * key it has checked: to what that host states, since a configuration does not
+	 * end requests that were accepted before it. Without such a statement, throws
+	 * `notReady` unless this host has the same configuration or a newer one that
+	 * still allows the request.
 	 */
-	resolveForwarded({authority, target}: IncomingRequest, {routingVersion, service: serviceName, workspace: workspaceName}: ForwardFacts): ResolvedRequest {
+	resolveForwarded({authority, target}: IncomingRequest, {routingVersion, service: serviceName, workspace: workspaceName}: ForwardFacts, stated: ForwardResolution | undefined): ResolvedRequest {
 		const {table, version} = this.#parts.routing;
+		if (table !== undefined && stated !== undefined) {
+			return {table, ...stated};
+		}
+
 		const route = table?.match(authority, target);
 		const service = route?.shares.some(share => share.service === serviceName) ? table?.service(serviceName) : undefined;
 		const workspace = workspaceName === undefined ? undefined : table?.routing.workspaces?.find(({name}) => name === workspaceName);
--- a/packages/relay/src/core/forward-facts.ts
+++ b/packages/relay/src/core/forward-facts.ts
@@ -5,7 +5,10 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {fail} from '@gatehead/schema/failure';
-import {maxSoftwareVersionLength} from '@gatehead/schema/routing';
+import {isNestedDeeper} from '@gatehead/schema/json-depth';
+import {
+	maxSoftwareVersionLength, route, service, workspace, type Route, type Service, type Workspace,
+} from '@gatehead/schema/routing';
 import {z} from 'zod';
 
 const prefix = 'gatehead-';
@@ -18,6 +21,24 @@
 const forwardIdHeader = 'gatehead-forward-id';
 const maxForwardIdLength = 64;
 
+/** Request header with the route, service and workspace that the entry host resolved the request to. */
+const resolutionHeader = 'gatehead-resolution';
+/** Maximum length of that header, in characters; ten times that of a route with one service. */
+const maxResolutionLength = 8192;
+/** Maximum nesting depth of its value; twice that of a route. */
+const maxResolutionDepth = 8;
+/** Room for the headers of a forward beside those of its caller, in bytes. */
+export const forwardHeaderBytes = 16_384;
+
+/** What a request resolved to at its entry host. The other host may have another configuration, without the route or with other limits, and has to serve a request that was accepted before. */
+const forwardResolution = z.object({route, service, workspace: workspace.pick({name: true, priority: true, weight: true}).optional()});
+
+export type ForwardResolution = {
+	readonly route: Route;
+	readonly service: Service;
+	readonly workspace: Workspace | undefined;
+};
+
 /** Metadata of a forwarded request, set by its entry host. */
 export const forwardFacts = z.object({
 	/** Host that the request entered at. */
@@ -64,6 +85,30 @@
 	return read.success ? read.data : fail('headerInvalid', {detail: read.error.message});
 }
 
+/** Header with what a request resolved to; empty if that is too long, in which case the other host uses its own configuration. */
+export function writeForwardResolution({route: resolved, service: chosen, workspace: owner}: ForwardResolution): string[] {
+	const text = encodeURIComponent(JSON.stringify({
+		route: {...resolved, shares: [{service: chosen.name, weight: 1}]}, service: chosen, ...(owner === undefined ? {} : {workspace: {name: owner.name, priority: owner.priority, weight: owner.weight}}),
+	}));
+	return text.length > maxResolutionLength ? [] : [resolutionHeader, text];
+}
+
+/** Reads what a forwarded request resolved to; undefined if its entry host does not state it. */
+export function readForwardResolution(headers: IncomingHttpHeaders): ForwardResolution | undefined {
+	const text = decode(headers[resolutionHeader]);
+	if (text === undefined || text.length > maxResolutionLength || isNestedDeeper(text, maxResolutionDepth)) {
+		return undefined;
+	}
+
+	try {
+		const read = forwardResolution.safeParse(JSON.parse(text)).data;
+		// Only the entry host checks keys and charges quotas
+		return read === undefined ? undefined : {...read, workspace: read.workspace === undefined ? undefined : {...read.workspace, keyDigests: []}};
+	} catch {
+		return undefined;
+	}
+}
+
 /** Header with the id of a forward, as name and value. */
 export function writeForwardId(id: string): [string, string] {
 	return [forwardIdHeader, id];
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -23,7 +23,7 @@
 import {type AccessControl} from '../access/access-control.js';
 import {type RelayContext} from '../core/context.js';
 import {type RequestFacts} from '../core/dialect.js';
-import {isReservedHeader, readForwardFacts} from '../core/forward-facts.js';
+import {isReservedHeader, readForwardFacts, readForwardResolution} from '../core/forward-facts.js';
 import {type RoutingState} from '../core/routing-state.js';
 import {describeHold, type CrashGuard} from '../upstream/crash-guard.js';
 import {stallReason} from '../upstream/sender.js';
@@ -264,7 +264,7 @@
 			authority, target, keyDigest: dialect.readKeyDigest(request.rawHeaders), arrivedAt, timeoutMs: facts.timeoutMs,
 		};
 		const forwarded = isForwarded ? readForwardFacts(request.headers) : undefined;
-		const {table, route, service: chosenService, workspace} = forwarded === undefined ? await this.#resolver.resolve(incoming) : this.#resolver.resolveForwarded(incoming, forwarded);
+		const {table, route, service: chosenService, workspace} = forwarded === undefined ? await this.#resolver.resolve(incoming) : this.#resolver.resolveForwarded(incoming, forwarded, readForwardResolution(request.headers));
 		const content = new RequestContent({
 			authority, method: request.method ?? 'GET', target, workspace: workspace?.name, body, sharedParts: facts.sharedParts,
 		});
--- a/packages/relay/src/front/forward-server.ts
+++ b/packages/relay/src/front/forward-server.ts
@@ -10,6 +10,7 @@
 import {CallerConnections} from '@gatehead/host/front/caller-connections';
 import {listenAt} from '@gatehead/host/utils/listen';
 import {type RelayContext} from '../core/context.js';
+import {forwardHeaderBytes} from '../core/forward-facts.js';
 import {readPeerTls} from '../core/peer-tls.js';
 
 /** Time for which an idle connection between hosts stays open, in milliseconds. */
@@ -25,7 +26,7 @@
 			void handle(request, response);
 		};
 
-		const options = {maxHeaderSize: limits.headerBytes, noDelay: true, keepAliveTimeout: keepAliveMs};
+		const options = {maxHeaderSize: limits.headerBytes + forwardHeaderBytes, noDelay: true, keepAliveTimeout: keepAliveMs};
 		const tls = readPeerTls(keys.tls);
 		this.#server = tls === undefined
 			? createServer(options, listener)
--- a/packages/relay/src/upstream/peer-forwarder.ts
+++ b/packages/relay/src/upstream/peer-forwarder.ts
@@ -14,7 +14,7 @@
 import {type ResponseFacts} from '../core/dialect.js';
 import {isOff} from '../core/experiment.js';
 import {
-	errorCodeHeader, readForwardId, writeForwardFacts, writeForwardId,
+	errorCodeHeader, readForwardId, writeForwardFacts, writeForwardId, writeForwardResolution,
 } from '../core/forward-facts.js';
 import {readPeerTls, type PeerTls} from '../core/peer-tls.js';
 import {notRunStatuses} from '../front/reply.js';
@@ -256,6 +256,7 @@
 			...job.headers,
 			...length,
 			...dialect.handOverHeaders({remainingMs: Math.floor(timeLeft(job, clock.now())), lastEventId: lastEventId ?? job.facts.lastEventId}),
+			...writeForwardResolution(job),
 			...writeForwardFacts({
 				entryHost: self.host, routingVersion: routingVersion(), service: job.service.name, workspace: job.workspace?.name, attempts, isCallerRetry: job.isCallerRetry ? '1' : '0', softwareVersion,
 			}),
