Route table: build the list of routes of an authority in place

Cause: each route of a configuration copied all routes of its authority before it, at every host at the same moment, when the configuration comes into force.

Now the list is extended. The order of routes and their matching are those of route-table.test.ts, which holds unchanged.

--- a/packages/policy/src/relay/route-table.ts
+++ b/packages/policy/src/relay/route-table.ts
@@ -34,7 +34,12 @@
 
 		for (const route of routing.routes) {
 			const key = normalizeAuthority(route.authority);
-			this.#routes.set(key, [...(this.#routes.get(key) ?? []), route]);
+			const known = this.#routes.get(key);
+			if (known === undefined) {
+				this.#routes.set(key, [route]);
+			} else {
+				known.push(route);
+			}
 		}
 
 		for (const routes of this.#routes.values()) {
