Survey of engines: one that rejects lists is asked as long as lookups wait for it

Callers saw: after a restart of all hosts, streams of other versions were refused for 10 s where an engine had rejected lists for some seconds only.

Cause: lookups wait for such an engine until the survey is over, since it lives and may contradict what others hold, but it was not asked again after its fourth rejection. It is now asked once a second.

Evidence: run-survey.test.ts, 'an engine that rejects lists for some seconds', is heard at the eighth attempt; before, four was the limit.

--- a/packages/relay/src/upstream/run-survey.test.ts
+++ b/packages/relay/src/upstream/run-survey.test.ts
@@ -15,7 +15,9 @@
 /** Bounds of a host's survey. */
 const maxEngines = 64;
 const maxConcurrent = 16;
-const maxAttempts = {gone: 2, rejected: 4, unanswered: 2};
+const maxAttempts = {gone: 2, rejected: 11, unanswered: 2};
+/** Last attempt at which an engine that is overloaded for seconds rejects lists. */
+const lastRejected = 7;
 const maxWaitMs = 400;
 /** Time after which a survey starts no calls, in milliseconds. */
 const endMs = 12_000;
@@ -222,10 +224,10 @@
 		}, asked: {e0: 2}, traced: ['e0'], isComplete: true,
 	},
 	{
-		name: 'an engine that rejects lists for a moment', set(fleet) {
+		name: 'an engine that rejects lists for some seconds', set(fleet) {
 			fleet.list(makeEngines(2));
-			fleet.reply = (id, attempt) => id === 'e1' && attempt < maxAttempts.rejected ? rejecting : replyOf(id);
-		}, asked: {e0: 1, e1: maxAttempts.rejected}, traced: ['e0', 'e1'], isComplete: true,
+			fleet.reply = (id, attempt) => id === 'e1' && attempt <= lastRejected ? rejecting : replyOf(id);
+		}, asked: {e0: 1, e1: lastRejected + 1}, traced: ['e0', 'e1'], isComplete: true,
 	},
 	{
 		name: 'an engine that rejects lists', set(fleet) {
--- a/packages/relay/src/upstream/run-survey.ts
+++ b/packages/relay/src/upstream/run-survey.ts
@@ -46,8 +46,12 @@
 /** Outcome of a question to an engine. */
 type Outcome = EngineList<unknown>['kind'];
 
-/** Delays before an engine is asked again, by how many times it has been asked, in milliseconds. One that rejects lists may be overloaded for a moment; one that has ended may have been replaced. */
-const retryDelaysMs: Readonly<Record<Exclude<Outcome, 'listed'>, readonly number[]>> = {gone: [250], rejected: [250, 500, 1000], unanswered: [0]};
+/** Interval of the questions to an engine that goes on rejecting lists, in milliseconds. */
+const rejectedIntervalMs = 1000;
+/** Delays before an engine is asked again, by how many times it has been asked, in milliseconds. One that rejects lists may be overloaded, and is asked as long as lookups wait for it; one that has ended may have been replaced. */
+const retryDelaysMs: Readonly<Record<Exclude<Outcome, 'listed'>, readonly number[]>> = {
+	gone: [250], rejected: [250, 500, ...Array.from({length: surveyMs / rejectedIntervalMs}, () => rejectedIntervalMs)], unanswered: [0],
+};
 /** Outcomes after which nothing more is expected of an engine once it is not asked again. */
 const finalOutcomes: ReadonlySet<Outcome> = new Set(['gone']);
 /** Outcomes of the two lists of an engine, the one that counts for both first. */
--- a/packages/standin/src/wire/restarted-hosts.test.ts
+++ b/packages/standin/src/wire/restarted-hosts.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
 import {
-	findLeastUsed, isDecode, leastEngines, listVersion, playRestart, remove, replace, runEarlier, runUnseen, streams, waitUntilJoined, type RestartCase,
+	findLeastUsed, isDecode, leastEngines, listEngines, listVersion, playRestart, remove, replace, runEarlier, runUnseen, streams, waitUntilJoined, type RestartCase,
 } from './restarted-streams.js';
 import {type World} from './world.js';
 
@@ -108,6 +108,15 @@
 		},
 	},
 	{name: 'an attempt whose events reached nobody ran at the other version', mayRefuse: true, meanwhile: runUnseen},
+	{
+		name: 'an attempt whose events reached nobody ran at the other version, and one engine rejects lists', mayRefuse: true, async meanwhile(world, callers) {
+			await runUnseen(world, callers);
+			const [engine] = listEngines(world);
+			if (engine !== undefined) {
+				engine.listRejection = 500;
+			}
+		},
+	},
 	{
 		name: 'an attempt whose events reached nobody ran at the other version, and the first leaves', mayRefuse: true, async meanwhile(world, callers) {
 			await runUnseen(world, callers);
