Test: the entry of a silent endpoint is removed after its response has ended

Cause: the case of silent-ends.test.ts removed the entry at the instant of the close. Without the check that it guards, the truncated stream is delivered as complete.

--- a/packages/standin/src/wire/silent-ends.test.ts
+++ b/packages/standin/src/wire/silent-ends.test.ts
@@ -137,6 +137,8 @@
 		// The host hears nothing more
 	},
 	async isRemoved(_endpoint, {store}) {
+		// An endpoint whose entry is removed before its response ends has left as planned
+		await wait(pauseMs);
 		store.remove('servers/paused');
 	},
 };
