--- a/packages/relay/src/work/replica-search.ts
+++ b/packages/relay/src/work/replica-search.ts
@@ -35,7 +35,7 @@
 	readonly stream?: OwnStream | undefined;
 	/** Permit to send the request, if the replica is rate-limited. */
 	readonly permit?: Permit;
-	/** Tells the peers of a reservation that may be given up; called when a run begins with it. Undefined: they know of it. */
+	/** Announces to the peers a reservation that may be given up; called when a run begins with it. Undefined: it has been announced. */
 	readonly announce?: (() => void) | undefined;
 };
 
--- a/packages/relay/src/work/service-queue.ts
+++ b/packages/relay/src/work/service-queue.ts
@@ -445,7 +445,7 @@
 		this.#announceGrant(request, reservation);
 	}
 
-	/** Counts a request as served and tells the peers of the memory that it takes. */
+	/** Counts a request as served and announces to the peers the memory that it takes. */
 	#announceGrant(request: ReservationRequest, {endpoint, tokens}: Reservation): void {
 		const {endpoints, news, routing, context: {clock}} = this.#parts;
 		if (routing.isLoadManaged) {
