Fix: a rejection closed the connection of requests that had arrived behind it before its turn

Callers whose connection a response still occupied got the first of several rejections of a stopping host, and then the end of the connection. Cause: a rejection was written at once, behind the response that was due, and announced the close when no later request had arrived; those that arrived before it was delivered were lost behind it, and its head had not reached the caller by then. Change: while connections are being closed, a rejection is written at its turn.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -227,12 +227,28 @@
 				this.#recordEnd(job, end);
 			}
 		} catch (error) {
+			await this.#waitForRejection(pending);
 			this.#reject(pending, error);
 		} finally {
 			pending.deadlineTimer?.stop();
 		}
 	}
 
+	/** Waits until a rejection may be written. One that closes the connection is written at its turn, since requests that arrive until then would be lost behind it. */
+	async #waitForRejection({response}: PendingRequest): Promise<void> {
+		if (!this.#closesConnections) {
+			return;
+		}
+
+		try {
+			if (await waitForTurn(response)) {
+				await nextTurn();
+			}
+		} catch {
+			// The connection closed; the rejection is only logged
+		}
+	}
+
 	#checkCapacity(): void {
 		if (this.#isRejectingNew) {
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
