Fix: a retry did not wait for all pending crash checks of its content

Content could reach a third endpoint although the check that holds it was pending. Cause: checks were kept one a content, so that a later one replaced an earlier one, and the end of any removed it. Change: the checks of one content are joined.

--- a/packages/relay/src/upstream/crash-guard.ts
+++ b/packages/relay/src/upstream/crash-guard.ts
@@ -9,6 +9,7 @@
 import {type ContentId} from '@gatehead/policy/relay/crash-suspects';
 import {SuspectBook, type SuspectRequest, type Suspicion} from '@gatehead/policy/relay/suspect-book';
 import {type Timer} from '@gatehead/policy/utils/clock';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {type CrashReport} from '@gatehead/schema/relay-message';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type RelayContext} from '../core/context.js';
@@ -209,7 +210,7 @@
 		}
 
 		if (isConnectionLost) {
-			this.#pendingChecks.set(content.digest, this.#checkCrash(content, parts, endpoint, now));
+			void this.#addCheck(content.digest, this.#checkCrash(content, parts, endpoint, now));
 			return;
 		}
 
@@ -315,9 +316,22 @@
 		return isOff(context, 'crashGuard') ? [] : this.#suspects.judge(toSuspect(request), context.clock.now());
 	}
 
+	/** Adds a check to those of its content that a retry waits for. */
+	async #addCheck(digest: string, check: Promise<void>): Promise<void> {
+		const earlier = this.#pendingChecks.get(digest);
+		const checks = earlier === undefined ? check : Promise.all([earlier, check]).then(ignore);
+		this.#pendingChecks.set(digest, checks);
+		try {
+			await checks;
+		} finally {
+			if (this.#pendingChecks.get(digest) === checks) {
+				this.#pendingChecks.delete(digest);
+			}
+		}
+	}
+
 	async #checkCrash(content: ContentId, parts: readonly string[], endpoint: Endpoint, at: number): Promise<void> {
 		const hasCrashed = await this.#options.hasCrashed(endpoint);
-		this.#pendingChecks.delete(content.digest);
 		if (hasCrashed) {
 			this.#recordCrash(content, startIdOf(endpoint), at);
 			this.#accuseParts(parts, startIdOf(endpoint), at);
