Fix: a prefill that went on gave back the permit of its decode

By reading, found by an independent review: a search for a replacement that is aborted because the silent prefill goes on released the permits of the request, among them the one that was secured for the decode. Change: they are released only where the prefill is still silent. paused-prefills.test.ts passes, 17 cases; it has no case for this one.

--- a/packages/relay/src/work/prefill.ts
+++ b/packages/relay/src/work/prefill.ts
@@ -192,9 +192,9 @@
 		// A replica that is gone will not go on
 		const mayDecode = !signal.aborted && (await budgets.ensure(this.#job, 'prefill') || !endpoints.book.isKnown(silent.id));
 		if (!mayDecode || signal.aborted) {
-			// The replica may be silent for long, and other requests need the permits
-			budgets.release(this.#job);
 			if (!signal.aborted) {
+				// The replica may be silent for long, and other requests need the permits
+				budgets.release(this.#job);
 				endpoints.judge(silent, 'silent');
 			}
 
