--- a/packages/standin/src/wire/endless-responses.test.ts
+++ b/packages/standin/src/wire/endless-responses.test.ts
@@ -4,6 +4,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {Store} from '@gatehead/platform/store';
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
 import {sendFlood, type Flood} from './flood.js';
@@ -22,6 +23,8 @@
 const sampleIntervalMs = 10;
 /** Time after which a client is given up, in milliseconds. */
 const readTimeoutMs = 300;
+/** Time after which a call that stands still fails, in milliseconds. */
+const hangMs = 10_000;
 
 /** Time after which a connection counts as left open, in milliseconds: several times the route's timeout. */
 const closeTimeoutMs = 10_000;
@@ -172,3 +175,18 @@
 		}
 	}
 });
+
+describe('the directory rejects a call with a body without end', () => {
+	it('the rejection ends the call before its timeout', async () => {
+		const endpoint = await startScriptedEndpoint(({socket}) => {
+			sendFlood(socket, {head: 'HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n', repeated: `400\r\n${'x'.repeat(0x4_00)}\r\n`}, false);
+		});
+		const store = new Store(endpoint.address);
+		try {
+			await expect(store.list(AbortSignal.timeout(hangMs))).toBeRejectedWith('status 503');
+		} finally {
+			store.close();
+			endpoint.stop();
+		}
+	});
+});
