--- a/packages/standin/src/wire/rolled-back-configuration.test.ts
+++ b/packages/standin/src/wire/rolled-back-configuration.test.ts
@@ -1,4 +1,4 @@
-/** Guards against hosts that count as outdated for good once an unusable configuration was replaced by the one in force, under its own version. */
+/** Guards against hosts that count as outdated until a later version once an unusable configuration was replaced by the one in force, under its own version. */
 import {describe, it} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'earl';
