Log how long a process stood still, why a host is gone, and its last lines

Cause: the record of streams lost around planned stops cannot tell a process that stands still from one whose last lines are lost. The end of a process dropped the lines that its output still buffered, and its own last line where the pipe was full; peers wrote the same warning for a host that left as for one that crashed; nothing measured the event loop.

Change: line 5066 and gatehead_event_loop_delay_ms for standstills, with the processor time meanwhile; 5067 for a host that had announced its stop; the end waits for the reader of its lines, one second at the most, then 100 ms for the last one; lines left out are counted at the end.

--- a/packages/host/src/peer/host-state-tracker.ts
+++ b/packages/host/src/peer/host-state-tracker.ts
@@ -27,7 +27,8 @@
 	/** Logs a host's state if it has changed. */
 	record({host, state, load}: MemberRecord): void {
 		const {clock, log, timeline} = this.#context;
-		if (this.#states.get(host) === state) {
+		const earlier = this.#states.get(host);
+		if (earlier === state) {
 			return;
 		}
 
@@ -38,7 +39,7 @@
 			this.#deadSince.delete(host);
 		}
 
-		log(stateCodes[state], {peer: host, load});
+		log(earlier === 'leaving' && state === 'dead' ? 'memberLeft' : stateCodes[state], {peer: host, load});
 		timeline.record({kind: 'memberChanged', peer: host, detail: state});
 	}
 
--- a/packages/host/src/process.ts
+++ b/packages/host/src/process.ts
@@ -8,6 +8,7 @@
 import {type Failure, toFailure} from '@gatehead/schema/failure';
 import {settings, type Settings} from '@gatehead/schema/settings';
 import {Host} from './host.js';
+import {EventLoopMonitor} from './utils/event-loop-monitor.js';
 import {createLog, type Log} from './utils/log.js';
 import {ProcessEnd} from './utils/process-end.js';
 import {createProcessLog} from './utils/process-log.js';
@@ -48,6 +49,8 @@
 	const host = new Host({
 		settings: checked, clock: systemClock, random: systemRandom, wall: () => Date.now(), log, startWait,
 	});
+	const monitor = new EventLoopMonitor({clock: systemClock, log});
+	monitor.start();
 	await signals.run({
 		start: async () => host.start(),
 		stop: async () => host.stop(),
@@ -57,14 +60,14 @@
 /** Runs a host and ends the process. */
 async function run(path: string, signals: ProcessSignals): Promise<never> {
 	const processLog = createProcessLog(process.stderr);
-	const end = new ProcessEnd(processLog);
+	const end = new ProcessEnd(processLog, process.stderr);
 	try {
 		await serve(path, signals, processLog);
 	} catch (error) {
 		if (error !== signals.stopping.reason) {
 			const failure = toFailure(error);
 			printFailure(failure);
-			end.exit(exitCodeOf(failure), 'failure', failure.message);
+			return end.exit(exitCodeOf(failure), 'failure', failure.message);
 		}
 	}
 
--- a/packages/host/src/utils/log.ts
+++ b/packages/host/src/utils/log.ts
@@ -16,7 +16,7 @@
 
 /** Codes logged as errors, which need an operator's attention. */
 const errorCodes = new Set<Code>(['bundleSignature', 'bundleConflict', 'bundleInvalid', 'orderFenced', 'peerRefused', 'routingRejected', 'internal']);
-const warningCodes = new Set<Code>(['bundleOlder', 'configurationDown', 'memberSuspect', 'memberDead', 'lateWake', 'endpointSuspect', 'orphanCancelled', 'endpointFault', 'directoryLost', 'endpointPaused', 'answerLost', 'timeoutSpent', 'streamBroken', 'attemptsSpent', 'overloaded', 'endpointsDown', 'linesLeftOut', 'directoryUnreadable', 'keysOutdatedSince', 'quotaKeeperSilent', 'directoryUnconfirmed', 'directoryRestored', 'sentToLeaving', 'endpointsUnreachable', 'startWaiting', 'acceptFailed']);
+const warningCodes = new Set<Code>(['bundleOlder', 'configurationDown', 'memberSuspect', 'memberDead', 'lateWake', 'endpointSuspect', 'orphanCancelled', 'endpointFault', 'directoryLost', 'endpointPaused', 'answerLost', 'timeoutSpent', 'streamBroken', 'attemptsSpent', 'overloaded', 'endpointsDown', 'linesLeftOut', 'directoryUnreadable', 'keysOutdatedSince', 'quotaKeeperSilent', 'directoryUnconfirmed', 'directoryRestored', 'sentToLeaving', 'endpointsUnreachable', 'startWaiting', 'acceptFailed', 'eventLoopDelayed']);
 
 /** Log level of a code. */
 export function getLogLevel(code: Code): 'error' | 'warn' | 'info' {
--- a/packages/policy/src/utils/manual-clock.ts
+++ b/packages/policy/src/utils/manual-clock.ts
@@ -55,6 +55,11 @@
 		this.#now = end;
 	}
 
+	/** Advances time as a process sees it that stands still: timers that become due fire late, with the next advance. */
+	freeze(milliseconds: number): void {
+		this.#now += milliseconds;
+	}
+
 	#push(timer: ScheduledTimer): void {
 		const heap = this.#heap;
 		let child = heap.length;
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -77,6 +77,7 @@
 	residentBytes: {name: 'gatehead_resident_bytes', help: 'Resident memory of the process.'},
 	heapBytes: {name: 'gatehead_heap_bytes', help: 'Heap in use of the process.'},
 	bufferBytes: {name: 'gatehead_buffer_bytes', help: 'Memory of buffers, including those that are not collected yet.'},
+	eventLoopDelay: {name: 'gatehead_event_loop_delay_ms', help: 'Longest delay of the event loop in the last 30 to 60 seconds.'},
 	unreadBytes: {name: 'gatehead_unread_bytes', help: 'Bytes of responses that callers have not read, where load is managed.'},
 	hosts: {name: 'gatehead_hosts_alive', help: 'Hosts thought to be alive, this one among them.'},
 	endpoints: {name: 'gatehead_endpoints_ready', help: 'Endpoints that take new work.'},
--- a/packages/relay/src/utils/relay-log.ts
+++ b/packages/relay/src/utils/relay-log.ts
@@ -63,6 +63,11 @@
 		}
 	};
 
+	/** Reports what was left out so far, before the process ends. */
+	finish(): void {
+		this.#reportLeftOut(this.#parts.clock.now());
+	}
+
 	#writeLine(code: Code, facts: LogFields, now: number): void {
 		this.#logger.log({
 			level: getLogLevel(code), message: codes[code].advice, code: codes[code].number, name: code, time: new Date().toISOString(), at: Math.round(now), ...facts,
@@ -89,12 +94,15 @@
 		return true;
 	}
 
-	/** Reports suppressed lines by code and dropped lines, at most once per interval. */
+	/** Reports suppressed and dropped lines, at most once per interval. */
 	#reportSuppressed(now: number): void {
-		if (now - this.#reportedAt < reportIntervalMs) {
-			return;
+		if (now - this.#reportedAt >= reportIntervalMs) {
+			this.#reportLeftOut(now);
 		}
+	}
 
+	/** Reports suppressed lines by code, and dropped lines. */
+	#reportLeftOut(now: number): void {
 		this.#reportedAt = now;
 		for (const [code, bucket] of this.#buckets) {
 			if (bucket.suppressed > 0) {
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -307,6 +307,15 @@
 	processEnded: {
 		number: 5065, status: 0, ran: 'no', advice: 'The process ends. The line has the reason: a signal, a failure of the start or the stop, or a fault of gatehead itself, whose error is on standard error.',
 	},
+	eventLoopDelayed: {
+		number: 5066, status: 0, ran: 'no', advice: 'The process stood still: nothing was read, sent or logged, and no timer ran. Where `processorMs` is near `delayMs` it was busy itself; where it is far less, its machine held it or had no processor for it.',
+	},
+	memberLeft: {
+		number: 5067, status: 0, ran: 'no', advice: 'A host that had announced its planned stop is gone.',
+	},
+	stopClosed: {
+		number: 5068, status: 0, ran: 'no', advice: 'All connections of a planned stop are closed. The line has the time that each step took.',
+	},
 	settingsInvalid: {
 		number: 6001, status: 0, ran: 'no', advice: 'Settings are wrong. Mend each named path.',
 	},
--- a/packages/standin/src/wire/started-program.ts
+++ b/packages/standin/src/wire/started-program.ts
@@ -49,15 +49,15 @@
 	readonly #exited: Promise<unknown>;
 	readonly #chunks: Uint8Array[] = [];
 
-	/** `programArguments` are those of Node. */
-	constructor(programArguments: readonly string[], settingsFile: string) {
+	/** `programArguments` are those of Node. `ownOutput`: descriptor that it writes to, which its starter reads; absent: its output is read here. */
+	constructor(programArguments: readonly string[], settingsFile: string, ownOutput?: number) {
 		const child = spawn(process.execPath, programArguments, {
-			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, GATEHEAD_BOOT: settingsFile},
+			stdio: ['ignore', ownOutput ?? 'pipe', ownOutput ?? 'pipe'], env: {...process.env, GATEHEAD_BOOT: settingsFile},
 		});
 		this.child = child;
 		this.#exited = once(child, 'close');
 		for (const output of [child.stdout, child.stderr]) {
-			output.on('data', (chunk: Uint8Array) => {
+			output?.on('data', (chunk: Uint8Array) => {
 				this.#chunks.push(chunk);
 			});
 		}
