Test: planned stops beside standstills of the process (known red)

Cause: operators saw streams cut around planned stops, with no line of the process that cut them. The judgement of late-requests.test.ts is the same one now, which is stricter: by the end of the run, not by the end of the response.

--- a/packages/standin/src/soak/bed.ts
+++ b/packages/standin/src/soak/bed.ts
@@ -7,7 +7,9 @@
 import {fail} from '@gatehead/schema/failure';
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {sendRequest} from '../wire/client.js';
-import {startReplica, type ReplicaLog, type StandinReplica} from '../wire/replica-server.js';
+import {
+	makeReplicaLog, startReplica, type ReplicaLog, type StandinReplica,
+} from '../wire/replica-server.js';
 import {startStore, type StandinStore} from '../wire/store-server.js';
 import {
 	makeConfig, makeEntry, platformTimes, type ConfigurationDraft, type EngineDraft,
@@ -69,9 +71,7 @@
 /** Starts a deployment; its hosts may not serve yet. */
 export async function makeBed(seed: number, hostCount: number, {eventGapMs, isLoadManaged = false, run = {}}: BedOptions = {}): Promise<Bed> {
 	const folder = mkdtempSync(join(tmpdir(), `gatehead-soak-${seed}-`));
-	const log: ReplicaLog = {
-		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-	};
+	const log = makeReplicaLog();
 	const store = await startStore(anyPort);
 	const storeProxy = await startProxy(store.address);
 	const replicas = await Promise.all(stages.map(async (stage, index) => startReplica({
--- a/packages/standin/src/soak/late-requests.test.ts
+++ b/packages/standin/src/soak/late-requests.test.ts
@@ -6,18 +6,13 @@
 import {
 	configure, endBed, makeBed, waitUntilServing, type Bed,
 } from './bed.js';
-import {isLost, sendUntilGone, type StopRequest} from './stop-traffic.js';
+import {findLost, sendUntilGone, type StopRequest} from './stop-traffic.js';
+import {varyRuns} from './varied-runs.js';
 
 const seed = 1;
 const perSecond = 40;
 const warmUpMs = 4000;
-/** How long most runs take, in milliseconds. */
-const fastMs = 50;
-/** Share of the other runs, and how long they take, in milliseconds. */
-const slowShare = 0.1;
-const slowMs = {least: 2500, most: 5500};
-const streamEvents = 6;
-const changeMs = 5;
+const slowRuns = {share: 0.1, mostMs: 5500};
 const unavailableStatus = 503;
 const onceOnly: ReadonlySet<string> = new Set(['/once/1', '/stream/1']);
 
@@ -34,19 +29,6 @@
 	{name: 'a host that forwards its requests stops together with another one', stopping: [1, 2], isForwarding: true},
 ];
 
-/** Changes how long runs take until the returned function is called. */
-function varyRuns({replicas, random}: Bed): () => void {
-	const timer = setInterval(() => {
-		for (const replica of replicas) {
-			replica.workMs = random.next() < slowShare ? slowMs.least + ((slowMs.most - slowMs.least) * random.next()) : fastMs;
-			replica.eventGapMs = replica.workMs / streamEvents;
-		}
-	}, changeMs);
-	return () => {
-		clearInterval(timer);
-	};
-}
-
 /** Stops hosts beside callers of the second one; returns its requests, and when the stop began. */
 async function play(bed: Bed, {stopping, isForwarding}: Case): Promise<{readonly requests: readonly StopRequest[]; readonly stoppedAt: number}> {
 	const [, host] = bed.hosts as [unknown, typeof bed.hosts[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the bed has three hosts
@@ -76,7 +58,7 @@
 	for (const each of cases) {
 		it(each.name, {timeout: 90_000}, async () => {
 			const bed = await makeBed(seed, 3);
-			const stopVarying = varyRuns(bed);
+			const stopVarying = varyRuns(bed, slowRuns);
 			try {
 				bed.draft = {routeTimes: {timeoutMs: 9000, targetLatencyMs: 6000}};
 				bed.version += 1;
@@ -84,7 +66,7 @@
 				await waitUntilServing(bed);
 				const {requests, stoppedAt} = await play(bed, each);
 				const ran = new Set(bed.log.runs.map(({request}) => request));
-				const lost = requests.filter(request => isLost(request, ran.has(request.id), stoppedAt));
+				const lost = findLost(requests, bed.log, stoppedAt);
 				const misled = requests.filter(({id, path, status}) => status === unavailableStatus && ran.has(id) && onceOnly.has(path));
 				expect({lost, misled}).toEqual({lost: [], misled: []});
 				expect(requests.some(({sentAt, status}) => sentAt > stoppedAt && status === unavailableStatus)).toEqual(true);
--- /dev/null
+++ b/packages/standin/src/soak/planned-stop.ts
@@ -0,0 +1,52 @@
+/** A planned stop as the platform has it: SIGTERM, and SIGKILL for a process that is there at the end of the grace period. */
+import {setTimeout as pause} from 'node:timers/promises';
+import {type HostProcess} from './host-process.js';
+import {graceMs} from './stop-traffic.js';
+
+/** A time for which a process stands still, from the begin of its stop on, in milliseconds. */
+export type Standstill = {
+	readonly atMs: number;
+	readonly lastsMs: number;
+};
+
+/** How a planned stop ended. */
+export type StopEnd = {
+	/** On this process's steady clock, in milliseconds. */
+	readonly stoppedAt: number;
+	readonly tookMs: number;
+	/** Whether the process ended by itself, and with which code. */
+	readonly exitCode: number | undefined;
+	/** Names of the last lines that are due and did not arrive. */
+	readonly missing: readonly string[];
+};
+
+const lastLines = ['stopped', 'processEnded'] as const;
+
+/** Holds a process, which must not outlast its grace period. */
+async function hold(host: HostProcess, {atMs, lastsMs}: Standstill): Promise<void> {
+	await pause(atMs);
+	host.signal('SIGSTOP');
+	await pause(lastsMs);
+	host.signal('SIGCONT');
+}
+
+/** Stops a host and waits for its end. */
+export async function stopAsPlanned(host: HostProcess, standstill?: Standstill): Promise<StopEnd> {
+	const lengthBefore = host.readLog().length;
+	const exitsBefore = host.exits.length;
+	const stoppedAt = performance.now();
+	host.signal('SIGTERM');
+	const ended = host.ended();
+	const killing = setTimeout(() => {
+		host.signal('SIGKILL');
+	}, graceMs);
+	const holding = standstill === undefined ? undefined : hold(host, standstill);
+	await ended;
+	const tookMs = performance.now() - stoppedAt;
+	clearTimeout(killing);
+	await holding;
+	const lines = host.readLog().slice(lengthBefore);
+	return {
+		stoppedAt, tookMs, exitCode: host.exits[exitsBefore]?.code, missing: lastLines.filter(name => !lines.includes(`"${name}"`)),
+	};
+}
--- a/packages/standin/src/soak/stop-traffic.ts
+++ b/packages/standin/src/soak/stop-traffic.ts
@@ -4,6 +4,7 @@
 import {type Random} from '@gatehead/policy/utils/random';
 import {sendRequest, type CallerAnswer} from '../wire/client.js';
 import {listStatuses, openCaller, writeRequest} from '../wire/raw-caller.js';
+import {type ReplicaLog} from '../wire/replica-server.js';
 
 /** How a request reaches the host. */
 export type Arrival = 'kept' | 'new' | 'pipelined' | 'lateBody';
@@ -22,19 +23,35 @@
 	readonly isConnected: boolean;
 };
 
+/** Grace period of a planned stop, in milliseconds. */
+export const graceMs = 8000;
 /** Time after the start of a stop until which requests may be sent whose runs last until its end. */
 const earlyMs = 3000;
 /** Time after the start of a stop from which runs may be cut that began early. */
-const lateMs = 8000 * 5 / 6;
+const lateMs = graceMs * 5 / 6;
 /** Longest time for which a request that has not run may go without the end of its connection. */
 const crossingMs = 200;
 
-/** Whether a request was lost to a planned stop that began at `stoppedAt`: its host read it and gave no complete response, though its run could end in time. */
-export function isLost({sentAt, endedAt, isConnected, isWhole}: StopRequest, hasRun: boolean, stoppedAt: number): boolean {
-	const isCutLate = sentAt - stoppedAt <= earlyMs && endedAt - stoppedAt >= lateMs;
+/** What the endpoints know of a request. */
+export type RunOutcome = {
+	readonly hasRun: boolean;
+	/** When its endpoint had delivered the whole response; undefined: it never did. */
+	readonly finishedAt: number | undefined;
+};
+
+/** Whether a request was lost to a planned stop that began at `stoppedAt`: its host read it and gave no complete response, though its endpoint had delivered it or the run could end in time. */
+export function isLost({sentAt, endedAt, isConnected, isWhole}: StopRequest, {hasRun, finishedAt}: RunOutcome, stoppedAt: number): boolean {
+	const workedUntil = Math.min(endedAt, finishedAt ?? Number.POSITIVE_INFINITY);
+	const isCutLate = sentAt - stoppedAt <= earlyMs && workedUntil - stoppedAt >= lateMs;
 	return isConnected && !isWhole && !isCutLate && (hasRun || endedAt - sentAt > crossingMs);
 }
 
+/** The requests that were lost to a planned stop. */
+export function findLost(requests: readonly StopRequest[], {runs, finishedAt}: Pick<ReplicaLog, 'runs' | 'finishedAt'>, stoppedAt: number): StopRequest[] {
+	const ran = new Set(runs.map(({request}) => request));
+	return requests.filter(each => isLost(each, {hasRun: ran.has(each.id), finishedAt: finishedAt.get(each.id)}, stoppedAt));
+}
+
 type Sending = {
 	readonly address: string;
 	readonly id: string;
@@ -126,10 +143,12 @@
 	readonly perSecond: number;
 	readonly isGone: () => boolean;
 	readonly random: Random;
+	/** What the ids of the requests begin with; absent: nothing. */
+	readonly prefix?: string;
 };
 
 /** Sends requests at a steady rate until the host is gone. */
-export async function sendUntilGone({address, perSecond, isGone, random}: StopTraffic): Promise<StopRequest[]> {
+export async function sendUntilGone({address, perSecond, isGone, random, prefix = ''}: StopTraffic): Promise<StopRequest[]> {
 	const agent = new Agent({keepAlive: true});
 	const sent: Array<Promise<StopRequest[]>> = [];
 	const startedAt = performance.now();
@@ -138,7 +157,7 @@
 		while (sent.length < due) {
 			const arrival = arrivals[Math.floor(random.next() * arrivals.length)] ?? 'kept';
 			const path = paths[Math.floor(random.next() * paths.length)] ?? '/once/1';
-			const id = `r${sent.length}`;
+			const id = `${prefix}r${sent.length}`;
 			sent.push((async () => {
 				const ends = await senders[arrival]({
 					address, id, path, agent, random,
--- a/packages/standin/src/wire/engine-memory.test.ts
+++ b/packages/standin/src/wire/engine-memory.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {expect} from 'earl';
 import {sendRequest} from './client.js';
-import {type ReplicaLog, startReplica, type StandinReplica} from './replica-server.js';
+import {makeReplicaLog, startReplica, type StandinReplica} from './replica-server.js';
 import {StreamCaller, writePrompt} from './stream-caller.js';
 import {until} from './world.js';
 
@@ -62,9 +62,7 @@
 describe('memory of a stand-in engine', () => {
 	for (const {name: caseName, stage, isRunningOn = false, leavesAt = Number.POSITIVE_INFINITY, headers = {}, tokens} of cases) {
 		it(caseName, async () => {
-			const log: ReplicaLog = {
-				runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-			};
+			const log = makeReplicaLog();
 			const replica = await startReplica({
 				id: 'engine', stage, slots: 1, log, eventGapMs: 50,
 			}, anyPort);
--- a/packages/standin/src/wire/large-responses.test.ts
+++ b/packages/standin/src/wire/large-responses.test.ts
@@ -14,7 +14,7 @@
 import {HostProcess} from '../soak/host-process.js';
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {sendRequest} from './client.js';
-import {startReplica, type ReplicaLog} from './replica-server.js';
+import {makeReplicaLog, startReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 import {makeConfig, makeEntry, until} from './world.js';
 
@@ -208,9 +208,7 @@
 		it(`stands still while these are written: ${name}; adopts the last configuration, and starts again with all of them in the history`, {timeout: processTimeoutMs}, async () => {
 			const folder = mkdtempSync(join(tmpdir(), 'gatehead-large-'));
 			const store = await startStore(anyPort);
-			const log: ReplicaLog = {
-				runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-			};
+			const log = makeReplicaLog();
 			const replica = await startReplica({
 				id: 'plain-0', stage: undefined, slots: 8, log, softwareVersion: 'v1',
 			}, anyPort);
--- a/packages/standin/src/wire/malformed-items.test.ts
+++ b/packages/standin/src/wire/malformed-items.test.ts
@@ -17,7 +17,7 @@
 import {HostProcess} from '../soak/host-process.js';
 import {findPorts, ownNetwork} from '../utils/ports.js';
 import {sendRequest} from './client.js';
-import {startReplica, type ReplicaLog} from './replica-server.js';
+import {makeReplicaLog, startReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 import {makeConfig, makeEntry, until} from './world.js';
 
@@ -104,9 +104,7 @@
 	const folder = mkdtempSync(join(tmpdir(), 'gatehead-items-'));
 	const store = await startStore(anyPort);
 	const path = await startProxy(store.address);
-	const log: ReplicaLog = {
-		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-	};
+	const log = makeReplicaLog();
 	const replicas = await Promise.all(stages.map(async (stage, index) => startReplica({
 		id: `${stage ?? 'plain'}-${index}`, stage, slots: 8, log, softwareVersion: 'v1',
 	}, anyPort)));
--- a/packages/standin/src/wire/release-bed.ts
+++ b/packages/standin/src/wire/release-bed.ts
@@ -8,7 +8,7 @@
 import {HostProcess} from '../soak/host-process.js';
 import {partitionSignal, writePartition} from '../soak/partition.js';
 import {findPorts, ownNetwork} from '../utils/ports.js';
-import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
+import {makeReplicaLog, startReplica, type StandinReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 import {makeConfig, makeEntry} from './world.js';
 
@@ -43,9 +43,7 @@
 /** Starts hosts and replicas of `v1`, and waits until all hosts serve. */
 export async function startReleaseBed(hostCount: number, eventGapMs: number): Promise<ReleaseBed> {
 	const folder = mkdtempSync(join(tmpdir(), 'gatehead-release-'));
-	const log: ReplicaLog = {
-		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-	};
+	const log = makeReplicaLog();
 	const store = await startStore(anyPort);
 	const replicas: StandinReplica[] = [];
 	const addReplica = async (id: string, stage: 'prefill' | 'decode' | undefined, softwareVersion?: string) => {
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -76,8 +76,17 @@
 	readonly orders: Array<{readonly replica: string; readonly holder: string; readonly fence: number}>;
 	/** Replicas that ended under a request, in the order of their ends. */
 	readonly ended: string[];
+	/** When the last whole response to each request was written, on the process's steady clock, in milliseconds. */
+	readonly finishedAt: Map<string, number>;
 };
 
+/** A log of nothing yet. */
+export function makeReplicaLog(): ReplicaLog {
+	return {
+		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [], finishedAt: new Map(),
+	};
+}
+
 /** What a replica is made from. */
 export type ReplicaParts = {
 	readonly id: string;
@@ -269,6 +278,9 @@
 				this.parts.log.closed.push(id);
 			}
 		});
+		response.once('finish', () => {
+			this.parts.log.finishedAt.set(id, performance.now());
+		});
 		if (exchange.body === this.parts.crashingBody || this.#hasCrashingPart(request)) {
 			this.#crash(exchange);
 			return;
--- a/packages/standin/src/wire/settings-reload.test.ts
+++ b/packages/standin/src/wire/settings-reload.test.ts
@@ -12,7 +12,7 @@
 import {HostProcess} from '../soak/host-process.js';
 import {findPorts, ownAddress} from '../utils/ports.js';
 import {sendRequest} from './client.js';
-import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
+import {makeReplicaLog, startReplica, type StandinReplica} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 import {
 	makeConfig, makeEntry, patientTimes, until,
@@ -97,9 +97,7 @@
 ];
 
 describe('a reload while requests are in progress', () => {
-	const log: ReplicaLog = {
-		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-	};
+	const log = makeReplicaLog();
 	const replicas: StandinReplica[] = [];
 	let folder = '';
 	let settingsFile = '';
--- a/packages/standin/src/wire/world.ts
+++ b/packages/standin/src/wire/world.ts
@@ -12,7 +12,9 @@
 import {type LogFields} from '@gatehead/host/utils/log';
 import {type Code} from '@gatehead/schema/codes';
 import {findPorts, ownAddress} from '../utils/ports.js';
-import {startReplica, type ReplicaLog, type StandinReplica} from './replica-server.js';
+import {
+	makeReplicaLog, startReplica, type ReplicaLog, type StandinReplica,
+} from './replica-server.js';
 import {startStore, type StandinStore} from './store-server.js';
 
 const anyPort = '127.0.0.1:0';
@@ -283,9 +285,7 @@
 
 /** Starts a deployment and waits until every relay knows configuration, replicas and each other. */
 export async function startWorld({hosts, plain, prefill, decode, slots, retryAllowance, watchMs, tenants, revokeMs, storePath, peerPath, crashingBody, crashingParts, eventsBeforeCrash, softwareVersions, eventGapMs, routeTimes, streamAttempts, loadManagement, clock, endpointPaths}: WorldParts): Promise<World> {
-	const log: ReplicaLog = {
-		runs: [], arrivals: [], results: new Map(), closed: [], readings: [], orders: [], ended: [],
-	};
+	const log = makeReplicaLog();
 	const lines: LoggedLine[] = [];
 	const store = await startStore(anyPort);
 	const stages = [...Array.from({length: plain}, () => undefined), ...Array.from({length: prefill}, () => 'prefill' as const), ...Array.from({length: decode}, () => 'decode' as const)];
