Fix: a host that stood still closed connections that it had not accepted yet

Callers saw a reset, with no response, for requests on new connections that arrived while their host stood still at the end of its planned stop.

Cause: before it closes its listener, a stopping host passed three turns of the event loop to read what has arrived. Node accepts one connection a turn, so of those that waited all but one or two were reset by the close.

Result: graceful-shutdown.test.ts, '20 connections that are not accepted yet': 18 of 20 unanswered before, none after.

--- a/packages/host/src/core/graceful-shutdown.test.ts
+++ b/packages/host/src/core/graceful-shutdown.test.ts
@@ -1,7 +1,7 @@
 /** Guards against requests that are closed unread because they arrive right when a planned stop has found nothing in flight. */
 import {once} from 'node:events';
 import {createServer, type ServerResponse} from 'node:http';
-import {connect, type AddressInfo} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {describe, it} from 'node:test';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {ignore} from '@gatehead/policy/utils/ignore';
@@ -13,14 +13,54 @@
 const local = '127.0.0.1';
 const request = 'GET / HTTP/1.1\r\nHost: calls.example\r\n\r\n';
 
-/** Connections on which a request arrives. */
-const cases = [
-	{name: 'an idle connection', isUsed: true},
-	{name: 'a new connection', isUsed: false},
-] as const;
+/** Connections on each of which a request arrives. */
+const cases: ReadonlyArray<{readonly name: string; readonly isUsed: boolean; readonly count: number; readonly isLate?: boolean}> = [
+	{name: 'an idle connection', isUsed: true, count: 1},
+	{name: 'a new connection', isUsed: false, count: 1},
+	{name: 'each of 20 connections that are not accepted yet', isUsed: false, count: 20, isLate: true},
+];
+
+type Caller = {
+	readonly write: () => void;
+	readonly received: () => string;
+	readonly closed: Promise<unknown>;
+};
+
+/** Opens a connection without waiting for it. */
+function beginCaller(port: number): Caller & {readonly socket: Socket; readonly clear: () => void} {
+	const socket = connect({host: local, port});
+	let received = '';
+	socket.setEncoding('utf8');
+	socket.on('error', ignore);
+	socket.on('data', (text: string) => {
+		received += text;
+	});
+	const closed = new Promise(resolve => {
+		socket.once('close', resolve);
+	});
+	return {
+		socket, write() {
+			socket.write(request);
+		}, received: () => received, closed, clear() {
+			received = '';
+		},
+	};
+}
+
+async function openCaller(port: number, isUsed: boolean): Promise<Caller> {
+	const caller = beginCaller(port);
+	await once(caller.socket, 'connect');
+	if (isUsed) {
+		caller.write();
+		await once(caller.socket, 'data');
+	}
+
+	caller.clear();
+	return caller;
+}
 
 describe('a request that arrives when a planned stop finds nothing in flight', () => {
-	for (const {name, isUsed} of cases) {
+	for (const {name, isUsed, count, isLate} of cases) {
 		it(`gets a response on ${name}`, {timeout: 30_000}, async () => {
 			const open = new Set<ServerResponse>();
 			const server = createServer((_request, response) => {
@@ -34,23 +74,7 @@
 			server.listen(0, local);
 			await once(server, 'listening');
 			const {port} = server.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
-			const caller = connect({host: local, port});
-			let received = '';
-			caller.setEncoding('utf8');
-			caller.on('error', ignore);
-			caller.on('data', (text: string) => {
-				received += text;
-			});
-			const closed = new Promise(resolve => {
-				caller.once('close', resolve);
-			});
-			await once(caller, 'connect');
-			if (isUsed) {
-				caller.write(request);
-				await once(caller, 'data');
-			}
-
-			received = '';
+			const callers = isLate ? [] : await Promise.all(Array.from({length: count}, async () => openCaller(port, isUsed)));
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the shutdown uses
 			const context = {
 				clock: systemClock, log: ignore, timeline: {record: ignore}, settings: {timing: {tickMs: 1}},
@@ -60,13 +84,17 @@
 				lookupTtlMs: () => 1,
 				announceLeaving: ignore,
 				refuseNewRequests() {
-					caller.write(request);
+					callers.push(...Array.from({length: isLate ? count : 0}, () => beginCaller(port)));
+					for (const {write} of callers) {
+						write();
+					}
 				},
+				countArrivals: () => connections.arrivals,
 				countInFlight: () => open.size,
 			});
 			await connections.close();
-			await closed;
-			expect(received.startsWith('HTTP/1.1 503 ')).toEqual(true);
+			await Promise.all(callers.map(async ({closed}) => closed));
+			expect(callers.filter(({received}) => !received().startsWith('HTTP/1.1 503 ')).length).toEqual(0);
 		});
 	}
 });
--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -17,6 +17,8 @@
 	readonly lookupTtlMs: () => number;
 	readonly announceLeaving: () => void;
 	readonly refuseNewRequests: () => void;
+	/** Connections and requests of callers so far. */
+	readonly countArrivals: () => number;
 	/** Number of requests and cancels to wait for. */
 	readonly countInFlight: () => number;
 };
@@ -28,7 +30,7 @@
 }
 
 /** Shuts down gracefully; resolves once nothing is in flight. */
-export async function shutDownGracefully({context, lookupTtlMs, announceLeaving, refuseNewRequests, countInFlight}: ShutdownOptions): Promise<void> {
+export async function shutDownGracefully({context, lookupTtlMs, announceLeaving, refuseNewRequests, countArrivals, countInFlight}: ShutdownOptions): Promise<void> {
 	context.log('stopping');
 	context.timeline.record({kind: 'stopping'});
 	announceLeaving();
@@ -39,6 +41,6 @@
 			await pause(context, pollMs);
 		}
 
-		await readUnreadRequests();
+		await readUnreadRequests(countArrivals);
 	} while (countInFlight() > 0);
 }
--- a/packages/host/src/front/caller-connections.ts
+++ b/packages/host/src/front/caller-connections.ts
@@ -62,6 +62,7 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #uses = new Map<Socket, ConnectionUse>();
 	readonly #listener: ConnectionListener;
+	#arrivals = 0;
 
 	constructor(server: Server, listener: ConnectionListener = noListener) {
 		this.#server = server;
@@ -78,6 +79,7 @@
 		// Node's option for it has no type; it keeps the connection open until the last response
 		Object.assign(server, {httpAllowHalfOpen: listener.answersHalfClosed === true});
 		server.on('connection', socket => {
+			this.#arrivals += 1;
 			this.#sockets.add(socket);
 			if (listener.answersHalfClosed === true) {
 				socket.once('end', () => {
@@ -90,6 +92,7 @@
 			});
 		});
 		server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+			this.#arrivals += 1;
 			this.#trackResponse(request, response);
 		});
 		// Without a listener Node closes the connection
@@ -111,6 +114,11 @@
 		return openResponses === undefined || [...openResponses].at(-1) === response;
 	}
 
+	/** Connections and requests that have arrived so far. */
+	get arrivals(): number {
+		return this.#arrivals;
+	}
+
 	/** Open connections. */
 	get count(): number {
 		return this.#sockets.size;
--- a/packages/host/src/front/caller-server.ts
+++ b/packages/host/src/front/caller-server.ts
@@ -58,6 +58,11 @@
 		return this.#openRequests;
 	}
 
+	/** Connections and requests that have arrived so far. */
+	get arrivals(): number {
+		return this.#connections.arrivals;
+	}
+
 	/** Starts listening; resolves with the bound address. */
 	async listen(): Promise<string> {
 		return listenAt(this.#server, this.#parts.context.settings.listen.caller, this.#parts.context);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -179,6 +179,7 @@
 			refuseNewRequests: () => {
 				this.#callerFront.rejectNewRequests();
 			},
+			countArrivals: () => this.#callerFront.arrivals,
 			countInFlight: () => this.#countInFlight(),
 		});
 		this.context.log('stopped');
--- a/packages/host/src/utils/unread-requests.ts
+++ b/packages/host/src/utils/unread-requests.ts
@@ -1,12 +1,19 @@
 /** Reads what callers have sent before their connections are closed: timers, which end a planned stop, run before that on a busy host. */
 import {setImmediate as nextTurn} from 'node:timers/promises';
 
-/** Turns of the event loop in which what has arrived is read and rejected: one accepts a connection, one reads its request, and one passes before a stopping host responds. */
-const turns = 3;
+/** Turns of the event loop behind the last arrival: one accepts a connection, one reads its request, and one passes before a stopping host responds. */
+const turnsBehindArrival = 3;
+/** Most turns; a server accepts one connection a turn, so a host that stood still needs as many turns as connections wait. */
+const maxTurns = 2000;
 
-/** Resolves once stopping servers have responded to the requests that have arrived. */
-export async function readUnreadRequests(): Promise<void> {
-	for (let turn = 0; turn < turns; turn += 1) {
+/** Resolves once stopping servers have responded to the requests that have arrived. `countArrivals`: connections and requests of these servers so far. */
+export async function readUnreadRequests(countArrivals: () => number): Promise<void> {
+	let arrivals = countArrivals();
+	let quietTurns = 0;
+	for (let turn = 0; turn < maxTurns && quietTurns < turnsBehindArrival; turn += 1) {
 		await nextTurn();
+		const earlier = arrivals;
+		arrivals = countArrivals();
+		quietTurns = arrivals === earlier ? quietTurns + 1 : 0;
 	}
 }
