Fix: a standstill near the end of a planned stop ended in SIGKILL

Cause: runs were waited for until half a second before the end of the grace period, and no step behind that had a bound of its own. A standstill of the process of one second there outlasts the grace period: the platform kills the process with all that endpoints have delivered meanwhile unread in its sockets.

Change: requests in progress end at five sixths of the grace period, so that a standstill of nearly a sixth at any moment of the stop leaves time to read what has arrived, to pass it on, and to close (policy/relay/stop-schedule.ts).

--- a/packages/host/src/utils/process-signals.ts
+++ b/packages/host/src/utils/process-signals.ts
@@ -4,13 +4,15 @@
  * received from the first statement on and kept until they can be handled.
  */
 import {type EventEmitter} from 'node:events';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
 import {ignore} from '@gatehead/policy/utils/ignore';
 
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 const reloadSignal = 'SIGHUP';
 /** Turns of the event loop in which signals are reported that arrived while the process was loaded: a turn that has begun may be past them. */
 const signalTurns = 2;
+/** Turns of the event loop that a stop gets beyond its time: in a process that stood still it has not gone on yet when its time is over. */
+const overdueTurns = 20;
 
 /** What a process does on signals. */
 export type ProcessTasks = {
@@ -18,13 +20,25 @@
 	/** Reads the settings again; absent: they take effect at a start only. */
 	readonly reload?: () => void;
 	readonly stop: () => Promise<void>;
+	/** Longest time from the first stop signal to the end of the stop, and of a start that it finds unfinished, in milliseconds; absent: any time. */
+	readonly maxStopMs?: number;
 };
 
+/** How a process has stopped; `overdue`: a step had not ended in time. */
+export type StopOutcome = 'complete' | 'overdue';
+
+async function passTurns(count: number): Promise<void> {
+	for (let turn = 0; turn < count; turn += 1) {
+		await nextTurn();
+	}
+}
+
 /** Signals of one process. */
 export class ProcessSignals {
-	readonly #stop = new AbortController();
+	readonly #abort = new AbortController();
 	readonly #stopped: Promise<void>;
 	#stopSignal = '';
+	#stopSignalAt = Number.POSITIVE_INFINITY;
 	#isReloadDue = false;
 	/** Undefined: the start is not complete. */
 	#reload: (() => void) | undefined;
@@ -33,8 +47,12 @@
 		this.#stopped = new Promise(resolve => {
 			for (const signal of stopSignals) {
 				source.on(signal, () => {
-					this.#stopSignal ||= signal;
-					this.#stop.abort();
+					if (this.#stopSignal === '') {
+						this.#stopSignal = signal;
+						this.#stopSignalAt = performance.now();
+					}
+
+					this.#abort.abort();
 					resolve();
 				});
 			}
@@ -46,7 +64,7 @@
 
 	/** Aborted by the first stop signal. A start that waits throws its reason. */
 	get stopping(): AbortSignal {
-		return this.#stop.signal;
+		return this.#abort.signal;
 	}
 
 	/** First stop signal; empty: none. */
@@ -54,27 +72,47 @@
 		return this.#stopSignal;
 	}
 
+	/** Time since the first stop signal, in milliseconds; 0 before. */
+	get stoppingForMs(): number {
+		return Math.max(0, performance.now() - this.#stopSignalAt);
+	}
+
 	/** Reads the settings again, once the start is complete and unless a stop has begun. */
 	reload(): void {
 		this.#isReloadDue = true;
 		this.#handleReload();
 	}
 
-	/** Runs a process until the first stop signal and resolves once it has stopped. Throws the error of the start. Later signals change nothing. */
-	async run({start, reload = ignore, stop}: ProcessTasks): Promise<void> {
-		for (let turn = 0; turn < signalTurns; turn += 1) {
-			await nextTurn();
+	/** Runs a process until the first stop signal and resolves once it has stopped, or its time to stop is over. Throws the error of the start or the stop. Later signals change nothing. */
+	async run(tasks: ProcessTasks): Promise<StopOutcome> {
+		await passTurns(signalTurns);
+		if (this.stopping.aborted) {
+			return 'complete';
 		}
 
-		if (this.stopping.aborted) {
-			return;
+		const {maxStopMs} = tasks;
+		const outcomes = [this.#runTasks(tasks)];
+		if (maxStopMs !== undefined) {
+			outcomes.push(this.#waitForOverdue(maxStopMs));
 		}
 
+		return Promise.race(outcomes);
+	}
+
+	async #runTasks({start, reload = ignore, stop}: ProcessTasks): Promise<StopOutcome> {
 		await start();
 		this.#reload = reload;
 		this.#handleReload();
 		await this.#stopped;
 		await stop();
+		return 'complete';
+	}
+
+	async #waitForOverdue(maxStopMs: number): Promise<StopOutcome> {
+		await this.#stopped;
+		await pause(maxStopMs);
+		await passTurns(overdueTurns);
+		return 'overdue';
 	}
 
 	#handleReload(): void {
--- /dev/null
+++ b/packages/policy/src/relay/stop-schedule.test.ts
@@ -0,0 +1,39 @@
+/** Guards against planned stops that leave no time for a standstill, or none at all for their runs. */
+import {describe, it} from 'node:test';
+import {expect} from 'earl';
+import {maxStopMs, planStop} from './stop-schedule.js';
+
+type Case = {
+	readonly name: string;
+	readonly graceMs: number;
+	readonly breaksOffMs: number;
+	readonly closesMs: number;
+	readonly endsMs: number;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'eight seconds', graceMs: 8000, breaksOffMs: 6667, closesMs: 7700, endsMs: 7800,
+	},
+	{
+		name: 'a minute', graceMs: 60_000, breaksOffMs: 50_000, closesMs: 59_700, endsMs: 59_800,
+	},
+	{
+		name: 'one second', graceMs: 1000, breaksOffMs: 833, closesMs: 833, endsMs: 800,
+	},
+	{
+		name: 'none', graceMs: 0, breaksOffMs: 0, closesMs: 0, endsMs: 0,
+	},
+];
+
+const startedAt = 1000;
+
+describe('schedule of a planned stop', () => {
+	for (const {name, graceMs, breaksOffMs, closesMs, endsMs} of cases) {
+		it(`of ${name}`, () => {
+			const {breaksOffAt, closesAt} = planStop(startedAt, graceMs);
+			expect([breaksOffAt, closesAt].map(at => Math.round(at - startedAt))).toEqual([breaksOffMs, closesMs]);
+			expect(maxStopMs(graceMs)).toEqual(endsMs);
+		});
+	}
+});
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -133,11 +133,21 @@
 		return this.#pending.size;
 	}
 
+	/** Complete responses that their callers have not taken yet. */
+	get undeliveredResponses(): number {
+		return [...this.#pending].filter(({reply, response}) => reply.isComplete && !response.destroyed).length;
+	}
+
 	/** Open connections of callers. */
 	get openConnections(): number {
 		return this.#connections.count;
 	}
 
+	/** Connections and requests that have arrived so far. */
+	get arrivals(): number {
+		return this.#connections.arrivals;
+	}
+
 	/** Starts listening; resolves to the bound address. */
 	async listen(): Promise<string> {
 		return listenAt(this.#server, this.#parts.context.settings.listen.caller, this.#parts.context);
--- a/packages/relay/src/front/reply.ts
+++ b/packages/relay/src/front/reply.ts
@@ -127,11 +127,11 @@
 
 	/** Whether the response can still be written: neither ended, nor closed by the caller, nor replaced by the rejection of a malformed request. */
 	get isOpen(): boolean {
-		return !this.#isDestroyed && !this.#isEnded && !this.#response.destroyed && !isRejected(this.#response.req);
+		return !this.#isDestroyed && !this.isComplete && !this.#response.destroyed && !isRejected(this.#response.req);
 	}
 
 	/** Whether the response is complete, though a part may not be written yet. */
-	get #isEnded(): boolean {
+	get isComplete(): boolean {
 		return this.#unwrittenBytes > 0 || this.#response.writableEnded;
 	}
 
@@ -266,7 +266,7 @@
 		const needsTruth = !isRepeatable || this.#isToHost;
 		const wouldMislead = notRunStatuses.has(codes[requested].status) && mayHaveRun && needsTruth;
 		const code = wouldMislead ? 'answerLost' : requested;
-		if (this.#isEnded) {
+		if (this.isComplete) {
 			return code;
 		}
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,9 +7,11 @@
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
+import {toFailure} from '@gatehead/schema/failure';
 import {type Endpoint} from '@gatehead/schema/routing';
 import {type PaceState, type RelayStatus} from '@gatehead/schema/relay-status';
 import {readPast} from '@gatehead/policy/relay/past-endpoints';
+import {planStop} from '@gatehead/policy/relay/stop-schedule';
 import {StopWindow} from '@gatehead/policy/relay/stop-window';
 import {AccessControl} from './access/access-control.js';
 import {isOff} from './core/experiment.js';
@@ -43,10 +45,10 @@
 import {StageOrders} from './work/stage-orders.js';
 import {StreamVersions} from './work/stream-versions.js';
 
-/** Part of the grace period reserved for closing connections and components, in milliseconds. */
-const closeMarginMs = 500;
-/** Part of that margin for the rejection of requests that are still in progress, or that arrive on accepted connections, in milliseconds. */
-const rejectionMs = 250;
+/** Time for the rejection of requests that are still in progress at the end of a stop, or that arrive on accepted connections, in milliseconds. */
+const rejectionMs = 100;
+/** Time for which a host that stood still at the end of a stop passes on what has arrived from endpoints meanwhile, in milliseconds. */
+const catchUpMs = 150;
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
@@ -289,23 +291,33 @@
 		const {clock, log, settings: {timing}} = this.context;
 		const startedAt = clock.now();
 		this.#isStopping = true;
-		this.#stopWindow.begin(startedAt + timing.graceMs - closeMarginMs);
-		this.#stageOrders.stop();
+		const {breaksOffAt, closesAt} = planStop(startedAt, timing.graceMs);
+		this.#stopWindow.begin(breaksOffAt);
 		log('stopping', {open: this.#callerServer.activeRequests});
-		this.fleet.leave();
 		this.#callerServer.closeConnectionsAfterResponses();
+		this.#leaveFleet();
 		const acceptMs = (timing.lookupTtlMs * timing.lookupStretch) + (gossipTicks * timing.tickMs);
 		await this.#sleep(Math.min(acceptMs, timing.graceMs / 2));
 		this.#callerServer.rejectNewRequests();
-		const closesAt = startedAt + timing.graceMs - closeMarginMs;
-		await this.#waitWhile(() => this.#callerServer.activeRequests > 0, closesAt);
-		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(clock.now() - startedAt)});
+		const hasOpenRequests = () => this.#callerServer.activeRequests > 0;
+		await this.#waitWhile(hasOpenRequests, breaksOffAt);
+		if (clock.now() > breaksOffAt + drainPollMs) {
+			await this.#waitWhile(hasOpenRequests, Math.min(clock.now() + catchUpMs, closesAt));
+		}
+
+		const drainedAt = clock.now();
+		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(drainedAt - startedAt)});
 		this.#callerServer.stopListening();
 		this.#callerServer.rejectActive();
-		await this.#waitWhile(() => this.#callerServer.openConnections > 0 || this.#callerServer.activeRequests > 0, Math.min(clock.now(), closesAt) + rejectionMs);
+		await this.#waitWhile(() => this.#callerServer.openConnections > 0 || hasOpenRequests(), Math.min(drainedAt + rejectionMs, closesAt));
+		await this.#waitWhile(() => this.#callerServer.undeliveredResponses > 0, closesAt);
 		this.#callerServer.rejectUnanswered();
-		await readUnreadRequests();
+		await this.#readArrived();
+		const rejectedAt = clock.now();
 		await this.close();
+		log('stopClosed', {
+			drainMs: Math.round(drainedAt - startedAt), rejectionMs: Math.round(rejectedAt - drainedAt), closeMs: Math.round(clock.now() - rejectedAt),
+		});
 	}
 
 	/** Stops immediately; active requests are aborted. */
@@ -328,6 +340,16 @@
 		this.context.metrics.close();
 	}
 
+	/** Announces the stop. A fault must not end it, with the requests in progress. */
+	#leaveFleet(): void {
+		try {
+			this.#stageOrders.stop();
+			this.fleet.leave();
+		} catch (error) {
+			this.context.log('internal', {detail: toFailure(error).message});
+		}
+	}
+
 	/** Uses what the directory's history says of endpoints before this host's first list. */
 	#recallEndpoints(entries: readonly Endpoint[]): void {
 		const past = readPast(entries, this.endpoints.book.list().map(({endpoint}) => endpoint));
@@ -387,10 +409,15 @@
 				await this.#sleep(Math.min(drainPollMs, endsAt - clock.now()));
 			}
 
-			await readUnreadRequests();
+			await this.#readArrived();
 		} while (isSo() && clock.now() < endsAt);
 	}
 
+	/** Reads what callers have sent before, which a host that stood still has not read yet. */
+	async #readArrived(): Promise<void> {
+		await readUnreadRequests(() => this.#callerServer.arrivals);
+	}
+
 	async #sleep(milliseconds: number): Promise<void> {
 		return new Promise<void>(resolve => {
 			this.context.clock.after(milliseconds, resolve);
