--- a/packages/host/src/core/graceful-shutdown.test.ts
+++ b/packages/host/src/core/graceful-shutdown.test.ts
@@ -17,7 +17,9 @@
 const cases: ReadonlyArray<{readonly name: string; readonly isUsed: boolean; readonly count: number; readonly isLate?: boolean}> = [
 	{name: 'an idle connection', isUsed: true, count: 1},
 	{name: 'a new connection', isUsed: false, count: 1},
-	{name: 'each of 20 connections that are not accepted yet', isUsed: false, count: 20, isLate: true},
+	{
+		name: 'each of 20 connections that are not accepted yet', isUsed: false, count: 20, isLate: true,
+	},
 ];
 
 type Caller = {
--- a/packages/host/src/utils/event-loop-monitor.test.ts
+++ b/packages/host/src/utils/event-loop-monitor.test.ts
@@ -14,7 +14,9 @@
 };
 
 const cases: readonly Case[] = [
-	{name: 'none', standstills: [], lines: [], longestDelayMs: 0},
+	{
+		name: 'none', standstills: [], lines: [], longestDelayMs: 0,
+	},
 	{
 		name: 'a short one', standstills: [{lastsMs: 200, processorMs: 200}], lines: [], longestDelayMs: 200,
 	},
--- a/packages/standin/src/soak/stalled-stops.test.ts
+++ b/packages/standin/src/soak/stalled-stops.test.ts
@@ -53,7 +53,7 @@
 	const wrong: string[] = [];
 	for (const [index, end] of ends.entries()) {
 		const {tookMs, exitCode, missing, stoppedAt} = end;
-		const lost = findLost(await sending[index] ?? [], bed.log, stoppedAt); // eslint-disable-line no-await-in-loop -- the callers of all hosts have ended
+		const lost = findLost(await sending[index] ?? [], bed.log, stoppedAt);
 		const name = `standstill at ${standstills[index]?.atMs ?? 'none'}`;
 		report(`${name}: ended after ${Math.round(tookMs)} ms`);
 		wrong.push(
