Fix: a short grace period left no time to reject requests

Callers of a host with a grace period of less than 1.2 s saw connections close without a response at its planned stop: the process was left before the moment at which the stop rejects what is still in progress. Below 1.8 s connections were closed at that very moment.

Cause: the margins of the close and of the end are fixed times, while the part of the grace period that they lie in is a sixth of it. Change: in a short grace period they are shares of that part. From 2.4 s on nothing changes.

The case 'one second' expected an end at 800 ms, before the 833 ms of its rejections; it now expects the order of all steps, as do ten further periods.

--- a/packages/policy/src/relay/stop-schedule.test.ts
+++ b/packages/policy/src/relay/stop-schedule.test.ts
@@ -19,7 +19,10 @@
 		name: 'a minute', graceMs: 60_000, breaksOffMs: 50_000, closesMs: 59_700, endsMs: 59_800,
 	},
 	{
-		name: 'one second', graceMs: 1000, breaksOffMs: 833, closesMs: 833, endsMs: 800,
+		name: 'two seconds', graceMs: 2000, breaksOffMs: 1667, closesMs: 1750, endsMs: 1833,
+	},
+	{
+		name: 'one second', graceMs: 1000, breaksOffMs: 833, closesMs: 875, endsMs: 917,
 	},
 	{
 		name: 'none', graceMs: 0, breaksOffMs: 0, closesMs: 0, endsMs: 0,
@@ -33,7 +36,15 @@
 		it(`of ${name}`, () => {
 			const {breaksOffAt, closesAt} = planStop(startedAt, graceMs);
 			expect([breaksOffAt, closesAt].map(at => Math.round(at - startedAt))).toEqual([breaksOffMs, closesMs]);
-			expect(maxStopMs(graceMs)).toEqual(endsMs);
+			expect(Math.round(maxStopMs(graceMs))).toEqual(endsMs);
+		});
+	}
+
+	for (const graceMs of [1, 50, 600, 1000, 1199, 1200, 1800, 3000, 8000, 3_600_000]) {
+		it(`of ${graceMs} ms: runs end, then connections close, then the process is left`, () => {
+			const {breaksOffAt, closesAt} = planStop(0, graceMs);
+			const times = [0, breaksOffAt, closesAt, maxStopMs(graceMs), graceMs];
+			expect(times.filter((time, index) => index > 0 && time <= (times[index - 1] ?? 0))).toEqual([]);
 		});
 	}
 });
--- a/packages/policy/src/relay/stop-schedule.ts
+++ b/packages/policy/src/relay/stop-schedule.ts
@@ -7,8 +7,12 @@
 const endShare = 1 / 6;
 /** Time before the end of the grace period at which connections are closed at the latest, in milliseconds. */
 const closeMarginMs = 300;
-/** Time before it at which the process ends at the latest, whatever its stop still waits for, in milliseconds. */
+/** The same as a share of the part above, in a short grace period. */
+const closeShare = 3 / 4;
+/** Time before the end of the grace period at which the process ends at the latest, whatever its stop still waits for, in milliseconds. */
 const exitMarginMs = 200;
+/** The same as a share of the part above, in a short grace period. */
+const exitShare = 1 / 2;
 
 /** Times of a planned stop, in milliseconds on one clock. */
 export type StopSchedule = {
@@ -20,11 +24,11 @@
 
 /** Time that a planned stop may take, in milliseconds. */
 export function maxStopMs(graceMs: number): number {
-	return Math.max(0, graceMs - exitMarginMs);
+	return graceMs - Math.min(exitMarginMs, graceMs * endShare * exitShare);
 }
 
 /** Divides the grace period of a stop that began at `startedAt`. */
 export function planStop(startedAt: number, graceMs: number): StopSchedule {
-	const breaksOffAt = startedAt + (graceMs * (1 - endShare));
-	return {breaksOffAt, closesAt: Math.max(breaksOffAt, startedAt + graceMs - closeMarginMs)};
+	const endMs = graceMs * endShare;
+	return {breaksOffAt: startedAt + graceMs - endMs, closesAt: startedAt + graceMs - Math.min(closeMarginMs, endMs * closeShare)};
 }
