Fix: a stop that began late planned its steps beyond the grace period

Callers of a host whose start was not complete at SIGTERM saw connections close without a response.

Cause: a stop follows the start, and divided a whole grace period from its own begin on, while the process is left at the end of the one that the signal has begun. Change: the stop gets the time since the signal and plans from the signal on.

--- a/packages/host/src/utils/process-signals.test.ts
+++ b/packages/host/src/utils/process-signals.test.ts
@@ -1,7 +1,8 @@
 /** Guards against signals that end a process at once and cut its requests: a second one while it stops, or one that arrives before it has started. */
 import {EventEmitter} from 'node:events';
+import process from 'node:process';
 import {describe, it} from 'node:test';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
 import {ProcessSignals, type StopOutcome} from './process-signals.js';
@@ -84,10 +85,18 @@
 
 const nothing = async () => undefined;
 const stalls: readonly Stall[] = [
-	{name: 'a stop that ends', start: nothing, stop: nothing, outcome: 'complete'},
-	{name: 'a stop that ends right after a standstill', start: nothing, stop: standStill, outcome: 'complete'},
-	{name: 'a step of the stop that does not end', start: nothing, stop: stall, outcome: 'overdue'},
-	{name: 'a start that does not end', start: stall, stop: nothing, outcome: 'overdue'},
+	{
+		name: 'a stop that ends', start: nothing, stop: nothing, outcome: 'complete',
+	},
+	{
+		name: 'a stop that ends right after a standstill', start: nothing, stop: standStill, outcome: 'complete',
+	},
+	{
+		name: 'a step of the stop that does not end', start: nothing, stop: stall, outcome: 'overdue',
+	},
+	{
+		name: 'a start that does not end', start: stall, stop: nothing, outcome: 'overdue',
+	},
 ];
 
 describe('a process ends in time', () => {
@@ -105,6 +114,45 @@
 	}
 });
 
+const busyMs = 300;
+
+/** What delays the begin of a stop by `busyMs`. */
+const delays: ReadonlyArray<{readonly name: string; readonly start: () => Promise<void>; readonly act: () => void}> = [
+	{
+		name: 'a start that is not complete', async start() {
+			await pause(busyMs);
+		}, act: ignore,
+	},
+];
+
+// The stop planned its steps for a whole grace period, and SIGKILL ended the process
+describe('a stop knows how much of its time has passed', () => {
+	for (const {name, start, act} of delays) {
+		it(`before it began, behind ${name}`, {timeout: hangMs}, async () => {
+			const source = new EventEmitter(); // eslint-disable-line unicorn/prefer-event-target -- the process is one
+			process.once('SIGTERM', () => {
+				source.emit('SIGTERM');
+			});
+			const signals = new ProcessSignals(source);
+			// A server keeps its process alive
+			const alive = setInterval(ignore, hangMs);
+			let elapsedMs = 0;
+			const running = signals.run({
+				start, async stop(passedMs) {
+					elapsedMs = passedMs;
+				},
+			});
+			// The loop has turned, as it has in a process that serves
+			await pause(busyMs / 3);
+			process.kill(process.pid, 'SIGTERM');
+			act();
+			await running;
+			clearInterval(alive);
+			expect(elapsedMs).toBeGreaterThanOrEqual(busyMs / 2);
+		});
+	}
+});
+
 describe('signals of a process', () => {
 	for (const {name, before = [], during = [], after = [], steps, isEnded} of cases) {
 		it(`${name}: ${steps.join(', ') || 'nothing'}, and every signal is handled`, {timeout: hangMs}, async () => {
--- a/packages/host/src/utils/process-signals.ts
+++ b/packages/host/src/utils/process-signals.ts
@@ -19,7 +19,8 @@
 	readonly start: () => Promise<unknown>;
 	/** Reads the settings again; absent: they take effect at a start only. */
 	readonly reload?: () => void;
-	readonly stop: () => Promise<void>;
+	/** `elapsedMs`: time since the first stop signal, in milliseconds. */
+	readonly stop: (elapsedMs: number) => Promise<void>;
 	/** Longest time from the first stop signal to the end of the stop, and of a start that it finds unfinished, in milliseconds; absent: any time. */
 	readonly maxStopMs?: number;
 };
@@ -104,13 +105,13 @@
 		this.#reload = reload;
 		this.#handleReload();
 		await this.#stopped;
-		await stop();
+		await stop(this.stoppingForMs);
 		return 'complete';
 	}
 
 	async #waitForOverdue(maxStopMs: number): Promise<StopOutcome> {
 		await this.#stopped;
-		await pause(maxStopMs);
+		await pause(Math.max(0, maxStopMs - this.stoppingForMs));
 		await passTurns(overdueTurns);
 		return 'overdue';
 	}
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -286,10 +286,10 @@
 		this.context.log('settingsReloaded', {seeds: seeds.join(' ')});
 	}
 
-	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. */
-	async stop(): Promise<void> {
+	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. `elapsedMs`: part of the grace period that has passed before, in milliseconds. */
+	async stop(elapsedMs = 0): Promise<void> {
 		const {clock, log, settings: {timing}} = this.context;
-		const startedAt = clock.now();
+		const startedAt = clock.now() - elapsedMs;
 		this.#isStopping = true;
 		const {breaksOffAt, closesAt} = planStop(startedAt, timing.graceMs);
 		this.#stopWindow.begin(breaksOffAt);
@@ -297,7 +297,7 @@
 		this.#callerServer.closeConnectionsAfterResponses();
 		this.#leaveFleet();
 		const acceptMs = (timing.lookupTtlMs * timing.lookupStretch) + (gossipTicks * timing.tickMs);
-		await this.#sleep(Math.min(acceptMs, timing.graceMs / 2));
+		await this.#sleep(Math.min(acceptMs, Math.max(0, startedAt + (timing.graceMs / 2) - clock.now())));
 		this.#callerServer.rejectNewRequests();
 		const hasOpenRequests = () => this.#callerServer.activeRequests > 0;
 		await this.#waitWhile(hasOpenRequests, breaksOffAt);
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -414,6 +414,36 @@
 	});
 });
 
+/** Part of the grace period that has passed when a stop begins, in milliseconds. */
+const elapsedMs = 5000;
+
+// The process was left before the stop came to reject it
+describe('a request in progress at a host whose stop begins late', () => {
+	it('is rejected before the grace period of the signal ends', {timeout: 60_000}, async () => {
+		const scripted = await startScriptedWorld({plain: 1});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+			let hasRun = false;
+			scripted.intercept = (_call, kind) => {
+				hasRun ||= kind === 'run';
+				return kind === 'run';
+			};
+
+			const answer = sendRequest({
+				address: scripted.caller, id: 'late', path: '/once/1', headers: {'Deadline-Ms': patientTimes.timeoutMs},
+			});
+			await until(() => hasRun);
+			const beganAt = relay.context.clock.now();
+			await relay.stop(elapsedMs);
+			expect(relay.context.clock.now() - beganAt).toBeLessThan(relay.context.settings.timing.graceMs - elapsedMs);
+			const {status, isWhole} = await answer;
+			expect({status, isWhole}).toEqual({status: unknownStatus, isWhole: true});
+		} finally {
+			await scripted.stop();
+		}
+	});
+});
+
 // Those to plain services got 504, as if their time had passed
 describe('requests that a host has forwarded and that outlast its planned stop', () => {
 	it('are rejected as those that it has sent itself', {timeout: 60_000}, async () => {
