Fix: a stop signal that arrived during a standstill began the grace period late

A host that stood still as it was told to stop planned its steps, and its end, from the moment at which it woke: with a standstill of 1 s and a caller that leaves its response unread, up to 8.8 s behind the signal.

Cause: Node reports a signal when the event loop turns, without the time of its arrival.

Result: process-signals.test.ts, a signal at the begin of a standstill of 0.3 s: counted as just arrived before, from the standstill on now. The 8.8 s are from the schedule, not from a run.

--- a/packages/host/src/utils/process-signals.test.ts
+++ b/packages/host/src/utils/process-signals.test.ts
@@ -123,6 +123,11 @@
 			await pause(busyMs);
 		}, act: ignore,
 	},
+	{
+		name: 'a standstill in which the signal arrives', start: nothing, act() {
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, busyMs);
+		},
+	},
 ];
 
 // The stop planned its steps for a whole grace period, and SIGKILL ended the process
--- a/packages/host/src/utils/process-signals.ts
+++ b/packages/host/src/utils/process-signals.ts
@@ -6,6 +6,7 @@
 import {type EventEmitter} from 'node:events';
 import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
 import {ignore} from '@gatehead/policy/utils/ignore';
+import {StandstillWatch} from './standstill.js';
 
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 const reloadSignal = 'SIGHUP';
@@ -37,6 +38,7 @@
 /** Signals of one process. */
 export class ProcessSignals {
 	readonly #abort = new AbortController();
+	readonly #standstills = new StandstillWatch();
 	readonly #stopped: Promise<void>;
 	#stopSignal = '';
 	#stopSignalAt = Number.POSITIVE_INFINITY;
@@ -50,7 +52,7 @@
 				source.on(signal, () => {
 					if (this.#stopSignal === '') {
 						this.#stopSignal = signal;
-						this.#stopSignalAt = performance.now();
+						this.#stopSignalAt = this.#standstills.earliestArrival();
 					}
 
 					this.#abort.abort();
@@ -73,7 +75,7 @@
 		return this.#stopSignal;
 	}
 
-	/** Time since the first stop signal, in milliseconds; 0 before. */
+	/** Time since the first stop signal, in milliseconds; 0 before. One that arrived while the process stood still counts from the begin of the standstill. */
 	get stoppingForMs(): number {
 		return Math.max(0, performance.now() - this.#stopSignalAt);
 	}
