Fix: a stopping host closed connections of other hosts that it had not accepted

Callers of a host that forwards its requests got an error for requests that had not run, or a repeat was spent on them: a host that stood still at the end of its planned stop reset the connections on which they arrived meanwhile.

Cause: the turns of the event loop that read what has arrived went on for connections and requests of callers only. Node accepts one connection a turn. Change: those on the address for forwarded requests count, too.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -413,9 +413,9 @@
 		} while (isSo() && clock.now() < endsAt);
 	}
 
-	/** Reads what callers have sent before, which a host that stood still has not read yet. */
+	/** Reads what callers and other hosts have sent before, which a host that stood still has not read yet. */
 	async #readArrived(): Promise<void> {
-		await readUnreadRequests(() => this.#callerServer.arrivals);
+		await readUnreadRequests(() => this.#callerServer.arrivals + this.#forwardServer.arrivals);
 	}
 
 	async #sleep(milliseconds: number): Promise<void> {
