Fix: a stop that woke close to the end of its runs broke them off unread

Callers got 502, or a stream that broke off, for responses that had arrived while their host stood still, if it woke at most 50 ms behind the time at which a planned stop breaks off its runs, or just before it.

Cause: a host passes on for another 150 ms what has arrived only if it finds itself 50 ms behind that time; otherwise three turns of the event loop are left, in which Node reads 64 KB each. Change: the 150 ms count from the last late wake-up, whenever it was.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -47,7 +47,7 @@
 
 /** Time for the rejection of requests that are still in progress at the end of a stop, or that arrive on accepted connections, in milliseconds. */
 const rejectionMs = 100;
-/** Time for which a host that stood still at the end of a stop passes on what has arrived from endpoints meanwhile, in milliseconds. */
+/** Time for which a host that stood still near the end of a stop passes on what has arrived from endpoints meanwhile, in milliseconds. */
 const catchUpMs = 150;
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
@@ -83,6 +83,8 @@
 
 	readonly #stopWindow = new StopWindow();
 	#isStopping = false;
+	/** When this host last woke from a standstill during its stop. */
+	#wokeLateAt = Number.NEGATIVE_INFINITY;
 
 	constructor(parts: RelayContextParts) {
 		const context = makeRelayContext(parts);
@@ -301,9 +303,8 @@
 		this.#callerServer.rejectNewRequests();
 		const hasOpenRequests = () => this.#callerServer.activeRequests > 0;
 		await this.#waitWhile(hasOpenRequests, breaksOffAt);
-		if (clock.now() > breaksOffAt + drainPollMs) {
-			await this.#waitWhile(hasOpenRequests, Math.min(clock.now() + catchUpMs, closesAt));
-		}
+		const wokeAt = clock.now() > breaksOffAt + drainPollMs ? clock.now() : this.#wokeLateAt;
+		await this.#waitWhile(hasOpenRequests, Math.min(wokeAt + catchUpMs, closesAt));
 
 		const drainedAt = clock.now();
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(drainedAt - startedAt)});
@@ -419,9 +420,14 @@
 	}
 
 	async #sleep(milliseconds: number): Promise<void> {
-		return new Promise<void>(resolve => {
-			this.context.clock.after(milliseconds, resolve);
+		const {clock} = this.context;
+		const dueAt = clock.now() + milliseconds;
+		await new Promise<void>(resolve => {
+			clock.after(milliseconds, resolve);
 		});
+		if (clock.now() > dueAt + drainPollMs) {
+			this.#wokeLateAt = clock.now();
+		}
 	}
 
 	#describeServices(): RelayStatus['services'] {
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -1,6 +1,7 @@
 /** Guards against requests that get neither a response nor a rejection because their host's planned stop ends before they do. */
 import {describe, it} from 'node:test';
 import {setImmediate as nextTurn, setTimeout as pause} from 'node:timers/promises';
+import {planStop} from '@gatehead/policy/relay/stop-schedule';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
 import {sendRequest, type CallerAnswer} from './client.js';
@@ -445,6 +446,48 @@
 
 /** Part of the grace period that has passed when a stop begins, in milliseconds. */
 const elapsedMs = 5000;
+/** Bytes that take several turns of the event loop to read, and fit into the buffers of a connection. */
+const readBytes = 400_000;
+
+/** When a standstill of `busyMs` ends at which a response arrives, from the end of the runs on, in milliseconds. */
+const wakes = [-10, 20, 40, 100];
+
+// It was aborted before it was read, where the standstill had ended close to the end of the runs
+describe('a response that arrives while a stopping host stands still', () => {
+	for (const wakeMs of wakes) {
+		it(`is passed on where the host wakes ${wakeMs} ms behind the end of its runs`, {timeout: 60_000}, async () => {
+			const scripted = await startScriptedWorld({plain: 1});
+			try {
+				const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has one host
+				const held: EndpointCall[] = [];
+				scripted.intercept = (call, kind) => {
+					held.push(...kind === 'run' ? [call] : []);
+					return kind === 'run';
+				};
+
+				const answer = sendRequest({
+					address: scripted.caller, id: 'late', path: '/once/1', headers: {'Deadline-Ms': patientTimes.timeoutMs},
+				});
+				await until(() => held.length > 0);
+				const {context: {clock, settings: {timing: {graceMs}}}} = relay;
+				const {breaksOffAt} = planStop(clock.now() - elapsedMs, graceMs);
+				const stopped = relay.stop(elapsedMs);
+				await pause(breaksOffAt + wakeMs - busyMs - clock.now());
+				await nextTurn();
+				for (const {id, socket} of held) {
+					socket.write(writeResponse(okStatus, {'Request-Id': id, 'Server-Seal': 'seal'}, 'x'.repeat(readBytes)));
+				}
+
+				block(breaksOffAt + wakeMs - clock.now());
+				await stopped;
+				const {status, isWhole} = await answer;
+				expect({status, isWhole}).toEqual({status: okStatus, isWhole: true});
+			} finally {
+				await scripted.stop();
+			}
+		});
+	}
+});
 
 // The process was left before the stop came to reject it
 describe('a request in progress at a host whose stop begins late', () => {
