Soak: judge requests lost to a stop by what their replica delivered

Cause: a stop excused the end of a request that came in the last sixth of the grace period, though its replica had delivered the whole response before. Change: mayCutRun of stop-traffic.ts, by the end of the run, is the rule of both judgements. All other checks stay.

--- a/packages/standin/src/soak/lost-requests.test.ts
+++ b/packages/standin/src/soak/lost-requests.test.ts
@@ -17,6 +17,9 @@
 	id: 'r1', path: '/resumable/1', sentAt, endedAt: sentAt + 1500, deadlineMs: 3000, status: 200, isWhole: false, isConnected: true, hasLeft: false,
 };
 const stop: HostEnd = {signal: 'SIGTERM', at: sentAt - 1000, endedAt: sentAt + 5000};
+/** A request that was sent before a stop, and ends near the end of the grace period. */
+const lateEnd = {endedAt: sentAt + 6500, deadlineMs: 10_000};
+const longStop: HostEnd = {signal: 'SIGTERM', at: sentAt - 1000, endedAt: undefined};
 const notArrived = {arrived: new Set<string>()};
 
 const cases: readonly Case[] = [
@@ -39,7 +42,16 @@
 		name: 'one that crossed the close of a host that stops', attempt: {status: 0}, ends: [stop], circumstances: notArrived, isLost: false,
 	},
 	{
-		name: 'a run that lasted until a stop was nearly over', ends: [{signal: 'SIGTERM', at: sentAt - 1000, endedAt: undefined}], attempt: {endedAt: sentAt + 6500, deadlineMs: 10_000}, circumstances: {timeouts: []}, isLost: false,
+		name: 'a run that lasted until a stop was nearly over', ends: [longStop], attempt: lateEnd, circumstances: {timeouts: []}, isLost: false,
+	},
+	{
+		name: 'a run whose endpoint finished in the last sixth of a stop', ends: [longStop], attempt: lateEnd, circumstances: {timeouts: [], finishedAt: new Map([['r1', sentAt + 5700]])}, isLost: false,
+	},
+	{
+		name: 'a run whose endpoint finished before that', ends: [longStop], attempt: lateEnd, circumstances: {timeouts: [], finishedAt: new Map([['r1', sentAt + 5600]])}, isLost: true,
+	},
+	{
+		name: 'a run that was sent more than three seconds after SIGTERM', ends: [{...longStop, at: sentAt - 3001}], attempt: lateEnd, circumstances: {timeouts: []}, isLost: true,
 	},
 ];
 
@@ -47,7 +59,7 @@
 	for (const {name, attempt, ends = [], circumstances, isLost} of cases) {
 		it(`${name}: ${isLost ? 'lost' : 'excused'}`, () => {
 			const lost = findLostRequests([{...cut, ...attempt, host: {name: 'host-0', ends: [...ends]}}], {
-				breaks: [], timeouts: [{at: 0, timeoutMs: 3000}], arrived: new Set(['r1']), ...circumstances,
+				breaks: [], timeouts: [{at: 0, timeoutMs: 3000}], arrived: new Set(['r1']), finishedAt: new Map(), ...circumstances,
 			});
 			expect(lost.length).toEqual(isLost ? 1 : 0);
 		});
--- a/packages/standin/src/soak/lost-requests.ts
+++ b/packages/standin/src/soak/lost-requests.ts
@@ -1,5 +1,6 @@
 /** Requests that were read whole and got neither an answer nor a rejection, although nothing excuses it. */
 import {type HostEnd, type HostProcess} from './host-process.js';
+import {mayCutRun} from './stop-traffic.js';
 
 /** One request as its caller saw it; times are on the process's steady clock, in milliseconds. */
 export type Attempt = {
@@ -26,6 +27,8 @@
 	readonly timeouts: ReadonlyArray<{readonly at: number; readonly timeoutMs: number}>;
 	/** Ids of the requests that reached an endpoint. */
 	readonly arrived: ReadonlySet<string>;
+	/** When endpoints had delivered the whole response to a request, by its id. */
+	readonly finishedAt: ReadonlyMap<string, number>;
 };
 
 /** Time for which a cause precedes what its callers see, in milliseconds. */
@@ -34,8 +37,6 @@
 const breakEffectMs = 1500;
 /** Time in which all hosts have a configuration, in milliseconds. */
 const configurationMs = 2000;
-/** A stop may end a run from `lateMs` after its begin on, if the run's request was sent up to `earlyMs` after it; in milliseconds. */
-const stopTimes = {lateMs: 8000 * 5 / 6, earlyMs: 3000};
 
 /** The shortest time that a route may have given a request. */
 function shortestMs({sentAt, endedAt, deadlineMs}: Attempt, timeouts: Circumstances['timeouts']): number {
@@ -44,26 +45,26 @@
 }
 
 /** Whether the end of a host's process excuses the end of a request. */
-function isExcusedBy({signal, at, endedAt: goneAt}: HostEnd, {sentAt, endedAt}: Attempt, hasArrived: boolean): boolean {
+function isExcusedBy({signal, at, endedAt: goneAt}: HostEnd, {id, sentAt, endedAt}: Attempt, {arrived, finishedAt}: Circumstances): boolean {
 	if (at > endedAt + slackMs || (goneAt ?? Number.POSITIVE_INFINITY) + slackMs < sentAt) {
 		return false;
 	}
 
-	const isLateInStop = endedAt >= at + stopTimes.lateMs && sentAt <= at + stopTimes.earlyMs;
-	return signal === 'SIGKILL' || !hasArrived || isLateInStop;
+	return signal === 'SIGKILL' || !arrived.has(id) || mayCutRun({sentAt, endedAt}, finishedAt.get(id), at);
 }
 
 /** Requests without an answer, a rejection or an excuse, each in a sentence. */
-export function findLostRequests(attempts: readonly Attempt[], {breaks, timeouts, arrived}: Circumstances): string[] {
+export function findLostRequests(attempts: readonly Attempt[], circumstances: Circumstances): string[] {
+	const {breaks, timeouts} = circumstances;
 	const lost = attempts.filter(attempt => {
-		const {id, sentAt, endedAt, isWhole, isConnected, hasLeft, host: {ends}} = attempt;
+		const {sentAt, endedAt, isWhole, isConnected, hasLeft, host: {ends}} = attempt;
 		if (isWhole || hasLeft || !isConnected) {
 			return false;
 		}
 
 		const isDue = endedAt - sentAt + slackMs >= shortestMs(attempt, timeouts);
 		const isBroken = breaks.some(({from, to}) => from <= endedAt && to + breakEffectMs >= sentAt);
-		return !isDue && !isBroken && !ends.some(end => isExcusedBy(end, attempt, arrived.has(id)));
+		return !isDue && !isBroken && !ends.some(end => isExcusedBy(end, attempt, circumstances));
 	});
 	return lost.map(({id, path, status, sentAt, endedAt, host: {name}}) => `${id} ${path} at ${name} had ${status === 0 ? 'no answer' : `a cut ${status}`} after ${Math.round(endedAt - sentAt)} ms`);
 }
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -493,7 +493,7 @@
 			})
 			: [];
 		const runs = countRuns(bed);
-		const unanswered = findLostRequests([...sent.map(({attempt}) => attempt), ...streams.attempts], {...bed, arrived: new Set(bed.log.arrivals.map(({request}) => request))});
+		const unanswered = findLostRequests([...sent.map(({attempt}) => attempt), ...streams.attempts], {...bed, arrived: new Set(bed.log.arrivals.map(({request}) => request)), finishedAt: bed.log.finishedAt});
 		isPlayed = true;
 		await sampling;
 		const broken = sent.map(each => judge(each, runs.get(each.id) ?? 0)).filter(text => text !== undefined);
--- a/packages/standin/src/soak/stop-traffic.ts
+++ b/packages/standin/src/soak/stop-traffic.ts
@@ -43,12 +43,17 @@
 	readonly finishedAt: number | undefined;
 };
 
+/** Whether a planned stop that began at `stoppedAt` may cut a run: its request was sent early, and its endpoint was still at work near the end of the grace period. */
+export function mayCutRun({sentAt, endedAt}: Pick<StopRequest, 'sentAt' | 'endedAt'>, finishedAt: number | undefined, stoppedAt: number): boolean {
+	const workedUntil = Math.min(endedAt, finishedAt ?? Number.POSITIVE_INFINITY);
+	return sentAt - stoppedAt <= earlyMs && workedUntil - stoppedAt >= lateMs;
+}
+
 /** Whether a request was lost to a planned stop that began at `stoppedAt`: its host read it and gave no complete response, though its endpoint had delivered it or the run could end in time. */
-export function isLost({sentAt, endedAt, isConnected, isWhole}: StopRequest, {hasRun, finishedAt}: RunOutcome, stoppedAt: number): boolean {
+export function isLost(request: StopRequest, {hasRun, finishedAt}: RunOutcome, stoppedAt: number): boolean {
+	const {sentAt, endedAt, isConnected, isWhole} = request;
 	const isDue = endedAt - sentAt >= deadlineMs - slackMs;
-	const workedUntil = Math.min(endedAt, finishedAt ?? Number.POSITIVE_INFINITY);
-	const isCutLate = sentAt - stoppedAt <= earlyMs && workedUntil - stoppedAt >= lateMs;
-	return isConnected && !isWhole && !isDue && !isCutLate && (hasRun || endedAt - sentAt > crossingMs);
+	return isConnected && !isWhole && !isDue && !mayCutRun(request, finishedAt, stoppedAt) && (hasRun || endedAt - sentAt > crossingMs);
 }
 
 /** The requests that were lost to a planned stop. */
