Soak: SIGKILL at the end of the grace period of each stop

Cause: a host that did not end its stop was waited for, or counted as expected once something killed it.

--- a/packages/standin/src/soak/failed-hosts.test.ts
+++ b/packages/standin/src/soak/failed-hosts.test.ts
@@ -8,6 +8,7 @@
 const cases: ReadonlyArray<{readonly name: string; readonly causes?: readonly ExitCause[]; readonly peakMb?: number; readonly failures: readonly string[]}> = [
 	{name: 'ends that were asked for', causes: ['expected', 'beforeHandlers'], failures: []},
 	{name: 'two ends by itself', causes: ['unasked', 'expected', 'unasked'], failures: ['host-0 ended by itself', 'host-0 ended by itself']},
+	{name: 'a stop that SIGKILL ended', causes: ['overdue'], failures: ['host-0 was there at the end of its grace period']},
 	{name: 'nine tenths of the memory', peakMb: 180, failures: []},
 	{name: 'more than that', peakMb: 181, failures: ['host-0 had a peak of 181 MB']},
 ];
--- a/packages/standin/src/soak/failed-hosts.ts
+++ b/packages/standin/src/soak/failed-hosts.ts
@@ -11,9 +11,10 @@
 /** Number of ends by cause. */
 export type ExitCounts = Readonly<Record<ExitCause, number>>;
 
-/** Ends of processes that nobody asked for, and peaks too close to a machine's memory. */
+/** Ends of processes that nobody asked for, stops that did not end in time, and peaks too close to a machine's memory. */
 export function findFailedHosts(hosts: readonly PlayedHost[], memoryMb: number): string[] {
 	return hosts.flatMap(({name, exits, peakBytes}) => [
+		...exits.filter(({cause}) => cause === 'overdue').map(exit => `${name} was there at the end of its grace period, ${describeExit(exit)}`),
 		...exits.filter(({cause}) => cause === 'unasked').map(exit => `${name} ended by itself, ${describeExit(exit)}`),
 		...(toMegabytes(peakBytes) > memoryShare * memoryMb ? [`${name} had a peak of ${toMegabytes(peakBytes)} MB, of ${memoryMb} MB of its machine`] : []),
 	]);
@@ -28,5 +29,7 @@
 export function countExits(hosts: readonly PlayedHost[]): ExitCounts {
 	const causes = hosts.flatMap(({exits}) => exits.map(({cause}) => cause));
 	const count = (cause: ExitCause) => causes.filter(each => each === cause).length;
-	return {expected: count('expected'), beforeHandlers: count('beforeHandlers'), unasked: count('unasked')};
+	return {
+		expected: count('expected'), overdue: count('overdue'), beforeHandlers: count('beforeHandlers'), unasked: count('unasked'),
+	};
 }
--- a/packages/standin/src/soak/host-exit.test.ts
+++ b/packages/standin/src/soak/host-exit.test.ts
@@ -9,7 +9,7 @@
 import {expect} from 'earl';
 import {findPorts, ownAddress} from '../utils/ports.js';
 import {until} from '../wire/world.js';
-import {type HostExit} from './host-exit.js';
+import {describeExit, listStandstills, type HostExit} from './host-exit.js';
 import {HostProcess} from './host-process.js';
 
 /** A test that waits for an end fails, in milliseconds. */
@@ -74,6 +74,12 @@
 	{
 		name: 'is killed in a stop', program: `${reloads} process.on('SIGTERM', () => {}); ${ready}`, signals: ['SIGTERM', 'SIGKILL'], cause: 'expected', code: undefined, signal: 'SIGKILL',
 	},
+	{
+		name: 'is there at the end of the grace period of a stop', program: `${reloads} process.on('SIGTERM', () => {}); ${ready}`, signals: ['SIGTERM'], cause: 'overdue', code: undefined, signal: 'SIGKILL',
+	},
+	{
+		name: 'stands still at the end of the grace period of a stop', program: `${reloads} process.on('SIGTERM', () => {}); ${ready}`, signals: ['SIGTERM', 'SIGSTOP'], cause: 'overdue', code: undefined, signal: 'SIGKILL',
+	},
 ];
 
 describe('ends of host processes', () => {
@@ -122,6 +128,22 @@
 		expect([...host.exits[1]?.lastLines ?? []]).toEqual(['8']);
 	});
 
+	const holds: ReadonlyArray<{readonly name: string; readonly sent: ReadonlyArray<readonly [NodeJS.Signals, number]>; readonly text: string}> = [
+		{name: 'none', sent: [['SIGTERM', 1000]], text: 'none'},
+		{name: 'one before the stop', sent: [['SIGSTOP', 0], ['SIGCONT', 900], ['SIGTERM', 1000]], text: 'none'},
+		{name: 'one that lasts into the stop', sent: [['SIGSTOP', 500], ['SIGTERM', 1000], ['SIGCONT', 1500]], text: '1000 ms from -500 ms on'},
+		{name: 'two in a stop, of three signals', sent: [['SIGTERM', 1000], ['SIGSTOP', 2000], ['SIGSTOP', 2100], ['SIGCONT', 2500], ['SIGCONT', 2600], ['SIGSTOP', 8500]], text: '500 ms from 1000 ms on, 500 ms from 7500 ms on'},
+	];
+	for (const {name, sent, text} of holds) {
+		it(`an end names its standstills: ${name}`, () => {
+			const standstills = listStandstills(sent.map(([signal, at]) => ({signal, at, isHandled: true})), 1000, 9000);
+			const line = describeExit({
+				cause: 'overdue', code: undefined, signal: 'SIGKILL', uptimeMs: 9000, stoppedAt: 1000, standstills, lastLines: [],
+			});
+			expect(line.includes(`, standstills: ${text}, last lines`)).toEqual(true);
+		});
+	}
+
 	it('the peak of a process outlives it', {timeout: hangMs}, async () => {
 		const host = await play(cases.length + 1, {program: `${reloads} globalThis.kept = Buffer.alloc(150_000_000, 1); ${ready}`, signals: ['SIGKILL']});
 		expect(host.peakBytes > 150_000_000).toEqual(true);
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -9,7 +9,10 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {makeBoot} from '../wire/world.js';
-import {findExitCause, type HostExit, type SentSignal} from './host-exit.js';
+import {
+	findExitCause, findStop, listStandstills, type HostExit, type SentSignal,
+} from './host-exit.js';
+import {graceMs} from './stop-traffic.js';
 
 const lastLineCount = 5;
 const bytesPerKibibyte = 1024;
@@ -59,6 +62,8 @@
 	#child: ChildProcess | undefined;
 	/** Signals that the process that runs was sent. */
 	#sent: SentSignal[] = [];
+	/** Kills the process that runs at the end of its stop's grace period. */
+	#killing: NodeJS.Timeout | undefined;
 
 	constructor(parts: HostParts) {
 		this.#parts = parts;
@@ -115,7 +120,7 @@
 		this.peakBytes = Math.max(this.peakBytes, this.readPeakBytes());
 	}
 
-	/** Sends a signal to this process alone. */
+	/** Sends a signal to this process alone. Behind SIGTERM, SIGKILL follows at the end of the grace period, as on the platform. */
 	signal(signal: NodeJS.Signals): void {
 		if (this.isRunning) {
 			if (signal === 'SIGKILL' || signal === 'SIGTERM') {
@@ -123,8 +128,12 @@
 			}
 
 			this.samplePeak();
-			this.#sent.push({signal, isHandled: this.#handlesReloads()});
-			this.#child?.kill(signal);
+			this.#send(signal);
+			if (signal === 'SIGTERM') {
+				this.#killing ??= setTimeout(() => {
+					this.#send('SIGKILL', true);
+				}, graceMs);
+			}
 		}
 	}
 
@@ -135,6 +144,13 @@
 		}
 	}
 
+	#send(signal: NodeJS.Signals, isGraceOver = false): void {
+		this.#sent.push({
+			signal, isHandled: this.#handlesReloads(), at: performance.now(), isGraceOver,
+		});
+		this.#child?.kill(signal);
+	}
+
 	/** Notes the end of a process. */
 	#watch(child: ChildProcess): void {
 		const sent: SentSignal[] = [];
@@ -142,12 +158,16 @@
 		const startedAt = performance.now();
 		const endsBefore = this.ends.length;
 		const logBefore = fstatSync(this.#logFile).size;
+		this.#killing = undefined;
 		const note = (code: number | undefined, signal: NodeJS.Signals | undefined, detail: readonly string[]) => {
+			clearTimeout(this.#killing);
+			const endedAt = performance.now();
+			const stoppedAt = findStop(sent);
 			this.exits.push({
-				cause: findExitCause(sent, {code, signal}), code, signal, uptimeMs: performance.now() - startedAt, lastLines: [...this.#readLines(logBefore), ...detail],
+				cause: findExitCause(sent, {code, signal}), code, signal, uptimeMs: endedAt - startedAt, stoppedAt, standstills: listStandstills(sent, stoppedAt ?? endedAt, endedAt), lastLines: [...this.#readLines(logBefore), ...detail],
 			});
 			for (const end of this.ends.slice(endsBefore)) {
-				end.endedAt ??= performance.now();
+				end.endedAt ??= endedAt;
 			}
 		};
 
--- a/packages/standin/src/soak/main.ts
+++ b/packages/standin/src/soak/main.ts
@@ -27,7 +27,7 @@
 	} = await playSoak({
 		seed, seconds, hosts, kinds, only: fault, gapMs: gap, isLoadManaged: managed, program, memoryMb: memory,
 	});
-	process.stdout.write(`seed ${seed}: ${served} of ${requests} served, ${faults} faults, ${streams.goneOn} of ${streams.resumed} resumed attempts of ${streams.streams} streams went on, highest peak ${Math.max(...peaksMb)} MB, ${exits.unasked} ends unasked, ${exits.beforeHandlers} before handlers, ${exits.expected} expected, ${broken.length} promises broken, logs in ${folder}\n`);
+	process.stdout.write(`seed ${seed}: ${served} of ${requests} served, ${faults} faults, ${streams.goneOn} of ${streams.resumed} resumed attempts of ${streams.streams} streams went on, highest peak ${Math.max(...peaksMb)} MB, ${exits.unasked} ends unasked, ${exits.beforeHandlers} before handlers, ${exits.overdue} overdue, ${exits.expected} expected, ${broken.length} promises broken, logs in ${folder}\n`);
 	process.stdout.write(`  peaks, host by host: ${peaksMb.join(' ')} MB\n`);
 	for (const text of broken) {
 		process.stdout.write(`  ${text}\n`);
--- a/packages/standin/src/soak/planned-stop.ts
+++ b/packages/standin/src/soak/planned-stop.ts
@@ -1,13 +1,7 @@
-/** A planned stop as the platform has it: SIGTERM, and SIGKILL for a process that is there at the end of the grace period. */
+/** Planned stops, and what is due at their end. */
 import {setTimeout as pause} from 'node:timers/promises';
+import {type Standstill} from './host-exit.js';
 import {type HostProcess} from './host-process.js';
-import {graceMs} from './stop-traffic.js';
-
-/** A time for which a process stands still, from the begin of its stop on, in milliseconds. */
-export type Standstill = {
-	readonly atMs: number;
-	readonly lastsMs: number;
-};
 
 /** How a planned stop ended. */
 export type StopEnd = {
@@ -37,13 +31,9 @@
 	const stoppedAt = performance.now();
 	host.signal('SIGTERM');
 	const ended = host.ended();
-	const killing = setTimeout(() => {
-		host.signal('SIGKILL');
-	}, graceMs);
 	const holding = standstill === undefined ? undefined : hold(host, standstill);
 	await ended;
 	const tookMs = performance.now() - stoppedAt;
-	clearTimeout(killing);
 	await holding;
 	const lines = host.readLog().slice(lengthBefore);
 	return {
--- a/packages/standin/src/soak/stalled-stops.test.ts
+++ b/packages/standin/src/soak/stalled-stops.test.ts
@@ -9,7 +9,8 @@
 import {
 	configure, endBed, makeBed, waitUntilServing, type Bed,
 } from './bed.js';
-import {stopAsPlanned, type Standstill} from './planned-stop.js';
+import {type Standstill} from './host-exit.js';
+import {stopAsPlanned} from './planned-stop.js';
 import {findLost, graceMs, sendUntilGone} from './stop-traffic.js';
 import {varyRuns} from './varied-runs.js';
 
