Soak: a stop that ends by itself leaves its last lines

Change: each end of a host process has the lines that are missing; one that is due is a broken promise, unless the host was killed or its start had not ended. planned-stop.ts reads them from there.

--- a/packages/standin/src/soak/failed-hosts.ts
+++ b/packages/standin/src/soak/failed-hosts.ts
@@ -11,10 +11,11 @@
 /** Number of ends by cause. */
 export type ExitCounts = Readonly<Record<ExitCause, number>>;
 
-/** Ends of processes that nobody asked for, stops that did not end in time, and peaks too close to a machine's memory. */
+/** Ends of processes that nobody asked for, stops that did not end in time or without their last lines, and peaks too close to a machine's memory. */
 export function findFailedHosts(hosts: readonly PlayedHost[], memoryMb: number): string[] {
 	return hosts.flatMap(({name, exits, peakBytes}) => [
 		...exits.filter(({cause}) => cause === 'overdue').map(exit => `${name} was there at the end of its grace period, ${describeExit(exit)}`),
+		...exits.filter(({signal, missing = []}) => signal !== 'SIGKILL' && missing.length > 0).map(exit => `${name} left no line ${exit.missing?.join(' and ')}, ${describeExit(exit)}`),
 		...exits.filter(({cause}) => cause === 'unasked').map(exit => `${name} ended by itself, ${describeExit(exit)}`),
 		...(toMegabytes(peakBytes) > memoryShare * memoryMb ? [`${name} had a peak of ${toMegabytes(peakBytes)} MB, of ${memoryMb} MB of its machine`] : []),
 	]);
--- a/packages/standin/src/soak/host-exit.test.ts
+++ b/packages/standin/src/soak/host-exit.test.ts
@@ -9,7 +9,10 @@
 import {expect} from 'earl';
 import {findPorts, ownAddress} from '../utils/ports.js';
 import {until} from '../wire/world.js';
-import {describeExit, listStandstills, type HostExit} from './host-exit.js';
+import {findFailedHosts} from './failed-hosts.js';
+import {
+	describeExit, findMissingLines, listStandstills, type HostExit,
+} from './host-exit.js';
 import {HostProcess} from './host-process.js';
 
 /** A test that waits for an end fails, in milliseconds. */
@@ -128,6 +131,35 @@
 		expect([...host.exits[1]?.lastLines ?? []]).toEqual(['8']);
 	});
 
+	const lines = ['{"name":"started"}', '{"name":"stopped"}', '{"name":"processEnded"}'] as const;
+	const logs: ReadonlyArray<{readonly name: string; readonly left: readonly string[]; readonly stoppedAt?: number; readonly signal?: 'SIGKILL'; readonly failures: readonly string[]}> = [
+		{
+			name: 'all', left: lines, stoppedAt: 1, failures: [],
+		},
+		{
+			name: 'not the last one', left: lines.slice(0, 2), stoppedAt: 1, failures: ['host-0 left no line processEnded'],
+		},
+		{
+			name: 'none', left: lines.slice(0, 1), stoppedAt: 1, failures: ['host-0 left no line stopped and processEnded'],
+		},
+		{
+			name: 'none, of a host whose start had not ended', left: [], stoppedAt: 1, failures: [],
+		},
+		{
+			name: 'none, of a host that was killed', left: lines.slice(0, 1), stoppedAt: 1, signal: 'SIGKILL', failures: [],
+		},
+		{name: 'none, of a host that was not to stop', left: lines.slice(0, 1), failures: []},
+	];
+	for (const {name, left, stoppedAt, signal, failures} of logs) {
+		it(`last lines of a stop: ${name}`, () => {
+			const missing = findMissingLines(left.join('\n'), stoppedAt);
+			const exits = [{
+				cause: 'expected', code: signal === undefined ? 0 : undefined, signal, uptimeMs: 1, missing, lastLines: [],
+			} as const];
+			expect(findFailedHosts([{name: 'host-0', exits, peakBytes: 0}], 200).map(text => text.split(',', 1)[0] ?? '')).toEqual([...failures]);
+		});
+	}
+
 	const holds: ReadonlyArray<{readonly name: string; readonly sent: ReadonlyArray<readonly [NodeJS.Signals, number]>; readonly text: string}> = [
 		{name: 'none', sent: [['SIGTERM', 1000]], text: 'none'},
 		{name: 'one before the stop', sent: [['SIGSTOP', 0], ['SIGCONT', 900], ['SIGTERM', 1000]], text: 'none'},
--- a/packages/standin/src/soak/host-exit.ts
+++ b/packages/standin/src/soak/host-exit.ts
@@ -37,10 +37,14 @@
 	readonly stoppedAt?: number | undefined;
 	/** Standstills of the process that lasted into its stop. */
 	readonly standstills?: readonly Standstill[];
+	/** Names of the last lines that are due and did not arrive. */
+	readonly missing?: readonly string[];
 	/** Last lines of its log. */
 	readonly lastLines: readonly string[];
 };
 
+/** Names of the lines that each process leaves whose stop ends by itself. */
+const lastLines = ['stopped', 'processEnded'] as const;
 const holds: ReadonlySet<string> = new Set(['SIGSTOP', 'SIGCONT']);
 const stops: ReadonlySet<string> = new Set(['SIGTERM', 'SIGINT']);
 /** Signals that end a process without a handler. */
@@ -66,6 +70,12 @@
 	return sent.find(({signal}) => stops.has(signal))?.at;
 }
 
+/** Names of the last lines that a process that was stopped did not leave; none are due if its start had not ended. */
+export function findMissingLines(log: string, stoppedAt: number | undefined): string[] {
+	const isDue = stoppedAt !== undefined && log.includes('"started"');
+	return lastLines.filter(name => isDue && !log.includes(`"${name}"`));
+}
+
 /** Times for which signals made a process stand still, of those that lasted into its stop. */
 export function listStandstills(sent: readonly SentSignal[], stoppedAt: number, endedAt: number): Standstill[] {
 	const held = sent.filter(({signal}, index) => signal === 'SIGSTOP' && sent.slice(0, index).findLast(each => holds.has(each.signal))?.signal !== 'SIGSTOP');
--- a/packages/standin/src/soak/host-process.ts
+++ b/packages/standin/src/soak/host-process.ts
@@ -10,7 +10,7 @@
 import {fileURLToPath} from 'node:url';
 import {makeBoot} from '../wire/world.js';
 import {
-	findExitCause, findStop, listStandstills, type HostExit, type SentSignal,
+	findExitCause, findMissingLines, findStop, listStandstills, type HostExit, type SentSignal,
 } from './host-exit.js';
 import {graceMs} from './stop-traffic.js';
 
@@ -163,8 +163,17 @@
 			clearTimeout(this.#killing);
 			const endedAt = performance.now();
 			const stoppedAt = findStop(sent);
+			const log = this.#readLog(logBefore);
+			const lines = log.split('\n').filter(line => line !== '');
 			this.exits.push({
-				cause: findExitCause(sent, {code, signal}), code, signal, uptimeMs: endedAt - startedAt, stoppedAt, standstills: listStandstills(sent, stoppedAt ?? endedAt, endedAt), lastLines: [...this.#readLines(logBefore), ...detail],
+				cause: findExitCause(sent, {code, signal}),
+				code,
+				signal,
+				uptimeMs: endedAt - startedAt,
+				stoppedAt,
+				standstills: listStandstills(sent, stoppedAt ?? endedAt, endedAt),
+				missing: findMissingLines(log, stoppedAt),
+				lastLines: [...lines.slice(-lastLineCount), ...detail],
 			});
 			for (const end of this.ends.slice(endsBefore)) {
 				end.endedAt ??= endedAt;
@@ -181,10 +190,9 @@
 		});
 	}
 
-	/** Last lines of the log behind a number of bytes. */
-	#readLines(from: number): string[] {
-		const log = readFileSync(join(this.#parts.folder, `${this.name}.log`)).subarray(from).toString('utf8');
-		return log.split('\n').filter(line => line !== '').slice(-lastLineCount);
+	/** The log behind a number of bytes. */
+	#readLog(from: number): string {
+		return readFileSync(join(this.#parts.folder, `${this.name}.log`)).subarray(from).toString('utf8');
 	}
 
 	/** Whether the process that runs has its handlers. */
--- a/packages/standin/src/soak/planned-stop.ts
+++ b/packages/standin/src/soak/planned-stop.ts
@@ -1,4 +1,4 @@
-/** Planned stops, and what is due at their end. */
+/** Planned stops, and standstills in them. */
 import {setTimeout as pause} from 'node:timers/promises';
 import {type Standstill} from './host-exit.js';
 import {type HostProcess} from './host-process.js';
@@ -14,8 +14,6 @@
 	readonly missing: readonly string[];
 };
 
-const lastLines = ['stopped', 'processEnded'] as const;
-
 /** Holds a process, which must not outlast its grace period. */
 async function hold(host: HostProcess, {atMs, lastsMs}: Standstill): Promise<void> {
 	await pause(atMs);
@@ -26,7 +24,6 @@
 
 /** Stops a host and waits for its end. */
 export async function stopAsPlanned(host: HostProcess, standstill?: Standstill): Promise<StopEnd> {
-	const lengthBefore = host.readLog().length;
 	const exitsBefore = host.exits.length;
 	const stoppedAt = performance.now();
 	host.signal('SIGTERM');
@@ -35,8 +32,8 @@
 	await ended;
 	const tookMs = performance.now() - stoppedAt;
 	await holding;
-	const lines = host.readLog().slice(lengthBefore);
+	const {code: exitCode, missing = []} = host.exits[exitsBefore] ?? {};
 	return {
-		stoppedAt, tookMs, exitCode: host.exits[exitsBefore]?.code, missing: lastLines.filter(name => !lines.includes(`"${name}"`)),
+		stoppedAt, tookMs, exitCode, missing,
 	};
 }
