--- a/packages/standin/src/soak/planned-stop.ts
+++ b/packages/standin/src/soak/planned-stop.ts
@@ -14,12 +14,15 @@
 	readonly missing: readonly string[];
 };
 
-/** Holds a process, which must not outlast its grace period. */
-async function hold(host: HostProcess, {atMs, lastsMs}: Standstill): Promise<void> {
-	await pause(atMs);
-	host.signal('SIGSTOP');
-	await pause(lastsMs);
-	host.signal('SIGCONT');
+/** Holds a process, which must not outlast its grace period, unless it has ended before. */
+async function hold(host: HostProcess, {atMs, lastsMs}: Standstill, ended: Promise<void>): Promise<void> {
+	const exitsBefore = host.exits.length;
+	await Promise.race([pause(atMs), ended]);
+	if (host.exits.length === exitsBefore) {
+		host.signal('SIGSTOP');
+		await Promise.race([pause(lastsMs), ended]);
+		host.signal('SIGCONT');
+	}
 }
 
 /** Stops a host and waits for its end. */
@@ -28,7 +31,7 @@
 	const stoppedAt = performance.now();
 	host.signal('SIGTERM');
 	const ended = host.ended();
-	const holding = standstill === undefined ? undefined : hold(host, standstill);
+	const holding = standstill === undefined ? undefined : hold(host, standstill, ended);
 	await ended;
 	const tookMs = performance.now() - stoppedAt;
 	await holding;
--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -25,7 +25,9 @@
 import {type HostProcess} from './host-process.js';
 import {findLostRequests} from './lost-requests.js';
 import {memoryFaults} from './memory-faults.js';
+import {stopAsPlanned} from './planned-stop.js';
 import {startFaults} from './start-faults.js';
+import {graceMs} from './stop-traffic.js';
 import {
 	countRuns, findExcessRepeats, findLostStreams, judge, playStreams, sendUntil, type StreamReport,
 } from './traffic.js';
@@ -328,8 +330,20 @@
 			await pause(lastsMs / hostsInSeries);
 		}
 	},
+	/** One to three hosts stop at once, and stand still at a moment of it. */
+	async stallStop({random, hosts}) {
+		const stopping = shuffle(random, hosts).slice(0, 1 + Math.floor(random.next() * mostStalled));
+		await Promise.all(stopping.map(async host => {
+			await stopAsPlanned(host, {atMs: random.next() * graceMs, lastsMs: random.next() * longestStallMs});
+			host.start();
+		}));
+	},
 };
 
+/** Hosts that stand still in a stop at once, and how long, in milliseconds. */
+const mostStalled = 3;
+const longestStallMs = 1000;
+
 const hostsInSeries = 4;
 /** Time between two configurations of a series, in milliseconds. */
 const configurationGapMs = 150;
