--- a/packages/standin/src/soak/soak.ts
+++ b/packages/standin/src/soak/soak.ts
@@ -28,6 +28,7 @@
 import {stopAsPlanned} from './planned-stop.js';
 import {startFaults} from './start-faults.js';
 import {graceMs} from './stop-traffic.js';
+import {varyRuns} from './varied-runs.js';
 import {
 	countRuns, findExcessRepeats, findLostStreams, judge, playStreams, sendUntil, type StreamReport,
 } from './traffic.js';
@@ -344,6 +345,10 @@
 const mostStalled = 3;
 const longestStallMs = 1000;
 
+/** Long runs, and the times of their routes, in milliseconds. */
+const longRuns = {share: 0.25, mostMs: 8900};
+const longRunTimes = {timeoutMs: 9000, targetLatencyMs: 6000};
+
 const hostsInSeries = 4;
 /** Time between two configurations of a series, in milliseconds. */
 const configurationGapMs = 150;
@@ -461,6 +466,8 @@
 	readonly gapMs?: number | undefined;
 	/** Whether hosts manage the load. */
 	readonly isLoadManaged?: boolean;
+	/** Whether some runs take as long as a planned stop, and callers wait for them. */
+	readonly hasLongRuns?: boolean;
 	/** The program as the deploy file builds it. */
 	readonly program: string;
 	/** Memory of a host's machine, in megabytes. */
@@ -477,8 +484,24 @@
 	} while (!isOver());
 }
 
+/** Makes some runs take as long as a planned stop, until the returned function is called. */
+function beginLongRuns(bed: Bed): () => void {
+	const {replicas} = bed;
+	const usual = replicas.map(({workMs, eventGapMs}) => ({workMs, eventGapMs}));
+	bed.draft = {routeTimes: longRunTimes};
+	bed.version += 1;
+	configure(bed);
+	const stopVarying = varyRuns(bed, longRuns);
+	return () => {
+		stopVarying();
+		for (const [index, replica] of replicas.entries()) {
+			Object.assign(replica, usual[index]);
+		}
+	};
+}
+
 /** Plays one seed. */
-export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = faultNames.length, only = faultNames.slice(0, kinds), gapMs = faultGapMs, isLoadManaged, program, memoryMb = defaultMemoryMb}: SoakPlan): Promise<SoakReport> {
+export async function playSoak({seed, seconds, hosts: hostCount = 3, kinds = faultNames.length, only = faultNames.slice(0, kinds), gapMs = faultGapMs, isLoadManaged, hasLongRuns = false, program, memoryMb = defaultMemoryMb}: SoakPlan): Promise<SoakReport> {
 	const resumesStreams = kinds > kindsWithoutStreams;
 	const killsAll = kinds > kindsWithoutKillAll;
 	const resumedGapMs = killsAll ? longEventGapMs : resumedEventGapMs;
@@ -487,13 +510,17 @@
 	const sampling = samplePeaks(bed.hosts, () => isPlayed);
 	try {
 		await waitUntilServing(bed);
+		const endLongRuns = hasLongRuns ? beginLongRuns(bed) : undefined;
 		let isOver = false;
-		const sending = sendUntil(bed, () => isOver, kinds > kindsWithoutPauses);
+		const sending = sendUntil(bed, () => isOver, kinds > kindsWithoutPauses, hasLongRuns ? longRunTimes.timeoutMs : undefined);
 		const streaming = resumesStreams ? playStreams(bed, seed, {isOver: () => isOver, isPatient: killsAll}) : Promise.resolve(noStreams);
+		// Durations that the hosts judge later requests by
+		await pause(hasLongRuns ? calmMs : 0);
 		const faultCount = await injectFaults(bed, performance.now() + (seconds * 1000), only, gapMs);
 		isOver = true;
 		const sent = await sending;
 		const streams = await streaming;
+		endLongRuns?.();
 		for (const host of bed.hosts) {
 			host.start();
 		}
--- a/packages/standin/src/soak/traffic.ts
+++ b/packages/standin/src/soak/traffic.ts
@@ -13,8 +13,8 @@
 import {type Attempt} from './lost-requests.js';
 
 const requestGapMs = 12;
-/** Deadline that callers state, in milliseconds. */
-const deadlineMs = 3000;
+/** Deadline that callers state where nothing else is given, in milliseconds. */
+const defaultDeadlineMs = 3000;
 const spread = 0.5;
 const paths = ['/once/1', '/repeatable/1', '/stream/1', '/resumable/1'];
 /** Statuses that promise that a request has not run. */
@@ -30,12 +30,12 @@
 	readonly attempt: Attempt;
 };
 
-async function send({hosts, random, events}: Bed, id: string, agent: Agent | undefined): Promise<Sent> {
+async function send({hosts, random, events}: Bed, id: string, agent: Agent | undefined, deadlineMs: number): Promise<Sent> {
 	const path = pick(random, paths) ?? '';
 	const host = pickHost(random, hosts);
 	const sentAt = performance.now();
 	const answer = await sendRequest({
-		address: host.caller, id, path, agent,
+		address: host.caller, id, path, agent, headers: {'Deadline-Ms': deadlineMs},
 	});
 	events.add({
 		event: 'answered', request: id, path, sentAt: toTime(sentAt), status: answer.status, isWhole: answer.isWhole, tookMs: Math.round(performance.now() - sentAt),
@@ -53,11 +53,11 @@
 }
 
 /** Sends requests at a steady pace until told that it is over; on connections that stay in use until their process is gone where callers keep them. */
-export async function sendUntil(bed: Bed, isOver: () => boolean, keepsConnections = false): Promise<Sent[]> {
+export async function sendUntil(bed: Bed, isOver: () => boolean, keepsConnections = false, deadlineMs = defaultDeadlineMs): Promise<Sent[]> {
 	const agent = keepsConnections ? new Agent({keepAlive: true}) : undefined;
 	const sent: Array<Promise<Sent>> = [];
 	while (!isOver()) {
-		sent.push(send(bed, `r${sent.length}`, agent));
+		sent.push(send(bed, `r${sent.length}`, agent, deadlineMs));
 		await pause(jitter(bed.random, requestGapMs, spread));
 	}
 
