Fix: requests forwarded to a host at the end of its planned stop were closed unread

Callers of a host that had lost its links saw 502, as if their request might have run, when it had forwarded them to a host that was ending its planned stop.

Cause: the listener for other hosts stayed open until all connections were closed, and the turns that read what has arrived before that counted arrivals of callers only. Connections in its accept queue were reset.

--- a/packages/relay/src/front/forward-server.ts
+++ b/packages/relay/src/front/forward-server.ts
@@ -51,6 +51,16 @@
 		return listenAt(this.#server, address, this.#context);
 	}
 
+	/** Connections and requests that have arrived so far. */
+	get arrivals(): number {
+		return this.#connections.arrivals;
+	}
+
+	/** Refuses new connections; requests on accepted ones are still read. */
+	stopListening(): void {
+		this.#connections.stopListening();
+	}
+
 	/** Stops listening and closes all connections. */
 	async close(): Promise<void> {
 		await this.#connections.close();
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -309,6 +309,7 @@
 		const drainedAt = clock.now();
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(drainedAt - startedAt)});
 		this.#callerServer.stopListening();
+		this.#forwardServer.stopListening();
 		this.#callerServer.rejectActive();
 		await this.#waitWhile(() => this.#callerServer.openConnections > 0 || hasOpenRequests(), Math.min(drainedAt + rejectionMs, closesAt));
 		await this.#waitWhile(() => this.#callerServer.undeliveredResponses > 0, closesAt);
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -5,7 +5,9 @@
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {expect} from 'earl';
 import {sendRequest, type CallerAnswer} from './client.js';
-import {listStatuses, openCaller, writeRequest} from './raw-caller.js';
+import {
+	listStatuses, openCaller, writeRequest, type RawCaller,
+} from './raw-caller.js';
 import {writeResponse} from './scripted-endpoint.js';
 import {
 	bodyOf, startForwardingWorld, startScriptedWorld, type CallKind, type EndpointCall, type ScriptedWorld,
@@ -132,6 +134,59 @@
 	}
 });
 
+/** Forwards at once, each on its own connection; more than the turns of a stop accept that finds nothing to wait for. */
+const forwardCount = 60;
+
+// Those that were not accepted yet were closed without a response, so that their host held that they may have run
+describe('requests that another host forwards to a busy one whose planned stop ends', () => {
+	async function openForward(address: string): Promise<RawCaller | undefined> {
+		try {
+			return await openCaller(address);
+		} catch {
+			// Another host is tried for a request whose connection is refused
+			return undefined;
+		}
+	}
+
+	async function openForwards(address: string): Promise<RawCaller[]> {
+		const callers = await Promise.all(Array.from({length: forwardCount}, async () => openForward(address)));
+		return callers.filter(caller => caller !== undefined);
+	}
+
+	async function check(begin: typeof stages[number]['begin'], isOpen: boolean): Promise<void> {
+		const scripted = await startScriptedWorld({plain: 1, hosts: 2});
+		try {
+			const [{relay}] = scripted.world.relays as [typeof scripted.world.relays[number]]; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- the world has hosts
+			const address = relay.context.settings.listen.forward ?? '';
+			const earlier = isOpen ? await openForwards(address) : [];
+			const {stopped} = await begin(relay, scripted);
+			await nextTurn();
+			const opening = isOpen ? Promise.resolve(earlier) : openForwards(address);
+			for (const {socket} of earlier) {
+				socket.write(writeRequest('/once/1', 'during', 'question'));
+			}
+
+			block(busyMs);
+			const callers = await opening;
+			for (const {socket} of isOpen ? [] : callers) {
+				socket.write(writeRequest('/once/1', 'during', 'question'));
+			}
+
+			await Promise.all([stopped, ...callers.map(async ({ended}) => ended)]);
+			const lost = callers.filter(({text}) => listStatuses(text()).at(-1) !== unavailableStatus);
+			expect({lost: lost.length, runs: scripted.runs.filter(id => id === 'during')}).toEqual({lost: 0, runs: []});
+		} finally {
+			await scripted.stop();
+		}
+	}
+
+	for (const {name, begin} of stages) {
+		for (const isOpen of [true, false]) {
+			it(`are rejected or not taken on ${isOpen ? 'open' : 'new'} connections, ${name}`, {timeout: 60_000}, async () => check(begin, isOpen));
+		}
+	}
+});
+
 /** Interval at which a caller checks whether a host still listens, in milliseconds. */
 const listeningPollMs = 10;
 
