Fix: a planned stop of the own front waited for requests without a bound

Callers of a request that did not end saw their connection close without a response when the platform killed the process, which left no line 5016 and 5065.

Cause: a stop waited for lookups to lapse and for requests in flight for any time, and the process had no bound either. Change: setting timing.graceMs, an hour by default, in which three tries of the longest call to a service end. New requests are refused at half of it at the latest; at five sixths, requests without a response are rejected with `ran: unknown`, pipelined ones behind them are not begun, and streams break off after what is written; the process ends 0.2 s before its end (reason overdue) if a step still waits.

Result: graceful-shutdown.test.ts, three stops with a grace period of 1.5 s: the first one still waited after 30 s with the earlier shutdown, all end in time now. process-ends.test.ts: a host with 2 s whose lookups take 29 s to lapse ends in time with both lines. pipelined-requests.test.ts has the rejections.

--- a/packages/host/src/core/graceful-shutdown.test.ts
+++ b/packages/host/src/core/graceful-shutdown.test.ts
@@ -79,7 +79,7 @@
 			const callers = isLate ? [] : await Promise.all(Array.from({length: count}, async () => openCaller(port, isUsed)));
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the shutdown uses
 			const context = {
-				clock: systemClock, log: ignore, timeline: {record: ignore}, settings: {timing: {tickMs: 1}},
+				clock: systemClock, log: ignore, timeline: {record: ignore}, settings: {timing: {tickMs: 1, graceMs: 60_000}},
 			} as unknown as Context;
 			await shutDownGracefully({
 				context,
@@ -93,6 +93,7 @@
 				},
 				countArrivals: () => connections.arrivals,
 				countInFlight: () => open.size,
+				rejectOpen: ignore,
 			});
 			await connections.close();
 			await Promise.all(callers.map(async ({closed}) => closed));
@@ -100,3 +101,43 @@
 		});
 	}
 });
+
+/** Grace period of these stops, in milliseconds, and when requests in flight are ended in it. */
+const graceMs = 1500;
+const breaksOffMs = 1250;
+
+/** Requests that are in flight as a stop begins. */
+const stuckCases: ReadonlyArray<{readonly name: string; readonly lookupTtlMs: number; readonly endsOnceRejected: boolean}> = [
+	{name: 'a request that ends once it is rejected', lookupTtlMs: 1, endsOnceRejected: true},
+	{name: 'a request that never ends', lookupTtlMs: 1, endsOnceRejected: false},
+	{name: 'lookups that lapse behind it', lookupTtlMs: 20_000, endsOnceRejected: false},
+];
+
+// It waited without a bound, and the platform killed the process
+describe('a planned stop ends within its grace period', () => {
+	for (const {name, lookupTtlMs, endsOnceRejected} of stuckCases) {
+		it(`beside ${name}`, {timeout: 30_000}, async () => {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the shutdown uses
+			const context = {
+				clock: systemClock, log: ignore, timeline: {record: ignore}, settings: {timing: {tickMs: 1, graceMs}},
+			} as unknown as Context;
+			let inFlight = 1;
+			const rejections: number[] = [];
+			const startedAt = performance.now();
+			const tookMs = () => performance.now() - startedAt;
+			await shutDownGracefully({
+				context,
+				lookupTtlMs: () => lookupTtlMs,
+				announceLeaving: ignore,
+				refuseNewRequests: ignore,
+				countArrivals: () => 0,
+				countInFlight: () => inFlight,
+				rejectOpen() {
+					rejections.push(tookMs());
+					inFlight = endsOnceRejected ? 0 : 1;
+				},
+			});
+			expect({isInTime: tookMs() < graceMs, rejections: rejections.map(at => at >= breaksOffMs - 1)}).toEqual({isInTime: true, rejections: [true]});
+		});
+	}
+});
--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -1,9 +1,11 @@
 /**
- * Graceful shutdown of a host. Safety: no request is interrupted, since the
- * host accepts requests until every lookup response that may list it has
- * expired, then refuses new ones as "not run", and waits for those in flight.
+ * Graceful shutdown of a host. Safety: no request is interrupted that ends
+ * within the grace period, since the host accepts requests until every lookup
+ * response that may list it has expired, then refuses new ones as "not run",
+ * and waits for those in flight.
  */
 import {maxTimeToLive} from '@gatehead/policy/core/lookup';
+import {planStop} from '@gatehead/policy/relay/stop-schedule';
 import {readUnreadRequests} from '../utils/unread-requests.js';
 import {type Context} from './context.js';
 
@@ -21,6 +23,8 @@
 	readonly countArrivals: () => number;
 	/** Number of requests and cancels to wait for. */
 	readonly countInFlight: () => number;
+	/** Ends the requests that are still in flight when the time for them is over. */
+	readonly rejectOpen: () => void;
 };
 
 async function pause({clock}: Context, milliseconds: number): Promise<void> {
@@ -29,18 +33,30 @@
 	});
 }
 
-/** Shuts down gracefully; resolves once nothing is in flight. */
-export async function shutDownGracefully({context, lookupTtlMs, announceLeaving, refuseNewRequests, countArrivals, countInFlight}: ShutdownOptions): Promise<void> {
-	context.log('stopping');
-	context.timeline.record({kind: 'stopping'});
-	announceLeaving();
-	await pause(context, maxTimeToLive(lookupTtlMs()) + (propagationTicks * context.settings.timing.tickMs));
-	refuseNewRequests();
+/** Waits until nothing is in flight, until `endsAt` at the latest, and reads what has arrived until then. */
+async function waitForInFlight({context, countArrivals, countInFlight}: ShutdownOptions, endsAt: number): Promise<void> {
+	const {clock} = context;
+	const mustWait = () => countInFlight() > 0 && clock.now() < endsAt;
 	do {
-		while (countInFlight() > 0) {
-			await pause(context, pollMs);
+		while (mustWait()) {
+			await pause(context, Math.min(pollMs, endsAt - clock.now()));
 		}
 
 		await readUnreadRequests(countArrivals);
-	} while (countInFlight() > 0);
+	} while (mustWait());
+}
+
+/** Shuts down gracefully; resolves once nothing is in flight, or shortly before the end of the grace period. */
+export async function shutDownGracefully(options: ShutdownOptions): Promise<void> {
+	const {context, lookupTtlMs, announceLeaving, refuseNewRequests, rejectOpen} = options;
+	const {clock, settings: {timing: {graceMs, tickMs}}} = context;
+	const {breaksOffAt, closesAt} = planStop(clock.now(), graceMs);
+	context.log('stopping');
+	context.timeline.record({kind: 'stopping'});
+	announceLeaving();
+	await pause(context, Math.min(maxTimeToLive(lookupTtlMs()) + (propagationTicks * tickMs), graceMs / 2));
+	refuseNewRequests();
+	await waitForInFlight(options, breaksOffAt);
+	rejectOpen();
+	await waitForInFlight(options, closesAt);
 }
--- a/packages/host/src/front/answer-writer.ts
+++ b/packages/host/src/front/answer-writer.ts
@@ -66,7 +66,7 @@
 	}
 
 	onToken(n: number, text: string, position: string): void {
-		if (!this.#options.isStream || this.#response.destroyed) {
+		if (!this.#options.isStream || this.#response.destroyed || this.#response.writableEnded) {
 			return;
 		}
 
@@ -81,6 +81,11 @@
 
 	onEnd(end: StreamEnd): void {
 		this.#stallTimer?.stop();
+		// The end of a planned stop has rejected the request
+		if (this.#response.writableEnded) {
+			return;
+		}
+
 		if (end.kind === 'failed') {
 			this.#fail(end);
 			return;
--- a/packages/host/src/front/caller-server.ts
+++ b/packages/host/src/front/caller-server.ts
@@ -31,9 +31,10 @@
 	readonly #server: Server;
 	readonly #connections: CallerConnections;
 	readonly #routes: Readonly<Record<string, Handler>>;
+	/** Responses that are not closed yet. */
+	readonly #open = new Set<ServerResponse>();
 	#callers: ReadonlyMap<string, Caller> = new Map();
 	#requestIdCount = 0;
-	#openRequests = 0;
 	#isStopping = false;
 
 	constructor(parts: FrontParts, calls: ServiceCallParts) {
@@ -55,7 +56,7 @@
 
 	/** Number of requests in progress. */
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#open.size;
 	}
 
 	/** Connections and requests that have arrived so far. */
@@ -78,6 +79,18 @@
 		this.#isStopping = true;
 	}
 
+	/** Rejects the requests in progress, which may have run. A response that has begun breaks off after what is written of it. */
+	rejectOpen(): void {
+		for (const response of this.#open) {
+			if (!response.headersSent) {
+				this.#parts.context.counters.count('refused', 'hostStopping');
+				sendFailure(response, new Failure('hostStopping', {retryAfterMs: 0, ran: 'unknown'}));
+			} else if (!response.writableEnded) {
+				response.socket?.destroySoon();
+			}
+		}
+	}
+
 	/** Stops listening and destroys all open connections. */
 	async close(): Promise<void> {
 		await this.#connections.close();
@@ -115,9 +128,9 @@
 	}
 
 	async #respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		this.#openRequests += 1;
+		this.#open.add(response);
 		response.once('close', () => {
-			this.#openRequests -= 1;
+			this.#open.delete(response);
 		});
 		try {
 			await this.#handle(request, response);
@@ -146,7 +159,7 @@
 			fail('hostStopping', {retryAfterMs: 0});
 		}
 
-		if (this.#openRequests > settings.limits.requests) {
+		if (this.#open.size > settings.limits.requests) {
 			fail('tooManyConnections', {retryAfterMs: 1000});
 		}
 
--- a/packages/host/src/front/completions.ts
+++ b/packages/host/src/front/completions.ts
@@ -17,7 +17,7 @@
 import {readIdempotencyKey, type IdempotencyKey} from '../core/ticket.js';
 import {type ModelRequest} from '../core/model-request.js';
 import {resumeStream} from './stream-resumption.js';
-import {waitForTurn} from './response-turn.js';
+import {checkUnanswered, waitForTurn} from './response-turn.js';
 import {AnswerWriter, type Dialect} from './answer-writer.js';
 import {enterLedger, findRequestOwner} from './request-owner.js';
 import {forwardRequest, isForwarded} from './forward.js';
@@ -111,6 +111,7 @@
 	const {settings, clock} = parts.context;
 	const rawBody = await readBody(request, settings.limits);
 	const hasWaited = await waitForTurn(response);
+	checkUnanswered(response);
 	// The time behind other responses is no delay of this request
 	const arrivedAt = hasWaited ? clock.now() : call.arrivedAt;
 	const parsed = bodyParsers[dialect](parseBody(rawBody));
--- a/packages/host/src/front/forward.ts
+++ b/packages/host/src/front/forward.ts
@@ -43,6 +43,12 @@
 		host: ip, port, method: request.method, path: url.pathname + url.search, headers: selectHeaders(request, body.length), agent: false,
 	});
 	receiveHead(proxyRequest).then(proxyResponse => {
+		// The end of a planned stop has rejected the request
+		if (response.headersSent) {
+			proxyResponse.destroy();
+			return;
+		}
+
 		response.writeHead(proxyResponse.statusCode ?? 502, proxyResponse.headers);
 		pipeline(receiveChunks(proxyResponse), response, ignore);
 	}, (error: unknown) => {
--- a/packages/host/src/front/pipelined-requests.test.ts
+++ b/packages/host/src/front/pipelined-requests.test.ts
@@ -43,6 +43,7 @@
 	let caller: Socket;
 	let received = '';
 	let order: string[] = [];
+	let lines: string[] = [];
 	const replica = createServer((request, response) => {
 		void work(Number(request.url?.slice(1))).then(() => {
 			response.end('{}');
@@ -59,6 +60,7 @@
 	beforeEach(async () => {
 		received = '';
 		order = [];
+		lines = [];
 		replica.listen(0, local);
 		await once(replica, 'listening');
 		const {port} = replica.address() as AddressInfo; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a TCP server's address is no string
@@ -73,7 +75,7 @@
 			}],
 		};
 		const context = {
-			clock: systemClock, random: seedRandom(1), log: ignore, self: {host: 'h', incarnation: 1}, timeline: {record: ignore}, counters: {count: ignore, time: ignore}, settings: {
+			clock: systemClock, random: seedRandom(1), log: (code: string) => lines.push(code), self: {host: 'h', incarnation: 1}, timeline: {record: ignore}, counters: {count: ignore, time: ignore}, settings: {
 				hall: 'a', listen: {caller: `${local}:0`}, keys: {tickets: []}, timing: {readerStallMs: 10_000, endpointStallMs: 3000}, limits: {
 					connections: 10, requests: 10, headerMs: 5000, bodyBytes: 1000,
 				},
@@ -142,7 +144,18 @@
 		expect(order).toEqual(['began 1', 'ended 1']);
 	}
 
+	async function expectRejections(kind: Kind): Promise<void> {
+		write(kind);
+		await until(() => order.length > 0);
+		server.rejectOpen();
+		await until(() => listStatuses().length === numbers.length && order.includes('ended 1') && server.openRequests === 0);
+		await pause(workMs);
+		expect({statuses: listStatuses(), order, lines}).toEqual({statuses: numbers.map(() => 503), order: ['began 1', 'ended 1'], lines: []});
+		expect(received.split('"ran":"unknown"').length - 1).toEqual(numbers.length);
+	}
+
 	for (const kind of kinds) {
+		it(`${kind.name} are rejected, and run no more, at the end of a planned stop`, {timeout: 30_000}, async () => expectRejections(kind));
 		it(`${kind.name} run one after the other`, {timeout: 30_000}, async () => expectOrder(kind));
 		it(`${kind.name} do not run behind a response that breaks off`, {timeout: 30_000}, async () => expectNoRun(kind));
 	}
--- a/packages/host/src/front/services.ts
+++ b/packages/host/src/front/services.ts
@@ -12,7 +12,7 @@
 import {enterLedger, failUnavailableOwner, findRequestOwner} from './request-owner.js';
 import {forwardRequest, isForwarded} from './forward.js';
 import {readHeader, readBody} from './request-reader.js';
-import {waitForTurn} from './response-turn.js';
+import {checkUnanswered, waitForTurn} from './response-turn.js';
 import {type Call, type FrontParts, type Job} from './parts.js';
 import {sendFailure} from './reply.js';
 import {
@@ -30,7 +30,7 @@
 		return;
 	}
 
-	if (!response.destroyed) {
+	if (!response.destroyed && !response.headersSent) {
 		response.writeHead(outcome.status, {'content-type': outcome.contentType});
 		response.end(outcome.body);
 	}
@@ -42,6 +42,7 @@
 	const {request, caller, url} = call;
 	const body = await readBody(request, parts.context.settings.limits);
 	await waitForTurn(call.response);
+	checkUnanswered(call.response);
 	const header = readHeader(request, callerHeaders.key);
 	const key = header === undefined ? undefined : readIdempotencyKey(header, caller.name, parts.context.settings.keys.tickets);
 	const serviceCall: ServiceCall = {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -181,8 +181,11 @@
 			},
 			countArrivals: () => this.#callerFront.arrivals,
 			countInFlight: () => this.#countInFlight(),
+			rejectOpen: () => {
+				this.#callerFront.rejectOpen();
+			},
 		});
-		this.context.log('stopped');
+		this.context.log('stopped', {open: this.#callerFront.openRequests});
 		await this.close();
 	}
 
--- a/packages/host/src/process.ts
+++ b/packages/host/src/process.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {maxStopMs} from '@gatehead/policy/relay/stop-schedule';
 import {systemClock} from '@gatehead/policy/utils/clock';
 import {systemRandom} from '@gatehead/policy/utils/random';
 import {check} from '@gatehead/schema/check';
@@ -12,7 +13,7 @@
 import {createLog, type Log} from './utils/log.js';
 import {ProcessEnd} from './utils/process-end.js';
 import {createProcessLog} from './utils/process-log.js';
-import {type ProcessSignals} from './utils/process-signals.js';
+import {type ProcessSignals, type StopOutcome} from './utils/process-signals.js';
 import {canBeWritten, readJsonFile, settingsWaitMs} from './utils/settings-file.js';
 import {StartWait} from './utils/start-wait.js';
 
@@ -35,8 +36,14 @@
 	process.stderr.write(`${message.replaceAll('; ', '\n  ')}\n`);
 }
 
+/** How a host has stopped, and the rest of its grace period in milliseconds. */
+type ServeEnd = {
+	readonly outcome: StopOutcome;
+	readonly leftMs: number;
+};
+
 /** Runs a host until it has stopped. */
-async function serve(path: string, signals: ProcessSignals, processLog: Log): Promise<void> {
+async function serve(path: string, signals: ProcessSignals, processLog: Log): Promise<ServeEnd> {
 	const {stopping} = signals;
 	const settingsWait = new StartWait({
 		clock: systemClock, log: processLog, maxMs: settingsWaitMs, stopping,
@@ -51,10 +58,13 @@
 	});
 	const monitor = new EventLoopMonitor({clock: systemClock, log});
 	monitor.start();
-	await signals.run({
+	const maxMs = maxStopMs(checked.timing.graceMs);
+	const outcome = await signals.run({
 		start: async () => host.start(),
 		stop: async () => host.stop(),
+		maxStopMs: maxMs,
 	});
+	return {outcome, leftMs: maxMs - signals.stoppingForMs};
 }
 
 /** Runs a host and ends the process. */
@@ -62,7 +72,8 @@
 	const processLog = createProcessLog(process.stderr);
 	const end = new ProcessEnd(processLog, process.stderr);
 	try {
-		await serve(path, signals, processLog);
+		const {outcome, leftMs} = await serve(path, signals, processLog);
+		return await end.exit(0, outcome === 'complete' ? 'signal' : 'overdue', signals.stopSignal, leftMs);
 	} catch (error) {
 		if (error !== signals.stopping.reason) {
 			const failure = toFailure(error);
--- a/packages/schema/src/settings.ts
+++ b/packages/schema/src/settings.ts
@@ -32,6 +32,8 @@
 	readerStallMs: milliseconds.default(10_000),
 	/** Time without data from an endpoint during a step after which the attempt fails. */
 	endpointStallMs: milliseconds.default(3000),
+	/** Time from the signal to stop until the process has ended; three tries of the longest call to a service fit the default. */
+	graceMs: milliseconds.default(3_600_000),
 });
 
 /** Resource limits of one process. */
--- a/packages/standin/src/wire/process-ends.test.ts
+++ b/packages/standin/src/wire/process-ends.test.ts
@@ -13,6 +13,10 @@
 const hangMs = 90_000;
 
 const endCode = 5065;
+/** Shorter than the time for which lookups list a host, in milliseconds. */
+const hostGraceMs = 2000;
+/** Grace period of the relay's settings, in milliseconds. */
+const relayGraceMs = 8000;
 
 function readLine(text: string): Record<string, unknown> {
 	const line: unknown = JSON.parse(text);
@@ -26,9 +30,13 @@
 	unknown: 'process.exit(7)',
 };
 
-const programs: Readonly<Record<string, {readonly makeSettings: () => Promise<unknown>; readonly listArguments: (file: string) => string[]; readonly invalidCode: number}>> = {
-	relay: {makeSettings: makeRelaySettings, listArguments: () => [relayMain], invalidCode: 1},
-	host: {makeSettings: makeHostSettings, listArguments: file => [hostMain, '--settings', file], invalidCode: 2},
+const programs: Readonly<Record<string, {readonly makeSettings: () => Promise<unknown>; readonly listArguments: (file: string) => string[]; readonly invalidCode: number; readonly graceMs: number}>> = {
+	relay: {
+		makeSettings: makeRelaySettings, listArguments: () => [relayMain], invalidCode: 1, graceMs: relayGraceMs,
+	},
+	host: {
+		makeSettings: async () => ({...readLine(JSON.stringify(await makeHostSettings())), timing: {graceMs: hostGraceMs}}), listArguments: file => [hostMain, '--settings', file], invalidCode: 2, graceMs: hostGraceMs,
+	},
 };
 
 /** Runs a statement in a process once it gets SIGUSR2. */
@@ -39,7 +47,7 @@
 }
 
 describe('the last line of a process', () => {
-	for (const [name, {makeSettings, listArguments, invalidCode}] of Object.entries(programs)) {
+	for (const [name, {makeSettings, listArguments, invalidCode, graceMs}] of Object.entries(programs)) {
 		/** Starts the program, does something to it, and returns its last line. */
 		async function play(statement: string | undefined, settings: unknown, act: (started: StartedProgram) => Promise<void>): Promise<Record<string, unknown>> {
 			const folder = mkdtempSync(join(tmpdir(), 'gatehead-ends-'));
@@ -71,6 +79,24 @@
 			expect({reason, detail, exitCode}).toEqual({reason: 'signal', detail: 'SIGINT', exitCode: 0});
 		});
 
+		it(`${name}: a stop ends within the grace period`, {timeout: hangMs}, async () => {
+			let tookMs = Number.POSITIVE_INFINITY;
+			let hasStopped = false;
+			const {reason, exitCode} = await play(undefined, await makeSettings(), async started => {
+				await untilStarted(started);
+				const startedAt = performance.now();
+				started.child.kill('SIGTERM');
+				await started.ended();
+				tookMs = performance.now() - startedAt;
+				hasStopped = started.hasLogged('stopped');
+			});
+			expect({
+				reason, exitCode, hasStopped, isInTime: tookMs < graceMs,
+			}).toEqual({
+				reason: 'signal', exitCode: 0, hasStopped: true, isInTime: true,
+			});
+		});
+
 		it(`${name}: a failed start has its failure`, {timeout: hangMs}, async () => {
 			const {reason, detail, exitCode} = await play(undefined, {}, async () => undefined);
 			expect({reason, exitCode}).toEqual({reason: 'failure', exitCode: invalidCode});
