Fix: a stop signal that was seen late broke streams off too early

Since a signal that arrives during a standstill counts from its begin, every delay of 0.15 s or more moved the end of the runs forward, although the signal may have been sent only at the end of the delay; streams would have been broken off before the last sixth of the grace period. Change: the end of the runs is planned from the moment at which the signal was seen, the close and the exit from the earliest moment at which it may have been sent.

Result: three cases in stop-schedule.test.ts.

--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -50,7 +50,8 @@
 export async function shutDownGracefully(options: ShutdownOptions): Promise<void> {
 	const {context, lookupTtlMs, announceLeaving, refuseNewRequests, rejectOpen} = options;
 	const {clock, settings: {timing: {graceMs, tickMs}}} = context;
-	const {breaksOffAt, closesAt} = planStop(clock.now(), graceMs);
+	const startedAt = clock.now();
+	const {breaksOffAt, closesAt} = planStop({seenAt: startedAt, sentAt: startedAt}, graceMs);
 	context.log('stopping');
 	context.timeline.record({kind: 'stopping'});
 	announceLeaving();
--- a/packages/host/src/utils/process-signals.test.ts
+++ b/packages/host/src/utils/process-signals.test.ts
@@ -143,8 +143,8 @@
 			const alive = setInterval(ignore, hangMs);
 			let elapsedMs = 0;
 			const running = signals.run({
-				start, async stop(passedMs) {
-					elapsedMs = passedMs;
+				start, async stop({sinceSentMs}) {
+					elapsedMs = sinceSentMs;
 				},
 			});
 			// The loop has turned, as it has in a process that serves
--- a/packages/host/src/utils/process-signals.ts
+++ b/packages/host/src/utils/process-signals.ts
@@ -20,12 +20,19 @@
 	readonly start: () => Promise<unknown>;
 	/** Reads the settings again; absent: they take effect at a start only. */
 	readonly reload?: () => void;
-	/** `elapsedMs`: time since the first stop signal, in milliseconds. */
-	readonly stop: (elapsedMs: number) => Promise<void>;
+	readonly stop: (elapsed: StopDelay) => Promise<void>;
 	/** Longest time from the first stop signal to the end of the stop, and of a start that it finds unfinished, in milliseconds; absent: any time. */
 	readonly maxStopMs?: number;
 };
 
+/** Time since the first stop signal, in milliseconds. */
+export type StopDelay = {
+	/** Since the process saw it. */
+	readonly sinceSeenMs: number;
+	/** Since it may have been sent at the earliest: it is seen late if it is sent while the process stands still. */
+	readonly sinceSentMs: number;
+};
+
 /** How a process has stopped; `overdue`: a step had not ended in time. */
 export type StopOutcome = 'complete' | 'overdue';
 
@@ -41,7 +48,8 @@
 	readonly #standstills = new StandstillWatch();
 	readonly #stopped: Promise<void>;
 	#stopSignal = '';
-	#stopSignalAt = Number.POSITIVE_INFINITY;
+	#seenAt = Number.POSITIVE_INFINITY;
+	#sentAt = Number.POSITIVE_INFINITY;
 	#isReloadDue = false;
 	/** Undefined: the start is not complete. */
 	#reload: (() => void) | undefined;
@@ -52,7 +60,8 @@
 				source.on(signal, () => {
 					if (this.#stopSignal === '') {
 						this.#stopSignal = signal;
-						this.#stopSignalAt = this.#standstills.earliestArrival();
+						this.#seenAt = performance.now();
+						this.#sentAt = this.#standstills.earliestArrival();
 					}
 
 					this.#abort.abort();
@@ -77,7 +86,7 @@
 
 	/** Time since the first stop signal, in milliseconds; 0 before. One that arrived while the process stood still counts from the begin of the standstill. */
 	get stoppingForMs(): number {
-		return Math.max(0, performance.now() - this.#stopSignalAt);
+		return Math.max(0, performance.now() - this.#sentAt);
 	}
 
 	/** Reads the settings again, once the start is complete and unless a stop has begun. */
@@ -107,7 +116,7 @@
 		this.#reload = reload;
 		this.#handleReload();
 		await this.#stopped;
-		await stop(this.stoppingForMs);
+		await stop({sinceSeenMs: performance.now() - this.#seenAt, sinceSentMs: this.stoppingForMs});
 		return 'complete';
 	}
 
--- a/packages/policy/src/relay/stop-schedule.test.ts
+++ b/packages/policy/src/relay/stop-schedule.test.ts
@@ -34,7 +34,7 @@
 describe('schedule of a planned stop', () => {
 	for (const {name, graceMs, breaksOffMs, closesMs, endsMs} of cases) {
 		it(`of ${name}`, () => {
-			const {breaksOffAt, closesAt} = planStop(startedAt, graceMs);
+			const {breaksOffAt, closesAt} = planStop({seenAt: startedAt, sentAt: startedAt}, graceMs);
 			expect([breaksOffAt, closesAt].map(at => Math.round(at - startedAt))).toEqual([breaksOffMs, closesMs]);
 			expect(Math.round(maxStopMs(graceMs))).toEqual(endsMs);
 		});
@@ -42,9 +42,17 @@
 
 	for (const graceMs of [1, 50, 600, 1000, 1199, 1200, 1800, 3000, 8000, 3_600_000]) {
 		it(`of ${graceMs} ms: runs end, then connections close, then the process is left`, () => {
-			const {breaksOffAt, closesAt} = planStop(0, graceMs);
+			const {breaksOffAt, closesAt} = planStop({seenAt: 0, sentAt: 0}, graceMs);
 			const times = [0, breaksOffAt, closesAt, maxStopMs(graceMs), graceMs];
 			expect(times.filter((time, index) => index > 0 && time <= (times[index - 1] ?? 0))).toEqual([]);
 		});
 	}
+
+	const delays: ReadonlyArray<{readonly seenMs: number; readonly breaksOffMs: number}> = [{seenMs: 100, breaksOffMs: 6767}, {seenMs: 600, breaksOffMs: 7267}, {seenMs: 1500, breaksOffMs: 7600}];
+	for (const {seenMs, breaksOffMs} of delays) {
+		it(`a signal that is seen ${seenMs} ms late shortens no run and moves no close`, () => {
+			const {breaksOffAt, closesAt} = planStop({seenAt: startedAt + seenMs, sentAt: startedAt}, 8000);
+			expect([breaksOffAt, closesAt].map(at => Math.round(at - startedAt))).toEqual([breaksOffMs, 7700]);
+		});
+	}
 });
--- a/packages/policy/src/relay/stop-schedule.ts
+++ b/packages/policy/src/relay/stop-schedule.ts
@@ -14,6 +14,11 @@
 /** The same as a share of the part above, in a short grace period. */
 const exitShare = 1 / 2;
 
+/** Time before connections are closed at which runs end at the latest, in milliseconds. */
+const rejectionMarginMs = 100;
+/** The same as a share of the part above, in a short grace period. */
+const rejectionShare = 1 / 8;
+
 /** Times of a planned stop, in milliseconds on one clock. */
 export type StopSchedule = {
 	/** When requests that are still in progress are rejected, and streams broken off. */
@@ -27,8 +32,20 @@
 	return graceMs - Math.min(exitMarginMs, graceMs * endShare * exitShare);
 }
 
-/** Divides the grace period of a stop that began at `startedAt`. */
-export function planStop(startedAt: number, graceMs: number): StopSchedule {
+/** When a stop was requested, in milliseconds on one clock. */
+export type StopRequestTimes = {
+	/** When the process saw the signal. */
+	readonly seenAt: number;
+	/** When the signal may have been sent at the earliest: one that is sent to a process that stands still is seen late. */
+	readonly sentAt: number;
+};
+
+/**
+ * Divides the grace period. Runs get their time from the moment at which the signal was seen, as it may have been sent
+ * only then; what must not outlast the grace period is planned from the earliest moment.
+ */
+export function planStop({seenAt, sentAt}: StopRequestTimes, graceMs: number): StopSchedule {
 	const endMs = graceMs * endShare;
-	return {breaksOffAt: startedAt + graceMs - endMs, closesAt: startedAt + graceMs - Math.min(closeMarginMs, endMs * closeShare)};
+	const closesAt = sentAt + graceMs - Math.min(closeMarginMs, endMs * closeShare);
+	return {breaksOffAt: Math.min(seenAt + graceMs - endMs, closesAt - Math.min(rejectionMarginMs, endMs * rejectionShare)), closesAt};
 }
--- a/packages/relay/src/front/forward-server.ts
+++ b/packages/relay/src/front/forward-server.ts
@@ -41,11 +41,6 @@
 		this.#connections = new CallerConnections(this.#server);
 	}
 
-	/** Connections and requests that have arrived so far. */
-	get arrivals(): number {
-		return this.#connections.arrivals;
-	}
-
 	/** Starts listening; resolves to the bound address. */
 	async listen(address: string): Promise<string> {
 		return listenAt(this.#server, address, this.#context);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {readUnreadRequests} from '@gatehead/host/utils/unread-requests';
 import {type Pause} from '@gatehead/policy/relay/endpoint-health';
+import {type StopDelay} from '@gatehead/host/utils/process-signals';
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {type RelaySettings} from '@gatehead/schema/relay-settings';
 import {toFailure} from '@gatehead/schema/failure';
@@ -288,12 +289,13 @@
 		this.context.log('settingsReloaded', {seeds: seeds.join(' ')});
 	}
 
-	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. `elapsedMs`: part of the grace period that has passed before, in milliseconds. */
-	async stop(elapsedMs = 0): Promise<void> {
+	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. `elapsed`: what has passed before of the grace period; absent: nothing. */
+	async stop({sinceSeenMs, sinceSentMs}: StopDelay = {sinceSeenMs: 0, sinceSentMs: 0}): Promise<void> {
 		const {clock, log, settings: {timing}} = this.context;
-		const startedAt = clock.now() - elapsedMs;
+		const now = clock.now();
+		const startedAt = now - sinceSeenMs;
 		this.#isStopping = true;
-		const {breaksOffAt, closesAt} = planStop(startedAt, timing.graceMs);
+		const {breaksOffAt, closesAt} = planStop({seenAt: startedAt, sentAt: now - sinceSentMs}, timing.graceMs);
 		this.#stopWindow.begin(breaksOffAt);
 		log('stopping', {open: this.#callerServer.activeRequests});
 		this.#callerServer.closeConnectionsAfterResponses();
--- a/packages/standin/src/wire/stop-end.test.ts
+++ b/packages/standin/src/wire/stop-end.test.ts
@@ -525,8 +525,8 @@
 				});
 				await until(() => held.length > 0);
 				const {context: {clock, settings: {timing: {graceMs}}}} = relay;
-				const {breaksOffAt} = planStop(clock.now() - elapsedMs, graceMs);
-				const stopped = relay.stop(elapsedMs);
+				const {breaksOffAt} = planStop({seenAt: clock.now() - elapsedMs, sentAt: clock.now() - elapsedMs}, graceMs);
+				const stopped = relay.stop({sinceSeenMs: elapsedMs, sinceSentMs: elapsedMs});
 				await pause(breaksOffAt + wakeMs - busyMs - clock.now());
 				await nextTurn();
 				for (const {id, socket} of held) {
@@ -561,7 +561,7 @@
 			});
 			await until(() => hasRun);
 			const beganAt = relay.context.clock.now();
-			await relay.stop(elapsedMs);
+			await relay.stop({sinceSeenMs: elapsedMs, sinceSentMs: elapsedMs});
 			expect(relay.context.clock.now() - beganAt).toBeLessThan(relay.context.settings.timing.graceMs - elapsedMs);
 			const {status, isWhole} = await answer;
 			expect({status, isWhole}).toEqual({status: unknownStatus, isWhole: true});
