Fix: a closed host left streams open over which its peers went on sending

Seen: two hosts that open a link to each other at once each send over the stream that the other opened. If one closes, its peer does not hear of it.

Cause: `close` ended the links only. A stream that this host opened and that no link of its own uses stayed open, as closing a gRPC client leaves its streams; it is the one over which the peer sends. The end of a process hides this, a host that closes inside a process that goes on shows it.

Change: `close` cancels all streams that the host opened. The server closes first: a peer that reconnects because its link ends is then refused and knows that the host is gone; in the other order its attempt could go over the old connection ("Stream refused by server"), and it learned so a tick later.

--- a/packages/host/src/peer/peer-links.test.ts
+++ b/packages/host/src/peer/peer-links.test.ts
@@ -63,6 +63,8 @@
 /** Test timeout in milliseconds, for a link that is never established. */
 const testTimeoutMs = 60_000;
 const pollMs = 5;
+/** Time in milliseconds for a host to hear that its peer has closed. */
+const lossMs = 3000;
 
 describe('PeerLinks', () => {
 	it('who is greeted again while the first connection hangs gets a new one', {timeout: testTimeoutMs}, async () => {
@@ -123,6 +125,47 @@
 		receiver.close();
 	});
 
+	// Guards against streams that a closed host leaves open, so that its peer goes on sending over one of them
+	it('whose peer closes hears of it, although each had opened a link to the other at once', {timeout: testTimeoutMs}, async () => {
+		const addresses = new Map<string, string>();
+		const heard = new Set<string>();
+		const lost: string[] = [];
+		const [first, second] = ['first', 'second'].map(name => new PeerLinks(makeContext(name, '127.0.0.1:0'), peerBatch, {
+			...makeListener('127.0.0.1:0'),
+			onMessage({host}, {kind}) {
+				heard.add(`${name} ${kind} ${host}`);
+			},
+			onLost(host) {
+				lost.push(`${name} lost ${host}`);
+			},
+			addressOf: host => addresses.get(host),
+		}));
+		if (first === undefined || second === undefined) {
+			throw new Error('no links');
+		}
+
+		try {
+			addresses.set('first', await first.listen());
+			addresses.set('second', await second.listen());
+			first.send('second', {kind: 'bundleWanted', have: []});
+			second.send('first', {kind: 'bundleWanted', have: []});
+			while (heard.size < 4) {
+				await pause(pollMs);
+			}
+
+			first.close();
+			const end = systemClock.now() + lossMs;
+			while (lost.length === 0 && systemClock.now() < end) {
+				await pause(pollMs);
+			}
+
+			expect(lost).toEqual(['second lost first']);
+		} finally {
+			first.close();
+			second.close();
+		}
+	});
+
 	// Guards against a process that ends because it decodes whatever a peer sends
 	it('closes a link over which a batch with too many values comes', {timeout: testTimeoutMs}, async () => {
 		const received: string[] = [];
--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -98,6 +98,8 @@
 	readonly #links = new Map<string, Link<Message>>();
 	#server: Server;
 	readonly #clients = new Map<string, Client>();
+	/** Streams that this host opened, including those that no link uses: if two hosts connect to each other at once, each may send over the stream of the other. */
+	readonly #openedStreams = new Set<ClientDuplexStream<Packed, unknown>>();
 	#isClosed = false;
 
 	/** `schema` validates received batches and must accept the hello message. */
@@ -175,15 +177,20 @@
 	/** Closes the server and all links. */
 	close(): void {
 		this.#isClosed = true;
+		// First, so that peers that reconnect because a link ends are refused and know that this host is gone
+		this.#server.forceShutdown();
 		for (const {close} of this.#links.values()) {
 			close();
 		}
 
+		// Closing a client leaves its streams open
+		for (const stream of this.#openedStreams) {
+			stream.cancel();
+		}
+
 		for (const client of this.#clients.values()) {
 			client.close();
 		}
-
-		this.#server.forceShutdown();
 	}
 
 	#makeServer(): Server {
@@ -242,6 +249,10 @@
 	#open(host: string, address: string): Link<Message> {
 		const client = this.#getClient(address);
 		const stream = client.makeBidiStreamRequest(linkPath, service.link.requestSerialize, service.link.responseDeserialize);
+		this.#openedStreams.add(stream);
+		stream.once('status', () => {
+			this.#openedStreams.delete(stream);
+		});
 		const link: Link<Message> = {
 			host, stream, openedAt: this.#context.clock.now(), close() {
 				stream.cancel();
