Test: the stage began before its hosts had heard of each other

Cause: the stage counted hosts that are known only from the platform's list (incarnation 0) as reachable. A host names none of them to callers and does not choose them as keepers. If the first read of the list comes before the stage lists its hosts, the stage waits for 120 ms, until the first heartbeats; if it comes later, the stage began at 30 ms, with each host its own keeper.

Change: the stage waits until each host has heard from all others. The check is stricter; no case and no promise changes. With the gRPC server's listener the stage starts as before: at 120 ms, same keeper, same owner.

--- a/packages/standin/src/matrix/stage.ts
+++ b/packages/standin/src/matrix/stage.ts
@@ -207,9 +207,10 @@
 		return staged;
 	}
 
-	/** Whether a host answers callers. */
+	/** Whether a host answers callers and has heard from all others; those that it knows only from the platform's list have incarnation 0, and it names none of them to callers. */
 	isServing({host, isDead}: StagedHost): boolean {
-		return !isDead && host.isReady && host.membership.members.listReachable().length >= this.hosts.filter(each => !each.isDead).length;
+		const known = host.membership.members.listReachable().filter(({incarnation}) => incarnation > 0);
+		return !isDead && host.isReady && known.length >= this.living.length;
 	}
 
 	/** Hosts whose process lives. */
