Fix: an error of the listener for peers ended the process

Seen: failed-accepts.test.ts failed each time for the address of peers: an 'error' event of that listener (EMFILE, ENFILE, ENOBUFS, EPROTO) throws.

Cause: the gRPC server (@grpc/grpc-js 1.14.7) handles errors of its listener only until it is bound, and its public interface does not give the listener.

Change: a listener of our own accepts the connections, logs its errors (5064) and hands the connections over with `createConnectionInjector`. It closes before the gRPC server. The gRPC server is made once again, since it no longer binds an address.

--- a/packages/host/src/peer/peer-links.ts
+++ b/packages/host/src/peer/peer-links.ts
@@ -5,17 +5,17 @@
  */
 import {Buffer} from 'node:buffer';
 import {readFileSync} from 'node:fs';
+import {createServer} from 'node:net';
 import {
 	type Client, connectivityState, credentials, makeGenericClientConstructor, Server, ServerCredentials, type ClientDuplexStream, type ServerDuplexStream, type ServiceDefinition,
 } from '@grpc/grpc-js';
 import {pack, unpack} from 'msgpackr';
-import {joinAddress, splitAddress} from '@gatehead/schema/address';
 import {describeFaults} from '@gatehead/schema/check';
 import {type Owner} from '@gatehead/schema/engine-protocol';
-import {fail, Failure} from '@gatehead/schema/failure';
+import {fail} from '@gatehead/schema/failure';
 import {type PeerMessageOf} from '@gatehead/schema/peer-message';
 import {type z} from 'zod';
-import {passingErrors} from '../utils/listen.js';
+import {listenAt} from '../utils/listen.js';
 import {isWithinBounds} from './message-size.js';
 import {type PeerContext} from './peer-context.js';
 
@@ -32,12 +32,6 @@
 type Packed = Uint8Array;
 type Duplex = ClientDuplexStream<Packed, unknown> | ServerDuplexStream<unknown, Packed>;
 
-/** Whether a failed bind may pass. The error of a gRPC server has the system's in its text. */
-function canBindLater(error: unknown): boolean {
-	const text = String(error instanceof Failure ? error.cause() : error);
-	return [...passingErrors].some(code => text.includes(code));
-}
-
 function unpackBatch(bytes: Uint8Array): unknown {
 	if (!isWithinBounds(bytes)) {
 		throw new Error('batch exceeds the bounds of its values');
@@ -96,7 +90,8 @@
 	readonly #schema: z.ZodType<Message[]>;
 	readonly #listener: LinkListener<Message>;
 	readonly #links = new Map<string, Link<Message>>();
-	#server: Server;
+	readonly #server: Server;
+	readonly #acceptor = createServer();
 	readonly #clients = new Map<string, Client>();
 	/** Streams that this host opened, including those that no link uses: if two hosts connect to each other at once, each may send over the stream of the other. */
 	readonly #openedStreams = new Set<ClientDuplexStream<Packed, unknown>>();
@@ -107,15 +102,22 @@
 		this.#context = context;
 		this.#schema = schema;
 		this.#listener = listener;
-		this.#server = this.#makeServer();
+		this.#server = new Server({'grpc.max_receive_message_length': context.settings.limits.peerMessageBytes});
+		this.#server.addService(service, {
+			link: (stream: ServerDuplexStream<unknown, Packed>) => {
+				this.#accept(stream);
+			},
+		});
 	}
 
 	/** Starts listening; resolves with the bound address, rejects with `addressInUse`. */
 	async listen(): Promise<string> {
-		const {settings: {listen: {peer}}, startWait} = this.#context;
-		const attempt = async () => this.#bind(peer);
-		const port = await (startWait === undefined ? attempt() : startWait.retry(peer, attempt, canBindLater));
-		return joinAddress({ip: splitAddress(peer).ip, port});
+		// The gRPC server handles no errors of a listener of its own
+		const injector = this.#server.createConnectionInjector(this.#serverCredentials());
+		this.#acceptor.on('connection', socket => {
+			injector.injectConnection(socket);
+		});
+		return listenAt(this.#acceptor, this.#context.settings.listen.peer, this.#context);
 	}
 
 	/** Sends a message to a host, or asynchronously to this process itself. Delivery is not guaranteed. */
@@ -178,6 +180,7 @@
 	close(): void {
 		this.#isClosed = true;
 		// First, so that peers that reconnect because a link ends are refused and know that this host is gone
+		this.#acceptor.close();
 		this.#server.forceShutdown();
 		for (const {close} of this.#links.values()) {
 			close();
@@ -193,31 +196,6 @@
 		}
 	}
 
-	#makeServer(): Server {
-		const server = new Server({'grpc.max_receive_message_length': this.#context.settings.limits.peerMessageBytes});
-		server.addService(service, {
-			link: (stream: ServerDuplexStream<unknown, Packed>) => {
-				this.#accept(stream);
-			},
-		});
-		return server;
-	}
-
-	/** Binds the server; resolves with the port. A gRPC server keeps the error of a failed bind, so each attempt has one of its own. */
-	async #bind(peer: string): Promise<number> {
-		this.#server.forceShutdown();
-		this.#server = this.#makeServer();
-		return new Promise<number>((resolve, reject) => {
-			this.#server.bindAsync(peer, this.#serverCredentials(), (error, bound) => {
-				if (error === null) {
-					resolve(bound);
-				} else {
-					reject(new Failure('addressInUse', {cause: error, detail: peer}));
-				}
-			});
-		});
-	}
-
 	/** Drops a client that is still connecting: its SYN may be lost, and the kernel retransmits it only after a second. */
 	#dropConnectingClient(address: string): void {
 		const client = this.#clients.get(address);
--- a/packages/host/src/utils/listen.ts
+++ b/packages/host/src/utils/listen.ts
@@ -7,7 +7,7 @@
 import {type StartWait} from './start-wait.js';
 
 /** Errors of the system that may be over at the next attempt: another process holds the address, the interface has none yet, or a resource is short. */
-export const passingErrors: ReadonlySet<string> = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
+const passingErrors = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM']);
 
 /** What listening takes from the process. */
 export type ListenContext = {
