--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -50,6 +50,8 @@
 const rejectionMs = 100;
 /** Time for which a host that stood still near the end of a stop passes on what has arrived from endpoints meanwhile, in milliseconds. */
 const catchUpMs = 150;
+/** Of a stop that no signal has requested. */
+const noDelay: StopDelay = {sinceSeenMs: 0, sinceSentMs: 0};
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
 const surveyorsPerEngine = 3;
 /** Heartbeat intervals until all hosts know that this one is leaving; membership changes are sent at once, or at the next heartbeat at the latest. */
@@ -290,7 +292,7 @@
 	}
 
 	/** Stops gracefully: leaves the lookups, accepts requests that can end in time until cached lookups have expired, drains active requests within the grace period, then rejects the others. `elapsed`: what has passed before of the grace period; absent: nothing. */
-	async stop({sinceSeenMs, sinceSentMs}: StopDelay = {sinceSeenMs: 0, sinceSentMs: 0}): Promise<void> {
+	async stop({sinceSeenMs, sinceSentMs}: StopDelay = noDelay): Promise<void> {
 		const {clock, log, settings: {timing}} = this.context;
 		const now = clock.now();
 		const startedAt = now - sinceSeenMs;
@@ -307,7 +309,6 @@
 		await this.#waitWhile(hasOpenRequests, breaksOffAt);
 		const wokeAt = clock.now() > breaksOffAt + drainPollMs ? clock.now() : this.#wokeLateAt;
 		await this.#waitWhile(hasOpenRequests, Math.min(wokeAt + catchUpMs, closesAt));
-
 		const drainedAt = clock.now();
 		log('stopped', {open: this.#callerServer.activeRequests, tookMs: Math.round(drainedAt - startedAt)});
 		this.#callerServer.stopListening();
