Fix: callers that went on sending held up the end of a planned stop

Cause: the reading of what has arrived went on for up to 2,000 turns of the event loop while each turn brought another request, and the time of an overdue stop was 20 turns, which took over 190 ms there; the trace ends with the lines of the rejections. Change: both are bounded in time (150 ms a reading, 50 ms behind the time of the stop), and lines get 50 ms also where no time is left, as behind a stop that fails.

--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -10,6 +10,8 @@
 import {type Context} from './context.js';
 
 const pollMs = 50;
+/** Longest time for reading what has arrived at once, in milliseconds: callers that go on sending must not hold up the stop. */
+const maxReadMs = 150;
 /** Gossip ticks allowed for all peers to learn that this host is leaving and to omit it from lookups. */
 const propagationTicks = 4;
 
@@ -42,7 +44,8 @@
 			await pause(context, Math.min(pollMs, endsAt - clock.now()));
 		}
 
-		await readUnreadRequests(countArrivals);
+		const readsUntil = clock.now() + maxReadMs;
+		await readUnreadRequests(countArrivals, () => clock.now() < readsUntil);
 	} while (mustWait());
 }
 
--- a/packages/host/src/utils/process-end.ts
+++ b/packages/host/src/utils/process-end.ts
@@ -10,6 +10,8 @@
 const millisecondsPerSecond = 1000;
 /** Longest time for which the end waits for the reader of its lines, in milliseconds. */
 const maxFlushMs = 1000;
+/** Time for which it does so even if none is left, in milliseconds; less than what remains of a grace period behind the time of a stop. */
+const lateFlushMs = 50;
 const flushPollMs = 5;
 
 /** Resolves once an output has passed on all that it buffers, or after `maxMs` milliseconds. */
@@ -41,11 +43,11 @@
 		});
 	}
 
-	/** Ends the process for a reason, at the latest `leftMs` milliseconds from now. `process.exit` drops lines that its output still buffers. */
+	/** Ends the process for a reason, once its lines have left or `leftMs` milliseconds have passed. `process.exit` drops lines that its output still buffers. */
 	async exit(exitCode: number, reason: EndReason, detail: string, leftMs = maxFlushMs): Promise<never> {
 		this.#reason = reason;
 		this.#detail = detail;
-		await flush(this.#output, Math.min(leftMs, maxFlushMs));
+		await flush(this.#output, Math.min(Math.max(leftMs, lateFlushMs), maxFlushMs));
 		process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit -- the process's own end
 	}
 }
--- a/packages/host/src/utils/process-log.ts
+++ b/packages/host/src/utils/process-log.ts
@@ -6,7 +6,7 @@
 import {getLogLevel, type Log} from './log.js';
 
 /** Longest time for which a line waits for its reader, in milliseconds. */
-const maxWaitMs = 100;
+const maxWaitMs = 50;
 /** Time between two attempts, in milliseconds. */
 const retryMs = 5;
 
--- a/packages/host/src/utils/process-signals.ts
+++ b/packages/host/src/utils/process-signals.ts
@@ -12,8 +12,8 @@
 const reloadSignal = 'SIGHUP';
 /** Turns of the event loop in which signals are reported that arrived while the process was loaded: a turn that has begun may be past them. */
 const signalTurns = 2;
-/** Turns of the event loop that a stop gets beyond its time: in a process that stood still it has not gone on yet when its time is over. */
-const overdueTurns = 20;
+/** Time that a stop gets beyond its own, in milliseconds: in a process that stood still it has not gone on yet when that is over. */
+const overdueMs = 50;
 
 /** What a process does on signals. */
 export type ProcessTasks = {
@@ -36,12 +36,6 @@
 /** How a process has stopped; `overdue`: a step had not ended in time. */
 export type StopOutcome = 'complete' | 'overdue';
 
-async function passTurns(count: number): Promise<void> {
-	for (let turn = 0; turn < count; turn += 1) {
-		await nextTurn();
-	}
-}
-
 /** Signals of one process. */
 export class ProcessSignals {
 	readonly #abort = new AbortController();
@@ -97,7 +91,10 @@
 
 	/** Runs a process until the first stop signal and resolves once it has stopped, or its time to stop is over. Throws the error of the start or the stop. Later signals change nothing. */
 	async run(tasks: ProcessTasks): Promise<StopOutcome> {
-		await passTurns(signalTurns);
+		for (let turn = 0; turn < signalTurns; turn += 1) {
+			await nextTurn();
+		}
+
 		if (this.stopping.aborted) {
 			return 'complete';
 		}
@@ -123,7 +120,7 @@
 	async #waitForOverdue(maxStopMs: number): Promise<StopOutcome> {
 		await this.#stopped;
 		await pause(Math.max(0, maxStopMs - this.stoppingForMs));
-		await passTurns(overdueTurns);
+		await pause(overdueMs);
 		return 'overdue';
 	}
 
--- a/packages/host/src/utils/unread-requests.ts
+++ b/packages/host/src/utils/unread-requests.ts
@@ -3,14 +3,16 @@
 
 /** Turns of the event loop behind the last arrival: one accepts a connection, one reads its request, and one passes before a stopping host responds. */
 const turnsBehindArrival = 3;
-/** Most turns; a server accepts one connection a turn, so a host that stood still needs as many turns as connections wait. */
-const maxTurns = 2000;
 
-/** Resolves once stopping servers have responded to the requests that have arrived. `countArrivals`: connections and requests of these servers so far. */
-export async function readUnreadRequests(countArrivals: () => number): Promise<void> {
+/**
+ * Resolves once stopping servers have responded to the requests that have arrived, or `mayWait` says that no time is
+ * left for more. A server accepts one connection a turn, so a host that stood still needs as many turns as connections
+ * wait. `countArrivals`: connections and requests of these servers so far.
+ */
+export async function readUnreadRequests(countArrivals: () => number, mayWait: () => boolean): Promise<void> {
 	let arrivals = countArrivals();
 	let quietTurns = 0;
-	for (let turn = 0; turn < maxTurns && quietTurns < turnsBehindArrival; turn += 1) {
+	for (let turn = 0; turn < turnsBehindArrival || (quietTurns < turnsBehindArrival && mayWait()); turn += 1) {
 		await nextTurn();
 		const earlier = arrivals;
 		arrivals = countArrivals();
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -50,6 +50,10 @@
 const rejectionMs = 100;
 /** Time for which a host that stood still near the end of a stop passes on what has arrived from endpoints meanwhile, in milliseconds. */
 const catchUpMs = 150;
+/** Longest time for reading what has arrived at once, in milliseconds. */
+const maxReadMs = 150;
+/** Time for which such a host reads what has arrived, where its connections should be closed by then, in milliseconds. */
+const lateReadMs = 50;
 /** Of a stop that no signal has requested. */
 const noDelay: StopDelay = {sinceSeenMs: 0, sinceSentMs: 0};
 /** Hosts that ask each engine after their start what it holds of earlier runs. */
@@ -86,6 +90,8 @@
 
 	readonly #stopWindow = new StopWindow();
 	#isStopping = false;
+	/** When a stop closes connections at the latest. */
+	#closesAt = Number.POSITIVE_INFINITY;
 	/** When this host last woke from a standstill during its stop. */
 	#wokeLateAt = Number.NEGATIVE_INFINITY;
 
@@ -298,6 +304,7 @@
 		const startedAt = now - sinceSeenMs;
 		this.#isStopping = true;
 		const {breaksOffAt, closesAt} = planStop({seenAt: startedAt, sentAt: now - sinceSentMs}, timing.graceMs);
+		this.#closesAt = closesAt;
 		this.#stopWindow.begin(breaksOffAt);
 		log('stopping', {open: this.#callerServer.activeRequests});
 		this.#callerServer.closeConnectionsAfterResponses();
@@ -418,9 +425,11 @@
 		} while (isSo() && clock.now() < endsAt);
 	}
 
-	/** Reads what callers and other hosts have sent before, which a host that stood still has not read yet. */
+	/** Reads what callers and other hosts have sent before, which a host that stood still has not read yet. Callers that go on sending must not hold up the stop. */
 	async #readArrived(): Promise<void> {
-		await readUnreadRequests(() => this.#callerServer.arrivals + this.#forwardServer.arrivals);
+		const {clock} = this.context;
+		const endsAt = Math.max(Math.min(clock.now() + maxReadMs, this.#closesAt), this.#wokeLateAt + lateReadMs);
+		await readUnreadRequests(() => this.#callerServer.arrivals + this.#forwardServer.arrivals, () => clock.now() < endsAt);
 	}
 
 	async #sleep(milliseconds: number): Promise<void> {
