Fix: a fault in one step of the own front's stop skipped all others

Callers' requests were cut when the announcement of a planned stop failed: the error ended the stop, and with it the process. One in a step of the close left the listeners open.

Cause: the steps ran one after the other without guards. Change: a fault is logged (internal) and the other steps go on; listeners for callers and operators are closed at the same time.

--- a/packages/host/src/core/graceful-shutdown.ts
+++ b/packages/host/src/core/graceful-shutdown.ts
@@ -6,6 +6,7 @@
  */
 import {maxTimeToLive} from '@gatehead/policy/core/lookup';
 import {planStop} from '@gatehead/policy/relay/stop-schedule';
+import {toFailure} from '@gatehead/schema/failure';
 import {readUnreadRequests} from '../utils/unread-requests.js';
 import {type Context} from './context.js';
 
@@ -35,6 +36,15 @@
 	});
 }
 
+/** Announces the stop. A fault must not end it, with the requests in flight. */
+function announce({context, announceLeaving}: ShutdownOptions): void {
+	try {
+		announceLeaving();
+	} catch (error) {
+		context.log('internal', {detail: toFailure(error).message});
+	}
+}
+
 /** Waits until nothing is in flight, until `endsAt` at the latest, and reads what has arrived until then. */
 async function waitForInFlight({context, countArrivals, countInFlight}: ShutdownOptions, endsAt: number): Promise<void> {
 	const {clock} = context;
@@ -51,13 +61,13 @@
 
 /** Shuts down gracefully; resolves once nothing is in flight, or shortly before the end of the grace period. */
 export async function shutDownGracefully(options: ShutdownOptions): Promise<void> {
-	const {context, lookupTtlMs, announceLeaving, refuseNewRequests, rejectOpen} = options;
+	const {context, lookupTtlMs, refuseNewRequests, rejectOpen} = options;
 	const {clock, settings: {timing: {graceMs, tickMs}}} = context;
 	const startedAt = clock.now();
 	const {breaksOffAt, closesAt} = planStop({seenAt: startedAt, sentAt: startedAt}, graceMs);
 	context.log('stopping');
 	context.timeline.record({kind: 'stopping'});
-	announceLeaving();
+	announce(options);
 	await pause(context, Math.min(maxTimeToLive(lookupTtlMs()) + (propagationTicks * tickMs), graceMs / 2));
 	refuseNewRequests();
 	await waitForInFlight(options, breaksOffAt);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -25,6 +25,7 @@
 import {Membership, type MembershipTransport} from './peer/membership.js';
 import {PeerLinks} from './peer/peer-links.js';
 import {Roster} from './peer/roster.js';
+import {runCloseSteps} from './utils/close-steps.js';
 
 const defaultLookupTtlMs = 20_000;
 const ledgerSweepMs = 5000;
@@ -193,18 +194,43 @@
 	async close(): Promise<void> {
 		this.#isClosed = true;
 		this.#sweepTimer?.stop();
-		this.links.close();
-		this.#engineClient.close();
-		this.#bundleWatcher.stop();
-		this.membership.stop();
-		this.#leaseClient.stop();
-		this.keeper.stop();
-		await this.#callerFront.close();
-		await this.#adminServer.close();
-		this.#canceller.close();
-		this.#platformClient.close();
-		this.#agent.destroy();
-		this.context.counters.close();
+		const {log, counters} = this.context;
+		await runCloseSteps(log, [
+			() => {
+				this.links.close();
+			},
+			() => {
+				this.#engineClient.close();
+			},
+			() => {
+				this.#bundleWatcher.stop();
+			},
+			() => {
+				this.membership.stop();
+			},
+			() => {
+				this.#leaseClient.stop();
+			},
+			() => {
+				this.keeper.stop();
+			},
+			async () => this.#callerFront.close(),
+			async () => this.#adminServer.close(),
+		]);
+		await runCloseSteps(log, [
+			() => {
+				this.#canceller.close();
+			},
+			() => {
+				this.#platformClient.close();
+			},
+			() => {
+				this.#agent.destroy();
+			},
+			() => {
+				counters.close();
+			},
+		]);
 	}
 
 	#getBundle(): Bundle {
