Tests: the end of a predecessor was not waited for

'a host starts while its predecessor stops' failed in one of two runs of the whole script at the same time (load 7 to 17): the exit code of the predecessor was null, as it had not ended yet when its successor had started. Traced in six plays: it ends 3 to 7 ms behind its line stopped, and is gone 29 to 74 ms before the successor's start, which polls for its addresses every 100 ms; a poll within those milliseconds starts the successor first, which nothing forbids.

--- a/packages/standin/src/wire/start-faults.test.ts
+++ b/packages/standin/src/wire/start-faults.test.ts
@@ -199,6 +199,8 @@
 		await until(() => first.hasEnded || first.hasLogged('stopping'));
 		const second = start(program, settingsFile);
 		await until(() => second.hasEnded || second.hasLogged('started'));
+		// Its addresses are free some milliseconds before it has ended
+		await first.ended();
 		expect({code: first.child.exitCode, second: outcome(second)}).toEqual({
 			code: 0,
 			second: {
