--- a/review/replica-2.mjs
+++ b/review/replica-2.mjs
@@ -80,6 +80,12 @@
 }
 
 async function run(request, response, {id, body}) {
+	if (state.deadlyPath !== undefined && new URL(request.url, 'http://replica').pathname === state.deadlyPath) {
+		// The parent kills this process as soon as it hears of the run
+		tell('deadly', {request: id, target: request.url});
+		return;
+	}
+
 	open.add(id);
 	tell('run', {
 		request: id, target: request.url, bodyBytes: body.length, model: request.headers.model,
