--- a/review/replica-2.mjs
+++ b/review/replica-2.mjs
@@ -11,12 +11,14 @@
 
 const {headers, fields, calls} = JSON.parse(readFileSync(new URL('names-2.json', import.meta.url), 'utf8'));
 const state = {
-	workMs: 40, bodyParts: 1, partGapMs: 0, version: 'v1', events: 40, eventGapMs: 30, framing: 'chunks', isLeaving: false, backoffS: undefined, roleSwitchMs: 6000, ...JSON.parse(process.argv[2] ?? '{}'),
+	workMs: 40, bodyParts: 1, partGapMs: 0, version: 'v1', events: 40, eventGapMs: 30, framing: 'chunks', isLeaving: false, backoffS: undefined, roleSwitchMs: 6000, lostShare: 0, deadlyAfterMs: 0, ...JSON.parse(process.argv[2] ?? '{}'),
 };
 const born = Date.now();
 let made = 0;
 let orders = 0;
-const open = new Set();
+const open = new Map();
+/** Tokens in memory by the last part of a prompt: the prompt, and what was made behind it. */
+const held = new Map();
 
 function tell(kind, facts = {}) {
 	process.send?.({
@@ -45,7 +47,7 @@
 }
 
 /** Writes one part of a body after the other; the process may end meanwhile. */
-async function writeParts(response, parts, gapMs) {
+async function writeParts(response, parts, gapMs, onWritten) {
 	let written = 0;
 	for (const part of parts) {
 		if (written > 0) {
@@ -58,6 +60,7 @@
 
 		response.write(part);
 		written += 1;
+		onWritten?.(written);
 	}
 
 	response.end();
@@ -81,12 +84,24 @@
 
 async function run(request, response, {id, body}) {
 	if (state.deadlyPath !== undefined && new URL(request.url, 'http://replica').pathname === state.deadlyPath) {
-		// The parent kills this process as soon as it hears of the run
-		tell('deadly', {request: id, target: request.url});
-		return;
+		// The parent kills this process as soon as it hears of this
+		setTimeout(() => {
+			tell('deadly', {request: id});
+		}, state.deadlyAfterMs);
 	}
 
-	open.add(id);
+	const [part = '', tokens = '0'] = (request.headers[headers.parts.toLowerCase()] ?? '').split(',').at(-1).split(':');
+	const from = Number(request.headers['last-event-id'] ?? 0);
+	const progress = {tokens: Number(tokens) + from, events: from};
+	open.set(id, progress);
+	const note = made => {
+		progress.events = from + made;
+		progress.tokens = Number(tokens) + from + made;
+		if (part !== '') {
+			held.set(part, Math.max(held.get(part) ?? 0, progress.tokens));
+		}
+	};
+
 	tell('run', {
 		request: id, target: request.url, bodyBytes: body.length, model: request.headers.model,
 	});
@@ -102,11 +117,18 @@
 		return;
 	}
 
-	const from = Number(request.headers['last-event-id'] ?? 0);
 	const events = Array.from({length: Math.max(0, state.events - from)}, (_, index) => `id: ${from + index + 1}\ndata: piece ${from + index + 1} of ${state.events}, ${state.version}\n\n`);
 	await pause(state.workMs);
+	if (Math.random() < state.lostShare) {
+		// It runs, and its answer is lost
+		note(events.length);
+		tell('lost', {request: id});
+		request.socket.resetAndDestroy();
+		return;
+	}
+
 	writeHead(response, id, undefined, 'text/event-stream');
-	await writeParts(response, events, state.eventGapMs);
+	await writeParts(response, events, state.eventGapMs, note);
 }
 
 const server = createServer({keepAliveTimeout: 30_000}, async (request, response) => {
@@ -130,14 +152,14 @@
 
 	if (pathname === calls.report) {
 		sendJson(response, 200, {
-			born, stage: state.stage, models: [{name: 'm', version: 1, adapters: []}], busy: false, callSeq: orders, queued: 0, running: open.size, kvUsed: 0, kvTotal: 40_000, handles: 0, runs: [],
+			born, stage: state.stage, models: [{name: 'm', version: 1, adapters: []}], busy: false, callSeq: orders, queued: 0, running: open.size, kvUsed: 0, kvTotal: 40_000, handles: 0, runs: [...open].map(([id, {tokens, events}]) => [id, tokens, events, 5]),
 		});
 		return;
 	}
 
 	if (pathname === calls.list) {
 		sendJson(response, 200, {
-			born, epoch: born, nextPageToken: 1, held: [],
+			born, epoch: born, nextPageToken: 1, held: [...held].map(([part, tokens]) => ['', part, tokens, 'm']),
 		});
 		return;
 	}
