--- a/review/replica-2.mjs
+++ b/review/replica-2.mjs
@@ -11,7 +11,7 @@
 
 const {headers, fields, calls} = JSON.parse(readFileSync(new URL('names-2.json', import.meta.url), 'utf8'));
 const state = {
-	workMs: 40, bodyParts: 1, partGapMs: 0, version: 'v1', events: 40, eventGapMs: 30, framing: 'chunks', isLeaving: false, backoffS: undefined, roleSwitchMs: 6000, lostShare: 0, deadlyAfterMs: 0, ...JSON.parse(process.argv[2] ?? '{}'),
+	workMs: 40, bodyParts: 1, partGapMs: 0, version: 'v1', events: 40, eventGapMs: 30, framing: 'chunks', isLeaving: false, backoffS: undefined, roleSwitchMs: 6000, lostShare: 0, ...JSON.parse(process.argv[2] ?? '{}'),
 };
 const born = Date.now();
 let made = 0;
@@ -83,13 +83,6 @@
 }
 
 async function run(request, response, {id, body}) {
-	if (state.deadlyPath !== undefined && new URL(request.url, 'http://replica').pathname === state.deadlyPath) {
-		// The parent kills this process as soon as it hears of this
-		setTimeout(() => {
-			tell('deadly', {request: id});
-		}, state.deadlyAfterMs);
-	}
-
 	const [part = '', tokens = '0'] = (request.headers[headers.parts.toLowerCase()] ?? '').split(',').at(-1).split(':');
 	const from = Number(request.headers['last-event-id'] ?? 0);
 	const progress = {tokens: Number(tokens) + from, events: from};
