Logs: the evidence behind the version of a resumed stream

Neither logs nor metrics could tell three explanations apart: a wrong match of a run, a cached part that another attempt had left, or a version whose engines were not asked.

7011 streamResumed has `traces`: each run or cached part found, with its version, its size and the least size that the caller's events need. gatehead_stream_lookups_total has the label `evidence` (run, part, none). gatehead_repeated_runs_total counts runs begun for a request no event of which had been forwarded, by whether an earlier one may have run at another version only. No decision changes.

--- a/packages/policy/src/relay/run-traces.ts
+++ b/packages/policy/src/relay/run-traces.ts
@@ -71,9 +71,20 @@
 	}
 }
 
+/** A trace of sufficient size, and the query that it answers. */
+export type TraceMatch = {
+	readonly trace: RunTrace;
+	readonly query: TraceQuery;
+};
+
+/** Lists the traces that may belong to the stream. */
+export function listMatches(queries: readonly TraceQuery[], traces: readonly RunTrace[]): TraceMatch[] {
+	return queries.flatMap(query => traces.filter(({key, size}) => key === query.key && size >= query.leastSize).map(trace => ({trace, query})));
+}
+
 /** Where a stream began, by all traces of sufficient size; `ambiguous` if engines of several versions have one. `unheard`: of which hosts may learn more traces; undefined: of any. */
 export function findTracedOrigin(queries: readonly TraceQuery[], traces: readonly RunTrace[], unheard: readonly StreamOrigin[] | undefined): StreamOrigin | 'ambiguous' | undefined {
-	const matches = queries.flatMap(({key, leastSize, isExact}) => traces.filter(trace => trace.key === key && trace.size >= leastSize).map(trace => ({trace, isExact})));
+	const matches = listMatches(queries, traces);
 	const [first] = matches;
 	if (first === undefined) {
 		return undefined;
@@ -85,7 +96,7 @@
 	}
 
 	const isUncontested = unheard?.every(origin => isSameOrigin(origin, first.trace)) === true;
-	return isUncontested || matches.some(({isExact}) => isExact) ? {service, softwareVersion} : undefined;
+	return isUncontested || matches.some(({query}) => query.isExact) ? {service, softwareVersion} : undefined;
 }
 
 function isSameOrigin(left: StreamOrigin, right: StreamOrigin): boolean {
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -207,6 +207,8 @@
 			this.#continuation.continueAfter(silent, stallReason);
 		}
 
+		this.#countRepeatedRun(via);
+
 		if (reservation !== undefined) {
 			reservation.announce?.();
 			this.#state.forecast.begin(reservation);
@@ -229,6 +231,13 @@
 		}, firstIdleMs);
 	}
 
+	#countRepeatedRun({softwareVersion}: Via): void {
+		const unseen = new Set(this.#state.unseenRuns.values());
+		if (unseen.size > 0 && softwareVersion !== undefined) {
+			this.#parts.context.metrics.add('repeatedRuns', {softwareVersion: unseen.has(softwareVersion) ? 'same' : 'other'});
+		}
+	}
+
 	/** Whether a stream that has waited may not end before this host does. One that its caller has a part of goes on as long as it can. */
 	#isTooLate(): boolean {
 		const {route, deadlineAt, reply} = this.#job;
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -25,6 +25,8 @@
 	mustContinue = false;
 	/** Endpoint that sent the latest events. */
 	source: Via | undefined;
+	/** Versions of the runs that may have begun while no event was forwarded, by endpoint. What they generated stays in the memory of those endpoints. */
+	readonly unseenRuns = new Map<string, string>();
 	/** Software version that the stream has to go on at; undefined until an event of it is forwarded. */
 	softwareVersion: string | undefined;
 	readonly #parts: StreamStateParts;
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -6,7 +6,7 @@
  * of the engine that still holds the run; otherwise the request is refused,
  * never guessed.
  */
-import {findTracedOrigin} from '@gatehead/policy/relay/run-traces';
+import {findTracedOrigin, listMatches, type TraceMatch} from '@gatehead/policy/relay/run-traces';
 import {type StreamOrigin} from '@gatehead/policy/relay/stream-records';
 import {findOnlyOrigin, type VersionHistory, type VersionView} from '@gatehead/policy/relay/version-history';
 import {digestOf} from '@gatehead/schema/canonical-json';
@@ -65,6 +65,8 @@
 	readonly views?: readonly VersionView[];
 	/** Whether hosts are still asking engines. */
 	readonly isPending?: boolean;
+	/** Traces in engines that may belong to the stream; empty if none was looked for. */
+	readonly matches?: readonly TraceMatch[];
 };
 
 /** Sources after which a request is refused. */
@@ -110,13 +112,13 @@
 	async resolve(request: ResumeRequest): Promise<ResumePoint | undefined> {
 		const {context: {clock, log, metrics}} = this.#parts;
 		const startedAt = clock.now();
-		const {source, point, host, asked, silent, views = [], isPending = false} = await this.#lookUp(request);
+		const {source, point, host, asked, silent, views = [], isPending = false, matches = []} = await this.#lookUp(request);
 		const windowMs = lifeOf(request.route, request.facts);
-		metrics.add('streamLookups', {source, coverage: describeCoverage(views, windowMs)});
+		metrics.add('streamLookups', {source, coverage: describeCoverage(views, windowMs), evidence: findEvidence(matches)});
 		metrics.time('streamLookup', clock.now() - startedAt);
 		log('streamResumed', {
 			request: request.facts.id, service: request.service, softwareVersion: point?.softwareVersion, source, recordedAt: host, asked, silent, tookMs: Math.round(clock.now() - startedAt),
-			resumedId: request.facts.resumedId?.slice(0, maxLoggedLength), lastEventId: request.facts.lastEventId?.slice(0, maxLoggedLength), windowMs, ...summarize(views),
+			resumedId: request.facts.resumedId?.slice(0, maxLoggedLength), lastEventId: request.facts.lastEventId?.slice(0, maxLoggedLength), windowMs, ...summarize(views), traces: matches.length === 0 ? undefined : matches.map(match => describeMatch(match)).join(', '),
 		});
 		if (!unusableSources.has(source)) {
 			return point;
@@ -200,7 +202,7 @@
 	}
 
 	/** Where the stream began, by what engines held of it when hosts started. */
-	async #findTraces({resumedId, lastEventId, ownPart}: RequestFacts, {shares}: Route): Promise<Pick<Lookup, 'source' | 'point' | 'isPending'>> {
+	async #findTraces({resumedId, lastEventId, ownPart}: RequestFacts, {shares}: Route): Promise<Pick<Lookup, 'source' | 'point' | 'isPending' | 'matches'>> {
 		const received = Number(lastEventId);
 		const queries = Number.isSafeInteger(received) && received > 0
 			? [
@@ -216,12 +218,14 @@
 		const {traces, unheard} = await this.#parts.traces.find(queries.map(({key}) => key));
 		const isRouted = (origin: StreamOrigin) => shares.some(({service}) => service === origin.service);
 		const expected = unheard?.filter(each => isRouted(each));
-		const origin = findTracedOrigin(queries, traces.filter(trace => isRouted(trace)), expected);
+		const routed = traces.filter(trace => isRouted(trace));
+		const matches = listMatches(queries, routed);
+		const origin = findTracedOrigin(queries, routed, expected);
 		if (origin === undefined) {
-			return {source: 'unknown', isPending: expected?.length !== 0};
+			return {source: 'unknown', isPending: expected?.length !== 0, matches};
 		}
 
-		return origin === 'ambiguous' ? {source: 'ambiguous'} : {source: 'engine', point: origin};
+		return origin === 'ambiguous' ? {source: 'ambiguous', matches} : {source: 'engine', point: origin, matches};
 	}
 
 	/** Whether every host asked has replied, or there is none to ask. */
@@ -259,6 +263,20 @@
 	return views.some(({coverageMs}) => coverageMs >= windowMs) ? 'whole' : 'partial';
 }
 
+/** Kind of the best evidence that engines gave of a stream's version: its own run, or a cached part of its prompt, which does not name the attempt that made it. */
+function findEvidence(matches: readonly TraceMatch[]): 'run' | 'part' | 'none' {
+	if (matches.length === 0) {
+		return 'none';
+	}
+
+	return matches.some(({query}) => query.isExact) ? 'run' : 'part';
+}
+
+/** A trace in a log line: its kind, its version, and its size beside that of what the caller has. */
+function describeMatch({trace: {softwareVersion, size}, query: {isExact, leastSize}}: TraceMatch): string {
+	return `${isExact ? 'run' : 'part'} ${softwareVersion} ${size}/${leastSize}`;
+}
+
 function hasPosition(lastEventId: string | undefined): boolean {
 	return lastEventId !== undefined && lastEventId !== '';
 }
--- a/packages/schema/src/codes.ts
+++ b/packages/schema/src/codes.ts
@@ -365,7 +365,7 @@
 		number: 7010, status: 0, ran: 'unknown', advice: 'A request was forwarded to another host, since this one has lost its links to the service. Lines of both hosts have the same request id.',
 	},
 	streamResumed: {
-		number: 7011, status: 0, ran: 'no', advice: 'A caller resumes a stream. The line has the software version that began it and where this host learned that: a host that has its record, the only version that there was, or an engine that still had the run. `resumedId`: the attempt that the caller names; `versions`: those that the hosts have seen, over `shortestCoverageMs` to `longestCoverageMs`, where the stream may have begun `windowMs` ago.',
+		number: 7011, status: 0, ran: 'no', advice: 'A caller resumes a stream. The line has the software version that began it and where this host learned that: a host that has its record, the only version that there was, or an engine that still had the run. `resumedId`: the attempt that the caller names; `versions`: those that the hosts have seen, over `shortestCoverageMs` to `longestCoverageMs`, where the stream may have begun `windowMs` ago; `traces`: runs and cached parts in engines, each with its version, its size and the least size that it needs.',
 	},
 	directoryPastUnread: {
 		number: 5061, status: 0, ran: 'no', advice: 'After its start, this host could not read the changes before its first list of the directory. Endpoints that left before it are not known here.',
