Fix: a retry at another software version left a part that passed for the stream

Cause: a cached part in an engine names no attempt, and tells the version of a stream only if all runs of it were at one version. The host itself broke that: when a run was lost before its first event, it began the next one at any version. The claim of the case sees the fault in the lookup after the restart; what engines state there is the same for streams that have to go on, so to refuse more would lose those (docs/design/software-versions.md).

Change: the next run of a request no event of which was forwarded is reserved at the version of the earlier runs, at other engines first. Another version is used where that one has no room in time or is gone, and once an engine that ran it has ended, since its memory is gone with it. The same for runs that are silent, and for requests that another host forwards.

What remains: a caller that sends its request anew, with another id, after all attempts were lost.

--- a/packages/relay/src/work/continuation.ts
+++ b/packages/relay/src/work/continuation.ts
@@ -46,10 +46,6 @@
 	/** Prepares the stream for another run. */
 	continueAfter({id, softwareVersion}: Via, reason: string): void {
 		this.#state.triedReplicas.add(id);
-		if (softwareVersion !== undefined && this.#state.softwareVersion === undefined) {
-			this.#state.unseenRuns.set(id, softwareVersion);
-		}
-
 		this.#state.events.restart();
 		this.#parts.context.log('continued', {
 			request: this.#job.id, endpoint: id, softwareVersion, reason, lastEventId: this.#state.events.lastId ?? '', begun: this.#job.reply.headersSent,
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -141,7 +141,20 @@
 		}
 	}
 
-	async #reserve({signal, silent}: Round): Promise<AdmissionResult> {
+	/** Reserves memory at the version of an earlier run if there was one, else at any. */
+	async #reserve(round: Round): Promise<AdmissionResult> {
+		const state = this.#state;
+		const preferred = state.nextVersion;
+		const result = await this.#reserveAt(round, preferred);
+		if (result.kind !== 'refused' || !state.mayChangeVersion) {
+			return result;
+		}
+
+		state.changeVersion();
+		return this.#reserveAt(round, undefined);
+	}
+
+	async #reserveAt({signal, silent}: Round, softwareVersion: string | undefined): Promise<AdmissionResult> {
 		const {admission} = this.#parts;
 		const request = {
 			job: this.#job,
@@ -151,7 +164,7 @@
 			doneTokens: this.#state.forecast.doneTokens,
 			avoid: this.#state.triedReplicas,
 			isContinuation: this.#job.reply.headersSent,
-			softwareVersion: this.#state.softwareVersion,
+			softwareVersion,
 		};
 		if (silent === undefined) {
 			return admission.reserve(request);
@@ -207,7 +220,11 @@
 			this.#continuation.continueAfter(silent, stallReason);
 		}
 
-		this.#countRepeatedRun(via);
+		const isOther = this.#state.isOtherVersion(via.softwareVersion);
+		if (isOther !== undefined) {
+			this.#parts.context.metrics.add('repeatedRuns', {softwareVersion: isOther ? 'other' : 'same'});
+		}
+
 
 		if (reservation !== undefined) {
 			reservation.announce?.();
@@ -231,13 +248,6 @@
 		}, firstIdleMs);
 	}
 
-	#countRepeatedRun({softwareVersion}: Via): void {
-		const unseen = new Set(this.#state.unseenRuns.values());
-		if (unseen.size > 0 && softwareVersion !== undefined) {
-			this.#parts.context.metrics.add('repeatedRuns', {softwareVersion: unseen.has(softwareVersion) ? 'same' : 'other'});
-		}
-	}
-
 	/** Whether a stream that has waited may not end before this host does. One that its caller has a part of goes on as long as it can. */
 	#isTooLate(): boolean {
 		const {route, deadlineAt, reply} = this.#job;
@@ -274,7 +284,7 @@
 		const result = await forwarder.send(job, {
 			attempts: 1,
 			lastEventId: this.#state.events.lastId,
-			softwareVersion: this.#state.softwareVersion,
+			softwareVersion: this.#state.nextVersion,
 			headMs: timeLeft(job, clock.now()) + 1,
 			signal: AbortSignal.any([round.signal, controller.signal]),
 			onWrite: host => {
@@ -308,6 +318,11 @@
 			return this.#abort(via);
 		}
 
+		if (result.kind === 'refused' && this.#state.mayChangeVersion) {
+			this.#state.changeVersion();
+			return {kind: 'retry'};
+		}
+
 		if (result.kind === 'refused') {
 			const {host, code, retryAfterMs = defaultRetryAfterMs} = result;
 			return {kind: 'notBegun', refuse: () => refuseJob(job, {code, retryAfterMs, detail: `refused by ${host}`}, via)};
@@ -403,6 +418,7 @@
 		const {endpoint, name, tokens, permit} = reservation;
 		const controller = new AbortController();
 		let takeover: Takeover<RoundResult> | undefined;
+		let undoRun = ignore;
 		const sent = await sender.send({
 			job: this.#job,
 			step: 'decode',
@@ -422,6 +438,7 @@
 						controller.abort(stallReason);
 					},
 				}, reservation);
+				undoRun = this.#state.noteRun(endpoint);
 			},
 			permit,
 			permitMs: permitTimeoutMs,
@@ -432,6 +449,10 @@
 		}
 
 		this.#prefill.release(prefilled);
+		if (sent.kind === 'notRun') {
+			undoRun();
+		}
+
 		const replaced = await takeover?.settle();
 		if (replaced !== undefined) {
 			return replaced;
@@ -467,6 +488,8 @@
 		}
 
 		if (sent.reason === 'connect') {
+			// A process that has ended has lost what it generated
+			this.#state.forgetRun(endpoint.id);
 			await this.#parts.reachability.settle(job.service.name);
 		}
 
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -1,4 +1,5 @@
 /** State of one generation over all its rounds. */
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {EventForwarder} from './event-forwarder.js';
 import {type Via} from './generation-failure.js';
 import {type Job} from './job.js';
@@ -25,12 +26,12 @@
 	mustContinue = false;
 	/** Endpoint that sent the latest events. */
 	source: Via | undefined;
-	/** Versions of the runs that may have begun while no event was forwarded, by endpoint. What they generated stays in the memory of those endpoints. */
-	readonly unseenRuns = new Map<string, string>();
 	/** Software version that the stream has to go on at; undefined until an event of it is forwarded. */
 	softwareVersion: string | undefined;
 	readonly #parts: StreamStateParts;
 	readonly #job: Job;
+	/** Versions of the runs that may have begun while no event was forwarded, by endpoint. What they generated stays in the memory of those endpoints, where it looks like a part of the stream. */
+	readonly #unseenRuns = new Map<string, string>();
 
 	constructor(parts: StreamStateParts, job: Job) {
 		this.#parts = parts;
@@ -40,6 +41,44 @@
 		this.events = new EventForwarder(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
+	/** Software version for the next run: that of the stream, or else of a run no event of which was forwarded; undefined: any. After a restart of all hosts, parts in engines' memory tell the version of a stream only if all its runs were at one version. */
+	get nextVersion(): string | undefined {
+		const [unseen] = this.#unseenRuns.values();
+		return this.softwareVersion ?? unseen;
+	}
+
+	/** Whether the caller has no event yet, so that a run at another version is better than none. */
+	get mayChangeVersion(): boolean {
+		return this.softwareVersion === undefined && this.#unseenRuns.size > 0;
+	}
+
+	/** Lets the next run be at any version. */
+	changeVersion(): void {
+		this.#unseenRuns.clear();
+	}
+
+	/** Notes that a run may begin at an endpoint; called before its request is written. The returned function takes it back. */
+	noteRun({id, softwareVersion}: Via): () => void {
+		if (this.softwareVersion !== undefined || softwareVersion === undefined || this.#unseenRuns.has(id)) {
+			return ignore;
+		}
+
+		this.#unseenRuns.set(id, softwareVersion);
+		return () => {
+			this.forgetRun(id);
+		};
+	}
+
+	/** Forgets the runs at an endpoint that has no memory of them any more. */
+	forgetRun(id: string): void {
+		this.#unseenRuns.delete(id);
+	}
+
+	/** Whether a run at this version is at another one than all earlier runs; undefined if there was none. */
+	isOtherVersion(softwareVersion: string | undefined): boolean | undefined {
+		return this.#unseenRuns.size === 0 ? undefined : ![...this.#unseenRuns.values()].includes(softwareVersion ?? '');
+	}
+
 	/** Memory of one engine and lifetime of its reservations; 0 where the service states none. */
 	get engine() {
 		return this.#job.service.engine ?? {capacityTokens: 0, reservationMs: 0};
--- a/packages/standin/src/wire/replica-server.ts
+++ b/packages/standin/src/wire/replica-server.ts
@@ -19,6 +19,9 @@
 /** How a replica misbehaves with the requests that it is sent. */
 export type ReplicaFault = 'none' | 'full' | 'reset' | 'silent' | 'error' | 'foreign' | 'unmarked' | 'cut' | 'doubled' | 'emptyPromise' | 'unframedReset' | EndlessFault;
 
+/** How an engine that runs a stream to its end loses the answer: what it generated stays in its memory. */
+export type AnswerLoss = 'reset' | 'error' | 'silent';
+
 /** Responses without end. */
 export const endlessFaults = ['endlessHead', 'endlessBody'] as const;
 export type EndlessFault = typeof endlessFaults[number];
@@ -131,6 +134,8 @@
 	isRunningOn: boolean;
 	/** Status with which it rejects lists of what is in memory; undefined: it answers them. */
 	listRejection: number | undefined;
+	/** Losses of the answers to its next streams, in order; then they are sound. */
+	readonly answerLosses: AnswerLoss[];
 	/** Ends the server, and loses what is in memory; `revive` starts it on the same address. */
 	kill(): Promise<void>;
 	revive(): Promise<void>;
@@ -171,6 +176,7 @@
 	readonly cuts: ResponseCut[] = [];
 	isRunningOn = false;
 	listRejection: number | undefined;
+	readonly answerLosses: AnswerLoss[] = [];
 	eventGapMs: number;
 	softwareVersion: string | undefined;
 	id: string;
@@ -455,6 +461,12 @@
 			return;
 		}
 
+		const loss = this.answerLosses.shift();
+		if (loss !== undefined) {
+			this.#loseAnswer(loss, {response, id, request});
+			return;
+		}
+
 		this.#taken += 1;
 		const run = this.memory.begin(id, headerOf(request, 'prompt-prefix') ?? '', Number(headerOf(request, 'last-event-id') ?? 0));
 		response.once('close', () => {
@@ -468,6 +480,22 @@
 		this.#writeEvents(writer, run);
 	}
 
+	#loseAnswer(loss: AnswerLoss, {response, id, request}: Pick<Exchange, 'response' | 'id' | 'request'>): void {
+		this.memory.end(this.memory.begin(id, headerOf(request, 'prompt-prefix') ?? '', streamEvents));
+		const losses: Readonly<Record<AnswerLoss, () => void>> = {
+			reset() {
+				request.socket.resetAndDestroy();
+			},
+			error() {
+				response.writeHead(500, {'Request-Id': id, 'Server-Seal': 'seal'}).end('own failure');
+			},
+			silent() {
+				// The caller hears nothing
+			},
+		};
+		losses[loss]();
+	}
+
 	#answerPlain(response: ServerResponse, id: string, body: string, cut: ResponseCut | undefined): void {
 		const head = {'Request-Id': id, 'Server-Seal': 'seal', 'Keep-Alive': 'timeout=5'};
 		if (this.framing === 'chunks' && cut === undefined) {
@@ -571,6 +599,7 @@
 			replica.framing = framing;
 		},
 		cuts: replica.cuts,
+		answerLosses: replica.answerLosses,
 		get eventGapMs() {
 			return replica.eventGapMs;
 		},
--- a/packages/standin/src/wire/restarted-streams.ts
+++ b/packages/standin/src/wire/restarted-streams.ts
@@ -39,6 +39,10 @@
 	readonly isResumedBetween?: boolean;
 	/** Whether callers retry as soon as a host is ready, before membership has converged. */
 	readonly isEarly?: boolean;
+	/** Attempts of the route; absent: two. */
+	readonly streamAttempts?: number;
+	/** Versions whose engines lose their memory, so that their streams may be rejected. */
+	readonly lostVersions?: readonly string[];
 	/** Whether no evidence of the streams' versions is left, so that all may be rejected. */
 	readonly mayRefuse?: boolean;
 	/** Whether no stream's version is left. */
@@ -171,9 +175,9 @@
 }
 
 /** Breaks streams by restarts of all hosts, and resumes them beside as many new ones. */
-export async function playRestart({hosts = 8, decode = parts.decode, startGapMs, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false}: RestartCase, report: (text: string) => void) {
+export async function playRestart({hosts = 8, decode = parts.decode, startGapMs, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false, streamAttempts, lostVersions = []}: RestartCase, report: (text: string) => void) {
 	const world = await startWorld({
-		...parts, hosts, decode, softwareVersions,
+		...parts, hosts, decode, softwareVersions, ...(streamAttempts === undefined ? {} : {streamAttempts}),
 	});
 	try {
 		const addressOf = (index: number) => world.relays[index % hosts]?.caller ?? '';
@@ -215,7 +219,7 @@
 		await Promise.all([...callers, ...added].map(async (caller, index) => caller.resume(addressesFrom(index + restarts))));
 		const published = listPublished(world).filter(replica => isDecode(replica));
 		const countEngines = (version: string) => published.filter(({softwareVersion}) => softwareVersion === version).length;
-		const counted = broken.filter(({version}) => countEngines(version) >= leastEngines);
+		const counted = broken.filter(({version}) => countEngines(version) >= leastEngines && !lostVersions.includes(version));
 		const gone = broken.filter(({version}) => countEngines(version) === 0);
 		const goneOn = counted.filter(({caller, events}) => caller.events.length > events);
 		const begun = added.filter(({events}) => events.length > 0);
