Fix: a caller's new request after lost answers went to another version

Cause: only the host that made the earlier runs knew of them, and only under the id of that request. The new request began at any version and left a second part of the same prompt at another one.

Change: before a host tells a caller that its request failed after it may have run, it records the version under the workspace and the prompt's own part, as streams are recorded. A new request is begun at the version that the first holders of such a record name, within 50 ms, if an endpoint of that version can be used: engines that keep failing are not tried over and over. Holders are asked only while a service has had several versions.

What remains: a version all of whose engines lose answers; the request then runs at another one, and the first version's engines keep its part.

--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -62,7 +62,7 @@
 	readonly accessControl: AccessControl;
 	readonly freshness: Freshness;
 	readonly guard: CrashGuard;
-	readonly streams: Pick<StreamVersions, 'resolve'>;
+	readonly streams: Pick<StreamVersions, 'resolve' | 'findUnseen'>;
 	readonly unread: Pick<UnreadLimiter, 'watch'>;
 	readonly refusals: Pick<RefusalCounts, 'note'>;
 	readonly stopWindow: Pick<StopWindow, 'mayBegin' | 'recordDuration'>;
@@ -335,6 +335,11 @@
 			}, facts), toAbortFailure)
 			: {service: chosenService, resumedVersion: forwarded.softwareVersion, streamKey: undefined};
 		const {service, resumedVersion, streamKey} = stream;
+		const earlierVersion = resumedVersion === undefined
+			? await unlessAborted(controller.signal, this.#parts.streams.findUnseen({
+				facts, workspace: workspace?.name, route, service: service.name,
+			}), toAbortFailure)
+			: undefined;
 		if (!this.#parts.stopWindow.mayBegin(route.name, deadlineAt, clock.now())) {
 			fail('hostStopping', {retryAfterMs: stoppingRetryAfterMs});
 		}
@@ -355,6 +360,7 @@
 			arrivedAt,
 			deadlineAt,
 			resumedVersion,
+			earlierVersion,
 			streamKey,
 			entryHost: forwarded?.entryHost,
 			isCallerRetry: forwarded === undefined ? this.#isCallerRetry(route.name, facts) : forwarded.isCallerRetry === '1',
--- a/packages/relay/src/peer/stream-registry.test.ts
+++ b/packages/relay/src/peer/stream-registry.test.ts
@@ -286,6 +286,27 @@
 		});
 	}
 
+	for (const {hosts, lost, isFound} of [
+		{hosts: 4, lost: 0, isFound: true},
+		{hosts: 8, lost: 1, isFound: true},
+		{hosts: 60, lost: 1, isFound: true},
+		{hosts: 300, lost: 0, isFound: true},
+		{hosts: 8, lost: 7, isFound: false},
+	]) {
+		it(`holders are asked within a bound: ${hosts} hosts, of which ${lost} are lost`, async () => {
+			const fleet = new SimulatedFleet(hosts, 7);
+			const {key, origin, version} = await fleet.begin('stream');
+			const [asker, ...others] = fleet.hosts.filter(({name}) => name !== origin);
+			for (const host of [...fleet.hosts.filter(({name}) => name === origin), ...others].slice(0, lost)) {
+				fleet.kill(host);
+			}
+
+			const startedAt = fleet.clock.now();
+			const record = await fleet.settle(asker?.registry.findAtHolders({key: isFound ? key : 'unknown', service, windowMs}) ?? Promise.resolve(undefined));
+			expect([record?.softwareVersion, fleet.clock.now() - startedAt <= 60]).toEqual([isFound ? version : undefined, true]);
+		});
+	}
+
 	it('two streams of one key are ambiguous', async () => {
 		const fleet = new SimulatedFleet(4, 3);
 		const [first, second] = fleet.hosts;
--- a/packages/relay/src/peer/stream-registry.ts
+++ b/packages/relay/src/peer/stream-registry.ts
@@ -18,6 +18,8 @@
 const acknowledgingCount = 2;
 /** Timeout of an acknowledgement, in milliseconds: many times the latency between halls, and little compared with the time to a stream's first event. */
 const recordTimeoutMs = 50;
+/** Timeout of a question to a record's holders only, in milliseconds: every new stream waits for it while several versions serve. */
+const holderTimeoutMs = 50;
 /** Timeouts of the two rounds of questions, in milliseconds; links to hosts of other subsets may have to be opened. */
 const roundTimeoutsMs = [150, 250] as const;
 /** Maximum records at one host; bounds the memory that callers can fill. */
@@ -170,6 +172,18 @@
 		};
 	}
 
+	/** Finds a record here or at its first holders, without a search through all hosts; undefined if none of them has one in time. */
+	async findAtHolders(question: StreamQuestion & {readonly key: string}): Promise<StreamRecord | undefined> {
+		const known = this.#records.get(question.key, this.#parts.context.clock.now());
+		if (known !== undefined) {
+			return known;
+		}
+
+		const [holders] = this.#holders.listRounds(question.key);
+		const found = await this.#askHosts(holders, question, holderTimeoutMs, []);
+		return found?.record;
+	}
+
 	/** Holds the records of another host. */
 	receiveRecords(from: string, {ask, records}: RelayMessageOf<'streamRecords'>): void {
 		const {context: {clock}, send} = this.#parts;
--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -360,6 +360,11 @@
 		return this.#listReady(service, stage, softwareVersion).length > 0;
 	}
 
+	/** Whether an endpoint of one software version takes new work and is not set aside. */
+	hasUsableVersion(service: string, stage: Endpoint['stage'], softwareVersion: string): boolean {
+		return this.#listReady(service, stage, softwareVersion).some(({id}) => this.isUsable(id));
+	}
+
 	/** Whether an endpoint's current entry has the given software version; true if it has no entry any more. */
 	isSameVersion({id, softwareVersion}: Pick<Endpoint, 'id' | 'softwareVersion'>): boolean {
 		const known = this.book.endpointOf(id);
--- a/packages/relay/src/work/continuation.ts
+++ b/packages/relay/src/work/continuation.ts
@@ -20,11 +20,11 @@
 }
 
 export class Continuation {
-	readonly #parts: Pick<WorkParts, 'budgets' | 'context' | 'guard'>;
+	readonly #parts: Pick<WorkParts, 'budgets' | 'context' | 'guard' | 'streams'>;
 	readonly #job: Job;
 	readonly #state: StreamState;
 
-	constructor(parts: Pick<WorkParts, 'budgets' | 'context' | 'guard'>, job: Job, state: StreamState) {
+	constructor(parts: Pick<WorkParts, 'budgets' | 'context' | 'guard' | 'streams'>, job: Job, state: StreamState) {
 		this.#parts = parts;
 		this.#job = job;
 		this.#state = state;
@@ -36,6 +36,7 @@
 		const refuse = (): JobEnd => ({...failJob(this.#job, endpoint, reason), blockedBy});
 		const isWaiting = blockedBy === 'budget' && this.#state.mustContinue;
 		if (blockedBy !== undefined && !isWaiting) {
+			await this.recordUnseenRuns();
 			return {kind: 'ended', end: refuse()};
 		}
 
@@ -43,6 +44,13 @@
 		return isWaiting ? {kind: 'notBegun', refuse} : {kind: 'retry'};
 	}
 
+	/** Tells other hosts at which versions the request may have run in vain; called before its caller is told that it failed. */
+	async recordUnseenRuns(): Promise<void> {
+		for (const version of this.#state.listUnseenVersions()) {
+			await this.#parts.streams.recordUnseen(this.#job, version);
+		}
+	}
+
 	/** Prepares the stream for another run. */
 	continueAfter({id, softwareVersion}: Via, reason: string): void {
 		this.#state.triedReplicas.add(id);
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -94,6 +94,7 @@
 			if (result.kind === 'notBegun') {
 				const isRefusable = result.isDecided === true && !this.#job.reply.isPartlySent;
 				if (!this.#state.mustContinue || signal.aborted || isRefusable) {
+					await this.#continuation.recordUnseenRuns();
 					return result.refuse();
 				}
 
@@ -225,7 +226,6 @@
 			this.#parts.context.metrics.add('repeatedRuns', {softwareVersion: isOther ? 'other' : 'same'});
 		}
 
-
 		if (reservation !== undefined) {
 			reservation.announce?.();
 			this.#state.forecast.begin(reservation);
@@ -488,7 +488,6 @@
 		}
 
 		if (sent.reason === 'connect') {
-			// A process that has ended has lost what it generated
 			this.#state.forgetRun(endpoint.id);
 			await this.#parts.reachability.settle(job.service.name);
 		}
--- a/packages/relay/src/work/parts.ts
+++ b/packages/relay/src/work/parts.ts
@@ -28,7 +28,7 @@
 	readonly calls: CallAdmission;
 	readonly ownCalls: ControlCalls;
 	readonly orders: StageOrders;
-	readonly streams: Pick<StreamVersions, 'record'>;
+	readonly streams: Pick<StreamVersions, 'record' | 'recordUnseen'>;
 	readonly news: LoadGossip;
 	readonly stopWindow: Pick<StopWindow, 'mayBegin'>;
 };
--- a/packages/relay/src/work/response-forwarder.ts
+++ b/packages/relay/src/work/response-forwarder.ts
@@ -84,6 +84,7 @@
 			return {kind: 'retry'};
 		}
 
+		await this.#continuation.recordUnseenRuns();
 		job.reply.forwardHead(sent.response, versionOf(via), body.length);
 		job.reply.end(...body.list());
 		return {kind: 'ended', end: {outcome: 'answered', endpoint: via.id, detail: reason}};
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -8,6 +8,8 @@
 
 /** Tokens reserved for the answer, as a multiple of the caller's estimate. A lower factor makes replicas evict streams, whose prompts must then be prefilled again; a higher one leaves memory unused. */
 const answerFactor = 0.9;
+/** Stands for the endpoint of an earlier request; no endpoint has an empty id. */
+const earlierEndpoint = '';
 /** Block size of the engines' decode memory, in tokens; reservations are rounded up to it. */
 const blockTokens = 16;
 
@@ -37,6 +39,11 @@
 		this.#parts = parts;
 		this.#job = job;
 		this.softwareVersion = job.resumedVersion;
+		// The caller is better served at another version than by engines that keep failing its requests
+		if (job.earlierVersion !== undefined && parts.endpoints.hasUsableVersion(job.service.name, 'decode', job.earlierVersion)) {
+			this.#unseenRuns.set(earlierEndpoint, job.earlierVersion);
+		}
+
 		this.forecast = new StreamForecast(parts, job);
 		this.events = new EventForwarder(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
@@ -65,13 +72,20 @@
 
 		this.#unseenRuns.set(id, softwareVersion);
 		return () => {
-			this.forgetRun(id);
+			this.#unseenRuns.delete(id);
 		};
 	}
 
-	/** Forgets the runs at an endpoint that has no memory of them any more. */
+	/** Versions of this request's runs, if no event of them was forwarded. */
+	listUnseenVersions(): string[] {
+		const own = [...this.#unseenRuns].filter(([endpoint]) => endpoint !== earlierEndpoint);
+		return this.softwareVersion === undefined ? [...new Set(own.map(([, version]) => version))] : [];
+	}
+
+	/** Forgets the runs at an endpoint that cannot be connected to: a process that has ended has lost what it generated. Earlier requests of the caller no longer decide either. */
 	forgetRun(id: string): void {
 		this.#unseenRuns.delete(id);
+		this.#unseenRuns.delete(earlierEndpoint);
 	}
 
 	/** Whether a run at this version is at another one than all earlier runs; undefined if there was none. */
--- a/packages/relay/src/work/stream-versions.test.ts
+++ b/packages/relay/src/work/stream-versions.test.ts
@@ -13,6 +13,7 @@
 import {type StreamQuestion} from '../peer/stream-registry.js';
 import {Metrics} from '../utils/metrics.js';
 import {toTraceKey} from '../upstream/run-survey.js';
+import {type Job} from './job.js';
 import {isResumption, StreamVersions, toStreamKey} from './stream-versions.js';
 
 const service = 'model';
@@ -39,6 +40,8 @@
 type Surroundings = {
 	/** Record that a host has of the attempt `first`. */
 	readonly record?: Omit<StreamRecord, 'expiresAt'>;
+	/** Record that a host has of an earlier request with the same own part. */
+	readonly unseen?: Omit<StreamRecord, 'expiresAt'>;
 	/** Versions of the route's other service. */
 	readonly listedElsewhere?: readonly string[];
 	/** Versions in this host's directory, and the time for which it has seen all changes, in milliseconds. */
@@ -86,10 +89,13 @@
 	readonly versions = new VersionHistory();
 	readonly questions: StreamQuestion[] = [];
 	readonly queries: string[] = [];
+	readonly recordedKeys: string[] = [];
+	/** Keys of records that holders were asked for. */
+	readonly heldKeys: string[] = [];
 	readonly streams: StreamVersions;
 	#listedAt = -1;
 
-	constructor({record, listed, listedElsewhere = [], coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
+	constructor({record, unseen, listed, listedElsewhere = [], coverageMs, views = [], silent = 0, traces = [], isSurveyed = true, unheard, isConfirmed = true, hasMetOthers = true}: Surroundings) {
 		for (const [index, softwareVersion] of listed.entries()) {
 			this.versions.see({id: `e${index}`, service, softwareVersion}, 0);
 		}
@@ -109,7 +115,13 @@
 				clock: this.clock, log: ignore, metrics: new Metrics(undefined, {}), settings,
 			},
 			registry: {
-				record: async () => undefined,
+				record: async key => {
+					this.recordedKeys.push(key);
+				},
+				findAtHolders: async ({key}) => {
+					this.heldKeys.push(key);
+					return unseen === undefined ? undefined : {...unseen, expiresAt: Number.POSITIVE_INFINITY};
+				},
 				find: async question => {
 					this.questions.push(question);
 					const known = question.key === toStreamKey(undefined, 'first') && record !== undefined ? {...record, expiresAt: Number.POSITIVE_INFINITY} : undefined;
@@ -338,6 +350,58 @@
 	});
 });
 
+type UnseenCase = Surroundings & {
+	readonly name: string;
+	readonly facts?: Partial<RequestFacts>;
+	readonly isResumable?: boolean;
+	readonly version: string | undefined;
+	/** Whether holders are asked. */
+	readonly isAsked: boolean;
+};
+
+const unseenRecord = {service, softwareVersion: 'v2', isAmbiguous: false};
+
+const unseenCases: readonly UnseenCase[] = [
+	{
+		name: 'a record', ...side, unseen: unseenRecord, version: 'v2', isAsked: true,
+	},
+	{
+		name: 'no record', ...side, version: undefined, isAsked: true,
+	},
+	{
+		name: 'records of two versions', ...side, unseen: {...unseenRecord, isAmbiguous: true}, version: undefined, isAsked: true,
+	},
+	{
+		name: 'a record of another service', ...side, unseen: {...unseenRecord, service: 'other'}, version: undefined, isAsked: true,
+	},
+	{
+		name: 'one version only', ...whole, unseen: unseenRecord, version: undefined, isAsked: false,
+	},
+	{
+		name: 'no own part', ...side, facts: {ownPart: undefined}, unseen: unseenRecord, version: undefined, isAsked: false,
+	},
+	{
+		name: 'a route whose streams cannot be resumed', ...side, isResumable: false, unseen: unseenRecord, version: undefined, isAsked: false,
+	},
+];
+
+// A caller's new request went to another version than the run whose answer was lost
+describe('version of an earlier request that may have run in vain', () => {
+	for (const {name, facts, isResumable = true, version, isAsked, ...surroundings} of unseenCases) {
+		it(name, async () => {
+			const {streams, heldKeys, recordedKeys} = new ResumedStreams(surroundings);
+			const request = {
+				facts: {
+					...resuming, lastEventId: undefined, resumedId: undefined, ...facts,
+				}, workspace: undefined, route: {...route, isResumable}, service,
+			};
+			expect(await streams.findUnseen(request)).toEqual(version);
+			await streams.recordUnseen({...request, service: {name: service}} as unknown as Job, 'v2'); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- no other properties of a job are read
+			expect(heldKeys).toEqual(isAsked ? recordedKeys : []);
+		});
+	}
+});
+
 type ResumptionCase = {
 	readonly lastEventId: string | undefined;
 	readonly resumedId: string | undefined;
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -74,7 +74,7 @@
 
 export type StreamVersionsParts = {
 	readonly context: Pick<RelayContext, 'clock' | 'log' | 'metrics' | 'settings'>;
-	readonly registry: Pick<StreamRegistry, 'record' | 'find'>;
+	readonly registry: Pick<StreamRegistry, 'record' | 'find' | 'findAtHolders'>;
 	readonly traces: Pick<TraceRegistry, 'find'>;
 	readonly versions: VersionHistory;
 	/** Whether this host knows the fleet; otherwise hosts that it has not met may have the record. */
@@ -92,6 +92,11 @@
 	return digestOf(JSON.stringify([workspace ?? null, attempt])).slice(0, keyLength);
 }
 
+/** Key of the record that a run left a prompt's own part in an engine's memory. */
+function toPartKey(workspace: string | undefined, part: string): string {
+	return digestOf(JSON.stringify(['part', workspace ?? null, part])).slice(0, keyLength);
+}
+
 /** Versions of the streams at one host. */
 export class StreamVersions {
 	readonly #parts: StreamVersionsParts;
@@ -108,6 +113,25 @@
 		}
 	}
 
+	/** Records at which version a request may have run without an event reaching its caller, who may send it anew under another id. */
+	async recordUnseen({facts, workspace, route, service}: Job, softwareVersion: string): Promise<void> {
+		if (route.isResumable && facts.ownPart !== undefined) {
+			await this.#parts.registry.record(toPartKey(workspace?.name, facts.ownPart.id), {service: service.name, softwareVersion}, lifeOf(route, facts));
+		}
+	}
+
+	/** Finds at which version an earlier request with the same own part may have run without an event reaching its caller; undefined if none is known, or if there was one version only. */
+	async findUnseen({facts, workspace, route, service}: ResumeRequest): Promise<string | undefined> {
+		const {context: {clock}, registry, versions} = this.#parts;
+		const windowMs = lifeOf(route, facts);
+		if (!route.isResumable || facts.ownPart === undefined || versions.view(service, windowMs, clock.now()).versions.length < 2) {
+			return undefined;
+		}
+
+		const record = await registry.findAtHolders({key: toPartKey(workspace, facts.ownPart.id), service, windowMs});
+		return record?.service === service && !record.isAmbiguous ? record.softwareVersion : undefined;
+	}
+
 	/** Finds where a stream goes on; undefined if the caller has no part of it and nothing is known. Throws `streamVersionUnknown`. */
 	async resolve(request: ResumeRequest): Promise<ResumePoint | undefined> {
 		const {context: {clock, log, metrics}} = this.#parts;
--- a/packages/standin/src/wire/lost-answers.test.ts
+++ b/packages/standin/src/wire/lost-answers.test.ts
@@ -14,20 +14,32 @@
 type LossCase = {
 	readonly name: string;
 	readonly loss: AnswerLoss;
+	/** Attempts of the route. */
+	readonly attempts: number;
+	/** Whether callers whose streams do not begin try the next host. */
+	readonly isRoaming?: boolean;
 };
 
 const cases: readonly LossCase[] = [
-	{name: 'the connection is reset', loss: 'reset'},
-	{name: 'the run ends with an error', loss: 'error'},
-	{name: 'the run is silent', loss: 'silent'},
+	{name: 'the connection is reset', loss: 'reset', attempts: streamAttempts},
+	{name: 'the run ends with an error', loss: 'error', attempts: streamAttempts},
+	{name: 'the run is silent', loss: 'silent', attempts: streamAttempts},
+	{name: 'the connection is reset, and callers send new requests', loss: 'reset', attempts: 1},
+	{name: 'the run ends with an error, and callers send new requests', loss: 'error', attempts: 1},
+	{
+		name: 'the connection is reset, and callers send new requests to another host', loss: 'reset', attempts: 1, isRoaming: true,
+	},
 ];
 
 describe('streams of which an engine of another version has lost an answer', () => {
-	for (const {name, loss} of cases) {
+	for (const {
+		name, loss, attempts, isRoaming = false,
+	} of cases) {
 		it(name, async context => {
 			expect(await playRestart({
 				name,
-				streamAttempts,
+				streamAttempts: attempts,
+				isRoaming,
 				lostVersions: ['v1'],
 				async before(world) {
 					for (const engine of listVersion(world, 'v2').filter(replica => isDecode(replica)).slice(-losing.engines)) {
--- a/packages/standin/src/wire/restarted-streams.ts
+++ b/packages/standin/src/wire/restarted-streams.ts
@@ -27,6 +27,8 @@
 	/** Time between the starts of two hosts, in milliseconds; absent: all start at once. */
 	readonly startGapMs?: number;
 	readonly softwareVersions?: readonly string[];
+	/** Whether callers whose streams do not begin try the next host. */
+	readonly isRoaming?: boolean;
 	/** Called before streams begin. */
 	readonly before?: (world: World, callers: readonly StreamCaller[]) => Promise<void>;
 	/** Called once all streams have begun, while the hosts run. */
@@ -175,7 +177,7 @@
 }
 
 /** Breaks streams by restarts of all hosts, and resumes them beside as many new ones. */
-export async function playRestart({hosts = 8, decode = parts.decode, startGapMs, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false, streamAttempts, lostVersions = []}: RestartCase, report: (text: string) => void) {
+export async function playRestart({hosts = 8, decode = parts.decode, startGapMs, softwareVersions = ['v1', 'v2'], before, between, meanwhile, restarts = 1, isResumedBetween = false, isEarly = false, mayRefuse = false, streamAttempts, isRoaming = false, lostVersions = []}: RestartCase, report: (text: string) => void) {
 	const world = await startWorld({
 		...parts, hosts, decode, softwareVersions, ...(streamAttempts === undefined ? {} : {streamAttempts}),
 	});
@@ -186,7 +188,7 @@
 		await Promise.all(range(0, hosts).map(async index => new StreamCaller(`first-${index}`).begin(addressOf(index))));
 		await before?.(world, callers);
 		setGap(world, slowGapMs);
-		await Promise.all(callers.map(async (caller, index) => caller.beginAt(addressOf(index))));
+		await Promise.all(callers.map(async (caller, index) => caller.beginAt(addressOf(index), ...(isRoaming ? [addressOf(index + 1)] : []))));
 		await between?.(world);
 		let brokenAt = performance.now();
 		await world.restartAll(async () => {
--- a/packages/standin/src/wire/stream-caller.ts
+++ b/packages/standin/src/wire/stream-caller.ts
@@ -102,13 +102,14 @@
 		]);
 	}
 
-	/** Begins at a host, retrying after `Retry-After`, until the first event arrives or the deadline passes. */
-	async beginAt(address: string): Promise<void> {
+	/** Begins at a host, retrying there and at the others in turn after `Retry-After`, until the first event arrives or the deadline passes. */
+	async beginAt(address: string, ...others: readonly string[]): Promise<void> {
+		const addresses = [address, ...others];
 		await this.begin(address);
 		const startedAt = this.#startedAt;
-		while (this.events.length === 0 && performance.now() - startedAt < this.deadlineMs) {
+		for (let attempt = 1; this.events.length === 0 && performance.now() - startedAt < this.deadlineMs; attempt += 1) {
 			await pause(this.ends.at(-1)?.retryAfterMs ?? 0);
-			await this.begin(address);
+			await this.begin(addresses[attempt % addresses.length] ?? address);
 		}
 	}
 
