Fix: statuses that HTTP does not define reached callers or failed at the host

What callers saw: a response with the status 000, 001 or 099 ended in a 500 of this host with 9001 internal, for a request that had run; 600 and 999 were passed on as answers.

Cause: Node's parser accepts any three digits, and refuses to write those below 100. No reader of a response checked the number.

Change: receiveHead, through which every client reads its responses, rejects a final response whose status is outside 200 to 599. For endpoints that is a broken response: it counts against the endpoint's health, the request is repeated where its route allows, and otherwise its caller gets a 502 that states that it may have run.

--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -7,6 +7,7 @@
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {ignore} from '@gatehead/policy/utils/ignore';
 import {watchEnd} from './response-end.js';
 
 /** Informational responses accepted before the final one. Endpoints send `100` at most. */
@@ -16,6 +17,8 @@
 
 /** Delivered by Node as a final response if it names no protocol. */
 const switchingProtocols = 101;
+/** Statuses of final responses (RFC 9110, section 15). Node passes on any number of three digits. */
+const finalStatuses = {least: 200, most: 599};
 
 /** What may arrive instead of a final response, and its outcome. */
 type HeadHandlers = {
@@ -28,7 +31,7 @@
 	readonly close: () => void;
 };
 
-/** Resolves with the final response of a request that was created just now; rejects if there will be none. Errors that follow the head are left to the response's reader. */
+/** Resolves with the final response of a request that was created just now; rejects if there will be none, or if its status is undefined. Errors that follow the head are left to the response's reader. */
 export async function receiveHead(request: ClientRequest): Promise<IncomingMessage> {
 	return new Promise<IncomingMessage>((resolve, reject) => {
 		let informational = 0;
@@ -40,8 +43,13 @@
 
 		const handlers: HeadHandlers = {
 			response(response) {
-				if (response.statusCode === switchingProtocols) {
+				const {statusCode = 0} = response;
+				if (statusCode === switchingProtocols) {
 					rejectSwitch(response, response.socket);
+				} else if (statusCode < finalStatuses.least || statusCode > finalStatuses.most) {
+					response.on('error', ignore);
+					request.destroy();
+					reject(new Error(`the endpoint sent the undefined status ${statusCode}`));
 				} else {
 					watchEnd(request, response);
 					resolve(response);
--- a/packages/standin/src/wire/unexpected-responses.test.ts
+++ b/packages/standin/src/wire/unexpected-responses.test.ts
@@ -10,12 +10,19 @@
 import {startScriptedWorld, type ScriptedWorld} from './scripted-world.js';
 
 const okStatus = 200;
+/** Statuses that callers may get: of a sound response, and of this host's errors about one that is not. */
+const ownStatuses: ReadonlySet<number> = new Set([okStatus, 502, 503, 504]);
 /** Short, so that what ends with the route's timeout ends soon. */
 const routeTimes = {timeoutMs: 2000, targetLatencyMs: 900};
 
 /** Time after which a client is given up, in milliseconds. */
 const readTimeoutMs = 1000;
 
+/** Stands for the id of the request in the bytes of a response. */
+const idPlace = '{id}';
+/** Numbers that HTTP does not define as statuses (RFC 9110, section 15). */
+const undefinedStatuses = ['000', '001', '099', '600', '999'];
+
 const unexpected: ReadonlyArray<{readonly name: string; readonly bytes: string; readonly isClosed?: boolean}> = [
 	{name: 'another protocol', bytes: 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n'},
 	{name: 'another protocol that is not named', bytes: 'HTTP/1.1 101 Switching Protocols\r\n\r\n'},
@@ -23,6 +30,7 @@
 	{name: 'the end of the connection', bytes: '', isClosed: true},
 	{name: 'bytes that are not HTTP', bytes: '\0\u0001nonsense\r\n\r\n'},
 	{name: 'a head that breaks off', bytes: 'HTTP/1.1 200 OK\r\nKeep-', isClosed: true},
+	...undefinedStatuses.map(status => ({name: `the status ${status}`, bytes: `HTTP/1.1 ${status} Status\r\nRequest-Id: ${idPlace}\r\nServer-Seal: seal\r\nContent-Length: 2\r\n\r\n{}`})),
 ];
 
 describe('unexpected responses', () => {
@@ -47,13 +55,13 @@
 	async function check({kind, path}: SendPlace, {bytes, isClosed = false}: typeof unexpected[number]): Promise<void> {
 		await scripted.publish();
 		let isPending = true;
-		scripted.intercept = ({socket}, callKind) => {
+		scripted.intercept = ({socket, id}, callKind) => {
 			if (callKind !== kind || !isPending) {
 				return false;
 			}
 
 			isPending = false;
-			socket.write(bytes);
+			socket.write(bytes.replace(idPlace, id));
 			if (isClosed) {
 				socket.end();
 			}
@@ -64,6 +72,7 @@
 		const [disturbed, other] = await Promise.all([send(path), send(path)]);
 		expect({isPending, isGivenUp: disturbed.isGivenUp || other.isGivenUp}).toEqual({isPending: false, isGivenUp: false});
 		expect([disturbed, other].some(({status}) => status === okStatus)).toEqual(true);
+		expect([disturbed, other].filter(({status}) => !ownStatuses.has(status))).toEqual([]);
 		await scripted.publish();
 		const {status} = await send(path);
 		expect(status).toEqual(okStatus);
