Fix: an early response without framing was judged before its request was written

Cause: where only the connection ends a response, a write behind it shows a reset. Behind an upload that is not written yet this probe waits in a queue, and the check is over after two turns of the event loop. That such responses were rejected here rested on Node, which destroys the connection of a response without framing; traced, that was 0.3 ms ahead of the check.

Change: such a response is truncated if its request is not written whole when it ends. All clients read through this place. An endpoint that is sound keeps the connection open and reads on.

--- a/packages/host/src/utils/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -6,8 +6,8 @@
 /** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
 const truncatedResponses = new WeakSet<IncomingMessage>();
 
-/** Responses that only the end of their connection ends. */
-const probedResponses = new WeakSet<IncomingMessage>();
+/** Requests whose responses only the end of their connection ends. */
+const probedRequests = new WeakMap<IncomingMessage, ClientRequest>();
 
 /** Observes how a response ends; called as soon as its headers arrive. */
 export function watchEnd(request: ClientRequest, response: IncomingMessage): void {
@@ -15,7 +15,7 @@
 		truncatedResponses.add(response);
 	});
 	if (framingOf(response, request.method) === 'connection') {
-		probeForReset(response);
+		probeForReset(request, response);
 	}
 }
 
@@ -23,12 +23,16 @@
  * Distinguishes a reset connection from a closed one. Where a reset arrives
  * with the last bytes, libuv reports a normal end; a write then fails with the
  * error. The endpoint has closed the connection and ignores the written bytes.
+ * Behind a request that is still being written the probe would wait and show
+ * nothing; an endpoint that ends its response without reading on has failed.
  */
-function probeForReset(response: IncomingMessage): void {
+function probeForReset(request: ClientRequest, response: IncomingMessage): void {
 	const {socket} = response;
-	probedResponses.add(response);
+	probedRequests.set(response, request);
 	socket.prependOnceListener('end', () => {
-		if (socket.writable) {
+		if (!request.writableFinished) {
+			truncatedResponses.add(response);
+		} else if (socket.writable) {
 			socket.write('\r\n', error => {
 				if (error) {
 					truncatedResponses.add(response);
@@ -46,7 +50,8 @@
  * to send can say so with a length of zero (RFC 9112, section 6.3).
  */
 export async function checkEnd(response: IncomingMessage, receivedBytes: number): Promise<void> {
-	if (probedResponses.has(response)) {
+	const request = probedRequests.get(response);
+	if (request !== undefined) {
 		if (receivedBytes === 0) {
 			throw new Error('the connection closed before the body');
 		}
@@ -55,7 +60,8 @@
 		await setImmediate();
 	}
 
-	if (!response.complete || truncatedResponses.has(response)) {
+	const isUnread = request?.writableFinished === false;
+	if (!response.complete || isUnread || truncatedResponses.has(response)) {
 		throw new Error('the response was truncated');
 	}
 }
--- a/packages/standin/src/wire/scripted-endpoint.ts
+++ b/packages/standin/src/wire/scripted-endpoint.ts
@@ -46,10 +46,11 @@
 	};
 }
 
-/** Passes each whole request on a connection to `answer`. */
-function serve(socket: Socket, answer: (call: ScriptedCall) => void): void {
+/** Passes each request on a connection to `answer`: once it is whole, or before a body of at least `earlyBytes` is read. */
+function serve(socket: Socket, answer: (call: ScriptedCall) => void, earlyBytes: number): void {
 	const earlierIds: string[] = [];
 	let received = '';
+	let isAnswered = false;
 	socket.setNoDelay(true);
 	socket.on('error', () => {
 		// The host closes connections that it does not use any more
@@ -62,12 +63,19 @@
 		}
 
 		const {target, headers} = readHead(received.slice(0, end));
-		const bodyEnd = end + headEnd.length + Number(headers.get('content-length') ?? 0);
-		if (received.length < bodyEnd) {
+		const length = Number(headers.get('content-length') ?? 0);
+		const isWhole = received.length >= end + headEnd.length + length;
+		if (!isWhole && length < earlyBytes) {
+			return;
+		}
+
+		const wasAnswered = isAnswered;
+		isAnswered = !isWhole;
+		received = isWhole ? received.slice(end + headEnd.length + length) : received;
+		if (wasAnswered) {
 			return;
 		}
 
-		received = received.slice(bodyEnd);
 		const id = headers.get('request-id') ?? '';
 		answer({
 			id, target, headers, socket, port: socket.remotePort, earlierIds: [...earlierIds],
@@ -76,15 +84,15 @@
 	});
 }
 
-/** Starts an endpoint that calls `answer` for each request; what it writes to the connection is the response. `backlog`: connections that wait to be accepted, at most. */
-export async function startScriptedEndpoint(answer: (call: ScriptedCall) => void, backlog?: number): Promise<ScriptedEndpoint> {
+/** Starts an endpoint that calls `answer` for each request; what it writes to the connection is the response. `backlog`: connections that wait to be accepted, at most; `earlyBytes`: size of a body that is not read before the answer. */
+export async function startScriptedEndpoint(answer: (call: ScriptedCall) => void, backlog?: number, earlyBytes = Number.POSITIVE_INFINITY): Promise<ScriptedEndpoint> {
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
 		socket.once('close', () => {
 			sockets.delete(socket);
 		});
-		serve(socket, answer);
+		serve(socket, answer, earlyBytes);
 	});
 	await new Promise<void>(resolve => {
 		server.listen({port: 0, host: ownAddress, backlog}, resolve);
--- a/packages/standin/src/wire/scripted-world.ts
+++ b/packages/standin/src/wire/scripted-world.ts
@@ -52,6 +52,8 @@
 	readonly retryAllowance?: number;
 	/** Attempts of the resumable route; absent: two. */
 	readonly streamAttempts?: number;
+	/** Size of a body that endpoints do not read before they answer, in bytes; absent: they read all of them. */
+	readonly earlyBytes?: number;
 	/** Whether the host manages the load; absent: as the configuration calls for. */
 	readonly loadManagement?: LoadManagement;
 };
@@ -79,7 +81,7 @@
 }
 
 /** Starts hosts and their endpoints, and waits until the hosts know them. */
-export async function startScriptedWorld({hosts = 1, plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, streamAttempts, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
+export async function startScriptedWorld({hosts = 1, plain = 0, prefill = 0, decode = 0, routeTimes = patientTimes, retryAllowance = ampleAllowance, streamAttempts, earlyBytes, loadManagement}: ScriptedParts): Promise<ScriptedWorld> {
 	const world = await startWorld({
 		hosts, plain: 0, prefill: 0, decode: 0, slots: 8, routeTimes, retryAllowance, ...(streamAttempts === undefined ? {} : {streamAttempts}), ...(loadManagement === undefined ? {} : {loadManagement}),
 	});
@@ -143,7 +145,7 @@
 			if (!scripted.intercept(call, kindOf(call))) {
 				scripted.answerSoundly(call);
 			}
-		});
+		}, undefined, earlyBytes);
 		endpoints.set(id, endpoint);
 	}
 
