--- a/packages/standin/src/wire/unread-uploads.test.ts
+++ b/packages/standin/src/wire/unread-uploads.test.ts
@@ -121,6 +121,27 @@
 			expect(scripted.takenResults.includes(cutResult)).toEqual(false);
 		}
 
+		async function checkEarly({path, whole}: Place): Promise<void> {
+			await scripted.publish();
+			scripted.intercept = () => false;
+			const {id, status, body, isWhole} = await send(path, longBody);
+			expect({status, body, isWhole}).toEqual({status: okStatus, body: whole(id), isWhole: true});
+		}
+
+		async function checkUnframed({path, kind, whole}: Place): Promise<void> {
+			await scripted.publish();
+			scripted.intercept = ({socket, id}, callKind) => {
+				if (callKind === kind) {
+					socket.end(`${writeHead(id)}\r\n${whole(id)}`);
+				}
+
+				return callKind === kind;
+			};
+
+			const {id, status, body, isWhole} = await send(path, shortBody);
+			expect({status, body, isWhole}).toEqual({status: okStatus, body: whole(id), isWhole: true});
+		}
+
 		for (const place of places) {
 			for (const [framing, frame] of Object.entries(framings)) {
 				for (const [name, end] of Object.entries(ends)) {
@@ -129,27 +150,9 @@
 			}
 		}
 
-		for (const {name, path, kind, whole} of places.filter(({path}) => path !== '/stream/1')) {
-			it(`${name}: a whole early response arrives`, async () => {
-				await scripted.publish();
-				scripted.intercept = () => false;
-				const {id, status, body, isWhole} = await send(path, longBody);
-				expect({status, body, isWhole}).toEqual({status: okStatus, body: whole(id), isWhole: true});
-			});
-
-			it(`${name}: a response without framing to a body that was read arrives`, async () => {
-				await scripted.publish();
-				scripted.intercept = ({socket, id}, callKind) => {
-					if (callKind === kind) {
-						socket.end(`${writeHead(id)}\r\n${whole(id)}`);
-					}
-
-					return callKind === kind;
-				};
-
-				const {id, status, body, isWhole} = await send(path, shortBody);
-				expect({status, body, isWhole}).toEqual({status: okStatus, body: whole(id), isWhole: true});
-			});
+		for (const place of places.filter(({path}) => path !== '/stream/1')) {
+			it(`${place.name}: a whole early response arrives`, async () => checkEarly(place));
+			it(`${place.name}: a response without framing to a body that was read arrives`, async () => checkUnframed(place));
 		}
 	});
 }
