Fix: header fields behind the first thousand were dropped without a word

Cause: Node keeps a thousand fields of a head by default and drops the others, Content-Length among them, on both servers and for responses.

The size of a head stays bounded.

--- a/packages/host/src/front/caller-server.ts
+++ b/packages/host/src/front/caller-server.ts
@@ -47,6 +47,8 @@
 		}, (request, response) => {
 			void this.#respond(request, response);
 		});
+		// Node drops further fields without a word; the size of a head is bounded
+		this.#server.maxHeadersCount = 0;
 		this.#server.maxConnections = connections;
 		this.#connections = new CallerConnections(this.#server);
 		parts.bundles.onAdopted(({bundle}) => {
--- a/packages/relay/src/front/caller-server.ts
+++ b/packages/relay/src/front/caller-server.ts
@@ -110,6 +110,8 @@
 		}, (request, response) => {
 			void this.#handleRequest(request, response);
 		});
+		// Node drops further fields without a word; the size of a head is bounded
+		this.#server.maxHeadersCount = 0;
 		this.#server.maxConnections = limits.connections;
 		this.#connections = new CallerConnections(this.#server, {
 			answersHalfClosed: true,
--- a/packages/relay/src/front/forward-server.ts
+++ b/packages/relay/src/front/forward-server.ts
@@ -38,6 +38,8 @@
 			: createSecureServer({
 				...options, ...tls, requestCert: true, rejectUnauthorized: true,
 			}, listener);
+		// Node drops further fields without a word; the size of a head is bounded
+		this.#server.maxHeadersCount = 0;
 		this.#connections = new CallerConnections(this.#server);
 	}
 
