Fix: entries with missing fields named replicas to use

Cause: the adapter took a missing version, number of slots, callSeq or coldRemainingMs for a default or did not look at it.

--- a/packages/standin/src/wire/entries.test.ts
+++ b/packages/standin/src/wire/entries.test.ts
@@ -46,6 +46,11 @@
 	{name: 'an address without a port', value: {...good, address: '10.0.0.1'}, isUsed: false},
 	{name: 'an address by name', value: {...good, address: 'replica.example:80'}, isUsed: false},
 	{name: 'an address of another type', value: {...good, address: 80}, isUsed: false},
+	...['version', 'slots', 'coldRemainingMs', 'callSeq'].flatMap(field => [
+		{name: `no ${field}`, value: {...good, [field]: undefined}, isUsed: false},
+		{name: `${field} that is null`, value: {...good, [field]: null}, isUsed: false},
+		{name: `${field} of another type`, value: {...good, [field]: [1]}, isUsed: false},
+	]),
 	{name: 'slots below none', value: {...good, slots: -1}, isUsed: false},
 	{name: 'half a slot', value: {...good, slots: 0.5}, isUsed: false},
 	{
