Fix: request bodies that endpoints left unread piled up on hosts

Cause: where load is not managed, a host left the connection and the rest of the body to the endpoint once the response had ended, while the body's share of the host's memory was given back. Nothing bounded these bodies.

Change: the connection of a request whose body is partly unread is closed with its response on all deployments, as it was where load is managed. Such a connection was never used for another request.

--- a/packages/relay/src/upstream/endpoint-exchange.ts
+++ b/packages/relay/src/upstream/endpoint-exchange.ts
@@ -15,7 +15,7 @@
 	};
 
 	try {
-		const verified = await exchange({...outgoing, address: endpoint.address}, endpoints.connectionsOf(endpoint), {...options, releasesBody: endpoints.isLoadManaged, onConnected: recordContact});
+		const verified = await exchange({...outgoing, address: endpoint.address}, endpoints.connectionsOf(endpoint), {...options, releasesBody: true, onConnected: recordContact});
 		recordContact();
 		return verified;
 	} catch (error) {
--- a/packages/standin/src/wire/unread-uploads.test.ts
+++ b/packages/standin/src/wire/unread-uploads.test.ts
@@ -3,6 +3,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
 	makeKeepAliveAgent, readText, sendCall, sendOnce,
 } from '@gatehead/host/core/http-call';
@@ -12,6 +13,7 @@
 import {
 	bodyOf, reaches, streamOf, type CallKind, type Reach, type ScriptedWorld,
 } from './scripted-world.js';
+import {until} from './world.js';
 
 const okStatus = 200;
 /** More than the buffers of a connection take, and less than the longest body of a request. */
@@ -21,6 +23,8 @@
 const maxLength = 65_536;
 /** Time between a part of the response and its end, in milliseconds. */
 const cutDelayMs = 20;
+/** Time between a response and the reading of the rest of its request, in milliseconds. */
+const releaseMs = 100;
 /** Prefill result in the part of a response; no run may use it. */
 const cutResult = 'cut';
 
@@ -128,6 +132,29 @@
 			expect({status, body, isWhole}).toEqual({status: okStatus, body: whole(id), isWhole: true});
 		}
 
+		/** Checks that what an endpoint has not read of a request goes with its response: hosts would run out of memory. */
+		async function checkRelease({path, kind, whole}: Place): Promise<void> {
+			await scripted.publish();
+			const unread: Socket[] = [];
+			scripted.intercept = ({socket, id}, callKind) => {
+				if (callKind !== kind) {
+					return false;
+				}
+
+				unread.push(socket.pause());
+				socket.write(writeHead(id) + `Content-Length: ${whole(id).length}\r\n\r\n${whole(id)}`);
+				return true;
+			};
+
+			const {id, status, body} = await send(path, longBody);
+			expect({status, body}).toEqual({status: okStatus, body: whole(id)});
+			await pause(releaseMs);
+			const [socket] = unread;
+			socket?.resume();
+			await until(() => unread.every(({readableEnded, destroyed}) => readableEnded || destroyed));
+			expect(unread.map(({bytesRead}) => bytesRead < longBody.length)).toEqual([true]);
+		}
+
 		async function checkUnframed({path, kind, whole}: Place): Promise<void> {
 			await scripted.publish();
 			scripted.intercept = ({socket, id}, callKind) => {
@@ -152,6 +179,7 @@
 
 		for (const place of places.filter(({path}) => path !== '/stream/1')) {
 			it(`${place.name}: a whole early response arrives`, async () => checkEarly(place));
+			it(`${place.name}: a body that is not read goes with its response`, async () => checkRelease(place));
 			it(`${place.name}: a response without framing to a body that was read arrives`, async () => checkUnframed(place));
 		}
 	});
