--- a/specification/restarts.pml
+++ b/specification/restarts.pml
@@ -12,7 +12,8 @@
  * changes of entries (six with MISTAKE_TWICE). Assumptions: (1) an attempt whose
  * events reached nobody does not leave as much as the caller has, at an engine
  * of another version, when those that made the caller's events have lost them or
- * have left: nothing tells the two apart. (2) An entry does not change twice
+ * have left: nothing tells the two apart, so hosts repeat a request at the
+ * version of its earlier attempts. (2) An entry does not change twice
  * during one question. (3) An engine takes work once its entry states its
  * version.
  * Seeded mistakes: MISTAKE_NO_PAST (hosts that agree are proof, though none has
