Relay: repeats at one version where holders answer late, names and comments

Holders are asked for as long as in the first round of a lookup now (150 ms).

Also from reading the diff: a reservation that is refused at any version no longer forgets the version of a run that goes on; nothing is recorded while a service has one version; forwards, whose version is not known, do not count as repeats at another one; names and comments.

--- a/packages/host/src/front/caller-server.ts
+++ b/packages/host/src/front/caller-server.ts
@@ -47,7 +47,7 @@
 		}, (request, response) => {
 			void this.#respond(request, response);
 		});
-		// Node drops further fields without a word; the size of a head is bounded
+		// By default Node silently drops fields behind the first thousand; the size of a head is bounded anyway
 		this.#server.maxHeadersCount = 0;
 		this.#server.maxConnections = connections;
 		this.#connections = new CallerConnections(this.#server);
--- a/packages/host/src/utils/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -6,7 +6,7 @@
 /** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
 const truncatedResponses = new WeakSet<IncomingMessage>();
 
-/** Requests whose responses only the end of their connection ends. */
+/** Requests by response, for responses that only the end of their connection ends. */
 const probedRequests = new WeakMap<IncomingMessage, ClientRequest>();
 
 /** Observes how a response ends; called as soon as its headers arrive. */
@@ -60,8 +60,8 @@
 		await setImmediate();
 	}
 
-	const isUnread = request?.writableFinished === false;
-	if (!response.complete || isUnread || truncatedResponses.has(response)) {
+	const isUnwritten = request?.writableFinished === false;
+	if (!response.complete || isUnwritten || truncatedResponses.has(response)) {
 		throw new Error('the response was truncated');
 	}
 }
--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -33,7 +33,7 @@
 
 /** Resolves with the final response of a request that was created just now; rejects if there will be none, or if its status is undefined. Errors that follow the head are left to the response's reader. */
 export async function receiveHead(request: ClientRequest): Promise<IncomingMessage> {
-	// Node drops further fields without a word, the length among them; the size of a head is bounded
+	// By default Node silently drops fields behind the first thousand, Content-Length among them; the size of a head is bounded anyway
 	request.maxHeadersCount = 0;
 	return new Promise<IncomingMessage>((resolve, reject) => {
 		let informational = 0;
--- a/packages/relay/src/front/forward-server.ts
+++ b/packages/relay/src/front/forward-server.ts
@@ -38,7 +38,7 @@
 			: createSecureServer({
 				...options, ...tls, requestCert: true, rejectUnauthorized: true,
 			}, listener);
-		// Node drops further fields without a word; the size of a head is bounded
+		// By default Node silently drops fields behind the first thousand; the size of a head is bounded anyway
 		this.#server.maxHeadersCount = 0;
 		this.#connections = new CallerConnections(this.#server);
 	}
--- a/packages/relay/src/peer/stream-registry.ts
+++ b/packages/relay/src/peer/stream-registry.ts
@@ -18,8 +18,6 @@
 const acknowledgingCount = 2;
 /** Timeout of an acknowledgement, in milliseconds: many times the latency between halls, and little compared with the time to a stream's first event. */
 const recordTimeoutMs = 50;
-/** Timeout of a question to a record's holders only, in milliseconds: every new stream waits for it while several versions serve. */
-const holderTimeoutMs = 50;
 /** Timeouts of the two rounds of questions, in milliseconds; links to hosts of other subsets may have to be opened. */
 const roundTimeoutsMs = [150, 250] as const;
 /** Maximum records at one host; bounds the memory that callers can fill. */
@@ -180,7 +178,7 @@
 		}
 
 		const [holders] = this.#holders.listRounds(question.key);
-		const found = await this.#askHosts(holders, question, holderTimeoutMs, []);
+		const found = await this.#askHosts(holders, question, roundTimeoutsMs[0], []);
 		return found?.record;
 	}
 
--- a/packages/relay/src/utils/metrics.ts
+++ b/packages/relay/src/utils/metrics.ts
@@ -37,7 +37,7 @@
 	engineSurveys: {name: 'gatehead_engine_surveys_total', help: 'Engines asked after the start of this host what they hold of earlier runs, by outcome.', labels: ['outcome']},
 	runTracesDropped: {name: 'gatehead_run_traces_dropped_total', help: 'Traces of runs that were not kept, since there are too many.', labels: []},
 	streamRecordsDropped: {name: 'gatehead_stream_records_dropped_total', help: 'Records of streams that were dropped before they expired.', labels: []},
-	streamLookups: {name: 'gatehead_stream_lookups_total', help: 'Requests that resume a stream, by where the software version that began it was found, and by whether a host that replied has seen all versions for as long as the stream can have lasted, and by what engines had of it.', labels: ['source', 'coverage', 'evidence']},
+	streamLookups: {name: 'gatehead_stream_lookups_total', help: 'Requests that resume a stream, by where the software version that began it was found, by whether a host that replied has seen all versions for as long as the stream can have lasted, and by what engines had of it.', labels: ['source', 'coverage', 'evidence']},
 	repeatedRuns: {name: 'gatehead_repeated_runs_total', help: 'Runs begun for a request no event of which had been forwarded, by whether an earlier one may have run at another software version only.', labels: ['softwareVersion']},
 	pauses: {name: 'gatehead_endpoint_pauses_total', help: 'Endpoints set aside because sends to them failed, by who saw it.', labels: ['source']},
 	forwarded: {name: 'gatehead_forwarded_requests_total', help: 'Requests that this host forwarded to another one because it had lost its links to the service, by outcome.', labels: ['outcome']},
--- a/packages/relay/src/work/generation.ts
+++ b/packages/relay/src/work/generation.ts
@@ -145,14 +145,17 @@
 	/** Reserves memory at the version of an earlier run if there was one, else at any. */
 	async #reserve(round: Round): Promise<AdmissionResult> {
 		const state = this.#state;
-		const preferred = state.nextVersion;
-		const result = await this.#reserveAt(round, preferred);
+		const result = await this.#reserveAt(round, state.nextVersion);
 		if (result.kind !== 'refused' || !state.mayChangeVersion) {
 			return result;
 		}
 
-		state.changeVersion();
-		return this.#reserveAt(round, undefined);
+		const atAny = await this.#reserveAt(round, undefined);
+		if (atAny.kind === 'granted') {
+			state.changeVersion();
+		}
+
+		return atAny;
 	}
 
 	async #reserveAt({signal, silent}: Round, softwareVersion: string | undefined): Promise<AdmissionResult> {
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -88,9 +88,9 @@
 		this.#unseenRuns.delete(earlierEndpoint);
 	}
 
-	/** Whether a run at this version is at another one than all earlier runs; undefined if there was none. */
+	/** Whether a run at this version is at another one than all earlier runs; undefined if there was none, or if the version is not known. */
 	isOtherVersion(softwareVersion: string | undefined): boolean | undefined {
-		return this.#unseenRuns.size === 0 ? undefined : ![...this.#unseenRuns.values()].includes(softwareVersion ?? '');
+		return this.#unseenRuns.size === 0 || softwareVersion === undefined ? undefined : ![...this.#unseenRuns.values()].includes(softwareVersion);
 	}
 
 	/** Memory of one engine and lifetime of its reservations; 0 where the service states none. */
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -115,20 +115,18 @@
 
 	/** Records at which version a request may have run without an event reaching its caller, who may send it anew under another id. */
 	async recordUnseen({facts, workspace, route, service}: Job, softwareVersion: string): Promise<void> {
-		if (route.isResumable && facts.ownPart !== undefined) {
+		if (facts.ownPart !== undefined && this.#maySplit({route, facts, service: service.name})) {
 			await this.#parts.registry.record(toPartKey(workspace?.name, facts.ownPart.id), {service: service.name, softwareVersion}, lifeOf(route, facts));
 		}
 	}
 
 	/** Finds at which version an earlier request with the same own part may have run without an event reaching its caller; undefined if none is known, or if there was one version only. */
 	async findUnseen({facts, workspace, route, service}: ResumeRequest): Promise<string | undefined> {
-		const {context: {clock}, registry, versions} = this.#parts;
-		const windowMs = lifeOf(route, facts);
-		if (!route.isResumable || facts.ownPart === undefined || versions.view(service, windowMs, clock.now()).versions.length < 2) {
+		if (facts.ownPart === undefined || !this.#maySplit({route, facts, service})) {
 			return undefined;
 		}
 
-		const record = await registry.findAtHolders({key: toPartKey(workspace, facts.ownPart.id), service, windowMs});
+		const record = await this.#parts.registry.findAtHolders({key: toPartKey(workspace, facts.ownPart.id), service, windowMs: lifeOf(route, facts)});
 		return record?.service === service && !record.isAmbiguous ? record.softwareVersion : undefined;
 	}
 
@@ -152,6 +150,12 @@
 		return fail('streamVersionUnknown', {retryAfterMs: isFinal ? undefined : unknownRetryAfterMs, detail: source});
 	}
 
+	/** Whether runs of a stream may be at several versions. */
+	#maySplit({route, facts, service}: Pick<ResumeRequest, 'route' | 'facts' | 'service'>): boolean {
+		const {context: {clock}, versions} = this.#parts;
+		return route.isResumable && versions.view(service, lifeOf(route, facts), clock.now()).versions.length > 1;
+	}
+
 	async #lookUp(request: ResumeRequest): Promise<Lookup> {
 		if (this.#openLookups >= maxOpenLookups) {
 			return {source: 'unknown', asked: 0, silent: maxOpenLookups};
