Fix: a refused repeat was searched for again where one version serves

What callers could see: the rejection of a request whose run was lost came a search later than it could, since the host then tried any version, also where there was no other one.

Change: a repeat tries any version only if an endpoint of another one takes work; the same for forwards that are refused. stream-state.test.ts has the case (it fails without the change).

--- a/packages/relay/src/upstream/endpoints.ts
+++ b/packages/relay/src/upstream/endpoints.ts
@@ -360,6 +360,11 @@
 		return this.#listReady(service, stage, softwareVersion).length > 0;
 	}
 
+	/** Whether an endpoint of another software version takes new work, now or after its backoff. */
+	hasOtherVersion(service: string, stage: Endpoint['stage'], softwareVersion: string): boolean {
+		return this.#listReady(service, stage, undefined).some(each => versionOf(each) !== softwareVersion);
+	}
+
 	/** Whether an endpoint of one software version takes new work and is not set aside. */
 	hasUsableVersion(service: string, stage: Endpoint['stage'], softwareVersion: string): boolean {
 		return this.#listReady(service, stage, softwareVersion).some(({id}) => this.isUsable(id));
--- a/packages/relay/src/work/stream-state.test.ts
+++ b/packages/relay/src/work/stream-state.test.ts
@@ -30,6 +30,8 @@
 type Case = {
 	readonly name: string;
 	readonly job?: Partial<Job>;
+	/** Whether endpoints of another version serve; absent: yes. */
+	readonly hasOther?: boolean;
 	/** Whether an endpoint of the earlier request's version can be used; absent: yes. */
 	readonly isUsable?: boolean;
 	readonly steps: readonly Step[];
@@ -49,6 +51,9 @@
 	{
 		name: 'a run that was lost', steps: [run('a', 'v2')], next: 'v2', unseen: ['v2'], mayChange: true,
 	},
+	{
+		name: 'a run that was lost, where one version serves', hasOther: false, steps: [run('a', 'v2')], next: 'v2', unseen: ['v2'], mayChange: false,
+	},
 	{
 		name: 'a run that was rejected', steps: [reject('a', 'v2')], next: undefined, unseen: [], mayChange: false,
 	},
@@ -87,8 +92,8 @@
 	},
 ];
 
-function makeState(job: Partial<Job> = {}, isUsable = true): StreamState {
-	const parts = {context: {clock: new ManualClock(), settings: {limits: {unreadBytes: 1}}}, endpoints: {hasUsableVersion: () => isUsable}};
+function makeState(job: Partial<Job> = {}, isUsable = true, hasOther = true): StreamState {
+	const parts = {context: {clock: new ManualClock(), settings: {limits: {unreadBytes: 1}}}, endpoints: {hasUsableVersion: () => isUsable, hasOtherVersion: () => hasOther}};
 	const base = {service: {name: 's'}, facts: {}, reply: {}};
 	return new StreamState(parts as unknown as StreamStateParts, {...base, ...job} as unknown as Job); // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- nothing else of them is read
 }
@@ -103,9 +108,9 @@
 		});
 	}
 
-	for (const {name, job, isUsable = true, steps, next, unseen, mayChange} of cases) {
+	for (const {name, job, isUsable = true, hasOther = true, steps, next, unseen, mayChange} of cases) {
 		it(name, () => {
-			const state = makeState(job, isUsable);
+			const state = makeState(job, isUsable, hasOther);
 			for (const step of steps) {
 				step(state);
 			}
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -54,9 +54,10 @@
 		return this.softwareVersion ?? unseen;
 	}
 
-	/** Whether the caller has no event yet, so that a run at another version is better than none. */
+	/** Whether the caller has no event yet, so that a run at another version is better than none, and there is one. */
 	get mayChangeVersion(): boolean {
-		return this.softwareVersion === undefined && this.#unseenRuns.size > 0;
+		const {nextVersion} = this;
+		return this.softwareVersion === undefined && nextVersion !== undefined && this.#parts.endpoints.hasOtherVersion(this.#job.service.name, 'decode', nextVersion);
 	}
 
 	/** Lets the next run be at any version. */
