--- a/packages/relay/src/work/continuation.ts
+++ b/packages/relay/src/work/continuation.ts
@@ -44,7 +44,7 @@
 		return isWaiting ? {kind: 'notBegun', refuse} : {kind: 'retry'};
 	}
 
-	/** Tells other hosts at which versions the request may have run in vain; called before its caller is told that it failed. */
+	/** Replicates the versions of runs that delivered no event; resolves before the error response, as the caller may retry at another host. */
 	async recordUnseenRuns(): Promise<void> {
 		for (const version of this.#state.listUnseenVersions()) {
 			await this.#parts.streams.recordUnseen(this.#job, version);
--- a/packages/relay/src/work/job.ts
+++ b/packages/relay/src/work/job.ts
@@ -33,7 +33,7 @@
 	readonly deadlineAt: number;
 	/** Software version at which the caller's stream began, and the only one at which it may go on; undefined: the caller has no part of it. */
 	readonly resumedVersion: string | undefined;
-	/** Software version at which an earlier request of this stream may have run without an event reaching its caller; undefined: none is known. */
+	/** Software version of an earlier, undelivered run of this stream; undefined: no record. */
 	readonly earlierVersion: string | undefined;
 	/** Key under which the version of this stream is recorded; undefined: its caller cannot resume it, or another host records it. */
 	readonly streamKey: string | undefined;
--- a/packages/relay/src/work/stream-state.ts
+++ b/packages/relay/src/work/stream-state.ts
@@ -32,14 +32,14 @@
 	softwareVersion: string | undefined;
 	readonly #parts: StreamStateParts;
 	readonly #job: Job;
-	/** Versions of the runs that may have begun while no event was forwarded, by endpoint. What they generated stays in the memory of those endpoints, where it looks like a part of the stream. */
+	/** Versions of runs that delivered no event, by endpoint. Their output stays in the endpoint's cache, indistinguishable from that of the stream. */
 	readonly #unseenRuns = new Map<string, string>();
 
 	constructor(parts: StreamStateParts, job: Job) {
 		this.#parts = parts;
 		this.#job = job;
 		this.softwareVersion = job.resumedVersion;
-		// The caller is better served at another version than by engines that keep failing its requests
+		// Endpoints that keep failing must not receive every retry of the caller
 		if (job.earlierVersion !== undefined && parts.endpoints.hasUsableVersion(job.service.name, 'decode', job.earlierVersion)) {
 			this.#unseenRuns.set(earlierEndpoint, job.earlierVersion);
 		}
@@ -48,13 +48,13 @@
 		this.events = new EventForwarder(job.reply, parts.context.clock, parts.context.settings.limits.unreadBytes);
 	}
 
-	/** Software version for the next run: that of the stream, or else of a run no event of which was forwarded; undefined: any. After a restart of all hosts, parts in engines' memory tell the version of a stream only if all its runs were at one version. */
+	/** Software version for the next run: that of the stream, else that of a run that delivered no event; undefined: any. Cached prompt parts identify a stream's version after a restart of all hosts only if all its runs had the same one. */
 	get nextVersion(): string | undefined {
 		const [unseen] = this.#unseenRuns.values();
 		return this.softwareVersion ?? unseen;
 	}
 
-	/** Whether the caller has no event yet, so that a run at another version is better than none, and there is one. */
+	/** Whether no event was delivered and endpoints of another version can take the request. */
 	get mayChangeVersion(): boolean {
 		const {nextVersion} = this;
 		return this.softwareVersion === undefined && nextVersion !== undefined && this.#parts.endpoints.hasOtherVersion(this.#job.service.name, 'decode', nextVersion);
@@ -83,7 +83,7 @@
 		return this.softwareVersion === undefined ? [...new Set(own.map(([, version]) => version))] : [];
 	}
 
-	/** Forgets the runs at an endpoint that cannot be connected to: a process that has ended has lost what it generated. Earlier requests of the caller no longer decide either. */
+	/** Removes the runs at an endpoint that refuses connections, since a terminated process has lost its cache, and the preference of earlier requests. */
 	forgetRun(id: string): void {
 		this.#unseenRuns.delete(id);
 		this.#unseenRuns.delete(earlierEndpoint);
--- a/packages/relay/src/work/stream-versions.ts
+++ b/packages/relay/src/work/stream-versions.ts
@@ -92,7 +92,7 @@
 	return digestOf(JSON.stringify([workspace ?? null, attempt])).slice(0, keyLength);
 }
 
-/** Key of the record that a run left a prompt's own part in an engine's memory. */
+/** Key of the record of an undelivered run, by the prompt's own part. */
 function toPartKey(workspace: string | undefined, part: string): string {
 	return digestOf(JSON.stringify(['part', workspace ?? null, part])).slice(0, keyLength);
 }
@@ -113,14 +113,14 @@
 		}
 	}
 
-	/** Records at which version a request may have run without an event reaching its caller, who may send it anew under another id. */
+	/** Records the version of a run that delivered no event; the caller may retry under another request id. */
 	async recordUnseen({facts, workspace, route, service}: Job, softwareVersion: string): Promise<void> {
 		if (facts.ownPart !== undefined && this.#maySplit({route, facts, service: service.name})) {
 			await this.#parts.registry.record(toPartKey(workspace?.name, facts.ownPart.id), {service: service.name, softwareVersion}, lifeOf(route, facts));
 		}
 	}
 
-	/** Finds at which version an earlier request with the same own part may have run without an event reaching its caller; undefined if none is known, or if there was one version only. */
+	/** Finds the version of an undelivered run with the same own prompt part; undefined if there is no record, or only one version. */
 	async findUnseen({facts, workspace, route, service}: ResumeRequest): Promise<string | undefined> {
 		if (facts.ownPart === undefined || !this.#maySplit({route, facts, service})) {
 			return undefined;
