Fix: responses with control characters in their reason phrase reached callers as answers

What callers saw: an endpoint answers with a status line such as "HTTP/1.1 200 O\0K"; the caller gets the body behind it as a complete 200. Prefill results and reservations of such responses were used, and the lists of engines, the directory, forwards and the own front took them for answers.

Cause: Node's parser accepts any byte but CR and LF in a reason phrase, and no reader looked at it. The same bytes in a field are a parse error, after which a response never counts; so the syntax of a head was checked in part only.

Change: receiveHead, through which every client reads its responses, rejects a head whose reason phrase has a control character, also in an informational response. Node emits a final response that arrived with a rejected informational one, so that one is dropped by the same handler. The endpoint has broken off: the request is repeated where its route allows, else its caller gets an error of the host. Bytes from 0x80 on stay allowed (RFC 9112, section 4).

The set-up of two tests moved to modules that the new one shares.

--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -4,11 +4,12 @@
  * cannot leave its request pending, nor occupy this process with bytes that
  * never become one.
  */
-import {type ClientRequest, type IncomingMessage} from 'node:http';
+import {type ClientRequest, type IncomingMessage, type InformationEvent} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {ignore} from '@gatehead/policy/utils/ignore';
 import {watchEnd} from './response-end.js';
+import {findHeadFault} from './response-syntax.js';
 
 /** Informational responses accepted before the final one. Endpoints send `100` at most. */
 const maxInformational = 8;
@@ -25,13 +26,13 @@
 	readonly response: (response: IncomingMessage) => void;
 	readonly upgrade: (response: IncomingMessage, socket: Duplex) => void;
 	readonly connect: (response: IncomingMessage, socket: Duplex) => void;
-	readonly information: () => void;
+	readonly information: (head: InformationEvent) => void;
 	readonly socket: (socket: Socket) => void;
 	readonly error: (error: Error) => void;
 	readonly close: () => void;
 };
 
-/** Resolves with the final response of a request that was created just now; rejects if there will be none, or if its status is undefined. Errors that follow the head are left to the response's reader. */
+/** Resolves with the final response of a request that was created just now; rejects if there will be none, or if its head is malformed. Errors that follow the head are left to the response's reader. */
 export async function receiveHead(request: ClientRequest): Promise<IncomingMessage> {
 	// By default Node silently drops fields behind the first thousand, Content-Length among them; the size of a head is bounded anyway
 	request.maxHeadersCount = 0;
@@ -43,26 +44,43 @@
 			reject(new Error('the endpoint switched protocols, which was not asked for'));
 		};
 
+		let isRejected = false;
+		const rejectHead = (fault: string) => {
+			isRejected = true;
+			reject(new Error(`the endpoint sent a malformed head: ${fault}`));
+			request.destroy();
+		};
+
 		const handlers: HeadHandlers = {
 			response(response) {
-				const {statusCode = 0} = response;
-				if (statusCode === switchingProtocols) {
-					rejectSwitch(response, response.socket);
-				} else if (statusCode < finalStatuses.least || statusCode > finalStatuses.most) {
+				// Node still emits what has arrived behind a malformed informational response
+				if (isRejected) {
 					response.on('error', ignore);
-					request.destroy();
-					reject(new Error(`the endpoint sent the undefined status ${statusCode}`));
-				} else {
+					return;
+				}
+
+				if (response.statusCode === switchingProtocols) {
+					rejectSwitch(response, response.socket);
+					return;
+				}
+
+				const fault = findStatusFault(response) ?? findHeadFault(response);
+				if (fault === undefined) {
 					watchEnd(request, response);
 					resolve(response);
+					return;
 				}
+
+				response.on('error', ignore);
+				rejectHead(fault);
 			},
 			upgrade: rejectSwitch,
 			connect: rejectSwitch,
-			information() {
+			information(head) {
 				informational += 1;
-				if (informational > maxInformational) {
-					request.destroy(new Error('too many informational responses'));
+				const fault = informational > maxInformational ? 'too many informational responses' : findHeadFault(head);
+				if (fault !== undefined) {
+					rejectHead(fault);
 				}
 			},
 			socket(socket) {
@@ -86,6 +104,11 @@
 	});
 }
 
+/** Describes an undefined status of a final response; undefined if it is defined. */
+function findStatusFault({statusCode = 0}: IncomingMessage): string | undefined {
+	return statusCode < finalStatuses.least || statusCode > finalStatuses.most ? `the undefined status ${statusCode}` : undefined;
+}
+
 /** Destroys a request whose connection delivers too much before the head of its response has ended. */
 function limitHead(request: ClientRequest, socket: Socket): void {
 	const bytesBefore = socket.bytesRead;
--- a/packages/standin/src/wire/forward-answers.test.ts
+++ b/packages/standin/src/wire/forward-answers.test.ts
@@ -1,24 +1,16 @@
 /** Guards against a response of another host that answers another forward and is taken for the present one's: a request that is reported as not run, or sent again, although it runs. */
 import {type Socket} from 'node:net';
 import {describe, it} from 'node:test';
-import {parseBootSettings} from '@gatehead/platform/boot-settings';
-import {wireDialect} from '@gatehead/platform/wire-dialect';
 import {systemClock} from '@gatehead/policy/utils/clock';
-import {ignore} from '@gatehead/policy/utils/ignore';
-import {seedRandom} from '@gatehead/policy/utils/random';
 import {readBody} from '@gatehead/relay/upstream/exchange';
-import {PeerForwarder, type ForwardResult, type PeerForwarderParts} from '@gatehead/relay/upstream/peer-forwarder';
-import {Metrics} from '@gatehead/relay/utils/metrics';
+import {type ForwardResult} from '@gatehead/relay/upstream/peer-forwarder';
 import {type Job} from '@gatehead/relay/work/job';
-import {RunLedger} from '@gatehead/relay/work/run-ledger';
 import {codes} from '@gatehead/schema/codes';
-import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {expect} from 'earl';
-import {ownAddress} from '../utils/ports.js';
+import {
+	createForwarder, createJob, headMs, nameForward,
+} from './lone-forwarder.js';
 import {startScriptedEndpoint, writeResponse, type ScriptedCall} from './scripted-endpoint.js';
-import {makeBoot} from './world.js';
-
-const headMs = 5000;
 
 type Case = {
 	readonly name: string;
@@ -26,10 +18,6 @@
 	readonly outcome: 'answer' | 'refused' | 'unknown';
 };
 
-function nameForward({headers}: ScriptedCall): Record<string, string> {
-	return {'gatehead-forward-id': headers.get('gatehead-forward-id') ?? ''};
-}
-
 const ownError = {'gatehead-error': String(codes.overloaded.number), 'Content-Type': 'application/json'};
 
 const cases: readonly Case[] = [
@@ -50,10 +38,6 @@
 	},
 ];
 
-const member: MemberRecord = {
-	host: 'b', hall: 'a', region: 'r', incarnation: 1, counter: 1, state: 'alive', callerAddress: '', peerAddress: '', adminAddress: '', load: 0,
-};
-
 type Cut = (socket: Socket) => void;
 
 const cuts: Readonly<Record<string, Cut>> = {
@@ -79,31 +63,6 @@
 /** Largest body, in bytes. */
 const maxBytes = 1000;
 
-/** Creates the forwarder of a host that knows one other. `admit`: whether there is retry budget for a job. */
-function createForwarder(address: string, admit: () => boolean = () => true): PeerForwarder {
-	const {settings} = parseBootSettings(makeBoot({
-		name: 'a', ip: ownAddress, ports: [1, 2, 3, 4], seeds: [], store: `${ownAddress}:1`,
-	}));
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-	const parts = {
-		context: {
-			clock: systemClock, log: ignore, random: seedRandom(1), metrics: new Metrics(undefined, {}), settings, dialect: wireDialect, self: {host: 'a', incarnation: 1},
-		},
-		reachability: {isUnreachable: () => true},
-		budgets: {admit, discount: ignore},
-		routingVersion: () => 1,
-		listMembers: () => [{...member, hall: settings.hall, forwardAddress: address}],
-	} as unknown as PeerForwarderParts;
-	return new PeerForwarder(parts);
-}
-
-function createJob(): Job {
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what the forwarder uses
-	return {
-		id: 'own', facts: {id: 'own'}, service: {name: 'plain'}, method: 'GET', target: '/once/1', headers: ['Host', 'calls.example', 'Request-Id', 'own'], signal: new AbortController().signal, deadlineAt: systemClock.now() + headMs, runs: new RunLedger(),
-	} as unknown as Job;
-}
-
 /** Guards against a response of another host that ends early and is taken for complete, too. */
 describe('responses to forwarded requests', () => {
 	/** Forwards a job to another host, which responds to each call as given; `cut`: where its response ends. */
