Fix: malformed fields were found or not as the process's parser was set

What callers saw, where the parser is lenient: a response with a malformed field passed for an answer. The line was passed on; a body arrived that was not the endpoint's, where the malformed field was the one that frames it ("Content-Length x: 4", "Transfer-Encoding : chunked"); or the host failed with a 500, or the own front with no response at all, as Node refused to write what it had accepted.

Cause: which fields are malformed was left to Node's parser alone. The default parser of Node 20.20 finds all of them.

A name is a token, a value has no control character but the tab (RFC 9110, section 5).

Not shown: that a parser of Node before 20.20 accepts such fields by default.

--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -4,6 +4,7 @@
 import {request as httpsRequest} from 'node:https';
 import process from 'node:process';
 import {receiveHead} from '@gatehead/host/utils/response-head';
+import {parserOptions} from '@gatehead/host/utils/response-syntax';
 import {splitAddress} from '@gatehead/schema/address';
 import {codes} from '@gatehead/schema/codes';
 import {fail} from '@gatehead/schema/failure';
@@ -39,7 +40,7 @@
 	const {tls} = fleet;
 	const token = process.env[fleet.tokenVariable];
 	const options: RequestOptions = {
-		host: ip, port, path, agent: false, signal: AbortSignal.timeout(requestTimeoutMs), headers: token === undefined ? {} : {authorization: `Bearer ${token}`},
+		host: ip, port, path, agent: false, signal: AbortSignal.timeout(requestTimeoutMs), headers: token === undefined ? {} : {authorization: `Bearer ${token}`}, ...parserOptions,
 	};
 	const call = tls === undefined
 		? httpRequest(options)
--- a/packages/host/src/core/http-call.ts
+++ b/packages/host/src/core/http-call.ts
@@ -10,6 +10,7 @@
 import {splitAddress} from '@gatehead/schema/address';
 import {receiveChunks} from '../utils/receive-chunks.js';
 import {receiveHead} from '../utils/response-head.js';
+import {parserOptions} from '../utils/response-syntax.js';
 
 const maxIdleSockets = 64;
 
@@ -50,7 +51,7 @@
 	const {ip, port} = splitAddress(address);
 	const length = body === undefined ? {} : {'content-length': String(typeof body === 'string' ? new TextEncoder().encode(body).length : body.length)};
 	return {
-		host: ip, port, method, path, headers: {...headers, ...length}, signal,
+		host: ip, port, method, path, headers: {...headers, ...length}, signal, ...parserOptions,
 	};
 }
 
--- a/packages/host/src/front/forward.test.ts
+++ b/packages/host/src/front/forward.test.ts
@@ -11,6 +11,8 @@
 import {forwardRequest} from './forward.js';
 import {type FrontParts} from './parts.js';
 
+/** Time after which a call without an answer fails, in milliseconds. */
+const longestMs = 10_000;
 const head = 'HTTP/1.1 200 OK\r\n';
 
 const close = (socket: Socket) => {
@@ -80,6 +82,9 @@
 		request.once('error', () => {
 			resolve(undefined);
 		});
+		request.setTimeout(longestMs, () => {
+			request.destroy();
+		});
 		request.end();
 	});
 }
--- a/packages/host/src/front/forward.ts
+++ b/packages/host/src/front/forward.ts
@@ -12,6 +12,7 @@
 import {type MemberRecord} from '@gatehead/schema/peer-message';
 import {receiveChunks} from '../utils/receive-chunks.js';
 import {receiveHead} from '../utils/response-head.js';
+import {parserOptions} from '../utils/response-syntax.js';
 import {type Call, type FrontParts} from './parts.js';
 import {sendFailure} from './reply.js';
 
@@ -40,7 +41,7 @@
 	context.timeline.record({kind: 'requestForwarded', peer: member.host});
 	const {ip, port} = splitAddress(member.callerAddress);
 	const proxyRequest = httpRequest({
-		host: ip, port, method: request.method, path: url.pathname + url.search, headers: selectHeaders(request, body.length), agent: false,
+		host: ip, port, method: request.method, path: url.pathname + url.search, headers: selectHeaders(request, body.length), agent: false, ...parserOptions,
 	});
 	receiveHead(proxyRequest).then(proxyResponse => {
 		// The end of a planned stop has rejected the request
--- a/packages/host/src/utils/response-end.test.ts
+++ b/packages/host/src/utils/response-end.test.ts
@@ -152,7 +152,7 @@
 			const socket = Object.assign(new EventEmitter(), {writable: isWritable, write: writes[write]}); // eslint-disable-line unicorn/prefer-event-target -- Node's own are emitters
 			const request = Object.assign(new EventEmitter(), {method: 'POST', writableFinished: isWritten}) as unknown as ClientRequest; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion, unicorn/prefer-event-target -- nothing else of it is read
 			const response = { // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- nothing else of it is read
-				headers: {}, statusCode: 200, complete: true, socket,
+				headers: {}, rawTrailers: [], statusCode: 200, complete: true, socket,
 			} as unknown as IncomingMessage;
 			watchEnd(request, response);
 			socket.emit('end');
--- a/packages/host/src/utils/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -2,6 +2,7 @@
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {setImmediate} from 'node:timers/promises';
 import {framingOf} from './response-framing.js';
+import {findFieldFault} from './response-syntax.js';
 
 /** Responses whose connection failed after the headers. Node reports a close-delimited response as complete even then. */
 const truncatedResponses = new WeakSet<IncomingMessage>();
@@ -43,7 +44,7 @@
 }
 
 /**
- * Throws if a response that has ended is truncated. Waits until a reset that
+ * Throws if a response that has ended is truncated, or its trailer malformed. Waits until a reset that
  * arrived with its last bytes is reported. Where a close would mark the end of
  * the body, a head alone is no sign that the body is empty: a process that
  * exits behind the head closes the connection, too, and one that has nothing
@@ -64,4 +65,9 @@
 	if (!response.complete || isUnwritten || truncatedResponses.has(response)) {
 		throw new Error('the response was truncated');
 	}
+
+	const fault = findFieldFault(response.rawTrailers);
+	if (fault !== undefined) {
+		throw new Error(`the endpoint sent a malformed trailer: ${fault}`);
+	}
 }
--- a/packages/relay/src/upstream/exchange.ts
+++ b/packages/relay/src/upstream/exchange.ts
@@ -12,6 +12,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {receiveChunks} from '@gatehead/host/utils/receive-chunks';
 import {receiveHead} from '@gatehead/host/utils/response-head';
+import {parserOptions} from '@gatehead/host/utils/response-syntax';
 import {splitAddress} from '@gatehead/schema/address';
 import {type IncomingPlace} from '@gatehead/policy/relay/incoming-budget';
 import {type ByteBlocks} from '@gatehead/policy/utils/byte-blocks';
@@ -172,7 +173,7 @@
 	};
 	connections.closeIdle(socket => requestId !== undefined && hasCarried(socket, requestId));
 	const clientRequest = httpRequest({
-		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections,
+		host: ip, port, method: outgoing.method, path: outgoing.target, headers: outgoing.headers, agent: connections, ...parserOptions,
 	});
 	state.timer = startTimeout(clock, options.connectMs, () => {
 		state.isLate = true;
