Fix: gateheadctl took a response that its host had reset for a whole one

What operators could see: a host answers without framing and its connection is reset with the last bytes; the command showed what had arrived as the answer.

Cause: fleet.ts read bodies with Node's iterator, for which a response without framing is complete however its connection ends. All other clients read through receiveChunks, which checks the end.

Change: it reads with readText, as the clients of the own front do, and so also has the check of trailers.

Found while looking for readers that skip the shared checks; no incident shows it, since hosts frame what they send.

--- a/packages/control/src/utils/fleet.test.ts
+++ b/packages/control/src/utils/fleet.test.ts
@@ -1,4 +1,4 @@
-/** Guards against malformed responses of hosts that an operator's command takes for answers. */
+/** Guards against malformed or truncated responses of hosts that an operator's command takes for answers. */
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import {describe, it} from 'node:test';
@@ -13,6 +13,8 @@
 	readonly name: string;
 	readonly text: string;
 	readonly isAnswer?: boolean;
+	/** Whether the connection is reset behind the response. */
+	readonly isReset?: boolean;
 };
 
 const cases: readonly Case[] = [
@@ -23,17 +25,23 @@
 	{name: 'a control character in a value', text: `HTTP/1.1 200 OK\r\nX-Name: a\0\r\n${framed}`},
 	{name: 'a folded value', text: `HTTP/1.1 200 OK\r\nX-Name: a\r\n b\r\n${framed}`},
 	{name: 'a blank in the name of a trailer', text: `HTTP/1.1 200 OK\r\n${chunked}Connection x: a\r\n\r\n`},
+	{name: 'a body without framing, reset with its last bytes', text: `HTTP/1.1 200 OK\r\n\r\n${body}`, isReset: true},
 ];
 
 describe('responses of hosts to an operator\'s command', () => {
-	for (const {name, text, isAnswer = false} of cases) {
+	for (const {name, text, isAnswer = false, isReset = false} of cases) {
 		it(`${name}: ${isAnswer ? 'an answer' : 'an error'}`, async () => {
 			const server = createServer(socket => {
 				socket.on('error', () => {
 					// The command closes connections that it does not read to their end
 				});
 				socket.once('data', () => {
-					socket.end(text);
+					socket.write(text);
+					if (isReset) {
+						socket.resetAndDestroy();
+					} else {
+						socket.end();
+					}
 				});
 			});
 			server.listen(0, '127.0.0.1');
--- a/packages/control/src/utils/fleet.ts
+++ b/packages/control/src/utils/fleet.ts
@@ -1,8 +1,9 @@
 /** Queries all hosts of a fleet over HTTP; an unreachable host yields an error result. */
 import {readFileSync} from 'node:fs';
-import {request as httpRequest, type IncomingMessage, type RequestOptions} from 'node:http';
+import {request as httpRequest, type RequestOptions} from 'node:http';
 import {request as httpsRequest} from 'node:https';
 import process from 'node:process';
+import {readText} from '@gatehead/host/core/http-call';
 import {receiveHead} from '@gatehead/host/utils/response-head';
 import {parserOptions} from '@gatehead/host/utils/response-syntax';
 import {splitAddress} from '@gatehead/schema/address';
@@ -11,7 +12,7 @@
 import {readFleet, type FleetFile} from './files.js';
 
 const requestTimeoutMs = 3000;
-/** Maximum length of a response, in characters. */
+/** Maximum length of a response, in UTF-16 code units. */
 const maxResponseLength = 16_777_216;
 
 /** A host's response, or the error code and reason of a failed query. */
@@ -21,20 +22,6 @@
 
 type ResponseParser<Answer> = (data: unknown) => Answer;
 
-async function readBody(response: IncomingMessage): Promise<string> {
-	response.setEncoding('utf8');
-	let text = '';
-	for await (const chunk of response) {
-		text += String(chunk);
-		if (text.length > maxResponseLength) {
-			response.destroy();
-			throw new Error('the response is larger than the size limit');
-		}
-	}
-
-	return text;
-}
-
 async function get(fleet: FleetFile, address: string, path: string): Promise<{readonly status: number; readonly text: string}> {
 	const {ip, port} = splitAddress(address);
 	const {tls} = fleet;
@@ -49,7 +36,7 @@
 		});
 	call.end();
 	const response = await receiveHead(call);
-	return {status: response.statusCode ?? 0, text: await readBody(response)};
+	return {status: response.statusCode ?? 0, text: await readText(response, maxResponseLength)};
 }
 
 /** Whether the fleet contains a relay. */
