Tests: undefined statuses at each reader of a response

Cause: unexpected-responses.test.ts has them for direct sends and three clients only. malformed-heads.test.ts and forward.test.ts now have 000, 099 and 600 for continuations, forwards, lists and the own front too, in one write and in parts.

--- a/packages/host/src/front/forward.test.ts
+++ b/packages/host/src/front/forward.test.ts
@@ -51,6 +51,7 @@
 /** Responses whose head is malformed; the caller gets an error of the host that it asked. */
 const malformed: ReadonlyArray<Pick<Case, 'name' | 'text'>> = [
 	{name: 'a control character in the reason', text: 'HTTP/1.1 200 O\0K\r\nContent-Length: 5\r\n\r\nhello'},
+	{name: 'the status 000', text: 'HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello'},
 	{name: 'a control character in the reason of an informational response', text: `HTTP/1.1 103 O\0K\r\n\r\n${head}Content-Length: 5\r\n\r\nhello`},
 	{name: 'a blank in the name of a field', text: `${head}X Name: a\r\nContent-Length: 5\r\n\r\nhello`},
 	{name: 'a control character in a value', text: `${head}X-Name: a\0\r\nContent-Length: 5\r\n\r\nhello`},
--- a/packages/standin/src/wire/malformed-heads.ts
+++ b/packages/standin/src/wire/malformed-heads.ts
@@ -44,7 +44,7 @@
 	'a blank in the name of a connection option': `Connection x: ${malformedText}`,
 };
 
-/** Status lines of a 200. */
+/** Status lines that are malformed, or whose status HTTP does not define. */
 export const malformedStatusLines: Readonly<Record<string, string>> = {
 	'a NUL in the reason': `HTTP/1.1 200 O\0K ${malformedText}`,
 	'a start of heading in the reason': `HTTP/1.1 200 O\u0001K ${malformedText}`,
@@ -54,6 +54,9 @@
 	'a line feed in the reason': `HTTP/1.1 200 OK\nX-Name: ${malformedText}`,
 	'a NUL behind the status': `HTTP/1.1 200\0${malformedText}`,
 	'a tab behind the status': `HTTP/1.1 200\t${malformedText}`,
+	'the status 000': `HTTP/1.1 000 ${malformedText}`,
+	'the status 099': `HTTP/1.1 099 ${malformedText}`,
+	'the status 600': `HTTP/1.1 600 ${malformedText}`,
 	'two blanks before the status': `HTTP/1.1  200 ${malformedText}`,
 };
 
