--- a/packages/host/src/utils/response-end.ts
+++ b/packages/host/src/utils/response-end.ts
@@ -44,11 +44,12 @@
 }
 
 /**
- * Throws if a response that has ended is truncated, or its trailer malformed. Waits until a reset that
- * arrived with its last bytes is reported. Where a close would mark the end of
- * the body, a head alone is no sign that the body is empty: a process that
- * exits behind the head closes the connection, too, and one that has nothing
- * to send can say so with a length of zero (RFC 9112, section 6.3).
+ * Throws if a response that has ended is truncated, or its trailer malformed.
+ * Waits until a reset that arrived with its last bytes is reported. Where a
+ * close would mark the end of the body, a head alone is no sign that the body
+ * is empty: a process that exits behind the head closes the connection, too,
+ * and one that has nothing to send can say so with a length of zero (RFC 9112,
+ * section 6.3).
  */
 export async function checkEnd(response: IncomingMessage, receivedBytes: number): Promise<void> {
 	const request = probedRequests.get(response);
--- a/packages/host/src/utils/response-head.ts
+++ b/packages/host/src/utils/response-head.ts
@@ -32,7 +32,7 @@
 	readonly close: () => void;
 };
 
-/** Resolves with the final response of a request that was created just now; rejects if there will be none, or if its head is malformed. Errors that follow the head are left to the response's reader. */
+/** Resolves with the final response of a request that was created just now, with `parserOptions`; rejects if there will be none, or if its head is malformed. Errors that follow the head are left to the response's reader. */
 export async function receiveHead(request: ClientRequest): Promise<IncomingMessage> {
 	// By default Node silently drops fields behind the first thousand, Content-Length among them; the size of a head is bounded anyway
 	request.maxHeadersCount = 0;
--- a/packages/standin/src/wire/head-readers.ts
+++ b/packages/standin/src/wire/head-readers.ts
@@ -50,11 +50,14 @@
 	fieldsFor: () => ({}),
 };
 
-/** Bodies and fields by the names of the clients that need some. */
-const directory = {body: JSON.stringify({items: [], asOf: 1}), fieldsFor: () => ({'Store-Era': '1'})};
+/** Sound responses to the clients that do not take any for an answer. */
+const soundResponses: Readonly<Record<string, Pick<HeadReader, 'body' | 'fieldsFor'>>> = {
+	'the directory': {body: JSON.stringify({items: [], asOf: 1}), fieldsFor: () => ({'Store-Era': '1'})},
+};
+const plainResponse: Pick<HeadReader, 'body' | 'fieldsFor'> = {body: 'answer', fieldsFor: () => ({})};
 
 export const headReaders: readonly HeadReader[] = [
-	...responseReaders.map(reader => ({...reader, ...(reader.name === 'the directory' ? directory : {body: 'answer', fieldsFor: () => ({})})})),
+	...responseReaders.map(reader => ({...reader, ...(soundResponses[reader.name] ?? plainResponse)})),
 	forwards,
 	lists,
 ];
