--- a/packages/relay/src/work/plain.test.ts
+++ b/packages/relay/src/work/plain.test.ts
@@ -27,7 +27,9 @@
 
 function makeResponse(status: number): IncomingMessage {
 	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- what a call reads of a response
-	return Object.assign(Readable.from([Buffer.from(body)]), {statusCode: status, headers: {}, complete: true}) as unknown as IncomingMessage;
+	return Object.assign(Readable.from([Buffer.from(body)]), {
+		statusCode: status, headers: {}, rawTrailers: [], complete: true,
+	}) as unknown as IncomingMessage;
 }
 
 type Case = {
